Reload the configuration on SIGHUP and follow discovery to its new address

Cause: src/main.rs had no handler for SIGHUP, whose default ends the process, and discovery::follow (src/net/discovery.rs) kept the one address of the start for life.

Change: SIGHUP reads the file again (a few times, if it is half written) and hands the new address to the watch, which drops the old one at once and takes the whole list first, as versions may be counted anew.

--- a/src/main.rs
+++ b/src/main.rs
@@ -13,13 +13,17 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 use weldpass::settings;
 
 /// How often idle connections are looked through.
 const RETIRE_EVERY: Duration = Duration::from_millis(250);
 /// A node that knows servers from before waits this long for newer news before it serves.
 const NEWS_WITHIN: Duration = Duration::from_secs(1);
+/// A configuration that can't be read may be half written: it is read again, so often and after this time.
+const RELOAD_TRIES: u32 = 10;
+const RELOAD_AGAIN: Duration = Duration::from_millis(100);
 
 /// What a node is told at its start.
 #[derive(Deserialize)]
@@ -56,6 +60,7 @@
 
 async fn node(config: Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
     let bounds = Bounds::of(config.limits.sockets, config.limits.memory_mb);
     let read = settings::read(config.settings.get()).map_err(|e| format!("settings can't be used: {e}"));
     let (settings, names, figures) = read?;
@@ -68,7 +73,9 @@
     } else {
         discovery::take_in(&driver, &config.known, true).map_err(|e| format!("known: {e}"))?
     };
-    tokio::task::spawn_local(discovery::follow(driver.clone(), config.discovery, known));
+    let (address, named) = watch::channel(config.discovery);
+    tokio::task::spawn_local(discovery::follow(driver.clone(), named, known));
+    tokio::task::spawn_local(reload(driver.clone(), hangup, address));
     let listener = front::bind(config.listen, bounds.clients)?;
     tokio::task::spawn_local(ready(driver.clone()));
     let retiring = driver.clone();
@@ -86,6 +93,26 @@
     Ok(())
 }
 
+/// Takes in a new configuration at each SIGHUP.
+///
+/// Guards against the end that the signal brings by default, and against a file that is half written or no
+/// configuration: the node goes on with what it has, for a reload must never cost a request. What a running
+/// node can change without harm is where it hears of servers; the rest of the file holds from the next start.
+async fn reload(driver: Rc<Driver>, mut hangup: Signal, address: watch::Sender<SocketAddr>) {
+    while hangup.recv().await.is_some() {
+        for _ in 0..RELOAD_TRIES {
+            match config() {
+                Ok(new) => {
+                    address.send_if_modified(|old| std::mem::replace(old, new.discovery) != new.discovery);
+                    break;
+                }
+                Err(fault) => driver.log.say(format_args!("the old configuration stays: {fault}")),
+            }
+            tokio::time::sleep(RELOAD_AGAIN).await;
+        }
+    }
+}
+
 /// Waits for the first list; an old one serves too, if no newer comes.
 async fn ready(driver: Rc<Driver>) {
     let news = driver.listed.notified();
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,7 +4,8 @@
 use super::BUFFER;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
-use hyper::client::conn::http1::Builder;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
@@ -15,6 +16,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::timeout;
 use weldpass::interface::{ListKind, ServerState};
 use weldpass::settings::Listed;
@@ -27,7 +29,7 @@
 /// Pause before a new watch: the first, and the longest.
 const PAUSE: Duration = Duration::from_millis(50);
 const PAUSE_MOST: Duration = Duration::from_millis(800);
-/// Longest line of a watch.
+/// Longest line of a watch, and the longest whole list.
 const LINE_MOST: usize = 4 << 20;
 
 /// Takes in a list or a change of it and returns its index.
@@ -71,16 +73,31 @@
     Some(Place { entry: driver.names.borrow_mut().entry(&listed), address })
 }
 
-/// Keeps a watch open for the life of the node.
-pub async fn follow(driver: Rc<Driver>, address: SocketAddr, known: u64) {
-    let index = Cell::new(known);
+/// Keeps a watch open for the life of the node, at whatever address the configuration names last.
+///
+/// A new address is turned to at once: the old one closes soon, and what the new one has to tell counts as told
+/// within seconds. What it calls a version need not be what the old one called so, hence the whole list is asked
+/// for first; that also heals any other change of the service behind an address. Harm: one list more a switch.
+pub async fn follow(driver: Rc<Driver>, mut address: watch::Receiver<SocketAddr>, known: u64) {
+    let index = Cell::new(Some(known));
     let mut pause = PAUSE;
     loop {
         if !driver.pushed() {
             driver.watch.notified().await;
         }
+        let at = *address.borrow_and_update();
         let before = index.get();
-        if let Err(fault) = watch(&driver, address, &index).await {
+        let ended = tokio::select! {
+            ended = watch(&driver, at, &index) => ended,
+            Ok(()) = address.changed() => {
+                index.set(None);
+                pause = PAUSE;
+                // Where lists are asked for, the module's leave for the old address holds for the new one.
+                driver.watch.notify_one();
+                continue;
+            }
+        };
+        if let Err(fault) = ended {
             driver.log.say(format_args!("discovery: {fault}"));
         }
         if !driver.pushed() {
@@ -91,11 +108,18 @@
         pause = if index.get() == before { (pause * 2).min(PAUSE_MOST) } else { PAUSE };
         // Watches end for many nodes at once: they must not come back in step.
         let jitter = RandomState::new().hash_one(before) % 1000;
-        tokio::time::sleep(pause.mul_f64(0.5 + jitter as f64 / 1000.0)).await;
+        let rest = tokio::time::sleep(pause.mul_f64(0.5 + jitter as f64 / 1000.0));
+        tokio::select! {
+            () = rest => {}
+            Ok(()) = address.changed() => {
+                index.set(None);
+                pause = PAUSE;
+            }
+        }
     }
 }
 
-async fn watch(driver: &Rc<Driver>, address: SocketAddr, index: &Cell<u64>) -> Result<(), String> {
+async fn watch(driver: &Rc<Driver>, address: SocketAddr, index: &Cell<Option<u64>>) -> Result<(), String> {
     let late = |_| "nothing comes".to_owned();
     let said = |e: &dyn std::fmt::Display| e.to_string();
     let first = if driver.pushed() { SILENT } else { TURN };
@@ -106,15 +130,27 @@
         let _ = connection.await;
     });
     let _end = AbortOnDrop(task.abort_handle());
-    let request = Request::get(format!("/catalog/members?watch=1&after={}", index.get()))
-        .header("host", address.to_string())
-        .body(Empty::<Bytes>::new())
-        .map_err(|e| said(&e))?;
-    let answer = timeout(first, send.send_request(request)).await.map_err(late)?.map_err(|e| said(&e))?;
-    if answer.status() != StatusCode::OK {
-        return Err(format!("answered {}", answer.status()));
-    }
-    let mut body = answer.into_body();
+    let after = match index.get() {
+        Some(after) => after,
+        None => {
+            let mut body = ask(&mut send, address, "/catalog/members", first).await?;
+            let mut held = BytesMut::new();
+            while let Some(frame) = timeout(first, body.frame()).await.map_err(late)? {
+                if let Ok(data) = frame.map_err(|e| said(&e))?.into_data() {
+                    held.extend_from_slice(&data);
+                }
+                if held.len() > LINE_MOST {
+                    return Err("a list without end".to_owned());
+                }
+            }
+            let list = serde_json::from_slice(&held).map_err(|e| format!("a list that is none: {e}"))?;
+            let after = take_in(driver, &list, false)?;
+            index.set(Some(after));
+            timeout(first, send.ready()).await.map_err(late)?.map_err(|e| said(&e))?;
+            after
+        }
+    };
+    let mut body = ask(&mut send, address, &format!("/catalog/members?watch=1&after={after}"), first).await?;
     let mut held = BytesMut::new();
     let mut patience = first;
     // A line that the connection's end cut off stays in `held` and is never taken for a whole one.
@@ -128,7 +164,7 @@
             if !line.trim_ascii().is_empty() {
                 let list =
                     serde_json::from_slice(&line).map_err(|e| format!("a line that is no list: {e}"))?;
-                index.set(take_in(driver, &list, false)?);
+                index.set(Some(take_in(driver, &list, false)?));
             }
         }
         if held.len() > LINE_MOST {
@@ -138,6 +174,20 @@
     Ok(())
 }
 
+/// Asks for `path`; the body of an answer 200 is all that is of use.
+async fn ask(
+    send: &mut SendRequest<Empty<Bytes>>, address: SocketAddr, path: &str, within: Duration,
+) -> Result<Incoming, String> {
+    let request = Request::get(path).header("host", address.to_string()).body(Empty::new());
+    let request = request.map_err(|e| e.to_string())?;
+    let answer = timeout(within, send.send_request(request)).await.map_err(|_| "nothing comes".to_owned())?;
+    let answer = answer.map_err(|e| e.to_string())?;
+    if answer.status() != StatusCode::OK {
+        return Err(format!("answered {}", answer.status()));
+    }
+    Ok(answer.into_body())
+}
+
 struct AbortOnDrop(tokio::task::AbortHandle);
 
 impl Drop for AbortOnDrop {
--- /dev/null
+++ b/tests/rig/mod.rs
@@ -0,0 +1,308 @@
+//! A node with its discovery, servers and clients, all on loopback sockets.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+/// No wait in these tests is longer; a passing one needs a small part of it.
+pub const PATIENCE: Duration = Duration::from_secs(20);
+
+fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Calls `with` on a thread of its own for each connection that comes.
+fn serve(with: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let (listener, address) = listen();
+    let with = Arc::new(with);
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let with = with.clone();
+            std::thread::spawn(move || with(stream));
+        }
+    });
+    address
+}
+
+/// One message as it came: its first line, its headers in lower case, its body by `Content-Length`.
+pub struct Message {
+    pub first: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn read(from: &mut impl BufRead) -> Option<Message> {
+        let mut line = String::new();
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
+        let first = line.trim_end().to_owned();
+        let mut headers = Vec::new();
+        loop {
+            let mut line = String::new();
+            if from.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            let Some((name, value)) = line.trim_end().split_once(':') else { break };
+            headers.push((name.to_lowercase(), value.trim().to_owned()));
+        }
+        let mut message = Message { first, headers, body: Vec::new() };
+        let length = message.header("content-length").map_or(0, |l| l.parse().unwrap());
+        message.body.resize(length, 0);
+        from.read_exact(&mut message.body).ok()?;
+        Some(message)
+    }
+
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+}
+
+/// The list service; it tells every watch the whole list, again whenever that changes.
+pub struct Discovery {
+    pub address: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+#[derive(Default)]
+struct State {
+    list: String,
+    changes: usize,
+    watched: usize,
+}
+
+impl Discovery {
+    pub fn start() -> Discovery {
+        let state = Arc::new((Mutex::new(State::default()), Condvar::new()));
+        let shared = state.clone();
+        let address = serve(move |stream| watch(stream, &shared));
+        Discovery { address, state }
+    }
+
+    pub fn list(&self, index: u64, servers: &[(&str, SocketAddr, &str)]) {
+        let lines: Vec<String> = servers
+            .iter()
+            .map(|(name, address, status)| {
+                format!(
+                    r#"{{"name":"{name}","address":"{address}","zone":"a","type":"k","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+                )
+            })
+            .collect();
+        let list = format!(r#"{{"index":{index},"snapshot":true,"endpoints":[{}]}}"#, lines.join(","));
+        let mut state = self.state.0.lock().unwrap();
+        state.list = list;
+        state.changes += 1;
+        self.state.1.notify_all();
+    }
+
+    pub fn until_watched(&self) {
+        let state = self.state.0.lock().unwrap();
+        let done = self.state.1.wait_timeout_while(state, PATIENCE, |s| s.watched == 0).unwrap();
+        assert!(!done.1.timed_out(), "nobody watches");
+    }
+}
+
+fn watch(stream: TcpStream, shared: &(Mutex<State>, Condvar)) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut stream = stream;
+    while let Some(request) = Message::read(&mut reader) {
+        if !request.first.contains("watch=1") {
+            let list = shared.0.lock().unwrap().list.clone();
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", list.len());
+            stream.write_all((head + &list).as_bytes()).unwrap();
+            continue;
+        }
+        if stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n").is_err() {
+            return;
+        }
+        let mut told = 0;
+        let mut state = shared.0.lock().unwrap();
+        state.watched += 1;
+        shared.1.notify_all();
+        loop {
+            let line = if state.changes > told { state.list.clone() + "\n" } else { "\n".to_owned() };
+            told = state.changes;
+            if stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).is_err() {
+                return;
+            }
+            state = shared.1.wait_timeout(state, Duration::from_millis(500)).unwrap().0;
+        }
+    }
+}
+
+/// A server that answers each request as told.
+pub struct Server {
+    pub address: SocketAddr,
+    seen: Arc<AtomicUsize>,
+}
+
+impl Server {
+    /// Calls `answer` with each request and its number, from 0, and the socket.
+    pub fn start(answer: impl Fn(&Message, usize, &mut TcpStream) + Send + Sync + 'static) -> Server {
+        let seen = Arc::new(AtomicUsize::new(0));
+        let count = seen.clone();
+        let address = serve(move |mut stream| {
+            let mut reader = BufReader::new(stream.try_clone().unwrap());
+            while let Some(request) = Message::read(&mut reader) {
+                let number = count.fetch_add(1, Ordering::SeqCst);
+                answer(&request, number, &mut stream);
+            }
+        });
+        Server { address, seen }
+    }
+
+    /// One that answers 200 with the id that it was asked for.
+    pub fn good() -> Server {
+        Server::start(|request, _, stream| {
+            let _ = stream.write_all(&answer_to(request));
+        })
+    }
+
+    pub fn seen(&self) -> usize {
+        self.seen.load(Ordering::SeqCst)
+    }
+}
+
+/// The good answer to a request: its id.
+pub fn answer_to(request: &Message) -> Vec<u8> {
+    let id = request.header("x-correlation-id").unwrap_or("none");
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{id}", id.len()).into_bytes()
+}
+
+/// The program under test. It is killed when this is dropped.
+pub struct Node {
+    pub address: SocketAddr,
+    child: Child,
+    config: PathBuf,
+    sockets: usize,
+}
+
+impl Node {
+    pub fn start(discovery: SocketAddr, sockets: usize) -> Node {
+        // The port is free again when the node binds it; nothing else here asks for one by number.
+        let address = listen().1;
+        let config =
+            std::env::temp_dir().join(format!("node-{}-{}.json", std::process::id(), address.port()));
+        let write =
+            |path: &PathBuf| std::fs::write(path, configuration(address, discovery, sockets)).unwrap();
+        write(&config);
+        let child = Command::new(env!("CARGO_BIN_EXE_weldpass"))
+            .env("ROUTER_CONFIG", &config)
+            .stdout(Stdio::null())
+            .spawn()
+            .unwrap();
+        let node = Node { address, child, config, sockets };
+        let began = Instant::now();
+        while !health(address) {
+            assert!(began.elapsed() < PATIENCE, "the node does not get ready");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        node
+    }
+
+    /// Replaces the configuration by one that names another discovery.
+    pub fn configure(&self, discovery: SocketAddr) {
+        std::fs::write(&self.config, configuration(self.address, discovery, self.sockets)).unwrap();
+    }
+
+    pub fn spoil_configuration(&self) {
+        std::fs::write(&self.config, "{\"discovery\": ").unwrap();
+    }
+
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-s", name, &pid]).status().unwrap().success());
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
+    }
+}
+
+fn configuration(listen: SocketAddr, discovery: SocketAddr, sockets: usize) -> String {
+    let class = |name: &str, effect: &str| {
+        format!(
+            r#"{{"name":"{name}","promise":1.5,"deadline":6.0,"worth":1.0,"late-value":0.5,"effect":"{effect}"}}"#
+        )
+    };
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1f",
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":{sockets}}},"known":null,
+        "settings":{{"categories":[{},{}],"discovery":"push","kinds":["k"],"failure-domains":["a"],
+        "limits":{{"max-attempts":4,"conn-idle":5.0,"connect-timeout":2.0,"retry-after":true,
+        "max-retry-after":0.3}},"rules":{{"answer-slack":0.05}}}}}}"#,
+        class("read", "idempotent"),
+        class("write", "at_most_once"),
+    )
+}
+
+fn health(node: SocketAddr) -> bool {
+    let ask = || -> Option<String> {
+        let mut stream = connect_maybe(node)?;
+        stream.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\n\r\n").ok()?;
+        Some(Message::read(&mut BufReader::new(stream))?.first)
+    };
+    ask().is_some_and(|line| line.contains("200"))
+}
+
+fn connect_maybe(to: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect(to).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    Some(stream)
+}
+
+pub fn connect(to: SocketAddr) -> TcpStream {
+    connect_maybe(to).expect("a connection to the node")
+}
+
+/// What a client gets.
+#[derive(Debug, PartialEq)]
+pub struct Got {
+    pub status: u16,
+    pub body: String,
+}
+
+/// A request that may be repeated, as its client writes it.
+pub fn read_request(id: &str) -> String {
+    format!(
+        "GET /api HTTP/1.1\r\nhost: n\r\nx-correlation-id: {id}\r\nx-service-class: read\r\nx-time-left: 6.0\r\n\r\n"
+    )
+}
+
+/// A request that must not run twice, with the framing that is given.
+pub fn write_request(id: &str, framing: &str, body: &str) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nhost: n\r\nx-correlation-id: {id}\r\nx-service-class: write\r\nx-time-left: 6.0\r\n{framing}\r\n\r\n{body}"
+    )
+}
+
+/// The next answer on a connection; `None` if it ends or is reset instead.
+pub fn answer(stream: &TcpStream) -> Option<Got> {
+    let message = Message::read(&mut BufReader::new(stream))?;
+    let status = message.first.split(' ').nth(1)?.parse().ok()?;
+    Some(Got { status, body: String::from_utf8(message.body).ok()? })
+}
+
+/// Sends bytes on a connection of their own and reads the answer.
+pub fn exchange(node: SocketAddr, bytes: &[u8]) -> Option<Got> {
+    let mut stream = connect(node);
+    let _ = stream.write_all(bytes);
+    answer(&stream)
+}
+
+/// One request that may be repeated, on a connection of its own.
+pub fn get(node: SocketAddr, id: &str) -> Got {
+    exchange(node, read_request(id).as_bytes()).expect("an answer")
+}
