Put the step for long lists back

Cause: STEP 0.1 (src/decide.rs) suits lists of ten to twenty servers at hundreds of requests a second; a node among a hundred sees each of 76 servers every few seconds and hardly learns with it.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,8 @@
 /// Step of the vector, for a mean entry: theta = STEP / r, so that a payoff moves an entry by a tenth of its
 /// fair share however long the list. At hundreds of payoffs a second a larger step makes the vector noise.
 const STEP: f64 = 0.1;
+/// From this many servers on, the step grows with the list, to three times as much.
+const LONG_LIST: f64 = 24.0;
 /// The whole floor: p_min = FLOOR / r leaves this share of the draws to exploration at any length.
 const FLOOR: f64 = 0.1;
 /// An attempt is overdue at this multiple of the mean response for its size; three means are rare by chance.
@@ -74,7 +76,9 @@
     }
 
     fn theta(&self) -> f64 {
-        (STEP / self.p.len().max(1) as f64).min(ALPHA / 2.0)
+        let r = self.p.len().max(1) as f64;
+        // Payoffs are rare where many nodes share a long list: there the step stays what it was before.
+        (STEP * (r / LONG_LIST).clamp(1.0, 3.0) / r).min(ALPHA / 2.0)
     }
 
     /// Moves the one average that was seen.
--- a/tests/automaton.rs
+++ b/tests/automaton.rs
@@ -82,3 +82,14 @@
     a.leave(0);
     assert!(a.p.is_empty());
 }
+
+#[test]
+fn a_long_list_keeps_the_larger_step() {
+    for (n, step) in [(10, 0.1), (24, 0.1), (76, 0.3)] {
+        let mut a = of(n);
+        let before = a.p.clone();
+        a.reward(0);
+        let theta = (a.p[1] - before[1]) / (a.floor() - before[1]);
+        assert!((theta * n as f64 - step).abs() < 1e-6, "{n}: {theta}");
+    }
+}
