Split into a workspace; the requests' rules become an engine without I/O

Need: several services from one process stand on one type for requests, attempts and rules that can be instantiated for each pool and driven in virtual time. The driver held all of it together with sockets and the clock, and driver and upstream knew each other.

The second rule is now kept by the engine too, whatever the module asks for. Scripted peers move into the rig as a library, which runs the node as a process of its own.

--- a/src/bin/weldpass-adapter.rs
+++ b/crates/adapter/src/main.rs
@@ -1,15 +1,14 @@
 //! Hosts balancers on the line wire: standard input to standard output.
-#![forbid(unsafe_code)]
 
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 16, io::stdin().lock());
-    match weldpass::wire::serve(input, BufWriter::new(io::stdout().lock())) {
+    match reelfall_adapter::serve(input, BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("weldpass-adapter: {fault}");
+            eprintln!("reelfall-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/tests/adapter.rs
+++ b/crates/adapter/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The adapter's wire, on lines written by hand.
 
-use weldpass::wire::serve;
+use reelfall_adapter::serve;
 
 const INFO: &str = r#"{"categories":[{"deadline":0.6,"effect":"idempotent","name":"get","promise":0.15,"worth":3}],"kinds":["box"],"failure-domains":["here"],"later":{"a":1}}"#;
 
--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings.
--- /dev/null
+++ b/crates/core/src/engine.rs
@@ -0,0 +1,469 @@
+//! The requests in hand, their attempts, and the rules that no action may break.
+//!
+//! An [`Engine`] stands between a decision module and whatever sends requests for it. It owns the module and
+//! every open request; what happens outside is told to it with the moment at which it happened, and what has to
+//! be done comes out as [`Command`]s. It does no I/O, reads no clock and draws no random numbers, so a pool of a
+//! running node and a test in virtual time drive the very same code.
+//!
+//! | state | owner | ends |
+//! | --- | --- | --- |
+//! | request | `Engine::requests` | with its final answer, or with its last attempt if that outlives the answer |
+//! | attempt | its request | with [`Engine::ended`], once |
+//! | server | `Engine::servers` | when a list says that it is gone, or no longer names it |
+//! | number of a server that is gone | `Engine::gone` | [`NUMBER_RESTS`] later |
+
+use crate::interface::*;
+use std::collections::{HashMap, HashSet, VecDeque};
+
+/// A number of a server that is gone is not given to another while an attempt may name it; in seconds.
+pub const NUMBER_RESTS: Time = 30.0;
+
+/// What decides: told of events, it answers with actions.
+///
+/// The one decision module is [`Balancer`](crate::Balancer); tests put others in its place, that try to break
+/// the rules.
+pub trait Decide {
+    /// Takes one event and appends what has to be done about it.
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Decide for crate::Balancer {
+    fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
+        crate::Balancer::handle(self, now, event, actions);
+    }
+}
+
+/// The types that whoever sends the requests has for them.
+pub trait Host {
+    /// What is kept with a request until its last attempt has ended.
+    type Payload;
+    /// The way back to its client; it goes out with the final answer.
+    type Reply;
+    /// Where a server is reached.
+    type Address: Clone + PartialEq;
+    /// A server's answer.
+    type Answer;
+}
+
+/// The one final answer of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final<A> {
+    /// A server's answer.
+    Served(A),
+    /// No, and a retry does no harm.
+    Refused {
+        /// When to come back, in seconds.
+        retry_after: Option<Time>,
+    },
+    /// The outcome of its last attempt, if there was one.
+    Failed(Option<Outcome>),
+}
+
+/// What the engine wants done. Commands are carried out in their order.
+pub enum Command<H: Host> {
+    /// Start an attempt; [`Engine::ended`] is owed for it.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// Which attempt of it, from 0.
+        attempt: u32,
+        /// Where to.
+        server: ServerId,
+        /// It ends by then.
+        expires: Time,
+    },
+    /// Stop an attempt; nothing is owed for it any more.
+    Abort {
+        /// The request.
+        request: RequestId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// Give a request its final answer.
+    Answer {
+        /// The request.
+        request: RequestId,
+        /// The way back to its client.
+        to: H::Reply,
+        /// The answer.
+        answer: Final<H::Answer>,
+    },
+    /// Ask for the server list, where it does not come by itself.
+    Watch,
+    /// Call [`Engine::timer`] after this time.
+    Timer {
+        /// From now, in seconds.
+        after: Time,
+        /// Comes back with the call.
+        tag: u64,
+    },
+    /// Keep nothing of a server: it left, restarted, moved or drains.
+    Forget {
+        /// Which one.
+        server: ServerId,
+    },
+    /// Nothing holds the number of a server any more.
+    Release {
+        /// Which one.
+        server: ServerId,
+    },
+}
+
+/// What the module is told of a request, and by when its final answer is due.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, if any.
+    pub tenant: Option<TenantId>,
+    /// Rough work, in seconds on a standard core.
+    pub hint: Option<f64>,
+    /// A hash of what it concerns.
+    pub key: Option<u64>,
+    /// Its final answer is due then.
+    pub deadline: Time,
+}
+
+/// A line of the server list with its address.
+#[derive(Clone, Debug)]
+pub struct Place<A> {
+    /// What the module is told.
+    pub entry: Entry,
+    /// Where the server is reached.
+    pub address: A,
+}
+
+struct Request<H: Host> {
+    payload: H::Payload,
+    deadline: Time,
+    effect: Effect,
+    /// Gone once the request has its final answer or its client left.
+    reply: Option<H::Reply>,
+    made: u32,
+    /// Some attempt may have run.
+    ran: bool,
+    out: Option<Out>,
+    last: Option<Outcome>,
+}
+
+struct Out {
+    attempt: u32,
+    server: ServerId,
+    sent: Time,
+}
+
+/// A server that is listed, whether or not it may be sent to.
+struct Listed<A> {
+    address: A,
+    state: ServerState,
+    ready_at: Time,
+}
+
+/// A decision module with the requests and servers that it decides on.
+pub struct Engine<H: Host, D = crate::Balancer> {
+    module: D,
+    effects: Vec<Effect>,
+    max_attempts: u32,
+    requests: HashMap<RequestId, Request<H>>,
+    next: RequestId,
+    servers: HashMap<ServerId, Listed<H::Address>>,
+    /// Servers that went, oldest first, until their numbers are free.
+    gone: VecDeque<(Time, ServerId)>,
+    /// Kept between calls for their room.
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+}
+
+impl<H: Host, D: Decide> Engine<H, D> {
+    /// An engine without servers or requests. `classes` are those that the module knows.
+    pub fn new(module: D, classes: &[Class], max_attempts: u32) -> Self {
+        Engine {
+            module,
+            effects: classes.iter().map(|c| c.effect).collect(),
+            max_attempts,
+            requests: HashMap::new(),
+            next: 0,
+            servers: HashMap::new(),
+            gone: VecDeque::new(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// The module, for inspection.
+    pub fn module(&self) -> &D {
+        &self.module
+    }
+
+    /// Requests that have no final answer yet, or an attempt that is out.
+    pub fn open(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Some server may be sent to.
+    pub fn has_servers(&self) -> bool {
+        self.servers.values().any(|s| s.state == ServerState::Up)
+    }
+
+    /// The address of a server, unless the newest list says that it drains or is gone.
+    pub fn address(&self, server: ServerId) -> Option<&H::Address> {
+        self.servers.get(&server).filter(|s| s.state == ServerState::Up).map(|s| &s.address)
+    }
+
+    /// What is kept with a request.
+    pub fn payload(&mut self, request: RequestId) -> Option<&mut H::Payload> {
+        self.requests.get_mut(&request).map(|r| &mut r.payload)
+    }
+
+    /// Whether a further attempt of this request may be out.
+    pub fn retried(&self, request: RequestId) -> bool {
+        self.requests.get(&request).is_some_and(|r| r.out.is_some())
+    }
+
+    /// Takes a request in. One [`Command::Answer`] is owed for it from here on.
+    pub fn submit(
+        &mut self, now: Time, payload: H::Payload, reply: H::Reply, a: Arrival, out: &mut Vec<Command<H>>,
+    ) -> RequestId {
+        let id = self.next;
+        self.next = self.next.wrapping_add(1);
+        let request = Request {
+            payload,
+            deadline: a.deadline,
+            // A class that is not known here is never taken for a safe one.
+            effect: self.effects.get(usize::from(a.class)).copied().unwrap_or(Effect::AtMostOnce),
+            reply: Some(reply),
+            made: 0,
+            ran: false,
+            out: None,
+            last: None,
+        };
+        self.requests.insert(id, request);
+        let Arrival { class, tenant, hint, key, deadline } = a;
+        let left = deadline - now;
+        self.feed(now, Event::Request { request: id, class, tenant, hint, key, left }, out);
+        id
+    }
+
+    /// The client has left, or has its answer from elsewhere: nothing new is sent. An attempt that is out runs
+    /// on, so that its outcome teaches and its connection lives.
+    pub fn gone(&mut self, now: Time, request: RequestId, out: &mut Vec<Command<H>>) {
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        if r.reply.take().is_none() {
+            return;
+        }
+        self.tidy(request);
+        self.feed(now, Event::Gone { request }, out);
+    }
+
+    /// An attempt has ended. `answer` is what a server answered; without one, `Delivered` gives no final answer.
+    pub fn ended(
+        &mut self, now: Time, request: RequestId, attempt: u32, outcome: Outcome, answer: Option<H::Answer>,
+        out: &mut Vec<Command<H>>,
+    ) {
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        let Some(o) = r.out.take_if(|o| o.attempt == attempt) else { return };
+        r.last = Some(outcome);
+        r.ran |= !never_ran(outcome);
+        if let Some((answer, to)) = answer.and_then(|a| Some((a, r.reply.take()?))) {
+            out.push(Command::Answer { request, to, answer: Final::Served(answer) });
+        }
+        let ended = r.reply.is_none();
+        self.tidy(request);
+        let latency = now - o.sent;
+        let event =
+            Event::Outcome { request, attempt, server: o.server, outcome, latency, ended, load: None };
+        self.feed(now, event, out);
+    }
+
+    /// A timer came due.
+    pub fn timer(&mut self, now: Time, tag: u64, out: &mut Vec<Command<H>>) {
+        self.feed(now, Event::Timer { tag }, out);
+    }
+
+    /// News of the list. What is kept of a server that left, restarted or moved goes at once.
+    pub fn members(
+        &mut self, now: Time, list: ListKind, places: Vec<Place<H::Address>>, out: &mut Vec<Command<H>>,
+    ) {
+        let mut entries: Vec<Entry> = Vec::with_capacity(places.len());
+        if matches!(list, ListKind::Full | ListKind::Cached) {
+            let named: HashSet<ServerId> = places.iter().map(|p| p.entry.server).collect();
+            let missing: Vec<ServerId> =
+                self.servers.keys().filter(|id| !named.contains(id)).copied().collect();
+            missing.into_iter().for_each(|id| self.remove(now, id, out));
+        }
+        for Place { entry, address } in places {
+            if entry.state == ServerState::Gone {
+                self.remove(now, entry.server, out);
+            } else {
+                if entry.state == ServerState::Up {
+                    self.supplant(now, &entry, &address, &mut entries, out);
+                }
+                let old = self.servers.get(&entry.server);
+                let same = old.is_some_and(|o| o.address == address && o.ready_at == entry.ready_at);
+                if !same || entry.state != ServerState::Up {
+                    out.push(Command::Forget { server: entry.server });
+                }
+                let new = Listed { address, state: entry.state, ready_at: entry.ready_at };
+                self.servers.insert(entry.server, new);
+            }
+            entries.push(entry);
+        }
+        self.release_numbers(now, out);
+        self.feed(now, Event::Members { list, entries }, out);
+    }
+
+    fn remove(&mut self, now: Time, server: ServerId, out: &mut Vec<Command<H>>) {
+        out.push(Command::Forget { server });
+        if self.servers.remove(&server).is_some() {
+            self.gone.push_back((now, server));
+        }
+    }
+
+    /// A server at the address of another: that one is gone, though nobody has said so yet.
+    ///
+    /// Guards against sending to a machine under two names while the news of the old one's end is late, which
+    /// would give a cold server twice its part; it ought to catch any list that names one address twice. Harm: if
+    /// two servers did share an address behind something that parts them, only the one named last gets requests.
+    fn supplant(
+        &mut self, now: Time, by: &Entry, address: &H::Address, entries: &mut Vec<Entry>,
+        out: &mut Vec<Command<H>>,
+    ) {
+        let same = |(id, s): (&ServerId, &Listed<H::Address>)| {
+            (*id != by.server && s.address == *address).then_some(*id)
+        };
+        let olds: Vec<ServerId> = self.servers.iter().filter_map(same).collect();
+        for old in olds {
+            self.remove(now, old, out);
+            // Within one list, the last to be named stays.
+            entries.retain(|e| e.server != old);
+            entries.push(Entry { server: old, state: ServerState::Gone, ..by.clone() });
+        }
+    }
+
+    /// Names are ever new: without an end, they and what is kept by their numbers would fill the memory.
+    fn release_numbers(&mut self, now: Time, out: &mut Vec<Command<H>>) {
+        while self.gone.front().is_some_and(|(since, _)| now - since > NUMBER_RESTS) {
+            let Some((_, server)) = self.gone.pop_front() else { return };
+            if !self.servers.contains_key(&server) && !self.gone.iter().any(|(_, other)| *other == server) {
+                out.push(Command::Release { server });
+            }
+        }
+    }
+
+    fn feed(&mut self, now: Time, event: Event, out: &mut Vec<Command<H>>) {
+        self.events.push_back(event);
+        while let Some(event) = self.events.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.module.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                if let Some(event) = self.act(now, action, out) {
+                    self.events.push_back(event);
+                }
+            }
+            self.actions = actions;
+        }
+    }
+
+    /// Carries out an action; an attempt that may not be made comes back as unused.
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Command<H>>) -> Option<Event> {
+        match action {
+            Action::Attempt { request, server, timeout } => {
+                return self.attempt(now, request, server, timeout, out);
+            }
+            Action::Refuse { request, retry_after } => {
+                // Guards the second rule against the module itself: a refusal tells the client that trying again
+                // is harmless. Harm: none, the request has its final answer at the same moment.
+                let r = self.requests.get(&request)?;
+                let doubt = (r.ran || r.out.is_some()) && r.effect == Effect::AtMostOnce;
+                let answer = if doubt { Final::Failed(r.last) } else { Final::Refused { retry_after } };
+                self.close(request, answer, out);
+            }
+            Action::Fail { request } => {
+                let last = self.requests.get(&request)?.last;
+                self.close(request, Final::Failed(last), out);
+            }
+            Action::Cancel { request, attempt } => {
+                let r = self.requests.get_mut(&request)?;
+                let o = r.out.take_if(|o| o.attempt == attempt)?;
+                out.push(Command::Abort { request, attempt });
+                (r.last, r.ran) = (Some(Outcome::Revoked), true);
+                let (server, latency, ended) = (o.server, now - o.sent, r.reply.is_none());
+                self.tidy(request);
+                let outcome = Outcome::Revoked;
+                return Some(Event::Outcome {
+                    request,
+                    attempt,
+                    server,
+                    outcome,
+                    latency,
+                    ended,
+                    load: None,
+                });
+            }
+            Action::Watch => out.push(Command::Watch),
+            Action::Timer { after, tag } => out.push(Command::Timer { after, tag }),
+            // Probes are allowed nowhere yet, and the module sends none.
+            Action::Probe { server } => {
+                return Some(Event::Probed { server, outcome: Outcome::Unused, load: None });
+            }
+        }
+        None
+    }
+
+    fn close(&mut self, request: RequestId, answer: Final<H::Answer>, out: &mut Vec<Command<H>>) {
+        let Some(r) = self.requests.get_mut(&request) else { return };
+        if let Some(to) = r.reply.take() {
+            out.push(Command::Answer { request, to, answer });
+        }
+        self.tidy(request);
+    }
+
+    /// Lets a request go that has its final answer and of which nothing is out.
+    fn tidy(&mut self, request: RequestId) {
+        if self.requests.get(&request).is_some_and(|r| r.reply.is_none() && r.out.is_none()) {
+            self.requests.remove(&request);
+        }
+    }
+
+    /// Starts an attempt, but none after the end of a request or its deadline, past the most it may have, beside
+    /// another, to a server that no list has named, or where a second effect could follow.
+    fn attempt(
+        &mut self, now: Time, request: RequestId, server: ServerId, timeout: Option<Time>,
+        out: &mut Vec<Command<H>>,
+    ) -> Option<Event> {
+        let listed = self.servers.contains_key(&server);
+        let r = self.requests.get_mut(&request);
+        let attempt = r.as_ref().map_or(0, |r| r.made);
+        let open = |r: &&mut Request<H>| {
+            let twice = r.ran && r.effect == Effect::AtMostOnce;
+            let may = listed && r.reply.is_some() && r.out.is_none();
+            may && r.made < self.max_attempts && now < r.deadline && !twice
+        };
+        let Some(r) = r.filter(open) else {
+            if let Some(r) = self.requests.get_mut(&request) {
+                r.made += 1;
+            }
+            let (outcome, ended) =
+                (Outcome::Unused, self.requests.get(&request).is_none_or(|r| r.reply.is_none()));
+            return Some(Event::Outcome {
+                request,
+                attempt,
+                server,
+                outcome,
+                latency: 0.0,
+                ended,
+                load: None,
+            });
+        };
+        r.made += 1;
+        r.out = Some(Out { attempt, server, sent: now });
+        let expires = timeout.map_or(r.deadline, |t| r.deadline.min(now + t.max(0.0)));
+        out.push(Command::Send { request, attempt, server, expires });
+        None
+    }
+}
+
+/// Whether an attempt that ended so is known not to have run.
+pub fn never_ran(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::Shed | Outcome::DialFailed | Outcome::Unused)
+}
--- a/tests/automaton.rs
+++ b/crates/core/tests/automaton.rs
@@ -1,6 +1,6 @@
 //! The mechanism itself.
 
-use weldpass::Automaton;
+use reelfall_core::Automaton;
 
 fn of(n: usize) -> Automaton {
     let mut a = Automaton::default();
--- a/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Shared by the module tests: small settings, and a node that can be told things.
 #![allow(dead_code)]
 
-use weldpass::interface::*;
-use weldpass::Balancer;
+use reelfall_core::interface::*;
+use reelfall_core::Balancer;
 
 pub fn class(effect: Effect) -> Class {
     Class { aim: 0.2, deadline: 0.6, worth: 1.0, late_value: 0.5, effect, streamed: false }
--- a/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::{class, entry, settings, Node};
-use weldpass::interface::*;
-use weldpass::Balancer;
+use reelfall_core::interface::*;
+use reelfall_core::Balancer;
 
 fn two() -> Vec<Class> {
     vec![class(Effect::Idempotent), class(Effect::AtMostOnce)]
--- a/tests/properties.rs
+++ b/crates/core/tests/properties.rs
@@ -5,9 +5,9 @@
 use common::{class, entry, settings};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use reelfall_core::interface::*;
+use reelfall_core::Balancer;
 use std::collections::{BTreeMap, BTreeSet};
-use weldpass::interface::*;
-use weldpass::Balancer;
 
 const SERVERS: u32 = 8;
 
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,9 @@
+//! One node on sockets: what it is told at its start, its command line, and the network on both sides.
+//!
+//! The choice of servers, retries and refusals is [`reelfall_core`]'s, the choice of a service
+//! [`reelfall_routes`]'s; what is here translates, carries out and enforces.
+#![warn(clippy::unwrap_used, clippy::expect_used, clippy::indexing_slicing, clippy::panic)]
+
+pub mod cli;
+mod net;
+mod platform;
--- /dev/null
+++ b/crates/node/src/main.rs
@@ -0,0 +1,5 @@
+//! The program: see [`reelfall::cli`].
+
+fn main() -> std::process::ExitCode {
+    reelfall::cli::main(std::env::args_os())
+}
--- a/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -1,6 +1,6 @@
 //! The server list: reads it, watches it, and keeps the old one while there is no newer.
 
-use super::driver::{Driver, Place};
+use super::pool::Pool;
 use super::BUFFER;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
@@ -8,6 +8,9 @@
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use reelfall_core::engine::Place;
+use reelfall_core::interface::{ListKind, ServerState};
+use reelfall_core::settings::Listed;
 use serde_json::Value;
 use std::cell::Cell;
 use std::collections::hash_map::RandomState;
@@ -18,8 +21,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::timeout;
-use weldpass::interface::{ListKind, ServerState};
-use weldpass::settings::Listed;
 
 /// A watch says something every 2 s. What it has not brought counts as told after 6 s, so a silent one is
 /// replaced while there is time for a second silent one.
@@ -36,7 +37,7 @@
 ///
 /// # Errors
 /// Says why it is not one. An entry that cannot be used is passed over: the others still count.
-pub fn take_in(driver: &Rc<Driver>, list: &Value, cached: bool) -> Result<u64, String> {
+pub fn take_in(pool: &Rc<Pool>, list: &Value, cached: bool) -> Result<u64, String> {
     let lines = list.get("endpoints").and_then(Value::as_array).ok_or("a list without `endpoints`")?;
     let index = list.get("index").and_then(Value::as_u64).ok_or("a list without `index`")?;
     let whole = list.get("snapshot").and_then(Value::as_bool).unwrap_or(false);
@@ -52,17 +53,17 @@
             // A server that left without ever being heard of needs no number.
             Some((listed, _))
                 if listed.state == ServerState::Gone
-                    && driver.names.borrow().servers.get(listed.name).is_none() => {}
+                    && pool.names.borrow().servers.get(listed.name).is_none() => {}
             Some((listed, address)) => {
-                places.push(Place { entry: driver.names.borrow_mut().entry(&listed), address });
+                places.push(Place { entry: pool.names.borrow_mut().entry(&listed), address });
             }
             None => unusable += 1,
         }
     }
     if unusable > 0 {
-        driver.log.say(format_args!("{unusable} entries of list {index} can't be used"));
+        pool.log.say(format_args!("{unusable} entries of list {index} can't be used"));
     }
-    driver.members(kind, places);
+    pool.members(kind, places);
     Ok(index)
 }
 
@@ -92,31 +93,31 @@
 /// A new address is turned to at once: the old one closes soon, and what the new one has to tell counts as told
 /// within seconds. What it calls a version need not be what the old one called so, hence the whole list is asked
 /// for first; that also heals any other change of the service behind an address. Harm: one list more a switch.
-pub async fn follow(driver: Rc<Driver>, mut address: watch::Receiver<SocketAddr>, known: u64) {
+pub async fn follow(pool: Rc<Pool>, mut address: watch::Receiver<SocketAddr>, known: u64) {
     let index = Cell::new(Some(known));
     let mut pause = PAUSE;
     loop {
-        if !driver.pushed() {
-            driver.watch.notified().await;
+        if !pool.pushed() {
+            pool.watch.notified().await;
         }
         let at = *address.borrow_and_update();
         let before = index.get();
         let ended = tokio::select! {
-            ended = watch(&driver, at, &index) => ended,
+            ended = watch(&pool, at, &index) => ended,
             Ok(()) = address.changed() => {
                 index.set(None);
                 pause = PAUSE;
                 // Where lists are asked for, the module's leave for the old address holds for the new one.
-                driver.watch.notify_one();
+                pool.watch.notify_one();
                 continue;
             }
         };
         if let Err(fault) = ended {
-            driver.log.say(format_args!("discovery: {fault}"));
+            pool.log.say(format_args!("discovery: {fault}"));
         }
-        if !driver.pushed() {
+        if !pool.pushed() {
             // The module says when to ask again.
-            driver.members(ListKind::Failed, Vec::new());
+            pool.members(ListKind::Failed, Vec::new());
             continue;
         }
         pause = if index.get() == before { (pause * 2).min(PAUSE_MOST) } else { PAUSE };
@@ -133,10 +134,10 @@
     }
 }
 
-async fn watch(driver: &Rc<Driver>, address: SocketAddr, index: &Cell<Option<u64>>) -> Result<(), String> {
+async fn watch(pool: &Rc<Pool>, address: SocketAddr, index: &Cell<Option<u64>>) -> Result<(), String> {
     let late = |_| "nothing comes".to_owned();
     let said = |e: &dyn std::fmt::Display| e.to_string();
-    let first = if driver.pushed() { SILENT } else { TURN };
+    let first = if pool.pushed() { SILENT } else { TURN };
     let stream = timeout(SILENT, TcpStream::connect(address)).await.map_err(late)?.map_err(|e| said(&e))?;
     let (mut send, connection) =
         Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(stream)).await.map_err(|e| said(&e))?;
@@ -158,7 +159,7 @@
                 }
             }
             let list = serde_json::from_slice(&held).map_err(|e| format!("a list that is none: {e}"))?;
-            let after = take_in(driver, &list, false)?;
+            let after = take_in(pool, &list, false)?;
             index.set(Some(after));
             timeout(first, send.ready()).await.map_err(late)?.map_err(|e| said(&e))?;
             after
@@ -178,7 +179,7 @@
             if !line.trim_ascii().is_empty() {
                 let list =
                     serde_json::from_slice(&line).map_err(|e| format!("a line that is no list: {e}"))?;
-                index.set(Some(take_in(driver, &list, false)?));
+                index.set(Some(take_in(pool, &list, false)?));
             }
         }
         if held.len() > LINE_MOST {
--- a/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -1,8 +1,8 @@
 //! The client side: connections, requests in, answers out, and the end of it all on SIGTERM.
 
-use super::driver::{Arrival, Driver, Message, Reply};
 use super::gate::Gate;
-use super::upstream::TIME_LEFT;
+use super::pool::{Arrival, Message, Pool, Reply};
+use super::upstream::{Answer, TIME_LEFT};
 use super::{kib, Bounds, BODY_MOST, BODY_SMALL, HEAD_MOST};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
@@ -13,6 +13,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use reelfall_core::interface::{Effect, Outcome};
+use reelfall_core::settings::stable_hash;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -28,8 +30,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::{timeout, timeout_at, Sleep};
-use weldpass::interface::{Effect, Outcome};
-use weldpass::settings::stable_hash;
 
 /// A request has to be here so soon after its connection or, on one that was used before, its first byte: no
 /// deadline leaves an answer worth more, and what has not asked by then holds a descriptor for nothing.
@@ -150,7 +150,7 @@
 
 /// The client side of a node.
 pub struct Front {
-    driver: Rc<Driver>,
+    pool: Rc<Pool>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     most: usize,
     /// A client's connection has ended.
@@ -161,9 +161,9 @@
 
 impl Front {
     /// No clients yet.
-    pub fn new(driver: Rc<Driver>, bounds: Bounds) -> Self {
+    pub fn new(pool: Rc<Pool>, bounds: Bounds) -> Self {
         Front {
-            driver,
+            pool,
             clients: RefCell::default(),
             most: bounds.clients,
             freed: Notify::new(),
@@ -191,7 +191,7 @@
             client.leave.set(true);
             client.wake.notify_one();
         }
-        let longest = self.driver.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+        let longest = self.pool.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
         let longest = Duration::try_from_secs_f64(longest).unwrap_or_default();
         let end = told + longest + KILL_AFTER - Duration::from_millis(100);
         while !self.clients.borrow().is_empty() {
@@ -213,7 +213,7 @@
                 Ok((stream, _)) => self.clone().client(stream, next),
                 Err(e) => {
                     // Out of descriptors, as a rule: the error stays until one is free, so don't spin on it.
-                    self.driver.log.say(format_args!("accept: {e}"));
+                    self.pool.log.say(format_args!("accept: {e}"));
                     self.make_room();
                     tokio::time::sleep(DESCRIPTORS_OUT).await;
                 }
@@ -289,7 +289,7 @@
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (head, body) = request.into_parts();
         let mut response = match head.uri.path() {
-            "/_health" if self.driver.ready.get() => plain(StatusCode::OK, ""),
+            "/_health" if self.pool.ready.get() => plain(StatusCode::OK, ""),
             "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE, "no server list yet\n"),
             path if path == "/api" || path.starts_with("/api/") => self.api(head, body, &client).await,
             _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
@@ -316,11 +316,11 @@
             Err((status, text)) => return plain(status, text),
         };
         let deadline = arrival.deadline;
-        let (id, answer) = self.driver.submit(message, arrival);
-        let mut waiting = Waiting { driver: &self.driver, id: Some(id) };
+        let (id, answer) = self.pool.submit(message, arrival);
+        let mut waiting = Waiting { pool: &self.pool, id: Some(id) };
         // The guard: attempts end at the deadline and bring an answer; if nothing has, this is it.
-        let guard = deadline
-            + Duration::try_from_secs_f64(self.driver.figures.answer_slack / 2.0).unwrap_or_default();
+        let guard =
+            deadline + Duration::try_from_secs_f64(self.pool.figures.answer_slack / 2.0).unwrap_or_default();
         let mut response = match timeout_at(guard.into(), answer).await {
             Ok(Ok(reply)) => {
                 waiting.id = None;
@@ -374,10 +374,10 @@
         let bad = |text| (StatusCode::BAD_REQUEST, text);
         let Parts { method, uri, mut headers, .. } = head;
         let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
-        let names = self.driver.names.borrow();
+        let names = self.pool.names.borrow();
         let class = text(&SERVICE_CLASS).and_then(|name| names.classes.get(name));
         let class = class.ok_or(bad("unknown class\n"))? as usize;
-        let rules = self.driver.classes.get(class).ok_or(bad("unknown class\n"))?;
+        let rules = self.pool.classes.get(class).ok_or(bad("unknown class\n"))?;
         let fits =
             if rules.effect == Effect::Idempotent { method == Method::GET } else { method == Method::POST };
         if !fits {
@@ -404,7 +404,7 @@
         };
         // The answer has to be back before the client's time is up: the slack that answers have in the rules
         // is what the way back and a late wake-up may take.
-        let left = Duration::try_from_secs_f64(left - self.driver.figures.answer_slack).unwrap_or_default();
+        let left = Duration::try_from_secs_f64(left - self.pool.figures.answer_slack).unwrap_or_default();
         let arrival = Arrival {
             class: class as u16,
             tenant: text(&ACCOUNT).and_then(|name| names.tenant(name)),
@@ -413,7 +413,7 @@
             deadline: taken + left,
         };
         let path = uri.into_parts().path_and_query.ok_or(bad("no path\n"))?;
-        let id = self.driver.claim(id).ok_or((StatusCode::CONFLICT, "a request with this id is open\n"))?;
+        let id = self.pool.claim(id).ok_or((StatusCode::CONFLICT, "a request with this id is open\n"))?;
         strip(&mut headers);
         Ok((Message { method, path, headers, body, _held: held, _id: id }, arrival))
     }
@@ -441,14 +441,14 @@
 
 /// A request whose answer is awaited; the client has left if this is dropped before.
 struct Waiting<'a> {
-    driver: &'a Rc<Driver>,
+    pool: &'a Rc<Pool>,
     id: Option<u32>,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id {
-            self.driver.gone(id);
+            self.pool.gone(id);
         }
     }
 }
@@ -462,8 +462,9 @@
 fn respond(reply: Reply) -> Response<Full<Bytes>> {
     match reply {
         Reply::Served(answer) => {
-            let mut response = Response::new(Full::new(answer.body));
-            *response.headers_mut() = answer.headers;
+            let Answer { headers, body, .. } = *answer;
+            let mut response = Response::new(Full::new(body));
+            *response.headers_mut() = headers;
             strip(response.headers_mut());
             response
         }
--- a/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -1,9 +1,9 @@
 //! The node's side of the sockets. It translates and enforces; every choice is the module's.
 
 pub mod discovery;
-pub mod driver;
 pub mod front;
 pub mod gate;
+pub mod pool;
 pub mod upstream;
 
 use std::cell::Cell;
@@ -73,7 +73,7 @@
         }
         if self.lines.get() < Self::LINES_A_SECOND {
             self.lines.set(self.lines.get() + 1);
-            eprintln!("weldpass: {line}");
+            eprintln!("reelfall: {line}");
         }
     }
 }
--- a/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -1,7 +1,7 @@
 //! The server side: attempts, and the idle connections of each server.
 
-use super::driver::{Driver, Message};
-use super::{kib, Bounds, ANSWER_MOST, ANSWER_SMALL, BUFFER};
+use super::pool::Message;
+use super::{kib, Bounds, Log, ANSWER_MOST, ANSWER_SMALL, BUFFER};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -9,10 +9,12 @@
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use reelfall_core::interface::{Outcome, RequestId, ServerId, Time};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::mem::MaybeUninit;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -23,7 +25,6 @@
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
-use weldpass::interface::{Outcome, ServerId, Time};
 
 /// How long an attempt whose request is over may hold its connection for the answer that may yet come.
 const LINGER: Duration = Duration::from_secs(1);
@@ -35,6 +36,20 @@
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
+/// What attempts need to know and whom they tell: the pool that they are made for.
+pub trait Host {
+    /// The connections to use.
+    fn upstream(&self) -> &Upstream;
+    /// Where faults are told.
+    fn log(&self) -> &Log;
+    /// The address of a server, unless the newest list says that it drains or is gone.
+    fn address(&self, server: ServerId) -> Option<SocketAddr>;
+    /// Whether a further attempt of this request may be out.
+    fn retried(&self, request: RequestId) -> bool;
+    /// An attempt has ended.
+    fn ended(&self, request: RequestId, attempt: u32, outcome: Outcome, answer: Option<Answer>);
+}
+
 /// A socket that counts what was written to it, and that the pool can look at beside its connection.
 pub struct Socket {
     stream: TcpStream,
@@ -169,13 +184,14 @@
     count: Rc<Count>,
     most: usize,
     idle: Duration,
+    connect_within: Duration,
     /// Memory for large answers.
     answers: Arc<Semaphore>,
 }
 
 impl Upstream {
     /// No connections yet.
-    pub fn new(bounds: Bounds, conn_idle: Time) -> Self {
+    pub fn new(bounds: Bounds, conn_idle: Time, connect_timeout: Time) -> Self {
         let idle = Duration::try_from_secs_f64(conn_idle * IDLE_PART).unwrap_or(Duration::MAX);
         Upstream {
             pools: RefCell::default(),
@@ -183,6 +199,7 @@
             count: Rc::default(),
             most: bounds.upstream,
             idle,
+            connect_within: Duration::try_from_secs_f64(connect_timeout).unwrap_or_default(),
             answers: Arc::new(Semaphore::new(bounds.body_kib)),
         }
     }
@@ -252,30 +269,30 @@
 /// A connection and whether it is new, or why there is none. That this node has none left says nothing of the
 /// server: counted against it, a shortage here would put out one server after the other. So one is waited for.
 async fn acquire(
-    driver: &Rc<Driver>, server: ServerId, expires: Instant,
+    host: &impl Host, server: ServerId, expires: Instant,
 ) -> Result<(Connection, bool), Outcome> {
-    let most = Duration::try_from_secs_f64(driver.figures.connect_timeout).unwrap_or_default();
+    let upstream = host.upstream();
+    let most = upstream.connect_within;
     let until = expires.min(Instant::now() + most);
-    let upstream = &driver.upstream;
     loop {
         if let Some(connection) = upstream.take(server) {
             return Ok((connection, false));
         }
         if let Some(open) = upstream.room() {
             let until = expires.min(Instant::now() + most);
-            let new = connect(driver, server, open, until).await;
+            let new = connect(host, server, open, until).await;
             return new.map(|c| (c, true)).ok_or(Outcome::DialFailed);
         }
         if timeout_at(until.into(), upstream.count.freed.notified()).await.is_err() {
-            driver.log.say(format_args!("all connections to servers are in use"));
+            host.log().say(format_args!("all connections to servers are in use"));
             return Err(Outcome::Unused);
         }
     }
 }
 
-async fn connect(driver: &Rc<Driver>, server: ServerId, open: Open, until: Instant) -> Option<Connection> {
-    let address = driver.address(server)?;
-    let generation = driver.upstream.generation(server);
+async fn connect(host: &impl Host, server: ServerId, open: Open, until: Instant) -> Option<Connection> {
+    let address = host.address(server)?;
+    let generation = host.upstream().generation(server);
     let stream = timeout_at(until.into(), TcpStream::connect(address)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
     let socket = Rc::new(Socket { stream, written: Cell::new(0) });
@@ -289,19 +306,19 @@
     Some(Connection { send, socket, since: Instant::now(), server, generation, task, _open: open })
 }
 
-/// Makes one attempt and tells the driver how it ended. What it says of the server's side is proved: an
+/// Makes one attempt and tells its host how it ended. What it says of the server's side is proved: an
 /// attempt never ran only if its last byte was not written or the server says so.
 pub async fn attempt(
-    driver: Rc<Driver>, id: u32, number: u32, server: ServerId, message: Rc<Message>, expires: Instant,
+    host: impl Host, id: RequestId, number: u32, server: ServerId, message: Rc<Message>, expires: Instant,
 ) {
-    let never = |outcome| driver.ended(id, number, outcome, None);
+    let never = |outcome| host.ended(id, number, outcome, None);
     loop {
-        let (mut connection, fresh) = match acquire(&driver, server, expires).await {
+        let (mut connection, fresh) = match acquire(&host, server, expires).await {
             Ok(acquired) => acquired,
             Err(outcome) => return never(outcome),
         };
         // The list may have changed while the connection came up.
-        if driver.address(server).is_none() || Instant::now() >= expires {
+        if host.address(server).is_none() || Instant::now() >= expires {
             return never(Outcome::DialFailed);
         }
         let before = connection.socket.written.get();
@@ -315,24 +332,24 @@
                     continue;
                 }
                 let broken = if unwritten(&connection) { Outcome::DialFailed } else { Outcome::Dropped };
-                return driver.ended(id, number, broken, None);
+                return host.ended(id, number, broken, None);
             }
             Err(_) => {
                 if unwritten(&connection) {
                     drop(connection);
                     return never(Outcome::DialFailed);
                 }
-                driver.ended(id, number, Outcome::Expired, None);
+                host.ended(id, number, Outcome::Expired, None);
                 // A second copy must not be out beside this one; with none, the connection outlives the time.
-                if !driver.retried(id) {
+                if !host.retried(id) {
                     if let Ok(Ok(response)) = tokio::time::timeout(LINGER, answer).await {
-                        finish(&driver, connection, response.into_body()).await;
+                        finish(&host, connection, response.into_body()).await;
                     }
                 }
                 return;
             }
         };
-        return take_in(&driver, id, number, connection, answer, expires).await;
+        return take_in(&host, id, number, connection, answer, expires).await;
     }
 }
 
@@ -351,7 +368,7 @@
 
 /// Reads an answer whose head has come.
 async fn take_in(
-    driver: &Rc<Driver>, id: u32, number: u32, connection: Connection, response: Response<Incoming>,
+    host: &impl Host, id: RequestId, number: u32, connection: Connection, response: Response<Incoming>,
     expires: Instant,
 ) {
     let (head, mut body) = response.into_parts();
@@ -362,8 +379,8 @@
         _ => Outcome::Error,
     };
     if outcome != Outcome::Delivered {
-        driver.ended(id, number, outcome, None);
-        return finish(driver, connection, body).await;
+        host.ended(id, number, outcome, None);
+        return finish(host, connection, body).await;
     }
     // Guards against answers that are spoilt: longer than any can be, or of a length that nothing states, so that
     // none could tell a whole one from half of one. They may have run, and their connection is of no further use.
@@ -371,10 +388,10 @@
     // by closing, which the protocol leaves no room for.
     let framed = body.size_hint().exact().is_some() || head.headers.contains_key(header::TRANSFER_ENCODING);
     if !framed || body.size_hint().lower() > ANSWER_MOST as u64 {
-        return driver.ended(id, number, Outcome::Dropped, None);
+        return host.ended(id, number, Outcome::Dropped, None);
     }
     let stated = body.size_hint().exact().map_or(0, |n| n as usize);
-    let share = driver.upstream.answers.clone().acquire_many_owned(kib(stated));
+    let share = host.upstream().answers.clone().acquire_many_owned(kib(stated));
     let mut leave = match stated > ANSWER_SMALL {
         // Without a share in time, the answer is not read, and the next wait tells that time is up.
         true => timeout_at(expires.into(), share).await.ok().and_then(Result::ok),
@@ -387,22 +404,22 @@
                 held.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
                 if leave.is_none() && held.len() > ANSWER_SMALL {
                     // Chunked, and growing: it gets a share at once or is given up.
-                    leave = driver.upstream.answers.clone().try_acquire_many_owned(kib(ANSWER_MOST)).ok();
+                    leave = host.upstream().answers.clone().try_acquire_many_owned(kib(ANSWER_MOST)).ok();
                 }
                 if held.len() > ANSWER_MOST || (leave.is_none() && held.len() > ANSWER_SMALL) {
-                    return driver.ended(id, number, Outcome::Dropped, None);
+                    return host.ended(id, number, Outcome::Dropped, None);
                 }
             }
-            Ok(Some(Err(_))) => return driver.ended(id, number, Outcome::Dropped, None),
+            Ok(Some(Err(_))) => return host.ended(id, number, Outcome::Dropped, None),
             Ok(None) => {
-                driver.upstream.put(connection);
+                host.upstream().put(connection);
                 let answer = Answer { headers: head.headers, body: held.freeze(), _leave: leave };
-                return driver.ended(id, number, outcome, Some(answer));
+                return host.ended(id, number, outcome, Some(answer));
             }
             Err(_) => {
-                driver.ended(id, number, Outcome::Expired, None);
-                if !driver.retried(id) {
-                    finish(driver, connection, body).await;
+                host.ended(id, number, Outcome::Expired, None);
+                if !host.retried(id) {
+                    finish(host, connection, body).await;
                 }
                 return;
             }
@@ -411,7 +428,7 @@
 }
 
 /// Reads what is left of an answer that nobody waits for, so that its connection can be used again.
-async fn finish(driver: &Rc<Driver>, connection: Connection, mut body: Incoming) {
+async fn finish(host: &impl Host, connection: Connection, mut body: Incoming) {
     let rest = async {
         let mut size = 0;
         while let Some(frame) = body.frame().await {
@@ -421,7 +438,7 @@
         Some(())
     };
     if let Ok(Some(())) = tokio::time::timeout(LINGER, rest).await {
-        driver.upstream.put(connection);
+        host.upstream().put(connection);
     }
 }
 
--- a/src/main.rs
+++ b/crates/node/src/platform.rs
@@ -1,21 +1,15 @@
-//! One node: reads its configuration, serves until it is told to stop, and says how that went.
-#![forbid(unsafe_code)]
-#![warn(missing_docs)]
-#![warn(clippy::unwrap_used, clippy::expect_used, clippy::indexing_slicing, clippy::panic)]
+//! A node on its platform: told of all it needs by the environment, one pool behind one listener.
 
-mod net;
-
-use net::driver::Driver;
-use net::front::{self, Front};
-use net::{discovery, Bounds};
+use crate::net::front::{self, Front};
+use crate::net::pool::Pool;
+use crate::net::{discovery, Bounds};
+use reelfall_core::settings;
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use weldpass::settings;
 
 /// How often idle connections are looked through.
 const RETIRE_EVERY: Duration = Duration::from_millis(250);
@@ -58,6 +52,17 @@
     serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))
 }
 
+/// Serves until SIGTERM.
+///
+/// # Errors
+/// Says what of the configuration can't be used, or which means can't be had.
+pub fn run() -> Result<(), String> {
+    let config = config()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    tokio::task::LocalSet::new().block_on(&runtime, node(config))
+}
+
 async fn node(config: Config) -> Result<(), String> {
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
@@ -66,26 +71,26 @@
     let (settings, names, figures) = read?;
     // Any text seeds the choices, but two starts must not share one.
     let seed = u64::from_str_radix(&config.seed, 16).unwrap_or_else(|_| settings::stable_hash(&config.seed));
-    let driver = Driver::new(settings, names, figures, seed, bounds);
-    let driver = Rc::new(driver.map_err(|e| format!("settings can't be used: {e}"))?);
+    let pool = Pool::new(settings, names, figures, seed, bounds);
+    let pool = Rc::new(pool.map_err(|e| format!("settings can't be used: {e}"))?);
     let known = if config.known.is_null() {
         0
     } else {
-        discovery::take_in(&driver, &config.known, true).map_err(|e| format!("known: {e}"))?
+        discovery::take_in(&pool, &config.known, true).map_err(|e| format!("known: {e}"))?
     };
     let (address, named) = watch::channel(config.discovery);
-    tokio::task::spawn_local(discovery::follow(driver.clone(), named, known));
-    tokio::task::spawn_local(reload(driver.clone(), hangup, address));
+    tokio::task::spawn_local(discovery::follow(pool.clone(), named, known));
+    tokio::task::spawn_local(reload(pool.clone(), hangup, address));
     let listener = front::bind(config.listen, bounds.clients)?;
-    tokio::task::spawn_local(ready(driver.clone()));
-    let retiring = driver.clone();
+    tokio::task::spawn_local(ready(pool.clone()));
+    let retiring = pool.clone();
     tokio::task::spawn_local(async move {
         loop {
             tokio::time::sleep(RETIRE_EVERY).await;
             retiring.upstream.retire();
         }
     });
-    let front = Rc::new(Front::new(driver, bounds));
+    let front = Rc::new(Front::new(pool, bounds));
     let stop = async {
         terminate.recv().await;
     };
@@ -98,7 +103,7 @@
 /// Guards against the end that the signal brings by default, and against a file that is half written or no
 /// configuration: the node goes on with what it has, for a reload must never cost a request. What a running
 /// node can change without harm is where it hears of servers; the rest of the file holds from the next start.
-async fn reload(driver: Rc<Driver>, mut hangup: Signal, address: watch::Sender<SocketAddr>) {
+async fn reload(pool: Rc<Pool>, mut hangup: Signal, address: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
         for _ in 0..RELOAD_TRIES {
             match config() {
@@ -106,7 +111,7 @@
                     address.send_if_modified(|old| std::mem::replace(old, new.discovery) != new.discovery);
                     break;
                 }
-                Err(fault) => driver.log.say(format_args!("the old configuration stays: {fault}")),
+                Err(fault) => pool.log.say(format_args!("the old configuration stays: {fault}")),
             }
             tokio::time::sleep(RELOAD_AGAIN).await;
         }
@@ -114,27 +119,12 @@
 }
 
 /// Waits for the first list; an old one serves too, if no newer comes.
-async fn ready(driver: Rc<Driver>) {
-    let news = driver.listed.notified();
-    if driver.has_servers() {
+async fn ready(pool: Rc<Pool>) {
+    let news = pool.listed.notified();
+    if pool.has_servers() {
         let _ = tokio::time::timeout(NEWS_WITHIN, news).await;
     } else {
         news.await;
     }
-    driver.ready.set(true);
-}
-
-fn main() -> ExitCode {
-    let run = config().and_then(|config| {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.map_err(|e| e.to_string())?;
-        tokio::task::LocalSet::new().block_on(&runtime, node(config))
-    });
-    match run {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(fault) => {
-            eprintln!("weldpass: {fault}");
-            ExitCode::FAILURE
-        }
-    }
+    pool.ready.set(true);
 }
--- a/tests/rig/mod.rs
+++ b/crates/rig/src/scripted.rs
@@ -1,5 +1,7 @@
 //! A node with its discovery, servers and clients, all on loopback sockets.
-#![allow(dead_code)]
+//!
+//! Threads and blocking sockets, one thread for each connection: slow, but what happens in which order is plain.
+#![allow(missing_docs)]
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -187,6 +189,31 @@
     format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{id}", id.len()).into_bytes()
 }
 
+/// How a node is started.
+#[derive(Clone, Debug)]
+pub struct Program {
+    pub path: PathBuf,
+    pub args: Vec<String>,
+}
+
+impl Program {
+    /// The node that is part of the rig's own program at `path`.
+    pub fn in_rig(path: impl Into<PathBuf>) -> Program {
+        Program { path: path.into(), args: vec!["node".to_owned()] }
+    }
+
+    /// A program that is a node.
+    pub fn alone(path: impl Into<PathBuf>) -> Program {
+        Program { path: path.into(), args: Vec::new() }
+    }
+
+    pub fn command(&self) -> Command {
+        let mut command = Command::new(&self.path);
+        command.args(&self.args);
+        command
+    }
+}
+
 /// The program under test. It is killed when this is dropped.
 pub struct Node {
     pub address: SocketAddr,
@@ -196,7 +223,7 @@
 }
 
 impl Node {
-    pub fn start(discovery: SocketAddr, sockets: usize) -> Node {
+    pub fn start(program: &Program, discovery: SocketAddr, sockets: usize) -> Node {
         // The port is free again when the node binds it; nothing else here asks for one by number.
         let address = listen().1;
         let config =
@@ -204,11 +231,7 @@
         let write =
             |path: &PathBuf| std::fs::write(path, configuration(address, discovery, sockets)).unwrap();
         write(&config);
-        let child = Command::new(env!("CARGO_BIN_EXE_weldpass"))
-            .env("ROUTER_CONFIG", &config)
-            .stdout(Stdio::null())
-            .spawn()
-            .unwrap();
+        let child = program.command().env("ROUTER_CONFIG", &config).stdout(Stdio::null()).spawn().unwrap();
         let node = Node { address, child, config, sockets };
         let began = Instant::now();
         while !health(address) {
--- a/tests/node.rs
+++ b/crates/rig/tests/node.rs
@@ -1,15 +1,17 @@
 //! The real program over loopback sockets: one test for each failure that the socket side guards against.
 
-mod rig;
-
-use rig::{
+use reelfall_rig::scripted::{
     answer, answer_to, connect, exchange, get, read_request, write_request, Discovery, Got, Message, Node,
-    Server,
+    Program, Server,
 };
 use std::io::{BufReader, Write};
 use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
+fn program() -> Program {
+    Program::in_rig(env!("CARGO_BIN_EXE_reelfall-rig"))
+}
+
 #[test]
 fn a_new_configuration_moves_the_watch_and_costs_no_request() {
     let (first, second) = (Server::good(), Server::good());
@@ -17,7 +19,7 @@
     old.list(40, &[("s-1", first.address, "active")]);
     // The new service counts its versions anew, and knows another server.
     new.list(3, &[("s-2", second.address, "active")]);
-    let node = Node::start(old.address, 256);
+    let node = Node::start(&program(), old.address, 256);
     assert_eq!(get(node.address, "r-1").status, 200);
     assert_eq!((first.seen(), second.seen()), (1, 0));
     node.configure(new.address);
@@ -40,7 +42,7 @@
 fn before(server: &Server, sockets: usize) -> (Discovery, Node) {
     let discovery = Discovery::start();
     discovery.list(1, &[("s-1", server.address, "active")]);
-    let node = Node::start(discovery.address, sockets);
+    let node = Node::start(&program(), discovery.address, sockets);
     (discovery, node)
 }
 
--- /dev/null
+++ b/crates/routes/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routes and limits.
