Settings file of our own: a typed model, its checks, and a reader for TOML

Need: services, routes, pools, limits and listeners have to be told to a node in a file that several people edit; a mistake must be named with file and line before it is in force.

Change: package conf. The model knows nothing of TOML; every part carries the place that it was read from; check collects all mistakes and makes the route table and the totals. Figures have units or are refused. The module takes the retry share from its settings and parts a cold server's tolerance among the pools that list it.

--- /dev/null
+++ b/crates/conf/src/model.rs
@@ -0,0 +1,258 @@
+//! What a settings file says.
+
+use reelfall_core::interface::{ServerState, Time};
+use reelfall_routes::limits::Allowed;
+use reelfall_routes::table::Host;
+use std::fmt;
+use std::net::SocketAddr;
+use std::ops::Deref;
+use std::sync::Arc;
+use thiserror::Error;
+
+/// Where something was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// The file.
+    pub file: Arc<str>,
+    /// The line, from 1; 0 for the file as a whole.
+    pub line: u32,
+}
+
+impl Origin {
+    /// A file as a whole.
+    pub fn file(name: &str) -> Origin {
+        Origin { file: name.into(), line: 0 }
+    }
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self.line {
+            0 => write!(f, "{}", self.file),
+            line => write!(f, "{}:{line}", self.file),
+        }
+    }
+}
+
+/// Something with the place where it was read. Two are equal if what they say is, wherever it was said.
+#[derive(Clone, Debug)]
+pub struct At<T> {
+    /// What was said.
+    pub value: T,
+    /// Where.
+    pub origin: Origin,
+}
+
+impl<T> Deref for At<T> {
+    type Target = T;
+
+    fn deref(&self) -> &T {
+        &self.value
+    }
+}
+
+impl<T: PartialEq> PartialEq for At<T> {
+    fn eq(&self, other: &Self) -> bool {
+        self.value == other.value
+    }
+}
+
+/// One mistake.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{origin}: {mistake}")]
+pub struct Fault {
+    /// Where it stands.
+    pub origin: Origin,
+    /// What it is.
+    pub mistake: String,
+}
+
+/// All mistakes of a file; at least one.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub struct Faults(pub Vec<Fault>);
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        for (n, fault) in self.0.iter().enumerate() {
+            write!(f, "{}{fault}", if n > 0 { "\n" } else { "" })?;
+        }
+        Ok(())
+    }
+}
+
+/// A whole file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// The file.
+    pub origin: Origin,
+    /// What concerns the process as a whole.
+    pub process: At<Process>,
+    /// Where clients connect.
+    pub listeners: Vec<At<Listener>>,
+    /// The services, in their order in the file.
+    pub services: Vec<At<Service>>,
+}
+
+/// What concerns the process as a whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Process {
+    /// File descriptors that it may hold.
+    pub descriptors: usize,
+    /// Memory that it may use, in bytes.
+    pub memory: u64,
+    /// Connections of clients; by default what the descriptors leave.
+    pub clients: Option<usize>,
+    /// Connections to one server, over all pools that list it.
+    pub server_connections: Option<usize>,
+    /// The zone of this node.
+    pub zone: Option<String>,
+    /// How many nodes send to the same servers.
+    pub nodes: u32,
+}
+
+/// An address where clients connect.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listener {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// Whether a service takes requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServiceState {
+    /// It does.
+    Serving,
+    /// It finishes what it has and refuses what comes.
+    Draining,
+}
+
+/// One service: what reaches it, what it may hold, and the servers behind it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Its name.
+    pub name: String,
+    /// Whether it takes requests.
+    pub state: ServiceState,
+    /// Where its list of servers comes from.
+    pub source: Source,
+    /// What it may hold.
+    pub allowed: At<Allowed>,
+    /// Attempts and connections.
+    pub tries: Tries,
+    /// How its servers bear a start.
+    pub cold: Cold,
+    /// What kinds of requests it knows; at least one.
+    pub classes: Vec<At<Class>>,
+    /// Whose requests are held to a share.
+    pub members: Vec<At<Member>>,
+    /// What reaches it.
+    pub routes: Vec<At<Route>>,
+}
+
+/// Where a list of servers comes from.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Source {
+    /// The file.
+    Static(Vec<At<Server>>),
+    /// The discovery at an address, as the platform has it.
+    Discovery(SocketAddr),
+}
+
+/// A server in a static list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: Option<String>,
+    /// Its machine kind.
+    pub kind: Option<String>,
+    /// Its size against the others'.
+    pub weight: Option<f64>,
+    /// Whether it takes requests.
+    pub state: ServerState,
+}
+
+/// Attempts and connections of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tries {
+    /// Attempts for one request, the first included.
+    pub most: u32,
+    /// Further attempts earned by each first one.
+    pub retry_share: f64,
+    /// A connection is up by then, in seconds.
+    pub connect: Time,
+    /// The servers close idle connections after this time, in seconds.
+    pub idle: Time,
+    /// The longest advice on when to come back, in seconds; 0 for none.
+    pub retry_after: Time,
+}
+
+/// How servers bear a start.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Share of its capacity that a fresh server has.
+    pub from: f64,
+    /// It is warm after this time, in seconds.
+    pub warm_after: Time,
+    /// Sent more than this multiple of its present capacity, it falls over.
+    pub factor: f64,
+    /// The time over which that counts, in seconds.
+    pub within: Time,
+}
+
+/// What a second run of a request would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Nothing.
+    Safe,
+    /// It must never happen.
+    Unsafe,
+}
+
+/// A kind of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// What a second run would do.
+    pub repeat: Repeat,
+    /// Wanted within, in seconds.
+    pub aim: Time,
+    /// Given up after, in seconds.
+    pub deadline: Time,
+    /// What one is worth against the others.
+    pub worth: f64,
+    /// Share of the worth that an answer between aim and deadline earns.
+    pub late_value: f64,
+}
+
+/// Somebody whose requests are held to a share.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// The name, as in `X-Account`.
+    pub name: String,
+    /// Requests a second within the share.
+    pub quota: f64,
+}
+
+/// What reaches a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// The listener by its name; any if none.
+    pub listener: Option<String>,
+    /// The host.
+    pub host: Host,
+    /// The path prefix, as `reelfall_routes::table::prefix` gives it.
+    pub path: Box<str>,
+    /// The methods; any if none.
+    pub methods: Vec<String>,
+    /// The class that a request has to state; any if none.
+    pub class: Option<String>,
+    /// The class that its requests have, whatever they state.
+    pub assign: Option<String>,
+}
--- /dev/null
+++ b/crates/conf/tests/corpus.rs
@@ -0,0 +1,205 @@
+//! Broken files, each with what is said of it, and whole ones with what they mean.
+
+use reelfall_conf::{check, reader, units};
+
+const LISTENER: &str = "[[listener]]\nname = \"l\"\naddress = \"127.0.0.1:8443\"\n";
+const CLASS: &str =
+    "[[service.class]]\nname = \"c\"\nrepeat = \"safe\"\naim = \"100ms\"\ndeadline = \"1s\"\n";
+const SERVER: &str = "[[service.server]]\nname = \"s\"\naddress = \"127.0.0.1:9000\"\n";
+const ROUTE: &str = "[[service.route]]\n";
+
+fn whole(service: &str) -> String {
+    format!("{LISTENER}[[service]]\nname = \"a\"\n{service}{CLASS}{SERVER}{ROUTE}")
+}
+
+fn faults(text: &str) -> Vec<String> {
+    let read = reader::toml("f.toml", text).and_then(check);
+    read.err().map(|f| f.0.iter().map(ToString::to_string).collect()).unwrap_or_default()
+}
+
+#[track_caller]
+fn says(text: &str, expected: &str) {
+    let said = faults(text);
+    assert!(said.iter().any(|s| s == expected), "{said:#?} instead of\n{expected}\nfor\n{text}");
+}
+
+#[test]
+fn each_mistake_is_told_with_its_file_and_line() {
+    assert_eq!(faults(&whole("")), Vec::<String>::new());
+    says("", "f.toml: nothing to listen on: add [[listener]] with a name and an address");
+    says("", "f.toml: no services: add [[service]]");
+    says("[process\n", "f.toml:1: unclosed table, expected `]`");
+    says(
+        "[process]\nmemory = 500\n",
+        "f.toml:2: `500` is a number alone: write a size with B, KiB, MiB or GiB, as \"64KiB\"",
+    );
+    says(
+        "[process]\nmemory = \"500\"\n",
+        "f.toml:2: `500` has no unit: write a size with B, KiB, MiB or GiB, as \"64KiB\"",
+    );
+    says(
+        "[process]\nmemory = \"5ms\"\n",
+        "f.toml:2: `5ms` is no size: write it with B, KiB, MiB or GiB, as \"64KiB\"",
+    );
+    says(&format!("[process]\nmemory = \"1MiB\"\n{}", whole("")), "f.toml:1: memory: 16MiB at least");
+    says(&format!("\n[process]\ndescriptors = 10\n{}", whole("")), "f.toml:2: descriptors: 64 at least");
+    says(&format!("[process]\nnodes = 0\n{}", whole("")), "f.toml:1: nodes: this one counts, so 1 at least");
+    says(
+        &format!("[process]\nserver_connections = 0\n{}", whole("")),
+        "f.toml:1: server_connections: 1 at least",
+    );
+    says(
+        &format!("[process]\nclients = 5000\n{}", whole("")),
+        "f.toml:1: clients: 5000 do not fit into the descriptors, which leave room for 8 to 570",
+    );
+    says(
+        "[[listener]]\nname = \"l\"\naddress = \"localhost\"\n",
+        "f.toml:3: `localhost` is no address: write one with its port, as \"127.0.0.1:8443\"",
+    );
+    says(&format!("{LISTENER}{}", whole("")), "f.toml:4: listener `l` is there already, at line 1");
+    says(
+        &format!("{}{}", LISTENER.replace("\"l\"", "\"m\""), whole("")),
+        "f.toml:4: listener `m` already has the address 127.0.0.1:8443",
+    );
+    says(
+        &whole("").replace("name = \"a\"", "name = \"a b\""),
+        "f.toml:4: `a b` is no name for a service: use letters, digits, `-`, `_` and `.`",
+    );
+    says(&whole("colour = 1\n"), "f.toml:6: unknown field `colour`, expected one of `name`, `state`, `server`, `discovery`, `limits`, `tries`, `cold`, `class`, `member`, `route`");
+    says(&whole("state = \"off\"\n"), "f.toml:6: unknown variant `off`, expected `serving` or `draining`");
+    says(
+        &whole("discovery = \"127.0.0.1:8500\"\n"),
+        "f.toml:4: service `a` has both servers and a discovery: keep one",
+    );
+    says(
+        &whole("").replace(SERVER, ""),
+        "f.toml:4: service `a` has no servers: add [[service.server]] or a discovery",
+    );
+    says(&whole("").replace(CLASS, ""), "f.toml:4: service `a` knows no requests: add [[service.class]]");
+    says(&whole("").replace(ROUTE, ""), "f.toml:4: nothing reaches service `a`: add [[service.route]]");
+}
+
+#[test]
+fn figures_are_held_to_their_ranges() {
+    says(
+        &whole("").replace("\"100ms\"", "100"),
+        "f.toml:9: `100` is a number alone: write a time with ms, s or m, as \"250ms\"",
+    );
+    says(
+        &whole("").replace("\"100ms\"", "\"100\""),
+        "f.toml:9: `100` has no unit: write a time with ms, s or m, as \"250ms\"",
+    );
+    says(
+        &whole("").replace("\"100ms\"", "\"2s\""),
+        "f.toml:6: class `c`: aim (2s) is past its deadline (1s)",
+    );
+    says(&whole("").replace("\"100ms\"", "\"0s\""), "f.toml:6: class `c`: aim is more than 0");
+    says(&whole("").replace("\"1s\"", "\"2m\""), "f.toml:6: class `c`: deadline is 120s, 60s at most");
+    says(
+        &whole("").replace("\"safe\"", "\"maybe\""),
+        "f.toml:8: unknown variant `maybe`, expected `safe` or `unsafe`",
+    );
+    says(&whole("tries = { most = 0 }\n"), "f.toml:4: service `a`: tries.most is 0, not between 1 and 16");
+    says(&whole("tries = { retry_share = 1.5 }\n"), "f.toml:6: `1.5` is not between 0 and 1");
+    says(
+        &whole("tries = { connect = \"0s\" }\n"),
+        "f.toml:4: service `a`: tries.connect and tries.idle are more than 0",
+    );
+    says(&whole("cold = { factor = 0 }\n"), "f.toml:6: `0` is not between 0.000001 and 1000000");
+    says(
+        &whole("limits = { rate = 300 }\n"),
+        "f.toml:6: `300` is a number alone: write a rate with /s or /m, as \"300/s\"",
+    );
+    says(
+        &whole("limits = { rate = \"0/s\" }\n"),
+        "f.toml:6: service `a`: a rate is more than 0/s and its burst 1 at least",
+    );
+    says(
+        &whole("limits = { open = 5, open_reserved = 6 }\n"),
+        "f.toml:6: service `a`: open requests: 6 are reserved, but it may have 5",
+    );
+    says(&whole("limits = { open = 0 }\n"), "f.toml:6: service `a`: open requests: 0 lets nothing through; to stop it, write state = \"draining\"");
+    says(&whole("limits = { weight = 0 }\n"), "f.toml:6: service `a`: weight is 0, not between 1 and 1000");
+    says(
+        &format!("[process]\ndescriptors = 100\n{}", whole("limits = { open_reserved = 90 }\n")),
+        "f.toml:1: the reservations do not fit the process: open requests: 90 units are reserved of 32",
+    );
+    says(
+        &(whole("") + "[[service.member]]\nname = \"m\"\nquota = \"0/s\"\n"),
+        "f.toml:15: member `m`: a quota is more than 0/s",
+    );
+}
+
+#[test]
+fn routes_that_lead_nowhere_or_two_ways_are_named() {
+    says(&(whole("") + "listener = \"x\"\n"), "f.toml:14: there is no listener `x`");
+    says(&(whole("") + "assign = \"x\"\n"), "f.toml:14: service `a` has no class `x`");
+    says(
+        &(whole("") + "methods = [\"BREW\"]\n"),
+        "f.toml:14: method `BREW` is not served: GET, POST, PUT, PATCH, DELETE",
+    );
+    says(&(whole("") + "methods = [\"GET\", \"GET\"]\n"), "f.toml:14: method `GET` is named twice");
+    says(
+        &(whole("") + "host = \"a:80\"\n"),
+        "f.toml:15: `a:80`: a host pattern is a name, an address, or `*.` before a name",
+    );
+    says(&(whole("") + "path = \"/../x\"\n"), "f.toml:15: `/../x`: a path prefix begins with `/` and has no dot segments, empty segments or needless escapes");
+    says(&(whole("") + ROUTE), "f.toml:15: this route can't be told apart from the one at line 14");
+    let other = "[[service]]\nname = \"b\"\n".to_owned() + CLASS + SERVER + ROUTE;
+    says(
+        &(whole("") + &other + "path = \"/\"\n"),
+        "f.toml:25: this route can't be told apart from the one at line 14",
+    );
+    // Alike but for the methods is no mistake.
+    assert_eq!(faults(&(whole("") + &other + "methods = [\"GET\"]\n")), Vec::<String>::new());
+}
+
+#[test]
+fn all_mistakes_are_told_at_once_in_their_order() {
+    let text = whole("tries = { most = 0 }\n").replace("\"100ms\"", "\"2s\"") + "listener = \"x\"\n";
+    let lines: Vec<String> =
+        faults(&text).iter().map(|f| f.split(": ").next().unwrap_or_default().to_owned()).collect();
+    assert_eq!(lines, ["f.toml:4", "f.toml:7", "f.toml:15"]);
+}
+
+#[test]
+fn the_example_holds_together_and_routes_as_it_says() {
+    let text = include_str!("../../../deploy/examples/services.toml");
+    let plan = check(reader::toml("services.toml", text).unwrap()).unwrap();
+    let service = |host, path, method| {
+        let q = reelfall_routes::table::Query { listener: 0, host, path, method, class: None };
+        let route = plan.table.get(&q);
+        assert_eq!(plan.candidates(&q).first().copied(), route, "what is explained is not what happens");
+        route.map(|r| plan.model.services[plan.goals[r].service].name.as_str())
+    };
+    assert_eq!(service("flags.example.org", "/api", "GET"), Some("evaluate"));
+    assert_eq!(service("flags.example.org", "/api", "POST"), None);
+    assert_eq!(service("admin.example.org", "/api/flags/7", "POST"), Some("toggle"));
+    assert_eq!(service("admin.example.org", "/api/rollouts/7", "POST"), Some("rollout"));
+    assert_eq!(service("admin.example.org", "/api/rolloutsx", "POST"), Some("toggle"));
+    assert_eq!(service("other.example.org", "/api", "GET"), None);
+}
+
+#[test]
+fn no_text_brings_the_reader_down() {
+    let text = whole("limits = { rate = \"5/s\" }\n");
+    for end in 0..text.len() {
+        let _ = faults(&text[..end]);
+        let mut spoilt = text.clone().into_bytes();
+        spoilt[end] = b'\x01';
+        let _ = faults(&String::from_utf8_lossy(&spoilt));
+    }
+}
+
+#[test]
+fn units_are_read_as_they_are_written() {
+    assert_eq!(units::time("250ms"), Ok(0.25));
+    assert_eq!(units::time("1.5 s"), Ok(1.5));
+    assert_eq!(units::time("2m"), Ok(120.0));
+    assert_eq!(units::rate("90/m"), Ok(1.5));
+    assert_eq!(units::size("64KiB"), Ok(65536));
+    for bad in ["", "ms", "-5ms", "5", "5 ", "5MS", "5sec", "1e3s", "5..5s", "99999999999999999999999999B"] {
+        assert!(units::time(bad).is_err() && units::size(bad).is_err() && units::rate(bad).is_err(), "{bad}");
+    }
+    assert!(units::size("99999999999GiB").is_err());
+}
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -26,8 +26,6 @@
 const HELD: f64 = 1.5;
 /// A returning server gets this share of its draws until it has answered well once.
 const RETURN_SHARE: f64 = 0.3;
-/// Retries earned by each first attempt: a sick fleet gets at most this much on top.
-const RETRY_SHARE: f64 = 0.2;
 /// Retries that a quiet stretch may save up.
 const RETRY_SAVED: f64 = 10.0;
 /// Part of a cold server's stated tolerance that is used; the rest covers uneven nodes and chance.
@@ -458,7 +456,7 @@
             answered: false,
             row,
         };
-        self.retries = (self.retries + RETRY_SHARE).min(RETRY_SAVED);
+        self.retries = (self.retries + self.settings.limits.retry_share).min(RETRY_SAVED);
         self.requests.insert(id, request);
         if !self.send(now, id, actions) {
             self.requests.remove(&id);
@@ -902,8 +900,10 @@
         for i in 0..self.servers.len() {
             let warmth = self.warmth(&self.servers[i], now);
             if warmth < 1.0 {
-                let most = (rate * warmth * rules.tip_after).max(2.0 * self.typical);
                 let s = &mut self.servers[i];
+                // Other balancers of this node that send to it have their parts.
+                let rate = rate / f64::from(s.entry.sharers.max(1));
+                let most = (rate * warmth * rules.tip_after).max(2.0 * self.typical);
                 s.budget = (s.budget + rate * warmth * dt).min(most);
             }
         }
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -92,6 +92,8 @@
 pub struct Limits {
     /// Most attempts for one request.
     pub max_attempts: u32,
+    /// Further attempts earned by each first one.
+    pub retry_share: f64,
     /// Longest retry advice that clients follow; 0 if they get none.
     pub max_retry_after: Time,
     /// Attempts may be cancelled.
@@ -210,6 +212,8 @@
     pub weight: f64,
     /// When it last started; 0 for long ago.
     pub ready_at: Time,
+    /// How many balancers of this node send to it, this one included.
+    pub sharers: u32,
 }
 
 /// What a list update holds.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -4,6 +4,10 @@
 use serde::Deserialize;
 use std::collections::HashMap;
 
+/// Retries earned by each first attempt where the settings state no other: a sick fleet gets at most this much on
+/// top.
+pub const RETRY_SHARE: f64 = 0.2;
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Category {
@@ -259,6 +263,22 @@
 }
 
 impl Vocabulary {
+    /// The names of classes and tenants, in the order of the settings.
+    pub fn new(classes: impl IntoIterator<Item = String>, tenants: impl IntoIterator<Item = String>) -> Self {
+        Vocabulary {
+            servers: Names::default(),
+            classes: Names::of(classes),
+            tenants: Names::of(tenants),
+            zones: Names::default(),
+            kinds: Names::default(),
+        }
+    }
+
+    /// The number of a zone.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        self.zones.one_of_few(name)
+    }
+
     /// A line of the list as the balancer takes it.
     pub fn entry(&mut self, line: &Listed) -> Entry {
         Entry {
@@ -270,6 +290,7 @@
             state: line.state,
             weight: line.weight.unwrap_or(1.0),
             ready_at: line.ready_at.unwrap_or(0.0),
+            sharers: 1,
         }
     }
 
@@ -319,6 +340,7 @@
     });
     let limits = Limits {
         max_attempts: info.limits.max_attempts,
+        retry_share: RETRY_SHARE,
         max_retry_after: if info.limits.retry_after { info.limits.max_retry_after } else { 0.0 },
         cancelling: info.limits.cancelling,
         may_probe: info.limits.may_probe,
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -18,6 +18,7 @@
         reports: Reports::Silent,
         limits: Limits {
             max_attempts: 4,
+            retry_share: 0.2,
             max_retry_after: 0.3,
             cancelling: true,
             may_probe: false,
@@ -52,6 +53,7 @@
         state: ServerState::Up,
         weight: 1.0,
         ready_at: 0.0,
+        sharers: 1,
     }
 }
 
--- a/crates/routes/src/table.rs
+++ b/crates/routes/src/table.rs
@@ -113,6 +113,34 @@
     }
 }
 
+impl Match {
+    /// Whether all that is stated here holds of a request. [`Table::get`] finds the same without asking each route.
+    pub fn fits(&self, q: &Query) -> bool {
+        let below = |name: &str| q.host.strip_suffix(name).is_some_and(|l| l.len() > 1 && l.ends_with('.'));
+        let host = match &self.host {
+            Host::Any => true,
+            Host::Exact(name) => **name == *q.host,
+            Host::Below(name) => below(name),
+        };
+        let behind = q.path.strip_prefix(&*self.path);
+        host && behind.is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+            && self.listener.is_none_or(|l| l == q.listener)
+            && (self.methods.is_empty() || self.methods.iter().any(|m| **m == *q.method))
+            && self.class.as_deref().is_none_or(|c| Some(c) == q.class)
+    }
+
+    /// How special it is: of the routes that fit a request, the one with the greatest rank wins.
+    pub fn rank(&self) -> (bool, (u8, usize), usize, bool, bool) {
+        let host = match &self.host {
+            Host::Any => (0, 0),
+            Host::Below(name) => (1, name.len()),
+            Host::Exact(_) => (2, 0),
+        };
+        let path = self.path.matches('/').count();
+        (self.listener.is_some(), host, path, !self.methods.is_empty(), self.class.is_some())
+    }
+}
+
 /// What a look-up is about.
 #[derive(Clone, Copy, Debug)]
 pub struct Query<'a> {
