--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -122,7 +122,8 @@
         // As many more clients as this may be connected without asking anything.
         open: (clients.min(connections)) as u64,
         connections: connections as u64,
-        memory: memory as u64,
+        // Bodies of requests, and as much for answers.
+        memory: 2 * memory as u64,
     };
     listeners(&mut c, &model);
     services(&mut c, &model);
@@ -278,6 +279,8 @@
                     format!("method `{method}` is named twice")
                 });
             }
+            let own = *route.path == *"/_health" || route.path.starts_with("/_health/");
+            c.want(!own, &route.origin, || "`/_health` is the node's own".to_owned());
             matches.push(Match {
                 listener,
                 host: route.host.clone(),
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,7 +1,11 @@
 //! The command line.
 
 use clap::{Parser, Subcommand};
+use reelfall_conf::Plan;
+use reelfall_routes::table::{ListenerId, Match, Query};
+use reelfall_routes::target;
 use std::ffi::OsString;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 /// A load-balancing node for HTTP servers.
@@ -14,8 +18,37 @@
 
 #[derive(Subcommand)]
 enum Command {
-    /// Serve until SIGTERM (what happens without a command, too)
-    Run,
+    /// Serve until SIGTERM; a bare `reelfall` does the same, told by its environment
+    Run {
+        /// Serve by a settings file; without one, by the ROUTER_ variables of the platform
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Say what is wrong with a settings file
+    Check {
+        /// The file
+        file: PathBuf,
+    },
+    /// Say which service a request would reach, and why
+    Routes {
+        /// The settings file
+        file: PathBuf,
+        /// The host of the request
+        #[arg(long)]
+        host: String,
+        /// Its path
+        #[arg(long, default_value = "/")]
+        path: String,
+        /// Its method
+        #[arg(long, default_value = "GET")]
+        method: String,
+        /// The class that it states, as in X-Service-Class
+        #[arg(long)]
+        class: Option<String>,
+        /// The name of the listener where it comes in; the first if none is given
+        #[arg(long)]
+        listener: Option<String>,
+    },
 }
 
 /// Runs the program with its arguments, the first being its own name.
@@ -28,14 +61,102 @@
             return ExitCode::from(u8::try_from(e.exit_code()).unwrap_or(2));
         }
     };
-    let result = match cli.command.unwrap_or(Command::Run) {
-        Command::Run => crate::platform::run(),
+    let result = match cli.command.unwrap_or(Command::Run { config: None }) {
+        Command::Run { config: None } => crate::platform::run().map_err(|e| format!("reelfall: {e}")),
+        Command::Run { config: Some(path) } => {
+            crate::standalone::run(&path).map_err(|e| format!("{e}\nreelfall: not started"))
+        }
+        Command::Check { file } => check(&file),
+        Command::Routes { file, host, path, method, class, listener } => {
+            routes(&file, &Asked { host, path, method, class, listener })
+        }
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("reelfall: {fault}");
+            eprintln!("{fault}");
             ExitCode::FAILURE
         }
     }
 }
+
+fn load(file: &Path) -> Result<Plan, String> {
+    reelfall_conf::load(file).map_err(|e| e.to_string())
+}
+
+fn check(file: &Path) -> Result<(), String> {
+    let plan = load(file)?;
+    let (services, routes) = (plan.model.services.len(), plan.matches.len());
+    println!("{}: {services} services, {routes} routes, nothing wrong", file.display());
+    Ok(())
+}
+
+/// A request that somebody asks about.
+struct Asked {
+    host: String,
+    path: String,
+    method: String,
+    class: Option<String>,
+    listener: Option<String>,
+}
+
+fn routes(file: &Path, asked: &Asked) -> Result<(), String> {
+    let plan = load(file)?;
+    let listener = match &asked.listener {
+        None => 0,
+        Some(name) => {
+            let at = plan.model.listeners.iter().position(|l| l.name == *name);
+            at.ok_or_else(|| format!("{}: there is no listener `{name}`", file.display()))?
+        }
+    };
+    let said = target::Said { path: &asked.path, host: Some(asked.host.as_bytes()), ..Default::default() };
+    let target = target::read(said).map_err(|fault| format!("400: {fault}"))?;
+    let query = Query {
+        listener: ListenerId::try_from(listener).unwrap_or(ListenerId::MAX),
+        host: &target.host,
+        path: target.path,
+        method: &asked.method,
+        class: asked.class.as_deref(),
+    };
+    let Some(route) = plan.table.get(&query) else {
+        return Err("404: no route fits".to_owned());
+    };
+    let mut fitting = plan.candidates(&query).into_iter();
+    let winner = fitting.next().unwrap_or(route);
+    println!("{}", explain(&plan, winner));
+    for other in fitting {
+        let why = match (plan.matches.get(winner), plan.matches.get(other)) {
+            (Some(winner), Some(other)) => differs(winner, other),
+            _ => "",
+        };
+        println!("  before {}: {why}", explain(&plan, other));
+    }
+    Ok(())
+}
+
+fn explain(plan: &Plan, route: usize) -> String {
+    let goal = plan.goals.get(route);
+    let service = goal.and_then(|g| plan.model.services.get(g.service));
+    let assign = goal.and_then(|g| service?.classes.get(usize::from(g.assign?)));
+    let origin = plan.origin(route).map(ToString::to_string).unwrap_or_default();
+    let matched = plan.matches.get(route).map(ToString::to_string).unwrap_or_default();
+    let name = service.map_or("", |s| &s.name);
+    let class = assign.map(|c| format!(" as class {}", c.name)).unwrap_or_default();
+    format!("{name}{class} by {origin} ({matched})")
+}
+
+/// In which part of a route the one that wins is the more special.
+fn differs(winner: &Match, other: &Match) -> &'static str {
+    let (a, b) = (winner.rank(), other.rank());
+    if a.0 != b.0 {
+        "its listener is named"
+    } else if a.1 != b.1 {
+        "its host is more special"
+    } else if a.2 != b.2 {
+        "its path is longer"
+    } else if a.3 != b.3 {
+        "its method is named"
+    } else {
+        "its class is named"
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod cli;
 mod net;
 mod platform;
+mod standalone;
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -61,7 +61,7 @@
         }
     }
     if unusable > 0 {
-        pool.log.say(format_args!("{unusable} entries of list {index} can't be used"));
+        pool.shared.log.say(format_args!("{unusable} entries of list {index} can't be used"));
     }
     pool.members(kind, places);
     Ok(index)
@@ -113,7 +113,7 @@
             }
         };
         if let Err(fault) = ended {
-            pool.log.say(format_args!("discovery: {fault}"));
+            pool.shared.log.say(format_args!("discovery: {fault}"));
         }
         if !pool.pushed() {
             // The module says when to ask again.
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -1,9 +1,11 @@
 //! The client side: connections, requests in, answers out, and the end of it all on SIGTERM.
 
-use super::gate::Gate;
+use super::gate::{self, Gate};
 use super::pool::{Arrival, Message, Pool, Reply};
+use super::service::{AbortOnDrop, Found, Routing, Service, Table};
+use super::shared::{Held, Permit, Shared};
 use super::upstream::{Answer, TIME_LEFT};
-use super::{kib, Bounds, BODY_MOST, BODY_SMALL, HEAD_MOST};
+use super::{kib, BODY_MOST, BODY_SMALL, HEAD_MOST};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -13,8 +15,11 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use reelfall_core::interface::{Effect, Outcome};
+use reelfall_core::interface::{ClassId, Effect, Outcome, Time};
 use reelfall_core::settings::stable_hash;
+use reelfall_routes::limits::{Denial, Member};
+use reelfall_routes::table::{ListenerId, Query};
+use reelfall_routes::target;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -23,12 +28,11 @@
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
 use std::rc::Rc;
-use std::sync::Arc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Notify;
 use tokio::time::{timeout, timeout_at, Sleep};
 
 /// A request has to be here so soon after its connection or, on one that was used before, its first byte: no
@@ -116,10 +120,12 @@
     fault: Cell<Option<StatusCode>>,
     /// Something was written since the last request began.
     wrote: Cell<bool>,
+    /// Where it came in.
+    listening: Rc<Listening>,
 }
 
 impl Client {
-    fn new() -> Self {
+    fn new(listening: Rc<Listening>) -> Self {
         Client {
             wake: Notify::new(),
             phase: Cell::new(Phase::Silent),
@@ -127,6 +133,7 @@
             leave: Cell::new(false),
             fault: Cell::new(None),
             wrote: Cell::new(false),
+            listening,
         }
     }
 
@@ -148,51 +155,130 @@
     }
 }
 
+/// An address where clients connect.
+pub struct Listening {
+    name: String,
+    address: SocketAddr,
+    /// Its place in the plan in force; none once it was removed.
+    id: Cell<Option<ListenerId>>,
+    listener: TcpListener,
+}
+
+impl Listening {
+    /// Binds a listener.
+    ///
+    /// # Errors
+    /// Says why the address can't be had.
+    pub fn bind(name: &str, address: SocketAddr, backlog: usize) -> Result<Rc<Self>, String> {
+        let listener = bind(address, backlog)?;
+        Ok(Rc::new(Listening { name: name.to_owned(), address, id: Cell::new(Some(0)), listener }))
+    }
+}
+
 /// The client side of a node.
 pub struct Front {
-    pool: Rc<Pool>,
+    shared: Rc<Shared>,
+    routing: RefCell<Rc<Routing>>,
+    listening: RefCell<Vec<(Rc<Listening>, AbortOnDrop)>>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
-    most: usize,
+    next: Cell<u64>,
+    most: Cell<usize>,
     /// A client's connection has ended.
     freed: Notify,
     stopping: Cell<bool>,
-    bodies: Arc<Semaphore>,
+    /// For ids of requests that came without one, and for advice on when to come back.
+    random: Cell<u64>,
+}
+
+/// A request's service, class and place among the open requests.
+struct Chosen {
+    service: Rc<Service>,
+    /// The class that the route assigns.
+    assign: Option<ClassId>,
+    /// It came by a route; on the platform, the one service has all.
+    routed: bool,
+    admitted: Option<Permit>,
 }
 
 impl Front {
-    /// No clients yet.
-    pub fn new(pool: Rc<Pool>, bounds: Bounds) -> Self {
-        Front {
-            pool,
+    /// No clients yet. `seed` is for ids and advice.
+    pub fn new(shared: Rc<Shared>, routing: Routing, clients: usize, seed: u64) -> Rc<Self> {
+        Rc::new(Front {
+            shared,
+            routing: RefCell::new(Rc::new(routing)),
+            listening: RefCell::default(),
             clients: RefCell::default(),
-            most: bounds.clients,
+            next: Cell::new(0),
+            most: Cell::new(clients),
             freed: Notify::new(),
             stopping: Cell::new(false),
-            bodies: Arc::new(Semaphore::new(bounds.body_kib)),
+            random: Cell::new(seed),
+        })
+    }
+
+    /// Puts another routing in force. What has been routed stays where it is.
+    pub fn route(&self, routing: Routing, clients: usize) {
+        self.routing.replace(Rc::new(routing));
+        self.most.set(clients);
+    }
+
+    /// Accepts clients on these listeners, and on no others from here on. Whoever has connected stays until its
+    /// request is answered.
+    pub fn listen(self: &Rc<Self>, listening: Vec<Rc<Listening>>) {
+        let mut now = self.listening.borrow_mut();
+        now.retain(|(old, _)| {
+            let stays = listening.iter().any(|new| Rc::ptr_eq(new, old));
+            if !stays {
+                old.id.set(None);
+                self.empty(old);
+            }
+            stays
+        });
+        for (id, new) in listening.into_iter().enumerate() {
+            new.id.set(ListenerId::try_from(id).ok());
+            if now.iter().any(|(old, _)| Rc::ptr_eq(old, &new)) {
+                continue;
+            }
+            let (front, accepting) = (self.clone(), new.clone());
+            let task = tokio::task::spawn_local(async move { front.accept(&accepting).await });
+            now.push((new, AbortOnDrop(task.abort_handle())));
         }
     }
 
-    /// Accepts clients until `stop`, and a little longer; ends when what was taken has its answers.
-    pub async fn serve(self: &Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
-        let mut next = 0;
-        tokio::select! {
-            () = self.accept(&listener, &mut next) => {}
-            () = stop => {}
+    /// The listener of a name and address, if there is one.
+    pub fn listener(&self, name: &str, address: SocketAddr) -> Option<Rc<Listening>> {
+        let listening = self.listening.borrow();
+        let found = listening.iter().find(|(l, _)| l.name == name && l.address == address);
+        found.map(|(l, _)| l.clone())
+    }
+
+    /// The addresses that are listened on, by name.
+    pub fn addresses(&self) -> Vec<(String, SocketAddr)> {
+        let listening = self.listening.borrow();
+        let address = |l: &Listening| l.listener.local_addr().unwrap_or(l.address);
+        listening.iter().map(|(l, _)| (l.name.clone(), address(l))).collect()
+    }
+
+    /// What the machine has accepted counts as taken: the backlog is emptied before a listener closes.
+    fn empty(self: &Rc<Self>, listening: &Rc<Listening>) {
+        let mut waker = Context::from_waker(Waker::noop());
+        while let Poll::Ready(Ok((stream, _))) = listening.listener.poll_accept(&mut waker) {
+            self.clone().client(stream, listening);
         }
+    }
+
+    /// Serves until `stop`, and a little longer; ends when what was taken has its answers.
+    pub async fn serve(self: &Rc<Self>, stop: impl Future<Output = ()>) {
+        stop.await;
         let told = Instant::now();
         self.stopping.set(true);
-        let _ = timeout(ACCEPT_ON, self.accept(&listener, &mut next)).await;
-        // What the machine has accepted counts as taken: the backlog is emptied before the listener closes.
-        while let Some(Ok((stream, _))) = now_or_never(listener.accept()).await {
-            self.clone().client(stream, &mut next);
-        }
-        drop(listener);
+        tokio::time::sleep(ACCEPT_ON).await;
+        self.listen(Vec::new());
         for client in self.clients.borrow().values() {
             client.leave.set(true);
             client.wake.notify_one();
         }
-        let longest = self.pool.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
-        let longest = Duration::try_from_secs_f64(longest).unwrap_or_default();
+        let longest = self.routing.borrow().longest_deadline();
         let end = told + longest + KILL_AFTER - Duration::from_millis(100);
         while !self.clients.borrow().is_empty() {
             if timeout_at(end.into(), self.freed.notified()).await.is_err() {
@@ -201,19 +287,19 @@
         }
     }
 
-    async fn accept(self: &Rc<Self>, listener: &TcpListener, next: &mut u64) {
+    async fn accept(self: &Rc<Self>, listening: &Rc<Listening>) {
         loop {
-            if self.clients.borrow().len() >= self.most {
+            if self.clients.borrow().len() >= self.most.get() {
                 self.make_room();
                 // Without an idle one to close, clients wait in the backlog.
                 let _ = timeout(DESCRIPTORS_OUT, self.freed.notified()).await;
                 continue;
             }
-            match listener.accept().await {
-                Ok((stream, _)) => self.clone().client(stream, next),
+            match listening.listener.accept().await {
+                Ok((stream, _)) => self.clone().client(stream, listening),
                 Err(e) => {
                     // Out of descriptors, as a rule: the error stays until one is free, so don't spin on it.
-                    self.pool.log.say(format_args!("accept: {e}"));
+                    self.shared.log.say(format_args!("accept: {e}"));
                     self.make_room();
                     tokio::time::sleep(DESCRIPTORS_OUT).await;
                 }
@@ -246,10 +332,10 @@
         }
     }
 
-    fn client(self: Rc<Self>, stream: TcpStream, next: &mut u64) {
-        let id = *next;
-        *next += 1;
-        let client = Rc::new(Client::new());
+    fn client(self: Rc<Self>, stream: TcpStream, listening: &Rc<Listening>) {
+        let id = self.next.get();
+        self.next.set(id + 1);
+        let client = Rc::new(Client::new(listening.clone()));
         self.clients.borrow_mut().insert(id, client.clone());
         tokio::task::spawn_local(async move {
             self.connection(stream, &client).await;
@@ -264,7 +350,11 @@
         }
         let stream = Rc::new(stream);
         {
-            let io = TokioIo::new(ClientIo::new(stream.clone(), client.clone()));
+            let methods: &[&[u8]] = match &**self.routing.borrow() {
+                Routing::Alone(_) => &gate::METHODS,
+                Routing::Table(_) => &gate::METHODS_ROUTED,
+            };
+            let io = TokioIo::new(ClientIo::new(stream.clone(), client.clone(), Gate::new(methods)));
             let service = service_fn(|request| self.clone().request(request, client.clone()));
             // Times are kept by `ClientIo`, which knows whether a request has begun.
             let mut connection = pin!(Builder::new()
@@ -288,39 +378,140 @@
         self: Rc<Self>, request: Request<Incoming>, client: Rc<Client>,
     ) -> Result<Response<Full<Bytes>>, Infallible> {
         let (head, body) = request.into_parts();
-        let mut response = match head.uri.path() {
-            "/_health" if self.pool.ready.get() => plain(StatusCode::OK, ""),
-            "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE, "no server list yet\n"),
-            path if path == "/api" || path.starts_with("/api/") => self.api(head, body, &client).await,
-            _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
+        let routing = self.routing.borrow().clone();
+        let mut response = match &*routing {
+            Routing::Alone(service) => match head.uri.path() {
+                "/_health" if service.pool.ready.get() => plain(StatusCode::OK, ""),
+                "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE, "no server list yet\n"),
+                path if path == "/api" || path.starts_with("/api/") => {
+                    let service = service.clone();
+                    let chosen = Chosen { service, assign: None, routed: false, admitted: None };
+                    drop(routing);
+                    self.pass(chosen, head, body, &client).await
+                }
+                _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
+            },
+            Routing::Table(table) => match head.uri.path().strip_prefix("/_health") {
+                Some(name) if name.is_empty() || name.starts_with('/') => health(table, name),
+                _ => match self.choose(table, &head, &client) {
+                    Ok(chosen) => {
+                        drop(routing);
+                        self.pass(chosen, head, body, &client).await
+                    }
+                    Err(response) => match discard(body).await {
+                        Ok(()) => *response,
+                        Err(response) => response,
+                    },
+                },
+            },
         };
         // Whoever sends what can't be used has to connect anew for more of it.
-        if self.stopping.get() || response.status().is_client_error() {
+        let limited = response.status() == StatusCode::TOO_MANY_REQUESTS;
+        if self.stopping.get() || (response.status().is_client_error() && !limited) {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         client.turn(Phase::Answered);
         Ok(response)
     }
 
-    async fn api(self: &Rc<Self>, head: Parts, body: Incoming, client: &Client) -> Response<Full<Bytes>> {
+    /// Finds the service of a request and its place among the open ones.
+    fn choose(
+        self: &Rc<Self>, table: &Table, head: &Parts, client: &Client,
+    ) -> Result<Chosen, Box<Response<Full<Bytes>>>> {
+        let mut hosts = head.headers.get_all(header::HOST).iter();
+        let said = target::Said {
+            scheme: head.uri.scheme_str(),
+            authority: head.uri.authority().map(|a| a.as_str()),
+            path: head.uri.path(),
+            host: hosts.next().map(HeaderValue::as_bytes),
+            more_hosts: hosts.next().is_some(),
+        };
+        let target = target::read(said).map_err(|fault| Box::new(told(StatusCode::BAD_REQUEST, &fault)))?;
+        let class = head.headers.get(&SERVICE_CLASS).and_then(|v| v.to_str().ok());
+        let query = Query {
+            listener: client.listening.id.get().unwrap_or(ListenerId::MAX),
+            host: &target.host,
+            path: target.path,
+            method: head.method.as_str(),
+            class,
+        };
+        let found =
+            table.find(&query).ok_or_else(|| Box::new(plain(StatusCode::NOT_FOUND, "no such route\n")))?;
+        let Found { service, assign } = found;
+        if service.draining.get() {
+            let most = service.retry_after.get();
+            return Err(Box::new(self.refusal(StatusCode::SERVICE_UNAVAILABLE, "draining\n", most, most)));
+        }
+        let admitted = match service.member.map(|member| self.shared.admit(member)) {
+            None => None,
+            Some(Ok(admitted)) => admitted,
+            // Nothing of the request has run: trying again is harmless, as both say.
+            Some(Err(denial)) => {
+                let most = service.retry_after.get();
+                return Err(Box::new(match denial {
+                    Denial::Rate(wait) => self.refusal(
+                        StatusCode::TOO_MANY_REQUESTS,
+                        "over the rate of this service\n",
+                        wait,
+                        most,
+                    ),
+                    Denial::Held(..) => {
+                        let text = "this service has all the requests that it may hold\n";
+                        self.refusal(StatusCode::SERVICE_UNAVAILABLE, text, most / 2.0, most)
+                    }
+                }));
+            }
+        };
+        Ok(Chosen { service, assign, routed: true, admitted })
+    }
+
+    /// A refusal with advice on when to come back: about `wait`, spread so that not all come back together, and no
+    /// longer than `most`; none if that is 0.
+    fn refusal(
+        &self, status: StatusCode, text: &'static str, wait: Time, most: Time,
+    ) -> Response<Full<Bytes>> {
+        let mut response = plain(status, text);
+        if most > 0.0 {
+            let spread = 1.0 + (self.draw() >> 11) as f64 / (1u64 << 53) as f64;
+            let after = (wait * spread).clamp(0.001, most);
+            if let Ok(after) = HeaderValue::try_from(format!("{after:.3}")) {
+                response.headers_mut().insert(header::RETRY_AFTER, after);
+            }
+        }
+        response
+    }
+
+    /// SplitMix64.
+    fn draw(&self) -> u64 {
+        let x = self.random.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.random.set(x);
+        let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    }
+
+    async fn pass(
+        self: &Rc<Self>, chosen: Chosen, head: Parts, body: Incoming, client: &Client,
+    ) -> Response<Full<Bytes>> {
+        let pool = chosen.service.pool.clone();
         let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         // A fault in the head is told only when the body is in: an answer beside unread data may be lost.
-        let (body, held) = match self.body(body).await {
+        let (body, held) = match self.body(body, chosen.service.member).await {
             Ok(body) => body,
             Err(response) => return response,
         };
         client.turn(Phase::Open);
         let taken = Instant::now();
-        let (message, arrival) = match self.translate(head, body, held, taken) {
+        let (message, arrival) = match self.translate(chosen, head, body, held, taken) {
             Ok(request) => request,
             Err((status, text)) => return plain(status, text),
         };
         let deadline = arrival.deadline;
-        let (id, answer) = self.pool.submit(message, arrival);
-        let mut waiting = Waiting { pool: &self.pool, id: Some(id) };
+        let (id, answer) = pool.submit(message, arrival);
+        let mut waiting = Waiting { pool: &pool, id: Some(id) };
         // The guard: attempts end at the deadline and bring an answer; if nothing has, this is it.
         let guard =
-            deadline + Duration::try_from_secs_f64(self.pool.figures.answer_slack / 2.0).unwrap_or_default();
+            deadline + Duration::try_from_secs_f64(pool.figures.answer_slack / 2.0).unwrap_or_default();
         let mut response = match timeout_at(guard.into(), answer).await {
             Ok(Ok(reply)) => {
                 waiting.id = None;
@@ -337,10 +528,10 @@
 
     /// Reads a body whole. What finds no room is still read to its end before it is answered.
     async fn body(
-        &self, mut body: Incoming,
-    ) -> Result<(Bytes, Option<OwnedSemaphorePermit>), Response<Full<Bytes>>> {
+        &self, mut body: Incoming, member: Option<Member>,
+    ) -> Result<(Bytes, Option<Held>), Response<Full<Bytes>>> {
         let stated = body.size_hint().exact().map_or(BODY_MOST, |n| n as usize);
-        let mut held: Option<OwnedSemaphorePermit> = None;
+        let mut held: Option<Held> = None;
         let (mut data, mut size, mut granted, mut room) = (BytesMut::new(), 0, BODY_SMALL, true);
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Err(plain(StatusCode::BAD_REQUEST, "half a body\n")) };
@@ -351,9 +542,9 @@
             }
             if room && size > granted {
                 // The largest that it can be, taken once: bodies that grow must not wait for each other.
-                match self.bodies.clone().try_acquire_many_owned(kib(stated)) {
-                    Ok(leave) => (held, granted) = (Some(leave), BODY_MOST),
-                    Err(_) => (data, room) = (BytesMut::new(), false),
+                match self.shared.body(member, kib(stated)) {
+                    Some(leave) => (held, granted) = (Some(leave), BODY_MOST),
+                    None => (data, room) = (BytesMut::new(), false),
                 }
             }
             if room {
@@ -369,18 +560,25 @@
 
     /// Puts a request's head into the module's terms.
     fn translate(
-        &self, head: Parts, body: Bytes, held: Option<OwnedSemaphorePermit>, taken: Instant,
+        &self, chosen: Chosen, head: Parts, body: Bytes, held: Option<Held>, taken: Instant,
     ) -> Result<(Message, Arrival), (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
+        let Chosen { service, assign, routed, admitted } = chosen;
+        let pool = &service.pool;
         let Parts { method, uri, mut headers, .. } = head;
+        if routed && !headers.contains_key(&CORRELATION_ID) {
+            if let Ok(id) = HeaderValue::try_from(format!("{:016x}", self.draw())) {
+                headers.insert(CORRELATION_ID, id);
+            }
+        }
         let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
-        let names = self.pool.names.borrow();
-        let class = text(&SERVICE_CLASS).and_then(|name| names.classes.get(name));
-        let class = class.ok_or(bad("unknown class\n"))? as usize;
-        let rules = self.pool.classes.get(class).ok_or(bad("unknown class\n"))?;
-        let fits =
-            if rules.effect == Effect::Idempotent { method == Method::GET } else { method == Method::POST };
-        if !fits {
+        let names = pool.names.borrow();
+        // A service with one class has no other; where there are more, a request that states none is not guessed at.
+        let only = (routed && pool.classes.len() == 1 && !headers.contains_key(&SERVICE_CLASS)).then_some(0);
+        let stated = || text(&SERVICE_CLASS).and_then(|name| names.classes.get(name)).map(|c| c as ClassId);
+        let class = assign.or(only).or_else(stated).ok_or(bad("unknown class\n"))?;
+        let rules = pool.classes.get(usize::from(class)).ok_or(bad("unknown class\n"))?;
+        if !fits(&method, rules.effect, routed) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "the class wants another method\n"));
         }
         if method == Method::GET && !body.is_empty() {
@@ -404,19 +602,63 @@
         };
         // The answer has to be back before the client's time is up: the slack that answers have in the rules
         // is what the way back and a late wake-up may take.
-        let left = Duration::try_from_secs_f64(left - self.pool.figures.answer_slack).unwrap_or_default();
+        let left = Duration::try_from_secs_f64(left - pool.figures.answer_slack).unwrap_or_default();
         let arrival = Arrival {
-            class: class as u16,
+            class,
             tenant: text(&ACCOUNT).and_then(|name| names.tenant(name)),
             hint: text(&WEIGHT_HINT).and_then(|t| t.trim().parse::<f64>().ok()).map(|us| us / 1e6),
             key: headers.get_all(header::COOKIE).iter().find_map(key).map(stable_hash),
             deadline: taken + left,
         };
         let path = uri.into_parts().path_and_query.ok_or(bad("no path\n"))?;
-        let id = self.pool.claim(id).ok_or((StatusCode::CONFLICT, "a request with this id is open\n"))?;
+        let id = self.shared.claim(id).ok_or((StatusCode::CONFLICT, "a request with this id is open\n"))?;
         strip(&mut headers);
-        Ok((Message { method, path, headers, body, _held: held, _id: id }, arrival))
+        Ok((Message { method, path, headers, body, _held: held, _id: id, _admitted: admitted }, arrival))
+    }
+}
+
+/// Whether a method goes with what a second run would do. On the platform the method follows from the class; by a
+/// route it is the operators', but for a GET: whoever stands between may repeat it, so it must be harmless.
+fn fits(method: &Method, effect: Effect, routed: bool) -> bool {
+    match (effect, routed) {
+        (Effect::Idempotent, true) => true,
+        (_, true) => method != Method::GET,
+        (Effect::Idempotent, false) => method == Method::GET,
+        (_, false) => method == Method::POST,
+    }
+}
+
+/// How the process, or the service that the path names, stands.
+fn health(table: &Table, path: &str) -> Response<Full<Bytes>> {
+    let services = table.services();
+    let unready = match path.strip_prefix('/') {
+        // One that drains on purpose does not make the process unready.
+        None => services.iter().filter(|s| !s.draining.get()).find_map(|s| s.unready()),
+        Some(name) => match services.iter().find(|s| s.name == name) {
+            Some(service) => service.unready(),
+            None => return plain(StatusCode::NOT_FOUND, "no such service\n"),
+        },
+    };
+    unready.map_or_else(|| plain(StatusCode::OK, ""), |why| plain(StatusCode::SERVICE_UNAVAILABLE, why))
+}
+
+/// Reads a body to its end without keeping it: an answer beside unread data may be lost.
+async fn discard(mut body: Incoming) -> Result<(), Response<Full<Bytes>>> {
+    let mut size = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return Err(plain(StatusCode::BAD_REQUEST, "half a body\n")) };
+        size += frame.data_ref().map_or(0, Bytes::len);
+        if size > BODY_MOST {
+            return Err(plain(StatusCode::PAYLOAD_TOO_LARGE, "too large a body\n"));
+        }
     }
+    Ok(())
+}
+
+fn told(status: StatusCode, why: &dyn std::fmt::Display) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(format!("{why}\n"))));
+    *response.status_mut() = status;
+    response
 }
 
 /// The cookie that says what a request is about.
@@ -484,16 +726,6 @@
     }
 }
 
-/// Polls once.
-async fn now_or_never<F: Future>(future: F) -> Option<F::Output> {
-    let mut future = pin!(future);
-    std::future::poll_fn(|cx| match future.as_mut().poll(cx) {
-        Poll::Ready(done) => Poll::Ready(Some(done)),
-        Poll::Pending => Poll::Ready(None),
-    })
-    .await
-}
-
 /// Tells a client, if nothing was told yet, why its connection ends, and ends it.
 async fn turn_away(stream: &TcpStream, status: StatusCode, wrote: bool) {
     if !wrote {
@@ -527,8 +759,8 @@
 }
 
 impl ClientIo {
-    fn new(stream: Rc<TcpStream>, client: Rc<Client>) -> Self {
-        ClientIo { stream, client, gate: Gate::new(), timer: None, stalled: None }
+    fn new(stream: Rc<TcpStream>, client: Rc<Client>, gate: Gate) -> Self {
+        ClientIo { stream, client, gate, timer: None, stalled: None }
     }
 
     fn fill(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
--- a/crates/node/src/net/gate.rs
+++ b/crates/node/src/net/gate.rs
@@ -7,8 +7,10 @@
 use std::ops::ControlFlow;
 use tokio::io::ReadBuf;
 
-/// The methods that a class can have.
-const METHODS: [&[u8]; 2] = [b"GET ", b"POST "];
+/// The methods that a class can have on the platform.
+pub const METHODS: [&[u8]; 2] = [b"GET ", b"POST "];
+/// The methods that a route can have.
+pub const METHODS_ROUTED: [&[u8]; 5] = [b"GET ", b"POST ", b"PUT ", b"PATCH ", b"DELETE "];
 /// Most headers of a request.
 const HEADERS_MOST: usize = 64;
 
@@ -30,6 +32,7 @@
 /// It ought to catch other ways of smuggling too, since nothing passes that is not understood here first. It does
 /// harm where a client uses methods or heads larger than this node knows, or says one length twice.
 pub struct Gate {
+    methods: &'static [&'static [u8]],
     stage: Stage,
     held: BytesMut,
     /// Bytes in `held` that hold no whole head.
@@ -37,8 +40,8 @@
 }
 
 impl Gate {
-    pub fn new() -> Self {
-        Gate { stage: Stage::Head, held: BytesMut::new(), looked: 0 }
+    pub fn new(methods: &'static [&'static [u8]]) -> Self {
+        Gate { methods, stage: Stage::Head, held: BytesMut::new(), looked: 0 }
     }
 
     /// Room for what comes from the socket next; bounded, for what is held is let through or refused first.
@@ -93,7 +96,7 @@
         // Only a line's end can complete a head; until one comes, looking at the first word is enough.
         let complete = new.contains(&b'\n');
         self.looked = self.held.len();
-        begins(&self.held)?;
+        self.begins(&self.held)?;
         let parsed = if complete { parse(&self.held)? } else { None };
         let Some((head, framing)) = parsed else {
             return if self.held.len() > HEAD_MOST {
@@ -104,18 +107,18 @@
         };
         let Framing::Length(body) = framing else { return Ok(Some(Stage::Open)) };
         if let Some(behind) = head.checked_add(body).and_then(|end| self.held.get(end..)) {
-            begins(behind)?;
+            self.begins(behind)?;
         }
         Ok(Some(Stage::Pass((head + body) as u64)))
     }
-}
 
-/// Whether a request can begin like this.
-fn begins(with: &[u8]) -> Result<(), StatusCode> {
-    // An empty line before a request is passed over by every server.
-    let with = with.trim_ascii_start();
-    let fits = METHODS.iter().any(|m| m.iter().zip(with).all(|(a, b)| a == b));
-    fits.then_some(()).ok_or(StatusCode::BAD_REQUEST)
+    /// Whether a request can begin like this.
+    fn begins(&self, with: &[u8]) -> Result<(), StatusCode> {
+        // An empty line before a request is passed over by every server.
+        let with = with.trim_ascii_start();
+        let fits = self.methods.iter().any(|m| m.iter().zip(with).all(|(a, b)| a == b));
+        fits.then_some(()).ok_or(StatusCode::BAD_REQUEST)
+    }
 }
 
 enum Framing {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -4,6 +4,8 @@
 pub mod front;
 pub mod gate;
 pub mod pool;
+pub mod service;
+pub mod shared;
 pub mod upstream;
 
 use std::cell::Cell;
@@ -22,16 +24,10 @@
 }
 
 impl Bounds {
-    /// Descriptors for what is neither client nor server: listener, discovery, the runtime's own, a margin.
-    const SPARE: usize = 24;
-
-    /// Requests hold a third of the descriptors at most, and each needs one to a server; attempts that outlive
-    /// their request need more. What is left is for clients that ask nothing at the moment, or never will. A
-    /// quarter of the memory goes to bodies.
+    /// Of a process with so many descriptors and so much memory.
     pub fn of(sockets: usize, memory_mb: usize) -> Self {
-        let all = sockets.saturating_sub(Self::SPARE).max(8);
-        let upstream = all * 43 / 100;
-        Bounds { clients: all - upstream, upstream, body_kib: memory_mb.saturating_mul(256).max(1024) }
+        let (clients, upstream, body_kib) = reelfall_conf::check::parts(sockets, memory_mb);
+        Bounds { clients, upstream, body_kib }
     }
 }
 
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -1,8 +1,8 @@
 //! One pool of servers at work: feeds its [`Engine`] with what happens on the sockets and carries out what the
 //! engine wants done. No choice is made here.
 
+use super::shared::{Held, OpenId, Permit, Shared};
 use super::upstream::{self, Answer, Upstream};
-use super::{Bounds, Log};
 use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
@@ -10,12 +10,14 @@
 use reelfall_core::interface::*;
 use reelfall_core::settings::{Figures, Vocabulary};
 use reelfall_core::Balancer;
+use reelfall_routes::fleet::Word;
+use reelfall_routes::limits::Member;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::{oneshot, Notify, OwnedSemaphorePermit};
+use std::time::{Duration, Instant};
+use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
 /// A request as it goes to a server, the same at every attempt.
@@ -25,23 +27,11 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     /// What the body holds of the budget for bodies.
-    pub _held: Option<OwnedSemaphorePermit>,
+    pub _held: Option<Held>,
     /// Its id, taken for as long as an attempt may be out.
     pub _id: OpenId,
-}
-
-type Ids = Rc<RefCell<HashSet<Box<[u8]>>>>;
-
-/// An id of a request that is open here; it is free again when this is dropped.
-pub struct OpenId {
-    ids: Ids,
-    id: Box<[u8]>,
-}
-
-impl Drop for OpenId {
-    fn drop(&mut self) {
-        self.ids.borrow_mut().remove(&self.id);
-    }
+    /// Its place among the open requests of its service, as long.
+    pub _admitted: Option<Permit>,
 }
 
 /// What the module is told of a request.
@@ -73,45 +63,24 @@
     type Answer = Box<Answer>;
 }
 
-/// The moments of the engine. Lists state starts in Unix time and 0 for long ago: a clock that began at 0 here
-/// would make every cold server look warm.
-#[derive(Clone, Copy)]
-struct Clock {
-    started: Instant,
-    unix: Time,
-}
-
-impl Clock {
-    fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1.0, |d| d.as_secs_f64().max(1.0));
-        Clock { started: Instant::now(), unix }
-    }
-
-    fn now(&self) -> Time {
-        self.time(Instant::now())
-    }
-
-    fn time(&self, at: Instant) -> Time {
-        self.unix + at.saturating_duration_since(self.started).as_secs_f64()
-    }
-
-    fn instant(&self, at: Time) -> Instant {
-        let since = Duration::try_from_secs_f64(at - self.unix).unwrap_or_default();
-        self.started.checked_add(since).unwrap_or(self.started)
-    }
-}
+/// A pool's number, never used twice in one life of the process.
+pub type PoolId = u32;
 
 /// The engine of one pool and all that it acts on.
 pub struct Pool {
+    pub id: PoolId,
     engine: RefCell<Engine<Wire>>,
     /// Kept between calls for its room.
     commands: Cell<Vec<Command<Wire>>>,
     pub names: RefCell<Vocabulary>,
-    ids: Ids,
+    pub shared: Rc<Shared>,
+    /// What this pool's list says, where other lists may say something of the same servers.
+    own: RefCell<HashMap<ServerId, Place<SocketAddr>>>,
+    /// Whether a server that the list no longer names has ended, or may serve others still.
+    missing: Missing,
     pub classes: Vec<Class>,
     pub upstream: Upstream,
     pub figures: Figures,
-    pub log: Log,
     /// The module asks for a watch.
     pub watch: Notify,
     /// A list has come.
@@ -119,7 +88,15 @@
     /// Requests can be served.
     pub ready: Cell<bool>,
     discovery: Discovery,
-    clock: Clock,
+}
+
+/// What it means that a list no longer names a server.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Missing {
+    /// The server has ended: the list follows servers.
+    Ended,
+    /// This pool has no use for it any more: the list is somebody's settings.
+    Unused,
 }
 
 impl Pool {
@@ -128,27 +105,31 @@
     /// # Errors
     /// Says which setting cannot be used.
     pub fn new(
-        settings: Settings, names: Vocabulary, figures: Figures, seed: u64, bounds: Bounds,
-    ) -> Result<Self, String> {
-        let clock = Clock::start();
+        settings: Settings, names: Vocabulary, figures: Figures, seed: u64, missing: Missing,
+        shared: Rc<Shared>, member: Option<Member>,
+    ) -> Result<Rc<Self>, String> {
         let (classes, conn_idle) = (settings.classes.clone(), settings.limits.conn_idle);
         let (max_attempts, discovery) = (settings.limits.max_attempts, settings.discovery);
-        let module = Balancer::new(settings, seed, clock.unix)?;
-        Ok(Pool {
+        let module = Balancer::new(settings, seed, shared.clock.now())?;
+        let upstream = Upstream::new(shared.clone(), member, conn_idle, figures.connect_timeout);
+        let pool = Rc::new(Pool {
+            id: shared.number(),
             engine: RefCell::new(Engine::new(module, &classes, max_attempts)),
             commands: Cell::default(),
             names: RefCell::new(names),
-            ids: Ids::default(),
+            shared,
+            own: RefCell::default(),
+            missing,
             classes,
-            upstream: Upstream::new(bounds, conn_idle, figures.connect_timeout),
+            upstream,
             figures,
-            log: Log::default(),
             watch: Notify::new(),
             listed: Notify::new(),
             ready: Cell::new(false),
             discovery,
-            clock,
-        })
+        });
+        pool.shared.enter(&pool);
+        Ok(pool)
     }
 
     /// Lists come by themselves, or only when asked for.
@@ -161,21 +142,16 @@
         self.engine.borrow().has_servers()
     }
 
-    /// Takes an id for a request, unless an open one has it.
-    ///
-    /// Guards against a client that uses the id of another's request, so that servers, which know a request by
-    /// it, would see a second copy; it ought to catch a proxy before this node that sends twice as well. Bounded
-    /// by the requests that are open. Harm: a client that reuses an id too soon is told so and has to take a new.
-    pub fn claim(&self, id: &[u8]) -> Option<OpenId> {
-        let id: Box<[u8]> = id.into();
-        self.ids.borrow_mut().insert(id.clone()).then(|| OpenId { ids: self.ids.clone(), id })
+    /// Requests that have no final answer yet, or an attempt that is out.
+    pub fn open(&self) -> usize {
+        self.engine.borrow().open()
     }
 
     /// Takes a request in. Its final answer comes over the channel.
     pub fn submit(self: &Rc<Self>, message: Message, a: Arrival) -> (RequestId, oneshot::Receiver<Reply>) {
         let (reply, answer) = oneshot::channel();
         let Arrival { class, tenant, hint, key, deadline } = a;
-        let deadline = self.clock.time(deadline);
+        let deadline = self.shared.clock.time(deadline);
         let arrival = engine::Arrival { class, tenant, hint, key, deadline };
         let ticket = Ticket { message: Rc::new(message), task: None };
         let id = self.tell(|engine, now, out| engine.submit(now, ticket, reply, arrival, out));
@@ -188,9 +164,70 @@
     }
 
     /// News of the list.
-    pub fn members(self: &Rc<Self>, list: ListKind, places: Vec<Place<SocketAddr>>) {
+    pub fn members(self: &Rc<Self>, list: ListKind, mut places: Vec<Place<SocketAddr>>) {
+        let told = if self.shared.parts() { self.compare(list, &mut places) } else { Vec::new() };
         self.tell(|engine, now, out| engine.members(now, list, places, out));
         self.listed.notify_waiters();
+        told.into_iter().for_each(|address| self.shared.retell(address, Some(self.id)));
+    }
+
+    /// Puts this list beside those of other pools, and gives the servers of which others have to be told.
+    fn compare(&self, list: ListKind, places: &mut [Place<SocketAddr>]) -> Vec<SocketAddr> {
+        let mut own = self.own.borrow_mut();
+        let mut told = Vec::new();
+        let mut say = |address, word, ready_at| {
+            if self.shared.say(self.id, address, word, ready_at) {
+                told.push(address);
+            }
+        };
+        if matches!(list, ListKind::Full | ListKind::Cached) {
+            let named: HashSet<ServerId> = places.iter().map(|p| p.entry.server).collect();
+            let missing: Vec<ServerId> = own.keys().filter(|id| !named.contains(id)).copied().collect();
+            let missing: Vec<_> = missing.iter().filter_map(|id| own.remove(id)).collect();
+            for p in missing.iter().filter(|p| !own.values().any(|o| o.address == p.address)) {
+                let word = (self.missing == Missing::Ended).then_some(Word::Gone);
+                say(p.address, word, p.entry.ready_at);
+            }
+        }
+        for place in places.iter_mut() {
+            let word = match place.entry.state {
+                ServerState::Up => Word::Up,
+                ServerState::Draining => Word::Draining,
+                ServerState::Gone => Word::Gone,
+            };
+            let old = match place.entry.state {
+                ServerState::Gone => own.remove(&place.entry.server),
+                _ => own.insert(place.entry.server, place.clone()),
+            };
+            if let Some(old) = old.filter(|old| old.address != place.address) {
+                say(old.address, None, old.entry.ready_at);
+            }
+            // A server that took the place of another at its address is not gone with that one's name.
+            if word != Word::Gone || !own.values().any(|o| o.address == place.address) {
+                say(place.address, Some(word), place.entry.ready_at);
+            }
+            self.adjust(place);
+        }
+        told
+    }
+
+    /// What holds of a server: what this list says, and what other lists add.
+    fn adjust(&self, place: &mut Place<SocketAddr>) {
+        let view = self.shared.view(self.id, place.address, place.entry.ready_at);
+        place.entry.sharers = view.sharers;
+        if view.drained && place.entry.state == ServerState::Up {
+            place.entry.state = ServerState::Draining;
+        }
+    }
+
+    /// Another list has said something of a server that this one names.
+    pub fn retold(self: &Rc<Self>, address: SocketAddr) {
+        let mut places: Vec<Place<SocketAddr>> =
+            self.own.borrow().values().filter(|p| p.address == address).cloned().collect();
+        places.iter_mut().for_each(|p| self.adjust(p));
+        if !places.is_empty() {
+            self.tell(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
+        }
     }
 
     /// Tells the engine something and carries out what it wants done.
@@ -198,7 +235,7 @@
         self: &Rc<Self>, what: impl FnOnce(&mut Engine<Wire>, Time, &mut Vec<Command<Wire>>) -> R,
     ) -> R {
         let mut commands = self.commands.take();
-        let result = what(&mut self.engine.borrow_mut(), self.clock.now(), &mut commands);
+        let result = what(&mut self.engine.borrow_mut(), self.shared.clock.now(), &mut commands);
         for command in commands.drain(..) {
             self.carry_out(command);
         }
@@ -212,7 +249,7 @@
                 let mut engine = self.engine.borrow_mut();
                 let Some(ticket) = engine.payload(request) else { return };
                 let (pool, message) = (self.clone(), ticket.message.clone());
-                let expires = self.clock.instant(expires);
+                let expires = self.shared.clock.instant(expires);
                 let run = upstream::attempt(pool, request, attempt, server, message, expires);
                 ticket.task = Some(tokio::task::spawn_local(run).abort_handle());
             }
@@ -247,10 +284,6 @@
         &self.upstream
     }
 
-    fn log(&self) -> &Log {
-        &self.log
-    }
-
     fn address(&self, server: ServerId) -> Option<SocketAddr> {
         self.engine.borrow().address(server).copied()
     }
--- /dev/null
+++ b/crates/node/src/net/shared.rs
@@ -0,0 +1,376 @@
+//! What all pools of a process share: descriptors, memory, ids of open requests, and what their lists say of servers
+//! that several of them have.
+
+use super::pool::{Pool, PoolId};
+use super::{Bounds, Log};
+use reelfall_core::interface::Time;
+use reelfall_routes::fleet::{Fleet, View, Word};
+use reelfall_routes::limits::{Allowed, Denial, Kind, Limits, Member, Totals};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout_at;
+
+/// The moments of engines and limits. Lists state starts in Unix time and 0 for long ago: a clock that began at 0
+/// here would make every cold server look warm.
+#[derive(Clone, Copy)]
+pub struct Clock {
+    started: Instant,
+    unix: Time,
+}
+
+impl Clock {
+    fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1.0, |d| d.as_secs_f64().max(1.0));
+        Clock { started: Instant::now(), unix }
+    }
+
+    pub fn now(&self) -> Time {
+        self.time(Instant::now())
+    }
+
+    pub fn time(&self, at: Instant) -> Time {
+        self.unix + at.saturating_duration_since(self.started).as_secs_f64()
+    }
+
+    pub fn instant(&self, at: Time) -> Instant {
+        let since = Duration::try_from_secs_f64(at - self.unix).unwrap_or_default();
+        self.started.checked_add(since).unwrap_or(self.started)
+    }
+}
+
+/// An id of a request that is open here; it is free again when this is dropped.
+pub struct OpenId {
+    shared: Rc<Shared>,
+    id: Box<[u8]>,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.shared.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+/// Units that a service holds; they go back when this is dropped.
+pub struct Permit {
+    shared: Rc<Shared>,
+    member: Member,
+    kind: Kind,
+    n: u64,
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some(limits) = &self.shared.limits {
+            limits.borrow_mut().give(self.member, self.kind, self.n);
+        }
+        match self.kind {
+            Kind::Memory => self.shared.memory_freed.notify_waiters(),
+            Kind::Connections => self.shared.freed(),
+            Kind::Open => {}
+        }
+    }
+}
+
+/// Memory for a body, as long as it is held.
+pub enum Held {
+    /// Of the process, where there is one service alone.
+    Process(#[allow(dead_code)] OwnedSemaphorePermit),
+    /// Of a service.
+    Service(#[allow(dead_code)] Permit),
+}
+
+/// One of the connections to servers that may be open.
+pub struct Open {
+    shared: Rc<Shared>,
+    /// The server, where connections are counted by server.
+    counted: Option<SocketAddr>,
+    _permit: Option<Permit>,
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let shared = &self.shared;
+        shared.open.set(shared.open.get().saturating_sub(1));
+        if let Some(address) = &self.counted {
+            let mut by_server = shared.by_server.borrow_mut();
+            if let Some(n) = by_server.get_mut(address) {
+                *n = n.saturating_sub(1);
+                if *n == 0 {
+                    by_server.remove(address);
+                }
+            }
+        }
+        shared.freed();
+    }
+}
+
+/// An attempt that waits for a connection.
+pub struct Waiting<'a>(&'a Cell<usize>);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// See the module.
+pub struct Shared {
+    pub log: Log,
+    pub clock: Clock,
+    ids: RefCell<HashSet<Box<[u8]>>>,
+    /// Connections to servers that are open, and the most that may be.
+    open: Cell<usize>,
+    most: Cell<usize>,
+    /// The same for each server, where several services may send to one.
+    by_server: RefCell<HashMap<SocketAddr, usize>>,
+    most_by_server: Cell<Option<usize>>,
+    /// Memory for bodies of requests and for large answers, where there is one service alone.
+    bodies: Arc<Semaphore>,
+    answers: Arc<Semaphore>,
+    memory_freed: Notify,
+    /// Attempts that wait for a connection.
+    waiting: Cell<usize>,
+    limits: Option<RefCell<Limits>>,
+    fleet: RefCell<Fleet<SocketAddr, PoolId>>,
+    pools: RefCell<HashMap<PoolId, Weak<Pool>>>,
+    next_pool: Cell<PoolId>,
+}
+
+impl Shared {
+    /// For one service alone, which has all that the process has.
+    pub fn alone(bounds: Bounds) -> Rc<Self> {
+        Rc::new(Self::new(bounds.upstream, bounds.body_kib, None))
+    }
+
+    /// For several services, which have what they are allowed of the totals.
+    pub fn parted(totals: Totals, most_by_server: Option<usize>) -> Rc<Self> {
+        let shared = Self::new(totals.connections as usize, 0, Some(RefCell::new(Limits::new(totals))));
+        shared.most_by_server.set(most_by_server);
+        Rc::new(shared)
+    }
+
+    fn new(most: usize, body_kib: usize, limits: Option<RefCell<Limits>>) -> Self {
+        Shared {
+            log: Log::default(),
+            clock: Clock::start(),
+            ids: RefCell::default(),
+            open: Cell::new(0),
+            most: Cell::new(most),
+            by_server: RefCell::default(),
+            most_by_server: Cell::new(None),
+            bodies: Arc::new(Semaphore::new(body_kib)),
+            answers: Arc::new(Semaphore::new(body_kib)),
+            memory_freed: Notify::new(),
+            waiting: Cell::new(0),
+            limits,
+            fleet: RefCell::default(),
+            pools: RefCell::default(),
+            next_pool: Cell::new(0),
+        }
+    }
+
+    /// Changes what there is; what is held stays held.
+    pub fn set_totals(&self, totals: Totals, most_by_server: Option<usize>) {
+        self.most.set(totals.connections as usize);
+        self.most_by_server.set(most_by_server);
+        if let Some(limits) = &self.limits {
+            limits.borrow_mut().set_totals(totals);
+        }
+    }
+
+    /// Takes an id for a request, unless an open one has it.
+    ///
+    /// Guards against a client that uses the id of another's request, so that servers, which know a request by
+    /// it, would see a second copy; it ought to catch a proxy before this node that sends twice as well. Bounded
+    /// by the requests that are open. Harm: a client that reuses an id too soon is told so and has to take a new.
+    pub fn claim(self: &Rc<Self>, id: &[u8]) -> Option<OpenId> {
+        let id: Box<[u8]> = id.into();
+        self.ids.borrow_mut().insert(id.clone()).then(|| OpenId { shared: self.clone(), id })
+    }
+
+    // ---- limits ----
+
+    /// A new service's place in the books; `None` where there is one service alone.
+    pub fn join(&self, allowed: &Allowed) -> Option<Member> {
+        self.limits.as_ref().map(|l| l.borrow_mut().add(self.clock.now(), allowed))
+    }
+
+    /// Changes what a service is allowed.
+    pub fn allow(&self, member: Member, allowed: &Allowed) {
+        if let Some(limits) = &self.limits {
+            limits.borrow_mut().set(self.clock.now(), member, allowed);
+        }
+    }
+
+    /// A service leaves the books.
+    pub fn leave(&self, member: Member) {
+        if let Some(limits) = &self.limits {
+            limits.borrow_mut().remove(member);
+        }
+    }
+
+    /// Admits one request of a service.
+    ///
+    /// # Errors
+    /// Says which limit it is over.
+    pub fn admit(self: &Rc<Self>, member: Member) -> Result<Option<Permit>, Denial> {
+        let Some(limits) = &self.limits else { return Ok(None) };
+        limits.borrow_mut().admit(self.clock.now(), member)?;
+        Ok(Some(Permit { shared: self.clone(), member, kind: Kind::Open, n: 1 }))
+    }
+
+    fn take(self: &Rc<Self>, member: Member, kind: Kind, n: u64) -> Option<Permit> {
+        let limits = self.limits.as_ref()?;
+        limits.borrow_mut().take(self.clock.now(), member, kind, n).ok()?;
+        Some(Permit { shared: self.clone(), member, kind, n })
+    }
+
+    /// Memory for the body of a request, if it is to be had now.
+    pub fn body(self: &Rc<Self>, member: Option<Member>, kib: u32) -> Option<Held> {
+        match member {
+            Some(member) => self.take(member, Kind::Memory, kib.into()).map(Held::Service),
+            None => self.bodies.clone().try_acquire_many_owned(kib).ok().map(Held::Process),
+        }
+    }
+
+    /// Memory for an answer, if it is to be had now.
+    pub fn answer(self: &Rc<Self>, member: Option<Member>, kib: u32) -> Option<Held> {
+        match member {
+            Some(member) => self.take(member, Kind::Memory, kib.into()).map(Held::Service),
+            None => self.answers.clone().try_acquire_many_owned(kib).ok().map(Held::Process),
+        }
+    }
+
+    /// Memory for an answer, waited for.
+    pub async fn answer_by(
+        self: &Rc<Self>, member: Option<Member>, kib: u32, until: Instant,
+    ) -> Option<Held> {
+        if member.is_none() {
+            let share = self.answers.clone().acquire_many_owned(kib);
+            return timeout_at(until.into(), share).await.ok().and_then(Result::ok).map(Held::Process);
+        }
+        loop {
+            let freed = self.memory_freed.notified();
+            if let Some(held) = self.answer(member, kib) {
+                return Some(held);
+            }
+            timeout_at(until.into(), freed).await.ok()?;
+        }
+    }
+
+    // ---- connections to servers ----
+
+    /// Room for one more connection to a server. Where there is none, an idle connection has to go: one to that
+    /// server if it has its most, else the oldest of all pools.
+    pub fn room(self: &Rc<Self>, address: SocketAddr, member: Option<Member>) -> Option<Open> {
+        if let Some(most) = self.most_by_server.get() {
+            if self.by_server.borrow().get(&address).is_some_and(|n| *n >= most) {
+                self.spare(Some(address))?;
+            }
+        }
+        if self.open.get() >= self.most.get() {
+            self.spare(None)?;
+        }
+        let permit = match member {
+            None => None,
+            Some(member) => match self.take(member, Kind::Connections, 1) {
+                Some(permit) => Some(permit),
+                None => {
+                    self.spare(None)?;
+                    Some(self.take(member, Kind::Connections, 1)?)
+                }
+            },
+        };
+        self.open.set(self.open.get() + 1);
+        let counted = self.parts().then_some(address);
+        if counted.is_some() {
+            *self.by_server.borrow_mut().entry(address).or_default() += 1;
+        }
+        Some(Open { shared: self.clone(), counted, _permit: permit })
+    }
+
+    /// Counts an attempt that waits for a connection, until the guard is dropped.
+    pub fn wait(&self) -> Waiting<'_> {
+        self.waiting.set(self.waiting.get() + 1);
+        Waiting(&self.waiting)
+    }
+
+    /// Closes the idle connection that has been idle longest.
+    fn spare(&self, to: Option<SocketAddr>) -> Option<()> {
+        let pools: Vec<Rc<Pool>> = self.pools.borrow().values().filter_map(Weak::upgrade).collect();
+        let oldest = |p: &Rc<Pool>| p.upstream.oldest_idle(to).map(|since| (since, p.clone()));
+        let (_, pool) = pools.iter().filter_map(oldest).min_by_key(|(since, _)| *since)?;
+        pool.upstream.drop_oldest_idle(to).then_some(())
+    }
+
+    /// A connection has ended or is idle: whoever waits for one looks again.
+    pub fn freed(&self) {
+        if self.waiting.get() == 0 {
+            return;
+        }
+        // A pool that is being dropped gives its connections back in the middle of a look at the others.
+        if let Ok(pools) = self.pools.try_borrow() {
+            pools.values().filter_map(Weak::upgrade).for_each(|p| p.upstream.freed());
+        }
+    }
+
+    // ---- servers that several pools list ----
+
+    /// A number for a new pool.
+    pub fn number(&self) -> PoolId {
+        let id = self.next_pool.get();
+        self.next_pool.set(id + 1);
+        id
+    }
+
+    /// A pool has begun.
+    pub fn enter(&self, pool: &Rc<Pool>) {
+        self.pools.borrow_mut().insert(pool.id, Rc::downgrade(pool));
+    }
+
+    /// Whether what one pool's list says concerns others.
+    pub fn parts(&self) -> bool {
+        self.limits.is_some()
+    }
+
+    /// What a pool's list says of a server; `None` takes it back. Whether others have to be told.
+    pub fn say(&self, pool: PoolId, address: SocketAddr, word: Option<Word>, ready_at: Time) -> bool {
+        self.fleet.borrow_mut().tell(self.clock.now(), pool, &address, word, ready_at)
+    }
+
+    /// What holds for a pool beyond its own list.
+    pub fn view(&self, pool: PoolId, address: SocketAddr, ready_at: Time) -> View {
+        self.fleet.borrow().view(self.clock.now(), pool, &address, ready_at)
+    }
+
+    /// Tells the pools that list a server, but for the one that brought the news.
+    pub fn retell(&self, address: SocketAddr, but: Option<PoolId>) {
+        let ids: Vec<PoolId> = self.fleet.borrow().pools(&address).filter(|p| Some(*p) != but).collect();
+        for id in ids {
+            let pool = self.pools.borrow().get(&id).and_then(Weak::upgrade);
+            if let Some(pool) = pool {
+                pool.retold(address);
+            }
+        }
+    }
+
+    /// What has to be looked at from time to time: ends that no longer hold, and pools that are gone.
+    pub fn tick(&self) {
+        let gone: Vec<PoolId> =
+            self.pools.borrow().iter().filter(|(_, p)| p.strong_count() == 0).map(|(id, _)| *id).collect();
+        for id in gone {
+            self.pools.borrow_mut().remove(&id);
+            let left = self.fleet.borrow_mut().leave(id);
+            left.into_iter().for_each(|address| self.retell(address, None));
+        }
+        let lapsed = self.fleet.borrow_mut().lapse(self.clock.now());
+        lapsed.into_iter().for_each(|address| self.retell(address, None));
+        let pools: Vec<Rc<Pool>> = self.pools.borrow().values().filter_map(Weak::upgrade).collect();
+        pools.iter().for_each(|p| p.upstream.retire());
+    }
+}
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -1,7 +1,8 @@
 //! The server side: attempts, and the idle connections of each server.
 
 use super::pool::Message;
-use super::{kib, Bounds, Log, ANSWER_MOST, ANSWER_SMALL, BUFFER};
+use super::shared::{Held, Open, Shared};
+use super::{kib, ANSWER_MOST, ANSWER_SMALL, BUFFER};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -10,6 +11,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use reelfall_core::interface::{Outcome, RequestId, ServerId, Time};
+use reelfall_routes::limits::Member;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -17,12 +19,11 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
 
@@ -40,8 +41,6 @@
 pub trait Host {
     /// The connections to use.
     fn upstream(&self) -> &Upstream;
-    /// Where faults are told.
-    fn log(&self) -> &Log;
     /// The address of a server, unless the newest list says that it drains or is gone.
     fn address(&self, server: ServerId) -> Option<SocketAddr>;
     /// Whether a further attempt of this request may be out.
@@ -134,6 +133,7 @@
     socket: Rc<Socket>,
     since: Instant,
     server: ServerId,
+    address: SocketAddr,
     generation: u64,
     task: AbortHandle,
     _open: Open,
@@ -145,30 +145,6 @@
     }
 }
 
-/// How many connections are open, and word of each that ends or is idle.
-#[derive(Default)]
-struct Count {
-    open: Cell<usize>,
-    freed: Notify,
-}
-
-/// One of the connections that may be open.
-struct Open(Rc<Count>);
-
-impl Open {
-    fn new(count: &Rc<Count>) -> Self {
-        count.open.set(count.open.get() + 1);
-        Open(count.clone())
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get().saturating_sub(1));
-        self.0.freed.notify_one();
-    }
-}
-
 /// The idle connections of a listed server.
 struct Pool {
     /// The most recently used last.
@@ -181,26 +157,27 @@
 pub struct Upstream {
     pools: RefCell<HashMap<ServerId, Pool>>,
     generations: Cell<u64>,
-    count: Rc<Count>,
-    most: usize,
+    shared: Rc<Shared>,
+    /// The books that its connections and answers are kept in, where there are several services.
+    member: Option<Member>,
+    /// Whoever waits for a connection looks again.
+    freed: Notify,
     idle: Duration,
     connect_within: Duration,
-    /// Memory for large answers.
-    answers: Arc<Semaphore>,
 }
 
 impl Upstream {
     /// No connections yet.
-    pub fn new(bounds: Bounds, conn_idle: Time, connect_timeout: Time) -> Self {
+    pub fn new(shared: Rc<Shared>, member: Option<Member>, conn_idle: Time, connect_timeout: Time) -> Self {
         let idle = Duration::try_from_secs_f64(conn_idle * IDLE_PART).unwrap_or(Duration::MAX);
         Upstream {
             pools: RefCell::default(),
             generations: Cell::new(0),
-            count: Rc::default(),
-            most: bounds.upstream,
+            shared,
+            member,
+            freed: Notify::new(),
             idle,
             connect_within: Duration::try_from_secs_f64(connect_timeout).unwrap_or_default(),
-            answers: Arc::new(Semaphore::new(bounds.body_kib)),
         }
     }
 
@@ -242,19 +219,29 @@
         let pool = pools.get_mut(&connection.server).filter(|p| p.generation == connection.generation);
         if let Some(pool) = pool {
             pool.idle.push(connection);
-            self.count.freed.notify_one();
+            self.shared.freed();
         }
     }
 
-    /// Makes room for one more connection; an idle one, the oldest, has to go if there is none.
-    fn room(&self) -> Option<Open> {
-        if self.count.open.get() >= self.most {
-            let mut pools = self.pools.borrow_mut();
-            let oldest = pools.values_mut().filter(|p| !p.idle.is_empty());
-            let pool = oldest.min_by_key(|p| p.idle.first().map(|c| c.since))?;
-            pool.idle.remove(0);
-        }
-        Some(Open::new(&self.count))
+    /// Whoever waits for a connection looks again.
+    pub fn freed(&self) {
+        self.freed.notify_one();
+    }
+
+    /// How long the longest idle connection has been idle: since when. To one address, or to any.
+    pub fn oldest_idle(&self, to: Option<SocketAddr>) -> Option<Instant> {
+        let pools = self.pools.borrow();
+        let fits = |c: &&Connection| to.is_none_or(|to| c.address == to);
+        pools.values().filter_map(|p| p.idle.first().filter(fits)).map(|c| c.since).min()
+    }
+
+    /// Closes that connection; whether there was one.
+    pub fn drop_oldest_idle(&self, to: Option<SocketAddr>) -> bool {
+        let mut pools = self.pools.borrow_mut();
+        let first =
+            |p: &Pool| p.idle.first().filter(|c| to.is_none_or(|to| c.address == to)).map(|c| c.since);
+        let oldest = pools.values_mut().filter_map(|p| Some((first(p)?, p))).min_by_key(|(since, _)| *since);
+        oldest.map(|(_, pool)| pool.idle.remove(0)).is_some()
     }
 
     fn generation(&self, server: ServerId) -> u64 {
@@ -278,20 +265,23 @@
         if let Some(connection) = upstream.take(server) {
             return Ok((connection, false));
         }
-        if let Some(open) = upstream.room() {
+        let Some(address) = host.address(server) else { return Err(Outcome::DialFailed) };
+        if let Some(open) = upstream.shared.room(address, upstream.member) {
             let until = expires.min(Instant::now() + most);
-            let new = connect(host, server, open, until).await;
+            let new = connect(host, server, address, open, until).await;
             return new.map(|c| (c, true)).ok_or(Outcome::DialFailed);
         }
-        if timeout_at(until.into(), upstream.count.freed.notified()).await.is_err() {
-            host.log().say(format_args!("all connections to servers are in use"));
+        let _waits = upstream.shared.wait();
+        if timeout_at(until.into(), upstream.freed.notified()).await.is_err() {
+            host.upstream().shared.log.say(format_args!("all connections to servers are in use"));
             return Err(Outcome::Unused);
         }
     }
 }
 
-async fn connect(host: &impl Host, server: ServerId, open: Open, until: Instant) -> Option<Connection> {
-    let address = host.address(server)?;
+async fn connect(
+    host: &impl Host, server: ServerId, address: SocketAddr, open: Open, until: Instant,
+) -> Option<Connection> {
     let generation = host.upstream().generation(server);
     let stream = timeout_at(until.into(), TcpStream::connect(address)).await.ok()?.ok()?;
     stream.set_nodelay(true).ok()?;
@@ -303,7 +293,7 @@
         let _ = connection.await;
     });
     let task = task.abort_handle();
-    Some(Connection { send, socket, since: Instant::now(), server, generation, task, _open: open })
+    Some(Connection { send, socket, since: Instant::now(), server, address, generation, task, _open: open })
 }
 
 /// Makes one attempt and tells its host how it ended. What it says of the server's side is proved: an
@@ -391,10 +381,10 @@
         return host.ended(id, number, Outcome::Dropped, None);
     }
     let stated = body.size_hint().exact().map_or(0, |n| n as usize);
-    let share = host.upstream().answers.clone().acquire_many_owned(kib(stated));
+    let Upstream { shared, member, .. } = host.upstream();
     let mut leave = match stated > ANSWER_SMALL {
         // Without a share in time, the answer is not read, and the next wait tells that time is up.
-        true => timeout_at(expires.into(), share).await.ok().and_then(Result::ok),
+        true => shared.answer_by(*member, kib(stated), expires).await,
         false => None,
     };
     let mut held = BytesMut::new();
@@ -404,7 +394,7 @@
                 held.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
                 if leave.is_none() && held.len() > ANSWER_SMALL {
                     // Chunked, and growing: it gets a share at once or is given up.
-                    leave = host.upstream().answers.clone().try_acquire_many_owned(kib(ANSWER_MOST)).ok();
+                    leave = shared.answer(*member, kib(ANSWER_MOST));
                 }
                 if held.len() > ANSWER_MOST || (leave.is_none() && held.len() > ANSWER_SMALL) {
                     return host.ended(id, number, Outcome::Dropped, None);
@@ -447,5 +437,5 @@
     pub headers: HeaderMap,
     pub body: Bytes,
     /// What the body holds of the memory for answers.
-    pub _leave: Option<OwnedSemaphorePermit>,
+    pub _leave: Option<Held>,
 }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -1,7 +1,9 @@
 //! A node on its platform: told of all it needs by the environment, one pool behind one listener.
 
-use crate::net::front::{self, Front};
-use crate::net::pool::Pool;
+use crate::net::front::{Front, Listening};
+use crate::net::pool::{Missing, Pool};
+use crate::net::service::{self, Discovery, Routing, Service};
+use crate::net::shared::Shared;
 use crate::net::{discovery, Bounds};
 use reelfall_core::settings;
 use serde::Deserialize;
@@ -12,9 +14,7 @@
 use tokio::sync::watch;
 
 /// How often idle connections are looked through.
-const RETIRE_EVERY: Duration = Duration::from_millis(250);
-/// A node that knows servers from before waits this long for newer news before it serves.
-const NEWS_WITHIN: Duration = Duration::from_secs(1);
+const TICK_EVERY: Duration = Duration::from_millis(250);
 /// A configuration that can't be read may be half written: it is read again, so often and after this time.
 const RELOAD_TRIES: u32 = 10;
 const RELOAD_AGAIN: Duration = Duration::from_millis(100);
@@ -71,30 +71,32 @@
     let (settings, names, figures) = read?;
     // Any text seeds the choices, but two starts must not share one.
     let seed = u64::from_str_radix(&config.seed, 16).unwrap_or_else(|_| settings::stable_hash(&config.seed));
-    let pool = Pool::new(settings, names, figures, seed, bounds);
-    let pool = Rc::new(pool.map_err(|e| format!("settings can't be used: {e}"))?);
+    let shared = Shared::alone(bounds);
+    let pool = Pool::new(settings, names, figures, seed, Missing::Ended, shared.clone(), None);
+    let pool = pool.map_err(|e| format!("settings can't be used: {e}"))?;
     let known = if config.known.is_null() {
         0
     } else {
         discovery::take_in(&pool, &config.known, true).map_err(|e| format!("known: {e}"))?
     };
     let (address, named) = watch::channel(config.discovery);
-    tokio::task::spawn_local(discovery::follow(pool.clone(), named, known));
-    tokio::task::spawn_local(reload(pool.clone(), hangup, address));
-    let listener = front::bind(config.listen, bounds.clients)?;
-    tokio::task::spawn_local(ready(pool.clone()));
-    let retiring = pool.clone();
+    let listening = Listening::bind("client", config.listen, bounds.clients)?;
+    let follow = service::follow(&pool, Discovery { address: named, known });
+    tokio::task::spawn_local(reload(shared.clone(), hangup, address));
+    let ticking = shared.clone();
     tokio::task::spawn_local(async move {
         loop {
-            tokio::time::sleep(RETIRE_EVERY).await;
-            retiring.upstream.retire();
+            tokio::time::sleep(TICK_EVERY).await;
+            ticking.tick();
         }
     });
-    let front = Rc::new(Front::new(pool, bounds));
+    let routing = Routing::Alone(Service::alone(pool, follow));
+    let front = Front::new(shared, routing, bounds.clients, seed);
+    front.listen(vec![listening]);
     let stop = async {
         terminate.recv().await;
     };
-    front.serve(listener, stop).await;
+    front.serve(stop).await;
     Ok(())
 }
 
@@ -103,7 +105,7 @@
 /// Guards against the end that the signal brings by default, and against a file that is half written or no
 /// configuration: the node goes on with what it has, for a reload must never cost a request. What a running
 /// node can change without harm is where it hears of servers; the rest of the file holds from the next start.
-async fn reload(pool: Rc<Pool>, mut hangup: Signal, address: watch::Sender<SocketAddr>) {
+async fn reload(shared: Rc<Shared>, mut hangup: Signal, address: watch::Sender<SocketAddr>) {
     while hangup.recv().await.is_some() {
         for _ in 0..RELOAD_TRIES {
             match config() {
@@ -111,20 +113,9 @@
                     address.send_if_modified(|old| std::mem::replace(old, new.discovery) != new.discovery);
                     break;
                 }
-                Err(fault) => pool.log.say(format_args!("the old configuration stays: {fault}")),
+                Err(fault) => shared.log.say(format_args!("the old configuration stays: {fault}")),
             }
             tokio::time::sleep(RELOAD_AGAIN).await;
         }
     }
 }
-
-/// Waits for the first list; an old one serves too, if no newer comes.
-async fn ready(pool: Rc<Pool>) {
-    let news = pool.listed.notified();
-    if pool.has_servers() {
-        let _ = tokio::time::timeout(NEWS_WITHIN, news).await;
-    } else {
-        news.await;
-    }
-    pool.ready.set(true);
-}
--- /dev/null
+++ b/crates/node/src/standalone.rs
@@ -0,0 +1,144 @@
+//! A node with a settings file of its own: several services behind several listeners, changed by SIGHUP.
+
+use crate::net::front::{Front, Listening};
+use crate::net::service::Services;
+use crate::net::shared::Shared;
+use reelfall_conf::{reader, Plan};
+use std::cell::RefCell;
+use std::collections::hash_map::RandomState;
+use std::hash::BuildHasher;
+use std::io::Write;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::signal::unix::{signal, SignalKind};
+
+/// How often idle connections and pools that leave are looked through.
+const TICK_EVERY: Duration = Duration::from_millis(250);
+/// A file has to stay as it is for this long before it is taken for whole, and is waited for so many times.
+const SETTLES_IN: Duration = Duration::from_millis(30);
+const SETTLE_TRIES: u32 = 100;
+
+/// Serves by the file until SIGTERM.
+///
+/// # Errors
+/// What is wrong with the file, or which means can't be had.
+pub fn run(path: &Path) -> Result<(), String> {
+    let plan = reelfall_conf::load(path).map_err(|e| e.to_string())?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| e.to_string())?;
+    tokio::task::LocalSet::new().block_on(&runtime, node(path, plan))
+}
+
+struct Node {
+    shared: Rc<Shared>,
+    services: Services,
+    /// Made with the first plan.
+    front: RefCell<Option<Rc<Front>>>,
+    seed: u64,
+}
+
+async fn node(path: &Path, plan: Plan) -> Result<(), String> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+    // Two starts must not share their choices.
+    let seed = RandomState::new().hash_one(std::process::id());
+    let shared = Shared::parted(plan.totals, plan.model.process.server_connections);
+    let services = Services::new(shared.clone(), seed);
+    let node = Rc::new(Node { shared, services, front: RefCell::default(), seed });
+    let front = node.apply(plan)?;
+    announce(&front);
+    let ticking = node.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            tokio::time::sleep(TICK_EVERY).await;
+            ticking.shared.tick();
+            ticking.services.tick();
+        }
+    });
+    let (reloading, path) = (node.clone(), path.to_owned());
+    tokio::task::spawn_local(async move {
+        // Signals that come while a file is read are one more reading, however many they are.
+        while hangup.recv().await.is_some() {
+            reloading.reload(&path).await;
+        }
+    });
+    let stop = async {
+        terminate.recv().await;
+    };
+    front.serve(stop).await;
+    Ok(())
+}
+
+impl Node {
+    /// Puts a plan in force, whole or not at all.
+    fn apply(&self, plan: Plan) -> Result<Rc<Front>, String> {
+        let clients = plan.clients;
+        let old = self.front.borrow().clone();
+        let mut listening = Vec::with_capacity(plan.model.listeners.len());
+        for listener in &plan.model.listeners {
+            let kept = old.as_ref().and_then(|front| front.listener(&listener.name, listener.address));
+            listening.push(match kept {
+                Some(kept) => kept,
+                None => Listening::bind(&listener.name, listener.address, clients)
+                    .map_err(|e| format!("{}: listener `{}`: {e}", listener.origin, listener.name))?,
+            });
+        }
+        let routing = self.services.apply(plan)?;
+        let front = match old {
+            Some(front) => {
+                front.route(routing, clients);
+                front
+            }
+            None => Front::new(self.shared.clone(), routing, clients, self.seed),
+        };
+        front.listen(listening);
+        self.front.replace(Some(front.clone()));
+        Ok(front)
+    }
+
+    /// Takes in the file again. What is wrong with it is told, and then all stays as it was.
+    async fn reload(&self, path: &Path) {
+        let name = path.display().to_string();
+        let plan = match settled(path).await {
+            Ok(text) => reader::toml(&name, &text).and_then(reelfall_conf::check).map_err(|e| e.to_string()),
+            Err(e) => Err(format!("{name}: {e}")),
+        };
+        match plan.and_then(|plan| self.apply(plan)) {
+            Ok(_) => eprintln!("reelfall: {name} is in force"),
+            // Not through the log, whose bound on lines could cut the list of mistakes short.
+            Err(fault) => eprintln!("{fault}\nreelfall: the settings from before stay in force"),
+        }
+    }
+}
+
+/// The text of a file that nobody is writing to.
+///
+/// Guards against a file that is read while it is replaced in place, of which the first half may well be a whole
+/// file of other meaning: it counts only when two readings in a row are alike. Harm: a reload takes this much longer.
+/// What is stopped halfway for longer than that is not caught; a new file that is renamed into place has no halves.
+async fn settled(path: &Path) -> std::io::Result<String> {
+    let mut last = None;
+    for _ in 0..SETTLE_TRIES {
+        let text = std::fs::read(path).map_err(|e| (e.kind(), e.to_string()));
+        match (text, last) {
+            (Ok(text), Some(Ok(before))) if text == before => {
+                return String::from_utf8(text)
+                    .map_err(|_| std::io::Error::other("the file is not text in UTF-8"));
+            }
+            (Err(e), Some(Err(before))) if e == before => return Err(std::io::Error::new(e.0, e.1)),
+            (text, _) => last = Some(text),
+        }
+        tokio::time::sleep(SETTLES_IN).await;
+    }
+    Err(std::io::Error::other("the file does not stop changing"))
+}
+
+/// Tells on standard output where clients can connect; with port 0 in the file, nobody else could know.
+fn announce(front: &Front) {
+    let addresses: serde_json::Map<String, serde_json::Value> =
+        front.addresses().into_iter().map(|(name, address)| (name, address.to_string().into())).collect();
+    let line = serde_json::json!({ "listening": addresses });
+    // Nobody may be there to read it.
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
--- a/crates/routes/src/limits.rs
+++ b/crates/routes/src/limits.rs
@@ -8,11 +8,11 @@
 /// What one service may hold and take.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Allowed {
-    /// Requests without a final answer.
+    /// Requests that have no final answer yet, or an attempt that is still out.
     pub open: Share,
     /// Connections to servers.
     pub connections: Share,
-    /// KiB of bodies of requests.
+    /// KiB of bodies, of requests and of large answers.
     pub memory: Share,
     /// Requests a second and how many at once; `None` for no bound.
     pub rate: Option<(f64, f64)>,
@@ -27,22 +27,22 @@
 /// What the process has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Totals {
-    /// Requests without a final answer.
+    /// Requests that have no final answer yet, or an attempt that is still out.
     pub open: u64,
     /// Connections to servers.
     pub connections: u64,
-    /// KiB of bodies of requests.
+    /// KiB of bodies, of requests and of large answers.
     pub memory: u64,
 }
 
 /// Something limited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    /// Requests without a final answer.
+    /// Requests that have no final answer yet, or an attempt that is still out.
     Open,
     /// Connections to servers.
     Connections,
-    /// KiB of bodies of requests.
+    /// KiB of bodies, of requests and of large answers.
     Memory,
 }
 
