A rig: stand-in servers, discovery, faulty links, load, a scenario, a demo, a yardstick

Need: what the node promises has to be shown under load and faults by anyone, without other systems.

Change: reelfall-rig pool, discovery, link, relay, load, scenario, demo and measure, all of it a library for tests too. The node is started as a process of its own. A static list is told before its pool can be found; what is added to one later counts as just started.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -2,7 +2,10 @@
 //!
 //! The choice of servers, retries and refusals is [`reelfall_core`]'s, the choice of a service
 //! [`reelfall_routes`]'s; what is here translates, carries out and enforces.
-#![warn(clippy::unwrap_used, clippy::expect_used, clippy::indexing_slicing, clippy::panic)]
+#![cfg_attr(
+    not(test),
+    warn(clippy::unwrap_used, clippy::expect_used, clippy::indexing_slicing, clippy::panic)
+)]
 
 pub mod cli;
 mod net;
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -406,8 +406,11 @@
             },
         };
         // Whoever sends what can't be used has to connect anew for more of it.
-        let limited = response.status() == StatusCode::TOO_MANY_REQUESTS;
-        if self.stopping.get() || (response.status().is_client_error() && !limited) {
+        let routed = matches!(&**self.routing.borrow(), Routing::Table(_));
+        // By routes, one connection can be for several services, of which one may be gone or over its rate.
+        let elsewhere = matches!(response.status(), StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS);
+        let unusable = response.status().is_client_error() && !(routed && elsewhere);
+        if self.stopping.get() || unusable {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         client.turn(Phase::Answered);
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -12,7 +12,7 @@
 use reelfall_routes::limits::{Allowed, Member};
 use reelfall_routes::table::Query;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -42,55 +42,47 @@
     }
 }
 
+/// A server of a list that somebody wrote, and since when it has been taking requests: 0 for long ago.
+#[derive(Clone, PartialEq)]
+pub struct Written {
+    server: model::Server,
+    since: Time,
+}
+
 /// A list that somebody wrote, in the form that was written last.
 pub struct Static {
-    pub list: watch::Receiver<Vec<model::At<model::Server>>>,
+    pub list: watch::Receiver<Vec<Written>>,
 }
 
 impl Source for Static {
-    async fn follow(mut self, pool: Rc<Pool>) {
-        let mut seen = HashMap::new();
-        let mut first = true;
-        loop {
-            let list = self.list.borrow_and_update().clone();
-            pool.members(ListKind::Full, places(&pool, &list, &mut seen, first));
-            first = false;
-            if self.list.changed().await.is_err() {
-                return std::future::pending().await;
+    fn follow(mut self, pool: Rc<Pool>) -> impl Future<Output = ()> + 'static {
+        // At once, so that nothing finds a pool that has not heard of its servers.
+        tell_written(&pool, &self.list.borrow_and_update());
+        pool.ready.set(true);
+        async move {
+            while self.list.changed().await.is_ok() {
+                tell_written(&pool, &self.list.borrow_and_update());
             }
+            std::future::pending().await
         }
     }
 }
 
-/// A static list in the module's terms. `seen` keeps since when a server has been taking requests.
-///
-/// A list that is written by hand says nothing of starts. What was there when this node started counts as warm;
-/// what is added later, or takes requests again after a drain, counts as started at that moment.
-fn places(
-    pool: &Pool, list: &[model::At<model::Server>], seen: &mut HashMap<String, Time>, first: bool,
-) -> Vec<Place<SocketAddr>> {
-    let now = pool.shared.clock.now();
-    let up = |s: &&model::At<model::Server>| s.state == ServerState::Up;
-    let names: HashSet<&str> = list.iter().filter(up).map(|s| s.name.as_str()).collect();
-    seen.retain(|name, _| names.contains(name.as_str()));
-    let place = |s: &model::At<model::Server>| {
-        let since = if first { 0.0 } else { now };
-        let ready_at = match s.state {
-            ServerState::Up => *seen.entry(s.name.clone()).or_insert(since),
-            _ => 0.0,
-        };
+fn tell_written(pool: &Rc<Pool>, list: &[Written]) {
+    let place = |Written { server, since }: &Written| {
         let listed = Listed {
-            name: &s.name,
-            zone: s.zone.as_deref(),
-            kind: s.kind.as_deref(),
+            name: &server.name,
+            zone: server.zone.as_deref(),
+            kind: server.kind.as_deref(),
             cell: 0,
-            state: s.state,
-            weight: s.weight,
-            ready_at: Some(ready_at),
+            state: server.state,
+            weight: server.weight,
+            ready_at: Some(*since),
         };
-        Place { entry: pool.names.borrow_mut().entry(&listed), address: s.address }
+        Place { entry: pool.names.borrow_mut().entry(&listed), address: server.address }
     };
-    list.iter().map(place).collect()
+    let places = list.iter().map(place).collect();
+    pool.members(ListKind::Full, places);
 }
 
 /// Ends a task when it is dropped.
@@ -110,6 +102,9 @@
     let task = tokio::task::spawn_local(async move {
         let mut follow = std::pin::pin!(follow);
         let wait = async {
+            if ready.ready.get() {
+                return std::future::pending().await;
+            }
             let news = ready.listed.notified();
             if ready.has_servers() {
                 let _ = tokio::time::timeout(NEWS_WITHIN, news).await;
@@ -148,7 +143,7 @@
 /// How a source is told of changes in the settings.
 enum Told {
     /// The list of a static source.
-    Static(watch::Sender<Vec<model::At<model::Server>>>),
+    Static(watch::Sender<Vec<Written>>),
     /// Nothing, or somebody else does.
     Nothing,
 }
@@ -199,6 +194,7 @@
 
     fn start(
         shared: &Rc<Shared>, plan: &Plan, service: &model::Service, seed: u64, member: Option<Member>,
+        since: &Since,
     ) -> Result<Rc<Self>, String> {
         let (settings, names, figures) = plan.settings(service);
         let missing = match service.source {
@@ -208,7 +204,7 @@
         let pool = Pool::new(settings, names, figures, seed, missing, shared.clone(), member)?;
         let (follow, told) = match &service.source {
             model::Source::Static(list) => {
-                let (sender, list) = watch::channel(list.clone());
+                let (sender, list) = watch::channel(written(list, since));
                 (follow(&pool, Static { list }), Told::Static(sender))
             }
             model::Source::Discovery(address) => {
@@ -240,19 +236,26 @@
         (!self.pool.has_servers()).then_some("no server takes requests\n")
     }
 
-    fn tell(&self, service: &model::Service) {
+    fn tell(&self, service: &model::Service, since: &Since) {
         if let (Told::Static(list), model::Source::Static(servers)) = (&self.told, &service.source) {
+            let new = written(servers, since);
             list.send_if_modified(|old| {
-                let changed = old != servers;
-                if changed {
-                    old.clone_from(servers);
-                }
+                let changed = *old != new;
+                *old = new;
                 changed
             });
         }
     }
 }
 
+/// Since when the servers of static lists have been taking requests.
+type Since = HashMap<SocketAddr, Time>;
+
+fn written(list: &[model::At<model::Server>], since: &Since) -> Vec<Written> {
+    let since = |s: &model::Server| since.get(&s.address).copied().unwrap_or(0.0);
+    list.iter().map(|s| Written { server: s.value.clone(), since: since(s) }).collect()
+}
+
 /// Where a request goes.
 pub struct Found {
     pub service: Rc<Service>,
@@ -304,13 +307,38 @@
     /// Pools that are replaced or removed and have requests in hand still. Their sources are followed to the end, so
     /// that a drain is kept by what is left of them too.
     leaving: RefCell<Vec<Rc<Service>>>,
+    /// `None` before the first plan.
+    since: RefCell<Option<Since>>,
     seeds: Cell<u64>,
 }
 
 impl Services {
     /// No services yet. `seed` is for the choices of the modules.
     pub fn new(shared: Rc<Shared>, seed: u64) -> Self {
-        Services { shared, current: RefCell::default(), leaving: RefCell::default(), seeds: Cell::new(seed) }
+        Services {
+            shared,
+            current: RefCell::default(),
+            leaving: RefCell::default(),
+            since: RefCell::default(),
+            seeds: Cell::new(seed),
+        }
+    }
+
+    /// A list that is written by hand says nothing of starts. What the first plan lists counts as warm; what is added
+    /// later, or takes requests again after a drain, counts as started at that moment.
+    ///
+    /// Guards the rule on cold servers against servers that are started and written into the file. Harm: a warm
+    /// server that is added gets less than its part for as long as a start takes.
+    fn since(&self, plan: &Plan) -> Since {
+        let old = self.since.borrow();
+        let now = if old.is_some() { self.shared.clock.now() } else { 0.0 };
+        let lists = plan.model.services.iter().filter_map(|s| match &s.source {
+            model::Source::Static(list) => Some(list),
+            model::Source::Discovery(_) => None,
+        });
+        let up = lists.flatten().filter(|s| s.state == ServerState::Up);
+        let since = |a: SocketAddr| old.as_ref().and_then(|o| o.get(&a)).copied().unwrap_or(now);
+        up.map(|s| (s.address, since(s.address))).collect()
     }
 
     /// Puts a plan in force, whole or not at all: what can fail is done before anything changes.
@@ -319,6 +347,7 @@
     /// Says what of the plan can't be used; everything is as it was.
     pub fn apply(&self, plan: Plan) -> Result<Routing, String> {
         let model = &plan.model;
+        let since = self.since(&plan);
         let mut services = Vec::with_capacity(model.services.len());
         let mut joined = Vec::new();
         for service in &model.services {
@@ -336,7 +365,7 @@
             });
             let seed = self.seeds.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
             self.seeds.set(seed);
-            match Service::start(&self.shared, &plan, service, seed, member) {
+            match Service::start(&self.shared, &plan, service, seed, member, &since) {
                 Ok(new) => services.push(new),
                 Err(fault) => {
                     joined.into_iter().for_each(|member| self.shared.leave(member));
@@ -349,7 +378,7 @@
         for (service, new) in services.iter().zip(&model.services) {
             service.draining.set(new.state == model::ServiceState::Draining);
             service.retry_after.set(new.tries.retry_after);
-            service.tell(new);
+            service.tell(new, &since);
             if let Some(member) = service.member {
                 self.shared.allow(member, &new.allowed);
             }
@@ -360,12 +389,13 @@
                 continue;
             }
             match model.services.iter().find(|s| s.name == old.name) {
-                Some(new) => old.tell(new),
+                Some(new) => old.tell(new, &since),
                 // It keeps its place, but no reservations, until what it has taken is done.
                 None => old.member.into_iter().for_each(|member| self.shared.allow(member, &Allowed::OPEN)),
             }
             self.leaving.borrow_mut().push(old);
         }
+        self.since.replace(Some(since));
         self.tick();
         Ok(Routing::Table(Box::new(Table { plan, services })))
     }
@@ -385,3 +415,147 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::net::pool::Pool;
+    use reelfall_conf::{check, reader};
+
+    fn plan(text: &str) -> Plan {
+        reader::toml("test", text).and_then(check).expect("a plan")
+    }
+
+    fn service(name: &str, servers: &[(&str, u16)]) -> String {
+        let class = "repeat = \"safe\"\naim = \"100ms\"\ndeadline = \"1s\"\n";
+        let mut text = format!(
+            "[[service]]\nname = \"{name}\"\n[[service.class]]\nname = \"c\"\n{class}\
+             [[service.route]]\nhost = \"{name}.example.org\"\n"
+        );
+        for (server, port) in servers {
+            text += &format!("[[service.server]]\nname = \"{server}\"\naddress = \"127.0.0.1:{port}\"\n");
+        }
+        text
+    }
+
+    const HEAD: &str = "[[listener]]\nname = \"l\"\naddress = \"127.0.0.1:0\"\n";
+
+    fn text(services: &[String]) -> String {
+        HEAD.to_owned() + &services.concat()
+    }
+
+    async fn local(test: impl Future<Output = ()>) {
+        tokio::task::LocalSet::new().run_until(test).await;
+    }
+
+    fn start(text: &str) -> (Rc<Shared>, Services, Vec<Rc<Service>>) {
+        let plan = plan(text);
+        let shared = Shared::parted(plan.totals, None);
+        let services = Services::new(shared.clone(), 7);
+        let now = apply(&services, text);
+        (shared, services, now)
+    }
+
+    fn apply(services: &Services, text: &str) -> Vec<Rc<Service>> {
+        match services.apply(plan(text)) {
+            Ok(Routing::Table(table)) => table.services().to_vec(),
+            _ => panic!("the plan is not put in force"),
+        }
+    }
+
+    fn same(a: &Rc<Service>, b: &Rc<Service>) -> bool {
+        Rc::ptr_eq(&a.pool, &b.pool)
+    }
+
+    #[tokio::test]
+    async fn a_pool_stays_with_all_it_learned_unless_what_it_is_made_of_changes() {
+        local(async {
+            let (a, b) = (service("a", &[("a1", 1), ("a2", 2)]), service("b", &[("b1", 3)]));
+            let (_shared, services, first) = start(&text(&[a.clone(), b.clone()]));
+            // Limits, routes, lists and drains are not what a pool is made of.
+            let changed = b.replace(
+                "[[service.class]]",
+                "limits = { open = 7 }\nstate = \"draining\"\n[[service.class]]",
+            );
+            let emptied = a.replace("\"127.0.0.1:2\"", "\"127.0.0.1:2\"\nstate = \"draining\"");
+            let second = apply(&services, &text(&[changed, emptied]));
+            assert!(same(&first[0], &second[1]) && same(&first[1], &second[0]));
+            assert_eq!(second[0].unready(), Some("draining\n"));
+            // A deadline is: the module has to be told anew.
+            let later = a.replace("\"1s\"", "\"2s\"");
+            let third = apply(&services, &text(&[later, b.clone()]));
+            assert!(!same(&first[0], &third[0]) && same(&first[1], &third[1]));
+            assert_eq!(first[0].member, third[0].member, "old and new hold from two places in the books");
+            assert!(third.iter().all(|s| s.unready().is_none()));
+        })
+        .await;
+    }
+
+    #[tokio::test]
+    async fn a_removed_service_is_kept_no_longer_than_its_requests() {
+        local(async {
+            let (a, b) = (service("a", &[("a1", 1)]), service("b", &[("b1", 3)]));
+            let (shared, services, mut first) = start(&text(&[a.clone(), b.clone()]));
+            let pool: std::rc::Weak<Pool> = Rc::downgrade(&first[1].pool);
+            first.clear();
+            for _ in 0..50 {
+                apply(&services, &text(std::slice::from_ref(&a)));
+                apply(&services, &text(&[a.clone(), b.clone()]));
+            }
+            apply(&services, &text(&[a]));
+            // Tasks that were ended are let go by the runtime in its own time.
+            for _ in 0..100 {
+                tokio::task::yield_now().await;
+            }
+            shared.tick();
+            assert!(pool.upgrade().is_none(), "a removed pool is kept");
+            assert!(services.leaving.borrow().is_empty());
+            assert_eq!(shared.pools(), 1, "something is kept of pools that are gone");
+        })
+        .await;
+    }
+
+    #[tokio::test]
+    async fn a_server_that_is_added_later_counts_as_started_then() {
+        local(async {
+            let (_shared, services, _first) = start(&text(&[service("a", &[("a1", 1)])]));
+            let since = |address: u16| {
+                let since = services.since.borrow();
+                since.as_ref().and_then(|s| s.get(&SocketAddr::from(([127, 0, 0, 1], address))).copied())
+            };
+            assert_eq!(since(1), Some(0.0));
+            let two = service("a", &[("a1", 1), ("a2", 2)]);
+            apply(&services, &text(std::slice::from_ref(&two)));
+            assert_eq!(since(1), Some(0.0));
+            assert!(since(2).is_some_and(|at| at > 1e9));
+            let drained = two.replace("\"127.0.0.1:1\"", "\"127.0.0.1:1\"\nstate = \"draining\"");
+            apply(&services, &text(&[drained]));
+            assert_eq!(since(1), None);
+            apply(&services, &text(&[two]));
+            assert!(since(1).is_some_and(|at| at > 1e9), "back from a drain, and taken for warm");
+        })
+        .await;
+    }
+
+    #[tokio::test]
+    async fn a_drain_told_by_one_list_holds_for_the_pool_of_another() {
+        local(async {
+            let (a, b) = (service("a", &[("x", 1), ("a2", 2)]), service("b", &[("y", 1), ("b2", 3)]));
+            let (_shared, services, now) = start(&text(&[a.clone(), b.clone()]));
+            let sends = |s: &Rc<Service>, name: &str| {
+                let id = s.pool.names.borrow().servers.get(name);
+                id.and_then(|id| crate::net::upstream::Host::address(&s.pool, id)).is_some()
+            };
+            assert!(sends(&now[0], "x") && sends(&now[1], "y"));
+            let drained = a.replace("\"127.0.0.1:1\"", "\"127.0.0.1:1\"\nstate = \"draining\"");
+            apply(&services, &text(&[drained, b.clone()]));
+            tokio::task::yield_now().await;
+            assert!(!sends(&now[0], "x") && !sends(&now[1], "y") && sends(&now[1], "b2"));
+            // Taken from one list altogether, it is the other's affair alone.
+            apply(&services, &text(&[service("a", &[("a2", 2)]), b]));
+            tokio::task::yield_now().await;
+            assert!(sends(&now[1], "y"));
+        })
+        .await;
+    }
+}
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -333,6 +333,12 @@
         self.pools.borrow_mut().insert(pool.id, Rc::downgrade(pool));
     }
 
+    /// How many pools are known.
+    #[cfg(test)]
+    pub fn pools(&self) -> usize {
+        self.pools.borrow().len()
+    }
+
     /// Whether what one pool's list says concerns others.
     pub fn parts(&self) -> bool {
         self.limits.is_some()
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,12 +1,231 @@
 //! The program: `reelfall-rig`.
 
+use clap::{Parser, Subcommand};
+use reelfall_rig::discovery::{Discovery, Listed};
+use reelfall_rig::link::Link;
+use reelfall_rig::load::{self, Kind};
+use reelfall_rig::pool::{Manner, Pool};
+use reelfall_rig::scenario::{services, Report};
+use reelfall_rig::scripted::Program;
+use reelfall_rig::{demo, measure, relay, until_ended, Result};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
+
+/// Stand-ins, load, faults and scenarios for reelfall, on loopback addresses.
+#[derive(Parser)]
+#[command(name = "reelfall-rig", version)]
+struct Cli {
+    /// The node's program; by default the node that is part of this one
+    #[arg(long, global = true, value_name = "PROGRAM")]
+    node: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Servers with a set capacity, until ended
+    Pool {
+        /// How many
+        #[arg(long, default_value_t = 3)]
+        servers: usize,
+        /// Milliseconds of a request
+        #[arg(long, default_value_t = 20)]
+        service_ms: u64,
+        /// Share of requests answered 500
+        #[arg(long, default_value_t = 0.0)]
+        fail: f64,
+        /// Share whose connection closes after the effect
+        #[arg(long, default_value_t = 0.0)]
+        die: f64,
+    },
+    /// The platform's discovery with a list of servers, until ended
+    Discovery {
+        /// Their addresses
+        #[arg(long = "server", required = true)]
+        servers: Vec<SocketAddr>,
+    },
+    /// A path to an address, with faults, until ended
+    Link {
+        /// Where it leads
+        #[arg(long)]
+        to: SocketAddr,
+        /// Milliseconds later, either way
+        #[arg(long, default_value_t = 0)]
+        delay_ms: u64,
+        /// Bytes after which a connection is cut, to the server
+        #[arg(long)]
+        cut: Option<u64>,
+        /// Bytes a second
+        #[arg(long)]
+        throttle: Option<u64>,
+        /// What the server says is lost
+        #[arg(long)]
+        deaf: bool,
+    },
+    /// A proxy that decides nothing, until ended
+    Relay {
+        /// The servers
+        #[arg(long = "to", required = true)]
+        to: Vec<SocketAddr>,
+    },
+    /// Requests at random moments; the figures are the last line
+    Load {
+        /// Where to
+        #[arg(long)]
+        to: SocketAddr,
+        /// Host
+        #[arg(long, default_value = "flags.example.org")]
+        host: String,
+        /// Path
+        #[arg(long, default_value = "/api")]
+        path: String,
+        /// POST instead of GET
+        #[arg(long)]
+        post: bool,
+        /// X-Service-Class
+        #[arg(long)]
+        class: Option<String>,
+        /// Requests a second
+        #[arg(long, default_value_t = 100.0)]
+        rate: f64,
+        /// Seconds
+        #[arg(long, default_value_t = 10.0)]
+        seconds: f64,
+        /// For the moments
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
+    /// Plays a scenario; its report is the last line, and a broken promise an exit code
+    Scenario {
+        /// `services`
+        name: String,
+        /// The small form, as in the tests
+        #[arg(long)]
+        small: bool,
+    },
+    /// A node with its stand-ins, until ended
+    Demo {
+        /// `services`
+        name: String,
+    },
+    /// Measures what the node costs; the figures are the last line
+    Measure {
+        /// `services`
+        name: String,
+        /// Another node to compare with, as on the platform
+        #[arg(long, value_name = "PROGRAM")]
+        old: Option<PathBuf>,
+        /// Rounds of all subjects
+        #[arg(long, default_value_t = 7)]
+        rounds: usize,
+        /// Seconds of a subject in a round
+        #[arg(long, default_value_t = 4.0)]
+        seconds: f64,
+        /// Requests a second
+        #[arg(long, default_value_t = 1000.0)]
+        rate: f64,
+    },
+}
 
 fn main() -> ExitCode {
     let mut args: Vec<_> = std::env::args_os().collect();
     if args.get(1).is_some_and(|a| a == "node") {
+        // The node itself: a scenario starts this program again, so that it needs no other.
         args.remove(0);
         return reelfall::cli::main(args);
     }
-    ExitCode::FAILURE
+    let cli = Cli::parse();
+    let run = || {
+        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
+        runtime.block_on(run(cli))
+    };
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(fault) => {
+            eprintln!("reelfall-rig: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn ready(addresses: Value) {
+    println!("{}", json!({ "ready": true, "addresses": addresses }));
+}
+
+async fn run(cli: Cli) -> Result<bool> {
+    let program = match cli.node {
+        Some(path) => Program::alone(path),
+        None => Program::in_rig(std::env::current_exe()?),
+    };
+    match cli.command {
+        Command::Pool { servers, service_ms, fail, die } => {
+            let manner = Manner { fail, die_after: die, ..Manner::good(Duration::from_millis(service_ms)) };
+            let pool = Pool::start("server", servers, manner, 1).await?;
+            let addresses = pool.servers.iter().map(|s| (s.name.clone(), s.address.to_string().into()));
+            ready(Value::Object(addresses.collect()));
+            until_ended().await;
+            println!("{}", json!({ "seen": pool.seen(), "effects_twice": pool.twice() }));
+        }
+        Command::Discovery { servers } => {
+            let listed = |(n, a): (usize, &SocketAddr)| Listed::active(&format!("server-{}", n + 1), *a);
+            let discovery = Discovery::start(servers.iter().enumerate().map(listed).collect()).await?;
+            ready(json!({ "discovery": discovery.address.to_string() }));
+            until_ended().await;
+        }
+        Command::Link { to, delay_ms, cut, throttle, deaf } => {
+            let link = Link::start(to).await?;
+            link.fault(|f| {
+                f.delay = Duration::from_millis(delay_ms);
+                (f.cut_to_server, f.throttle, f.deaf) = (cut, throttle, deaf);
+            });
+            ready(json!({ "link": link.address.to_string() }));
+            until_ended().await;
+        }
+        Command::Relay { to } => {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await?;
+            ready(json!({ "client": listener.local_addr()?.to_string() }));
+            tokio::select! {
+                result = relay::serve(listener, to) => result?,
+                () = until_ended() => {}
+            }
+        }
+        Command::Load { to, host, path, post, class, rate, seconds, seed } => {
+            let headers = class.map(|c| ("x-service-class", c)).into_iter().collect();
+            let method = if post { "POST" } else { "GET" };
+            let (name, deadline) = (format!("load{seed}"), Duration::from_millis(600));
+            let kind = Kind { name, host, method, path, headers, deadline, rate };
+            let came = load::run(to, &[kind], Duration::from_secs_f64(seconds), seed).await;
+            println!("{}", came[0].figures());
+        }
+        Command::Scenario { name, small } => {
+            let report: Report = match name.as_str() {
+                "services" => {
+                    let scale = if small { services::Scale::SMALL } else { services::Scale::WHOLE };
+                    services::run(&program, scale).await?
+                }
+                _ => return Err(format!("there is no scenario `{name}`: services").into()),
+            };
+            report.broken().iter().for_each(|b| eprintln!("broken: {b}"));
+            println!("{}", report.line(&name));
+            return Ok(report.pass());
+        }
+        Command::Demo { name } => match name.as_str() {
+            "services" => demo::services(&program).await?,
+            _ => return Err(format!("there is no demo `{name}`: services").into()),
+        },
+        Command::Measure { name, old, rounds, seconds, rate } => match name.as_str() {
+            "services" => {
+                let time = Duration::from_secs_f64(seconds);
+                let plan = measure::Plan { rounds, time, rate, old: old.map(Program::alone) };
+                println!("{}", measure::services(&program, &plan).await?);
+            }
+            _ => return Err(format!("there is no measurement `{name}`: services").into()),
+        },
+    }
+    Ok(true)
 }
--- /dev/null
+++ b/crates/rig/src/measure.rs
@@ -0,0 +1,306 @@
+//! What the node costs: processor time and latency for each request against a bare relay, route look-ups, memory.
+//!
+//! All subjects are run in turn within one run on one machine, several rounds of each; what counts is the ratio of
+//! two subjects within a round.
+
+use crate::discovery::{Discovery, Listed};
+use crate::load::{self, Kind};
+use crate::node::{cpu_seconds, memory_kib, until_health, Folder, Node, PATIENCE};
+use crate::pool::{Manner, Pool};
+use crate::scripted::Program;
+use crate::{Draw, Result};
+use reelfall_routes::table::{prefix, Host, Match, Query, Table};
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::Child;
+
+/// How long and how often.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Rounds of all subjects.
+    pub rounds: usize,
+    /// How long one subject is loaded in a round.
+    pub time: Duration,
+    /// Requests a second.
+    pub rate: f64,
+    /// A node to compare with, on the platform's settings.
+    pub old: Option<Program>,
+}
+
+/// A process that takes requests. It is killed when this is dropped.
+struct Subject {
+    name: &'static str,
+    address: SocketAddr,
+    pid: u32,
+    kinds: Vec<Kind>,
+    cpu: Vec<f64>,
+    p50: Vec<f64>,
+    p99: Vec<f64>,
+    _alive: Alive,
+}
+
+enum Alive {
+    Child { _child: Child, _folder: Option<Folder> },
+    Node { _node: Node },
+}
+
+fn request(name: &str, host: &str, rate: f64) -> Kind {
+    Kind {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        method: "GET",
+        path: "/api/flags".to_owned(),
+        headers: vec![("x-service-class", "evaluate".to_owned())],
+        deadline: Duration::from_millis(600),
+        rate,
+    }
+}
+
+/// Starts a node as the platform does.
+async fn on_platform(program: &Program, discovery: SocketAddr) -> Result<(SocketAddr, Child, Folder)> {
+    // The port is free again when the node binds it.
+    let address = std::net::TcpListener::bind("127.0.0.1:0")?.local_addr()?;
+    let folder = Folder::new()?;
+    let file = folder.path().join("config.json");
+    let config = json!({
+        "name": "n0", "listen": address.to_string(), "discovery": discovery.to_string(), "seed": "1f",
+        "limits": { "cores": 1.0, "memory_mb": 128, "sockets": 1024 }, "known": null,
+        "settings": {
+            "categories": [{ "name": "evaluate", "promise": 0.15, "deadline": 0.6, "worth": 3.0, "effect": "idempotent" }],
+            "discovery": "push", "kinds": ["k"], "failure-domains": ["a"],
+            "limits": { "max-attempts": 3, "conn-idle": 15.0, "connect-timeout": 0.25 },
+        },
+    });
+    std::fs::write(&file, config.to_string())?;
+    let mut command = tokio::process::Command::from(program.command());
+    command.env("ROUTER_CONFIG", &file).stdout(Stdio::null()).kill_on_drop(true);
+    let child = command.spawn()?;
+    until_health(address, "/_health", true).await?;
+    Ok((address, child, folder))
+}
+
+async fn relay(program: &Program, pool: &Pool) -> Result<(SocketAddr, Child)> {
+    let mut command = tokio::process::Command::new(&program.path);
+    command.arg("relay");
+    for server in &pool.servers {
+        command.arg("--to").arg(server.address.to_string());
+    }
+    let mut child = command.stdout(Stdio::piped()).kill_on_drop(true).spawn()?;
+    let out = child.stdout.take().ok_or("no output")?;
+    let line = tokio::time::timeout(PATIENCE, BufReader::new(out).lines().next_line()).await??;
+    let ready: Value = serde_json::from_str(&line.unwrap_or_default())?;
+    let address = ready["addresses"]["client"].as_str().ok_or("no address")?.parse()?;
+    Ok((address, child))
+}
+
+/// A settings file with `services` services like this one, each with a host of its own, in front of one pool.
+fn settings(pool: &Pool, services: usize, limits: &str) -> String {
+    let mut text = "[[listener]]\nname = \"client\"\naddress = \"127.0.0.1:0\"\n".to_owned();
+    for n in 0..services {
+        text += &format!(
+            "[[service]]\nname = \"s{n}\"\n{limits}[[service.class]]\nname = \"evaluate\"\nrepeat = \"safe\"\n\
+             aim = \"150ms\"\ndeadline = \"600ms\"\n[[service.route]]\nhost = \"s{n}.example.org\"\npath = \"/api\"\n{}",
+            pool.listed()
+        );
+    }
+    text
+}
+
+/// Runs all measurements and gives the figures.
+///
+/// # Errors
+/// If a subject can't be started.
+pub async fn services(program: &Program, plan: &Plan) -> Result<Value> {
+    let pools = [
+        Pool::start("a", 8, Manner::good(Duration::from_millis(2)), 1).await?,
+        Pool::start("b", 8, Manner::good(Duration::from_millis(2)), 2).await?,
+        Pool::start("c", 8, Manner::good(Duration::from_millis(2)), 3).await?,
+    ];
+    let listed = pools[0].servers.iter().map(|s| Listed::active(&s.name, s.address)).collect();
+    let discovery = Discovery::start(listed).await?;
+    let mut subjects = Vec::new();
+    let alone = |name| vec![request(name, "s0.example.org", plan.rate)];
+    let mut add = |name, address, child: Child, folder, kinds| {
+        let pid = child.id().unwrap_or(0);
+        let alive = Alive::Child { _child: child, _folder: folder };
+        subjects.push(Subject {
+            name,
+            address,
+            pid,
+            kinds,
+            cpu: vec![],
+            p50: vec![],
+            p99: vec![],
+            _alive: alive,
+        });
+    };
+    if let Some(old) = &plan.old {
+        let (address, child, folder) = on_platform(old, discovery.address).await?;
+        add("old", address, child, Some(folder), alone("old"));
+    }
+    let (address, child, folder) = on_platform(program, discovery.address).await?;
+    add("no_file", address, child, Some(folder), alone("new"));
+    let (address, child) = relay(program, &pools[0]).await?;
+    add("relay", address, child, None, alone("relay"));
+    let mut three = settings(&pools[0], 1, "");
+    for (n, pool) in pools.iter().enumerate().skip(1) {
+        let one = settings(pool, n + 1, "");
+        three +=
+            one.rsplit_once("[[service]]").map(|(_, s)| format!("[[service]]{s}")).as_deref().unwrap_or("");
+    }
+    let node = Node::start(program, &three).await?;
+    node.until_health("/_health", true).await?;
+    let kinds = (0..3).map(|n| request(&format!("three{n}"), &format!("s{n}.example.org"), plan.rate / 3.0));
+    subjects.push(Subject {
+        name: "three_services",
+        address: node.address(),
+        pid: node.pid(),
+        kinds: kinds.collect(),
+        cpu: vec![],
+        p50: vec![],
+        p99: vec![],
+        _alive: Alive::Node { _node: node },
+    });
+    for subject in &subjects {
+        load::run(subject.address, &subject.kinds, Duration::from_secs(1), 1).await;
+    }
+    for round in 0..plan.rounds {
+        // Another order in each round, so that no subject always comes after the same.
+        for n in 0..subjects.len() {
+            let at = (n + round) % subjects.len();
+            one_round(&mut subjects[at], plan, round as u64).await?;
+        }
+    }
+    let mut figures = serde_json::Map::new();
+    for s in &subjects {
+        let ratios = |base: &str| -> Option<f64> {
+            let base = subjects.iter().find(|b| b.name == base)?;
+            Some(median(s.cpu.iter().zip(&base.cpu).map(|(a, b)| a / b)))
+        };
+        figures.insert(
+            s.name.to_owned(),
+            json!({
+                "cpu_us_per_request": round1(median(s.cpu.iter().copied())),
+                "p50_ms": median(s.p50.iter().copied()),
+                "p99_ms": median(s.p99.iter().copied()),
+                "cpu_over_relay": ratios("relay"),
+                "cpu_over_old": ratios("old"),
+            }),
+        );
+    }
+    drop(subjects);
+    figures.insert("refusal".to_owned(), refusals(program, &pools[0], plan).await?);
+    figures.insert("idle_service_kib".to_owned(), idle_service(program, &pools[0]).await?);
+    figures.insert("routes".to_owned(), routes());
+    Ok(Value::Object(figures))
+}
+
+async fn one_round(s: &mut Subject, plan: &Plan, seed: u64) -> Result<()> {
+    let before = cpu_seconds(s.pid)?;
+    let mut kinds = s.kinds.clone();
+    kinds.iter_mut().for_each(|k| k.name = format!("{}r{seed}", k.name));
+    let came = load::run(s.address, &kinds, plan.time, 1000 + seed).await;
+    let used = cpu_seconds(s.pid)? - before;
+    let sent: u64 = came.iter().map(|c| c.sent).sum();
+    let good: u64 = came.iter().map(|c| c.of(&[200])).sum();
+    if good * 100 < sent * 98 {
+        return Err(
+            format!("{}: only {good} of {sent} were served, so the figures mean nothing", s.name).into()
+        );
+    }
+    let mut latency = came[0].latency.clone();
+    came.iter().skip(1).try_for_each(|c| latency.add(&c.latency))?;
+    s.cpu.push(used * 1e6 / sent as f64);
+    s.p50.push(latency.value_at_quantile(0.5) as f64 / 1e3);
+    s.p99.push(latency.value_at_quantile(0.99) as f64 / 1e3);
+    Ok(())
+}
+
+/// What a request over the limit costs against one that is served, on the same node.
+async fn refusals(program: &Program, pool: &Pool, plan: &Plan) -> Result<Value> {
+    let mut cost = Vec::new();
+    for limits in ["", "limits = { rate = \"1/s\", burst = 1 }\n"] {
+        let node = Node::start(program, &settings(pool, 1, limits)).await?;
+        node.until_health("/_health", true).await?;
+        let mut ratios = Vec::new();
+        for round in 0..plan.rounds.min(3) {
+            let kind = request(&format!("refused{}{round}", limits.len()), "s0.example.org", plan.rate);
+            let before = cpu_seconds(node.pid())?;
+            let came = load::run(node.address(), &[kind], plan.time, 50 + round as u64).await;
+            let used = cpu_seconds(node.pid())? - before;
+            ratios.push(used * 1e6 / came[0].sent.max(1) as f64);
+        }
+        cost.push(median(ratios.into_iter()));
+    }
+    Ok(json!({
+        "served_cpu_us": round1(cost[0]), "refused_cpu_us": round1(cost[1]), "refused_over_served": cost[1] / cost[0],
+    }))
+}
+
+/// Memory of one service that has servers and no requests.
+async fn idle_service(program: &Program, pool: &Pool) -> Result<Value> {
+    let mut held = Vec::new();
+    for services in [1, 101] {
+        let node = Node::start(program, &settings(pool, services, "")).await?;
+        node.until_health("/_health", true).await?;
+        held.push(memory_kib(node.pid())? as f64);
+    }
+    Ok(json!(round1((held[1] - held[0]) / 100.0)))
+}
+
+/// Time of a look-up by the number of routes.
+fn routes() -> Value {
+    let mut figures = serde_json::Map::new();
+    for n in [10usize, 1_000, 10_000] {
+        let routes: Vec<Match> = (0..n)
+            .filter_map(|i| {
+                let host = match i % 3 {
+                    0 => format!("h{}.example.org", i / 7),
+                    1 => format!("*.z{}.example.org", i / 7),
+                    _ => "*".to_owned(),
+                };
+                let path = prefix(&format!("/api/v{i}")).ok()?;
+                Some(Match { host: Host::read(&host).ok()?, path, ..Match::default() })
+            })
+            .collect();
+        let Ok(table) = Table::new(&routes) else { continue };
+        let mut draw = Draw(3);
+        let asked: Vec<(String, String)> = (0..1000)
+            .map(|_| {
+                let i = draw.number() as usize % n;
+                let host = match i % 3 {
+                    0 => format!("h{}.example.org", i / 7),
+                    1 => format!("a.b.z{}.example.org", i / 7),
+                    _ => "other.example.org".to_owned(),
+                };
+                (host, format!("/api/v{i}/flags/7"))
+            })
+            .collect();
+        let (mut found, begun, times) = (0u64, Instant::now(), 200u64);
+        for _ in 0..times {
+            for (host, path) in &asked {
+                let q = Query { listener: 0, host, path, method: "GET", class: None };
+                found += u64::from(table.get(&q).is_some());
+            }
+        }
+        let ns = begun.elapsed().as_nanos() as f64 / (times * 1000) as f64;
+        figures.insert(
+            n.to_string(),
+            json!({ "ns_per_lookup": round1(ns), "found_percent": 100 * found / (times * 1000) }),
+        );
+    }
+    Value::Object(figures)
+}
+
+fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().map_or(0.0, |m| (m * 1e3).round() / 1e3)
+}
+
+fn round1(x: f64) -> f64 {
+    (x * 10.0).round() / 10.0
+}
--- /dev/null
+++ b/crates/rig/src/pool.rs
@@ -0,0 +1,293 @@
+//! Servers with a set capacity that count effects and fail in chosen ways.
+//!
+//! A server has so many workers; a request waits its turn, occupies one for its service time, and has its effect
+//! when that begins. As with real servers, a client that leaves stops nothing.
+
+use crate::{Draw, Result, Task};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+
+/// How a server treats its requests; each part can be changed while it runs.
+#[derive(Clone, Debug)]
+pub struct Manner {
+    /// How long a request occupies a worker.
+    pub service: Duration,
+    /// Share of requests that are answered with 500 at once, after their effect.
+    pub fail: f64,
+    /// Share that are turned away unseen: 503 with `X-Unprocessed`.
+    pub shed: f64,
+    /// Share whose connection is closed before any effect.
+    pub die_before: f64,
+    /// Share whose connection is closed after the effect, without an answer.
+    pub die_after: f64,
+    /// Nothing goes on while this is set.
+    pub frozen: bool,
+    /// Bytes of an answer's body beyond the id.
+    pub padding: usize,
+}
+
+impl Manner {
+    /// Serves each request in this time and never fails.
+    pub fn good(service: Duration) -> Manner {
+        Manner { service, fail: 0.0, shed: 0.0, die_before: 0.0, die_after: 0.0, frozen: false, padding: 0 }
+    }
+}
+
+#[derive(Default)]
+struct Counts {
+    /// How often each id has had its effect.
+    effects: HashMap<String, u32>,
+    seen: u64,
+    last_seen: Option<Instant>,
+}
+
+struct State {
+    manner: Mutex<Manner>,
+    counts: Mutex<Counts>,
+    draw: Mutex<Draw>,
+    workers: Semaphore,
+    connections: Mutex<HashSet<SocketAddr>>,
+    most_connections: Mutex<usize>,
+}
+
+fn lock<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// One server. It ends when this is dropped.
+pub struct Server {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<State>,
+    _task: Task,
+}
+
+impl Server {
+    /// Starts a server with so many workers.
+    ///
+    /// # Errors
+    /// If no port is to be had.
+    pub async fn start(name: &str, workers: usize, manner: Manner, seed: u64) -> Result<Server> {
+        Self::at("127.0.0.1:0".parse()?, name, workers, manner, seed).await
+    }
+
+    /// Starts a server at an address.
+    ///
+    /// # Errors
+    /// If the address is not to be had.
+    pub async fn at(
+        address: SocketAddr, name: &str, workers: usize, manner: Manner, seed: u64,
+    ) -> Result<Server> {
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let state = Arc::new(State {
+            manner: Mutex::new(manner),
+            counts: Mutex::default(),
+            draw: Mutex::new(Draw(seed)),
+            workers: Semaphore::new(workers),
+            connections: Mutex::default(),
+            most_connections: Mutex::default(),
+        });
+        let serving = state.clone();
+        let task = crate::task(async move {
+            // Connections end with the server.
+            let mut connections = tokio::task::JoinSet::new();
+            loop {
+                let Ok((stream, peer)) = listener.accept().await else { continue };
+                while connections.try_join_next().is_some() {}
+                let state = serving.clone();
+                connections.spawn(async move {
+                    state.connected(peer, true);
+                    let _ = stream.set_nodelay(true);
+                    let answer = service_fn(|request| respond(state.clone(), request));
+                    // What the peer does to its connection is its own affair.
+                    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), answer).await;
+                    state.connected(peer, false);
+                });
+            }
+        });
+        Ok(Server { name: name.to_owned(), address, state, _task: task })
+    }
+
+    /// Changes how requests are treated from here on.
+    pub fn behave(&self, change: impl FnOnce(&mut Manner)) {
+        change(&mut lock(&self.state.manner));
+    }
+
+    /// Requests that have come so far.
+    pub fn seen(&self) -> u64 {
+        lock(&self.state.counts).seen
+    }
+
+    /// When the last one came.
+    pub fn last_seen(&self) -> Option<Instant> {
+        lock(&self.state.counts).last_seen
+    }
+
+    /// How often each id has had its effect here.
+    pub fn effects(&self) -> HashMap<String, u32> {
+        lock(&self.state.counts).effects.clone()
+    }
+
+    /// The most connections that were open at once.
+    pub fn most_connections(&self) -> usize {
+        *lock(&self.state.most_connections)
+    }
+}
+
+impl State {
+    fn connected(&self, peer: SocketAddr, open: bool) {
+        let mut connections = lock(&self.connections);
+        if open {
+            connections.insert(peer);
+            let mut most = lock(&self.most_connections);
+            *most = (*most).max(connections.len());
+        } else {
+            connections.remove(&peer);
+        }
+    }
+
+    fn count(&self, id: &str) {
+        *lock(&self.counts).effects.entry(id.to_owned()).or_default() += 1;
+    }
+}
+
+/// The connection is closed without an answer.
+#[derive(Debug)]
+struct Died;
+
+impl std::fmt::Display for Died {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str("the server died")
+    }
+}
+
+impl std::error::Error for Died {}
+
+fn answer(status: StatusCode, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+async fn respond(
+    state: Arc<State>, request: Request<Incoming>,
+) -> std::result::Result<Response<Full<Bytes>>, Died> {
+    {
+        let mut counts = lock(&state.counts);
+        counts.seen += 1;
+        counts.last_seen = Some(Instant::now());
+    }
+    let id = request.headers().get("x-correlation-id").and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
+    request.into_body().collect().await.map_err(|_| Died)?;
+    // The work goes on if the client leaves, so it is a task of its own.
+    let (working, named) = (state.clone(), id.clone());
+    let done = tokio::spawn(async move { work(&working, &named).await }).await;
+    let padding = lock(&state.manner).padding;
+    match done.map_err(|_| Died)? {
+        Work::Done => Ok(answer(StatusCode::OK, if padding > 0 { id + &"x".repeat(padding) } else { id })),
+        Work::Failed => Ok(answer(StatusCode::INTERNAL_SERVER_ERROR, "failed\n")),
+        Work::Shed => {
+            let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
+            response.headers_mut().insert("x-unprocessed", hyper::header::HeaderValue::from_static("1"));
+            Ok(response)
+        }
+        Work::Died => Err(Died),
+    }
+}
+
+enum Work {
+    Done,
+    Failed,
+    Shed,
+    Died,
+}
+
+async fn work(state: &State, id: &str) -> Work {
+    let manner = lock(&state.manner).clone();
+    let fate = lock(&state.draw).fraction();
+    while lock(&state.manner).frozen {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut upto = manner.shed;
+    if fate < upto {
+        return Work::Shed;
+    }
+    upto += manner.die_before;
+    if fate < upto {
+        return Work::Died;
+    }
+    upto += manner.fail;
+    if fate < upto {
+        state.count(id);
+        return Work::Failed;
+    }
+    let Ok(_worker) = state.workers.acquire().await else { return Work::Died };
+    state.count(id);
+    upto += manner.die_after;
+    if fate < upto {
+        return Work::Died;
+    }
+    tokio::time::sleep(manner.service).await;
+    Work::Done
+}
+
+/// Several servers of one kind.
+pub struct Pool {
+    /// They.
+    pub servers: Vec<Server>,
+}
+
+impl Pool {
+    /// Starts `n` servers with one worker each, named `prefix-1` and so on.
+    ///
+    /// # Errors
+    /// If no ports are to be had.
+    pub async fn start(prefix: &str, n: usize, manner: Manner, seed: u64) -> Result<Pool> {
+        let mut servers = Vec::with_capacity(n);
+        for i in 0..n {
+            let name = format!("{prefix}-{}", i + 1);
+            servers.push(Server::start(&name, 1, manner.clone(), seed.wrapping_add(i as u64)).await?);
+        }
+        Ok(Pool { servers })
+    }
+
+    /// How often each id has had its effect, over all servers.
+    pub fn effects(&self) -> HashMap<String, u32> {
+        let mut all = HashMap::new();
+        for (id, n) in self.servers.iter().flat_map(Server::effects) {
+            *all.entry(id).or_default() += n;
+        }
+        all
+    }
+
+    /// Ids that had their effect more than once.
+    pub fn twice(&self) -> usize {
+        self.effects().values().filter(|n| **n > 1).count()
+    }
+
+    /// Requests that have come so far.
+    pub fn seen(&self) -> u64 {
+        self.servers.iter().map(Server::seen).sum()
+    }
+
+    /// The servers as the settings file lists them.
+    pub fn listed(&self) -> String {
+        let line =
+            |s: &Server| format!("[[service.server]]\nname = \"{}\"\naddress = \"{}\"\n", s.name, s.address);
+        self.servers.iter().map(line).collect()
+    }
+}
