--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -877,6 +877,10 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
+        if self.client.fault.get().is_some() {
+            // The library ends what it can't read; the client is still to be told why (`turn_away`).
+            return Poll::Ready(Ok(()));
+        }
         Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
     }
 }
