Part a cold server's tolerance among the pools that list it

Parting the rate alone was not enough: each pool could save up two requests, and eight that were idle pushed a cold server to 3.2 times what it can do.

Change: where a server is shared, a pool saves up one request at most and starts with its part; no more than eight services may list one server in a file.

Measured: eight pools over one cold server in virtual time stay under the factor of 3; without the parting they pass it.

--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -127,6 +127,7 @@
     };
     listeners(&mut c, &model);
     services(&mut c, &model);
+    shared_servers(&mut c, &model);
     limits(&mut c, &model, totals);
     let (table, goals, matches) = routes(&mut c, &model);
     match table {
@@ -212,6 +213,24 @@
     }
 }
 
+/// What a cold server tolerates is parted among the services that list it; past so many, one request of each is too
+/// much.
+pub const SHARERS_MOST: usize = 8;
+
+fn shared_servers(c: &mut Checker, model: &Model) {
+    let mut listed: HashMap<std::net::SocketAddr, usize> = HashMap::new();
+    for service in &model.services {
+        let Source::Static(servers) = &service.source else { continue };
+        for server in servers {
+            let n = listed.entry(server.address).or_default();
+            *n += 1;
+            c.want(*n != SHARERS_MOST + 1, &server.origin, || {
+                format!("{} is listed by more than {SHARERS_MOST} services", server.address)
+            });
+        }
+    }
+}
+
 fn class_figures(c: &mut Checker, class: &At<Class>) {
     let Class { name, aim, deadline, .. } = &class.value;
     c.want(*aim > 0.0, &class.origin, || format!("class `{name}`: aim is more than 0"));
--- a/crates/conf/tests/corpus.rs
+++ b/crates/conf/tests/corpus.rs
@@ -130,6 +130,14 @@
     );
 }
 
+#[test]
+fn a_server_is_not_listed_by_more_services_than_a_cold_one_bears() {
+    let services: String = (0..9)
+        .map(|n| format!("[[service]]\nname = \"s{n}\"\n{CLASS}{SERVER}{ROUTE}host = \"h{n}\"\n"))
+        .collect();
+    says(&(LISTENER.to_owned() + &services), "f.toml:107: 127.0.0.1:9000 is listed by more than 8 services");
+}
+
 #[test]
 fn routes_that_lead_nowhere_or_two_ways_are_named() {
     says(&(whole("") + "listener = \"x\"\n"), "f.toml:14: there is no listener `x`");
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -397,7 +397,7 @@
             self.slot.resize(id + 1, None);
         }
         self.slot[id] = Some(self.servers.len());
-        let budget = self.random() * self.typical;
+        let budget = self.random() * self.typical / f64::from(entry.sharers.max(1));
         self.stays = self.stays.wrapping_add(1);
         self.servers.push(Server {
             entry,
@@ -903,7 +903,9 @@
                 let s = &mut self.servers[i];
                 // Other balancers of this node that send to it have their parts.
                 let rate = rate / f64::from(s.entry.sharers.max(1));
-                let most = (rate * warmth * rules.tip_after).max(2.0 * self.typical);
+                // One that may go at once is left to each; were it more, idle balancers would save up a push.
+                let least = if s.entry.sharers > 1 { self.typical } else { 2.0 * self.typical };
+                let most = (rate * warmth * rules.tip_after).max(least);
                 s.budget = (s.budget + rate * warmth * dt).min(most);
             }
         }
--- a/crates/core/tests/failures.rs
+++ b/crates/core/tests/failures.rs
@@ -349,3 +349,57 @@
     }
     assert!(admitted < 112, "{admitted} of 1000 admitted");
 }
+
+/// The greatest work that balancers of one node, all over their cold server, send it in a second, as a multiple of
+/// what it can do at that moment.
+fn push_on_a_cold_server(balancers: usize, sharers: u32) -> f64 {
+    let cold = || Entry { ready_at: 100.0, sharers, ..entry(0) };
+    let mut nodes: Vec<Node> = (0..balancers)
+        .map(|_| {
+            let mut node = Node::new(settings(vec![class(Effect::Idempotent)]), 0);
+            node.now = 100.0;
+            node.members(ListKind::Full, vec![cold()]);
+            node
+        })
+        .collect();
+    let (mut sent, mut out): (Vec<f64>, Vec<(f64, usize, u32)>) = (vec![], vec![]);
+    for step in 0..400 {
+        let now = 100.0 + f64::from(step) * 0.01;
+        for (n, node) in nodes.iter_mut().enumerate() {
+            node.now = now;
+            if step % 6 == 0 {
+                node.sweep();
+            }
+            if let (id, Some(_)) = node.request(0, None, 0.6) {
+                sent.push(now);
+                out.push((now + 0.03, n, id));
+            }
+        }
+        out.retain(|(at, n, id)| {
+            let due = *at <= now;
+            if due {
+                nodes[*n].end(*id, 0, 0, Outcome::Delivered, 0.03);
+            }
+            !due
+        });
+    }
+    let rules = settings(vec![class(Effect::Idempotent)]).rules;
+    let capacity = |at: f64| rules.cold_from + (1.0 - rules.cold_from) * (at - 100.0) / rules.warm_after;
+    let within =
+        |from: f64| sent.iter().filter(|at| **at >= from && **at < from + rules.tip_after).count() as f64;
+    // Each request is 0.02 s of work on a server of one standard core.
+    (0..300)
+        .map(|n| 100.0 + f64::from(n) * 0.01)
+        .map(|at| within(at) * 0.02 / capacity(at))
+        .fold(0.0, f64::max)
+}
+
+#[test]
+fn pools_that_share_a_cold_server_together_push_it_no_further_than_one_may() {
+    let factor = settings(vec![class(Effect::Idempotent)]).rules.overload_factor;
+    let alone = push_on_a_cold_server(1, 1);
+    let shared = push_on_a_cold_server(8, 8);
+    assert!(alone > 0.1, "nothing is sent at all");
+    assert!(shared < factor, "eight pools push a cold server to {shared:.2} times what it can do");
+    assert!(push_on_a_cold_server(8, 1) > factor, "the test would pass without the defence");
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -140,8 +140,12 @@
     }
     let cli = Cli::parse();
     let run = || {
-        let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
-        runtime.block_on(run(cli))
+        // The relay is measured against a node, which has one thread.
+        let mut builder = match cli.command {
+            Command::Relay { .. } => tokio::runtime::Builder::new_current_thread(),
+            _ => tokio::runtime::Builder::new_multi_thread(),
+        };
+        builder.enable_all().build()?.block_on(run(cli))
     };
     match run() {
         Ok(true) => ExitCode::SUCCESS,
