--- /dev/null
+++ b/crates/rig/tests/stand_ins.rs
@@ -0,0 +1,123 @@
+//! The rig itself: a stand-in that does not do what it says would prove nothing.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use reelfall_rig::client::Client;
+use reelfall_rig::link::Link;
+use reelfall_rig::load::{self, Kind};
+use reelfall_rig::pool::{Manner, Pool, Server};
+use std::time::{Duration, Instant};
+
+fn get(id: &str) -> Request<Full<Bytes>> {
+    Request::get("/")
+        .header("host", "h")
+        .header("x-correlation-id", id)
+        .body(Full::new(Bytes::new()))
+        .unwrap()
+}
+
+async fn server() -> Server {
+    Server::start("s", 4, Manner::good(Duration::from_millis(1)), 3).await.unwrap()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_link_passes_delays_and_freezes_what_goes_through_it() {
+    let server = server().await;
+    let link = Link::start(server.address).await.unwrap();
+    let client = Client::new(link.address);
+    assert_eq!(client.ask(get("plain")).await.unwrap().body, "plain");
+    link.fault(|f| f.delay = Duration::from_millis(100));
+    let begun = Instant::now();
+    assert_eq!(client.ask(get("late")).await.unwrap().status, 200);
+    assert!(begun.elapsed() >= Duration::from_millis(200), "late both ways");
+    link.fault(|f| (f.delay, f.frozen) = (Duration::ZERO, true));
+    let waited = tokio::time::timeout(Duration::from_millis(300), client.ask(get("frozen"))).await;
+    assert!(waited.is_err(), "something passed a frozen link");
+    assert!(!server.effects().contains_key("frozen"));
+    // What waits in it passes once it thaws, though the client has left.
+    link.fault(|f| f.frozen = false);
+    let client = Client::new(link.address);
+    assert_eq!(client.ask(get("thawed")).await.unwrap().status, 200);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_link_cuts_at_a_byte_and_goes_deaf_one_way() {
+    let server = server().await;
+    let link = Link::start(server.address).await.unwrap();
+    link.fault(|f| f.cut_to_server = Some(10));
+    assert!(Client::new(link.address).ask(get("cut")).await.is_err());
+    assert_eq!(server.seen(), 0, "half a request arrived whole");
+    link.fault(|f| (f.cut_to_server, f.cut_to_client) = (None, Some(10)));
+    assert!(Client::new(link.address).ask(get("cut-back")).await.is_err());
+    assert_eq!(server.effects().get("cut-back"), Some(&1), "the effect is there, the answer is not");
+    link.fault(|f| (f.cut_to_client, f.deaf) = (None, true));
+    let asking = tokio::spawn({
+        let client = Client::new(link.address);
+        async move { client.ask(get("deaf")).await }
+    });
+    let begun = Instant::now();
+    while !server.effects().contains_key("deaf") {
+        assert!(begun.elapsed() < Duration::from_secs(20), "the request does not arrive");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(!asking.is_finished(), "the connection ended, or the answer came");
+    asking.abort();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn servers_count_effects_whatever_the_client_learns() {
+    let fails = |change: fn(&mut Manner)| {
+        let mut manner = Manner::good(Duration::from_millis(1));
+        change(&mut manner);
+        manner
+    };
+    for (n, (manner, status, ran)) in [
+        (fails(|m| m.fail = 1.0), Some(500), true),
+        (fails(|m| m.shed = 1.0), Some(503), false),
+        (fails(|m| m.die_before = 1.0), None, false),
+        (fails(|m| m.die_after = 1.0), None, true),
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let pool = Pool::start("s", 1, manner, 1).await.unwrap();
+        let got = Client::new(pool.servers[0].address).ask(get("x")).await;
+        assert_eq!(got.ok().map(|g| g.status.as_u16()), status, "manner {n}");
+        assert_eq!(pool.effects().contains_key("x"), ran, "manner {n}");
+        assert_eq!(pool.seen(), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn load_comes_at_its_rate_and_counts_from_the_intended_moment() {
+    let server = Server::start("s", 1, Manner::good(Duration::from_millis(1)), 3).await.unwrap();
+    let kind = Kind {
+        name: "k".to_owned(),
+        host: "h".to_owned(),
+        method: "GET",
+        path: "/".to_owned(),
+        headers: vec![],
+        deadline: Duration::from_secs(2),
+        rate: 200.0,
+    };
+    let time = Duration::from_secs(2);
+    let first = load::run(server.address, std::slice::from_ref(&kind), time, 5).await;
+    assert!((300..500).contains(&first[0].sent), "{} requests", first[0].sent);
+    assert_eq!(first[0].of(&[200]), first[0].sent);
+    let again = Kind { name: "again".to_owned(), ..kind.clone() };
+    assert_eq!(
+        load::run(server.address, &[again], time, 5).await[0].sent,
+        first[0].sent,
+        "a seed is a schedule"
+    );
+    // While the server stands still, requests go on coming, and their wait is seen in full.
+    server.behave(|m| m.frozen = true);
+    let frozen = Kind { name: "frozen".to_owned(), ..kind };
+    let thaw = async {
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        server.behave(|m| m.frozen = false);
+    };
+    let (came, ()) = tokio::join!(load::run(server.address, &[frozen], time, 5), thaw);
+    assert!(came[0].latency.value_at_quantile(0.5) > 400_000, "an answer that was awaited counts as quick");
+}
