--- a/crates/rig/tests/stand_ins.rs
+++ b/crates/rig/tests/stand_ins.rs
@@ -113,11 +113,11 @@
     );
     // While the server stands still, requests go on coming, and their wait is seen in full.
     server.behave(|m| m.frozen = true);
-    let frozen = Kind { name: "frozen".to_owned(), ..kind };
+    let frozen = [Kind { name: "frozen".to_owned(), ..kind }];
     let thaw = async {
         tokio::time::sleep(Duration::from_millis(1500)).await;
         server.behave(|m| m.frozen = false);
     };
-    let (came, ()) = tokio::join!(load::run(server.address, &[frozen], time, 5), thaw);
+    let (came, ()) = tokio::join!(load::run(server.address, &frozen, time, 5), thaw);
     assert!(came[0].latency.value_at_quantile(0.5) > 400_000, "an answer that was awaited counts as quick");
 }
