GraphQL over HTTP: reads are retried, mutations run once at most, batches mix both

Need: members' SDKs send flag queries as GraphQL, where one POST may mix an evaluation with a toggle. Treating each POST alike either runs a toggle twice or never retries a harmless read.

Change: a service with a graphql part makes of each operation one request of the module with a class and deadline of its own; batches run reads side by side and mutations one at a time under one deadline. An attempt asks whether its answer is one, so that half an answer to a read is tried again and to a mutation is not. The rig has a GraphQL server that counts effects by mutation, a scenario and a demo.

--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -3,9 +3,10 @@
 use crate::model::*;
 use reelfall_core::interface as core;
 use reelfall_core::settings::{Figures, Vocabulary};
+use reelfall_graphql::class::{ClassInfo, Classes, Mapping};
 use reelfall_routes::limits::{Kind, Limits, Totals};
 use reelfall_routes::table::{Ambiguous, ListenerId, Match, Query, Table};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 /// Methods that a route can name.
 pub const METHODS: [&str; 5] = ["GET", "POST", "PUT", "PATCH", "DELETE"];
@@ -190,6 +191,20 @@
         for class in &service.classes {
             class_figures(c, class);
         }
+        if let Some(graphql) = &service.graphql {
+            if let Err(fault) = graphql_classes(service, graphql) {
+                c.say(&graphql.origin, format!("service `{name}`: {fault}"));
+            }
+            let GraphQl { limits, side_by_side, .. } = &graphql.value;
+            c.want((1..=64).contains(&limits.depth), &graphql.origin, || {
+                format!("service `{name}`: depth is {}, not between 1 and 64", limits.depth)
+            });
+            c.want(
+                (1..=256).contains(&limits.batch) && (1..=64).contains(side_by_side),
+                &graphql.origin,
+                || format!("service `{name}`: batch is 1 to 256, side_by_side 1 to 64"),
+            );
+        }
         for member in &service.members {
             c.want(member.quota > 0.0, &member.origin, || {
                 format!("member `{}`: a quota is more than 0/s", member.name)
@@ -328,6 +343,29 @@
     }
 }
 
+/// The classes of a service's root fields.
+///
+/// # Errors
+/// If a name is that of no class, or a mutation would count as safe.
+pub fn graphql_classes(service: &Service, graphql: &GraphQl) -> Result<Classes, String> {
+    let class = |name: &String| {
+        let at = service.classes.iter().position(|c| c.name == *name);
+        at.and_then(|at| core::ClassId::try_from(at).ok())
+            .ok_or_else(|| format!("there is no class `{name}`"))
+    };
+    let fields = |fields: &BTreeMap<String, String>| -> Result<HashMap<String, core::ClassId>, String> {
+        fields.iter().map(|(field, name)| Ok((field.clone(), class(name)?))).collect()
+    };
+    let mapping = Mapping {
+        query: fields(&graphql.query)?,
+        mutation: fields(&graphql.mutation)?,
+        other_query: class(&graphql.other_query)?,
+        other_mutation: class(&graphql.other_mutation)?,
+    };
+    let info = |c: &At<Class>| ClassInfo { safe: c.repeat == Repeat::Safe, deadline: c.deadline };
+    Classes::new(mapping, service.classes.iter().map(info).collect()).map_err(|e| e.to_string())
+}
+
 impl Plan {
     /// What the decision module of a service is told, the names that it goes by, and what its sockets need.
     pub fn settings(&self, service: &Service) -> (core::Settings, Vocabulary, Figures) {
--- a/crates/conf/src/model.rs
+++ b/crates/conf/src/model.rs
@@ -3,6 +3,7 @@
 use reelfall_core::interface::{ServerState, Time};
 use reelfall_routes::limits::Allowed;
 use reelfall_routes::table::Host;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
 use std::ops::Deref;
@@ -139,6 +140,8 @@
     pub source: Source,
     /// What it may hold.
     pub allowed: At<Allowed>,
+    /// What its requests are, if they are not plain ones.
+    pub graphql: Option<At<GraphQl>>,
     /// Attempts and connections.
     pub tries: Tries,
     /// How its servers bear a start.
@@ -214,6 +217,25 @@
     Unsafe,
 }
 
+/// How a service takes GraphQL over HTTP.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GraphQl {
+    /// Fields of the query root and their classes.
+    pub query: BTreeMap<String, String>,
+    /// Fields of the mutation root and their classes.
+    pub mutation: BTreeMap<String, String>,
+    /// The class of all other fields of the query root.
+    pub other_query: String,
+    /// The class of all other fields of the mutation root.
+    pub other_mutation: String,
+    /// What a field is as work, in seconds on a standard core.
+    pub field_work: Time,
+    /// How many reads of a batch run at once.
+    pub side_by_side: usize,
+    /// What a request may hold.
+    pub limits: reelfall_graphql::Limits,
+}
+
 /// A kind of requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Class {
--- a/crates/conf/src/reader.rs
+++ b/crates/conf/src/reader.rs
@@ -8,6 +8,7 @@
 use reelfall_routes::table;
 use serde::de::{Deserializer, Error as _, Visitor};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
@@ -148,6 +149,7 @@
     server: Option<Vec<Spanned<ServerText>>>,
     discovery: Option<AddressText>,
     limits: Option<Spanned<LimitsText>>,
+    graphql: Option<Spanned<GraphQlText>>,
     #[serde(default)]
     tries: TriesText,
     #[serde(default)]
@@ -229,6 +231,29 @@
     }
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct GraphQlText {
+    #[serde(default)]
+    query: BTreeMap<String, String>,
+    #[serde(default)]
+    mutation: BTreeMap<String, String>,
+    other_query: String,
+    other_mutation: String,
+    field_work: Option<TimeText>,
+    side_by_side: Option<usize>,
+    document: Option<SizeText>,
+    tokens: Option<usize>,
+    depth: Option<usize>,
+    aliases: Option<usize>,
+    root_fields: Option<usize>,
+    fragments: Option<usize>,
+    cost: Option<usize>,
+    batch: Option<usize>,
+    persisted: Option<usize>,
+    persisted_size: Option<SizeText>,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum RepeatText {
@@ -354,6 +379,7 @@
             Some(limits) => lines.located(limits, |_, l| allowed(l)),
             None => At { value: Allowed::OPEN, origin },
         },
+        graphql: s.graphql.map(|g| lines.located(g, |_, g| graphql(g))),
         tries: Tries {
             most: s.tries.most,
             retry_share: s.tries.retry_share,
@@ -405,6 +431,32 @@
     }
 }
 
+fn graphql(g: GraphQlText) -> GraphQl {
+    let usual = reelfall_graphql::Limits::default();
+    let bytes =
+        |size: Option<SizeText>, usual| size.map_or(usual, |s| usize::try_from(s.0).unwrap_or(usize::MAX));
+    GraphQl {
+        query: g.query,
+        mutation: g.mutation,
+        other_query: g.other_query,
+        other_mutation: g.other_mutation,
+        field_work: g.field_work.map_or(1e-3, |t| t.0),
+        side_by_side: g.side_by_side.unwrap_or(4),
+        limits: reelfall_graphql::Limits {
+            document: bytes(g.document, usual.document),
+            tokens: g.tokens.unwrap_or(usual.tokens),
+            depth: g.depth.unwrap_or(usual.depth),
+            aliases: g.aliases.unwrap_or(usual.aliases),
+            root_fields: g.root_fields.unwrap_or(usual.root_fields),
+            fragments: g.fragments.unwrap_or(usual.fragments),
+            cost: g.cost.unwrap_or(usual.cost),
+            batch: g.batch.unwrap_or(usual.batch),
+            persisted: g.persisted.unwrap_or(usual.persisted),
+            persisted_bytes: bytes(g.persisted_size, usual.persisted_bytes),
+        },
+    }
+}
+
 fn allowed(l: LimitsText) -> Allowed {
     let weight = l.weight.unwrap_or(1);
     let share = |reserve: Option<u64>, most: Option<u64>| Share {
--- a/crates/conf/tests/corpus.rs
+++ b/crates/conf/tests/corpus.rs
@@ -65,7 +65,7 @@
         &whole("").replace("name = \"a\"", "name = \"a b\""),
         "f.toml:4: `a b` is no name for a service: use letters, digits, `-`, `_` and `.`",
     );
-    says(&whole("colour = 1\n"), "f.toml:6: unknown field `colour`, expected one of `name`, `state`, `server`, `discovery`, `limits`, `tries`, `cold`, `class`, `member`, `route`");
+    says(&whole("colour = 1\n"), "f.toml:6: unknown field `colour`, expected one of `name`, `state`, `server`, `discovery`, `limits`, `graphql`, `tries`, `cold`, `class`, `member`, `route`");
     says(&whole("state = \"off\"\n"), "f.toml:6: unknown variant `off`, expected `serving` or `draining`");
     says(
         &whole("discovery = \"127.0.0.1:8500\"\n"),
@@ -138,6 +138,31 @@
     says(&(LISTENER.to_owned() + &services), "f.toml:107: 127.0.0.1:9000 is listed by more than 8 services");
 }
 
+#[test]
+fn a_graphql_service_never_takes_a_mutation_for_safe() {
+    let with = |more: &str| {
+        let unsafe_class = CLASS.replace("\"c\"", "\"u\"").replace("safe", "unsafe");
+        let graphql = format!("[service.graphql]\nother_query = \"c\"\nother_mutation = \"u\"\n{more}");
+        format!("{LISTENER}[[service]]\nname = \"a\"\n{graphql}{CLASS}{unsafe_class}{SERVER}{ROUTE}")
+    };
+    assert_eq!(
+        faults(&with("mutation = { toggle = \"u\" }\nquery = { evaluate = \"c\" }\n")),
+        Vec::<String>::new()
+    );
+    says(
+        &with("mutation = { toggle = \"c\" }\n"),
+        "f.toml:6: service `a`: mutation field `toggle` is mapped to a class that is safe to repeat",
+    );
+    says(&with("query = { evaluate = \"x\" }\n"), "f.toml:6: service `a`: there is no class `x`");
+    says(&with("depth = 100\n"), "f.toml:6: service `a`: depth is 100, not between 1 and 64");
+    says(&with("batch = 0\n"), "f.toml:6: service `a`: batch is 1 to 256, side_by_side 1 to 64");
+    says(
+        &with("").replace("other_mutation = \"u\"", "other_mutation = \"c\""),
+        "f.toml:6: service `a`: the class of mutations that are not mapped is safe to repeat",
+    );
+    says(&with("").replace("other_mutation = \"u\"\n", ""), "f.toml:6: missing field `other_mutation`");
+}
+
 #[test]
 fn routes_that_lead_nowhere_or_two_ways_are_named() {
     says(&(whole("") + "listener = \"x\"\n"), "f.toml:14: there is no listener `x`");
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -3,7 +3,7 @@
 use super::gate::{self, Gate};
 use super::pool::{Arrival, Message, Pool, Reply};
 use super::service::{AbortOnDrop, Found, Routing, Service, Table};
-use super::shared::{Held, Permit, Shared};
+use super::shared::{Held, OpenId, Permit, Shared};
 use super::upstream::{Answer, TIME_LEFT};
 use super::{kib, BODY_MOST, BODY_SMALL, HEAD_MOST};
 use bytes::{Bytes, BytesMut};
@@ -191,13 +191,13 @@
 }
 
 /// A request's service, class and place among the open requests.
-struct Chosen {
-    service: Rc<Service>,
+pub(super) struct Chosen {
+    pub service: Rc<Service>,
     /// The class that the route assigns.
-    assign: Option<ClassId>,
+    pub assign: Option<ClassId>,
     /// It came by a route; on the platform, the one service has all.
-    routed: bool,
-    admitted: Option<Permit>,
+    pub routed: bool,
+    pub admitted: Option<Permit>,
 }
 
 impl Front {
@@ -498,6 +498,15 @@
     ) -> Response<Full<Bytes>> {
         let pool = chosen.service.pool.clone();
         let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
+        let graphql = chosen.service.graphql.borrow().clone();
+        if let Some(graphql) = graphql {
+            let opened = || client.turn(Phase::Open);
+            let mut response = self.graphql(&graphql, chosen, head, body, opened).await;
+            if chunked {
+                response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+            }
+            return response;
+        }
         // A fault in the head is told only when the body is in: an answer beside unread data may be lost.
         let (body, held) = match self.body(body, chosen.service.member).await {
             Ok(body) => body,
@@ -511,13 +520,13 @@
         };
         let deadline = arrival.deadline;
         let (id, answer) = pool.submit(message, arrival);
-        let mut waiting = Waiting { pool: &pool, id: Some(id) };
+        let mut waiting = Waiting::new(&pool, id);
         // The guard: attempts end at the deadline and bring an answer; if nothing has, this is it.
         let guard =
             deadline + Duration::try_from_secs_f64(pool.figures.answer_slack / 2.0).unwrap_or_default();
         let mut response = match timeout_at(guard.into(), answer).await {
             Ok(Ok(reply)) => {
-                waiting.id = None;
+                waiting.answered();
                 respond(reply)
             }
             _ => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
@@ -530,7 +539,7 @@
     }
 
     /// Reads a body whole. What finds no room is still read to its end before it is answered.
-    async fn body(
+    pub(super) async fn body(
         &self, mut body: Incoming, member: Option<Member>,
     ) -> Result<(Bytes, Option<Held>), Response<Full<Bytes>>> {
         let stated = body.size_hint().exact().map_or(BODY_MOST, |n| n as usize);
@@ -569,10 +578,8 @@
         let Chosen { service, assign, routed, admitted } = chosen;
         let pool = &service.pool;
         let Parts { method, uri, mut headers, .. } = head;
-        if routed && !headers.contains_key(&CORRELATION_ID) {
-            if let Ok(id) = HeaderValue::try_from(format!("{:016x}", self.draw())) {
-                headers.insert(CORRELATION_ID, id);
-            }
+        if routed {
+            self.name_it(&mut headers);
         }
         let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
         let names = pool.names.borrow();
@@ -587,39 +594,86 @@
         if method == Method::GET && !body.is_empty() {
             return Err(bad("a GET with a body\n"));
         }
-        let id = headers.get(&CORRELATION_ID).map(HeaderValue::as_bytes).filter(|id| !id.is_empty());
-        let id = id.ok_or(bad("no X-Correlation-Id\n"))?;
-        if headers.get_all(&CORRELATION_ID).iter().count() > 1 {
-            return Err(bad("more than one X-Correlation-Id\n"));
-        }
+        correlation_id(&headers).map_err(bad)?;
         if matches!(rules.effect, Effect::Keyed { .. }) && text(&IDEMPOTENCY_KEY).is_none_or(str::is_empty) {
             return Err(bad("no Idempotency-Key\n"));
         }
-        let left = match headers.get(TIME_LEFT) {
-            None => rules.deadline,
-            Some(_) => {
-                let left = text(&TIME_LEFT).and_then(|t| t.trim().parse::<f64>().ok());
-                let left = left.filter(|t| t.is_finite() && *t >= 0.0);
-                left.ok_or(bad("X-Time-Left is no time\n"))?.min(rules.deadline)
-            }
-        };
+        let left = time_left(&headers).map_err(bad)?.map_or(rules.deadline, |left| left.min(rules.deadline));
         // The answer has to be back before the client's time is up: the slack that answers have in the rules
         // is what the way back and a late wake-up may take.
         let left = Duration::try_from_secs_f64(left - pool.figures.answer_slack).unwrap_or_default();
-        let arrival = Arrival {
-            class,
-            tenant: text(&ACCOUNT).and_then(|name| names.tenant(name)),
-            hint: text(&WEIGHT_HINT).and_then(|t| t.trim().parse::<f64>().ok()).map(|us| us / 1e6),
-            key: headers.get_all(header::COOKIE).iter().find_map(key).map(stable_hash),
-            deadline: taken + left,
-        };
+        drop(names);
+        let arrival = Arrival { class, ..self.arrival(pool, &headers, taken + left) };
         let path = uri.into_parts().path_and_query.ok_or(bad("no path\n"))?;
-        let id = self.shared.claim(id).ok_or((StatusCode::CONFLICT, "a request with this id is open\n"))?;
+        let id = correlation_id(&headers).map_err(bad)?;
+        let id = self.shared.claim(id).ok_or((StatusCode::CONFLICT, ID_OPEN))?;
         strip(&mut headers);
-        Ok((Message { method, path, headers, body, _held: held, _id: id, _admitted: admitted }, arrival))
+        let message =
+            Message { method, path, headers, body, _held: held, _id: id, _admitted: admitted, judge: None };
+        Ok((message, arrival))
+    }
+
+    /// What the module is told of a request by its headers; its class is the caller's to say.
+    pub(super) fn arrival(&self, pool: &Pool, headers: &HeaderMap, deadline: Instant) -> Arrival {
+        let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
+        Arrival {
+            class: ClassId::MAX,
+            tenant: text(&ACCOUNT).and_then(|name| pool.names.borrow().tenant(name)),
+            hint: text(&WEIGHT_HINT).and_then(|t| t.trim().parse::<f64>().ok()).map(|us| us / 1e6),
+            key: headers.get_all(header::COOKIE).iter().find_map(key).map(stable_hash),
+            deadline,
+        }
+    }
+
+    /// Gives a request an id if it came without.
+    fn name_it(&self, headers: &mut HeaderMap) {
+        if !headers.contains_key(&CORRELATION_ID) {
+            if let Ok(id) = HeaderValue::try_from(format!("{:016x}", self.draw())) {
+                headers.insert(CORRELATION_ID, id);
+            }
+        }
+    }
+
+    /// Takes the id of a request, or of one entry of several, which has one made from it.
+    pub(super) fn correlate(
+        &self, headers: &mut HeaderMap, place: Option<usize>,
+    ) -> Result<OpenId, &'static str> {
+        self.name_it(headers);
+        if let Some(place) = place {
+            let id = correlation_id(headers)?;
+            let id = [id, format!(".{place}").as_bytes()].concat();
+            let id = HeaderValue::from_bytes(&id).map_err(|_| "no X-Correlation-Id\n")?;
+            headers.insert(CORRELATION_ID, id);
+        }
+        self.shared.claim(correlation_id(headers)?).ok_or(ID_OPEN)
+    }
+
+    pub(super) fn shared(&self) -> &Rc<Shared> {
+        &self.shared
+    }
+}
+
+/// What is said of an id that is taken.
+pub(super) const ID_OPEN: &str = "a request with this id is open\n";
+
+/// The id of a request.
+fn correlation_id(headers: &HeaderMap) -> Result<&[u8], &'static str> {
+    let mut ids = headers.get_all(&CORRELATION_ID).iter();
+    let id = ids.next().map(HeaderValue::as_bytes).filter(|id| !id.is_empty());
+    match (id, ids.next()) {
+        (Some(id), None) => Ok(id),
+        (_, Some(_)) => Err("more than one X-Correlation-Id\n"),
+        (None, None) => Err("no X-Correlation-Id\n"),
     }
 }
 
+/// How long a client waits, if it says so, in seconds.
+pub(super) fn time_left(headers: &HeaderMap) -> Result<Option<Time>, &'static str> {
+    let Some(left) = headers.get(TIME_LEFT) else { return Ok(None) };
+    let left = left.to_str().ok().and_then(|t| t.trim().parse::<f64>().ok());
+    left.filter(|t| t.is_finite() && *t >= 0.0).map(Some).ok_or("X-Time-Left is no time\n")
+}
+
 /// Whether a method goes with what a second run would do. On the platform the method follows from the class; by a
 /// route it is the operators', but for a GET: whoever stands between may repeat it, so it must be harmless.
 fn fits(method: &Method, effect: Effect, routed: bool) -> bool {
@@ -670,7 +724,7 @@
     pairs.find(|(name, _)| *name == "key").map(|(_, value)| value)
 }
 
-fn strip(headers: &mut HeaderMap) {
+pub(super) fn strip(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -685,11 +739,22 @@
 }
 
 /// A request whose answer is awaited; the client has left if this is dropped before.
-struct Waiting<'a> {
+pub(super) struct Waiting<'a> {
     pool: &'a Rc<Pool>,
     id: Option<u32>,
 }
 
+impl<'a> Waiting<'a> {
+    pub fn new(pool: &'a Rc<Pool>, id: u32) -> Self {
+        Waiting { pool, id: Some(id) }
+    }
+
+    /// The answer has come.
+    pub fn answered(&mut self) {
+        self.id = None;
+    }
+}
+
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id {
--- /dev/null
+++ b/crates/node/src/net/graphql.rs
@@ -0,0 +1,391 @@
+//! GraphQL over HTTP: what comes by a GraphQL service becomes one request of the module for each operation, and what
+//! comes back becomes one answer to the client.
+//!
+//! What a request is, of which class, what may run when, and what an answer is, is told by [`reelfall_graphql`]; which
+//! server and whether again, by the module. Here they meet the sockets.
+
+use super::front::{Chosen, Front, Waiting};
+use super::pool::{Arrival, Judge, Message, Pool, Reply};
+use super::shared::{Held, Permit};
+use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{self, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method, Response, StatusCode};
+use reelfall_core::interface::{ClassId, Outcome, Time};
+use reelfall_graphql::answer;
+use reelfall_graphql::batch::{refusable, Batch, Fate};
+use reelfall_graphql::class::Classes;
+use reelfall_graphql::decode::{self, Asked, Params};
+use reelfall_graphql::document::{operation, Kind, Operation};
+use reelfall_graphql::media::{self, Media};
+use reelfall_graphql::persisted::Persisted;
+use reelfall_graphql::{Fault, FaultKind, Limits};
+use serde_json::value::RawValue;
+use serde_json::{json, Value};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::time::timeout_at;
+
+/// How a service takes GraphQL.
+pub struct GraphQl {
+    pub classes: Classes,
+    pub limits: Limits,
+    /// What a field is as work, in seconds on a standard core.
+    pub field_work: Time,
+    /// How many reads of a batch run at once.
+    pub side_by_side: usize,
+    /// Documents known by their hash; they outlive a reload.
+    pub persisted: Rc<RefCell<Persisted>>,
+}
+
+/// One operation, ready to be sent.
+struct Ready {
+    class: ClassId,
+    operation: Rc<Operation>,
+    method: Method,
+    path: PathAndQuery,
+    body: Bytes,
+}
+
+/// What an answer to an operation is.
+struct IsAnswer(Rc<Operation>);
+
+impl Judge for IsAnswer {
+    /// A server may tell a client's mistakes with 4xx; those are answers, and say nothing against the server.
+    fn may_answer(&self, status: StatusCode) -> bool {
+        let transient = matches!(status.as_u16(), 408 | 425 | 429);
+        status.is_client_error() && !transient
+    }
+
+    fn is_answer(&self, body: &[u8]) -> bool {
+        answer::check(body, &self.0).is_ok()
+    }
+}
+
+/// What an operation is sent under.
+#[derive(Clone, Copy)]
+struct Under<'a> {
+    graphql: &'a GraphQl,
+    pool: &'a Rc<Pool>,
+    head: &'a Head,
+    /// The deadline of its batch.
+    until: Option<Instant>,
+}
+
+/// What an operation holds of the service's limits.
+struct Holds {
+    held: Option<Held>,
+    admitted: Option<Permit>,
+}
+
+/// What all entries of a request have from its head.
+struct Head {
+    headers: HeaderMap,
+    path: PathAndQuery,
+    get: bool,
+    /// The client waits so long, if it says so.
+    left: Option<Time>,
+    taken: Instant,
+}
+
+impl GraphQl {
+    /// Finds what a request runs and how it goes to a server. `raw` is its text, where it came as a body.
+    fn ready(&self, params: &Params, raw: Option<Bytes>, head: &Head) -> Result<Ready, Fault> {
+        let hash = params.persisted()?;
+        let text = self.persisted.borrow_mut().resolve(params.query.as_deref(), hash)?;
+        let name = params.operation_name.as_deref();
+        let operation = operation(&text, name, &params.variables, &self.limits)?;
+        if head.get && operation.kind == Kind::Mutation {
+            return Err(Fault::new(
+                FaultKind::Method,
+                "a mutation by GET: whoever stands between may repeat it",
+            ));
+        }
+        if hash.is_some() && params.query.is_some() {
+            self.persisted.borrow_mut().keep(&text, &self.limits);
+        }
+        let class = self.classes.of(&operation);
+        let operation = Rc::new(operation);
+        let path = head.path.clone();
+        // As it came, unless the server would have to know a hash that was told to this node.
+        let (method, path, body) = match (params.query.is_some(), raw) {
+            (true, Some(raw)) => (Method::POST, path, raw),
+            (true, None) => (Method::GET, path, Bytes::new()),
+            (false, _) => {
+                let path = path.path().parse().map_err(|_| Fault::new(FaultKind::Request, "no path"))?;
+                (Method::POST, path, written(&text, params))
+            }
+        };
+        Ok(Ready { class, operation, method, path, body })
+    }
+}
+
+fn written(text: &str, params: &Params) -> Bytes {
+    let mut body = json!({ "query": text, "variables": params.variables });
+    if let (Some(name), Some(body)) = (&params.operation_name, body.as_object_mut()) {
+        body.insert("operationName".to_owned(), Value::String(name.clone()));
+    }
+    Bytes::from(body.to_string())
+}
+
+type Answered = Response<Full<Bytes>>;
+
+/// An answer of JSON text.
+fn text(status: u16, media: Media, body: String) -> Answered {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(media.content_type()));
+    response
+}
+
+fn faulty(media: Media, fault: &Fault) -> Answered {
+    let mut response = text(media::status(media, fault.kind), media, answer::fault(fault).to_string());
+    if fault.kind == FaultKind::Method {
+        response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("POST"));
+    }
+    response
+}
+
+impl Front {
+    /// Answers a request to a GraphQL service.
+    pub(super) async fn graphql(
+        self: &Rc<Self>, graphql: &GraphQl, chosen: Chosen, head: Parts, body: Incoming,
+        opened: impl FnOnce(),
+    ) -> Answered {
+        let (body, held) = match self.body(body, chosen.service.member).await {
+            Ok(body) => body,
+            Err(response) => return response,
+        };
+        opened();
+        let taken = Instant::now();
+        let said = |name: &header::HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
+        let media = match media::negotiate(said(&header::ACCEPT)) {
+            Ok(media) => media,
+            Err(fault) => return faulty(Media::Json, &fault),
+        };
+        let asked = match head.method {
+            Method::GET => decode::query(head.uri.query().unwrap_or_default()).map(Asked::One),
+            Method::POST => media::check_body(said(&header::CONTENT_TYPE))
+                .and_then(|()| decode::body(&body, &graphql.limits)),
+            _ => {
+                let fault = Fault::new(FaultKind::Method, "GraphQL is served by GET and POST");
+                let mut response = faulty(media, &fault);
+                response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, POST"));
+                return response;
+            }
+        };
+        let asked = match asked {
+            Ok(asked) => asked,
+            Err(fault) => return faulty(media, &fault),
+        };
+        let (left, path) = match (super::front::time_left(&head.headers), head.uri.path_and_query()) {
+            (Ok(left), Some(path)) => (left, path.clone()),
+            (Err(mistake), _) => return faulty(media, &Fault::new(FaultKind::Request, mistake.trim())),
+            (_, None) => return faulty(media, &Fault::new(FaultKind::Request, "no path")),
+        };
+        let get = head.method == Method::GET;
+        let head = Head { headers: head.headers, path, get, left, taken };
+        match asked {
+            Asked::One(params) => match graphql.ready(&params, (!get).then_some(body), &head) {
+                Ok(ready) => self.one(graphql, chosen, held, &head, ready, media).await,
+                Err(fault) => faulty(media, &fault),
+            },
+            Asked::Batch(entries) => self.batch(graphql, chosen, held, &head, entries, media).await,
+        }
+    }
+
+    /// Hands an operation to the module and waits for its end.
+    async fn operate(
+        self: &Rc<Self>, under: &Under<'_>, ready: Ready, place: Option<usize>, holds: Holds,
+    ) -> Result<Reply, &'static str> {
+        let Under { graphql, pool, head, until } = *under;
+        let Holds { held, admitted } = holds;
+        let mut headers = head.headers.clone();
+        let deadline = pool.classes.get(usize::from(ready.class)).map_or(0.0, |c| c.deadline);
+        let left = head.left.map_or(deadline, |left| left.min(deadline));
+        let from = if place.is_some() { Instant::now() } else { head.taken };
+        let slack = pool.figures.answer_slack;
+        let due = from + Duration::try_from_secs_f64(left - slack).unwrap_or_default();
+        let due = until.map_or(due, |until| due.min(until));
+        let id = self.correlate(&mut headers, place)?;
+        let hint = graphql.field_work * ready.operation.cost as f64;
+        let arrival = Arrival { class: ready.class, hint: Some(hint), ..self.arrival(pool, &headers, due) };
+        super::front::strip(&mut headers);
+        // In the older type a server tells a client's mistakes with 200, which is plainly an answer.
+        headers.insert(header::ACCEPT, HeaderValue::from_static("application/json"));
+        if ready.method == Method::POST {
+            headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        }
+        let Ready { method, path, body, operation, .. } = ready;
+        let judge: Option<Box<dyn Judge>> = Some(Box::new(IsAnswer(operation)));
+        let message =
+            Message { method, path, headers, body, _held: held, _id: id, _admitted: admitted, judge };
+        let (request, answer) = pool.submit(message, arrival);
+        let mut waiting = Waiting::new(pool, request);
+        let guard = due + Duration::try_from_secs_f64(slack / 2.0).unwrap_or_default();
+        match timeout_at(guard.into(), answer).await {
+            Ok(Ok(reply)) => {
+                waiting.answered();
+                Ok(reply)
+            }
+            _ => Ok(Reply::Failed(Some(Outcome::Expired))),
+        }
+    }
+
+    async fn one(
+        self: &Rc<Self>, graphql: &GraphQl, chosen: Chosen, held: Option<Held>, head: &Head, ready: Ready,
+        media: Media,
+    ) -> Answered {
+        let Chosen { service, admitted, .. } = chosen;
+        let under = Under { graphql, pool: &service.pool, head, until: None };
+        match self.operate(&under, ready, None, Holds { held, admitted }).await {
+            Ok(reply) => single(reply, media),
+            Err(mistake) => {
+                let mut response = faulty(media, &Fault::new(FaultKind::Request, mistake.trim()));
+                if mistake == super::front::ID_OPEN {
+                    *response.status_mut() = StatusCode::CONFLICT;
+                }
+                response
+            }
+        }
+    }
+
+    /// Runs a batch: all under one deadline, and one answer.
+    async fn batch(
+        self: &Rc<Self>, graphql: &GraphQl, chosen: Chosen, held: Option<Held>, head: &Head,
+        entries: Vec<(Params, Box<RawValue>)>, media: Media,
+    ) -> Answered {
+        let Chosen { service, admitted, .. } = chosen;
+        let pool = &service.pool;
+        let mut first = Some((held, admitted));
+        let ready: Vec<Result<Ready, Fault>> = entries
+            .iter()
+            .map(|(params, raw)| graphql.ready(params, Some(Bytes::from(raw.get().to_owned())), head))
+            .collect();
+        let longest = ready.iter().filter_map(|r| pool.classes.get(usize::from(r.as_ref().ok()?.class)));
+        let longest = longest.map(|c| c.deadline).fold(0.0, f64::max);
+        let left = head.left.map_or(longest, |left| left.min(longest));
+        let until =
+            head.taken + Duration::try_from_secs_f64(left - pool.figures.answer_slack).unwrap_or_default();
+        let under = Under { graphql, pool, head, until: Some(until) };
+        let writes = ready.iter().map(|r| r.as_ref().is_ok_and(|r| !graphql.classes.safe(&r.operation)));
+        let mut batch: Batch<Box<RawValue>> = Batch::new(writes.collect::<Vec<_>>(), graphql.side_by_side);
+        let mut ready: Vec<Option<Result<Ready, Fault>>> = ready.into_iter().map(Some).collect();
+        // Dropped with the client's connection: whatever runs is given up, and nothing new starts.
+        let mut running = FuturesUnordered::new();
+        loop {
+            for entry in batch.start() {
+                match ready.get_mut(entry).and_then(Option::take) {
+                    Some(Ok(ready)) => {
+                        let (held, admitted) = match first.take() {
+                            Some((held, admitted)) => (held, Ok(admitted)),
+                            None => (None, service.member.map_or(Ok(None), |m| self.shared().admit(m))),
+                        };
+                        let Ok(admitted) = admitted else {
+                            batch.done(entry, Fate::Refused(advice(service.retry_after.get())));
+                            continue;
+                        };
+                        let run = self.operate(&under, ready, Some(entry), Holds { held, admitted });
+                        running.push(async move { (entry, run.await) });
+                    }
+                    Some(Err(fault)) => batch.done(entry, told(&answer::fault(&fault))),
+                    None => batch.done(entry, Fate::NeverRan),
+                }
+            }
+            if batch.complete() {
+                break;
+            }
+            if running.is_empty() {
+                // What was refused at once made room for more.
+                continue;
+            }
+            // The entries end by themselves at the deadline; this is for whatever does not.
+            let guard =
+                until + Duration::try_from_secs_f64(pool.figures.answer_slack / 2.0).unwrap_or_default();
+            match timeout_at(guard.into(), running.next()).await {
+                Ok(Some((entry, reply))) => batch.done(entry, fate(reply)),
+                _ => {
+                    batch.end();
+                    break;
+                }
+            }
+            if Instant::now() >= until {
+                batch.end();
+                break;
+            }
+        }
+        drop(running);
+        let fates = batch.fates();
+        let refused = refusable(&fates);
+        let mut response = text(if refused { 503 } else { 200 }, media, answer::merge(&fates));
+        if refused {
+            retry_after(&mut response, advice(service.retry_after.get()));
+        }
+        response
+    }
+}
+
+fn advice(most: Time) -> Option<Time> {
+    (most > 0.0).then_some(most)
+}
+
+fn retry_after(response: &mut Answered, after: Option<Time>) {
+    if let Some(after) = after.and_then(|t| HeaderValue::try_from(format!("{t:.3}")).ok()) {
+        response.headers_mut().insert(header::RETRY_AFTER, after);
+    }
+}
+
+fn told(answer: &Value) -> Fate<Box<RawValue>> {
+    RawValue::from_string(answer.to_string()).map_or(Fate::NeverRan, Fate::Answered)
+}
+
+fn fate(reply: Result<Reply, &'static str>) -> Fate<Box<RawValue>> {
+    match reply {
+        Ok(Reply::Served(answer)) => match serde_json::from_slice(&answer.body) {
+            Ok(raw) => Fate::Answered(raw),
+            Err(_) => Fate::Failed,
+        },
+        Ok(Reply::Refused { retry_after }) => Fate::Refused(retry_after),
+        Ok(Reply::Failed(_)) => Fate::Failed,
+        Err(mistake) => told(&answer::fault(&Fault::new(FaultKind::Request, mistake.trim()))),
+    }
+}
+
+fn single(reply: Reply, media: Media) -> Answered {
+    let (status, fate): (u16, Fate<()>) = match reply {
+        Reply::Served(answer) => {
+            // An answer without data is of a request that was not run; the newer type tells that by its status.
+            let data = serde_json::from_slice::<Data>(&answer.body).is_ok_and(|d| d.data.is_some());
+            let status = if media == Media::Response && !data { 400 } else { 200 };
+            let mut response = text(status, media, String::new());
+            *response.body_mut() = Full::new(answer.body);
+            return response;
+        }
+        Reply::Refused { retry_after } => (503, Fate::Refused(retry_after)),
+        Reply::Failed(Some(Outcome::Expired)) => (504, Fate::Failed),
+        Reply::Failed(_) => (502, Fate::Failed),
+    };
+    let after = match fate {
+        Fate::Refused(after) => after,
+        _ => None,
+    };
+    let mut response = text(status, media, answer::made(&fate).unwrap_or_default().to_string());
+    retry_after(&mut response, after);
+    response
+}
+
+/// Whether an answer has `data`, be it null.
+#[derive(serde::Deserialize)]
+struct Data {
+    #[serde(default, deserialize_with = "some")]
+    data: Option<serde::de::IgnoredAny>,
+}
+
+fn some<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Option<serde::de::IgnoredAny>, D::Error> {
+    serde::Deserialize::deserialize(from).map(Some)
+}
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod discovery;
 pub mod front;
 pub mod gate;
+pub mod graphql;
 pub mod pool;
 pub mod service;
 pub mod shared;
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -5,7 +5,7 @@
 use super::upstream::{self, Answer, Upstream};
 use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method};
+use hyper::{HeaderMap, Method, StatusCode};
 use reelfall_core::engine::{self, Command, Engine, Final, Place};
 use reelfall_core::interface::*;
 use reelfall_core::settings::{Figures, Vocabulary};
@@ -32,6 +32,16 @@
     pub _id: OpenId,
     /// Its place among the open requests of its service, as long.
     pub _admitted: Option<Permit>,
+    /// What an answer has to be, beyond being whole; plain requests take any 200.
+    pub judge: Option<Box<dyn Judge>>,
+}
+
+/// Tells answers from what is none, for requests whose protocol says more than a status.
+pub trait Judge {
+    /// Whether a status comes with an answer at all.
+    fn may_answer(&self, status: StatusCode) -> bool;
+    /// Whether a whole body is an answer to this request. What is none may have run.
+    fn is_answer(&self, body: &[u8]) -> bool;
 }
 
 /// What the module is told of a request.
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -2,6 +2,7 @@
 //! them.
 
 use super::discovery;
+use super::graphql::GraphQl;
 use super::pool::{Missing, Pool};
 use super::shared::Shared;
 use reelfall_conf::model;
@@ -9,6 +10,7 @@
 use reelfall_core::engine::Place;
 use reelfall_core::interface::{ClassId, ListKind, ServerState, Time};
 use reelfall_core::settings::Listed;
+use reelfall_graphql::persisted::Persisted;
 use reelfall_routes::limits::{Allowed, Member};
 use reelfall_routes::table::Query;
 use std::cell::{Cell, RefCell};
@@ -134,6 +136,8 @@
     pub draining: Cell<bool>,
     /// Longest advice on when to come back, in seconds; 0 for none.
     pub retry_after: Cell<Time>,
+    /// What its requests are, if they are not plain ones.
+    pub graphql: RefCell<Option<Rc<GraphQl>>>,
     told: Told,
     /// What the pool was made from.
     key: Option<PoolKey>,
@@ -186,6 +190,7 @@
             member: None,
             draining: Cell::new(false),
             retry_after: Cell::new(0.0),
+            graphql: RefCell::default(),
             told: Told::Nothing,
             key: None,
             _follow: follow,
@@ -219,6 +224,7 @@
             member,
             draining: Cell::new(service.state == model::ServiceState::Draining),
             retry_after: Cell::new(service.tries.retry_after),
+            graphql: RefCell::new(graphql(service, None)?),
             told,
             key: Some(PoolKey::of(&plan.model.process, service)),
             _follow: follow,
@@ -248,6 +254,20 @@
     }
 }
 
+/// What a service needs to take GraphQL; the documents that it knows already are kept.
+fn graphql(
+    service: &model::Service, kept: Option<Rc<RefCell<Persisted>>>,
+) -> Result<Option<Rc<GraphQl>>, String> {
+    let Some(graphql) = &service.graphql else { return Ok(None) };
+    Ok(Some(Rc::new(GraphQl {
+        classes: reelfall_conf::check::graphql_classes(service, graphql)?,
+        limits: graphql.limits,
+        field_work: graphql.field_work,
+        side_by_side: graphql.side_by_side,
+        persisted: kept.unwrap_or_default(),
+    })))
+}
+
 /// Since when the servers of static lists have been taking requests.
 type Since = HashMap<SocketAddr, Time>;
 
@@ -376,6 +396,9 @@
         // Nothing fails from here on.
         self.shared.set_totals(plan.totals, model.process.server_connections);
         for (service, new) in services.iter().zip(&model.services) {
+            let kept = service.graphql.borrow().as_ref().map(|g| g.persisted.clone());
+            // The plan was checked: what can't be made here can't be in it.
+            service.graphql.replace(graphql(new, kept).unwrap_or_default());
             service.draining.set(new.state == model::ServiceState::Draining);
             service.retry_after.set(new.tries.retry_after);
             service.tell(new, &since);
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -339,7 +339,7 @@
                 return;
             }
         };
-        return take_in(&host, id, number, connection, answer, expires).await;
+        return take_in(&host, id, number, connection, answer, expires, &message).await;
     }
 }
 
@@ -359,13 +359,15 @@
 /// Reads an answer whose head has come.
 async fn take_in(
     host: &impl Host, id: RequestId, number: u32, connection: Connection, response: Response<Incoming>,
-    expires: Instant,
+    expires: Instant, message: &Message,
 ) {
     let (head, mut body) = response.into_parts();
+    let judge = message.judge.as_deref();
     let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Delivered,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Shed,
+        status if judge.is_some_and(|j| j.may_answer(status)) => Outcome::Delivered,
         _ => Outcome::Error,
     };
     if outcome != Outcome::Delivered {
@@ -402,6 +404,10 @@
             }
             Ok(Some(Err(_))) => return host.ended(id, number, Outcome::Dropped, None),
             Ok(None) => {
+                if !judge.is_none_or(|j| j.is_answer(&held)) {
+                    // Nobody knows what went on behind it: the connection goes, and the request may have run.
+                    return host.ended(id, number, Outcome::Dropped, None);
+                }
                 host.upstream().put(connection);
                 let answer = Answer { headers: head.headers, body: held.freeze(), _leave: leave };
                 return host.ended(id, number, outcome, Some(answer));
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 //! | module | what it stands in for, or measures |
 //! | --- | --- |
 //! | [`pool`] | servers with a set capacity that count effects and fail in chosen ways |
+//! | [`graphql`] | a GraphQL server with a small schema of flags, to run on those servers |
 //! | [`discovery`] | the platform's list of servers |
 //! | [`link`] | a network path that delays, freezes, cuts, throttles or half-opens |
 //! | [`load`] | clients: requests at random moments, whether or not answers come |
@@ -17,6 +18,7 @@
 pub mod client;
 pub mod demo;
 pub mod discovery;
+pub mod graphql;
 pub mod link;
 pub mod load;
 pub mod measure;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,7 +5,7 @@
 use reelfall_rig::link::Link;
 use reelfall_rig::load::{self, Kind};
 use reelfall_rig::pool::{Manner, Pool};
-use reelfall_rig::scenario::{services, Report};
+use reelfall_rig::scenario::{graphql, services, Report};
 use reelfall_rig::scripted::Program;
 use reelfall_rig::{demo, measure, relay, until_ended, Result};
 use serde_json::{json, Value};
@@ -101,7 +101,7 @@
     },
     /// Plays a scenario; its report is the last line, and a broken promise an exit code
     Scenario {
-        /// `services`
+        /// `services` or `graphql`
         name: String,
         /// The small form, as in the tests
         #[arg(long)]
@@ -109,7 +109,7 @@
     },
     /// A node with its stand-ins, until ended
     Demo {
-        /// `services`
+        /// `services` or `graphql`
         name: String,
     },
     /// Measures what the node costs; the figures are the last line
@@ -212,7 +212,11 @@
                     let scale = if small { services::Scale::SMALL } else { services::Scale::WHOLE };
                     services::run(&program, scale).await?
                 }
-                _ => return Err(format!("there is no scenario `{name}`: services").into()),
+                "graphql" => {
+                    let scale = if small { graphql::Scale::SMALL } else { graphql::Scale::WHOLE };
+                    graphql::run(&program, scale).await?
+                }
+                _ => return Err(format!("there is no scenario `{name}`: services, graphql").into()),
             };
             report.broken().iter().for_each(|b| eprintln!("broken: {b}"));
             println!("{}", report.line(&name));
@@ -220,7 +224,8 @@
         }
         Command::Demo { name } => match name.as_str() {
             "services" => demo::services(&program).await?,
-            _ => return Err(format!("there is no demo `{name}`: services").into()),
+            "graphql" => demo::graphql(&program).await?,
+            _ => return Err(format!("there is no demo `{name}`: services, graphql").into()),
         },
         Command::Measure { name, old, rounds, seconds, rate } => match name.as_str() {
             "services" => {
--- a/crates/rig/src/pool.rs
+++ b/crates/rig/src/pool.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::http::request::Parts;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -35,12 +36,50 @@
     pub frozen: bool,
     /// Bytes of an answer's body beyond the id.
     pub padding: usize,
+    /// Share of answers that are spoilt, after their effect.
+    pub spoilt: f64,
+    /// How they are spoilt.
+    pub spoil: Spoil,
 }
 
+/// Ways to spoil an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spoil {
+    /// Half of it, plainly framed.
+    Half,
+    /// Something else that is no answer.
+    Noise,
+    /// An answer that somebody else asked for.
+    Other,
+}
+
+/// What an application makes of a request.
+pub struct Done {
+    /// Ids of the effects that it has.
+    pub effects: Vec<String>,
+    /// The status of its answer.
+    pub status: StatusCode,
+    /// Its body.
+    pub body: String,
+}
+
+/// What runs on a server: from the head and the body of a request to what is done.
+pub type App = Arc<dyn Fn(&Parts, &[u8]) -> Done + Send + Sync>;
+
 impl Manner {
     /// Serves each request in this time and never fails.
     pub fn good(service: Duration) -> Manner {
-        Manner { service, fail: 0.0, shed: 0.0, die_before: 0.0, die_after: 0.0, frozen: false, padding: 0 }
+        Manner {
+            service,
+            fail: 0.0,
+            shed: 0.0,
+            die_before: 0.0,
+            die_after: 0.0,
+            frozen: false,
+            padding: 0,
+            spoilt: 0.0,
+            spoil: Spoil::Half,
+        }
     }
 }
 
@@ -53,6 +92,7 @@
 }
 
 struct State {
+    app: Option<App>,
     manner: Mutex<Manner>,
     counts: Mutex<Counts>,
     draw: Mutex<Draw>,
@@ -81,7 +121,15 @@
     /// # Errors
     /// If no port is to be had.
     pub async fn start(name: &str, workers: usize, manner: Manner, seed: u64) -> Result<Server> {
-        Self::at("127.0.0.1:0".parse()?, name, workers, manner, seed).await
+        Self::at("127.0.0.1:0".parse()?, name, workers, manner, seed, None).await
+    }
+
+    /// Starts a server that runs an application.
+    ///
+    /// # Errors
+    /// If no port is to be had.
+    pub async fn running(name: &str, workers: usize, manner: Manner, seed: u64, app: App) -> Result<Server> {
+        Self::at("127.0.0.1:0".parse()?, name, workers, manner, seed, Some(app)).await
     }
 
     /// Starts a server at an address.
@@ -89,11 +137,12 @@
     /// # Errors
     /// If the address is not to be had.
     pub async fn at(
-        address: SocketAddr, name: &str, workers: usize, manner: Manner, seed: u64,
+        address: SocketAddr, name: &str, workers: usize, manner: Manner, seed: u64, app: Option<App>,
     ) -> Result<Server> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(State {
+            app,
             manner: Mutex::new(manner),
             counts: Mutex::default(),
             draw: Mutex::new(Draw(seed)),
@@ -192,13 +241,28 @@
         counts.last_seen = Some(Instant::now());
     }
     let id = request.headers().get("x-correlation-id").and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
-    request.into_body().collect().await.map_err(|_| Died)?;
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.map_err(|_| Died)?.to_bytes();
+    let app = match &state.app {
+        Some(app) => app(&head, &body),
+        None => Done { effects: vec![id.clone()], status: StatusCode::OK, body: id },
+    };
     // The work goes on if the client leaves, so it is a task of its own.
-    let (working, named) = (state.clone(), id.clone());
-    let done = tokio::spawn(async move { work(&working, &named).await }).await;
-    let padding = lock(&state.manner).padding;
+    let (working, effects) = (state.clone(), app.effects);
+    let done = tokio::spawn(async move { work(&working, &effects).await }).await;
+    let Manner { padding, spoil, .. } = lock(&state.manner).clone();
     match done.map_err(|_| Died)? {
-        Work::Done => Ok(answer(StatusCode::OK, if padding > 0 { id + &"x".repeat(padding) } else { id })),
+        Work::Done => {
+            Ok(answer(app.status, if padding > 0 { app.body + &"x".repeat(padding) } else { app.body }))
+        }
+        Work::Spoilt => {
+            let body = match spoil {
+                Spoil::Half => app.body.chars().take(app.body.chars().count() / 2).collect(),
+                Spoil::Noise => "<html>oops</html>".to_owned(),
+                Spoil::Other => "{\"data\":{\"somebodyElses\":1}}".to_owned(),
+            };
+            Ok(answer(StatusCode::OK, body))
+        }
         Work::Failed => Ok(answer(StatusCode::INTERNAL_SERVER_ERROR, "failed\n")),
         Work::Shed => {
             let mut response = answer(StatusCode::SERVICE_UNAVAILABLE, "busy\n");
@@ -212,11 +276,12 @@
 enum Work {
     Done,
     Failed,
+    Spoilt,
     Shed,
     Died,
 }
 
-async fn work(state: &State, id: &str) -> Work {
+async fn work(state: &State, effects: &[String]) -> Work {
     let manner = lock(&state.manner).clone();
     let fate = lock(&state.draw).fraction();
     while lock(&state.manner).frozen {
@@ -232,16 +297,20 @@
     }
     upto += manner.fail;
     if fate < upto {
-        state.count(id);
+        effects.iter().for_each(|id| state.count(id));
         return Work::Failed;
     }
     let Ok(_worker) = state.workers.acquire().await else { return Work::Died };
-    state.count(id);
+    effects.iter().for_each(|id| state.count(id));
     upto += manner.die_after;
     if fate < upto {
         return Work::Died;
     }
     tokio::time::sleep(manner.service).await;
+    upto += manner.spoilt;
+    if fate < upto {
+        return Work::Spoilt;
+    }
     Work::Done
 }
 
@@ -265,6 +334,21 @@
         Ok(Pool { servers })
     }
 
+    /// The same, with an application that runs on each, and more workers.
+    ///
+    /// # Errors
+    /// If no ports are to be had.
+    pub async fn running(
+        prefix: &str, n: usize, workers: usize, manner: Manner, seed: u64, app: &App,
+    ) -> Result<Pool> {
+        let mut servers = Vec::with_capacity(n);
+        for i in 0..n {
+            let (name, seed) = (format!("{prefix}-{}", i + 1), seed.wrapping_add(i as u64));
+            servers.push(Server::running(&name, workers, manner.clone(), seed, app.clone()).await?);
+        }
+        Ok(Pool { servers })
+    }
+
     /// How often each id has had its effect, over all servers.
     pub fn effects(&self) -> HashMap<String, u32> {
         let mut all = HashMap::new();
