No circles among the node's modules: messages, peers and operations stand on their own

Cause: with shared servers and GraphQL, pool, shared and upstream knew each other again, and so did front, service and graphql.

Change: what passes between clients, pools and servers is in message; shared knows its pools as peers; a GraphQL service's settings and what they make of a request are in operations, which the front's side uses. A test fills the memory of one service with bodies beside another.

--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -1,10 +1,11 @@
 //! The client side: connections, requests in, answers out, and the end of it all on SIGTERM.
 
 use super::gate::{self, Gate};
-use super::pool::{Arrival, Message, Pool, Reply};
+use super::message::{Answer, Arrival, Message, Reply};
+use super::pool::Pool;
 use super::service::{AbortOnDrop, Found, Routing, Service, Table};
 use super::shared::{Held, OpenId, Permit, Shared};
-use super::upstream::{Answer, TIME_LEFT};
+use super::upstream::TIME_LEFT;
 use super::{kib, BODY_MOST, BODY_SMALL, HEAD_MOST};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
--- a/crates/node/src/net/graphql.rs
+++ b/crates/node/src/net/graphql.rs
@@ -5,7 +5,9 @@
 //! server and whether again, by the module. Here they meet the sockets.
 
 use super::front::{Chosen, Front, Waiting};
-use super::pool::{Arrival, Judge, Message, Pool, Reply};
+use super::message::{Arrival, Judge, Message, Reply};
+use super::operations::{GraphQl, Head, Ready};
+use super::pool::Pool;
 use super::shared::{Held, Permit};
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -13,45 +15,20 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
-use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method, Response, StatusCode};
-use reelfall_core::interface::{ClassId, Outcome, Time};
+use hyper::{Method, Response, StatusCode};
+use reelfall_core::interface::{Outcome, Time};
 use reelfall_graphql::answer;
 use reelfall_graphql::batch::{refusable, Batch, Fate};
-use reelfall_graphql::class::Classes;
 use reelfall_graphql::decode::{self, Asked, Params};
-use reelfall_graphql::document::{operation, Kind, Operation};
+use reelfall_graphql::document::Operation;
 use reelfall_graphql::media::{self, Media};
-use reelfall_graphql::persisted::Persisted;
-use reelfall_graphql::{Fault, FaultKind, Limits};
+use reelfall_graphql::{Fault, FaultKind};
 use serde_json::value::RawValue;
-use serde_json::{json, Value};
-use std::cell::RefCell;
+use serde_json::Value;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::time::timeout_at;
 
-/// How a service takes GraphQL.
-pub struct GraphQl {
-    pub classes: Classes,
-    pub limits: Limits,
-    /// What a field is as work, in seconds on a standard core.
-    pub field_work: Time,
-    /// How many reads of a batch run at once.
-    pub side_by_side: usize,
-    /// Documents known by their hash; they outlive a reload.
-    pub persisted: Rc<RefCell<Persisted>>,
-}
-
-/// One operation, ready to be sent.
-struct Ready {
-    class: ClassId,
-    operation: Rc<Operation>,
-    method: Method,
-    path: PathAndQuery,
-    body: Bytes,
-}
-
 /// What an answer to an operation is.
 struct IsAnswer(Rc<Operation>);
 
@@ -83,56 +60,6 @@
     admitted: Option<Permit>,
 }
 
-/// What all entries of a request have from its head.
-struct Head {
-    headers: HeaderMap,
-    path: PathAndQuery,
-    get: bool,
-    /// The client waits so long, if it says so.
-    left: Option<Time>,
-    taken: Instant,
-}
-
-impl GraphQl {
-    /// Finds what a request runs and how it goes to a server. `raw` is its text, where it came as a body.
-    fn ready(&self, params: &Params, raw: Option<Bytes>, head: &Head) -> Result<Ready, Fault> {
-        let hash = params.persisted()?;
-        let text = self.persisted.borrow_mut().resolve(params.query.as_deref(), hash)?;
-        let name = params.operation_name.as_deref();
-        let operation = operation(&text, name, &params.variables, &self.limits)?;
-        if head.get && operation.kind == Kind::Mutation {
-            return Err(Fault::new(
-                FaultKind::Method,
-                "a mutation by GET: whoever stands between may repeat it",
-            ));
-        }
-        if hash.is_some() && params.query.is_some() {
-            self.persisted.borrow_mut().keep(&text, &self.limits);
-        }
-        let class = self.classes.of(&operation);
-        let operation = Rc::new(operation);
-        let path = head.path.clone();
-        // As it came, unless the server would have to know a hash that was told to this node.
-        let (method, path, body) = match (params.query.is_some(), raw) {
-            (true, Some(raw)) => (Method::POST, path, raw),
-            (true, None) => (Method::GET, path, Bytes::new()),
-            (false, _) => {
-                let path = path.path().parse().map_err(|_| Fault::new(FaultKind::Request, "no path"))?;
-                (Method::POST, path, written(&text, params))
-            }
-        };
-        Ok(Ready { class, operation, method, path, body })
-    }
-}
-
-fn written(text: &str, params: &Params) -> Bytes {
-    let mut body = json!({ "query": text, "variables": params.variables });
-    if let (Some(name), Some(body)) = (&params.operation_name, body.as_object_mut()) {
-        body.insert("operationName".to_owned(), Value::String(name.clone()));
-    }
-    Bytes::from(body.to_string())
-}
-
 type Answered = Response<Full<Bytes>>;
 
 /// An answer of JSON text.
--- /dev/null
+++ b/crates/node/src/net/message.rs
@@ -0,0 +1,54 @@
+//! What passes between clients, pools and servers.
+
+use super::shared::{Held, OpenId, Permit};
+use bytes::Bytes;
+use hyper::http::uri::PathAndQuery;
+use hyper::{HeaderMap, Method, StatusCode};
+use reelfall_core::engine::Final;
+use reelfall_core::interface::{ClassId, TenantId};
+use std::time::Instant;
+
+/// A request as it goes to a server, the same at every attempt.
+pub struct Message {
+    pub method: Method,
+    pub path: PathAndQuery,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// What the body holds of the budget for bodies.
+    pub _held: Option<Held>,
+    /// Its id, taken for as long as an attempt may be out.
+    pub _id: OpenId,
+    /// Its place among the open requests of its service, as long.
+    pub _admitted: Option<Permit>,
+    /// What an answer has to be, beyond being whole; plain requests take any 200.
+    pub judge: Option<Box<dyn Judge>>,
+}
+
+/// Tells answers from what is none, for requests whose protocol says more than a status.
+pub trait Judge {
+    /// Whether a status comes with an answer at all.
+    fn may_answer(&self, status: StatusCode) -> bool;
+    /// Whether a whole body is an answer to this request. What is none may have run.
+    fn is_answer(&self, body: &[u8]) -> bool;
+}
+
+/// What the module is told of a request.
+pub struct Arrival {
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    pub hint: Option<f64>,
+    pub key: Option<u64>,
+    /// The node's last word is due then.
+    pub deadline: Instant,
+}
+
+/// The one final answer of a request.
+pub type Reply = Final<Box<Answer>>;
+
+/// A server's answer, whole.
+pub struct Answer {
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// What the body holds of the memory for answers.
+    pub _leave: Option<Held>,
+}
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -4,6 +4,8 @@
 pub mod front;
 pub mod gate;
 pub mod graphql;
+pub mod message;
+pub mod operations;
 pub mod pool;
 pub mod service;
 pub mod shared;
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -1,12 +1,10 @@
 //! One pool of servers at work: feeds its [`Engine`] with what happens on the sockets and carries out what the
 //! engine wants done. No choice is made here.
 
-use super::shared::{Held, OpenId, Permit, Shared};
-use super::upstream::{self, Answer, Upstream};
-use bytes::Bytes;
-use hyper::http::uri::PathAndQuery;
-use hyper::{HeaderMap, Method, StatusCode};
-use reelfall_core::engine::{self, Command, Engine, Final, Place};
+use super::message::{Answer, Arrival, Message, Reply};
+use super::shared::{Peer, PoolId, Shared};
+use super::upstream::{self, Upstream};
+use reelfall_core::engine::{self, Command, Engine, Place};
 use reelfall_core::interface::*;
 use reelfall_core::settings::{Figures, Vocabulary};
 use reelfall_core::Balancer;
@@ -20,43 +18,6 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
-/// A request as it goes to a server, the same at every attempt.
-pub struct Message {
-    pub method: Method,
-    pub path: PathAndQuery,
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    /// What the body holds of the budget for bodies.
-    pub _held: Option<Held>,
-    /// Its id, taken for as long as an attempt may be out.
-    pub _id: OpenId,
-    /// Its place among the open requests of its service, as long.
-    pub _admitted: Option<Permit>,
-    /// What an answer has to be, beyond being whole; plain requests take any 200.
-    pub judge: Option<Box<dyn Judge>>,
-}
-
-/// Tells answers from what is none, for requests whose protocol says more than a status.
-pub trait Judge {
-    /// Whether a status comes with an answer at all.
-    fn may_answer(&self, status: StatusCode) -> bool;
-    /// Whether a whole body is an answer to this request. What is none may have run.
-    fn is_answer(&self, body: &[u8]) -> bool;
-}
-
-/// What the module is told of a request.
-pub struct Arrival {
-    pub class: ClassId,
-    pub tenant: Option<TenantId>,
-    pub hint: Option<f64>,
-    pub key: Option<u64>,
-    /// The node's last word is due then.
-    pub deadline: Instant,
-}
-
-/// The one final answer of a request.
-pub type Reply = Final<Box<Answer>>;
-
 /// What is kept with a request for as long as an attempt of it may be out.
 struct Ticket {
     message: Rc<Message>,
@@ -73,9 +34,6 @@
     type Answer = Box<Answer>;
 }
 
-/// A pool's number, never used twice in one life of the process.
-pub type PoolId = u32;
-
 /// The engine of one pool and all that it acts on.
 pub struct Pool {
     pub id: PoolId,
@@ -138,7 +96,7 @@
             ready: Cell::new(false),
             discovery,
         });
-        pool.shared.enter(&pool);
+        pool.shared.enter(pool.id, &(pool.clone() as Rc<dyn Peer>));
         Ok(pool)
     }
 
@@ -230,16 +188,6 @@
         }
     }
 
-    /// Another list has said something of a server that this one names.
-    pub fn retold(self: &Rc<Self>, address: SocketAddr) {
-        let mut places: Vec<Place<SocketAddr>> =
-            self.own.borrow().values().filter(|p| p.address == address).cloned().collect();
-        places.iter_mut().for_each(|p| self.adjust(p));
-        if !places.is_empty() {
-            self.tell(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
-        }
-    }
-
     /// Tells the engine something and carries out what it wants done.
     fn tell<R>(
         self: &Rc<Self>, what: impl FnOnce(&mut Engine<Wire>, Time, &mut Vec<Command<Wire>>) -> R,
@@ -289,6 +237,33 @@
     }
 }
 
+impl Peer for Pool {
+    fn idle_since(&self, to: Option<SocketAddr>) -> Option<Instant> {
+        self.upstream.oldest_idle(to)
+    }
+
+    fn close_idle(&self, to: Option<SocketAddr>) -> bool {
+        self.upstream.drop_oldest_idle(to)
+    }
+
+    fn freed(&self) {
+        self.upstream.freed();
+    }
+
+    fn retire(&self) {
+        self.upstream.retire();
+    }
+
+    fn retold(self: Rc<Self>, address: SocketAddr) {
+        let mut places: Vec<Place<SocketAddr>> =
+            self.own.borrow().values().filter(|p| p.address == address).cloned().collect();
+        places.iter_mut().for_each(|p| self.adjust(p));
+        if !places.is_empty() {
+            self.tell(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
+        }
+    }
+}
+
 impl upstream::Host for Rc<Pool> {
     fn upstream(&self) -> &Upstream {
         &self.upstream
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -2,7 +2,7 @@
 //! them.
 
 use super::discovery;
-use super::graphql::GraphQl;
+use super::operations::GraphQl;
 use super::pool::{Missing, Pool};
 use super::shared::Shared;
 use reelfall_conf::model;
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -1,7 +1,6 @@
 //! What all pools of a process share: descriptors, memory, ids of open requests, and what their lists say of servers
 //! that several of them have.
 
-use super::pool::{Pool, PoolId};
 use super::{Bounds, Log};
 use reelfall_core::interface::Time;
 use reelfall_routes::fleet::{Fleet, View, Word};
@@ -118,6 +117,23 @@
     }
 }
 
+/// A pool's number, never used twice in one life of the process.
+pub type PoolId = u32;
+
+/// What pools ask of each other, by way of what they share.
+pub trait Peer {
+    /// Since when the longest idle connection, to one address or to any, has been idle.
+    fn idle_since(&self, to: Option<SocketAddr>) -> Option<Instant>;
+    /// Closes that connection; whether there was one.
+    fn close_idle(&self, to: Option<SocketAddr>) -> bool;
+    /// Whoever waits for a connection looks again.
+    fn freed(&self);
+    /// Closes what has been idle for too long.
+    fn retire(&self);
+    /// Another list has said something of a server that this one may name.
+    fn retold(self: Rc<Self>, address: SocketAddr);
+}
+
 /// See the module.
 pub struct Shared {
     pub log: Log,
@@ -137,7 +153,7 @@
     waiting: Cell<usize>,
     limits: Option<RefCell<Limits>>,
     fleet: RefCell<Fleet<SocketAddr, PoolId>>,
-    pools: RefCell<HashMap<PoolId, Weak<Pool>>>,
+    pools: RefCell<HashMap<PoolId, Weak<dyn Peer>>>,
     next_pool: Cell<PoolId>,
 }
 
@@ -302,10 +318,10 @@
 
     /// Closes the idle connection that has been idle longest.
     fn spare(&self, to: Option<SocketAddr>) -> Option<()> {
-        let pools: Vec<Rc<Pool>> = self.pools.borrow().values().filter_map(Weak::upgrade).collect();
-        let oldest = |p: &Rc<Pool>| p.upstream.oldest_idle(to).map(|since| (since, p.clone()));
-        let (_, pool) = pools.iter().filter_map(oldest).min_by_key(|(since, _)| *since)?;
-        pool.upstream.drop_oldest_idle(to).then_some(())
+        let pools: Vec<Rc<dyn Peer>> = self.pools.borrow().values().filter_map(Weak::upgrade).collect();
+        let oldest = pools.iter().filter_map(|p| Some((p.idle_since(to)?, p)));
+        let (_, pool) = oldest.min_by_key(|(since, _)| *since)?;
+        pool.close_idle(to).then_some(())
     }
 
     /// A connection has ended or is idle: whoever waits for one looks again.
@@ -315,7 +331,7 @@
         }
         // A pool that is being dropped gives its connections back in the middle of a look at the others.
         if let Ok(pools) = self.pools.try_borrow() {
-            pools.values().filter_map(Weak::upgrade).for_each(|p| p.upstream.freed());
+            pools.values().filter_map(Weak::upgrade).for_each(|p| p.freed());
         }
     }
 
@@ -329,8 +345,8 @@
     }
 
     /// A pool has begun.
-    pub fn enter(&self, pool: &Rc<Pool>) {
-        self.pools.borrow_mut().insert(pool.id, Rc::downgrade(pool));
+    pub fn enter(&self, id: PoolId, pool: &Rc<dyn Peer>) {
+        self.pools.borrow_mut().insert(id, Rc::downgrade(pool));
     }
 
     /// How many pools are known.
@@ -376,7 +392,7 @@
         }
         let lapsed = self.fleet.borrow_mut().lapse(self.clock.now());
         lapsed.into_iter().for_each(|address| self.retell(address, None));
-        let pools: Vec<Rc<Pool>> = self.pools.borrow().values().filter_map(Weak::upgrade).collect();
-        pools.iter().for_each(|p| p.upstream.retire());
+        let pools: Vec<Rc<dyn Peer>> = self.pools.borrow().values().filter_map(Weak::upgrade).collect();
+        pools.iter().for_each(|p| p.retire());
     }
 }
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -1,13 +1,13 @@
 //! The server side: attempts, and the idle connections of each server.
 
-use super::pool::Message;
-use super::shared::{Held, Open, Shared};
+use super::message::{Answer, Message};
+use super::shared::{Open, Shared};
 use super::{kib, ANSWER_MOST, ANSWER_SMALL, BUFFER};
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use reelfall_core::interface::{Outcome, RequestId, ServerId, Time};
@@ -437,11 +437,3 @@
         host.upstream().put(connection);
     }
 }
-
-/// A server's answer, whole.
-pub struct Answer {
-    pub headers: HeaderMap,
-    pub body: Bytes,
-    /// What the body holds of the memory for answers.
-    pub _leave: Option<Held>,
-}
--- a/crates/rig/tests/services.rs
+++ b/crates/rig/tests/services.rs
@@ -451,3 +451,39 @@
     }
     assert_eq!(answered, 200);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bodies_that_fill_the_memory_of_one_service_leave_that_of_another() {
+    let (frozen, quick) = (good("frozen", 1).await, good("quick", 1).await);
+    frozen.behave(|m| m.frozen = true);
+    let settings = "[process]\nmemory = \"16MiB\"\n".to_owned()
+        + HEAD
+        + &service("a", "unsafe", "", &listed(&frozen, ""))
+        + &service("b", "unsafe", "limits = { memory_reserved = \"1MiB\" }", &listed(&quick, ""));
+    let node = Node::start(&program(), &settings).await.unwrap();
+    node.until_health("/_health", true).await.unwrap();
+    let address = node.address();
+    let post = move |service: &'static str, id: String| async move {
+        let request = Request::post("/api").header("host", format!("{service}.example.org"));
+        let request =
+            request.header("x-correlation-id", id).body(Full::new(Bytes::from(vec![b'x'; 400 << 10])));
+        Client::new(address).ask(request.unwrap()).await.map(|g| (g.status.as_u16(), text(&g)))
+    };
+    // Half of the memory is for bodies, and one megabyte of it is kept: 17 bodies of 400 KiB fill the rest.
+    let mut flood = tokio::task::JoinSet::new();
+    for n in 0..40 {
+        flood.spawn(post("a", format!("a-{n}")));
+    }
+    let (status, said) = flood.join_next().await.unwrap().unwrap().unwrap();
+    assert_eq!((status, said.as_str()), (503, "no room\n"));
+    for n in 0..20 {
+        assert_eq!(post("b", format!("b-{n}")).await.unwrap().0, 200, "request {n}");
+    }
+    frozen.behave(|m| m.frozen = false);
+    let mut statuses = vec![];
+    while let Some(done) = flood.join_next().await {
+        statuses.push(done.unwrap().expect("an answer").0);
+    }
+    assert_eq!(statuses.len(), 39);
+    assert!(frozen.effects().values().all(|n| *n == 1));
+}
