Close a listener though its clients stay; let no service cost another its idle connections

Cause: each client kept the listener that it came by, so that after SIGTERM or a reload the address went on taking connections that nobody would serve until the last old client left. And a service at its own bound on connections closed the idle ones of others in vain.

Change: clients keep a mark of their listener, not its socket; a service that has all that it may lets one of its own idle connections go.

Measured: the test of the first fails on the commit before and passes now; the suite passes.

--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -122,11 +122,11 @@
     /// Something was written since the last request began.
     wrote: Cell<bool>,
     /// Where it came in.
-    listening: Rc<Listening>,
+    came_by: Rc<Mark>,
 }
 
 impl Client {
-    fn new(listening: Rc<Listening>) -> Self {
+    fn new(came_by: Rc<Mark>) -> Self {
         Client {
             wake: Notify::new(),
             phase: Cell::new(Phase::Silent),
@@ -134,7 +134,7 @@
             leave: Cell::new(false),
             fault: Cell::new(None),
             wrote: Cell::new(false),
-            listening,
+            came_by,
         }
     }
 
@@ -160,9 +160,15 @@
 pub struct Listening {
     name: String,
     address: SocketAddr,
+    mark: Rc<Mark>,
+    listener: TcpListener,
+}
+
+/// What clients keep of the listener that they came by. They must not keep the listener itself: its socket would stay
+/// open as long as they stay, and whoever connects then would wait in a backlog that nobody empties.
+struct Mark {
     /// Its place in the plan in force; none once it was removed.
     id: Cell<Option<ListenerId>>,
-    listener: TcpListener,
 }
 
 impl Listening {
@@ -172,7 +178,8 @@
     /// Says why the address can't be had.
     pub fn bind(name: &str, address: SocketAddr, backlog: usize) -> Result<Rc<Self>, String> {
         let listener = bind(address, backlog)?;
-        Ok(Rc::new(Listening { name: name.to_owned(), address, id: Cell::new(Some(0)), listener }))
+        let mark = Rc::new(Mark { id: Cell::new(Some(0)) });
+        Ok(Rc::new(Listening { name: name.to_owned(), address, mark, listener }))
     }
 }
 
@@ -230,13 +237,13 @@
         now.retain(|(old, _)| {
             let stays = listening.iter().any(|new| Rc::ptr_eq(new, old));
             if !stays {
-                old.id.set(None);
+                old.mark.id.set(None);
                 self.empty(old);
             }
             stays
         });
         for (id, new) in listening.into_iter().enumerate() {
-            new.id.set(ListenerId::try_from(id).ok());
+            new.mark.id.set(ListenerId::try_from(id).ok());
             if now.iter().any(|(old, _)| Rc::ptr_eq(old, &new)) {
                 continue;
             }
@@ -336,7 +343,7 @@
     fn client(self: Rc<Self>, stream: TcpStream, listening: &Rc<Listening>) {
         let id = self.next.get();
         self.next.set(id + 1);
-        let client = Rc::new(Client::new(listening.clone()));
+        let client = Rc::new(Client::new(listening.mark.clone()));
         self.clients.borrow_mut().insert(id, client.clone());
         tokio::task::spawn_local(async move {
             self.connection(stream, &client).await;
@@ -433,7 +440,7 @@
         let target = target::read(said).map_err(|fault| Box::new(told(StatusCode::BAD_REQUEST, &fault)))?;
         let class = head.headers.get(&SERVICE_CLASS).and_then(|v| v.to_str().ok());
         let query = Query {
-            listener: client.listening.id.get().unwrap_or(ListenerId::MAX),
+            listener: client.came_by.id.get().unwrap_or(ListenerId::MAX),
             host: &target.host,
             path: target.path,
             method: head.method.as_str(),
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -3,6 +3,7 @@
 
 use super::{Bounds, Log};
 use reelfall_core::interface::Time;
+use reelfall_routes::budget::Denied;
 use reelfall_routes::fleet::{Fleet, View, Word};
 use reelfall_routes::limits::{Allowed, Denial, Kind, Limits, Member, Totals};
 use std::cell::{Cell, RefCell};
@@ -240,16 +241,16 @@
         Ok(Some(Permit { shared: self.clone(), member, kind: Kind::Open, n: 1 }))
     }
 
-    fn take(self: &Rc<Self>, member: Member, kind: Kind, n: u64) -> Option<Permit> {
-        let limits = self.limits.as_ref()?;
-        limits.borrow_mut().take(self.clock.now(), member, kind, n).ok()?;
-        Some(Permit { shared: self.clone(), member, kind, n })
+    fn take(self: &Rc<Self>, member: Member, kind: Kind, n: u64) -> Result<Permit, Denied> {
+        let limits = self.limits.as_ref().ok_or(Denied::Most)?;
+        limits.borrow_mut().take(self.clock.now(), member, kind, n)?;
+        Ok(Permit { shared: self.clone(), member, kind, n })
     }
 
     /// Memory for the body of a request, if it is to be had now.
     pub fn body(self: &Rc<Self>, member: Option<Member>, kib: u32) -> Option<Held> {
         match member {
-            Some(member) => self.take(member, Kind::Memory, kib.into()).map(Held::Service),
+            Some(member) => self.take(member, Kind::Memory, kib.into()).ok().map(Held::Service),
             None => self.bodies.clone().try_acquire_many_owned(kib).ok().map(Held::Process),
         }
     }
@@ -257,7 +258,7 @@
     /// Memory for an answer, if it is to be had now.
     pub fn answer(self: &Rc<Self>, member: Option<Member>, kib: u32) -> Option<Held> {
         match member {
-            Some(member) => self.take(member, Kind::Memory, kib.into()).map(Held::Service),
+            Some(member) => self.take(member, Kind::Memory, kib.into()).ok().map(Held::Service),
             None => self.answers.clone().try_acquire_many_owned(kib).ok().map(Held::Process),
         }
     }
@@ -283,21 +284,25 @@
 
     /// Room for one more connection to a server. Where there is none, an idle connection has to go: one to that
     /// server if it has its most, else the oldest of all pools.
-    pub fn room(self: &Rc<Self>, address: SocketAddr, member: Option<Member>) -> Option<Open> {
+    ///
+    /// # Errors
+    /// `Most` if the service has all that it may: then no other's connection goes for it. `Total` if nothing can go.
+    pub fn room(self: &Rc<Self>, address: SocketAddr, member: Option<Member>) -> Result<Open, Denied> {
         if let Some(most) = self.most_by_server.get() {
             if self.by_server.borrow().get(&address).is_some_and(|n| *n >= most) {
-                self.spare(Some(address))?;
+                self.spare(Some(address)).ok_or(Denied::Total)?;
             }
         }
         if self.open.get() >= self.most.get() {
-            self.spare(None)?;
+            self.spare(None).ok_or(Denied::Total)?;
         }
         let permit = match member {
             None => None,
             Some(member) => match self.take(member, Kind::Connections, 1) {
-                Some(permit) => Some(permit),
-                None => {
-                    self.spare(None)?;
+                Ok(permit) => Some(permit),
+                Err(Denied::Most) => return Err(Denied::Most),
+                Err(denied) => {
+                    self.spare(None).ok_or(denied)?;
                     Some(self.take(member, Kind::Connections, 1)?)
                 }
             },
@@ -307,7 +312,7 @@
         if counted.is_some() {
             *self.by_server.borrow_mut().entry(address).or_default() += 1;
         }
-        Some(Open { shared: self.clone(), counted, _permit: permit })
+        Ok(Open { shared: self.clone(), counted, _permit: permit })
     }
 
     /// Counts an attempt that waits for a connection, until the guard is dropped.
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use reelfall_core::interface::{Outcome, RequestId, ServerId, Time};
+use reelfall_routes::budget::Denied;
 use reelfall_routes::limits::Member;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -223,6 +224,14 @@
         }
     }
 
+    /// Room for one more connection. A service that has all that it may lets one of its own go.
+    fn room(&self, address: SocketAddr) -> Option<Open> {
+        match self.shared.room(address, self.member) {
+            Err(Denied::Most) if self.drop_oldest_idle(None) => self.shared.room(address, self.member).ok(),
+            room => room.ok(),
+        }
+    }
+
     /// Whoever waits for a connection looks again.
     pub fn freed(&self) {
         self.freed.notify_one();
@@ -266,7 +275,7 @@
             return Ok((connection, false));
         }
         let Some(address) = host.address(server) else { return Err(Outcome::DialFailed) };
-        if let Some(open) = upstream.shared.room(address, upstream.member) {
+        if let Some(open) = upstream.room(address) {
             let until = expires.min(Instant::now() + most);
             let new = connect(host, server, address, open, until).await;
             return new.map(|c| (c, true)).ok_or(Outcome::DialFailed);
--- a/crates/rig/tests/node.rs
+++ b/crates/rig/tests/node.rs
@@ -181,6 +181,31 @@
     assert!(node.ended(), "the program ends with a failure");
 }
 
+#[test]
+fn while_the_last_requests_are_answered_nobody_new_is_kept_waiting() {
+    let (held, hold) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
+    let (at, until) = (held.clone(), hold.clone());
+    let server = Server::start(move |request, _, stream| {
+        at.wait();
+        until.wait();
+        let _ = stream.write_all(&answer_to(request));
+    });
+    let (_discovery, mut node) = before(&server, 256);
+    let mut open = connect(node.address);
+    open.write_all(write_request("open", "content-length: 1", "x").as_bytes()).unwrap();
+    held.wait();
+    node.signal("TERM");
+    // Connections come for a little longer; then the address is closed, though a client is still there.
+    let began = Instant::now();
+    while std::net::TcpStream::connect(node.address).is_ok() {
+        assert!(began.elapsed() < Duration::from_secs(4), "a node that ends lets clients connect and wait");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    hold.wait();
+    assert_eq!(answer(&open), Some(Got { status: 200, body: "open".to_owned() }));
+    assert!(node.ended());
+}
+
 #[test]
 fn an_answer_that_is_spoilt_serves_nobody_and_runs_nothing_twice() {
     let spoilt: [&[u8]; 6] = [
