Hold one list's word of a start for all pools, and bound who sends to a cold server

Several pools may list one server. The tolerance of a cold one was parted among them, but a written list took for warm what another service's discovery knew to have just started, and the bound of eight pools was checked for written lists only, so lists of a discovery could pass it.

The latest start that a list knows of now holds for every pool, and from the ninth pool on a cold server is withheld until it is warm. A connection that is given up is closed at once, before another takes its place. The stand-in server has a cold capacity, counts what it is sent against it and falls over.

--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -228,9 +228,8 @@
     }
 }
 
-/// What a cold server tolerates is parted among the services that list it; past so many, one request of each is too
-/// much.
-pub const SHARERS_MOST: usize = 8;
+/// Past so many services that list one server, further ones would get nothing from it while it is cold.
+const SHARERS_MOST: usize = reelfall_routes::fleet::SHARERS_MOST as usize;
 
 fn shared_servers(c: &mut Checker, model: &Model) {
     let mut listed: HashMap<std::net::SocketAddr, usize> = HashMap::new();
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -8,7 +8,7 @@
 use reelfall_core::interface::*;
 use reelfall_core::settings::{Figures, Vocabulary};
 use reelfall_core::Balancer;
-use reelfall_routes::fleet::Word;
+use reelfall_routes::fleet::{Line, Word};
 use reelfall_routes::limits::Member;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -46,6 +46,10 @@
     own: RefCell<HashMap<ServerId, Place<SocketAddr>>>,
     /// Whether a server that the list no longer names has ended, or may serve others still.
     missing: Missing,
+    /// A server is warm so long after its start, in seconds.
+    warm_after: Time,
+    /// Cold servers that this pool may not send to until then.
+    withheld: RefCell<HashMap<SocketAddr, Time>>,
     pub classes: Vec<Class>,
     pub upstream: Upstream,
     pub figures: Figures,
@@ -78,6 +82,7 @@
     ) -> Result<Rc<Self>, String> {
         let (classes, conn_idle) = (settings.classes.clone(), settings.limits.conn_idle);
         let (max_attempts, discovery) = (settings.limits.max_attempts, settings.discovery);
+        let warm_after = settings.rules.warm_after;
         let module = Balancer::new(settings, seed, shared.clock.now())?;
         let upstream = Upstream::new(shared.clone(), member, conn_idle, figures.connect_timeout);
         let pool = Rc::new(Pool {
@@ -88,6 +93,8 @@
             shared,
             own: RefCell::default(),
             missing,
+            warm_after,
+            withheld: RefCell::default(),
             classes,
             upstream,
             figures,
@@ -143,8 +150,8 @@
     fn compare(&self, list: ListKind, places: &mut [Place<SocketAddr>]) -> Vec<SocketAddr> {
         let mut own = self.own.borrow_mut();
         let mut told = Vec::new();
-        let mut say = |address, word, ready_at| {
-            if self.shared.say(self.id, address, word, ready_at) {
+        let mut say = |address, line| {
+            if self.shared.say(self.id, address, line) {
                 told.push(address);
             }
         };
@@ -153,38 +160,47 @@
             let missing: Vec<ServerId> = own.keys().filter(|id| !named.contains(id)).copied().collect();
             let missing: Vec<_> = missing.iter().filter_map(|id| own.remove(id)).collect();
             for p in missing.iter().filter(|p| !own.values().any(|o| o.address == p.address)) {
-                let word = (self.missing == Missing::Ended).then_some(Word::Gone);
-                say(p.address, word, p.entry.ready_at);
+                let gone = self.line(Word::Gone, p.entry.ready_at);
+                say(p.address, (self.missing == Missing::Ended).then_some(gone));
+                self.withheld.borrow_mut().remove(&p.address);
             }
         }
         for place in places.iter_mut() {
-            let word = match place.entry.state {
-                ServerState::Up => Word::Up,
-                ServerState::Draining => Word::Draining,
-                ServerState::Gone => Word::Gone,
-            };
+            let word = word(place.entry.state);
             let old = match place.entry.state {
                 ServerState::Gone => own.remove(&place.entry.server),
                 _ => own.insert(place.entry.server, place.clone()),
             };
             if let Some(old) = old.filter(|old| old.address != place.address) {
-                say(old.address, None, old.entry.ready_at);
+                say(old.address, None);
+                self.withheld.borrow_mut().remove(&old.address);
             }
             // A server that took the place of another at its address is not gone with that one's name.
             if word != Word::Gone || !own.values().any(|o| o.address == place.address) {
-                say(place.address, Some(word), place.entry.ready_at);
+                say(place.address, Some(self.line(word, place.entry.ready_at)));
             }
             self.adjust(place);
         }
         told
     }
 
+    fn line(&self, word: Word, ready_at: Time) -> Line {
+        Line { word, ready_at, known: self.missing == Missing::Ended }
+    }
+
     /// What holds of a server: what this list says, and what other lists add.
     fn adjust(&self, place: &mut Place<SocketAddr>) {
-        let view = self.shared.view(self.id, place.address, place.entry.ready_at);
-        place.entry.sharers = view.sharers;
-        if view.drained && place.entry.state == ServerState::Up {
-            place.entry.state = ServerState::Draining;
+        let Place { entry, address } = place;
+        let own = self.line(word(entry.state), entry.ready_at);
+        let view = self.shared.view(self.id, *address, own, self.warm_after);
+        (entry.sharers, entry.ready_at) = (view.sharers, view.ready_at);
+        let mut withheld = self.withheld.borrow_mut();
+        match view.withheld.filter(|_| entry.state == ServerState::Up) {
+            Some(until) => drop(withheld.insert(*address, until)),
+            None => drop(withheld.remove(address)),
+        }
+        if entry.state == ServerState::Up && (view.drained || view.withheld.is_some()) {
+            entry.state = ServerState::Draining;
         }
     }
 
@@ -237,6 +253,14 @@
     }
 }
 
+fn word(state: ServerState) -> Word {
+    match state {
+        ServerState::Up => Word::Up,
+        ServerState::Draining => Word::Draining,
+        ServerState::Gone => Word::Gone,
+    }
+}
+
 impl Peer for Pool {
     fn idle_since(&self, to: Option<SocketAddr>) -> Option<Instant> {
         self.upstream.oldest_idle(to)
@@ -250,8 +274,12 @@
         self.upstream.freed();
     }
 
-    fn retire(&self) {
+    fn tick(self: Rc<Self>) {
         self.upstream.retire();
+        let now = self.shared.clock.now();
+        let warm = |(address, until): (&SocketAddr, &Time)| (*until <= now).then_some(*address);
+        let warm: Vec<SocketAddr> = self.withheld.borrow().iter().filter_map(warm).collect();
+        warm.into_iter().for_each(|address| self.clone().retold(address));
     }
 
     fn retold(self: Rc<Self>, address: SocketAddr) {
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -4,7 +4,7 @@
 use super::{Bounds, Log};
 use reelfall_core::interface::Time;
 use reelfall_routes::budget::Denied;
-use reelfall_routes::fleet::{Fleet, View, Word};
+use reelfall_routes::fleet::{Fleet, Line, View};
 use reelfall_routes::limits::{Allowed, Denial, Kind, Limits, Member, Totals};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -129,8 +129,8 @@
     fn close_idle(&self, to: Option<SocketAddr>) -> bool;
     /// Whoever waits for a connection looks again.
     fn freed(&self);
-    /// Closes what has been idle for too long.
-    fn retire(&self);
+    /// Looks at what time alone changes: connections that have been idle for too long, servers that have become warm.
+    fn tick(self: Rc<Self>);
     /// Another list has said something of a server that this one may name.
     fn retold(self: Rc<Self>, address: SocketAddr);
 }
@@ -366,13 +366,13 @@
     }
 
     /// What a pool's list says of a server; `None` takes it back. Whether others have to be told.
-    pub fn say(&self, pool: PoolId, address: SocketAddr, word: Option<Word>, ready_at: Time) -> bool {
-        self.fleet.borrow_mut().tell(self.clock.now(), pool, &address, word, ready_at)
+    pub fn say(&self, pool: PoolId, address: SocketAddr, line: Option<Line>) -> bool {
+        self.fleet.borrow_mut().tell(self.clock.now(), pool, &address, line)
     }
 
-    /// What holds for a pool beyond its own list.
-    pub fn view(&self, pool: PoolId, address: SocketAddr, ready_at: Time) -> View {
-        self.fleet.borrow().view(self.clock.now(), pool, &address, ready_at)
+    /// What holds for a pool when all lists are put together.
+    pub fn view(&self, pool: PoolId, address: SocketAddr, own: Line, warm_after: Time) -> View {
+        self.fleet.borrow().view(self.clock.now(), pool, &address, own, warm_after)
     }
 
     /// Tells the pools that list a server, but for the one that brought the news.
@@ -398,6 +398,6 @@
         let lapsed = self.fleet.borrow_mut().lapse(self.clock.now());
         lapsed.into_iter().for_each(|address| self.retell(address, None));
         let pools: Vec<Rc<dyn Peer>> = self.pools.borrow().values().filter_map(Weak::upgrade).collect();
-        pools.iter().for_each(|p| p.retire());
+        pools.into_iter().for_each(Peer::tick);
     }
 }
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -142,6 +142,9 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        // The server hears of it now, not once the runtime has let the task go: whatever is opened in its place comes
+        // later, so that a server that bounds its connections never sees one too many.
+        let _ = socket2::SockRef::from(&self.socket.stream).shutdown(std::net::Shutdown::Both);
         self.task.abort();
     }
 }
--- a/crates/rig/src/pool.rs
+++ b/crates/rig/src/pool.rs
@@ -12,7 +12,8 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, VecDeque};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -42,6 +43,54 @@
     pub spoil: Spoil,
 }
 
+/// How a server that has just started comes to its capacity, and what it bears until then.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    /// The share of its capacity that it starts with; the rest comes evenly.
+    pub from: f64,
+    /// It is warm after this time.
+    pub warm_after: Duration,
+    /// Sent more than this multiple of its present capacity, it falls over.
+    pub factor: f64,
+    /// The time over which that counts.
+    pub within: Duration,
+}
+
+impl Default for Cold {
+    /// As a service's settings have it by default.
+    fn default() -> Cold {
+        let (warm_after, within) = (Duration::from_secs(10), Duration::from_secs(1));
+        Cold { from: 0.33, warm_after, factor: 3.0, within }
+    }
+}
+
+/// What a cold server was sent.
+struct Warming {
+    cold: Cold,
+    began: Instant,
+    sent: VecDeque<Instant>,
+    push: f64,
+}
+
+impl Warming {
+    /// A request has come to a server that does so many a second when warm. Whether it bears it.
+    fn bears(&mut self, now: Instant, capacity: f64) -> bool {
+        let Cold { from, warm_after, factor, within } = self.cold;
+        let age = now.saturating_duration_since(self.began);
+        if age < warm_after {
+            self.sent.push_back(now);
+            while self.sent.front().is_some_and(|at| now.saturating_duration_since(*at) >= within) {
+                self.sent.pop_front();
+            }
+            let share = from + (1.0 - from) * age.as_secs_f64() / warm_after.as_secs_f64();
+            let push = self.sent.len() as f64 / (capacity * share * within.as_secs_f64());
+            self.push = self.push.max(push);
+        }
+        // Once fallen, it stays so.
+        self.push <= factor
+    }
+}
+
 /// Ways to spoil an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Spoil {
@@ -97,7 +146,10 @@
     counts: Mutex<Counts>,
     draw: Mutex<Draw>,
     workers: Semaphore,
-    connections: Mutex<HashSet<SocketAddr>>,
+    capacity: usize,
+    warming: Mutex<Option<Warming>>,
+    /// A second handle on each socket, to see ends that have come though nobody has read them yet.
+    connections: Mutex<HashMap<SocketAddr, socket2::Socket>>,
     most_connections: Mutex<usize>,
 }
 
@@ -147,6 +199,8 @@
             counts: Mutex::default(),
             draw: Mutex::new(Draw(seed)),
             workers: Semaphore::new(workers),
+            capacity: workers,
+            warming: Mutex::default(),
             connections: Mutex::default(),
             most_connections: Mutex::default(),
         });
@@ -158,13 +212,15 @@
                 let Ok((stream, peer)) = listener.accept().await else { continue };
                 while connections.try_join_next().is_some() {}
                 let state = serving.clone();
+                let Ok(handle) = socket2::SockRef::from(&stream).try_clone() else { continue };
+                // Counted in the order in which they came.
+                state.connected(peer, handle);
                 connections.spawn(async move {
-                    state.connected(peer, true);
                     let _ = stream.set_nodelay(true);
                     let answer = service_fn(|request| respond(state.clone(), request));
                     // What the peer does to its connection is its own affair.
                     let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), answer).await;
-                    state.connected(peer, false);
+                    lock(&state.connections).remove(&peer);
                 });
             }
         });
@@ -176,6 +232,18 @@
         change(&mut lock(&self.state.manner));
     }
 
+    /// It has just started, and comes to its capacity so.
+    pub fn start_cold(&self, cold: Cold) {
+        let warming = Warming { cold, began: Instant::now(), sent: VecDeque::new(), push: 0.0 };
+        *lock(&self.state.warming) = Some(warming);
+    }
+
+    /// The most that it was sent while it was cold, as a multiple of what it could do at that moment. Beyond
+    /// [`Cold::factor`] it has fallen over: whatever comes is dropped.
+    pub fn push(&self) -> f64 {
+        lock(&self.state.warming).as_ref().map_or(0.0, |w| w.push)
+    }
+
     /// Requests that have come so far.
     pub fn seen(&self) -> u64 {
         lock(&self.state.counts).seen
@@ -198,15 +266,20 @@
 }
 
 impl State {
-    fn connected(&self, peer: SocketAddr, open: bool) {
+    fn connected(&self, peer: SocketAddr, handle: socket2::Socket) {
         let mut connections = lock(&self.connections);
-        if open {
-            connections.insert(peer);
-            let mut most = lock(&self.most_connections);
-            *most = (*most).max(connections.len());
-        } else {
-            connections.remove(&peer);
-        }
+        connections.insert(peer, handle);
+        let open = |s: &&socket2::Socket| !matches!(s.peek(&mut [MaybeUninit::uninit()]), Ok(0));
+        let open = connections.values().filter(open).count();
+        let mut most = lock(&self.most_connections);
+        *most = (*most).max(open);
+    }
+
+    /// Counts a request against what a cold server bears.
+    fn bears(&self) -> bool {
+        let service = lock(&self.manner).service.as_secs_f64();
+        let capacity = self.capacity as f64 / service.max(1e-6);
+        lock(&self.warming).as_mut().is_none_or(|w| w.bears(Instant::now(), capacity))
     }
 
     fn count(&self, id: &str) {
@@ -240,6 +313,9 @@
         counts.seen += 1;
         counts.last_seen = Some(Instant::now());
     }
+    if !state.bears() {
+        return Err(Died);
+    }
     let id = request.headers().get("x-correlation-id").and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
     let (head, body) = request.into_parts();
     let body = body.collect().await.map_err(|_| Died)?.to_bytes();
--- a/crates/rig/tests/node.rs
+++ b/crates/rig/tests/node.rs
@@ -160,8 +160,8 @@
     assert_eq!(exchange(node.address, request.as_bytes()).expect("an answer").status, 200);
 }
 
-#[test]
-fn on_sigterm_what_is_open_is_answered_and_the_program_ends() {
+/// A server that holds each request: the first barrier tells that one has come, the second lets its answer go.
+fn holding() -> (Server, Arc<Barrier>, Arc<Barrier>) {
     let (held, hold) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
     let (at, until) = (held.clone(), hold.clone());
     let server = Server::start(move |request, _, stream| {
@@ -169,6 +169,12 @@
         until.wait();
         let _ = stream.write_all(&answer_to(request));
     });
+    (server, held, hold)
+}
+
+#[test]
+fn on_sigterm_what_is_open_is_answered_and_the_program_ends() {
+    let (server, held, hold) = holding();
     let (_discovery, mut node) = before(&server, 256);
     let idle = connect(node.address);
     let mut open = connect(node.address);
@@ -183,13 +189,7 @@
 
 #[test]
 fn while_the_last_requests_are_answered_nobody_new_is_kept_waiting() {
-    let (held, hold) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
-    let (at, until) = (held.clone(), hold.clone());
-    let server = Server::start(move |request, _, stream| {
-        at.wait();
-        until.wait();
-        let _ = stream.write_all(&answer_to(request));
-    });
+    let (server, held, hold) = holding();
     let (_discovery, mut node) = before(&server, 256);
     let mut open = connect(node.address);
     open.write_all(write_request("open", "content-length: 1", "x").as_bytes()).unwrap();
--- a/crates/rig/tests/services.rs
+++ b/crates/rig/tests/services.rs
@@ -7,7 +7,7 @@
 use reelfall_rig::discovery::{Discovery, Listed};
 use reelfall_rig::load::{self, Kind};
 use reelfall_rig::node::Node;
-use reelfall_rig::pool::{Manner, Pool, Server};
+use reelfall_rig::pool::{Cold, Manner, Pool, Server};
 use reelfall_rig::scenario::services as scenario;
 use reelfall_rig::scripted::{self, Program};
 use std::io::Write;
@@ -84,6 +84,105 @@
     assert_eq!(shared.seen(), before, "a server that drains by another list got new requests");
 }
 
+/// Milliseconds of Unix time.
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    u64::try_from(since.as_millis()).unwrap()
+}
+
+fn kind(name: &str, rate: f64) -> Kind {
+    Kind {
+        name: name.to_owned(),
+        host: format!("{}.example.org", name.split('-').next().unwrap()),
+        method: "GET",
+        path: "/api".to_owned(),
+        headers: vec![],
+        deadline: Duration::from_secs(5),
+        rate,
+    }
+}
+
+/// Services that sent something to a server.
+fn senders(to: &Server) -> std::collections::BTreeSet<String> {
+    to.effects().keys().filter_map(|id| Some(id.split('-').next()?.to_owned())).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cold_server_that_ten_pools_list_is_pushed_no_further_than_one_may() {
+    // Ten services, each with a server that is busy, and a new one of that kind that all their lists tell of.
+    const TEN: usize = 10;
+    let warm_after = Duration::from_secs(8);
+    let manner = Manner::good(Duration::from_millis(100));
+    let new = Server::start("new", 4, manner.clone(), 1).await.unwrap();
+    let (mut own, mut lists, mut settings) = (vec![], vec![], HEAD.to_owned());
+    for n in 0..TEN {
+        let server = Server::start(&format!("own-{n}"), 4, manner.clone(), 2).await.unwrap();
+        let list = Discovery::start(vec![Listed::active(&server.name, server.address)]).await.unwrap();
+        let more = format!("discovery = \"{}\"\ncold = {{ from = 0.15, warm_after = \"8s\" }}", list.address);
+        settings += &service(&format!("s{n}"), "safe", &more, "");
+        own.push(server);
+        lists.push(list);
+    }
+    let node = Node::start(&program(), &settings).await.unwrap();
+    node.until_health("/_health", true).await.unwrap();
+    let kinds = |run: &str| (0..TEN).map(|n| kind(&format!("s{n}-{run}"), 30.0)).collect::<Vec<_>>();
+    // What one server bears is learned first.
+    load::run(node.address(), &kinds("before"), Duration::from_secs(6), 3).await;
+    new.start_cold(Cold { from: 0.15, warm_after, ..Cold::default() });
+    let began = Instant::now();
+    let line = Listed { since_ms: unix_ms(), ..Listed::active("new", new.address) };
+    lists.iter().for_each(|l| l.tell(std::slice::from_ref(&line)));
+    let (address, cold) = (node.address(), kinds("cold"));
+    let loading = tokio::spawn(async move { load::run(address, &cold, Duration::from_secs(3), 4).await });
+    tokio::time::sleep_until((began + Duration::from_secs(3)).into()).await;
+    let at_first = senders(&new);
+    loading.await.unwrap();
+    assert!(new.push() < 3.0, "pushed to {:.2} times what it can do", new.push());
+    assert!(!at_first.is_empty(), "nothing is sent at all");
+    assert!(at_first.len() <= 8 && !at_first.contains("s8") && !at_first.contains("s9"), "{at_first:?}");
+    // Once it is warm, all send to it.
+    for run in 0.. {
+        load::run(node.address(), &kinds(&format!("warm{run}")), Duration::from_secs(1), 5 + run).await;
+        if senders(&new).len() == TEN {
+            break;
+        }
+        assert!(began.elapsed() < Duration::from_secs(60), "withheld for ever: {:?}", senders(&new));
+    }
+    assert!(new.push() < 3.0, "pushed to {:.2} times what it can do", new.push());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_start_that_one_list_knows_of_holds_for_a_list_that_somebody_wrote() {
+    let manner = Manner::good(Duration::from_millis(100));
+    let (old, new) = (
+        Server::start("old", 12, manner.clone(), 1).await.unwrap(),
+        Server::start("new", 12, manner, 1).await.unwrap(),
+    );
+    let list = Discovery::start(vec![Listed::active("d-old", old.address)]).await.unwrap();
+    let cold = "cold = { from = 0.05, warm_after = \"30s\" }";
+    let settings = HEAD.to_owned()
+        + &service("a", "safe", &format!("discovery = \"{}\"\n{cold}", list.address), "")
+        + &service("b", "safe", cold, &(listed(&old, "") + &listed(&new, "")));
+    let node = Node::start(&program(), &settings).await.unwrap();
+    node.until_health("/_health", true).await.unwrap();
+    load::run(node.address(), &[kind("b-before", 100.0)], Duration::from_secs(2), 3).await;
+    assert!(new.seen() > 0);
+    // It starts anew at its address. Its own list does not tell service b; that of service a does.
+    let line = Listed { since_ms: unix_ms(), ..Listed::active("d-new", new.address) };
+    list.tell(&[line]);
+    let client = Client::new(node.address());
+    let told = Instant::now();
+    let seen = old.seen();
+    while old.seen() < seen + 2 || told.elapsed() < Duration::from_millis(300) {
+        get(&client, "a", &format!("told-{}", told.elapsed().as_nanos())).await;
+    }
+    let warm_after = Duration::from_secs(30);
+    new.start_cold(Cold { from: 0.05, warm_after, ..Cold::default() });
+    load::run(node.address(), &[kind("b-after", 100.0)], Duration::from_secs(3), 4).await;
+    assert!(new.push() > 0.0, "nothing is sent at all");
+    assert!(new.push() < 3.0, "pushed to {:.2} times what it can do", new.push());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn connections_to_one_server_are_bounded_over_all_pools() {
     let server = good("s", 100).await;
@@ -93,18 +192,10 @@
         + &service("b", "safe", "", &listed(&server, ""));
     let node = Node::start(&program(), &settings).await.unwrap();
     node.until_health("/_health", true).await.unwrap();
-    let kind = |name: &str| Kind {
-        name: name.to_owned(),
-        host: format!("{name}.example.org"),
-        method: "GET",
-        path: "/api".to_owned(),
-        headers: vec![],
-        deadline: Duration::from_secs(5),
-        rate: 40.0,
-    };
-    let came = load::run(node.address(), &[kind("a"), kind("b")], Duration::from_secs(2), 3).await;
-    // The server may see the end of one a little after the beginning of the next; without the bound it sees dozens.
-    assert!(server.most_connections() <= 6, "{} connections at once", server.most_connections());
+    let kinds = [kind("a", 40.0), kind("b", 40.0)];
+    let came = load::run(node.address(), &kinds, Duration::from_secs(2), 3).await;
+    // Without the bound it sees dozens.
+    assert!(server.most_connections() <= 4, "{} connections at once", server.most_connections());
     for came in &came {
         assert_eq!(came.lost, 0);
         assert!(came.of(&[200]) > 0, "a pool gets no connection at all: {:?}", came.statuses);
@@ -387,17 +478,8 @@
         + &service("b", "safe", "", &pool.listed());
     let node = Node::start(&program(), &settings).await.unwrap();
     node.until_health("/_health", true).await.unwrap();
-    let kind = |name: &str, method| Kind {
-        name: name.to_owned(),
-        host: format!("{name}.example.org"),
-        method,
-        path: "/api".to_owned(),
-        headers: vec![],
-        deadline: Duration::from_secs(5),
-        rate: 100.0,
-    };
-    let came =
-        load::run(node.address(), &[kind("a", "POST"), kind("b", "GET")], Duration::from_secs(3), 9).await;
+    let kinds = [Kind { method: "POST", ..kind("a", 100.0) }, kind("b", 100.0)];
+    let came = load::run(node.address(), &kinds, Duration::from_secs(3), 9).await;
     assert_eq!(came.iter().map(|c| c.lost).sum::<u64>(), 0, "a request without an answer");
     let effects = pool.effects();
     let twice: Vec<_> = effects.iter().filter(|(id, n)| id.starts_with("a-") && **n > 1).collect();
