--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -127,6 +127,7 @@
         memory: 2 * memory as u64,
     };
     listeners(&mut c, &model);
+    registries(&mut c, &model);
     services(&mut c, &model);
     shared_servers(&mut c, &model);
     limits(&mut c, &model, totals);
@@ -159,6 +160,57 @@
     }
 }
 
+/// Whether a path can be one of a registry's, below its root.
+fn registry_path(path: &str) -> bool {
+    let segment = |s: &str| !s.is_empty() && s != "." && s != ".." && !s.chars().any(char::is_control);
+    path.strip_prefix('/').is_some_and(|rest| rest.split('/').all(segment))
+}
+
+fn registries(c: &mut Checker, model: &Model) {
+    c.names("registry", &model.registries, |r| &r.name);
+    for registry in &model.registries {
+        let name = &registry.name;
+        c.want(!registry.members.is_empty(), &registry.origin, || {
+            format!("registry `{name}` has no members: add their addresses")
+        });
+        c.want((0.1..=600.0).contains(&registry.session), &registry.origin, || {
+            format!("registry `{name}`: session is {}s, not between 100ms and 600s", registry.session)
+        });
+        c.want(registry.connect > 0.0 && registry.connect <= registry.session, &registry.origin, || {
+            format!("registry `{name}`: connect is more than 0 and at most session")
+        });
+        if let Some(entry) = &registry.entry {
+            c.want(registry_path(&entry.path), &entry.origin, || {
+                format!("`{}` is no path of a registry: write it as \"/nodes/n1\"", entry.path)
+            });
+            c.want(!entry.guarded || registry.digest_file.is_some(), &entry.origin, || {
+                format!("registry `{name}`: a guarded entry needs digest_file, or nobody could change it")
+            });
+            c.want(!entry.name.is_empty() && entry.name.len() <= NAME_MOST, &entry.origin, || {
+                format!("registry `{name}`: an entry needs the node's name, {NAME_MOST} bytes at most")
+            });
+        }
+    }
+}
+
+fn followed(c: &mut Checker, model: &Model, service: &At<Service>) {
+    let Source::Registry(Followed { registry, path, limits, known }) = &service.source else { return };
+    let name = &service.name;
+    c.names("server", known, |s| &s.name);
+    c.want(model.registries.iter().any(|r| r.name == *registry), &service.origin, || {
+        format!("service `{name}`: there is no registry `{registry}`")
+    });
+    c.want(registry_path(path), &service.origin, || {
+        format!("service `{name}`: `{path}` is no path of a registry: write it as \"/flags/evaluate\"")
+    });
+    c.want((1..=100_000).contains(&limits.entries), &service.origin, || {
+        format!("service `{name}`: entries is {}, not between 1 and 100000", limits.entries)
+    });
+    c.want(limits.reread >= 1.0 && limits.stale_after >= 1.0, &service.origin, || {
+        format!("service `{name}`: reread and stale_after are 1s at least")
+    });
+}
+
 fn services(c: &mut Checker, model: &Model) {
     c.want(!model.services.is_empty(), &model.origin, || "no services: add [[service]]".to_owned());
     c.want(model.services.len() <= SERVICES_MOST, &model.origin, || {
@@ -178,6 +230,7 @@
         });
         c.names("class", &service.classes, |s| &s.name);
         c.names("member", &service.members, |s| &s.name);
+        followed(c, model, service);
         if let Source::Static(servers) = &service.source {
             c.names("server", servers, |s| &s.name);
             for (n, server) in servers.iter().enumerate() {
--- a/crates/conf/src/model.rs
+++ b/crates/conf/src/model.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::ops::Deref;
+use std::path::PathBuf;
 use std::sync::Arc;
 use thiserror::Error;
 
@@ -90,10 +91,59 @@
     pub process: At<Process>,
     /// Where clients connect.
     pub listeners: Vec<At<Listener>>,
+    /// Registries that services follow.
+    pub registries: Vec<At<Registry>>,
     /// The services, in their order in the file.
     pub services: Vec<At<Service>>,
 }
 
+/// A registry in the manner of ZooKeeper.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Registry {
+    /// Its name.
+    pub name: String,
+    /// Its members; at least one.
+    pub members: Vec<SocketAddr>,
+    /// How long it keeps a session of this node without a word, in seconds.
+    pub session: Time,
+    /// A member that does not answer by then is passed over, in seconds.
+    pub connect: Time,
+    /// After so long without any member's leave, the state that was seen counts no longer, in seconds.
+    pub forget_after: Time,
+    /// The file with `name:password`, for the scheme `digest`.
+    pub digest_file: Option<PathBuf>,
+    /// The entry that this node has there.
+    pub entry: Option<At<NodeEntry>>,
+}
+
+/// This node's own entry in a registry.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeEntry {
+    /// Its path; what is above it is there already.
+    pub path: String,
+    /// The node's name.
+    pub name: String,
+    /// Where the node takes requests; by default its first listener.
+    pub address: Option<String>,
+    /// Its site.
+    pub site: Option<String>,
+    /// Others may read it, and only this node change it; otherwise everybody may do everything.
+    pub guarded: bool,
+}
+
+/// The entries of a registry that a service follows.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Followed {
+    /// The registry, by its name.
+    pub registry: String,
+    /// The path that the entries are under.
+    pub path: String,
+    /// Servers that are taken to be there until the registry has been heard.
+    pub known: Vec<At<Server>>,
+    /// Bounds and rules.
+    pub limits: reelfall_membership::follow::Limits,
+}
+
 /// What concerns the process as a whole.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Process {
@@ -161,6 +211,8 @@
     Static(Vec<At<Server>>),
     /// The discovery at an address, as the platform has it.
     Discovery(SocketAddr),
+    /// Ephemeral entries of a registry.
+    Registry(Followed),
 }
 
 /// A server in a static list.
--- a/crates/conf/src/reader.rs
+++ b/crates/conf/src/reader.rs
@@ -3,6 +3,7 @@
 use crate::model::*;
 use crate::units;
 use reelfall_core::interface::{ServerState, Time};
+use reelfall_membership::follow;
 use reelfall_routes::budget::Share;
 use reelfall_routes::limits::Allowed;
 use reelfall_routes::table;
@@ -12,6 +13,7 @@
 use std::fmt;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use toml::Spanned;
 
@@ -113,6 +115,8 @@
     #[serde(default)]
     listener: Vec<Spanned<ListenerText>>,
     #[serde(default)]
+    registry: Vec<Spanned<RegistryText>>,
+    #[serde(default)]
     service: Vec<Spanned<ServiceText>>,
 }
 
@@ -134,6 +138,59 @@
     address: AddressText,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RegistryText {
+    name: String,
+    members: Vec<AddressText>,
+    session: Option<TimeText>,
+    connect: Option<TimeText>,
+    forget_after: Option<TimeText>,
+    digest_file: Option<PathBuf>,
+    entry: Option<Spanned<EntryText>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EntryText {
+    path: String,
+    name: String,
+    address: Option<String>,
+    site: Option<String>,
+    #[serde(default)]
+    guarded: bool,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum StaleText {
+    GoOn,
+    Refuse,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FollowText {
+    name: String,
+    path: String,
+    entries: Option<usize>,
+    reread: Option<TimeText>,
+    stale_after: Option<TimeText>,
+    stale: Option<StaleText>,
+    #[serde(default)]
+    persistent: bool,
+    owner: Option<OwnerText>,
+    #[serde(default)]
+    known: Vec<Spanned<ServerText>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct OwnerText {
+    scheme: String,
+    id: String,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum StateText {
@@ -148,6 +205,7 @@
     state: Option<StateText>,
     server: Option<Vec<Spanned<ServerText>>>,
     discovery: Option<AddressText>,
+    registry: Option<FollowText>,
     limits: Option<Spanned<LimitsText>>,
     graphql: Option<Spanned<GraphQlText>>,
     #[serde(default)]
@@ -335,6 +393,7 @@
             None => At { value: process(ProcessText::default()), origin: Origin::file(file) },
         },
         listeners: lines.all(read.listener, |_, l| Listener { name: l.name, address: l.address.0 }),
+        registries: lines.all(read.registry, registry),
         services: Vec::with_capacity(services.len()),
     };
     for At { value, origin } in services {
@@ -358,14 +417,17 @@
 }
 
 fn service(lines: &Lines, s: ServiceText) -> Result<Service, String> {
-    let source = match (s.server, s.discovery) {
-        (Some(servers), None) => Source::Static(lines.all(servers, |_, s| server(s))),
-        (None, Some(address)) => Source::Discovery(address.0),
-        (Some(_), Some(_)) => {
-            return Err(format!("service `{}` has both servers and a discovery: keep one", s.name))
+    let source = match (s.server, s.discovery, s.registry) {
+        (Some(servers), None, None) => Source::Static(lines.all(servers, |_, s| server(s))),
+        (None, Some(address), None) => Source::Discovery(address.0),
+        (None, None, Some(follow)) => Source::Registry(followed(lines, follow)),
+        (None, None, None) => {
+            let add = "add [[service.server]], a discovery or a registry";
+            return Err(format!("service `{}` has no servers: {add}", s.name));
         }
-        (None, None) => {
-            return Err(format!("service `{}` has no servers: add [[service.server]] or a discovery", s.name))
+        _ => {
+            let which = "servers, a discovery and a registry are three sources";
+            return Err(format!("service `{}`: {which}: keep one", s.name));
         }
     };
     let origin = Origin::file(&lines.file);
@@ -417,6 +479,48 @@
     })
 }
 
+fn registry(lines: &Lines, r: RegistryText) -> Registry {
+    let time = |t: Option<TimeText>, usual| t.map_or(usual, |t| t.0);
+    Registry {
+        name: r.name,
+        members: r.members.into_iter().map(|m| m.0).collect(),
+        session: time(r.session, 6.0),
+        connect: time(r.connect, 1.0),
+        forget_after: time(r.forget_after, 60.0),
+        digest_file: r.digest_file,
+        entry: r.entry.map(|e| {
+            lines.located(e, |_, e| NodeEntry {
+                path: e.path,
+                name: e.name,
+                address: e.address,
+                site: e.site,
+                guarded: e.guarded,
+            })
+        }),
+    }
+}
+
+fn followed(lines: &Lines, f: FollowText) -> Followed {
+    let usual = follow::Limits::default();
+    Followed {
+        registry: f.name,
+        path: f.path,
+        known: lines.all(f.known, |_, s| server(s)),
+        limits: follow::Limits {
+            entries: f.entries.unwrap_or(usual.entries),
+            reread: f.reread.map_or(usual.reread, |t| t.0),
+            stale_after: f.stale_after.map_or(usual.stale_after, |t| t.0),
+            stale: match f.stale {
+                Some(StaleText::Refuse) => follow::Stale::Refuse,
+                Some(StaleText::GoOn) | None => follow::Stale::GoOn,
+            },
+            persistent: f.persistent,
+            owner: f.owner.map(|o| (o.scheme, o.id)),
+            ..usual
+        },
+    }
+}
+
 fn server(s: ServerText) -> Server {
     Server {
         name: s.name,
--- a/crates/conf/tests/corpus.rs
+++ b/crates/conf/tests/corpus.rs
@@ -23,6 +23,66 @@
     assert!(said.iter().any(|s| s == expected), "{said:#?} instead of\n{expected}\nfor\n{text}");
 }
 
+/// A service that follows a registry; `registry` goes into that, `follow` into the service's part.
+fn followed(registry: &str, follow: &str) -> String {
+    let registry = format!("[[registry]]\nname = \"r\"\n{registry}\n");
+    let follow = format!("registry = {{ name = \"r\", path = \"/flags\"{follow} }}\n");
+    registry + &whole(&follow).replace(SERVER, "")
+}
+
+const MEMBERS: &str = "members = [\"127.0.0.1:2181\"]";
+
+#[test]
+fn mistakes_of_a_registry_are_told() {
+    assert_eq!(faults(&followed(MEMBERS, "")), Vec::<String>::new());
+    let good = "[registry.entry]\npath = \"/nodes/n1\"\nname = \"n1\"";
+    assert_eq!(
+        faults(&followed(&format!("{MEMBERS}\n{good}"), ", stale = \"refuse\"")),
+        Vec::<String>::new()
+    );
+    says(&followed("members = []", ""), "f.toml:1: registry `r` has no members: add their addresses");
+    says(
+        &followed(&format!("{MEMBERS}\nsession = \"1ms\""), ""),
+        "f.toml:1: registry `r`: session is 0.001s, not between 100ms and 600s",
+    );
+    says(
+        &followed(&format!("{MEMBERS}\nsession = 6"), ""),
+        "f.toml:4: `6` is a number alone: write a time with ms, s or m, as \"250ms\"",
+    );
+    says(
+        &followed(&format!("{MEMBERS}\nconnect = \"1m\""), ""),
+        "f.toml:1: registry `r`: connect is more than 0 and at most session",
+    );
+    says(
+        &followed(&format!("{MEMBERS}\n{}", good.replace("/nodes/n1", "nodes")), ""),
+        "f.toml:4: `nodes` is no path of a registry: write it as \"/nodes/n1\"",
+    );
+    says(
+        &followed(&format!("{MEMBERS}\n{good}\nguarded = true"), ""),
+        "f.toml:4: registry `r`: a guarded entry needs digest_file, or nobody could change it",
+    );
+    says(
+        &followed(MEMBERS, "").replace("path = \"/flags\"", "path = \"/flags/../x\""),
+        "f.toml:7: service `a`: `/flags/../x` is no path of a registry: write it as \"/flags/evaluate\"",
+    );
+    says(
+        &followed(MEMBERS, "").replace("registry = { name = \"r\"", "registry = { name = \"q\""),
+        "f.toml:7: service `a`: there is no registry `q`",
+    );
+    says(
+        &followed(MEMBERS, ", entries = 0"),
+        "f.toml:7: service `a`: entries is 0, not between 1 and 100000",
+    );
+    says(
+        &followed(MEMBERS, ", reread = \"10ms\""),
+        "f.toml:7: service `a`: reread and stale_after are 1s at least",
+    );
+    says(
+        &followed(MEMBERS, ", stale = \"never\""),
+        "f.toml:9: unknown variant `never`, expected `go-on` or `refuse`",
+    );
+}
+
 #[test]
 fn each_mistake_is_told_with_its_file_and_line() {
     assert_eq!(faults(&whole("")), Vec::<String>::new());
@@ -65,15 +125,15 @@
         &whole("").replace("name = \"a\"", "name = \"a b\""),
         "f.toml:4: `a b` is no name for a service: use letters, digits, `-`, `_` and `.`",
     );
-    says(&whole("colour = 1\n"), "f.toml:6: unknown field `colour`, expected one of `name`, `state`, `server`, `discovery`, `limits`, `graphql`, `tries`, `cold`, `class`, `member`, `route`");
+    says(&whole("colour = 1\n"), "f.toml:6: unknown field `colour`, expected one of `name`, `state`, `server`, `discovery`, `registry`, `limits`, `graphql`, `tries`, `cold`, `class`, `member`, `route`");
     says(&whole("state = \"off\"\n"), "f.toml:6: unknown variant `off`, expected `serving` or `draining`");
     says(
         &whole("discovery = \"127.0.0.1:8500\"\n"),
-        "f.toml:4: service `a` has both servers and a discovery: keep one",
+        "f.toml:4: service `a`: servers, a discovery and a registry are three sources: keep one",
     );
     says(
         &whole("").replace(SERVER, ""),
-        "f.toml:4: service `a` has no servers: add [[service.server]] or a discovery",
+        "f.toml:4: service `a` has no servers: add [[service.server]], a discovery or a registry",
     );
     says(&whole("").replace(CLASS, ""), "f.toml:4: service `a` knows no requests: add [[service.class]]");
     says(&whole("").replace(ROUTE, ""), "f.toml:4: nothing reaches service `a`: add [[service.route]]");
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -5,7 +5,7 @@
 //! Everything else is an exception around that draw, a function of its own with its condition stated.
 
 use crate::interface::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Step of an average. A node that sees a server once in seconds must learn from a handful of answers.
 const ALPHA: f64 = 0.2;
@@ -55,6 +55,9 @@
 const HOT_KEY: f64 = 0.5;
 /// Counters for hot keys; a collision only costs a sticky draw.
 const KEY_SLOTS: usize = 256;
+/// Servers of which something is kept after they left, and for how long: one that flaps comes back as it was.
+const LEFT_MOST: usize = 64;
+const LEFT_FOR: Time = 60.0;
 const SWEEP: u64 = 0;
 const WATCH: u64 = 1;
 
@@ -142,6 +145,17 @@
     visits: f64,
 }
 
+/// What is kept of a server that left the list.
+struct Left {
+    hash: u64,
+    ready_at: Time,
+    at: Time,
+    /// Its entry of the vector as a multiple of the mean.
+    share: f64,
+    average: f64,
+    budget: f64,
+}
+
 struct Attempt {
     server: ServerId,
     stay: u32,
@@ -184,6 +198,8 @@
     servers: Vec<Server>,
     slot: Vec<Option<usize>>,
     stays: u32,
+    /// The latest last.
+    left: VecDeque<Left>,
     requests: BTreeMap<RequestId, Request>,
     /// Typical work by class, and over all classes.
     class_work: Vec<f64>,
@@ -238,6 +254,7 @@
             servers: Vec::new(),
             slot: Vec::new(),
             stays: 0,
+            left: VecDeque::new(),
             requests: BTreeMap::new(),
             class_work: vec![first_guess; n],
             typical: first_guess,
@@ -349,7 +366,7 @@
             listed.sort_unstable();
             for i in (0..self.servers.len()).rev() {
                 if listed.binary_search(&self.servers[i].entry.server).is_err() {
-                    self.leave(i);
+                    self.leave(now, i);
                 }
             }
         }
@@ -357,9 +374,9 @@
             let known = self.slot.get(e.server as usize).copied().flatten();
             match known {
                 // A drain is kept at once, not at the end of its grace.
-                Some(i) if e.state != ServerState::Up => self.leave(i),
+                Some(i) if e.state != ServerState::Up => self.leave(now, i),
                 Some(i) if self.servers[i].entry.ready_at < e.ready_at => {
-                    self.leave(i);
+                    self.leave(now, i);
                     self.join(now, e);
                 }
                 Some(i) => self.servers[i].entry = e,
@@ -369,9 +386,17 @@
         }
     }
 
-    fn leave(&mut self, i: usize) {
+    fn leave(&mut self, now: Time, i: usize) {
+        let share = self.automaton.p[i] * self.automaton.p.len() as f64;
+        let average = self.automaton.average[i];
         self.automaton.leave(i);
         let gone = self.servers.swap_remove(i);
+        let Entry { hash, ready_at, .. } = gone.entry;
+        self.left.retain(|l| l.hash != hash && now - l.at < LEFT_FOR);
+        if self.left.len() >= LEFT_MOST {
+            self.left.pop_front();
+        }
+        self.left.push_back(Left { hash, ready_at, at: now, share, average, budget: gone.budget });
         self.slot[gone.entry.server as usize] = None;
         if let Some(moved) = self.servers.get(i) {
             self.slot[moved.entry.server as usize] = Some(i);
@@ -391,13 +416,21 @@
             let mean = self.servers.iter().map(|s| s.entry.weight).sum::<f64>() / r;
             share = if mean > 0.0 { entry.weight.max(0.0) / mean } else { 1.0 };
         }
+        // Guards what was learned against a server that is off the list for a moment, and the budget of a cold one
+        // against being drawn anew at each return. Harm: one that went for a reason is taken for what it was.
+        let known = self.left.iter().position(|l| l.hash == entry.hash && l.ready_at == entry.ready_at);
+        let known = known.and_then(|n| self.left.remove(n)).filter(|l| now - l.at < LEFT_FOR);
+        if let Some(l) = &known {
+            (share, average) = (l.share, l.average);
+        }
         self.automaton.join(share, average);
         let id = entry.server as usize;
         if self.slot.len() <= id {
             self.slot.resize(id + 1, None);
         }
         self.slot[id] = Some(self.servers.len());
-        let budget = self.random() * self.typical / f64::from(entry.sharers.max(1));
+        let drawn = self.random() * self.typical / f64::from(entry.sharers.max(1));
+        let budget = known.map_or(drawn, |l| l.budget.min(drawn));
         self.stays = self.stays.wrapping_add(1);
         self.servers.push(Server {
             entry,
--- /dev/null
+++ b/crates/membership/tests/own.rs
@@ -0,0 +1,248 @@
+//! This node's own entry against a registry that exists as one place only.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use reelfall_membership::own::{Data, Own, Report, AGAIN};
+use reelfall_membership::session::{Event, Why};
+use reelfall_membership::wire::{Acl, Answer, Fired, Happened, Op, Refusal, Stat};
+use std::collections::VecDeque;
+
+const PATH: &str = "/nodes/n1";
+
+fn data(incarnation: u64) -> Data {
+    Data {
+        name: "n1".to_owned(),
+        address: "127.0.0.1:80".to_owned(),
+        site: Some("ikeja-dc".to_owned()),
+        zone: None,
+        incarnation,
+        started: incarnation,
+    }
+}
+
+/// The place in the registry: who owns what is there, its data, its version.
+#[derive(Default)]
+struct Place {
+    entry: Option<(i64, Bytes, i32)>,
+    watched: bool,
+}
+
+/// A node with its connection.
+struct Node {
+    own: Own,
+    session: i64,
+    up: bool,
+    requests: VecDeque<(u64, Op)>,
+    words: VecDeque<Event>,
+}
+
+impl Node {
+    fn new(incarnation: u64, session: i64) -> Node {
+        let own = Own::new(PATH.to_owned(), data(incarnation), vec![Acl::open()]);
+        Node { own, session, up: false, requests: VecDeque::new(), words: VecDeque::new() }
+    }
+
+    fn take(&mut self) {
+        while let Some(op) = self.own.op().filter(|_| self.up) {
+            self.requests.push_back(op);
+        }
+    }
+
+    fn come_up(&mut self, now: f64) {
+        if !self.up {
+            self.up = true;
+            self.own.event(now, self.session, &Event::Up { fresh: true });
+            self.take();
+        }
+    }
+
+    /// What was asked for may have been carried out or not; nobody hears.
+    fn lose(&mut self, now: f64, place: &mut Place, carried_out: bool) {
+        while carried_out && !self.requests.is_empty() {
+            self.work(place);
+        }
+        self.up = false;
+        place.watched = false;
+        let tokens: Vec<u64> = self.requests.drain(..).map(|(t, _)| t).collect();
+        self.words.clear();
+        self.own.event(now, self.session, &Event::Lost(Why::Closed));
+        tokens.into_iter().for_each(|t| self.own.event(now, self.session, &Event::Unanswered(t)));
+    }
+
+    /// Its session is over, and the registry has dropped what ended with it.
+    fn expire(&mut self, now: f64, place: &mut Place, session: i64) {
+        self.lose(now, place, false);
+        if place.entry.as_ref().is_some_and(|(owner, ..)| *owner == self.session) {
+            place.entry = None;
+        }
+        self.own.event(now, self.session, &Event::Expired);
+        self.session = session;
+    }
+
+    fn work(&mut self, place: &mut Place) {
+        let Some((token, op)) = self.requests.pop_front() else { return };
+        let answer = match (op, &mut place.entry) {
+            (Op::GetData { .. }, Some((owner, data, version))) => {
+                place.watched = true;
+                let stat = Stat { ephemeral_owner: *owner, version: *version, ..Stat::default() };
+                Ok(Answer::Data(data.clone(), stat))
+            }
+            (Op::GetData { .. }, None) => Err(Refusal::NoNode),
+            (Op::Create { data, .. }, entry @ None) => {
+                *entry = Some((self.session, data, 0));
+                Ok(Answer::Done)
+            }
+            (Op::Create { .. }, Some(_)) => Err(Refusal::NodeExists),
+            (Op::Delete { .. }, None) => Err(Refusal::NoNode),
+            (Op::Delete { version, .. }, Some((_, _, is))) if version != -1 && version != *is => {
+                Err(Refusal::BadVersion)
+            }
+            (Op::Delete { .. }, entry) => {
+                *entry = None;
+                if std::mem::take(&mut place.watched) {
+                    self.gone();
+                }
+                Ok(Answer::Done)
+            }
+            _ => Err(Refusal::Unimplemented),
+        };
+        self.words.push_back(Event::Answered(token, answer));
+    }
+
+    fn gone(&mut self) {
+        let path = PATH.to_owned();
+        self.words.push_back(Event::Fired(Fired { what: Happened::Deleted, path }));
+    }
+
+    fn hear(&mut self, now: f64) {
+        if let Some(word) = self.words.pop_front() {
+            self.own.event(now, self.session, &word);
+        }
+        self.take();
+    }
+
+    fn settle(&mut self, now: f64, place: &mut Place) {
+        for _ in 0..1000 {
+            self.take();
+            if self.requests.is_empty() && self.words.is_empty() {
+                return;
+            }
+            self.work(place);
+            self.hear(now);
+        }
+        panic!("it never settles");
+    }
+}
+
+#[test]
+fn it_stands_from_when_it_is_wanted_until_it_is_not() {
+    let (mut place, mut node) = (Place::default(), Node::new(1, 100));
+    node.come_up(0.0);
+    node.settle(0.0, &mut place);
+    assert!(place.entry.is_none(), "nobody wants it yet");
+    node.own.want();
+    node.settle(0.0, &mut place);
+    assert!(node.own.stands());
+    let (owner, bytes, _) = place.entry.clone().unwrap();
+    assert_eq!((owner, serde_json::from_slice::<Data>(&bytes).unwrap()), (100, data(1)));
+    assert_eq!(node.own.report(), Some(Report::Stands));
+    // Somebody removes it.
+    place.entry = None;
+    node.gone();
+    node.settle(1.0, &mut place);
+    assert!(place.entry.is_some() && node.own.stands());
+    node.own.withdraw();
+    assert!(!node.own.is_withdrawn());
+    node.settle(2.0, &mut place);
+    assert!(place.entry.is_none() && node.own.is_withdrawn());
+}
+
+#[test]
+fn what_an_earlier_life_left_goes_and_a_strangers_or_a_later_lifes_stays() {
+    let entry = |data: &Data, owner| Some((owner, Bytes::from(serde_json::to_vec(data).unwrap()), 3));
+    let mut place = Place { entry: entry(&data(1), 50), ..Place::default() };
+    let mut node = Node::new(2, 100);
+    node.own.want();
+    node.come_up(0.0);
+    node.settle(0.0, &mut place);
+    assert_eq!(
+        place.entry.as_ref().map(|(owner, ..)| *owner),
+        Some(100),
+        "the entry of the life before stands"
+    );
+    for (theirs, report) in [
+        (data(9), Report::Superseded),
+        (Data { name: "other".to_owned(), ..data(1) }, Report::Taken(PATH.to_owned())),
+    ] {
+        let mut place = Place { entry: entry(&theirs, 50), ..Place::default() };
+        let mut node = Node::new(2, 100);
+        node.own.want();
+        node.come_up(0.0);
+        node.settle(0.0, &mut place);
+        assert_eq!(node.own.report(), Some(report));
+        assert_eq!(place.entry.as_ref().map(|(owner, ..)| *owner), Some(50));
+        // When it goes, this one comes, told by the watch or by looking again.
+        place.entry = None;
+        node.own.tick(node.own.deadline());
+        node.settle(AGAIN, &mut place);
+        assert!(node.own.stands());
+    }
+}
+
+/// Connections lost before and after what was asked was carried out, sessions over, entries removed by others, in any
+/// order: once all is quiet it stands if it is wanted, by the present session, and nothing is left if it is not.
+#[test]
+fn any_order_of_losses_ends_with_one_entry_or_none() {
+    let steps = prop::collection::vec((0..9u8, 0.0..3.0f64), 1..80);
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[14; 32]);
+    let config = Config { cases: 500, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, rng)
+        .run(&(steps, any::<bool>()), |(steps, leaves)| {
+            let (mut place, mut node, mut now, mut session) = (Place::default(), Node::new(1, 100), 0.0, 100);
+            node.own.want();
+            for (what, after) in steps {
+                now += after;
+                match what {
+                    0 => node.come_up(now),
+                    1 => node.lose(now, &mut place, false),
+                    2 => node.lose(now, &mut place, true),
+                    3 => {
+                        session += 1;
+                        node.expire(now, &mut place, session);
+                    }
+                    4 => {
+                        if place.entry.take().is_some() && std::mem::take(&mut place.watched) && node.up {
+                            node.gone();
+                        }
+                    }
+                    5 => node.own.tick(now),
+                    _ => {
+                        node.take();
+                        node.work(&mut place);
+                        node.hear(now);
+                    }
+                }
+            }
+            if leaves {
+                node.own.withdraw();
+            }
+            node.come_up(now);
+            for _ in 0..4 {
+                now += AGAIN;
+                node.settle(now, &mut place);
+                node.own.tick(now);
+            }
+            node.settle(now, &mut place);
+            let owner = place.entry.as_ref().map(|(owner, ..)| *owner);
+            if leaves {
+                prop_assert_eq!(owner, None);
+                prop_assert!(node.own.is_withdrawn());
+            } else {
+                prop_assert_eq!(owner, Some(node.session));
+                prop_assert!(node.own.stands());
+            }
+            Ok(())
+        })
+        .unwrap();
+}
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -712,7 +712,15 @@
             None => return plain(StatusCode::NOT_FOUND, "no such service\n"),
         },
     };
-    unready.map_or_else(|| plain(StatusCode::OK, ""), |why| plain(StatusCode::SERVICE_UNAVAILABLE, why))
+    if let Some(why) = unready {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, why);
+    }
+    let named = path.strip_prefix('/').and_then(|name| services.iter().find(|s| s.name == name));
+    let mut response = plain(StatusCode::OK, "");
+    if let Some(age) = named.and_then(|s| s.pool.list_age()) {
+        *response.body_mut() = Full::new(Bytes::from(format!("registry heard {age:.1} s ago\n")));
+    }
+    response
 }
 
 /// Reads a body to its end without keeping it: an answer beside unread data may be lost.
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod message;
 pub mod operations;
 pub mod pool;
+pub mod registry;
 pub mod service;
 pub mod shared;
 pub mod upstream;
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -59,6 +59,8 @@
     pub listed: Notify,
     /// Requests can be served.
     pub ready: Cell<bool>,
+    /// When the source of the list was last heard, where that tells how old the list is.
+    pub heard: Cell<Option<Time>>,
     discovery: Discovery,
 }
 
@@ -101,6 +103,7 @@
             watch: Notify::new(),
             listed: Notify::new(),
             ready: Cell::new(false),
+            heard: Cell::new(None),
             discovery,
         });
         pool.shared.enter(pool.id, &(pool.clone() as Rc<dyn Peer>));
@@ -117,6 +120,16 @@
         self.engine.borrow().has_servers()
     }
 
+    /// Seconds since the source of the list was last heard, where that tells how old the list is.
+    pub fn list_age(&self) -> Option<Time> {
+        self.heard.get().map(|heard| (self.shared.clock.now() - heard).max(0.0))
+    }
+
+    /// Where a server of this list is, where several pools may list it.
+    pub fn address_of(&self, server: ServerId) -> Option<SocketAddr> {
+        self.own.borrow().get(&server).map(|p| p.address)
+    }
+
     /// Requests that have no final answer yet, or an attempt that is out.
     pub fn open(&self) -> usize {
         self.engine.borrow().open()
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -4,6 +4,7 @@
 use super::discovery;
 use super::operations::GraphQl;
 use super::pool::{Missing, Pool};
+use super::registry::{Registry, Way};
 use super::shared::Shared;
 use reelfall_conf::model;
 use reelfall_conf::Plan;
@@ -155,7 +156,7 @@
 /// All that a pool is made from: as long as this stays, the pool stays, with all that it has learned.
 #[derive(Clone, PartialEq)]
 struct PoolKey {
-    discovery: Option<SocketAddr>,
+    source: SourceKey,
     tries: model::Tries,
     cold: model::Cold,
     classes: Vec<model::At<model::Class>>,
@@ -164,13 +165,39 @@
     nodes: u32,
 }
 
+#[derive(Clone, PartialEq)]
+enum SourceKey {
+    Static,
+    Discovery(SocketAddr),
+    Registry(Box<(Option<model::Registry>, model::Followed)>),
+}
+
+impl SourceKey {
+    fn of(model: &model::Model, source: &model::Source) -> Self {
+        match source {
+            model::Source::Static(_) => SourceKey::Static,
+            model::Source::Discovery(address) => SourceKey::Discovery(*address),
+            model::Source::Registry(followed) => {
+                let registry = registry(model, followed).map(|r| {
+                    // What concerns the node's own entry alone leaves the pool as it is.
+                    model::Registry { entry: None, ..r.clone() }
+                });
+                SourceKey::Registry(Box::new((registry, followed.clone())))
+            }
+        }
+    }
+}
+
+/// The registry that a service follows.
+fn registry<'a>(model: &'a model::Model, followed: &model::Followed) -> Option<&'a model::Registry> {
+    model.registries.iter().find(|r| r.name == followed.registry).map(|r| &r.value)
+}
+
 impl PoolKey {
-    fn of(process: &model::Process, service: &model::Service) -> Self {
+    fn of(model: &model::Model, service: &model::Service) -> Self {
+        let process = &model.process;
         PoolKey {
-            discovery: match &service.source {
-                model::Source::Static(_) => None,
-                model::Source::Discovery(address) => Some(*address),
-            },
+            source: SourceKey::of(model, &service.source),
             tries: service.tries,
             cold: service.cold,
             classes: service.classes.clone(),
@@ -204,7 +231,14 @@
         let (settings, names, figures) = plan.settings(service);
         let missing = match service.source {
             model::Source::Static(_) => Missing::Unused,
-            model::Source::Discovery(_) => Missing::Ended,
+            model::Source::Discovery(_) | model::Source::Registry(_) => Missing::Ended,
+        };
+        let way = match &service.source {
+            model::Source::Registry(followed) => {
+                let registry = registry(&plan.model, followed).ok_or("no such registry")?;
+                Some(Way::of(registry)?)
+            }
+            _ => None,
         };
         let pool = Pool::new(settings, names, figures, seed, missing, shared.clone(), member)?;
         let (follow, told) = match &service.source {
@@ -217,6 +251,11 @@
                 let (_, address) = watch::channel(*address);
                 (follow(&pool, Discovery { address, known: 0 }), Told::Nothing)
             }
+            model::Source::Registry(followed) => {
+                let model::Followed { path, limits, known, .. } = followed.clone();
+                let way = way.ok_or("no such registry")?;
+                (follow(&pool, Registry { way, path, limits, known }), Told::Nothing)
+            }
         };
         Ok(Rc::new(Service {
             name: service.name.clone(),
@@ -226,7 +265,7 @@
             retry_after: Cell::new(service.tries.retry_after),
             graphql: RefCell::new(graphql(service, None)?),
             told,
-            key: Some(PoolKey::of(&plan.model.process, service)),
+            key: Some(PoolKey::of(&plan.model, service)),
             _follow: follow,
         }))
     }
@@ -354,7 +393,7 @@
         let now = if old.is_some() { self.shared.clock.now() } else { 0.0 };
         let lists = plan.model.services.iter().filter_map(|s| match &s.source {
             model::Source::Static(list) => Some(list),
-            model::Source::Discovery(_) => None,
+            model::Source::Discovery(_) | model::Source::Registry(_) => None,
         });
         let up = lists.flatten().filter(|s| s.state == ServerState::Up);
         let since = |a: SocketAddr| old.as_ref().and_then(|o| o.get(&a)).copied().unwrap_or(now);
@@ -372,7 +411,7 @@
         let mut joined = Vec::new();
         for service in &model.services {
             let old = self.current.borrow().iter().find(|s| s.name == service.name).cloned();
-            let key = PoolKey::of(&model.process, service);
+            let key = PoolKey::of(model, service);
             if let Some(old) = old.as_ref().filter(|old| old.key.as_ref() == Some(&key)) {
                 services.push(old.clone());
                 continue;
@@ -423,6 +462,12 @@
         Ok(Routing::Table(Box::new(Table { plan, services })))
     }
 
+    /// Every service that is not drained on purpose can serve.
+    pub fn are_ready(&self) -> bool {
+        let current = self.current.borrow();
+        !current.is_empty() && current.iter().all(|s| s.draining.get() || s.unready().is_none())
+    }
+
     /// Lets pools go that have nothing in hand any more.
     pub fn tick(&self) {
         let done: Vec<Rc<Service>> = {
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -1,11 +1,16 @@
 //! A node with a settings file of its own: several services behind several listeners, changed by SIGHUP.
 
 use crate::net::front::{Front, Listening};
+use crate::net::registry::{Entered, Way};
 use crate::net::service::Services;
 use crate::net::shared::Shared;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use reelfall_conf::model::{At, Model, NodeEntry, Registry};
 use reelfall_conf::{reader, Plan};
+use reelfall_membership::own;
 use std::cell::RefCell;
 use std::collections::hash_map::RandomState;
+use std::collections::HashMap;
 use std::hash::BuildHasher;
 use std::io::Write;
 use std::path::Path;
@@ -30,9 +35,19 @@
     tokio::task::LocalSet::new().block_on(&runtime, node(path, plan))
 }
 
+/// Longest wait for this node's entries to be gone before it ends.
+const WITHDRAWN_IN: Duration = Duration::from_millis(500);
+
+/// What an entry of this node is made from: as long as this stays, the entry stays.
+type EntryKey = (Way, String, String, Option<String>, Option<String>, bool);
+
 struct Node {
     shared: Rc<Shared>,
     services: Services,
+    /// This node's own entries, by their registries.
+    entries: RefCell<HashMap<String, (EntryKey, Rc<Entered>)>>,
+    /// When this life of the node began, in milliseconds of Unix time.
+    began: u64,
     /// Made with the first plan.
     front: RefCell<Option<Rc<Front>>>,
     seed: u64,
@@ -45,7 +60,9 @@
     let seed = RandomState::new().hash_one(std::process::id());
     let shared = Shared::parted(plan.totals, plan.model.process.server_connections);
     let services = Services::new(shared.clone(), seed);
-    let node = Rc::new(Node { shared, services, front: RefCell::default(), seed });
+    let began = (shared.clock.now() * 1e3) as u64;
+    let (front, entries) = (RefCell::default(), RefCell::default());
+    let node = Rc::new(Node { shared, services, entries, began, front, seed });
     let front = node.apply(plan)?;
     announce(&front);
     let ticking = node.clone();
@@ -54,6 +71,9 @@
             tokio::time::sleep(TICK_EVERY).await;
             ticking.shared.tick();
             ticking.services.tick();
+            if ticking.services.are_ready() {
+                ticking.entries.borrow().values().for_each(|(_, entered)| entered.want());
+            }
         }
     });
     let (reloading, path) = (node.clone(), path.to_owned());
@@ -65,6 +85,11 @@
     });
     let stop = async {
         terminate.recv().await;
+        // Before anything else, so that nobody is drawn here any more.
+        let entries = node.entries.take().into_values().map(|(_, entered)| entered);
+        let leaving: FuturesUnordered<_> =
+            entries.map(|entered| async move { entered.withdraw(WITHDRAWN_IN).await }).collect();
+        leaving.collect::<()>().await;
     };
     front.serve(stop).await;
     Ok(())
@@ -84,6 +109,8 @@
                     .map_err(|e| format!("{}: listener `{}`: {e}", listener.origin, listener.name))?,
             });
         }
+        let entries = self.entries_of(&plan.model)?;
+        let zone = plan.model.process.zone.clone();
         let routing = self.services.apply(plan)?;
         let front = match old {
             Some(front) => {
@@ -94,9 +121,49 @@
         };
         front.listen(listening);
         self.front.replace(Some(front.clone()));
+        self.enter(&front, entries, zone);
         Ok(front)
     }
 
+    /// The entries that a model wants, by their registries.
+    fn entries_of(&self, model: &Model) -> Result<HashMap<String, EntryKey>, String> {
+        let wanted = model.registries.iter().filter_map(|r| Some((r, r.entry.as_ref()?)));
+        let key = |(registry, entry): (&At<Registry>, &At<NodeEntry>)| {
+            let NodeEntry { path, name, address, site, guarded } = entry.value.clone();
+            let way = Way::of(registry).map_err(|e| format!("{}: {e}", registry.origin))?;
+            Ok((registry.name.clone(), (way, path, name, address, site, guarded)))
+        };
+        wanted.map(key).collect()
+    }
+
+    /// Keeps the entries that are wanted and lets the others go.
+    fn enter(&self, front: &Front, wanted: HashMap<String, EntryKey>, zone: Option<String>) {
+        let mut entries = self.entries.borrow_mut();
+        entries.retain(|registry, (key, entered)| {
+            let stays = wanted.get(registry) == Some(key);
+            if !stays {
+                let entered = entered.clone();
+                tokio::task::spawn_local(async move { entered.withdraw(WITHDRAWN_IN).await });
+            }
+            stays
+        });
+        let listens = front.addresses().into_iter().map(|(_, address)| address.to_string()).next();
+        for (registry, key) in wanted {
+            entries.entry(registry).or_insert_with(|| {
+                let (way, path, name, address, site, guarded) = key.clone();
+                let data = own::Data {
+                    name,
+                    address: address.or_else(|| listens.clone()).unwrap_or_default(),
+                    site,
+                    zone: zone.clone(),
+                    incarnation: self.began,
+                    started: self.began,
+                };
+                (key, Entered::keep(&self.shared, way, path, data, guarded))
+            });
+        }
+    }
+
     /// Takes in the file again. What is wrong with it is told, and then all stays as it was.
     async fn reload(&self, path: &Path) {
         let name = path.display().to_string();
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -5,13 +5,15 @@
 use reelfall_rig::link::Link;
 use reelfall_rig::load::{self, Kind};
 use reelfall_rig::pool::{Manner, Pool};
-use reelfall_rig::scenario::{graphql, services, Report};
+use reelfall_rig::registry::{self, Registry};
+use reelfall_rig::scenario::{graphql, membership, services, Report};
 use reelfall_rig::scripted::Program;
 use reelfall_rig::{demo, measure, relay, until_ended, Result};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Stand-ins, load, faults and scenarios for reelfall, on loopback addresses.
@@ -48,6 +50,15 @@
         #[arg(long = "server", required = true)]
         servers: Vec<SocketAddr>,
     },
+    /// A registry in the manner of ZooKeeper, with controls for failures, until ended
+    Registry {
+        /// Where the first member listens; port 0 is any
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// How many
+        #[arg(long, default_value_t = 3)]
+        members: usize,
+    },
     /// A path to an address, with faults, until ended
     Link {
         /// Where it leads
@@ -101,7 +112,7 @@
     },
     /// Plays a scenario; its report is the last line, and a broken promise an exit code
     Scenario {
-        /// `services` or `graphql`
+        /// `services`, `graphql` or `membership`
         name: String,
         /// The small form, as in the tests
         #[arg(long)]
@@ -109,12 +120,12 @@
     },
     /// A node with its stand-ins, until ended
     Demo {
-        /// `services` or `graphql`
+        /// `services`, `graphql` or `membership`
         name: String,
     },
     /// Measures what the node costs; the figures are the last line
     Measure {
-        /// `services` or `graphql`
+        /// `services`, `graphql` or `membership`
         name: String,
         /// Another node to compare with, as on the platform
         #[arg(long, value_name = "PROGRAM")]
@@ -181,6 +192,20 @@
             ready(json!({ "discovery": discovery.address.to_string() }));
             until_ended().await;
         }
+        Command::Registry { listen, members } => {
+            let registry = Arc::new(Registry::at(listen, members).await?);
+            let listener = tokio::net::TcpListener::bind((listen.ip(), 0)).await?;
+            let control = listener.local_addr()?.to_string();
+            let named = |(n, a): (usize, &SocketAddr)| (format!("m{}", n + 1), a.to_string().into());
+            let mut addresses: serde_json::Map<_, _> =
+                registry.members.iter().enumerate().map(named).collect();
+            addresses.insert("control".to_owned(), control.into());
+            ready(Value::Object(addresses));
+            tokio::select! {
+                result = registry::control::serve(listener, registry.clone()) => result?,
+                () = until_ended() => {}
+            }
+        }
         Command::Link { to, delay_ms, cut, throttle, deaf } => {
             let link = Link::start(to).await?;
             link.fault(|f| {
@@ -216,7 +241,13 @@
                     let scale = if small { graphql::Scale::SMALL } else { graphql::Scale::WHOLE };
                     graphql::run(&program, scale).await?
                 }
-                _ => return Err(format!("there is no scenario `{name}`: services, graphql").into()),
+                "membership" => {
+                    let scale = if small { membership::Scale::SMALL } else { membership::Scale::WHOLE };
+                    membership::run(&program, scale).await?
+                }
+                _ => {
+                    return Err(format!("there is no scenario `{name}`: services, graphql, membership").into())
+                }
             };
             report.broken().iter().for_each(|b| eprintln!("broken: {b}"));
             println!("{}", report.line(&name));
@@ -225,7 +256,8 @@
         Command::Demo { name } => match name.as_str() {
             "services" => demo::services(&program).await?,
             "graphql" => demo::graphql(&program).await?,
-            _ => return Err(format!("there is no demo `{name}`: services, graphql").into()),
+            "membership" => demo::membership(&program).await?,
+            _ => return Err(format!("there is no demo `{name}`: services, graphql, membership").into()),
         },
         Command::Measure { name, old, rounds, seconds, rate } => {
             let time = Duration::from_secs_f64(seconds);
@@ -233,7 +265,11 @@
             let figures = match name.as_str() {
                 "services" => measure::services::run(&program, &plan).await?,
                 "graphql" => measure::graphql::run(&program, &plan).await?,
-                _ => return Err(format!("there is no measurement `{name}`: services, graphql").into()),
+                "membership" => measure::membership::run(&program, &plan).await?,
+                _ => {
+                    let which = "services, graphql, membership";
+                    return Err(format!("there is no measurement `{name}`: {which}").into());
+                }
             };
             println!("{figures}");
         }
--- a/crates/rig/src/measure/graphql.rs
+++ b/crates/rig/src/measure/graphql.rs
@@ -4,7 +4,7 @@
 use crate::client::Client;
 use crate::graphql;
 use crate::load::{self, Kind};
-use crate::node::{cpu_seconds, memory_kib, Node, PATIENCE};
+use crate::node::{memory_kib, Node, PATIENCE};
 use crate::pool::{Manner, Pool};
 use crate::scripted::Program;
 use crate::Result;
@@ -150,17 +150,9 @@
 
 // ---- open batches ----
 
-/// Memory of the node while servers stand still and clients wait for many batches.
+/// Memory of the node while servers stand still and clients wait for many batches, and for as many plain requests with
+/// the same bodies.
 async fn open_batches(program: &Program) -> Result<Value> {
-    let manner = Manner { frozen: true, ..Manner::good(Duration::from_millis(1)) };
-    let pool = Pool::running("graphql", 4, 64, manner, 1, &graphql::app()).await?;
-    let more = "limits = { open = 20000 }";
-    let settings = "[process]\ndescriptors = 8000\nmemory = \"1GiB\"\n\n".to_owned()
-        + &graphql::settings(&pool, more)
-            .replace("deadline = \"2s\"", "deadline = \"55s\"")
-            .replace("other_query", "side_by_side = 1\nother_query");
-    let node = Node::start(program, &settings).await?;
-    node.until_health("/_health", true).await?;
     let batch: Vec<Value> = (0..ENTRIES)
         .map(|n| {
             let mut one = read(n);
@@ -169,40 +161,54 @@
         })
         .collect();
     let body = Bytes::from(Value::Array(batch).to_string());
+    let batches = open_requests(program, "/graphql", &body).await?;
+    let plain = open_requests(program, "/plain", &body).await?;
+    let over = batches.0 / plain.0;
+    Ok(json!({
+        "open_at_once": BATCHES, "entries_of_each": ENTRIES, "body_bytes": body.len(),
+        "kib_for_each_batch": round1(batches.0), "kib_for_each_plain": round1(plain.0),
+        "batch_over_plain": (over * 100.0).round() / 100.0,
+        "kib_kept_after_batches": round1(batches.1), "kib_kept_after_plain": round1(plain.1),
+    }))
+}
+
+/// Memory for each of many open requests, and what is kept of it once they are answered, in KiB.
+async fn open_requests(program: &Program, path: &'static str, body: &Bytes) -> Result<(f64, f64)> {
+    let manner = Manner { frozen: true, ..Manner::good(Duration::from_millis(1)) };
+    let pool = Pool::running("graphql", 4, 64, manner, 1, &graphql::app()).await?;
+    // Nothing is given up while the servers stand still, and each batch has one request out.
+    let settings = "[process]\ndescriptors = 8000\nmemory = \"1GiB\"\n\n".to_owned()
+        + &settings(&pool)
+            .replace("aim = \"200ms\"", "aim = \"50s\"")
+            .replace("deadline = \"2s\"", "deadline = \"55s\"")
+            .replace("other_query", "side_by_side = 1\nother_query");
+    let node = Node::start(program, &settings).await?;
+    node.until_health("/_health", true).await?;
     let before = memory_kib(node.pid())?;
-    let used = cpu_seconds(node.pid())?;
     let client = Arc::new(Client::new(node.address()));
     let mut running = JoinSet::new();
     for _ in 0..BATCHES {
         let (client, body) = (client.clone(), body.clone());
         running.spawn(async move {
-            let request = Request::post("/graphql").header("content-type", "application/json");
+            let request = Request::post(path).header("content-type", "application/json");
             let request = request.header("host", "flags.example.org").body(Full::new(body)).ok()?;
-            let got = client.ask(request).await.ok()?;
-            let said: Vec<Value> = serde_json::from_slice(&got.body).ok()?;
-            Some(said.iter().filter(|e| e["data"]["evaluate"]["on"] == true).count())
+            client.ask(request).await.ok().map(|got| got.status.as_u16())
         });
     }
-    // One request of each batch is at a server, the others wait their turn.
+    // One request of each is at a server, the others of a batch wait their turn.
     let begun = Instant::now();
     while pool.seen() < BATCHES as u64 && begun.elapsed() < PATIENCE {
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
     let (open, during) = (pool.seen(), memory_kib(node.pid())?);
     pool.servers.iter().for_each(|s| s.behave(|m| m.frozen = false));
-    let (mut whole, mut served) = (0, 0);
+    let mut answered = 0;
     while let Some(done) = running.join_next().await {
-        if let Some(good) = done? {
-            served += good;
-            whole += usize::from(good == ENTRIES);
-        }
+        answered += usize::from(done?.is_some());
     }
-    let used = cpu_seconds(node.pid())? - used;
-    let kib = |from: u64| (from as f64 - before as f64) / BATCHES as f64;
-    Ok(json!({
-        "batches": BATCHES, "entries_of_each": ENTRIES, "body_bytes": body.len(), "at_servers_at_once": open,
-        "kib_for_each": round1(kib(during)), "kib_for_each_over_body": round1(kib(during) * 1024.0 / body.len() as f64),
-        "kib_kept_after": round1(kib(memory_kib(node.pid())?)), "answered_whole": whole, "entries_served": served,
-        "cpu_us_per_entry": round1(used * 1e6 / (BATCHES * ENTRIES) as f64),
-    }))
+    if open != BATCHES as u64 || answered != BATCHES {
+        return Err(format!("{path}: {open} were open at once, {answered} answered, of {BATCHES}").into());
+    }
+    let kib = |now: u64| (now as f64 - before as f64) / BATCHES as f64;
+    Ok((kib(during), kib(memory_kib(node.pid())?)))
 }
--- a/crates/rig/src/measure/mod.rs
+++ b/crates/rig/src/measure/mod.rs
@@ -2,6 +2,7 @@
 //! each; what counts is the ratio of two subjects within a round.
 
 pub mod graphql;
+pub mod membership;
 pub mod services;
 
 use crate::load::{self, Kind};
--- a/crates/rig/src/pool.rs
+++ b/crates/rig/src/pool.rs
@@ -275,6 +275,11 @@
         lock(&self.state.counts).effects.clone()
     }
 
+    /// Connections that are open.
+    pub fn connections(&self) -> usize {
+        lock(&self.state.connections).len()
+    }
+
     /// The most connections that were open at once.
     pub fn most_connections(&self) -> usize {
         *lock(&self.state.most_connections)
--- a/crates/rig/src/scenario/mod.rs
+++ b/crates/rig/src/scenario/mod.rs
@@ -1,6 +1,7 @@
 //! Promises, kept or broken under load and faults. Each scenario plays on loopback with stand-ins and reports.
 
 pub mod graphql;
+pub mod membership;
 pub mod services;
 
 use serde_json::{json, Map, Value};
--- /dev/null
+++ b/crates/rig/tests/membership.rs
@@ -0,0 +1,491 @@
+//! A node that follows a registry's ephemeral entries, over loopback sockets: a test for each hard case.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use reelfall_rig::client::Client;
+use reelfall_rig::load;
+use reelfall_rig::membership::{data, kind, settings, Announced, PATH};
+use reelfall_rig::node::Node;
+use reelfall_rig::pool::{Manner, Server};
+use reelfall_rig::registry::{digest_id, Registry};
+use reelfall_rig::scenario::membership as scenario;
+use reelfall_rig::scripted::Program;
+use std::io::{Read, Write};
+use std::time::{Duration, Instant};
+
+fn program() -> Program {
+    Program::in_rig(env!("CARGO_BIN_EXE_reelfall-rig"))
+}
+
+async fn server(name: &str) -> Server {
+    Server::start(name, 64, Manner::good(Duration::from_millis(1)), 1).await.unwrap()
+}
+
+async fn start(registry: &Registry, follow: &str, more: &str) -> Node {
+    let node = Node::start(&program(), &settings(registry, follow, more)).await.unwrap();
+    node.until_health("/_health", true).await.unwrap();
+    node
+}
+
+fn request(method: &str, service: &str, id: &str) -> Request<Full<Bytes>> {
+    let body = if method == "GET" { Bytes::new() } else { Bytes::from_static(b"{}") };
+    Request::builder()
+        .method(method)
+        .uri("/api/x")
+        .header("host", format!("{service}.example.org"))
+        .header("x-correlation-id", id)
+        .body(Full::new(body))
+        .unwrap()
+}
+
+/// Asks service `evaluate` so many times; how many were served.
+async fn served(client: &Client, run: &str, n: usize) -> usize {
+    let mut good = 0;
+    for i in 0..n {
+        let got = client.ask(request("GET", "evaluate", &format!("{run}-{i}"))).await.expect("an answer");
+        good += usize::from(got.status == 200);
+    }
+    good
+}
+
+/// Waits until something holds.
+async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds().await {
+        assert!(begun.elapsed() < Duration::from_secs(30), "{what} does not come");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Waits until a server gets requests.
+async fn until_sent_to(client: &Client, server: &Server, run: &str) {
+    let (seen, mut n) = (server.seen(), 0);
+    until("a request to the server", async || {
+        n += 1;
+        served(client, &format!("{run}-{n}"), 3).await;
+        server.seen() > seen
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sessions_that_end_under_load_leave_no_request_late_and_none_lost() {
+    let report = scenario::run(&program(), scenario::Scale::SMALL).await.unwrap();
+    assert!(report.pass(), "{:#?}", report.broken());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_session_that_expires_ends_new_work_and_nothing_else() {
+    let registry = Registry::start(3).await.unwrap();
+    let (one, two) = (server("one").await, server("two").await);
+    let entered = Announced::enter(&registry, &one, "one", 0);
+    let _two = Announced::enter(&registry, &two, "two", 0);
+    let node = start(&registry, "", "").await;
+    let client = Client::new(node.address());
+    until_sent_to(&client, &one, "before").await;
+    // A toggle is under way at the server as its session ends.
+    one.behave(|m| m.frozen = true);
+    two.behave(|m| m.frozen = true);
+    let address = node.address();
+    let mut flying = tokio::task::JoinSet::new();
+    for n in 0..8 {
+        flying.spawn(async move {
+            Client::new(address).ask(request("POST", "toggle", &format!("fly-{n}"))).await.unwrap().status
+        });
+    }
+    until("toggles at both", async || one.seen() > 0 && one.seen() + two.seen() >= 8).await;
+    entered.kill(&registry);
+    two.behave(|m| m.frozen = false);
+    // Once what is sent goes to the other alone, nothing comes here any more, and idle connections are closed.
+    until("the news", async || {
+        let before = one.seen();
+        served(&client, &format!("news-{}", Instant::now().elapsed().as_nanos()), 20).await == 20
+            && one.seen() == before
+    })
+    .await;
+    let before = one.seen();
+    assert_eq!(served(&client, "after", 200).await, 200);
+    assert_eq!(one.seen(), before, "new work for a server whose session has ended");
+    one.behave(|m| m.frozen = false);
+    while let Some(status) = flying.join_next().await {
+        assert_eq!(status.unwrap(), 200, "what was under way is finished");
+    }
+    assert!(one.effects().iter().chain(&two.effects()).all(|(_, n)| *n == 1), "something ran twice");
+    until("the end of idle connections", async || one.connections() == 0).await;
+    // The process, which has been there all along, is back with a new session: at once, and as warm as it is.
+    let _back = Announced::enter(&registry, &one, "one", 0);
+    until_sent_to(&client, &one, "back").await;
+    let (ones, twos) = (one.seen(), two.seen());
+    assert_eq!(served(&client, "warm", 300).await, 300);
+    let (ones, twos) = (one.seen() - ones, two.seen() - twos);
+    assert!(ones > 60, "{ones} of {} go to it: it is taken for a cold one", ones + twos);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_that_flaps_is_let_go_at_once_and_let_in_with_care() {
+    let registry = Registry::start(1).await.unwrap();
+    let (steady, flappy) = (server("steady").await, server("flappy").await);
+    let _steady = Announced::enter(&registry, &steady, "steady", 0);
+    let mut entered = Announced::enter(&registry, &flappy, "flappy", 0);
+    let node = start(&registry, "", "").await;
+    let client = Client::new(node.address());
+    until_sent_to(&client, &flappy, "before").await;
+    // It stands still, and its entry comes and goes ten times a second.
+    flappy.behave(|m| m.frozen = true);
+    let address = node.address();
+    let loading = tokio::spawn(async move {
+        load::run(address, &[kind("flap", "evaluate", 100.0)], Duration::from_secs(4), 2).await
+    });
+    let seen = flappy.seen();
+    for _ in 0..30 {
+        entered.kill(&registry);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        entered = Announced::enter(&registry, &flappy, "flappy", 0);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    entered.kill(&registry);
+    flappy.behave(|m| m.frozen = false);
+    let came = loading.await.unwrap();
+    assert_eq!(came[0].lost, 0);
+    assert!(came[0].served() > 90.0, "{:.1} % served", came[0].served());
+    // Thirty returns taken at their word would have sent it some hundred requests.
+    let sent = flappy.seen() - seen;
+    assert!(sent < 60, "{sent} requests to a server that comes and goes");
+    // In the end it is there, and so is its work: the wait is a few seconds, with this many returns.
+    let _last = Announced::enter(&registry, &flappy, "flappy", 0);
+    until("its return", async || {
+        let before = flappy.seen();
+        served(&client, &format!("last-{before}-{}", steady.seen()), 10).await;
+        flappy.seen() > before
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_registry_that_is_silent_for_longer_than_the_session_costs_nobody_his_servers() {
+    let registry = Registry::start(3).await.unwrap();
+    let (one, two) = (server("one").await, server("two").await);
+    let _one = Announced::enter(&registry, &one, "one", 0);
+    let entered = Announced::enter(&registry, &two, "two", 0);
+    let mut node = start(&registry, "", "session = \"400ms\"\nconnect = \"100ms\"").await;
+    let client = Client::new(node.address());
+    until_sent_to(&client, &two, "before").await;
+    // Members accept and say nothing; the sessions of the node run out meanwhile.
+    (0..3).for_each(|m| registry.freeze(m, true));
+    entered.kill(&registry);
+    let expired = registry.counts().expired;
+    until("the end of the node's sessions", async || registry.counts().expired >= expired + 2).await;
+    assert_eq!(served(&client, "silent", 100).await, 100);
+    assert!(two.seen() > 0 && one.seen() > 0);
+    // Heard again, what happened meanwhile counts.
+    (0..3).for_each(|m| registry.freeze(m, false));
+    until("the news", async || {
+        let before = two.seen();
+        served(&client, &format!("heal-{before}-{}", one.seen()), 20).await == 20 && two.seen() == before
+    })
+    .await;
+    let before = two.seen();
+    assert_eq!(served(&client, "healed", 100).await, 100);
+    assert_eq!(two.seen(), before);
+    node.signal("TERM").unwrap();
+    assert!(node.ended().await.unwrap());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_list_that_is_stale_can_be_refused() {
+    let registry = Registry::start(1).await.unwrap();
+    let one = server("one").await;
+    let _one = Announced::enter(&registry, &one, "one", 0);
+    let follow = ", stale = \"refuse\", stale_after = \"1s\"";
+    let node = start(&registry, follow, "session = \"300ms\"\nconnect = \"100ms\"").await;
+    let client = Client::new(node.address());
+    assert_eq!(served(&client, "before", 20).await, 20);
+    let health =
+        || client.ask(Request::get("/_health/evaluate").header("host", "h").body(Full::default()).unwrap());
+    let said = health().await.unwrap();
+    assert!(String::from_utf8_lossy(&said.body).starts_with("registry heard "), "{said:?}");
+    registry.drop_member(0, true);
+    node.until_health("/_health/evaluate", false).await.unwrap();
+    assert_eq!(served(&client, "stale", 5).await, 0);
+    registry.drop_member(0, false);
+    node.until_health("/_health/evaluate", true).await.unwrap();
+    assert_eq!(served(&client, "fresh", 20).await, 20);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_member_that_lags_never_brings_back_who_is_gone() {
+    let registry = Registry::start(2).await.unwrap();
+    let (one, two) = (server("one").await, server("two").await);
+    let _one = Announced::enter(&registry, &one, "one", 0);
+    let entered = Announced::enter(&registry, &two, "two", 0);
+    let node = start(&registry, "", "session = \"5s\"\nconnect = \"200ms\"").await;
+    let client = Client::new(node.address());
+    until_sent_to(&client, &two, "before").await;
+    // Both members know of the end at once, then one of them of nothing more for a while; the other goes away.
+    for (away, lags) in [(0, 1), (1, 0)] {
+        registry.lag(lags, Duration::from_millis(1500));
+        if away == 0 {
+            entered.kill(&registry);
+        } else {
+            registry.put("/elsewhere", b"", 0);
+        }
+        until("the news, by a member that does not lag", async || {
+            let before = two.seen();
+            served(&client, &format!("{away}-{before}-{}", one.seen()), 20).await == 20
+                && two.seen() == before
+        })
+        .await;
+        registry.drop_member(away, true);
+        let before = two.seen();
+        let begun = Instant::now();
+        while begun.elapsed() < Duration::from_millis(800) {
+            assert_eq!(served(&client, &format!("lag-{away}-{:?}", begun.elapsed()), 5).await, 5);
+        }
+        assert_eq!(two.seen(), before, "an older list counted");
+        registry.lag(lags, Duration::ZERO);
+        registry.drop_member(away, false);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_registry_that_comes_late_is_waited_for_and_lost_watches_heal() {
+    let registry = Registry::start(3).await.unwrap();
+    let one = server("one").await;
+    (0..3).for_each(|m| registry.drop_member(m, true));
+    let settings = settings(&registry, ", reread = \"1s\"", "connect = \"100ms\"");
+    let node = Node::start(&program(), &settings).await.unwrap();
+    node.until_health("/_health", false).await.unwrap();
+    let client = Client::new(node.address());
+    assert_eq!(served(&client, "early", 3).await, 0);
+    let mut entered = Announced::enter(&registry, &one, "one", 0);
+    (0..3).for_each(|m| registry.drop_member(m, false));
+    node.until_health("/_health", true).await.unwrap();
+    until_sent_to(&client, &one, "first").await;
+    // Nobody tells of the next changes.
+    let two = server("two").await;
+    registry.lose_watches(1000);
+    let _two = Announced::enter(&registry, &two, "two", 0);
+    until_sent_to(&client, &two, "unheard").await;
+    registry.lose_watches(1000);
+    entered.kill(&registry);
+    until("the end that no watch told", async || {
+        let before = one.seen();
+        served(&client, &format!("end-{before}-{}", two.seen()), 30).await == 30 && one.seen() == before
+    })
+    .await;
+    registry.lose_watches(0);
+    entered = Announced::enter(&registry, &one, "one", 0);
+    until_sent_to(&client, &one, "again").await;
+    drop(entered);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_can_not_be_used_cost_nothing_but_themselves() {
+    let registry = Registry::start(1).await.unwrap();
+    let good = server("good").await;
+    let _good = Announced::enter(&registry, &good, "good", 0);
+    let session = registry.open_session();
+    let put = |name: &str, data: &[u8]| registry.put(&format!("{PATH}/{name}"), data, session);
+    put("long", &vec![b'x'; (1 << 20) - 1000]);
+    put("no-json", b"\x00\xff\xfe");
+    put("no-address", b"{}");
+    put("odd name \u{1f600} \" ' %2f", b"[]");
+    put("same-address", &data(&good.address.to_string(), 0));
+    registry.put(&format!("{PATH}/by-hand"), &data("127.0.0.1:9", 0), 0);
+    registry.put(&format!("{PATH}/good/deeper"), b"{}", 0);
+    let mut node = start(&registry, "", "").await;
+    // Each is told once by both services, in whatever order.
+    let mut missing =
+        vec!["long: its data has", "no-json: its data can't be read", "by-hand: it is not ephemeral"];
+    while !missing.is_empty() {
+        let line = node.says("registry /flags/evaluate/").await.expect("a line for each");
+        missing.retain(|what| !line.contains(what));
+    }
+    let client = Client::new(node.address());
+    assert_eq!(served(&client, "good", 100).await, 100);
+    assert_eq!(good.seen(), 100, "somebody else was sent to");
+    // The younger of two entries with one address counted; with it gone, the older does again.
+    registry.remove(&format!("{PATH}/same-address"));
+    let entered = Instant::now();
+    until("the older entry", async || {
+        served(&client, &format!("older-{:?}", entered.elapsed()), 10).await == 10
+    })
+    .await;
+}
+
+/// Says a greeting that is good, then what is to be said.
+fn liar(says: Vec<u8>) -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let mut greeting = [0; 49];
+            if stream.read_exact(&mut greeting).is_err() {
+                continue;
+            }
+            let mut answer = 37u32.to_be_bytes().to_vec();
+            answer.extend_from_slice(&0u32.to_be_bytes());
+            answer.extend_from_slice(&4000u32.to_be_bytes());
+            answer.extend_from_slice(&77u64.to_be_bytes());
+            answer.extend_from_slice(&16u32.to_be_bytes());
+            answer.extend_from_slice(&[1; 17]);
+            answer.extend_from_slice(&says);
+            let _ = stream.write_all(&answer);
+            // Until the other side has had enough.
+            let _ = stream.read(&mut [0; 512]);
+            let _ = stream.read(&mut [0; 512]);
+        }
+    });
+    address
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_registry_that_lies_costs_its_own_connection() {
+    let registry = Registry::start(1).await.unwrap();
+    let one = server("one").await;
+    let _one = Announced::enter(&registry, &one, "one", 0);
+    let lies: [Vec<u8>; 4] = [
+        u32::MAX.to_be_bytes().to_vec(),
+        (1u32 << 30).to_be_bytes().to_vec(),
+        [&4u32.to_be_bytes()[..], b"junk"].concat(),
+        [&16u32.to_be_bytes()[..], &9u32.to_be_bytes(), &[0; 12]].concat(),
+    ];
+    let liars: Vec<String> = lies.into_iter().map(|l| format!("\"{}\"", liar(l))).collect();
+    let honest = settings(&registry, "", "connect = \"200ms\"");
+    let members = format!("members = [{}, ", liars.join(", "));
+    let mut node = Node::start(&program(), &honest.replace("members = [", &members)).await.unwrap();
+    node.until_health("/_health", true).await.unwrap();
+    let client = Client::new(node.address());
+    assert_eq!(served(&client, "honest", 100).await, 100);
+    // Whoever it comes to next, its servers stay.
+    registry.drop_member(0, true);
+    node.says("registry /flags/evaluate: ").await.unwrap();
+    assert_eq!(served(&client, "lies", 100).await, 100);
+    registry.drop_member(0, false);
+    assert_eq!(served(&client, "honest-again", 100).await, 100);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_nodes_own_entry_stands_from_when_it_is_ready_until_it_ends() {
+    let registry = Registry::start(3).await.unwrap();
+    let one = server("one").await;
+    // What a life before has left.
+    let old = registry.open_session();
+    registry.put("/nodes/n1", br#"{"name":"n1","address":"127.0.0.1:1","incarnation":1,"started":1}"#, old);
+    let entry = "[registry.entry]\npath = \"/nodes/n1\"\nname = \"n1\"\nsite = \"ikeja-dc\"";
+    let more = format!("session = \"2s\"\n{entry}");
+    let text = settings(&registry, "", &more);
+    let mut node = Node::start(&program(), &text).await.unwrap();
+    // Not ready: no server is there, and the old entry is nobody's business yet.
+    node.until_health("/_health", false).await.unwrap();
+    assert_eq!(registry.get("/nodes/n1").map(|(_, owner)| owner), Some(old));
+    let _one = Announced::enter(&registry, &one, "one", 0);
+    node.until_health("/_health", true).await.unwrap();
+    let stands = || registry.get("/nodes/n1").filter(|(_, owner)| *owner != old && *owner != 0);
+    until("its entry", async || stands().is_some()).await;
+    let (said, owner) = stands().unwrap();
+    let said: serde_json::Value = serde_json::from_slice(&said).unwrap();
+    assert_eq!(
+        (said["site"].as_str(), said["address"].as_str()),
+        (Some("ikeja-dc"), Some(&*node.address().to_string()))
+    );
+    // Its session is killed: a new one makes it anew.
+    registry.kill(owner);
+    until("its entry anew", async || stands().is_some_and(|(_, again)| again != owner)).await;
+    // A request is under way at the end: the entry goes first.
+    one.behave(|m| m.frozen = true);
+    let address = node.address();
+    let flying =
+        tokio::spawn(async move { Client::new(address).ask(request("GET", "evaluate", "last")).await });
+    let seen = one.seen();
+    until("the request", async || one.seen() > seen || one.seen() > 0).await;
+    node.signal("TERM").unwrap();
+    until("the end of its entry", async || registry.get("/nodes/n1").is_none()).await;
+    one.behave(|m| m.frozen = false);
+    assert_eq!(flying.await.unwrap().unwrap().status, 200);
+    assert!(node.ended().await.unwrap());
+    assert!(registry.children("/nodes").is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn with_credentials_only_what_its_owner_entered_counts_and_the_own_entry_is_guarded() {
+    let registry = Registry::start(1).await.unwrap();
+    let (own, strange) = (server("own").await, server("strange").await);
+    let ops = digest_id("ops:secret");
+    let enter = |server: &Server, acl: &[(i32, &str, &str)]| {
+        let entered = Announced::enter(&registry, server, &server.name, 0);
+        registry.set_acl(&format!("{PATH}/{}", server.name), acl);
+        entered
+    };
+    let _own = enter(&own, &[(31, "digest", &ops), (1, "world", "anyone")]);
+    let _strange = enter(&strange, &[(31, "world", "anyone")]);
+    registry.put("/nodes", b"", 0);
+    let secret = std::env::temp_dir().join(format!("reelfall-digest-{}", std::process::id()));
+    std::fs::write(&secret, "ops:secret\n").unwrap();
+    let follow = format!(", owner = {{ scheme = \"digest\", id = \"{ops}\" }}");
+    let more = format!(
+        "digest_file = \"{}\"\n[registry.entry]\npath = \"/nodes/n1\"\nname = \"n1\"\nguarded = true",
+        secret.display()
+    );
+    let mut node = start(&registry, &follow, &more).await;
+    std::fs::remove_file(&secret).unwrap();
+    let client = Client::new(node.address());
+    assert_eq!(served(&client, "owned", 100).await, 100);
+    assert_eq!(strange.seen(), 0, "a stranger's entry counted");
+    node.says("others than those that are trusted may change it").await.unwrap();
+    until("its entry", async || registry.get("/nodes/n1").is_some()).await;
+    let acl = registry.acl("/nodes/n1");
+    assert!(
+        acl.contains(&(31, "digest".to_owned(), ops))
+            && acl.contains(&(1, "world".to_owned(), "anyone".to_owned()))
+    );
+    assert_eq!(acl.len(), 2, "{acl:?}");
+    node.signal("TERM").unwrap();
+    assert!(node.ended().await.unwrap());
+    assert!(registry.get("/nodes/n1").is_none());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn known_servers_are_served_until_the_registry_is_heard() {
+    let registry = Registry::start(1).await.unwrap();
+    let (known, listed) = (server("known").await, server("listed").await);
+    registry.drop_member(0, true);
+    let follow = format!(", known = [{{ name = \"known\", address = \"{}\" }}]", known.address);
+    let node = start(&registry, &follow, "connect = \"100ms\"").await;
+    let client = Client::new(node.address());
+    assert_eq!(served(&client, "known", 20).await, 20);
+    assert_eq!(known.seen(), 20);
+    let _listed = Announced::enter(&registry, &listed, "listed", 0);
+    registry.drop_member(0, false);
+    until_sent_to(&client, &listed, "heard").await;
+    // What the registry does not list is not there.
+    let before = known.seen();
+    assert_eq!(served(&client, "after", 100).await, 100);
+    assert_eq!(known.seen(), before, "a server that the registry does not list");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn thousands_of_entries_and_changes_are_followed() {
+    let registry = Registry::start(1).await.unwrap();
+    let (one, last) = (server("one").await, server("last").await);
+    let session = registry.open_session();
+    for n in 0..2_000 {
+        // Nobody is there; they drain, so that nobody asks.
+        let entry = format!("{{\"address\":\"127.8.{}.{}:9\",\"state\":\"draining\"}}", n / 250, 1 + n % 250);
+        registry.put(&format!("{PATH}/s{n}"), entry.as_bytes(), session);
+    }
+    let _one = Announced::enter(&registry, &one, "one", 0);
+    let node = start(&registry, "", "").await;
+    let client = Client::new(node.address());
+    assert_eq!(served(&client, "many", 50).await, 50);
+    // A thousand changes in a burst, and one that counts at their end.
+    for n in 0..1_000 {
+        let entry = format!("{{\"address\":\"127.9.{}.{}:9\",\"state\":\"draining\"}}", n / 250, 1 + n % 250);
+        registry.put(&format!("{PATH}/s{n}"), entry.as_bytes(), session);
+    }
+    let _last = Announced::enter(&registry, &last, "last", 0);
+    until_sent_to(&client, &last, "last").await;
+    assert_eq!(served(&client, "churned", 50).await, 50);
+}
