--- a/crates/membership/src/follow.rs
+++ b/crates/membership/src/follow.rs
@@ -312,7 +312,10 @@
     fn pump(&mut self) {
         while self.up && self.reading < self.limits.window {
             let Some(child) = self.queue.pop_front() else { break };
-            self.queued.remove(&child);
+            if !self.queued.remove(&child) {
+                // Removed since, or read already.
+                continue;
+            }
             let Some(known) = self.children.get_mut(&child) else { continue };
             (known.reading, known.again) = (true, false);
             self.reading += 1;
@@ -411,6 +414,11 @@
             self.queued.remove(child);
             self.roster.gone(now, child);
         }
+        // Guards against a queue that grows with each coming and going while answers are slow. Harm: none.
+        if self.queue.len() > 2 * self.queued.len() + 64 {
+            let (queued, mut seen) = (&self.queued, BTreeSet::new());
+            self.queue.retain(|c| queued.contains(c) && seen.insert(c.clone()));
+        }
     }
 
     fn fired(&mut self, now: Time, fired: &Fired) {
--- a/crates/membership/tests/follow.rs
+++ b/crates/membership/tests/follow.rs
@@ -339,6 +339,26 @@
     assert_eq!(there(&follower).len(), 10);
 }
 
+#[test]
+fn entries_that_come_and_go_while_answers_are_slow_take_no_room() {
+    let limits = Limits { window: 1, ..Limits::default() };
+    let (mut table, mut follower) = follower(limits);
+    // One read is out and unanswered; the others wait, and come and go.
+    for n in 0..20_000 {
+        let child = format!("s{}", n % 7);
+        table.put(&child, payload(1 + n % 7), 9, false);
+        table.remove(&child, false);
+        for word in table.words.drain(..).collect::<Vec<_>>() {
+            follower.event(1.0, &word);
+        }
+        table.take(&mut follower);
+        assert!(follower.size().1 <= 80, "{} wait to be read", follower.size().1);
+    }
+    table.put("s1", payload(9), 9, false);
+    table.settle(&mut follower, 2.0);
+    assert_eq!(there(&follower), [("s1".to_owned(), 9)].into());
+}
+
 #[test]
 fn a_path_that_is_not_there_yet_is_waited_for() {
     for modern in [true, false] {
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -43,7 +43,7 @@
     pub names: RefCell<Vocabulary>,
     pub shared: Rc<Shared>,
     /// What this pool's list says, where other lists may say something of the same servers.
-    own: RefCell<HashMap<ServerId, Place<SocketAddr>>>,
+    own: RefCell<Own>,
     /// Whether a server that the list no longer names has ended, or may serve others still.
     missing: Missing,
     /// A server is warm so long after its start, in seconds.
@@ -64,6 +64,43 @@
     discovery: Discovery,
 }
 
+/// A list as its source has it, before other lists add anything.
+#[derive(Default)]
+struct Own {
+    places: HashMap<ServerId, Place<SocketAddr>>,
+    /// The servers at each address.
+    at: HashMap<SocketAddr, Vec<ServerId>>,
+}
+
+impl Own {
+    fn insert(&mut self, place: &Place<SocketAddr>) -> Option<Place<SocketAddr>> {
+        let old = self.remove(place.entry.server);
+        self.at.entry(place.address).or_default().push(place.entry.server);
+        self.places.insert(place.entry.server, place.clone());
+        old
+    }
+
+    fn remove(&mut self, server: ServerId) -> Option<Place<SocketAddr>> {
+        let old = self.places.remove(&server)?;
+        if let Some(at) = self.at.get_mut(&old.address) {
+            at.retain(|s| *s != server);
+            if at.is_empty() {
+                self.at.remove(&old.address);
+            }
+        }
+        Some(old)
+    }
+
+    /// The servers that the list has at an address.
+    fn at(&self, address: &SocketAddr) -> impl Iterator<Item = &Place<SocketAddr>> {
+        self.at.get(address).into_iter().flatten().filter_map(|s| self.places.get(s))
+    }
+
+    fn has(&self, address: &SocketAddr) -> bool {
+        self.at.contains_key(address)
+    }
+}
+
 /// What it means that a list no longer names a server.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Missing {
@@ -127,7 +164,7 @@
 
     /// Where a server of this list is, where several pools may list it.
     pub fn address_of(&self, server: ServerId) -> Option<SocketAddr> {
-        self.own.borrow().get(&server).map(|p| p.address)
+        self.own.borrow().places.get(&server).map(|p| p.address)
     }
 
     /// Requests that have no final answer yet, or an attempt that is out.
@@ -170,9 +207,10 @@
         };
         if matches!(list, ListKind::Full | ListKind::Cached) {
             let named: HashSet<ServerId> = places.iter().map(|p| p.entry.server).collect();
-            let missing: Vec<ServerId> = own.keys().filter(|id| !named.contains(id)).copied().collect();
-            let missing: Vec<_> = missing.iter().filter_map(|id| own.remove(id)).collect();
-            for p in missing.iter().filter(|p| !own.values().any(|o| o.address == p.address)) {
+            let missing: Vec<ServerId> =
+                own.places.keys().filter(|id| !named.contains(id)).copied().collect();
+            let missing: Vec<_> = missing.into_iter().filter_map(|id| own.remove(id)).collect();
+            for p in missing.iter().filter(|p| !own.has(&p.address)) {
                 let gone = self.line(Word::Gone, p.entry.ready_at);
                 say(p.address, (self.missing == Missing::Ended).then_some(gone));
                 self.withheld.borrow_mut().remove(&p.address);
@@ -181,15 +219,15 @@
         for place in places.iter_mut() {
             let word = word(place.entry.state);
             let old = match place.entry.state {
-                ServerState::Gone => own.remove(&place.entry.server),
-                _ => own.insert(place.entry.server, place.clone()),
+                ServerState::Gone => own.remove(place.entry.server),
+                _ => own.insert(place),
             };
-            if let Some(old) = old.filter(|old| old.address != place.address) {
+            if let Some(old) = old.filter(|old| old.address != place.address && !own.has(&old.address)) {
                 say(old.address, None);
                 self.withheld.borrow_mut().remove(&old.address);
             }
             // A server that took the place of another at its address is not gone with that one's name.
-            if word != Word::Gone || !own.values().any(|o| o.address == place.address) {
+            if word != Word::Gone || !own.has(&place.address) {
                 say(place.address, Some(self.line(word, place.entry.ready_at)));
             }
             self.adjust(place);
@@ -296,8 +334,7 @@
     }
 
     fn retold(self: Rc<Self>, address: SocketAddr) {
-        let mut places: Vec<Place<SocketAddr>> =
-            self.own.borrow().values().filter(|p| p.address == address).cloned().collect();
+        let mut places: Vec<Place<SocketAddr>> = self.own.borrow().at(&address).cloned().collect();
         places.iter_mut().for_each(|p| self.adjust(p));
         if !places.is_empty() {
             self.tell(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
--- a/crates/node/src/net/registry.rs
+++ b/crates/node/src/net/registry.rs
@@ -219,8 +219,8 @@
 
     async fn wait(&mut self, told: &Notify) -> Woken {
         let until = self.session.deadline().unwrap_or(f64::MAX).min(self.part.deadline());
-        let most = Duration::from_secs(3600);
-        let rest = Duration::try_from_secs_f64(until - self.clock.now()).unwrap_or_default().min(most);
+        // Without anything due, an hour is as good as any time.
+        let rest = Duration::from_secs_f64((until - self.clock.now()).clamp(0.0, 3600.0));
         let sleep = tokio::time::sleep_until((Instant::now() + rest).into());
         match &mut self.line {
             Line::None => tokio::select! {
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -8,7 +8,7 @@
 use reelfall_conf::model::{At, Model, NodeEntry, Registry};
 use reelfall_conf::{reader, Plan};
 use reelfall_membership::own;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::collections::HashMap;
 use std::hash::BuildHasher;
@@ -39,13 +39,20 @@
 const WITHDRAWN_IN: Duration = Duration::from_millis(500);
 
 /// What an entry of this node is made from: as long as this stays, the entry stays.
-type EntryKey = (Way, String, String, Option<String>, Option<String>, bool);
+#[derive(Clone, PartialEq)]
+struct Wanted {
+    way: Way,
+    entry: NodeEntry,
+    zone: Option<String>,
+}
 
 struct Node {
     shared: Rc<Shared>,
     services: Services,
     /// This node's own entries, by their registries.
-    entries: RefCell<HashMap<String, (EntryKey, Rc<Entered>)>>,
+    entries: RefCell<HashMap<String, (Wanted, Rc<Entered>)>>,
+    /// The node is on its way out: no entry is made any more.
+    leaving: Cell<bool>,
     /// When this life of the node began, in milliseconds of Unix time.
     began: u64,
     /// Made with the first plan.
@@ -62,7 +69,8 @@
     let services = Services::new(shared.clone(), seed);
     let began = (shared.clock.now() * 1e3) as u64;
     let (front, entries) = (RefCell::default(), RefCell::default());
-    let node = Rc::new(Node { shared, services, entries, began, front, seed });
+    let leaving = Cell::new(false);
+    let node = Rc::new(Node { shared, services, entries, leaving, began, front, seed });
     let front = node.apply(plan)?;
     announce(&front);
     let ticking = node.clone();
@@ -86,6 +94,7 @@
     let stop = async {
         terminate.recv().await;
         // Before anything else, so that nobody is drawn here any more.
+        node.leaving.set(true);
         let entries = node.entries.take().into_values().map(|(_, entered)| entered);
         let leaving: FuturesUnordered<_> =
             entries.map(|entered| async move { entered.withdraw(WITHDRAWN_IN).await }).collect();
@@ -110,7 +119,6 @@
             });
         }
         let entries = self.entries_of(&plan.model)?;
-        let zone = plan.model.process.zone.clone();
         let routing = self.services.apply(plan)?;
         let front = match old {
             Some(front) => {
@@ -121,26 +129,29 @@
         };
         front.listen(listening);
         self.front.replace(Some(front.clone()));
-        self.enter(&front, entries, zone);
+        self.enter(&front, entries);
         Ok(front)
     }
 
     /// The entries that a model wants, by their registries.
-    fn entries_of(&self, model: &Model) -> Result<HashMap<String, EntryKey>, String> {
+    fn entries_of(&self, model: &Model) -> Result<HashMap<String, Wanted>, String> {
         let wanted = model.registries.iter().filter_map(|r| Some((r, r.entry.as_ref()?)));
-        let key = |(registry, entry): (&At<Registry>, &At<NodeEntry>)| {
-            let NodeEntry { path, name, address, site, guarded } = entry.value.clone();
+        let wanted = wanted.map(|(registry, entry): (&At<Registry>, &At<NodeEntry>)| {
             let way = Way::of(registry).map_err(|e| format!("{}: {e}", registry.origin))?;
-            Ok((registry.name.clone(), (way, path, name, address, site, guarded)))
-        };
-        wanted.map(key).collect()
+            let (entry, zone) = (entry.value.clone(), model.process.zone.clone());
+            Ok((registry.name.clone(), Wanted { way, entry, zone }))
+        });
+        wanted.collect()
     }
 
     /// Keeps the entries that are wanted and lets the others go.
-    fn enter(&self, front: &Front, wanted: HashMap<String, EntryKey>, zone: Option<String>) {
+    fn enter(&self, front: &Front, wanted: HashMap<String, Wanted>) {
+        if self.leaving.get() {
+            return;
+        }
         let mut entries = self.entries.borrow_mut();
-        entries.retain(|registry, (key, entered)| {
-            let stays = wanted.get(registry) == Some(key);
+        entries.retain(|registry, (old, entered)| {
+            let stays = wanted.get(registry) == Some(old);
             if !stays {
                 let entered = entered.clone();
                 tokio::task::spawn_local(async move { entered.withdraw(WITHDRAWN_IN).await });
@@ -148,18 +159,18 @@
             stays
         });
         let listens = front.addresses().into_iter().map(|(_, address)| address.to_string()).next();
-        for (registry, key) in wanted {
+        for (registry, wanted) in wanted {
             entries.entry(registry).or_insert_with(|| {
-                let (way, path, name, address, site, guarded) = key.clone();
+                let Wanted { way, entry, zone } = wanted.clone();
                 let data = own::Data {
-                    name,
-                    address: address.or_else(|| listens.clone()).unwrap_or_default(),
-                    site,
-                    zone: zone.clone(),
+                    name: entry.name,
+                    address: entry.address.or_else(|| listens.clone()).unwrap_or_default(),
+                    site: entry.site,
+                    zone,
                     incarnation: self.began,
                     started: self.began,
                 };
-                (key, Entered::keep(&self.shared, way, path, data, guarded))
+                (wanted, Entered::keep(&self.shared, way, entry.path, data, entry.guarded))
             });
         }
     }
