Let the tests of flaps and lagging members fail without what they are for

With the wait of a return taken out, the test of flaps still passed: its load was too low to tell. The test of a member that lags passes as long as one of two guards is there, and fails without both; it says so now.

--- a/crates/rig/tests/membership.rs
+++ b/crates/rig/tests/membership.rs
@@ -135,7 +135,7 @@
     flappy.behave(|m| m.frozen = true);
     let address = node.address();
     let loading = tokio::spawn(async move {
-        load::run(address, &[kind("flap", "evaluate", 100.0)], Duration::from_secs(4), 2).await
+        load::run(address, &[kind("flap", "evaluate", 300.0)], Duration::from_secs(4), 2).await
     });
     let seen = flappy.seen();
     for _ in 0..30 {
@@ -151,7 +151,7 @@
     assert!(came[0].served() > 90.0, "{:.1} % served", came[0].served());
     // Thirty returns taken at their word would have sent it some hundred requests.
     let sent = flappy.seen() - seen;
-    assert!(sent < 60, "{sent} requests to a server that comes and goes");
+    assert!(sent < 30, "{sent} requests to a server that comes and goes");
     // In the end it is there, and so is its work: the wait is a few seconds, with this many returns.
     let _last = Announced::enter(&registry, &flappy, "flappy", 0);
     until("its return", async || {
@@ -213,6 +213,8 @@
     assert_eq!(served(&client, "fresh", 20).await, 20);
 }
 
+/// Two things keep an older list from counting, each by itself: the state that was seen, told in the greeting and held
+/// against each answer, and the sync before the list. Without both, this fails; the session's own tests take the first.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_member_that_lags_never_brings_back_who_is_gone() {
     let registry = Registry::start(2).await.unwrap();
