--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -416,8 +416,9 @@
             let mean = self.servers.iter().map(|s| s.entry.weight).sum::<f64>() / r;
             share = if mean > 0.0 { entry.weight.max(0.0) / mean } else { 1.0 };
         }
-        // Guards what was learned against a server that is off the list for a moment, and the budget of a cold
-        // one against being drawn anew at each return. Harm: one that went for a reason is taken for what it was.
+        // Guards what was learned against a server that is off the list for a moment, and the budget of a
+        // cold one against being drawn anew at each return. Harm: one that went for a reason is taken for
+        // what it was.
         let known = self.left.iter().position(|l| l.hash == entry.hash && l.ready_at == entry.ready_at);
         let known = known.and_then(|n| self.left.remove(n)).filter(|l| now - l.at < LEFT_FOR);
         if let Some(l) = &known {
