--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -8,7 +8,7 @@
 use super::shared::{Held, OpenId, Permit, Shared};
 use super::takeover::{Passing, Takeover};
 use super::upstream::TIME_LEFT;
-use super::{kib, BODY_MOST, BODY_SMALL, HEAD_MOST};
+use super::{hurry, kib, BODY_MOST, BODY_SMALL, HEAD_MOST};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -565,9 +565,7 @@
     }
 
     async fn connection(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
-        if stream.set_nodelay(true).is_err() {
-            return;
-        }
+        hurry(&stream);
         let mut stream = Rc::new(stream);
         while self.converse(&stream, client).await {
             match self.pass_on(stream, client).await {
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -14,6 +14,8 @@
 pub mod service;
 pub mod shared;
 pub mod takeover;
+#[cfg(test)]
+mod tests;
 pub mod upstream;
 
 use std::cell::Cell;
@@ -69,6 +71,16 @@
 /// Read buffer of one connection.
 pub const BUFFER: usize = 64 << 10;
 
+/// Has small pieces written at once.
+///
+/// Guards a connection against a system that refuses the wish, as one was seen to do for the first option set on each
+/// connection it had accepted: whoever came was let in and closed on, and no node ever got ready. What is written may
+/// be a little late then, which is better than nothing. It ought to bear any socket that knows no such option. Harm: on
+/// such a system the last piece of an answer may wait for an acknowledgement.
+pub fn hurry(stream: &tokio::net::TcpStream) {
+    let _ = stream.set_nodelay(true);
+}
+
 /// Standard error, a few lines a second: a flood of faults must not become a flood of text.
 #[derive(Default)]
 pub struct Log {
--- /dev/null
+++ b/crates/node/src/net/tests.rs
@@ -0,0 +1,48 @@
+//! Sockets that are odd in ways that loopback TCP can't be made to be.
+
+use super::front::{Front, Listening};
+use super::pool::{Missing, Pool};
+use super::service::{AbortOnDrop, Routing, Service};
+use super::shared::Shared;
+use super::Bounds;
+use reelfall_core::settings;
+use std::io;
+use std::os::fd::OwnedFd;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const SETTINGS: &str = r#"{"categories":[{"name":"read","promise":1.5,"deadline":6.0,"worth":1.0,"effect":"idempotent"}],
+    "limits":{"conn-idle":5.0,"connect-timeout":0.5,"max-attempts":4}}"#;
+
+/// A front whose one pool has no list yet.
+fn front() -> Rc<Front> {
+    let (settings, names, figures) = settings::read(SETTINGS).expect("usable settings");
+    let shared = Shared::alone(Bounds::of(256, 64));
+    let pool = Pool::new(settings, names, figures, 1, Missing::Ended, shared.clone(), None).expect("a pool");
+    let follow = AbortOnDrop(tokio::task::spawn_local(std::future::pending::<()>()).abort_handle());
+    Front::new(shared, Routing::Alone(Service::alone(pool, follow)), 16, 1)
+}
+
+async fn asked(client: OwnedFd, front: &Rc<Front>, mut far: tokio::net::UnixStream) -> io::Result<String> {
+    front.take_in(client.into(), "client");
+    far.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n").await?;
+    let mut answer = String::new();
+    far.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+#[test]
+fn a_connection_whose_socket_refuses_an_option_is_served_all_the_same() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let front = front();
+        let address = "127.0.0.1:0".parse().expect("an address");
+        front.listen(vec![Listening::bind("client", address, 16, false).expect("a listener")]);
+        // A stream socket that is no TCP socket knows no TCP_NODELAY.
+        let (near, far) = std::os::unix::net::UnixStream::pair().expect("a pair");
+        far.set_nonblocking(true).expect("a socket");
+        let far = tokio::net::UnixStream::from_std(far).expect("a socket");
+        let answer = asked(near.into(), &front, far).await.expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 503"), "{answer:?}");
+    });
+}
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -3,7 +3,7 @@
 use super::body::{Payload, Rest, Sending, FLOW_MOST};
 use super::message::{Answer, Message};
 use super::shared::{Open, Shared};
-use super::{kib, ANSWER_HELD, ANSWER_MOST, ANSWER_SMALL, BUFFER};
+use super::{hurry, kib, ANSWER_HELD, ANSWER_MOST, ANSWER_SMALL, BUFFER};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -303,7 +303,7 @@
 ) -> Option<Connection> {
     let generation = host.upstream().generation(server);
     let stream = timeout_at(until.into(), TcpStream::connect(address)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
+    hurry(&stream);
     let socket = Rc::new(Socket { stream, written: Cell::new(0) });
     let io = TokioIo::new(Tap(socket.clone()));
     let (send, connection) = Builder::new().max_buf_size(BUFFER).handshake(io).await.ok()?;
