--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -14,6 +14,11 @@
 const STEP: f64 = 0.1;
 /// From this many servers on, the step grows with the list, to three times as much.
 const LONG_LIST: f64 = 24.0;
+/// Visits a second that a node should make to each server of its part of a long list: enough that an average is
+/// of the last seconds, that a connection is met again before it is closed, and that few nodes find each sick one.
+const VISITS: f64 = 1.7;
+/// The least part, and the least nodes that each server is a part of: chance must not decide what it gets.
+const PART_LEAST: f64 = 8.0;
 /// The whole floor: p_min = FLOOR / r leaves this share of the draws to exploration at any length.
 const FLOOR: f64 = 0.1;
 /// An attempt is overdue at this multiple of the mean response for its size; three means are rare by chance.
@@ -36,6 +41,9 @@
 const FLAP: Time = 0.5;
 /// A returning server gets this share of its draws until it has answered well once.
 const RETURN_SHARE: f64 = 0.3;
+/// What may not be repeated goes to a server that has not answered well yet, or not since it failed, with this part
+/// of its draws where there is something else to try it with.
+const UNSOUND: f64 = 0.2;
 /// Retries that a quiet stretch may save up.
 const RETRY_SAVED: f64 = 10.0;
 /// Part of a cold server's stated tolerance that is used; the rest covers uneven nodes and chance.
@@ -62,8 +70,9 @@
 /// Least weight of a server outside the zone beside one inside: its worth stays known, and an idle far server
 /// is preferred to a near one that holds two requests more than it can work on.
 const SPILL_MIN: f64 = 0.15;
-/// What one step of lateness in the zone adds to the spill.
-const SPILL_STEP: f64 = 0.1;
+/// How fast the weight of servers outside the zone follows what crossing gains: by which part a second for a gain
+/// of one request in time.
+const SPILL_PACE: f64 = 7.0;
 /// A key that draws this part of a server's fair share of traffic is hot.
 const HOT_KEY: f64 = 0.5;
 /// Counters for hot keys; a collision only costs a sticky draw.
@@ -143,6 +152,10 @@
     /// Bad answers in a row, and whether the last of them was more than lateness.
     strikes: u32,
     failing: bool,
+    /// Its last word was a good answer.
+    sound: bool,
+    /// It is of this node's part of the list.
+    own: bool,
     ejected_until: Time,
     /// Tells this stay on the list from an earlier one: attempts of that one count no more.
     stay: u32,
@@ -220,6 +233,11 @@
     class_work: Vec<f64>,
     typical: f64,
     tenants: Vec<(f64, Time)>,
+    /// Steps between two nodes that are neighbours in the order of parts.
+    stride: u64,
+    /// Requests that came since the last slow sweep, and how many come a second.
+    came: f64,
+    arrivals: f64,
     retries: f64,
     tally: Vec<Tally>,
     admit: f64,
@@ -227,6 +245,8 @@
     late: [f64; 2],
     late_at: [Time; 2],
     spill: f64,
+    /// Share of answers past the aim, inside and outside the zone.
+    missed: [f64; 2],
     /// More servers fail than ejection may mask: the trouble is common to all.
     common: bool,
     /// Mean response when little waits: the least seen, creeping up.
@@ -274,12 +294,16 @@
             class_work: vec![first_guess; n],
             typical: first_guess,
             tenants: vec![(f64::NAN, now); settings.tenants.len()],
+            stride: stride(u64::from(settings.replicas)),
+            came: 0.0,
+            arrivals: 0.0,
             retries: RETRY_SAVED,
             tally: vec![Tally::default(); 2 * n],
             admit: 1.0,
             late: [0.0; 2],
             late_at: [now; 2],
-            spill: SPILL_MIN,
+            spill: 1.0,
+            missed: [0.0; 2],
             common: false,
             base: first_guess,
             last_cut: now,
@@ -442,6 +466,7 @@
                 }
             }
         }
+        let fresh = self.servers.is_empty();
         for e in entries {
             let known = self.slot.get(e.server as usize).copied().flatten();
             match known {
@@ -456,6 +481,51 @@
                 None => {}
             }
         }
+        self.part(fresh);
+    }
+
+    // ---- this node's part of a long list ----
+
+    /// How many nodes each server of a list of `r` is a part of: as many as make `VISITS` to it, if all nodes have
+    /// their share of what the tenants may send.
+    fn block(&self, r: f64) -> u32 {
+        let n = f64::from(self.settings.replicas);
+        let quota: f64 = self.settings.tenants.iter().map(|t| t.quota.max(0.0)).sum();
+        if quota <= 0.0 || n < 2.0 * PART_LEAST {
+            return self.settings.replicas;
+        }
+        let part = (quota / n / VISITS).max(PART_LEAST);
+        (n * part / r.max(1.0)).clamp(2.0 * PART_LEAST, n).ceil() as u32
+    }
+
+    /// Whether a server is of this node's part. Each server takes a block of the nodes in an order that scatters
+    /// neighbours: all have as many nodes, a new one moves no other, and a zone's nodes gone are missed by all alike.
+    fn owns(&self, hash: u64, block: u32) -> bool {
+        let n = u64::from(self.settings.replicas);
+        let first = (fraction(hash) * n as f64) as u64;
+        (u64::from(self.settings.number) * self.stride + n - first) % n < u64::from(block)
+    }
+
+    /// Concentrates the vector on this node's part: at the start by listed size, later as the part changes.
+    fn part(&mut self, fresh: bool) {
+        let block = self.block(self.servers.len() as f64);
+        if block >= self.settings.replicas && self.servers.iter().all(|s| s.own) {
+            return;
+        }
+        let owned: Vec<bool> = self.servers.iter().map(|s| self.owns(s.entry.hash, block)).collect();
+        let size = |s: &Server| if self.settings.weighted { s.entry.weight.max(0.1) } else { 1.0 };
+        let mean = owned.iter().zip(&self.automaton.p).filter(|(own, _)| **own).map(|(_, p)| p).sum::<f64>()
+            / owned.iter().filter(|own| **own).count().max(1) as f64;
+        for (i, own) in owned.into_iter().enumerate() {
+            let p = &mut self.automaton.p[i];
+            if fresh {
+                *p = if own { size(&self.servers[i]) } else { 0.0 };
+            } else if own != self.servers[i].own {
+                *p = if own { mean } else { 0.0 };
+            }
+            self.servers[i].own = own;
+        }
+        self.automaton.settle();
     }
 
     fn leave(&mut self, now: Time, i: usize) {
@@ -478,7 +548,9 @@
     /// A new entry starts from what its kind showed, and from its listed weight before anything was shown.
     fn join(&mut self, now: Time, entry: Entry) {
         let r = self.servers.len() as f64;
-        let kin = (0..self.servers.len()).filter(|i| self.servers[*i].entry.kind == entry.kind);
+        let own = self.owns(entry.hash, self.block(r + 1.0));
+        let kin = |i: &usize| self.servers[*i].entry.kind == entry.kind && self.servers[*i].own == own;
+        let kin = (0..self.servers.len()).filter(kin);
         let n = kin.clone().count() as f64;
         let (mut share, mut average) = (1.0, self.typical);
         if n > 0.0 {
@@ -512,6 +584,8 @@
             stay: self.stays,
             strikes: 0,
             failing: false,
+            sound: false,
+            own,
             ejected_until: now,
             open: 0,
             overdue: 0,
@@ -544,6 +618,7 @@
         if let Some(k) = key {
             self.keys[k as usize % KEY_SLOTS] += 1.0;
         }
+        self.came += 1.0;
         let over = tenant.is_some_and(|t| self.over_share(now, t));
         let row = 2 * c + usize::from(over);
         self.tally[row].asked += work;
@@ -675,6 +750,18 @@
         [self.typical, sum / n][usize::from(n > 0.0)]
     }
 
+    /// Mean response as the draws see it. The few that answer nothing hardly move it, however long they take.
+    fn drawn_mean(&self, now: Time) -> f64 {
+        let (mut sum, mut n) = (0.0, 0.0);
+        for ((s, a), p) in self.servers.iter().zip(&self.automaton.average).zip(&self.automaton.p) {
+            if s.ejected_until <= now {
+                sum += p * a;
+                n += p;
+            }
+        }
+        [self.typical, sum / n][usize::from(n > 0.0)]
+    }
+
     fn far(&self, i: usize) -> usize {
         usize::from(self.settings.zone.is_some_and(|z| z != self.servers[i].entry.zone))
     }
@@ -696,10 +783,11 @@
         s.open = s.open.saturating_sub(1);
         s.overdue = s.overdue.saturating_sub(u32::from(out.overdue));
         s.visits += 1.0;
-        let suspect = s.failing && !self.common;
+        let suspect = !s.sound && !self.common;
         let (response, far) = (waited / r.size, self.far(i));
         match outcome {
             Outcome::Delivered => {
+                self.missed[far] += 0.05 * (f64::from(waited > aim) - self.missed[far]);
                 let s = &mut self.servers[i];
                 s.heard = s.heard.max(sent);
                 s.overdue = 0;
@@ -710,6 +798,7 @@
                 if response <= OVERDUE * mean {
                     self.servers[i].strikes = 0;
                     self.servers[i].failing = false;
+                    self.servers[i].sound = true;
                 }
                 self.delivered += r.work;
                 self.tally[r.row].served += r.work;
@@ -733,7 +822,7 @@
                 self.automaton.observe(i, waited.max(aim) / r.size);
                 // One broken connection, spoilt or overlong answer can come from any server; the second in a
                 // row, as an error that the server itself states, tells of a sick one.
-                let again = self.servers[i].strikes > u32::from(out.overdue);
+                let again = self.servers[i].strikes > u32::from(out.overdue) || outcome == Outcome::Expired;
                 let failing = outcome == Outcome::Error || (outcome != Outcome::Shed && again);
                 self.strike(now, i, failing);
             }
@@ -757,6 +846,7 @@
         let jitter = 0.75 + 0.5 * self.random();
         let room = (ejected + 1) as f64 <= self.ejectable();
         let s = &mut self.servers[i];
+        s.sound = false;
         if room {
             s.failing |= failing;
             let doubled = f64::from(1u32 << s.strikes.min(EJECT_DOUBLINGS));
@@ -801,7 +891,7 @@
         }
         for (server, stay, sent, waited) in struck {
             if let Some(i) = self.at(server, stay).filter(|i| self.servers[*i].heard <= sent) {
-                if self.common || !self.servers[i].failing {
+                if self.common || self.servers[i].sound {
                     let far = self.far(i);
                     self.pressure(now, sent, far, true);
                 }
@@ -822,13 +912,16 @@
             t.served *= keep;
         }
         self.keys.iter_mut().for_each(|k| *k *= keep);
+        let rate = self.came / dt;
+        self.came = 0.0;
+        self.arrivals = if self.arrivals > 0.0 { self.arrivals + 0.2 * (rate - self.arrivals) } else { rate };
         self.delivered_rate += (1.0 - keep) * (self.delivered / dt - self.delivered_rate);
         self.delivered = 0.0;
         let warm = self.servers.iter().filter(|s| self.warmth(s, now) >= 1.0).count().max(1);
         let borne = self.delivered_rate * f64::from(self.settings.replicas) / warm as f64;
         self.bearable = self.bearable.max(borne);
-        // The zone takes back a tenth of its spill a second: its price is paid for every request.
-        self.spill = (self.spill * (1.0 - 0.1 * dt)).max(SPILL_MIN);
+        let gain = self.missed[0] - self.missed[1] - self.settings.prices.cross_zone;
+        self.spill = (self.spill * (SPILL_PACE * gain * dt).exp()).clamp(SPILL_MIN, 1.0);
         let mean = self.mean(now);
         self.base = if mean < self.base { mean } else { self.base * (1.0 + BASE_CREEP * dt) };
         self.relax_to_kin(dt);
@@ -837,17 +930,18 @@
     /// Kinship, for servers seen under about once a second: entries and averages drift to the mean of their
     /// kind, a tenth of the way a second, so that what one server taught serves its kin.
     fn relax_to_kin(&mut self, dt: Time) {
-        let kinds = self.servers.iter().map(|s| s.entry.kind as usize + 1).max().unwrap_or(0);
+        let group = |s: &Server| 2 * s.entry.kind as usize + usize::from(s.own);
+        let kinds = self.servers.iter().map(|s| group(s) + 1).max().unwrap_or(0);
         let mut sums = vec![(0.0, 0.0, 0.0); kinds];
         for (i, s) in self.servers.iter().enumerate() {
-            let k = &mut sums[s.entry.kind as usize];
+            let k = &mut sums[group(s)];
             *k = (k.0 + 1.0, k.1 + self.automaton.p[i], k.2 + self.automaton.average[i]);
         }
         for (i, s) in self.servers.iter_mut().enumerate() {
             let rate = s.visits / dt;
             let pull = (0.1 * dt / (1.0 + rate * rate)).min(1.0);
             s.visits = 0.0;
-            let (n, p, average) = sums[s.entry.kind as usize];
+            let (n, p, average) = sums[group(s)];
             self.automaton.p[i] += pull * (p / n - self.automaton.p[i]);
             self.automaton.average[i] += pull * (average / n - self.automaton.average[i]);
         }
@@ -884,13 +978,7 @@
         let step = (1.0 - (-2.0 * passed / self.shortest(|c| c.deadline)).exp()).min(most);
         self.late[far] += step * (f64::from(late) - self.late[far]);
         if self.late[0] > LATE_HIGH && sent >= self.last_cut {
-            let gain = self.late[0] - self.late[1] - self.settings.prices.cross_zone;
-            if self.settings.zone.is_some() && self.spill < 1.0 && gain > 0.0 {
-                self.spill = (self.spill + SPILL_STEP).min(1.0);
-                self.admit = (self.admit * ADMIT_CUT.sqrt()).max(ADMIT_MIN);
-            } else {
-                self.admit = (self.admit * ADMIT_CUT).max(ADMIT_MIN);
-            }
+            self.admit = (self.admit * ADMIT_CUT).max(ADMIT_MIN);
             // Good answers in a row must come before more is admitted, or a fleet in collapse stays there.
             self.last_cut = now;
             self.late[0] = LATE_AFTER * LATE_HIGH;
@@ -940,7 +1028,7 @@
         let near = self.settings.zone;
         let part = HELD * self.requests.len() as f64;
         let size = self.servers.iter().map(|s| s.entry.weight).sum::<f64>() / self.servers.len() as f64;
-        let mean = self.mean(now);
+        let mean = self.drawn_mean(now);
         for healthy in [true, false] {
             let mut total = 0.0;
             self.weights.clear();
@@ -972,9 +1060,7 @@
     /// there, against the server's listed size where the list tells one. A node that has few out, as among a
     /// hundred, is hardly touched by this.
     fn room(&self, s: &Server, mean: f64) -> f64 {
-        let listed = s.entry.weight / mean;
-        let size = if self.settings.weighted && listed.is_finite() { listed.clamp(0.25, 4.0) } else { 1.0 };
-        (1.0 + f64::from(s.open) / size).powi(-QUEUE_SHY)
+        (1.0 + f64::from(s.open) / listed(self.settings.weighted, s.entry.weight / mean)).powi(-QUEUE_SHY)
     }
 
     /// A keyed request that may have run goes only where its repeat is dropped.
@@ -992,11 +1078,11 @@
         if s.ejected_until > now || s.overdue > 0 || r.tried.contains(&s.entry.server) {
             return 0.0;
         }
-        if !s.failing || self.common {
-            return 1.0;
-        }
         let safe = |c: &Class| c.effect == Effect::Idempotent;
         let risky = !safe(&self.settings.classes[r.class as usize]) && self.settings.classes.iter().any(safe);
+        if !s.failing || self.common {
+            return if risky && !s.sound { UNSOUND } else { 1.0 };
+        }
         RETURN_SHARE * f64::from(!risky && s.open == 0)
     }
 
@@ -1021,11 +1107,18 @@
     /// nodes whose part is under one request a window do not all send at once.
     fn refill_cold(&mut self, now: Time, dt: Time) {
         let rules = &self.settings.rules;
-        let rate = COLD_SAFETY * rules.overload_factor * self.bearable / f64::from(self.settings.replicas);
+        let nodes = f64::from(self.block(self.servers.len() as f64));
+        let rate = COLD_SAFETY * rules.overload_factor * self.bearable / nodes;
+        let size = self.servers.iter().map(|s| s.entry.weight).sum::<f64>() / self.servers.len() as f64;
         for i in 0..self.servers.len() {
             let warmth = self.warmth(&self.servers[i], now);
             if warmth < 1.0 {
                 let s = &mut self.servers[i];
+                if !s.own {
+                    s.budget = 0.0;
+                    continue;
+                }
+                let rate = rate * listed(self.settings.weighted, s.entry.weight / size);
                 // Other balancers of this node that send to it have their parts.
                 let rate = rate / f64::from(s.entry.sharers.max(1));
                 // One that may go at once is left to each; were it more, idle balancers would save up a push.
@@ -1066,11 +1159,20 @@
     }
 }
 
+/// A server's listed size against the mean, where the list tells one.
+fn listed(told: bool, size: f64) -> f64 {
+    if told && size.is_finite() {
+        size.clamp(0.25, 4.0)
+    } else {
+        1.0
+    }
+}
+
 /// Time-out of an attempt that may be repeated, where that leaves room for another: an overdue answer is more
 /// likely lost than late. What may not be repeated waits to the end.
 fn timeout(class: &Class, r: &Request, mean: f64, now: Time) -> Option<Time> {
     let left = r.deadline - now;
-    let patience = (OVERDUE * mean * r.size).max(class.aim / 2.0);
+    let patience = (OVERDUE * mean * r.size).max(class.aim);
     (class.effect != Effect::AtMostOnce && left - patience > mean * r.size).then_some(patience)
 }
 
@@ -1090,6 +1192,19 @@
     weights.iter().rposition(|w| *w > 0.0)
 }
 
+/// A step through `n` places that visits each and scatters neighbours: next to the golden section, with no common
+/// divisor.
+fn stride(n: u64) -> u64 {
+    let divides = |a: u64| {
+        let (mut a, mut b) = (a, n);
+        while b > 0 {
+            (a, b) = (b, a % b);
+        }
+        a > 1
+    };
+    (((n as f64 * 0.618) as u64).max(1)..n).find(|a| !divides(*a)).unwrap_or(1)
+}
+
 /// Mixes bits into a fraction of [0, 1).
 fn fraction(x: u64) -> f64 {
     let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -146,6 +146,8 @@
     report: ReportInfo,
     #[serde(default = "one_node")]
     replicas_of_me: u32,
+    #[serde(default)]
+    my_number: u32,
     #[serde(default = "one")]
     over_share_worth: f64,
     #[serde(default)]
@@ -353,6 +355,7 @@
         tenants: info.tenants.iter().map(|t| Tenant { quota: t.quota_rps }).collect(),
         zone: info.locality.map(|z| zones.intern(&z) as ZoneId),
         replicas: info.replicas_of_me,
+        number: info.my_number,
         discovery: if info.discovery == "ask" { Discovery::Ask } else { Discovery::Push },
         reports: match info.report.via.as_str() {
             "piggyback" => Reports::Piggyback,
