--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -16,7 +16,7 @@
 const LONG_LIST: f64 = 24.0;
 /// Visits a second that a node should make to each server of its part of a long list: enough that an average is
 /// of the last seconds, that a connection is met again before it is closed, and that few nodes find each sick one.
-const VISITS: f64 = 1.7;
+const VISITS: f64 = 2.0;
 /// The least part, and the least nodes that each server is a part of: chance must not decide what it gets.
 const PART_LEAST: f64 = 8.0;
 /// The whole floor: p_min = FLOOR / r leaves this share of the draws to exploration at any length.
@@ -25,6 +25,8 @@
 const OVERDUE: f64 = 3.0;
 /// Most of the list that ejection may mask, so that a trouble common to all ejects nobody in effect.
 const EJECT_CAP: f64 = 0.2;
+/// The same for servers that can't be reached: a zone may be lost.
+const DEAD_CAP: f64 = 0.5;
 /// Longest doubling of an ejection.
 const EJECT_DOUBLINGS: u32 = 3;
 /// A server that holds more than this multiple of its part of the node's open requests waits its turn.
@@ -152,6 +154,8 @@
     /// Bad answers in a row, and whether the last of them was more than lateness.
     strikes: u32,
     failing: bool,
+    /// It could not be reached, or said nothing time and again: no load of the fleet explains that.
+    dead: bool,
     /// Its last word was a good answer.
     sound: bool,
     /// It is of this node's part of the list.
@@ -584,6 +588,7 @@
             stay: self.stays,
             strikes: 0,
             failing: false,
+            dead: false,
             sound: false,
             own,
             ejected_until: now,
@@ -662,7 +667,10 @@
         let class = &self.settings.classes[r.class as usize];
         let server = self.servers[i].entry.server;
         let timeout = timeout(class, r, mean, now).filter(|_| {
-            self.retries >= 1.0 && self.admit >= 1.0 && r.made + 1 < self.settings.limits.max_attempts
+            !self.servers[i].sound
+                && self.retries >= 1.0
+                && self.admit >= 1.0
+                && r.made + 1 < self.settings.limits.max_attempts
         });
         r.made += 1;
         r.tried.push(server);
@@ -799,6 +807,7 @@
                     self.servers[i].strikes = 0;
                     self.servers[i].failing = false;
                     self.servers[i].sound = true;
+                    self.servers[i].dead = false;
                 }
                 self.delivered += r.work;
                 self.tally[r.row].served += r.work;
@@ -824,7 +833,12 @@
                 // row, as an error that the server itself states, tells of a sick one.
                 let again = self.servers[i].strikes > u32::from(out.overdue) || outcome == Outcome::Expired;
                 let failing = outcome == Outcome::Error || (outcome != Outcome::Shed && again);
-                self.strike(now, i, failing);
+                let dead = match outcome {
+                    Outcome::DialFailed => true,
+                    Outcome::Expired => self.servers[i].strikes > 1 + u32::from(out.overdue),
+                    _ => false,
+                };
+                self.strike(now, i, failing, dead);
             }
         }
         let late =
@@ -840,14 +854,16 @@
 
     /// Ejection, when an attempt fails or is overdue: each strike in a row doubles the time, jittered so that
     /// nodes do not return together.
-    fn strike(&mut self, now: Time, i: usize, failing: bool) {
+    fn strike(&mut self, now: Time, i: usize, failing: bool, dead: bool) {
         let ejected = self.servers.iter().filter(|s| s.ejected_until > now).count();
         let base = if failing { 4.0 * self.shortest(|c| c.deadline) } else { self.shortest(|c| c.aim) };
         let jitter = 0.75 + 0.5 * self.random();
-        let room = (ejected + 1) as f64 <= self.ejectable();
+        let cap = if dead { DEAD_CAP * self.servers.len() as f64 } else { 0.0 };
+        let room = (ejected + 1) as f64 <= self.ejectable().max(cap);
         let s = &mut self.servers[i];
         s.sound = false;
         if room {
+            s.dead |= dead;
             s.failing |= failing;
             let doubled = f64::from(1u32 << s.strikes.min(EJECT_DOUBLINGS));
             s.ejected_until = s.ejected_until.max(now + base * jitter * doubled);
@@ -867,7 +883,7 @@
         if self.late[0] < LATE_CALM * LATE_HIGH {
             self.admit = (self.admit + ADMIT_GAIN * dt / self.shortest(|c| c.deadline)).min(1.0);
         }
-        let failing = self.servers.iter().filter(|s| s.failing).count() as f64;
+        let failing = self.servers.iter().filter(|s| s.failing && !s.dead).count() as f64;
         self.common = failing > self.ejectable();
         self.charge_overdue(now);
         self.refill_cold(now, dt);
@@ -897,7 +913,7 @@
                 }
                 self.automaton.observe(i, waited);
                 self.servers[i].overdue += 1;
-                self.strike(now, i, false);
+                self.strike(now, i, false, false);
             }
         }
     }
@@ -1080,7 +1096,7 @@
         }
         let safe = |c: &Class| c.effect == Effect::Idempotent;
         let risky = !safe(&self.settings.classes[r.class as usize]) && self.settings.classes.iter().any(safe);
-        if !s.failing || self.common {
+        if !s.failing || (self.common && !s.dead) {
             return if risky && !s.sound { UNSOUND } else { 1.0 };
         }
         RETURN_SHARE * f64::from(!risky && s.open == 0)
--- /dev/null
+++ b/crates/core/tests/doubt.rs
@@ -0,0 +1,77 @@
+//! What a node makes of servers that it has not heard, or not since they failed, where it meets each of them rarely.
+
+mod common;
+
+use common::{class, entry, settings, Node};
+use reelfall_core::interface::*;
+use std::collections::BTreeMap;
+
+fn two() -> Vec<Class> {
+    vec![class(Effect::Idempotent), class(Effect::AtMostOnce)]
+}
+
+fn timeout(node: &Node) -> Option<Time> {
+    node.actions.iter().find_map(|a| match a {
+        Action::Attempt { timeout, .. } => *timeout,
+        _ => None,
+    })
+}
+
+/// Has every server answer once.
+fn heard(node: &mut Node, servers: u32) {
+    let mut unheard: Vec<ServerId> = (0..servers).collect();
+    while !unheard.is_empty() {
+        let (id, server) = node.request(0, None, 0.6);
+        let server = server.expect("a server");
+        node.now += 0.02;
+        node.end(id, 0, server, Outcome::Delivered, 0.02);
+        unheard.retain(|s| *s != server);
+    }
+}
+
+/// The server answers, or its client leaves before it could.
+fn end_or_leave(node: &mut Node, id: RequestId, server: ServerId, answers: bool) {
+    if answers {
+        return node.end(id, 0, server, Outcome::Delivered, 0.02);
+    }
+    node.tell(Event::Gone { request: id });
+    node.end(id, 0, server, Outcome::Revoked, 0.02);
+}
+
+#[test]
+fn an_attempt_is_given_up_early_only_at_a_server_in_doubt() {
+    let mut node = Node::new(settings(two()), 4);
+    let (id, server) = node.request(0, None, 0.6);
+    // Under load, an attempt given up at a sound server runs on and makes the load worse.
+    assert!(timeout(&node).is_some(), "nobody has heard this server yet");
+    node.end(id, 0, server.expect("a server"), Outcome::Delivered, 0.02);
+    heard(&mut node, 4);
+    node.request(0, None, 0.6);
+    assert_eq!(timeout(&node), None);
+}
+
+#[test]
+fn what_must_not_run_twice_goes_where_an_answer_came_from() {
+    let mut node = Node::new(settings(two()), 10);
+    let mut good = BTreeMap::new();
+    // Half of the list has answered.
+    for _ in 0..400 {
+        let (id, server) = node.request(0, None, 0.6);
+        let server = server.expect("a server");
+        node.now += 0.05;
+        let answers = server < 5;
+        end_or_leave(&mut node, id, server, answers);
+        good.insert(server, answers);
+    }
+    assert!(good.values().any(|g| *g) && good.values().any(|g| !*g), "{good:?}");
+    let mut to_unheard = [0.0; 2];
+    for n in 0..1000 {
+        let class = n % 2;
+        let (id, server) = node.request(class, None, 0.6);
+        let server = server.expect("a server");
+        node.now += 0.05;
+        to_unheard[usize::from(class)] += f64::from(u8::from(server >= 5)) / 500.0;
+        end_or_leave(&mut node, id, server, server < 5);
+    }
+    assert!(to_unheard[1] < 0.5 * to_unheard[0], "{to_unheard:?}");
+}
