--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -80,6 +80,9 @@
     list: String,
     changes: usize,
     watched: usize,
+    /// Calls are answered 503, and watches end.
+    refuses: bool,
+    calls: usize,
 }
 
 impl Discovery {
@@ -116,6 +119,25 @@
         self.state.1.notify_all();
     }
 
+    /// Tells a line that need not be a list.
+    pub fn say(&self, line: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.list = line.to_owned();
+        state.changes += 1;
+        self.state.1.notify_all();
+    }
+
+    /// Whether every call is answered 503 from now on; watches that are open end.
+    pub fn refuse(&self, refuses: bool) {
+        self.state.0.lock().unwrap().refuses = refuses;
+        self.state.1.notify_all();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> usize {
+        self.state.0.lock().unwrap().calls
+    }
+
     pub fn until_watched(&self) {
         let state = self.state.0.lock().unwrap();
         let done = self.state.1.wait_timeout_while(state, PATIENCE, |s| s.watched == 0).unwrap();
@@ -127,6 +149,15 @@
     let mut reader = BufReader::new(stream.try_clone().unwrap());
     let mut stream = stream;
     while let Some(request) = Message::read(&mut reader) {
+        let refuses = {
+            let mut state = shared.0.lock().unwrap();
+            state.calls += 1;
+            state.refuses
+        };
+        if refuses {
+            let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n");
+            continue;
+        }
         if !request.first.contains("watch=1") {
             let list = shared.0.lock().unwrap().list.clone();
             let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", list.len());
@@ -141,6 +172,9 @@
         state.watched += 1;
         shared.1.notify_all();
         loop {
+            if state.refuses {
+                return;
+            }
             let line = if state.changes > told { state.list.clone() + "\n" } else { "\n".to_owned() };
             told = state.changes;
             if stream.write_all(format!("{:x}\r\n{line}\r\n", line.len()).as_bytes()).is_err() {
--- /dev/null
+++ b/crates/rig/tests/fleet.rs
@@ -0,0 +1,113 @@
+//! What a node makes of a discovery that a large fleet has worn out, and of lists that can't be read.
+
+use reelfall_rig::scripted::{get, Discovery, Node, Program, Server, PATIENCE};
+use std::time::{Duration, Instant};
+
+fn program() -> Program {
+    Program::in_rig(env!("CARGO_BIN_EXE_reelfall-rig"))
+}
+
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !done() {
+        assert!(began.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+/// A node before one server.
+fn node() -> (Server, Discovery, Node) {
+    let (server, discovery) = (Server::good(), Discovery::start());
+    discovery.list(5, &[("s-a", server.address, "active")]);
+    let node = Node::start(&program(), discovery.address, 256);
+    (server, discovery, node)
+}
+
+fn served(node: &Node, from: u32) {
+    for n in from..from + 10 {
+        assert_eq!(get(node.address, &format!("r-{n}")).status, 200);
+    }
+}
+
+#[test]
+fn lines_that_are_no_list_cost_neither_a_request_nor_the_list_before_them() {
+    let (a, discovery, node) = node();
+    let lines = [
+        "{\"index\":6,\"snap",
+        "[]",
+        "null",
+        "{\"endpoints\":[]}",
+        "{\"index\":-1,\"endpoints\":[]}",
+        "\u{0}\u{1}",
+    ];
+    for (n, line) in (0..).zip(lines) {
+        discovery.say(line);
+        served(&node, 10 * n);
+    }
+    assert_eq!(a.seen(), 10 * lines.len());
+    // What comes next is taken in.
+    let b = Server::good();
+    discovery.list(7, &[("s-b", b.address, "active")]);
+    until("a list after unreadable ones is not taken in", || {
+        get(node.address, "n").status == 200 && b.seen() > 0
+    });
+}
+
+#[test]
+fn entries_that_can_not_be_used_or_come_twice_cost_themselves_alone() {
+    let (a, discovery, node) = node();
+    let b = Server::good();
+    let entry = |name: &str, address: &str| {
+        format!(
+            r#"{{"name":"{name}","address":"{address}","zone":"a","type":"k","group":1,"status":"active","weight":1.0,"since_ms":0}}"#
+        )
+    };
+    let (at_a, at_b) = (a.address.to_string(), b.address.to_string());
+    let entries = [
+        entry("s-a", &at_a),
+        entry("s-a", &at_a),
+        entry("s-x", "nowhere"),
+        "{}".to_owned(),
+        "7".to_owned(),
+        entry("s-b", &at_b),
+    ];
+    discovery.say(&format!(r#"{{"index":6,"snapshot":true,"endpoints":[{}]}}"#, entries.join(",")));
+    until("a server named beside unusable entries is not used", || {
+        get(node.address, "n").status == 200 && b.seen() > 0
+    });
+    let before = a.seen();
+    until("a server named twice is not used", || get(node.address, "m").status == 200 && a.seen() > before);
+}
+
+#[test]
+fn an_index_that_goes_back_is_another_list_and_is_taken_in() {
+    let (_a, discovery, node) = node();
+    let b = Server::good();
+    discovery.list(2, &[("s-b", b.address, "active")]);
+    until("a list with an older index is not taken in", || {
+        get(node.address, "n").status == 200 && b.seen() > 0
+    });
+}
+
+#[test]
+fn a_discovery_that_refuses_everyone_is_called_less_and_less_and_the_list_stays() {
+    let (a, discovery, node) = node();
+    discovery.until_watched();
+    discovery.refuse(true);
+    let (before, began) = (discovery.calls(), Instant::now());
+    let mut n = 0;
+    while began.elapsed() < Duration::from_secs(4) {
+        served(&node, n);
+        n += 10;
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    // Without the doubling of the pause it would be some eighty.
+    let calls = discovery.calls() - before;
+    assert!((1..25).contains(&calls), "{calls} calls in four seconds");
+    discovery.refuse(false);
+    let b = Server::good();
+    discovery.list(9, &[("s-b", b.address, "active")]);
+    let seen = a.seen();
+    until("the list is not followed again", || get(node.address, "n").status == 200 && b.seen() > 0);
+    assert!(a.seen() >= seen);
+}
