Take an unanswered call for not ready yet in the rig; whole suite green

Seen: in one whole run of the suite, the test of a frozen process panicked on a call to the new process's operators' address that was accepted and ended without an answer; alone it passed four times of four. At fault: `Node::ready`, which polls, but took no answer for a broken test. Such a call is now not ready yet. Ruled out: the node's hand-over (the new process served in every run).

--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -314,7 +314,10 @@
 
     /// Whether it says that it can serve.
     fn ready(&self) -> bool {
-        connect_maybe(self.management).is_some() && call(self.management, "GET", "/-/ready") == 200
+        // A call that nobody answers yet is no yes: the process may not have its sockets.
+        let Some(mut stream) = connect_maybe(self.management) else { return false };
+        let _ = stream.write_all(b"GET /-/ready HTTP/1.1\r\nhost: n\r\n\r\n");
+        answer(&stream).is_some_and(|got| got.status == 200)
     }
 
     /// What its processes share.
