Mend a second reading: whole list without a number, one mean, tidy emulator

Change: the number is optional, and without one the list is whole; joins start from their part; what is borne goes by the node's part of the traffic and is forgotten by a hundredth a second. Tests: no number, unknown kinds (both seen to fail without it), and in the emulator stale lists at the start, two zones cold, one node with ten shares, flaps.

--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -431,7 +431,8 @@
             tenants: service.members.iter().map(|m| core::Tenant { quota: m.quota }).collect(),
             zone: self.model.process.zone.as_ref().map(|z| names.zone(z)),
             replicas: self.model.process.nodes,
-            number: 0,
+            // The file does not tell nodes from each other: each has the whole list.
+            number: None,
             discovery: core::Discovery::Push,
             reports: core::Reports::Silent,
             limits: core::Limits {
--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -14,8 +14,9 @@
 const STEP: f64 = 0.1;
 /// From this many servers on, the step grows with the list, to three times as much.
 const LONG_LIST: f64 = 24.0;
-/// Visits a second that a node should make to each server of its part of a long list: enough that an average is
-/// of the last seconds, that a connection is met again before it is closed, and that few nodes find each sick one.
+/// Visits a second that a node should make to each server of its part of a long list: enough that an average
+/// is of the last seconds, that a connection is met again before it is closed, and that few nodes find each
+/// sick one.
 const VISITS: f64 = 2.0;
 /// The least part, and the least nodes that each server is a part of: chance must not decide what it gets.
 const PART_LEAST: f64 = 8.0;
@@ -43,8 +44,8 @@
 const FLAP: Time = 0.5;
 /// A returning server gets this share of its draws until it has answered well once.
 const RETURN_SHARE: f64 = 0.3;
-/// What may not be repeated goes to a server that has not answered well yet, or not since it failed, with this part
-/// of its draws where there is something else to try it with.
+/// What may not be repeated goes to a server that has not answered well yet, or not since it failed, with
+/// this part of its draws where there is something else to try it with.
 const UNSOUND: f64 = 0.2;
 /// Retries that a quiet stretch may save up.
 const RETRY_SAVED: f64 = 10.0;
@@ -57,7 +58,8 @@
 /// Nothing under this part of the aim counts as late for admission: where the unloaded response is a small
 /// part of the aim, three of it are a short queue, and cutting on it refuses work that there is room for.
 const LATE_FROM: f64 = 0.6;
-/// How fast the unloaded response may rise a second, so that a slower fleet becomes the rule in a minute.
+/// How fast the unloaded response may rise a second, so that a slower fleet becomes the rule in a minute; and
+/// how fast it is forgotten what servers were seen to bear.
 const BASE_CREEP: f64 = 0.01;
 /// Share of late answers at which admission is cut, and the cut.
 const LATE_HIGH: f64 = 0.18;
@@ -72,8 +74,10 @@
 /// Least weight of a server outside the zone beside one inside: its worth stays known, and an idle far server
 /// is preferred to a near one that holds two requests more than it can work on.
 const SPILL_MIN: f64 = 0.15;
-/// How fast the weight of servers outside the zone follows what crossing gains: by which part a second for a gain
-/// of one request in time.
+/// Step of the share of answers past the aim, inside and outside the zone.
+const MISSED_STEP: f64 = 0.05;
+/// How fast the weight of servers outside the zone follows what crossing gains: by which part a second for a
+/// gain of one request in time.
 const SPILL_PACE: f64 = 7.0;
 /// A key that draws this part of a server's fair share of traffic is hot.
 const HOT_KEY: f64 = 0.5;
@@ -239,6 +243,8 @@
     tenants: Vec<(f64, Time)>,
     /// Steps between two nodes that are neighbours in the order of parts.
     stride: u64,
+    /// Requests a second that the tenants may send, by all nodes.
+    quota: f64,
     /// Requests that came since the last slow sweep, and how many come a second.
     came: f64,
     arrivals: f64,
@@ -256,7 +262,7 @@
     /// Mean response when little waits: the least seen, creeping up.
     base: f64,
     last_cut: Time,
-    /// Work delivered a second, and the most a warm server was seen to bear.
+    /// Work delivered a second, and the most a warm server was seen to bear of late.
     delivered: f64,
     delivered_rate: f64,
     bearable: f64,
@@ -299,6 +305,7 @@
             typical: first_guess,
             tenants: vec![(f64::NAN, now); settings.tenants.len()],
             stride: stride(u64::from(settings.replicas)),
+            quota: settings.tenants.iter().map(|t| t.quota.max(0.0)).sum(),
             came: 0.0,
             arrivals: 0.0,
             retries: RETRY_SAVED,
@@ -470,7 +477,7 @@
                 }
             }
         }
-        let fresh = self.servers.is_empty();
+        let fresh = self.servers.is_empty() && self.left.is_empty();
         for e in entries {
             let known = self.slot.get(e.server as usize).copied().flatten();
             match known {
@@ -490,24 +497,26 @@
 
     // ---- this node's part of a long list ----
 
-    /// How many nodes each server of a list of `r` is a part of: as many as make `VISITS` to it, if all nodes have
-    /// their share of what the tenants may send.
+    /// How many nodes each server of a list of `r` is a part of: as many as make `VISITS` to it, if all nodes
+    /// have their share of what the tenants may send. All of them where that is not known, or nodes are not
+    /// told from each other: they would have one part.
     fn block(&self, r: f64) -> u32 {
         let n = f64::from(self.settings.replicas);
-        let quota: f64 = self.settings.tenants.iter().map(|t| t.quota.max(0.0)).sum();
-        if quota <= 0.0 || n < 2.0 * PART_LEAST {
+        if self.settings.number.is_none() || self.quota <= 0.0 || n < 2.0 * PART_LEAST {
             return self.settings.replicas;
         }
-        let part = (quota / n / VISITS).max(PART_LEAST);
+        let part = (self.quota / n / VISITS).max(PART_LEAST);
         (n * part / r.max(1.0)).clamp(2.0 * PART_LEAST, n).ceil() as u32
     }
 
-    /// Whether a server is of this node's part. Each server takes a block of the nodes in an order that scatters
-    /// neighbours: all have as many nodes, a new one moves no other, and a zone's nodes gone are missed by all alike.
+    /// Whether a server is of this node's part. Each server takes a block of the nodes in an order that
+    /// scatters neighbours: all have as many nodes, a new one moves no other, and a zone's nodes gone are
+    /// missed by all alike.
     fn owns(&self, hash: u64, block: u32) -> bool {
         let n = u64::from(self.settings.replicas);
         let first = (fraction(hash) * n as f64) as u64;
-        (u64::from(self.settings.number) * self.stride + n - first) % n < u64::from(block)
+        let place = u64::from(self.settings.number.unwrap_or(0)) * self.stride;
+        (place + n - first) % n < u64::from(block)
     }
 
     /// Concentrates the vector on this node's part: at the start by listed size, later as the part changes.
@@ -517,13 +526,14 @@
             return;
         }
         let owned: Vec<bool> = self.servers.iter().map(|s| self.owns(s.entry.hash, block)).collect();
-        let size = |s: &Server| if self.settings.weighted { s.entry.weight.max(0.1) } else { 1.0 };
+        let size = self.mean_size();
         let mean = owned.iter().zip(&self.automaton.p).filter(|(own, _)| **own).map(|(_, p)| p).sum::<f64>()
             / owned.iter().filter(|own| **own).count().max(1) as f64;
         for (i, own) in owned.into_iter().enumerate() {
             let p = &mut self.automaton.p[i];
             if fresh {
-                *p = if own { size(&self.servers[i]) } else { 0.0 };
+                let listed = listed(self.settings.weighted, self.servers[i].entry.weight / size);
+                *p = if own { listed } else { 0.0 };
             } else if own != self.servers[i].own {
                 *p = if own { mean } else { 0.0 };
             }
@@ -532,6 +542,11 @@
         self.automaton.settle();
     }
 
+    /// Mean listed size.
+    fn mean_size(&self) -> f64 {
+        self.servers.iter().map(|s| s.entry.weight).sum::<f64>() / self.servers.len() as f64
+    }
+
     fn leave(&mut self, now: Time, i: usize) {
         let share = self.automaton.p[i] * self.automaton.p.len() as f64;
         let average = self.automaton.average[i];
@@ -553,16 +568,18 @@
     fn join(&mut self, now: Time, entry: Entry) {
         let r = self.servers.len() as f64;
         let own = self.owns(entry.hash, self.block(r + 1.0));
-        let kin = |i: &usize| self.servers[*i].entry.kind == entry.kind && self.servers[*i].own == own;
-        let kin = (0..self.servers.len()).filter(kin);
-        let n = kin.clone().count() as f64;
+        let part = (0..self.servers.len()).filter(|i| self.servers[*i].own == own);
+        let kin = part.clone().filter(|i| self.servers[*i].entry.kind == entry.kind);
+        let mean =
+            |of: &[f64], n: f64, from: &mut dyn Iterator<Item = usize>| from.map(|i| of[i]).sum::<f64>() / n;
+        let (n, others) = (kin.clone().count() as f64, part.clone().count() as f64);
         let (mut share, mut average) = (1.0, self.typical);
         if n > 0.0 {
-            share = r * kin.clone().map(|i| self.automaton.p[i]).sum::<f64>() / n;
-            average = kin.map(|i| self.automaton.average[i]).sum::<f64>() / n;
-        } else if r > 0.0 && self.settings.weighted && entry.weight.is_finite() {
-            let mean = self.servers.iter().map(|s| s.entry.weight).sum::<f64>() / r;
-            share = if mean > 0.0 { entry.weight.max(0.0) / mean } else { 1.0 };
+            share = r * mean(&self.automaton.p, n, &mut kin.clone());
+            average = mean(&self.automaton.average, n, &mut kin.clone());
+        } else if others > 0.0 {
+            let size = listed(self.settings.weighted, entry.weight / self.mean_size());
+            share = r * size * mean(&self.automaton.p, others, &mut part.clone());
         }
         // Guards what was learned against a server that is off the list for a moment, and the budget of a
         // cold one against being drawn anew at each return. Harm: one that went for a reason is taken for
@@ -580,7 +597,7 @@
             self.slot.resize(id + 1, None);
         }
         self.slot[id] = Some(self.servers.len());
-        let drawn = self.random() * self.typical / f64::from(entry.sharers.max(1));
+        let drawn = f64::from(own) * self.random() * self.typical / f64::from(entry.sharers.max(1));
         let budget = known.map_or(drawn, |l| l.budget.min(drawn));
         self.stays = self.stays.wrapping_add(1);
         self.servers.push(Server {
@@ -747,26 +764,23 @@
 
     /// Mean of the averages. An ejected server's frozen average would skew every payoff: it leaves the mean.
     fn mean(&self, now: Time) -> f64 {
-        let (mut sum, mut n) = (0.0, 0.0);
-        for (s, a) in self.servers.iter().zip(&self.automaton.average) {
-            if s.ejected_until <= now {
-                sum += a;
-                n += 1.0;
-            }
-        }
-        // With nothing to average, what a typical request takes.
-        [self.typical, sum / n][usize::from(n > 0.0)]
+        self.mean_by(now, |_| 1.0)
     }
 
-    /// Mean response as the draws see it. The few that answer nothing hardly move it, however long they take.
+    /// The same as the draws see it. The few that answer nothing hardly move it, however long they take.
     fn drawn_mean(&self, now: Time) -> f64 {
+        self.mean_by(now, |p| p)
+    }
+
+    fn mean_by(&self, now: Time, weight: impl Fn(f64) -> f64) -> f64 {
         let (mut sum, mut n) = (0.0, 0.0);
         for ((s, a), p) in self.servers.iter().zip(&self.automaton.average).zip(&self.automaton.p) {
             if s.ejected_until <= now {
-                sum += p * a;
-                n += p;
+                sum += weight(*p) * a;
+                n += weight(*p);
             }
         }
+        // With nothing to average, what a typical request takes.
         [self.typical, sum / n][usize::from(n > 0.0)]
     }
 
@@ -795,7 +809,7 @@
         let (response, far) = (waited / r.size, self.far(i));
         match outcome {
             Outcome::Delivered => {
-                self.missed[far] += 0.05 * (f64::from(waited > aim) - self.missed[far]);
+                self.missed[far] += MISSED_STEP * (f64::from(waited > aim) - self.missed[far]);
                 let s = &mut self.servers[i];
                 s.heard = s.heard.max(sent);
                 s.overdue = 0;
@@ -830,7 +844,7 @@
             _ => {
                 self.automaton.observe(i, waited.max(aim) / r.size);
                 // One broken connection, spoilt or overlong answer can come from any server; the second in a
-                // row, as an error that the server itself states, tells of a sick one.
+                // row, silence to the end, or an error that the server itself states tells of a sick one.
                 let again = self.servers[i].strikes > u32::from(out.overdue) || outcome == Outcome::Expired;
                 let failing = outcome == Outcome::Error || (outcome != Outcome::Shed && again);
                 let dead = match outcome {
@@ -852,8 +866,8 @@
         }
     }
 
-    /// Ejection, when an attempt fails or is overdue: each strike in a row doubles the time, jittered so that
-    /// nodes do not return together.
+    /// Ejection, when an attempt fails or is overdue: of the `dead`, more may be out. Each strike in a row
+    /// doubles the time, jittered so that nodes do not return together.
     fn strike(&mut self, now: Time, i: usize, failing: bool, dead: bool) {
         let ejected = self.servers.iter().filter(|s| s.ejected_until > now).count();
         let base = if failing { 4.0 * self.shortest(|c| c.deadline) } else { self.shortest(|c| c.aim) };
@@ -934,8 +948,10 @@
         self.delivered_rate += (1.0 - keep) * (self.delivered / dt - self.delivered_rate);
         self.delivered = 0.0;
         let warm = self.servers.iter().filter(|s| self.warmth(s, now) >= 1.0).count().max(1);
-        let borne = self.delivered_rate * f64::from(self.settings.replicas) / warm as f64;
-        self.bearable = self.bearable.max(borne);
+        // Guards against one busy second, and against the traffic of nodes that died, being taken for what
+        // servers bear for ever. Harm: after a quiet hour, a cold server is sent less than it could do.
+        let borne = self.delivered_rate / self.traffic_part() / warm as f64;
+        self.bearable = borne.max(self.bearable * (1.0 - BASE_CREEP * dt)).max(COLD_PRIOR);
         let gain = self.missed[0] - self.missed[1] - self.settings.prices.cross_zone;
         self.spill = (self.spill * (SPILL_PACE * gain * dt).exp()).clamp(SPILL_MIN, 1.0);
         let mean = self.mean(now);
@@ -965,12 +981,17 @@
 
     // ---- admission ----
 
+    /// This node's part of the traffic: that of one among all, or what it has of what the tenants may send
+    /// where that is more: others may be gone.
+    fn traffic_part(&self) -> f64 {
+        let alike = 1.0 / f64::from(self.settings.replicas);
+        [alike, (self.arrivals / self.quota).clamp(alike, 1.0)][usize::from(self.quota > 0.0)]
+    }
+
     /// A client's tenant is over its share when this node's part of the quota is used up.
     fn over_share(&mut self, now: Time, tenant: TenantId) -> bool {
+        let part = self.traffic_part();
         let Some((tokens, at)) = self.tenants.get_mut(tenant as usize) else { return false };
-        // A node that has more than its part of the traffic has as much of the quotas: others may be gone.
-        let all: f64 = self.settings.tenants.iter().map(|t| t.quota.max(0.0)).sum();
-        let part = (self.arrivals / all).max(1.0 / f64::from(self.settings.replicas)).min(1.0);
         let rate = self.settings.tenants[tenant as usize].quota * part;
         if rate <= 0.0 {
             return false;
@@ -1046,8 +1067,10 @@
         let r = self.requests.get(&id)?;
         let near = self.settings.zone;
         let part = HELD * self.requests.len() as f64;
-        let size = self.servers.iter().map(|s| s.entry.weight).sum::<f64>() / self.servers.len() as f64;
+        let size = self.mean_size();
         let mean = self.drawn_mean(now);
+        let safe = |c: &Class| c.effect == Effect::Idempotent;
+        let risky = !safe(&self.settings.classes[r.class as usize]) && self.settings.classes.iter().any(safe);
         for healthy in [true, false] {
             let mut total = 0.0;
             self.weights.clear();
@@ -1056,7 +1079,7 @@
                 if healthy {
                     let least = if now - s.asked < UNSEEN { 0.0 } else { 1.0 };
                     let pace = pace(mean / average).max(least);
-                    w *= self.health(s, r, now) * self.room(s, size) * pace;
+                    w *= self.health(s, r, risky, now) * self.room(s, size) * pace;
                     w *= if near.is_some_and(|z| z != s.entry.zone) { self.spill } else { 1.0 };
                     // More out than its part of what this node has out: it waits its turn.
                     w *= f64::from(f64::from(s.open) <= 1.0 + part * p);
@@ -1091,14 +1114,12 @@
         }
     }
 
-    /// Ejected, overdue or tried before: out. Back from failures: little, one at a time, only what may be
-    /// repeated where there is such a class.
-    fn health(&self, s: &Server, r: &Request, now: Time) -> f64 {
+    /// Ejected, overdue or tried before: out. Back from failures: little, one at a time, nothing that is
+    /// `risky`: that may not be repeated, where another class may. In doubt: little of what is.
+    fn health(&self, s: &Server, r: &Request, risky: bool, now: Time) -> f64 {
         if s.ejected_until > now || s.overdue > 0 || r.tried.contains(&s.entry.server) {
             return 0.0;
         }
-        let safe = |c: &Class| c.effect == Effect::Idempotent;
-        let risky = !safe(&self.settings.classes[r.class as usize]) && self.settings.classes.iter().any(safe);
         if !s.failing || (self.common && !s.dead) {
             return if risky && !s.sound { UNSOUND } else { 1.0 };
         }
@@ -1128,7 +1149,7 @@
         let rules = &self.settings.rules;
         let nodes = f64::from(self.block(self.servers.len() as f64));
         let rate = COLD_SAFETY * rules.overload_factor * self.bearable / nodes;
-        let size = self.servers.iter().map(|s| s.entry.weight).sum::<f64>() / self.servers.len() as f64;
+        let size = self.mean_size();
         for i in 0..self.servers.len() {
             let warmth = self.warmth(&self.servers[i], now);
             if warmth < 1.0 {
@@ -1211,8 +1232,8 @@
     weights.iter().rposition(|w| *w > 0.0)
 }
 
-/// A step through `n` places that visits each and scatters neighbours: next to the golden section, with no common
-/// divisor.
+/// A step through `n` places that visits each and scatters neighbours: next to the golden section, with no
+/// common divisor.
 fn stride(n: u64) -> u64 {
     let divides = |a: u64| {
         let (mut a, mut b) = (a, n);
--- a/crates/core/src/interface.rs
+++ b/crates/core/src/interface.rs
@@ -158,8 +158,8 @@
     pub zone: Option<ZoneId>,
     /// How many nodes share the servers.
     pub replicas: u32,
-    /// Which of them this is, from 0.
-    pub number: u32,
+    /// Which of them this is, from 0, where each was told its own.
+    pub number: Option<u32>,
     /// How the list arrives.
     pub discovery: Discovery,
     /// How load reports arrive.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -147,7 +147,7 @@
     #[serde(default = "one_node")]
     replicas_of_me: u32,
     #[serde(default)]
-    my_number: u32,
+    my_number: Option<u32>,
     #[serde(default = "one")]
     over_share_worth: f64,
     #[serde(default)]
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -14,7 +14,7 @@
         tenants: vec![],
         zone: None,
         replicas: 1,
-        number: 0,
+        number: None,
         discovery: Discovery::Push,
         reports: Reports::Silent,
         limits: Limits {
--- a/crates/core/tests/parts.rs
+++ b/crates/core/tests/parts.rs
@@ -9,7 +9,7 @@
 /// A node of a fleet that takes 20 requests a second in each node.
 fn node(number: u32, replicas: u32, list: &[Entry]) -> Balancer {
     let mut s = settings(vec![class(Effect::Idempotent), class(Effect::AtMostOnce)]);
-    (s.replicas, s.number) = (replicas, number);
+    (s.replicas, s.number) = (replicas, Some(number));
     s.tenants = vec![Tenant { quota: 20.0 * f64::from(replicas) }];
     let mut node = Balancer::new(s, u64::from(number), 0.0).expect("usable settings");
     let entries = list.to_vec();
@@ -84,3 +84,27 @@
     assert!(part(&node(3, 10_000, &[])).is_empty());
     assert_eq!(part(&node(u32::MAX, 1, &long[..1])), [0]);
 }
+
+#[test]
+fn nodes_that_are_not_told_from_each_other_have_the_whole_list() {
+    let mut s = settings(vec![class(Effect::Idempotent)]);
+    (s.replicas, s.tenants) = (100, vec![Tenant { quota: 2000.0 }]);
+    let mut node = Balancer::new(s, 1, 0.0).expect("usable settings");
+    let entries = (0..60).map(entry).collect();
+    node.handle(0.0, Event::Members { list: ListKind::Cached, entries }, &mut vec![]);
+    // Of one number, all would have the same few servers.
+    assert_eq!(part(&node).len(), 60);
+}
+
+#[test]
+fn a_newcomer_of_a_kind_that_nobody_has_seen_is_of_its_part_or_has_the_floor() {
+    let list: Vec<Entry> = (0..60).map(entry).collect();
+    for number in 0..40 {
+        let mut node = node(number, 100, &list);
+        let entries = vec![Entry { kind: 7, ..entry(60) }];
+        node.handle(0.1, Event::Members { list: ListKind::Delta, entries }, &mut vec![]);
+        let (p, floor, own) = (&node.automaton().p, node.automaton().floor(), part(&node));
+        let mean = own.iter().filter(|i| **i < 60).map(|i| p[*i]).sum::<f64>() / own.len().max(1) as f64;
+        assert!(p[60] < 1.1 * floor || p[60] > 0.5 * mean, "{} beside {mean}, floor {floor}", p[60]);
+    }
+}
--- a/crates/emulator/examples/decision.rs
+++ b/crates/emulator/examples/decision.rs
@@ -7,43 +7,12 @@
 
 const REQUESTS: u32 = 50_000;
 
-fn settings(replicas: u32) -> Settings {
-    let class =
-        |effect| Class { aim: 0.2, deadline: 0.6, worth: 1.0, late_value: 0.3, effect, streamed: false };
-    Settings {
-        classes: vec![class(Effect::Idempotent), class(Effect::AtMostOnce)],
-        tenants: vec![Tenant { quota: 20.0 * f64::from(replicas) }],
-        zone: None,
-        replicas,
-        number: 3,
-        discovery: Discovery::Push,
-        reports: Reports::Silent,
-        limits: Limits {
-            max_attempts: 4,
-            retry_share: 0.2,
-            max_retry_after: 0.3,
-            cancelling: true,
-            may_probe: false,
-            second_copies: false,
-            conn_idle: 5.0,
-        },
-        rules: Rules {
-            drain_grace: 0.5,
-            cold_from: 0.33,
-            warm_after: 8.9,
-            overload_factor: 3.0,
-            tip_after: 1.0,
-            must_ask_in: 10.0,
-        },
-        prices: Prices::default(),
-        goal: Goal { overall: 0.8, worst_class: 0.2, worst_tenant: 0.0 },
-        over_share_worth: 0.1,
-        worth_by_work: true,
-        warm_keys: false,
-        weighted: true,
-        tick: 0.001,
-    }
-}
+/// The fourth of a hundred nodes that take 20 requests a second each.
+const SETTINGS: &str = r#"{"categories":[
+    {"name":"read","promise":0.2,"deadline":0.6,"worth":1.0,"late-value":0.3,"effect":"idempotent"},
+    {"name":"write","promise":0.2,"deadline":0.6,"worth":1.0,"late-value":0.3,"effect":"at_most_once"}],
+    "tenants":[{"name":"a","portion":1.0,"quota-rps":2000.0}],
+    "replicas-of-me":100,"my-number":3,"weight-kind":"nominal","limits":{"max-attempts":4}}"#;
 
 fn entry(server: ServerId) -> Entry {
     let hash = u64::from(server + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
@@ -52,9 +21,10 @@
 }
 
 fn main() -> Result<(), String> {
+    let (settings, ..) = reelfall_core::settings::read(SETTINGS)?;
     println!("servers  list ms  request us");
     for servers in [10, 60, 300, 1000] {
-        let mut node = Balancer::new(settings(100), 7, 0.0)?;
+        let mut node = Balancer::new(settings.clone(), 7, 0.0)?;
         let mut actions = Vec::new();
         let entries = (0..servers).map(entry).collect();
         let began = Instant::now();
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -52,6 +52,10 @@
     ZoneLost(u16, Time),
     /// This part of the servers drains and ends; as many cold ones under new names are there so much later.
     Replace(f64, Time),
+    /// This part of the servers ends without a drain.
+    Vanish(f64),
+    /// Of this part of the servers, the list says so many times that they drain and that they don't.
+    Flap(f64, u32),
     /// This part of the servers serves in this manner from now on, for so long.
     Trouble(f64, Manner, Time),
     /// The list tells nobody anything for so long.
@@ -81,6 +85,8 @@
     pub classes: Vec<Class>,
     /// The kinds.
     pub kinds: Vec<Kind>,
+    /// Requests that the first node gets for each one that another gets.
+    pub heavy: f64,
     /// Nodes hold the whole list rather than parts of it: they are not told what the tenants may send.
     pub whole: bool,
     /// One way between nodes and servers of one zone, and of two.
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -32,7 +32,7 @@
     pub failed: u32,
     /// Attempts sent to servers that answer nothing, whatever the reason.
     pub to_dead: u32,
-    /// Work sent to servers past what they can do in this second.
+    /// Work sent to servers that had a third of a second of it queued.
     pub past: f64,
 }
 
@@ -84,7 +84,7 @@
         f64::from(self.sum(|s| s.repeats)) / f64::from(self.sum(|s| s.first).max(1))
     }
 
-    /// Work sent past what servers could do in the second, as a part of a second of the work asked for.
+    /// Work sent to servers that had a long queue, in seconds on a standard core.
     pub fn past(&self) -> f64 {
         self.seconds.iter().map(|s| s.past).sum()
     }
--- a/crates/emulator/src/scenario.rs
+++ b/crates/emulator/src/scenario.rs
@@ -22,6 +22,7 @@
             class(0.1, 0.04, 0.2, 0.5, 10.0, Effect::AtMostOnce),
         ],
         kinds: vec![kind(0.4, 2.0, (1.7, 2.3)), kind(0.25, 1.5, (1.0, 1.4)), kind(0.35, 0.5, (0.7, 0.9))],
+        heavy: 1.0,
         whole: false,
         latency: (0.000_25, 0.000_9),
         waiting: 20,
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -3,7 +3,7 @@
 //! | state | owner | ends |
 //! | --- | --- | --- |
 //! | request (one try of a client) | `World::tries` | with the run |
-//! | attempt | `World::attempts` | with the run; `ended` once its node knows how it ended |
+//! | attempt | `World::attempts` | with the run; in `World::out` until its node knows how it ended, or dies |
 //! | connection | the server's count, and its node's idle ones or an attempt | at its idle time, or with either side |
 //! | life of a node or server | itself | a later life drops what belongs to an earlier one |
 
@@ -19,7 +19,7 @@
 use reelfall_core::engine::{Arrival, Command, Engine, Final, Host, Place};
 use reelfall_core::interface::*;
 use reelfall_core::Balancer;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The clock does not begin at 0: a start at 0 is one of long ago.
 const BEGINS: Time = 1000.0;
@@ -31,6 +31,11 @@
 const ATTEMPT_CV: f64 = 0.3;
 const WORK_CV: f64 = 0.5;
 
+/// How long a flapping entry stays off the list, and on it.
+const FLAPS: Time = 0.15;
+/// What comes to a server with this much queued, in seconds, counts as sent past what it can do.
+const QUEUE_LONG: Time = 0.3;
+
 type TryId = usize;
 type NodeId = usize;
 
@@ -67,6 +72,8 @@
     ServersStart(Vec<ServerId>),
     ServersEnd(Vec<ServerId>),
     Relieved(Vec<ServerId>),
+    /// The list says something of a server, true or not.
+    Says(ServerId, ServerState),
 }
 
 /// One try of a client.
@@ -88,7 +95,6 @@
 
 struct Attempt {
     node: NodeId,
-    life: u32,
     request: RequestId,
     number: u32,
     of: TryId,
@@ -97,12 +103,12 @@
     /// It dialled, and the connection came up.
     fresh: bool,
     connected: bool,
-    ended: bool,
-    sent: Time,
 }
 
 struct Node {
     zone: ZoneId,
+    /// How late it hears of changes, as a part of the notice.
+    hears: f64,
     life: u32,
     engine: Option<Engine<Virtual>>,
     /// When it died last.
@@ -123,6 +129,7 @@
     nodes: Vec<Node>,
     tries: Vec<Try>,
     attempts: Vec<Attempt>,
+    out: BTreeSet<AttemptId>,
     report: Report,
     /// Requests a second.
     rate: f64,
@@ -168,7 +175,6 @@
         for id in 0..plan.servers {
             servers.push(make(&plan, &mut machines, id));
         }
-        // Every zone has a server, whatever the draw.
         let speed: f64 = servers.iter().map(|s| s.speed).sum();
         let mean: f64 = plan.classes.iter().map(|c| c.share * c.work).sum();
         let list: BTreeMap<ServerId, Entry> =
@@ -176,6 +182,7 @@
         let mut order = stream(seed, "zones of nodes");
         let node = |_| Node {
             zone: u16::from(order.random::<f64>() >= plan.zones.0),
+            hears: order.random(),
             life: 0,
             engine: None,
             died: 0.0,
@@ -190,6 +197,7 @@
             queue: Queue::new(BEGINS),
             tries: Vec::new(),
             attempts: Vec::new(),
+            out: BTreeSet::new(),
             report: Report::default(),
             list_down: 0.0,
             clients: stream(seed, "clients"),
@@ -216,7 +224,7 @@
             tenants: vec![Tenant { quota }],
             zone: Some(self.nodes[node].zone),
             replicas: plan.nodes as u32,
-            number: node as u32,
+            number: Some(node as u32),
             discovery: Discovery::Push,
             reports: Reports::Silent,
             limits: Limits {
@@ -289,7 +297,10 @@
                 }
             }),
             Event::ServersEnd(ids) => ids.into_iter().for_each(|id| self.end_server(id, State::Ended)),
-            Event::Relieved(ids) => ids.into_iter().for_each(|id| self.relieve(id)),
+            Event::Relieved(ids) => {
+                ids.into_iter().for_each(|id| self.servers[id as usize].manner = Manner::Sound);
+            }
+            Event::Says(id, state) => self.announce(id, state),
         }
         Ok(())
     }
@@ -342,6 +353,11 @@
             (0..self.nodes.len()).filter(|n| self.nodes[*n].zone == zone && open(&self.nodes[*n])).collect();
         let all = || (0..self.nodes.len()).filter(|n| open(&self.nodes[*n])).collect();
         let from: Vec<NodeId> = if near.is_empty() { all() } else { near };
+        // The first node may have a share of its own.
+        let heavy = self.plan.heavy / (self.plan.heavy + from.len() as f64 - 1.0);
+        if from.first() == Some(&0) && self.plan.heavy > 1.0 && self.clients.random::<f64>() < heavy {
+            return Some(0);
+        }
         (!from.is_empty()).then(|| from[self.clients.random_range(0..from.len())])
     }
 
@@ -499,7 +515,7 @@
         let server = &mut self.servers[id as usize];
         let dead = server.state != State::Up || server.manner == Manner::Silent;
         let attempt = self.attempts.len();
-        let (life, server_life) = (self.nodes[n].life, server.life);
+        let server_life = server.life;
         let mut connected = true;
         let at = if !fresh {
             self.queue.put(now + there, Event::Reaches(attempt));
@@ -520,7 +536,6 @@
         }
         self.attempts.push(Attempt {
             node: n,
-            life,
             request,
             number,
             of,
@@ -528,9 +543,8 @@
             server_life,
             fresh,
             connected,
-            ended: false,
-            sent: now,
         });
+        self.out.insert(attempt);
         self.queue.put(expires, Event::Expires(attempt));
         let second = self.report.at(now - BEGINS);
         second.sends += 1;
@@ -543,10 +557,10 @@
     /// The node hears how an attempt ended, unless it has stopped waiting for it.
     fn end(&mut self, id: AttemptId, outcome: Outcome) {
         let now = self.queue.now();
-        let a = &mut self.attempts[id];
-        if std::mem::replace(&mut a.ended, true) || self.nodes[a.node].life != a.life {
+        if !self.out.remove(&id) {
             return;
         }
+        let a = &self.attempts[id];
         let (n, server, request, number) = (a.node, a.server, a.request, a.number);
         let lives = self.servers[server as usize].life == a.server_life;
         if a.connected && lives {
@@ -621,8 +635,8 @@
         let knew = self.nodes[n].list.get(&sid).is_some_and(|e| e.ready_at == server.entry.ready_at);
         let capacity = server.capacity(now, cold);
         let (pushed, knowing) = server.push(now, work, knew, cold, window);
-        let queued: f64 = server.waiting.len() as f64;
-        let past = if queued * 0.03 > 0.3 * capacity { work } else { 0.0 };
+        let waits: f64 = server.waiting.iter().map(|id| self.tries[self.attempts[*id].of].work).sum();
+        let past = if waits > QUEUE_LONG * capacity { work } else { 0.0 };
         self.report.at(now - BEGINS).past += past;
         if knowing >= 2.0 / 3.0 {
             self.report.rules.pushed = self.report.rules.pushed.max(pushed);
@@ -675,27 +689,22 @@
         self.servers[sid as usize].end(state);
         if state == State::Ended {
             // Whoever waits there hears of it; what is on a machine that is cut off waits on.
-            let hit = |a: &Attempt| a.server == sid && a.connected && !a.ended && now - a.sent < 2.0;
-            let recent = self.attempts.len().saturating_sub(20_000);
-            let hit: Vec<AttemptId> =
-                (recent..self.attempts.len()).filter(|n| hit(&self.attempts[*n])).collect();
+            let hit = |id: &&AttemptId| self.attempts[**id].server == sid && self.attempts[**id].connected;
+            let hit: Vec<AttemptId> = self.out.iter().filter(hit).copied().collect();
             for id in hit {
                 self.queue.put(now + self.plan.latency.1, Event::Ends(id, Outcome::Dropped));
             }
         }
     }
 
-    fn relieve(&mut self, sid: ServerId) {
-        self.servers[sid as usize].manner = Manner::Sound;
-    }
-
     /// Tells every node what the list says of a server, each at its time.
     fn announce(&mut self, sid: ServerId, state: ServerState) {
         let from = self.queue.now().max(self.list_down);
         self.servers[sid as usize].entry.state = state;
         let entry = self.servers[sid as usize].entry.clone();
         for n in 0..self.nodes.len() {
-            let after = self.plan.notice * (1.0 + self.network.random::<f64>());
+            // Each node hears all news with the same delay, so that none overtakes another.
+            let after = self.plan.notice * (1.0 + self.nodes[n].hears);
             self.queue.put(from + after, Event::News(n, entry.clone()));
         }
     }
@@ -752,6 +761,21 @@
                 self.queue.put(now + 2.0 * self.plan.notice + 1.0, Event::ServersEnd(ids));
                 self.queue.put(now + after, Event::ServersStart(new));
             }
+            Happening::Vanish(part) => {
+                for id in self.some_servers(part) {
+                    self.end_server(id, State::Ended);
+                    self.announce(id, ServerState::Gone);
+                }
+            }
+            Happening::Flap(part, times) => {
+                for id in self.some_servers(part) {
+                    for n in 0..times {
+                        let (off, on) = (f64::from(2 * n) * FLAPS, f64::from(2 * n + 1) * FLAPS);
+                        self.queue.put(now + off, Event::Says(id, ServerState::Draining));
+                        self.queue.put(now + on, Event::Says(id, ServerState::Up));
+                    }
+                }
+            }
             Happening::Trouble(part, manner, length) => {
                 let ids = self.some_servers(part);
                 ids.iter().for_each(|id| self.servers[*id as usize].manner = manner);
@@ -779,16 +803,19 @@
             let open = kept.iter().filter(|(_, life)| *life == server.life).count();
             server.connections = server.connections.saturating_sub(open as u32);
         }
-        let recent = self.attempts.len().saturating_sub(20_000);
-        for a in &self.attempts[recent..] {
+        let out = std::mem::take(&mut self.out);
+        for id in out {
+            let a = &self.attempts[id];
             let server = &mut self.servers[a.server as usize];
-            if a.node == n && a.life == life && !a.ended && a.connected && server.life == a.server_life {
+            if a.node != n {
+                self.out.insert(id);
+            } else if a.connected && server.life == a.server_life {
                 server.connections = server.connections.saturating_sub(1);
             }
         }
-        let recent = self.tries.len().saturating_sub(20_000);
-        let held = |t: &Try| t.node == Some((n, life)) && !t.answered;
-        let held: Vec<TryId> = (recent..self.tries.len()).filter(|t| held(&self.tries[*t])).collect();
+        // A client waits for no longer than the longest deadline.
+        let held = |t: &Try| t.node == Some((n, life)) && !t.answered && t.deadline > now;
+        let held: Vec<TryId> = (0..self.tries.len()).filter(|t| held(&self.tries[*t])).collect();
         for id in held {
             self.tries[id].answered = true;
             if self.plan.classes[self.tries[id].class].effect == Effect::Idempotent {
--- a/crates/emulator/tests/fleet.rs
+++ b/crates/emulator/tests/fleet.rs
@@ -66,6 +66,43 @@
     assert!(play(Plan { nodes: 0, ..scenario::calm(1, 1) }).is_err());
 }
 
+#[test]
+fn nodes_that_start_together_with_a_stale_list_find_what_is_there() {
+    let mut plan = scenario::calm(100, 4);
+    plan.happenings.push((0.0, Happening::Vanish(0.3)));
+    let report = played(Plan { load: 0.4, length: 10.0, ..plan });
+    // For a second or two nobody has heard that they are gone; then nobody may ask them.
+    let (first, later): (Vec<_>, Vec<_>) = report.seconds.iter().enumerate().partition(|(n, _)| *n < 3);
+    assert!(first.iter().any(|(_, s)| s.to_dead > 0));
+    assert!(later.iter().all(|(_, s)| s.to_dead == 0));
+    assert!(report.whole() > 0.85, "{:.3}", report.whole());
+}
+
+#[test]
+fn when_the_last_sound_zone_is_cold_too_no_server_is_pushed_over() {
+    for seed in 1..4 {
+        let mut plan = scenario::calm(40, seed);
+        plan.happenings = vec![(2.0, Happening::ZoneLost(0, 2.0)), (5.0, Happening::ZoneLost(1, 2.0))];
+        let report = played(plan);
+        assert!(report.rules.pushed > 0.2 && report.whole() > 0.3, "{:.3}", report.whole());
+    }
+}
+
+#[test]
+fn a_node_with_ten_times_the_share_of_another_is_served_as_well() {
+    let (even, heavy) = (scenario::calm(50, 3), Plan { heavy: 10.0, ..scenario::calm(50, 3) });
+    let (even, heavy) = (played(even), played(heavy));
+    assert!(heavy.whole() > even.whole() - 0.05, "{:.3} {:.3}", heavy.whole(), even.whole());
+}
+
+#[test]
+fn a_list_that_flaps_moves_no_load_to_where_it_can_not_be_borne() {
+    let mut plan = scenario::calm(50, 6);
+    plan.happenings.push((4.0, Happening::Flap(0.3, 20)));
+    let report = played(plan);
+    assert!(report.worst(5) > 0.6, "{:.3}", report.worst(5));
+}
+
 fn happening() -> impl Strategy<Value = (f64, Happening)> {
     let manner = prop_oneof![Just(Manner::Silent), Just(Manner::Failing), Just(Manner::Slow(3.0))];
     let what = prop_oneof![
@@ -75,6 +112,8 @@
         (0.05..0.5f64, manner, 0.5..4.0f64).prop_map(|(part, m, t)| Happening::Trouble(part, m, t)),
         (0.5..5.0f64).prop_map(Happening::ListDown),
         (0.1..0.9f64, 0.5..4.0f64).prop_map(|(part, t)| Happening::Shunned(part, t)),
+        (0.1..0.5f64).prop_map(Happening::Vanish),
+        (0.1..0.5f64, 1..12u32).prop_map(|(part, times)| Happening::Flap(part, times)),
     ];
     (0.5..7.0f64, what)
 }
