Spread discovery's rests by the node's own seed; one source of chance in the node

Need: the rest before a new watch was drawn from a hash table's random state, so that no run could be played again. Change: `Chance`, from the node's seed, used by the pool and, in place of its own copy, by the front. The test of unreadable lines waits until each line was read: before, it might have asked too early and proved nothing.

--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -13,8 +13,6 @@
 use reelfall_core::settings::Listed;
 use serde_json::Value;
 use std::cell::Cell;
-use std::collections::hash_map::RandomState;
-use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -122,8 +120,7 @@
         }
         pause = if index.get() == before { (pause * 2).min(PAUSE_MOST) } else { PAUSE };
         // Watches end for many nodes at once: they must not come back in step.
-        let jitter = RandomState::new().hash_one(before) % 1000;
-        let rest = tokio::time::sleep(pause.mul_f64(0.5 + jitter as f64 / 1000.0));
+        let rest = tokio::time::sleep(pause.mul_f64(0.5 + pool.chance.fraction()));
         tokio::select! {
             () = rest => {}
             Ok(()) = address.changed() => {
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -8,7 +8,7 @@
 use super::shared::{Held, OpenId, Permit, Shared};
 use super::takeover::{Passing, Takeover};
 use super::upstream::TIME_LEFT;
-use super::{hurry, kib, BODY_MOST, BODY_SMALL, HEAD_MOST};
+use super::{hurry, kib, Chance, BODY_MOST, BODY_SMALL, HEAD_MOST};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -279,7 +279,7 @@
     /// The way of clients to the process that takes over.
     passes: RefCell<Option<mpsc::UnboundedSender<Passing>>>,
     /// For ids of requests that came without one, and for advice on when to come back.
-    random: Cell<u64>,
+    chance: Chance,
 }
 
 /// A request's service, class and place among the open requests.
@@ -307,7 +307,7 @@
             takeover: RefCell::default(),
             turned: Notify::new(),
             passes: RefCell::default(),
-            random: Cell::new(seed),
+            chance: Chance::new(seed),
         })
     }
 
@@ -718,7 +718,7 @@
     fn refusal(&self, status: StatusCode, text: &'static str, wait: Time, most: Time) -> Response<Outgoing> {
         let mut response = plain(status, text);
         if most > 0.0 {
-            let spread = 1.0 + (self.draw() >> 11) as f64 / (1u64 << 53) as f64;
+            let spread = 1.0 + self.chance.fraction();
             let after = (wait * spread).clamp(0.001, most);
             if let Ok(after) = HeaderValue::try_from(format!("{after:.3}")) {
                 response.headers_mut().insert(header::RETRY_AFTER, after);
@@ -727,15 +727,6 @@
         response
     }
 
-    /// SplitMix64.
-    fn draw(&self) -> u64 {
-        let x = self.random.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
-        self.random.set(x);
-        let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^ (x >> 31)
-    }
-
     async fn pass(
         self: &Rc<Self>, chosen: Chosen, head: Parts, body: Incoming, client: &Client,
     ) -> Response<Outgoing> {
@@ -919,7 +910,7 @@
     /// Gives a request an id if it came without.
     fn name_it(&self, headers: &mut HeaderMap) {
         if !headers.contains_key(&CORRELATION_ID) {
-            if let Ok(id) = HeaderValue::try_from(format!("{:016x}", self.draw())) {
+            if let Ok(id) = HeaderValue::try_from(format!("{:016x}", self.chance.draw())) {
                 headers.insert(CORRELATION_ID, id);
             }
         }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -71,6 +71,30 @@
 /// Read buffer of one connection.
 pub const BUFFER: usize = 64 << 10;
 
+/// Numbers of chance from a node's own seed, the same when a run is played again: SplitMix64.
+pub struct Chance(Cell<u64>);
+
+impl Chance {
+    /// From this seed.
+    pub fn new(seed: u64) -> Self {
+        Chance(Cell::new(seed))
+    }
+
+    /// The next number.
+    pub fn draw(&self) -> u64 {
+        let x = self.0.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
+        self.0.set(x);
+        let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^ (x >> 31)
+    }
+
+    /// The next one as a fraction of [0, 1).
+    pub fn fraction(&self) -> f64 {
+        (self.draw() >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
 /// Has small pieces written at once.
 ///
 /// Guards a connection against a system that refuses the wish, as one was seen to do for the first option set on each
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -4,6 +4,7 @@
 use super::message::{Answer, Arrival, Message, Reply};
 use super::shared::{Peer, PoolId, Shared};
 use super::upstream::{self, Upstream};
+use super::Chance;
 use reelfall_core::engine::{self, Command, Engine, Place};
 use reelfall_core::interface::*;
 use reelfall_core::settings::{Figures, Vocabulary};
@@ -63,6 +64,8 @@
     /// When the source of the list was last heard, where that tells how old the list is.
     pub heard: Cell<Option<Time>>,
     discovery: Discovery,
+    /// For rests that must not come in step with other nodes'.
+    pub chance: Chance,
 }
 
 /// A list as its source has it, before other lists add anything.
@@ -143,6 +146,7 @@
             ready: Cell::new(false),
             heard: Cell::new(None),
             discovery,
+            chance: Chance::new(seed),
         });
         pool.shared.enter(pool.id, &(pool.clone() as Rc<dyn Peer>));
         Ok(pool)
--- a/crates/rig/tests/fleet.rs
+++ b/crates/rig/tests/fleet.rs
@@ -41,7 +41,10 @@
         "\u{0}\u{1}",
     ];
     for (n, line) in (0..).zip(lines) {
+        // The line has been read when the node asks anew.
+        let calls = discovery.calls();
         discovery.say(line);
+        until("a line that is no list is not given up", || discovery.calls() > calls);
         served(&node, 10 * n);
     }
     assert_eq!(a.seen(), 10 * lines.len());
