Leave a safe request another attempt when its sound server has just frozen

Seen: the membership test of an expired session failed 2 of 5 times alone. Its requests to a server that had just frozen waited for the whole deadline, as attempts at sound servers were never given up; a safe request at such a server was lost, where before it was repeated. Ruled out: the news of the session (there within milliseconds). At fault: `send`, which dropped the time-out at sound servers.

Change: at a sound server an attempt is given up late, when another has three mean responses left; at one in doubt at the aim, as before.

--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -683,11 +683,8 @@
         let Some(r) = self.requests.get_mut(&id) else { return false };
         let class = &self.settings.classes[r.class as usize];
         let server = self.servers[i].entry.server;
-        let timeout = timeout(class, r, mean, now).filter(|_| {
-            !self.servers[i].sound
-                && self.retries >= 1.0
-                && self.admit >= 1.0
-                && r.made + 1 < self.settings.limits.max_attempts
+        let timeout = timeout(class, r, mean, self.servers[i].sound, now).filter(|_| {
+            self.retries >= 1.0 && self.admit >= 1.0 && r.made + 1 < self.settings.limits.max_attempts
         });
         r.made += 1;
         r.tried.push(server);
@@ -1208,11 +1205,15 @@
     }
 }
 
-/// Time-out of an attempt that may be repeated, where that leaves room for another: an overdue answer is more
-/// likely lost than late. What may not be repeated waits to the end.
-fn timeout(class: &Class, r: &Request, mean: f64, now: Time) -> Option<Time> {
+/// Time-out of an attempt that may be repeated, where that leaves room for another. At a server in doubt, an
+/// overdue answer is more likely lost than late. At a sound one it is queued as a rule, and a repeat would double the
+/// work: it is waited for as long as another attempt has its time after it, lest a server that has just frozen
+/// keeps the request to its end. What may not be repeated waits to the end.
+fn timeout(class: &Class, r: &Request, mean: f64, sound: bool, now: Time) -> Option<Time> {
     let left = r.deadline - now;
-    let patience = (OVERDUE * mean * r.size).max(class.aim);
+    let another = OVERDUE * mean * r.size;
+    let soon = another.max(class.aim);
+    let patience = if sound { soon.max(left - another) } else { soon };
     (class.effect != Effect::AtMostOnce && left - patience > mean * r.size).then_some(patience)
 }
 
