--- a/crates/core/src/decide.rs
+++ b/crates/core/src/decide.rs
@@ -1206,9 +1206,9 @@
 }
 
 /// Time-out of an attempt that may be repeated, where that leaves room for another. At a server in doubt, an
-/// overdue answer is more likely lost than late. At a sound one it is queued as a rule, and a repeat would double the
-/// work: it is waited for as long as another attempt has its time after it, lest a server that has just frozen
-/// keeps the request to its end. What may not be repeated waits to the end.
+/// overdue answer is more likely lost than late. At a sound one it is queued as a rule, and a repeat would
+/// double the work: it is waited for as long as another attempt has its time after it, lest a server that has
+/// just frozen keeps the request to its end. What may not be repeated waits to the end.
 fn timeout(class: &Class, r: &Request, mean: f64, sound: bool, now: Time) -> Option<Time> {
     let left = r.deadline - now;
     let another = OVERDUE * mean * r.size;
