--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -2,7 +2,8 @@
 //! connections and a list of servers that comes late. One clock, one seed, no I/O: the same run each time.
 //!
 //! [`plan`] says what there is and what happens; [`world`] plays it; [`rules`] watches the four rules on the way;
-//! [`report`] tells what came of it. [`scenario`] holds the plans that the project measures itself by. The servers are
+//! [`report`] tells what came of it. [`scenario`] holds the plans that the project measures itself by, [`trials`] those
+//! drawn from seeds at the size of the whole fleet. The servers are
 //! models and no measurements of real machines.
 
 pub mod plan;
@@ -12,6 +13,7 @@
 pub mod scenario;
 pub mod server;
 pub mod streams;
+pub mod trials;
 pub mod world;
 
 pub use plan::Plan;
--- a/crates/emulator/src/plan.rs
+++ b/crates/emulator/src/plan.rs
@@ -62,6 +62,18 @@
     ListDown(Time),
     /// This part of the nodes gets no requests for so long.
     Shunned(f64, Time),
+    /// All nodes are restarted in so many steps, so far apart: each answers what it has, ends, and is back so much later.
+    Restarts(u32, Time, Time),
+    /// Nothing passes between a zone and the others for so long; clients still reach the nodes of both.
+    Cut(u16, Time),
+    /// This part of the answers gets lost with its connection for so long.
+    Losing(f64, Time),
+    /// So many times the usual requests come for so long.
+    Surge(f64, Time),
+    /// This part of the clients is in the first zone from now on.
+    Shift(f64),
+    /// All servers work so many times slower for so long: what they share is slow.
+    AllSlow(f64, Time),
 }
 
 /// A run.
@@ -91,8 +103,10 @@
     pub whole: bool,
     /// One way between nodes and servers of one zone, and of two.
     pub latency: (Time, Time),
-    /// Requests that wait at a server at most.
-    pub waiting: usize,
+    /// Requests that wait at a server at most, from and to.
+    pub waiting: (usize, usize),
+    /// From so many requests in hand on, each further one takes such a part of a server's speed.
+    pub thrash: (usize, f64),
     /// Connections that a server takes.
     pub connections: u32,
     /// Work that a new connection costs a server.
@@ -103,12 +117,18 @@
     pub idle: Time,
     /// A server that starts has this part of its capacity, and all of it after this time.
     pub cold: (f64, Time),
+    /// It is warm sooner when it has done so much of the work that it could do warm in that time; 1 and more: never.
+    pub warms: f64,
     /// Work within the window past this multiple of its capacity ends a cold server, and the window.
     pub tips: (f64, Time),
     /// Nodes hear of a change after this time, and spread over as much again.
     pub notice: Time,
     /// The front goes on sending to a dead node for so long.
     pub front: Time,
+    /// Part of the deadline after which a client gives a try up.
+    pub patience: f64,
+    /// Part of the clients that give up after a third of that.
+    pub hurried: f64,
     /// Times that a client tries again, its pause, and how many follow advice on when to come back.
     pub retries: (u32, Time, f64),
     /// Each at its time from the start.
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -26,6 +26,8 @@
     pub expired: u32,
     /// Attempts that a full waiting room turned away.
     pub shed: u32,
+    /// Tries that were served past their aim.
+    pub late: u32,
     /// Requests refused, and failed.
     pub refused: u32,
     /// See `refused`.
--- a/crates/emulator/src/server.rs
+++ b/crates/emulator/src/server.rs
@@ -1,6 +1,6 @@
 //! One modelled server: a core, a waiting room, a table of connections, and a start from cold.
 
-use crate::plan::Manner;
+use crate::plan::{Manner, Plan};
 use reelfall_core::interface::{Entry, Time};
 use std::collections::VecDeque;
 
@@ -30,6 +30,10 @@
     pub manner: Manner,
     /// Grows with each start: what was sent in an earlier life is not served in this one.
     pub life: u32,
+    /// Requests that may wait.
+    pub room: usize,
+    /// Work done since it started.
+    pub done: f64,
     /// Open connections.
     pub connections: u32,
     /// What it works on.
@@ -42,13 +46,15 @@
 
 impl Server {
     /// A warm server, idle.
-    pub fn new(entry: Entry, speed: f64) -> Self {
+    pub fn new(entry: Entry, speed: f64, room: usize) -> Self {
         Server {
             entry,
             speed,
             state: State::Up,
             manner: Manner::Sound,
             life: 0,
+            room,
+            done: 0.0,
             connections: 0,
             busy: None,
             waiting: VecDeque::new(),
@@ -57,19 +63,26 @@
     }
 
     /// Part of its capacity that it has by now; `cold` is the part at its start, and when it is warm.
-    pub fn warmth(&self, now: Time, cold: (f64, Time)) -> f64 {
-        let age = now - self.entry.ready_at;
-        if self.entry.ready_at <= 0.0 || age >= cold.1 {
-            1.0
-        } else {
-            cold.0 + (1.0 - cold.0) * (age / cold.1).max(0.0)
+    pub fn warmth(&self, now: Time, plan: &Plan) -> f64 {
+        let (from, after) = plan.cold;
+        if self.entry.ready_at <= 0.0 {
+            return 1.0;
         }
+        let age = ((now - self.entry.ready_at) / after).max(0.0);
+        let work = if plan.warms < 1.0 { self.done / (plan.warms * after * self.speed) } else { 0.0 };
+        from + (1.0 - from) * age.max(work).min(1.0)
     }
 
     /// Work a second that it can do now.
-    pub fn capacity(&self, now: Time, cold: (f64, Time)) -> f64 {
+    pub fn capacity(&self, now: Time, plan: &Plan) -> f64 {
         let slow = if let Manner::Slow(times) = self.manner { times } else { 1.0 };
-        self.speed * self.warmth(now, cold) / slow
+        self.speed * self.warmth(now, plan) / slow
+    }
+
+    /// The same with what crowding takes.
+    pub fn crowded(&self, now: Time, plan: &Plan) -> f64 {
+        let past = self.waiting.len().saturating_sub(plan.thrash.0) as f64;
+        self.capacity(now, plan) / (1.0 + plan.thrash.1 * past)
     }
 
     /// It is gone, with all that it had in hand.
@@ -80,6 +93,7 @@
         self.waiting.clear();
         self.pushed.clear();
         self.connections = 0;
+        self.done = 0.0;
     }
 
     /// It has started, cold.
@@ -90,8 +104,9 @@
 
     /// Takes work that has come to it while it is cold. Gives the multiple of what it can do in the window, and which
     /// part of that came from those who knew of its start.
-    pub fn push(&mut self, now: Time, work: f64, knew: bool, cold: (f64, Time), window: Time) -> (f64, f64) {
-        if self.warmth(now, cold) >= 1.0 {
+    pub fn push(&mut self, now: Time, work: f64, knew: bool, plan: &Plan) -> (f64, f64) {
+        let window = plan.tips.1;
+        if self.warmth(now, plan) >= 1.0 {
             self.pushed.clear();
             return (0.0, 0.0);
         }
@@ -101,6 +116,6 @@
         }
         let sum: f64 = self.pushed.iter().map(|(_, work, _)| work).sum();
         let knowing: f64 = self.pushed.iter().filter(|p| p.2).map(|(_, work, _)| work).sum();
-        (sum / (self.capacity(now, cold) * window), knowing / sum)
+        (sum / (self.capacity(now, plan) * window), knowing / sum)
     }
 }
