Nodes compare whom they know, an end is told in its time, and waits tell before they end

Need: three faults of the fleet's membership and one miss of its verdicts.

Seen in virtual time (`together members`, 20 ends each): one that ends was taken for gone by the first of 30 nodes after 10.2 s where 4 s of suspicion and 1.6 s of probing are stated. Cause: a probe that failed raised the prober's doubt of itself before the suspicion's timer was set (members.rs, tick and settle), so that each suspicion took twice its time, and nine times where many end at once. A node that begins in a fleet of 128 knew 117 to 126 of 127 others after 60 s: the library's feed is one datagram, and the rest is heard as others happen to write. And one of 300 nodes that missed the word of an end kept to the dead for over a minute (it held it suspected, its own probe had yet to come round). Comparisons of tables now hold eight sums of members; who differs is told whom it may not know, and answers with the ends that the other missed. A suspicion that comes due while the process stood still gives its time anew.

Silence was evidence only when an attempt ended, up to 2 s after it was sent. Attempts that are out past their aim are looked for each 25 ms and are a report by themselves, unless the server was heard since; it is taken back if the answer comes. The list was counted once for each service that names it, which made the stated parts twice as large: counted by server now. Datagrams are version 2.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -216,6 +216,13 @@
         Some((out.server, r.class, r.written.unwrap_or(out.sent)))
     }
 
+    /// Attempts that are out and for whose answer a server is waited for: where, of which class, since when.
+    pub fn waits(&self) -> impl Iterator<Item = (ServerId, ClassId, Time)> + '_ {
+        // Nothing is waited for while the body is on its way.
+        let all = self.requests.values().filter(|r| r.flows.is_none());
+        all.filter_map(|r| r.out.as_ref().map(|out| (out.server, r.class, r.written.unwrap_or(out.sent))))
+    }
+
     /// What the nodes of a fleet hold of a server together; see [`Event::Told`].
     pub fn told(&mut self, now: Time, server: ServerId, until: Time, tries: bool, out: &mut Vec<Command<H>>) {
         self.feed(now, Event::Told { server, until, tries }, out);
--- a/crates/emulator/examples/together.rs
+++ b/crates/emulator/examples/together.rs
@@ -1,5 +1,6 @@
 //! How fast news goes round a fleet, what it costs, and who is wrongly taken for gone, in virtual time.
-//! `cargo run --release -p reelfall-emulator --example together -- [seeds] [nodes...]`
+//! `cargo run --release -p reelfall-emulator --example together -- [seeds] [nodes...]`, or `members` for how soon ends are
+//! seen and what nodes that stand still do to the others.
 
 use reelfall_emulator::together::{rules, World};
 use reelfall_fleet::fleet::Rules;
@@ -20,7 +21,8 @@
     let mut world = World::new(nodes, seed, of);
     world.until(120.0, |w| w.gathered() || w.t > 60.0);
     world.links.loss = loss;
-    world.run(2.0);
+    // The news of who is there have gone round.
+    world.run(10.0);
     // Nothing to tell.
     let (sent, bytes, gone) = (world.sent, world.bytes, world.wrongly_gone);
     world.run(20.0);
@@ -86,7 +88,95 @@
     println!("{killed} end at once: all that are left know after {took:.1} s; {wrongly} times one was wrongly taken for gone");
 }
 
+/// How long after its end a node is first taken for gone, by the first and by the last of the others; the mean over some ends.
+fn detection(nodes: usize, ends: usize, seed: u64) -> (f64, f64) {
+    let size = nodes as u32;
+    let mut world =
+        World::new(nodes, seed, move |_| Rules { pace: Pace { size, ..Pace::default() }, ..rules() });
+    world.until(120.0, World::gathered);
+    let (mut first, mut last) = (0.0, 0.0);
+    for n in 0..ends {
+        world.run(3.0 + 0.37 * n as f64);
+        // The seeds stay, so that those that begin again are let in.
+        let dead = 3 + n % (nodes - 3);
+        world.kill(dead);
+        let begun = world.t;
+        let knows = |w: &World, n: usize| w.nodes[n].is_none() || w.members(n) == nodes - 2;
+        first += world.until(60.0, |w| (0..nodes).any(|n| w.nodes[n].is_some() && knows(w, n)));
+        world.until(60.0, |w| (0..nodes).all(|n| knows(w, n)));
+        last += world.t - begun;
+        world.start(dead);
+        world.until(60.0, World::gathered);
+    }
+    (first / ends as f64, last / ends as f64)
+}
+
+/// Trouble that some nodes have again and again.
+#[derive(Clone, Copy)]
+enum Trouble {
+    /// They stand still for so long and run for so long, in seconds.
+    Still(f64, f64),
+    /// This share of what is sent to them is lost.
+    Deaf(f64),
+}
+
+/// How often a minute a node without trouble is taken for gone, by one without and by one with trouble.
+fn troubled(nodes: usize, some: usize, trouble: Trouble, doubt: u32, seed: u64) -> (f64, f64) {
+    let size = nodes as u32;
+    let of = move |_| Rules { pace: Pace { size, doubt_most: doubt, ..Pace::default() }, ..rules() };
+    let mut world = World::new(nodes, seed, of);
+    world.until(120.0, World::gathered);
+    world.run(2.0);
+    let all: Vec<usize> = (nodes - some..nodes).collect();
+    world.sound = Some(nodes - some);
+    let begun = world.t;
+    while world.t - begun < 120.0 {
+        match trouble {
+            Trouble::Still(still, runs) => {
+                all.iter().for_each(|n| world.freeze(*n, true));
+                world.run(still);
+                all.iter().for_each(|n| world.freeze(*n, false));
+                world.run(runs);
+            }
+            Trouble::Deaf(lost) => {
+                world.deaf = all.iter().map(|n| (*n, lost)).collect();
+                world.run(10.0);
+            }
+        }
+    }
+    let minutes = (world.t - begun) / 60.0;
+    (world.sound_gone.0 as f64 / minutes, world.sound_gone.1 as f64 / minutes)
+}
+
+fn troubles(nodes: usize) {
+    println!(
+        "{nodes} nodes, some in trouble: others taken for gone, a minute, by others and by those in trouble"
+    );
+    println!("in trouble | without doubt of oneself | with it");
+    let still = [(3.0, 0.1), (6.0, 1.0), (12.0, 0.3)].map(|(still, runs)| Trouble::Still(still, runs));
+    let deaf = [0.5, 0.8, 0.9].map(Trouble::Deaf);
+    for trouble in still.into_iter().chain(deaf) {
+        for some in [4, 32] {
+            let (without, with) =
+                (troubled(nodes, some, trouble, 0, 1), troubled(nodes, some, trouble, 8, 1));
+            let what = match trouble {
+                Trouble::Still(still, runs) => format!("{some} stand still {still} s, run {runs} s"),
+                Trouble::Deaf(lost) => format!("{some} do not hear {:.0} %", lost * 100.0),
+            };
+            println!("{what:>34} | {:>8.1} {:>8.1} | {:>8.1} {:>8.1}", without.0, without.1, with.0, with.1);
+        }
+    }
+}
+
 fn main() -> Result<(), String> {
+    if std::env::args().nth(1).as_deref() == Some("members") {
+        for nodes in [30, 128, 300] {
+            let (first, last) = detection(nodes, 20, 1);
+            println!("{nodes} nodes: one that ends is taken for gone after {first:.2} s by the first, {last:.2} s by the last (means of 20)");
+        }
+        troubles(128);
+        return Ok(());
+    }
     let mut args = std::env::args().skip(1).map(|a| a.parse::<usize>().map_err(|e| format!("{a}: {e}")));
     let seeds = args.next().transpose()?.unwrap_or(2);
     let mut sizes: Vec<usize> = args.collect::<Result<_, _>>()?;
--- a/crates/emulator/src/together.rs
+++ b/crates/emulator/src/together.rs
@@ -30,6 +30,9 @@
     }
 }
 
+/// What the buffer of a socket holds: 208 KiB by the system's default, of which a small datagram takes 0.75 to 1.25.
+pub const INBOX_MOST: usize = 200;
+
 /// One process of a node.
 pub struct Process {
     /// Its part in the fleet.
@@ -65,8 +68,12 @@
     pub links: Links,
     /// Pairs, from and to, between which nothing passes.
     pub cut: BTreeSet<(usize, usize)>,
+    /// Nodes of which a part of what is sent to them is lost, beyond what links lose.
+    pub deaf: BTreeMap<usize, f64>,
     /// How many servers each node knows.
     pub listed: usize,
+    /// Datagrams that wait for a process that stands still, at most.
+    pub inbox_most: usize,
     rules: Box<dyn Fn(usize) -> Rules>,
     under_way: BTreeMap<(u64, u64), (usize, Vec<u8>)>,
     next: u64,
@@ -80,6 +87,10 @@
     pub bytes: u64,
     /// How often somebody who was there was taken for gone.
     pub wrongly_gone: u64,
+    /// Nodes below this one are sound: they never stand still, whatever the others do.
+    pub sound: Option<usize>,
+    /// How often a sound node was taken for gone, by a sound one and by another.
+    pub sound_gone: (u64, u64),
     /// The oldest verdict that counted anywhere, as a share of its time.
     pub oldest: f64,
     /// What was seen of rules that do not hold.
@@ -117,7 +128,9 @@
             nodes: (0..nodes).map(|_| None).collect(),
             links: Links::default(),
             cut: BTreeSet::new(),
+            deaf: BTreeMap::new(),
             listed: 20,
+            inbox_most: INBOX_MOST,
             rules: Box::new(rules),
             under_way: BTreeMap::new(),
             next: 0,
@@ -126,6 +139,8 @@
             sent: 0,
             bytes: 0,
             wrongly_gone: 0,
+            sound: None,
+            sound_gone: (0, 0),
             oldest: 0.0,
             broken: Vec::new(),
         };
@@ -248,6 +263,12 @@
             process.is_some_and(|p| !p.frozen)
         };
         self.wrongly_gone += gone.iter().filter(|node| there(node)).count() as u64;
+        if let Some(sound) = self.sound {
+            let taken =
+                gone.iter().filter(|node| usize::from(node.address.port()) < 10_000 + sound).count() as u64;
+            let by = if n < sound { &mut self.sound_gone.0 } else { &mut self.sound_gone.1 };
+            *by += taken;
+        }
         for (to, datagram) in out {
             self.sent += 1;
             self.bytes += datagram.len() as u64;
@@ -257,7 +278,8 @@
             }
             let times = 1 + usize::from(self.draw.random::<f64>() < self.links.twice);
             for _ in 0..times {
-                if self.draw.random::<f64>() >= self.links.loss {
+                let deaf = self.deaf.get(&to).is_some_and(|lost| self.draw.random::<f64>() < *lost);
+                if self.draw.random::<f64>() >= self.links.loss && !deaf {
                     let (least, most) = self.links.delay;
                     let delay = least + (most - least) * self.draw.random::<f64>();
                     self.inject(to, datagram.clone(), delay);
@@ -284,6 +306,8 @@
             let n = if datagram <= tick {
                 let Some((_, (n, datagram))) = self.under_way.pop_first() else { break };
                 match self.nodes[n].as_mut() {
+                    // As in a socket's buffer, what comes later finds no room.
+                    Some(process) if process.frozen && process.inbox.len() >= self.inbox_most => {}
                     Some(process) if process.frozen => process.inbox.push(datagram),
                     Some(_) => drop(self.at(n, |fleet, now| fleet.receive(now, &datagram))),
                     None => {}
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -12,12 +12,12 @@
 use crate::judge::{self, Quorum, Voices};
 use crate::members::{self, tellings, Members, Pace};
 use crate::node::{Life, Node};
-use crate::table::{Held, Joined, Table, PARTS};
+use crate::table::{Held, Joined, Table};
 use crate::verdict::{
-    Call, Entry, Finding, Key, Report, ServerStart, Version, Word, HAND_MOST, INDEX_MOST, LEAVING_MOST,
+    Call, Entry, Key, Report, ServerStart, Version, Word, HAND_MOST, INDEX_MOST, LEAVING_MOST,
 };
-use crate::wire::{self, Compare, Drop, Head, Secret, Writer};
-use crate::witness::{Saw, Witness};
+use crate::wire::{self, Compare, Drop, Head, Met, Secret, Sums, Writer, MEMBER_PARTS};
+use crate::witness::{Overdue, Saw, Witness};
 use crate::Time;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -28,6 +28,8 @@
 pub const PEERS_MOST: usize = 4096;
 /// Most datagrams that one comparison of tables is answered by; the rest comes with the next one.
 pub const COMPARED_MOST: usize = 4;
+/// Most datagrams of members that one comparison brings; the rest comes with the next one.
+pub const INTRODUCED_MOST: usize = 4;
 /// A name that is claimed anew so often within [`CLAIMS_IN`] has two processes.
 pub const CLAIMS_MOST: usize = 4;
 /// See [`CLAIMS_MOST`]; in seconds.
@@ -246,9 +248,14 @@
         if let Some(known) = head.known_life {
             self.claimed(now, known);
         }
+        self.members.heard(now);
         if !head.swim.is_empty() {
             self.members.receive(now, &head.swim);
         }
+        if !head.met.is_empty() {
+            let mut gone = self.members.meet(now, &head.met);
+            self.tell_of(now, &head.from, &mut gone);
+        }
         self.take_news(now, &head, entries);
         self.respond(now, &head);
         self.settle(now);
@@ -289,24 +296,55 @@
         }
     }
 
-    /// Tells somebody what differs in its table.
-    fn differ(&mut self, now: Time, to: &Node, sums: &[u64; PARTS], answers: bool) {
-        let mine = self.table.sums();
+    fn sums(&self) -> Sums {
+        Sums { verdicts: self.table.sums(), members: self.members.sums() }
+    }
+
+    /// Tells somebody what differs in its table, and whom it may not know.
+    fn differ(&mut self, now: Time, to: &Node, sums: &Sums, answers: bool) {
+        let mine = self.sums();
         if mine == *sums {
             return;
         }
-        let entries = self.table.differing(now, sums);
+        let entries = self.table.differing(now, &sums.verdicts);
         let mut entries = entries.iter().peekable();
         for n in 0..COMPARED_MOST {
             let mut head = self.head(now, to);
             head.compare = (answers && n == 0).then_some(Compare::Answer(mine));
             if head.compare.is_none() && entries.peek().is_none() {
-                return;
+                break;
             }
             let Some(mut writer) = Writer::new(&head) else { return };
             while entries.next_if(|entry| writer.add(entry)).is_some() {}
             self.send(to.address, writer);
         }
+        self.introduce(now, to, &sums.members);
+    }
+
+    /// Tells somebody of the members that it may not know.
+    ///
+    /// Guards who begins in a fleet that is there: the library tells it some members, and of the others it would hear as they
+    /// happen to write to it, for minutes in a large fleet; what those say of servers would not count meanwhile. Harm: in a
+    /// storm of comings and goings some datagrams tell what is known.
+    fn introduce(&mut self, now: Time, to: &Node, sums: &[u32; MEMBER_PARTS]) {
+        let mut met = self.members.differing(sums, to);
+        // Drawn: whom two have told already, a third need not tell again first.
+        for n in (1..met.len()).rev() {
+            met.swap(n, self.rng.random_range(0..=n));
+        }
+        self.tell_of(now, to, &mut met);
+    }
+
+    fn tell_of(&mut self, now: Time, to: &Node, met: &mut Vec<Met>) {
+        for _ in 0..INTRODUCED_MOST {
+            if met.is_empty() {
+                return;
+            }
+            let mut head = self.head(now, to);
+            head.meet(met);
+            let Some(writer) = Writer::new(&head) else { return };
+            self.send(to.address, writer);
+        }
     }
 
     // ---- datagrams that go ----
@@ -323,6 +361,7 @@
             known_life: None,
             swim: Vec::new(),
             compare: None,
+            met: Vec::new(),
         }
     }
 
@@ -377,7 +416,7 @@
     fn heal(&mut self, now: Time) {
         for to in self.draw(1) {
             let mut head = self.head(now, &to);
-            head.compare = Some(Compare::Ask(self.table.sums()));
+            head.compare = Some(Compare::Ask(self.sums()));
             self.write(now, to.address, &head);
         }
     }
@@ -533,11 +572,19 @@
         self.witness.saw(now, server, saw);
     }
 
+    /// All attempts at servers that have waited past their aim and have not ended, in place of those before.
+    pub fn waits(&mut self, now: Time, overdue: &[Overdue]) {
+        if self.witness.waits(overdue) {
+            // Each tenth of a second that this waits costs as many requests as come in it.
+            self.next_spread = self.next_spread.min(now);
+        }
+    }
+
     fn testify(&mut self, now: Time, listed: usize) {
         let (table, members) = (&self.table, &self.members);
         let (nodes, witnesses) = (members.count() + 1, self.rules.quorum.witnesses);
         let accused = |server: &ServerStart| {
-            let faults = |w: &Word| matches!(w, Word::Report(r) if r.finding != Finding::Well);
+            let faults = |w: &Word| matches!(w, Word::Report(r) if r.finding.finds_fault());
             let accusers = reports(table, server, now).filter(|(_, _, held)| faults(&held.word)).count();
             accusers + 1 >= witnesses && judge::speaks(server, &members.me().name, nodes, witnesses)
         };
--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -4,6 +4,7 @@
 //! | --- | --- |
 //! | it failed me, was silent or slow | for every reader: the server was reached |
 //! | I could not reach it | for readers in the reporter's zone alone: it may be the way there |
+//! | it was silent, and answered after all | not at all |
 //! | it is well | against the others, as one voice; where it was not reached, within the zone |
 //! | of a node that finds fault with too many servers | not at all: more likely it is that node's own trouble |
 //! | of a node that is not there, unless it is this one | not at all |
@@ -51,7 +52,7 @@
     /// Adds a report, as a reader in this zone hears it.
     pub fn add(&mut self, report: &Report, zone: &str, quorum: &Quorum) {
         let faults = usize::from(report.accused);
-        if report.finding != Finding::Well
+        if report.finding.finds_fault()
             && faults > 2
             && faults as f64 > quorum.believed * f64::from(report.listed)
         {
@@ -66,7 +67,7 @@
             }
             Finding::Unreached => self.unreached += usize::from(here),
             Finding::Slow | Finding::Silent | Finding::Failing => self.failed += 1,
-            Finding::Tipped => {}
+            Finding::Tipped | Finding::Unclear => {}
         }
     }
 
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -2,8 +2,13 @@
 //!
 //! The library is told moments by [`Members::tick`] and gives back what is to be sent. Its timers are kept here, so that
 //! a node in trouble can take its time: Lifeguard's local health multiplier (a score from 0 to [`SCORE_MOST`]) stretches
-//! probes and suspicions of others. The score rises with each probe that fails and with each suspicion of this node
-//! that it has to refute; it falls with each probe that succeeds.
+//! probes and suspicions of others. The score falls with each probe that succeeds, and rises
+//!
+//! - with each suspicion of this node that it has to refute,
+//! - with a probe that fails while nobody else was heard either. The paper tells by the nacks of those that a probe goes by
+//!   whose trouble it is; the library has none, so that whatever comes from others meanwhile stands for them. Were every
+//!   probe that fails to count, each death would double the time until it is told, and the death of many at once would
+//!   take nine times as long.
 //!
 //! Of Lifeguard there is: local health aware probe and suspicion. Not there: the dynamic suspicion time-out by independent
 //! confirmations, which the library has no place for.
@@ -11,17 +16,20 @@
 //! Sources: Das, Gupta, Motivala, "SWIM", 2002; Dadgar, Phillips, Currey, "Lifeguard", 2018 (sections IV.A, IV.B).
 
 use crate::node::{Life, Node};
-use crate::wire::SWIM_MOST;
+use crate::wire::{Met, Standing, MEMBER_PARTS, SWIM_MOST};
 use crate::Time;
-use foca::{Config, Foca, NoCustomBroadcast, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
+use foca::{
+    Config, Foca, Member, NoCustomBroadcast, Notification, PeriodicParams, PostcardCodec, Runtime, State,
+    Timer,
+};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
-/// The worst that a node holds of its own health.
+/// The worst that a node holds of its own health, by default; the paper's S.
 pub const SCORE_MOST: u32 = 8;
 
 /// How members are watched.
@@ -37,11 +45,21 @@
     pub by_way_of: usize,
     /// The number of nodes that the fleet is expected to have: news are told the oftener the more there are.
     pub size: u32,
+    /// The worst that a node holds of its own health: its probes and suspicions take so many times longer, and once more. At 0 it
+    /// never doubts itself.
+    pub doubt_most: u32,
 }
 
 impl Default for Pace {
     fn default() -> Self {
-        Pace { probe_every: 1.0, answer_within: 0.3, suspect_for: 4.0, by_way_of: 3, size: 32 }
+        Pace {
+            probe_every: 1.0,
+            answer_within: 0.3,
+            suspect_for: 4.0,
+            by_way_of: 3,
+            size: 32,
+            doubt_most: SCORE_MOST,
+        }
     }
 }
 
@@ -73,6 +91,22 @@
     }
 }
 
+/// In which part a life is compared, and what it adds to its sum.
+fn part(life: &Life) -> (usize, u32) {
+    let mixed =
+        (life.tag ^ life.start.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    ((mixed >> 61) as usize % MEMBER_PARTS, (mixed >> 16) as u32)
+}
+
+fn met(member: &Member<Node>) -> Met {
+    let standing = match member.state() {
+        State::Alive => Standing::There,
+        State::Suspect => Standing::Suspected,
+        State::Down => Standing::Gone,
+    };
+    Met { node: member.id().clone(), incarnation: member.incarnation(), standing }
+}
+
 /// What became of a member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -135,7 +169,11 @@
     names: HashMap<String, u64>,
     changes: VecDeque<Change>,
     score: u32,
+    pace: Pace,
     incarnation: u16,
+    /// When somebody was heard last, and when the probe under way began.
+    heard_at: Time,
+    probe_began: Time,
 }
 
 impl Members {
@@ -152,7 +190,10 @@
             names: HashMap::new(),
             changes: VecDeque::new(),
             score: 0,
+            pace,
             incarnation: 0,
+            heard_at: f64::MIN,
+            probe_began: f64::MIN,
         }
     }
 
@@ -196,6 +237,53 @@
         self.settle(now);
     }
 
+    /// Somebody was heard, whatever it said.
+    pub fn heard(&mut self, now: Time) {
+        self.heard_at = now;
+    }
+
+    /// A sum of each part of those that are there, this node included. Parts with one sum are alike, as far as chance allows.
+    pub fn sums(&self) -> [u32; MEMBER_PARTS] {
+        let mut sums = [0; MEMBER_PARTS];
+        for node in self.up.values().chain([&self.me]) {
+            let (part, sum) = part(&node.life);
+            sums[part] ^= sum;
+        }
+        sums
+    }
+
+    /// Those that are there, or suspected, in the parts in which another's sums differ; but for that one itself.
+    pub fn differing(&self, sums: &[u32; MEMBER_PARTS], from: &Node) -> Vec<Met> {
+        let mine = self.sums();
+        let differs = |node: &Node| {
+            let (part, _) = part(&node.life);
+            mine[part] != sums[part] && node != from
+        };
+        self.foca.iter_members().filter(|m| differs(m.id())).map(met).collect()
+    }
+
+    /// Another node takes these for there, or for gone. Gives back those of whom it does not know that they are gone: the
+    /// end of a life is final, and whoever missed the word would keep to it until its own probe comes round.
+    pub fn meet(&mut self, now: Time, met: &[Met]) -> Vec<Met> {
+        let is_there = |met: &&Met| self.up.get(&met.node.life.tag) == Some(&met.node);
+        let new = met.iter().filter(|m| m.standing != Standing::Gone && !is_there(m)).map(|m| &m.node);
+        let new: HashSet<&Node> = new.collect();
+        let gone = |m: &&Member<Node>| m.state() == State::Down && new.contains(m.id());
+        let gone = self.foca.iter_membership_state().filter(gone).map(self::met).collect();
+        let member = |met: &Met| {
+            let state = match met.standing {
+                Standing::There => State::Alive,
+                Standing::Suspected => State::Suspect,
+                Standing::Gone => State::Down,
+            };
+            Member::new(met.node.clone(), met.incarnation, state)
+        };
+        // They go no further from here: whoever misses one compares.
+        let _ = self.foca.apply_many(met.iter().map(member), false, &mut self.wants);
+        self.settle(now);
+        gone
+    }
+
     /// From now on this node is a later life.
     pub fn become_life(&mut self, now: Time, life: Life) {
         let me = Node { life, ..self.me.clone() };
@@ -219,18 +307,30 @@
     /// Time has passed.
     pub fn tick(&mut self, now: Time) {
         while let Some(first) = self.timers.first_entry() {
-            if first.key().0 > (now * 1e6) as u64 {
+            let due = first.key().0;
+            if due > (now * 1e6) as u64 {
                 break;
             }
             let timer = first.remove();
+            let late = now - due as f64 / 1e6 > self.pace.answer_within;
+            if late && matches!(timer, Timer::ChangeSuspectToDown { .. }) {
+                // Guards whoever refuted while this process stood still, if that word was lost. Harm: one that is gone is
+                // told later by as long.
+                self.wants.timers.push((timer, Duration::from_secs_f64(self.pace.suspect_for)));
+                self.settle(now);
+                continue;
+            }
             let probed = matches!(timer, Timer::ProbeRandomMember(_));
             self.wants.failed = 0;
             // A timer that came too late for its matter is an error to the library, and none here.
             let _ = self.foca.handle_timer(timer, &mut self.wants);
             if probed {
-                let failed = self.wants.failed > 0;
-                self.score =
-                    if failed { (self.score + 1).min(SCORE_MOST) } else { self.score.saturating_sub(1) };
+                let began = std::mem::replace(&mut self.probe_began, now);
+                if self.wants.failed == 0 {
+                    self.score = self.score.saturating_sub(1);
+                } else if self.heard_at < began {
+                    self.doubt();
+                }
             }
             self.settle(now);
         }
@@ -246,10 +346,14 @@
         self.changes.pop_front()
     }
 
+    fn doubt(&mut self) {
+        self.score = (self.score + 1).min(self.pace.doubt_most);
+    }
+
     fn settle(&mut self, now: Time) {
         // A greater incarnation is a suspicion that this node had to refute.
         if self.wants.incarnation > self.incarnation {
-            self.score = (self.score + 1).min(SCORE_MOST);
+            self.doubt();
         }
         self.incarnation = self.wants.incarnation;
         for (timer, after) in self.wants.timers.drain(..) {
--- a/crates/fleet/src/verdict.rs
+++ b/crates/fleet/src/verdict.rs
@@ -93,6 +93,15 @@
     Silent,
     /// It was reached and failed.
     Failing,
+    /// What was said of it before was wrong: it answered after all. Counts for nothing, and takes the place of that.
+    Unclear,
+}
+
+impl Finding {
+    /// Whether it tells against the server.
+    pub fn finds_fault(self) -> bool {
+        !matches!(self, Finding::Well | Finding::Unclear)
+    }
 }
 
 /// Evidence.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -25,7 +25,7 @@
 pub const SECRET_LEAST: usize = 16;
 
 const MAGIC: [u8; 2] = *b"rF";
-const VERSION: u8 = 1;
+const VERSION: u8 = 2;
 const MAC: usize = 16;
 const FRONT: usize = MAGIC.len() + 1 + MAC;
 
@@ -57,9 +57,43 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Compare {
     /// These are my sums: tell me what differs, and yours.
-    Ask([u64; PARTS]),
+    Ask(Sums),
     /// These are mine, since you asked.
-    Answer([u64; PARTS]),
+    Answer(Sums),
+}
+
+/// Sums of what two nodes compare.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sums {
+    /// Of the parts of the table of verdicts.
+    pub verdicts: [u64; PARTS],
+    /// Of the parts of the members.
+    pub members: [u32; MEMBER_PARTS],
+}
+
+/// In how many parts members are compared.
+pub const MEMBER_PARTS: usize = 8;
+
+/// What the writer holds of a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// It is there.
+    There,
+    /// It is suspected.
+    Suspected,
+    /// It is gone.
+    Gone,
+}
+
+/// Somebody of whom the writer knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Met {
+    /// Who it is.
+    pub node: Node,
+    /// The latest word on it, as the membership counts them.
+    pub incarnation: u16,
+    /// What that word is.
+    pub standing: Standing,
 }
 
 /// What a datagram says beside its verdicts.
@@ -83,6 +117,25 @@
     pub swim: Vec<u8>,
     /// A comparison of tables.
     pub compare: Option<Compare>,
+    /// Members of whom the reader may not know.
+    pub met: Vec<Met>,
+}
+
+impl Head {
+    /// Moves members from the end of a list into the datagram, as many as fit.
+    pub fn meet(&mut self, all: &mut Vec<Met>) {
+        let size = |head: &Head| postcard::to_stdvec(head).map_or(DATAGRAM_MOST, |bytes| bytes.len());
+        // The number of those that are told takes a byte, or two.
+        let mut left = DATAGRAM_MOST.saturating_sub(FRONT + 2 + size(self));
+        while let Some(met) = all.last() {
+            let needs = postcard::to_stdvec(met).map_or(DATAGRAM_MOST, |bytes| bytes.len());
+            if needs > left {
+                return;
+            }
+            left -= needs;
+            self.met.extend(all.pop());
+        }
+    }
 }
 
 /// Why a datagram is dropped.
@@ -165,7 +218,8 @@
         return Err(Drop::Forged);
     }
     let (head, mut rest): (Head, &[u8]) = postcard::take_from_bytes(body).map_err(|_| Drop::Torn)?;
-    if head.from.name.is_empty() || head.from.name.len() > NAME_MOST {
+    let named = |node: &Node| !node.name.is_empty() && node.name.len() <= NAME_MOST;
+    if !named(&head.from) || !head.met.iter().all(|met| named(&met.node)) {
         return Err(Drop::Torn);
     }
     let mut entries = Vec::new();
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -6,7 +6,7 @@
 use reelfall_fleet::fleet::{Fleet, Rules};
 use reelfall_fleet::verdict::{ServerStart, Word};
 use reelfall_fleet::wire::{self, Drop, Secret};
-use reelfall_fleet::witness::Saw;
+use reelfall_fleet::witness::{Overdue, Saw};
 
 fn gathered(nodes: usize, seed: u64) -> World {
     let mut world = World::new(nodes, seed, |_| rules());
@@ -126,6 +126,67 @@
     assert!((0..12).all(|n| world.members(n) == 11), "a path is left, and somebody is taken for gone");
 }
 
+#[test]
+fn in_a_large_fleet_an_end_is_told_in_its_time_and_who_begins_is_told_of_all() {
+    let mut world = gathered(100, 73);
+    for n in [40, 41, 42] {
+        world.kill(n);
+        // Until it is probed, to the end of that probe, and the time to refute; the first must not doubt itself for it.
+        let took = world.until(20.0, |w| (0..100).any(|m| w.nodes[m].is_some() && w.members(m) == 98));
+        assert!(took > 4.0 && took < 8.0, "an end is told after {took} s");
+        world.until(3.0, |w| (0..100).all(|m| w.nodes[m].is_none() || w.members(m) == 98));
+        world.start(n);
+        let took = world.until(20.0, World::gathered);
+        assert!(took < 8.0, "who begins knows all after {took} s");
+    }
+}
+
+#[test]
+fn where_most_end_at_once_the_others_know_soon_and_doubt_nobody_else() {
+    let mut world = gathered(60, 79);
+    (20..60).for_each(|n| world.kill(n));
+    let took = world.until(60.0, |w| (0..20).all(|n| w.members(n) == 19));
+    assert!(took < 25.0, "{took} s");
+    assert_eq!(world.wrongly_gone, 0);
+    (20..60).for_each(|n| world.start(n));
+    let took = world.until(60.0, World::gathered);
+    assert!(took < 15.0, "back after {took} s");
+}
+
+#[test]
+fn who_missed_the_word_of_an_end_hears_it_from_the_next_that_it_compares_with() {
+    let mut world = gathered(30, 83);
+    world.inbox_most = 0;
+    world.kill(29);
+    // It stands still while the others tell each other, and what comes meanwhile is lost.
+    world.until(20.0, |w| (0..29).any(|m| w.members(m) == 28));
+    let late = (0..29).find(|m| world.members(*m) == 29).unwrap();
+    world.freeze(late, true);
+    world.run(2.0);
+    world.freeze(late, false);
+    let took = world.until(20.0, |w| w.members(late) == 28);
+    assert!(took < 4.0, "{took} s");
+}
+
+#[test]
+fn who_stood_still_gives_those_it_suspected_their_time_to_refute_anew() {
+    // One hears nothing of another for long enough to suspect it, stands still beyond the other's time to refute, and all that
+    // was said meanwhile is lost to it.
+    for (still, seed) in [(5.0, 1), (8.0, 2), (12.0, 3), (6.0, 4)] {
+        let mut world = gathered(6, 89 + seed);
+        world.inbox_most = 0;
+        world.part(&[0], &[1, 2, 3, 4, 5], false);
+        world.part(&[1, 2, 3, 4, 5], &[0], false);
+        world.run(2.5);
+        world.freeze(0, true);
+        world.heal();
+        world.run(still);
+        world.freeze(0, false);
+        world.run(3.0);
+        assert_eq!(world.wrongly_gone, 0, "who stood still for {still} s takes others for gone");
+    }
+}
+
 #[test]
 fn a_process_that_begins_again_is_a_later_life_and_takes_no_orders_for_the_old_one() {
     let mut world = gathered(5, 23);
@@ -234,6 +295,61 @@
     assert_eq!(world.broken, Vec::<String>::new());
 }
 
+/// These nodes wait for an answer of a server, each for so many seconds past an aim of 0.2 s; or no longer.
+fn wait_for(world: &mut World, nodes: &[usize], waits: Option<f64>) {
+    for n in nodes {
+        world.at(*n, |f, now| {
+            let of = |past| Overdue { server: server(0), since: now - 0.2 - past, late_from: now - past };
+            f.waits(now, &waits.map(of).into_iter().collect::<Vec<_>>());
+        });
+    }
+}
+
+#[test]
+fn who_waits_tells_before_the_wait_is_over_and_takes_it_back_if_answered() {
+    let mut world = gathered(9, 67);
+    wait_for(&mut world, &[0, 1, 2], Some(0.01));
+    let took = world.until(2.0, |w| (0..9).all(|n| condemned(w, n) == ["server-0"]));
+    assert!(took < 0.6, "{took} s");
+    // It only paused: those that waited are answered late, and nobody is left with what they said.
+    see(&mut world, &[0, 1, 2], &[0], Saw::Late);
+    wait_for(&mut world, &[0, 1, 2], None);
+    let took = world.until(2.0, |w| (0..9).all(|n| condemned(w, n).is_empty()));
+    assert!(took < 0.6, "taken back, and held for {took} s");
+    // Who was aborted, with its client gone, has seen no answer and has nothing to say any more.
+    wait_for(&mut world, &[3, 4, 5], Some(0.01));
+    world.until(2.0, |w| condemned(w, 8) == ["server-0"]);
+    wait_for(&mut world, &[3, 4, 5], None);
+    world.until(2.0, |w| (0..9).all(|n| condemned(w, n).is_empty()));
+    // Where the wait ends in silence, what was said stands, on the evidence of the end.
+    wait_for(&mut world, &[6, 7, 8], Some(0.01));
+    world.until(2.0, |w| condemned(w, 0) == ["server-0"]);
+    see(&mut world, &[6, 7, 8], &[0], Saw::Silence);
+    wait_for(&mut world, &[6, 7, 8], None);
+    world.run(9.0);
+    assert!((0..9).all(|n| condemned(&world, n) == ["server-0"]));
+    world.run(2.0);
+    assert!((0..9).all(|n| condemned(&world, n).is_empty()));
+    assert_eq!(world.broken, Vec::<String>::new());
+}
+
+#[test]
+fn a_server_that_has_answered_others_since_is_busy_and_not_silent() {
+    let mut world = gathered(5, 71);
+    // Sent before the server was last heard.
+    see(&mut world, &[0, 1, 2], &[0], Saw::Answer);
+    for _ in 0..20 {
+        wait_for(&mut world, &[0, 1, 2], Some(0.3));
+        world.run(0.1);
+        see(&mut world, &[0, 1, 2], &[0], Saw::Answer);
+    }
+    assert!((0..5).all(|n| condemned(&world, n).is_empty()));
+    // Sent since, it tells.
+    world.run(1.0);
+    wait_for(&mut world, &[0, 1, 2], Some(0.3));
+    world.until(2.0, |w| (0..5).all(|n| condemned(w, n) == ["server-0"]));
+}
+
 #[test]
 fn who_is_gone_condemns_nobody() {
     let mut world = World::new(9, 59, |_| Rules { report_lasts: 60.0, ..rules() });
--- a/crates/node/src/fleet/desk.rs
+++ b/crates/node/src/fleet/desk.rs
@@ -117,7 +117,7 @@
         }
         let starts: Vec<ServerStart> =
             fleet.voices(now).keys().filter(|s| s.name == server).map(|s| (*s).clone()).collect();
-        let condemned = fleet.condemned(now, self.shared.listed());
+        let condemned = fleet.condemned(now, self.listed(now));
         for start in &starts {
             match condemned.iter().find(|c| c.server == *start) {
                 Some(c) => {
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -3,13 +3,13 @@
 
 mod desk;
 
-use crate::net::shared::{Judged, Sees, Shared};
+use crate::net::shared::{Judged, Late, Sees, Shared};
 use reelfall_conf::model;
 use reelfall_fleet::fleet::{Change, Fleet};
 use reelfall_fleet::members;
 use reelfall_fleet::verdict::{Key, ServerStart};
 use reelfall_fleet::wire::{Secret, DATAGRAM_MOST};
-use reelfall_fleet::witness::Saw;
+use reelfall_fleet::witness::{Overdue, Saw};
 use reelfall_fleet::Time;
 use rustix::time::{clock_gettime, ClockId};
 use std::cell::{Cell, RefCell};
@@ -30,6 +30,13 @@
 const JUDGE_EVERY: Time = 0.1;
 /// How soon a new word about servers is put in force; a flood of words costs one look in each such time.
 const JUDGE_AGAIN: Time = 0.02;
+/// How often it is looked for attempts that are out past their aim.
+///
+/// Guards the others' requests: each node that has not heard sends what it would have to a server that stands still. Harm: a
+/// look at what is open, forty times in a second.
+const LOOK_EVERY: Time = 0.025;
+/// How often the servers that lists name are counted.
+const COUNT_EVERY: Time = 1.0;
 /// How often it is told how many datagrams were dropped, if any were.
 const TELL_EVERY: Time = 10.0;
 
@@ -63,6 +70,9 @@
     /// What the pools were told of servers.
     judged: RefCell<BTreeMap<ServerStart, Judged>>,
     next_judge: Cell<Time>,
+    next_look: Cell<Time>,
+    /// How many servers lists name, and until when that is taken for true.
+    listed: Cell<(usize, Time)>,
     /// Datagrams that the system did not take, and those dropped at the last telling.
     unsent: Cell<u64>,
     told_dropped: Cell<(Time, u64)>,
@@ -95,6 +105,8 @@
             told: Notify::new(),
             judged: RefCell::default(),
             next_judge: Cell::new(0.0),
+            next_look: Cell::new(0.0),
+            listed: Cell::new((0, 0.0)),
             unsent: Cell::new(0),
             told_dropped: Cell::new((0.0, 0)),
         }))
@@ -115,8 +127,8 @@
                 tokio::task::yield_now().await;
                 continue;
             }
-            let rest =
-                (self.fleet.borrow().deadline().min(self.next_judge.get()) - self.clock.now()).max(0.001);
+            let due = self.fleet.borrow().deadline().min(self.next_judge.get()).min(self.next_look.get());
+            let rest = (due - self.clock.now()).max(0.001);
             let due =
                 tokio::time::sleep_until((Instant::now() + Duration::from_secs_f64(rest.min(60.0))).into());
             tokio::select! {
@@ -149,9 +161,14 @@
     /// Does what is due and puts in force what has changed.
     fn turn(&self) {
         let now = self.clock.now();
+        if now >= self.next_look.get() {
+            self.next_look.set(now + LOOK_EVERY);
+            self.look(now);
+        }
+        let listed = self.listed(now);
         let changes = {
             let mut fleet = self.fleet.borrow_mut();
-            fleet.tick(now, self.shared.listed());
+            fleet.tick(now, listed);
             std::iter::from_fn(|| fleet.change()).collect::<Vec<_>>()
         };
         self.flush();
@@ -178,6 +195,27 @@
         }
     }
 
+    /// Looks for attempts that are out past their aim.
+    fn look(&self, now: Time) {
+        let of = |late: Late| {
+            let since = now - late.waited;
+            Overdue { server: late.server, since, late_from: since + late.aim }
+        };
+        let overdue: Vec<Overdue> = self.shared.overdue().into_iter().map(of).collect();
+        self.fleet.borrow_mut().waits(now, &overdue);
+    }
+
+    /// How many servers the lists name.
+    fn listed(&self, now: Time) -> usize {
+        let (listed, until) = self.listed.get();
+        if now < until {
+            return listed;
+        }
+        let listed = self.shared.listed();
+        self.listed.set((listed, now + COUNT_EVERY));
+        listed
+    }
+
     /// Sends what is to be sent. What the system refuses (no buffer, no permission, no route) is lost, as a datagram
     /// may be, and ends nothing.
     fn flush(&self) {
@@ -194,7 +232,7 @@
         let clock = self.shared.clock.now();
         let new: BTreeMap<ServerStart, Judged> = {
             let fleet = self.fleet.borrow();
-            let condemned = fleet.condemned(now, self.shared.listed());
+            let condemned = fleet.condemned(now, self.listed(now));
             let of = |c: reelfall_fleet::fleet::Condemned| {
                 let judged = Judged { server: c.server.clone(), until: clock + c.left, tries: c.tries };
                 (c.server, judged)
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -2,7 +2,7 @@
 //! engine wants done. No choice is made here.
 
 use super::message::{Answer, Arrival, Message, Reply};
-use super::shared::{Judged, Peer, PoolId, Shared};
+use super::shared::{Judged, Late, Peer, PoolId, Shared};
 use super::upstream::{self, Upstream};
 use super::Chance;
 use reelfall_core::engine::{self, Command, Engine, Place};
@@ -15,7 +15,7 @@
 use reelfall_routes::limits::Member;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -432,8 +432,20 @@
         self.names.borrow().servers.get(name).is_some()
     }
 
-    fn listed(&self) -> usize {
-        self.own.borrow().places.len()
+    fn listed(&self, to: &mut BTreeSet<ServerStart>) {
+        let servers: Vec<ServerId> = self.own.borrow().places.keys().copied().collect();
+        to.extend(servers.into_iter().filter_map(|server| self.start_of(server)));
+    }
+
+    fn overdue(&self, now: Time, to: &mut Vec<Late>) {
+        let engine = self.engine.borrow();
+        for (server, class, since) in engine.waits() {
+            let Some(aim) = self.classes.get(usize::from(class)).map(|c| c.aim) else { continue };
+            let waited = now - since;
+            if waited > aim {
+                to.extend(self.start_of(server).map(|server| Late { server, waited, aim }));
+            }
+        }
     }
 
     fn judged(self: Rc<Self>, judged: &Judged) {
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -143,8 +143,10 @@
     fn review(self: Rc<Self>);
     /// Whether its list has named a server, now or lately.
     fn knows(&self, name: &str) -> bool;
-    /// How many servers its list names.
-    fn listed(&self) -> usize;
+    /// Adds the servers that its list names, as the fleet knows them.
+    fn listed(&self, to: &mut BTreeSet<ServerStart>);
+    /// Adds the attempts that are out past their aim.
+    fn overdue(&self, now: Time, to: &mut Vec<Late>);
     /// The nodes of a fleet hold something of a server together.
     fn judged(self: Rc<Self>, judged: &Judged);
 }
@@ -159,6 +161,15 @@
     pub tries: bool,
 }
 
+/// An attempt that is out past its aim.
+#[derive(Clone, Debug)]
+pub struct Late {
+    pub server: ServerStart,
+    /// How long an answer has been waited for, and how long it should have taken at most, in seconds.
+    pub waited: Time,
+    pub aim: Time,
+}
+
 /// Whoever wants to know how attempts at servers end.
 pub trait Sees {
     /// An attempt at one start of a server has ended.
@@ -440,9 +451,18 @@
         self.peers().into_iter().for_each(|p| p.judged(judged));
     }
 
-    /// How many servers the lists name, one that several name counted each time.
+    /// How many servers the lists name; one that several name is one.
     pub fn listed(&self) -> usize {
-        self.peers().iter().map(|p| p.listed()).sum()
+        let mut all = BTreeSet::new();
+        self.peers().iter().for_each(|p| p.listed(&mut all));
+        all.len()
+    }
+
+    /// The attempts that are out past their aim, of all pools.
+    pub fn overdue(&self) -> Vec<Late> {
+        let (now, mut all) = (self.clock.now(), Vec::new());
+        self.peers().iter().for_each(|p| p.overdue(now, &mut all));
+        all
     }
 
     /// From now on somebody is told how attempts end.
