The rig plays, writes and shortens schedules, and judges how long verdicts were acted on

Need: hard cases of the fleet that were shown in virtual time alone, or not at all, as processes; a schedule that breaks a rule had to be shortened by hand.

`reelfall-rig fleet` plays a schedule that is drawn or written, writes it and all that happened, and shortens one that breaks a rule (ddmin). The history tells how long after its time a verdict was let go and which condemnation had no cause. Six more tests of processes: cuts that leave a way round, two processes with one name, a full buffer and datagrams that the system refuses, all servers failing all nodes, a server that pauses, lists that disagree and a server replaced under its address while a verdict on the old one travels. Processor time is read from the process's clock: /proc tells hundredths.

--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -5,7 +5,10 @@
 //! | [`links`] | the way of each datagram from one node to another |
 //! | [`history`] | all that happened, by one clock |
 //! | [`check`] | what the history says of the rules, whatever the nodes say |
+//! | [`verdicts`] | how long verdicts were acted on, and against whom |
 //! | [`schedule`] | faults and words, drawn from a seed, written down and played |
+//! | [`shorten`] | a schedule that breaks something, made short |
+//! | [`plays`] | one schedule over one fleet, and what came of it |
 //!
 //! Each node is a process of the program with a settings file; what it sends to another goes to an address of the rig's,
 //! which passes it on, or not. Each node reaches each server by a [`Link`] of its own.
@@ -13,9 +16,13 @@
 pub mod check;
 pub mod history;
 pub mod links;
+pub mod plays;
 pub mod schedule;
+pub mod shorten;
+pub mod verdicts;
 
 use crate::client::Client;
+use crate::discovery::{Discovery, Listed};
 use crate::link::Link;
 use crate::node::{until_health, Folder, Node, PATIENCE};
 use crate::pool::{Manner, Server};
@@ -46,6 +53,13 @@
     pub fleet: Option<String>,
     /// Lines of each service's part.
     pub service: String,
+    /// How many list services tell the nodes their servers; they are dealt to the nodes in turn. With none, each node's file
+    /// names the servers, and it reaches each by a link of its own.
+    pub lists: usize,
+    /// Names of nodes that are not [`name`]'s.
+    pub named: Vec<(usize, String)>,
+    /// Addresses where nodes are asked to be let in, beside the first three places.
+    pub seeds: Vec<SocketAddr>,
 }
 
 /// Servers that are back are warm at once, so that what is seen of them is the verdicts' doing.
@@ -60,6 +74,9 @@
             takes: Duration::from_millis(2),
             fleet: Some(String::new()),
             service: String::new(),
+            lists: 0,
+            named: Vec::new(),
+            seeds: Vec::new(),
         }
     }
 }
@@ -90,6 +107,8 @@
     seats: Vec<Seat>,
     /// The servers.
     pub servers: Vec<Server>,
+    /// The list services.
+    pub lists: Vec<Discovery>,
     links: Arc<Links>,
     addresses: Addresses,
     /// All that happened.
@@ -132,19 +151,29 @@
         let key = folder.path().join("fleet.key");
         std::fs::write(&key, "the rig's own key, and nobody else's")?;
         let links = Links::open(made.nodes).await?;
+        let listed: Vec<Listed> =
+            servers.iter().enumerate().map(|(n, s)| Listed::active(&server_name(n), s.address)).collect();
+        let mut lists = Vec::with_capacity(made.lists);
+        for _ in 0..made.lists {
+            lists.push(Discovery::start(listed.clone()).await?);
+        }
         let mut seats = Vec::with_capacity(made.nodes);
         for n in 0..made.nodes {
             let mut to_servers = Vec::with_capacity(made.servers);
             for server in &servers {
                 to_servers.push(Link::start(server.address).await?);
             }
-            let fleet = made.fleet.as_ref().map(|more| part(n, &links, &key, more));
-            let settings = settings(n, made, &to_servers, fleet.as_deref().unwrap_or(""));
+            let fleet = made.fleet.as_ref().map(|more| part(n, made, &links, &key, more));
+            let source = match lists.get(n % made.lists.max(1)) {
+                Some(list) => format!("discovery = \"{}\"\n", list.address),
+                None => written(made, &to_servers),
+            };
+            let settings = settings(n, made, &source, fleet.as_deref().unwrap_or(""));
             seats.push(Seat { settings, node: None, links: to_servers });
         }
         let program = program.clone();
         let addresses = Arc::new(Mutex::new(vec![None; made.nodes]));
-        let mut rig = Rig { program, seats, servers, links, addresses, history, _folder: folder };
+        let mut rig = Rig { program, seats, servers, lists, links, addresses, history, _folder: folder };
         for n in 0..made.nodes {
             rig.start_node(n).await?;
         }
@@ -374,6 +403,8 @@
     }
 }
 
+/// In what time an answer is worth all.
+pub const AIM: Duration = Duration::from_millis(200);
 /// What clients wait for an answer.
 pub const DEADLINE: Duration = Duration::from_secs(2);
 
@@ -424,42 +455,50 @@
     history.add(Event::Answered { node, id, status });
 }
 
-fn part(n: usize, links: &Links, key: &std::path::Path, more: &str) -> String {
-    let seeds: Vec<String> = (0..links.count().min(3)).map(|s| format!("\"{}\"", links.address(s))).collect();
+fn part(n: usize, made: &Made, links: &Links, key: &std::path::Path, more: &str) -> String {
+    let places = (0..links.count().min(3)).map(|s| links.address(s));
+    let seeds: Vec<String> = places.chain(made.seeds.iter().copied()).map(|s| format!("\"{s}\"")).collect();
+    let named = made.named.iter().find(|(of, _)| *of == n).map_or_else(|| name(n), |(_, name)| name.clone());
     format!(
         "[management]\naddress = \"127.0.0.1:0\"\n\n[fleet]\nname = \"rig\"\nnode = \"{}\"\nlisten = \"127.0.0.1:0\"\n\
          advertise = \"{}\"\nkey_file = \"{}\"\nseeds = [{}]\n{more}\n",
-        name(n),
+        named,
         links.address(n),
         key.display(),
         seeds.join(", ")
     )
 }
 
-fn settings(n: usize, made: &Made, links: &[Link], fleet: &str) -> String {
-    let zone = |of: usize| format!("z{}", of % made.zones.max(1));
+fn zone(of: usize, made: &Made) -> String {
+    format!("z{}", of % made.zones.max(1))
+}
+
+/// The servers as a node's file names them, each by the node's own link to it.
+fn written(made: &Made, links: &[Link]) -> String {
+    let zoned = |s: usize| match made.zones {
+        0 | 1 => String::new(),
+        _ => format!("zone = \"{}\"\n", zone(s, made)),
+    };
+    let server = |(s, link): (usize, &Link)| {
+        let name = server_name(s);
+        format!("[[service.server]]\nname = \"{name}\"\naddress = \"{}\"\n{}", link.address, zoned(s))
+    };
+    links.iter().enumerate().map(server).collect()
+}
+
+fn settings(n: usize, made: &Made, source: &str, fleet: &str) -> String {
     let process = match made.zones {
         0 | 1 => format!("[process]\nnodes = {}\n", made.nodes),
-        _ => format!("[process]\nnodes = {}\nzone = \"{}\"\n", made.nodes, zone(n)),
+        _ => format!("[process]\nnodes = {}\nzone = \"{}\"\n", made.nodes, zone(n, made)),
     };
-    let servers: String = links
-        .iter()
-        .enumerate()
-        .map(|(s, link)| {
-            let zone = if made.zones > 1 { format!("zone = \"{}\"\n", zone(s)) } else { String::new() };
-            format!(
-                "[[service.server]]\nname = \"{}\"\naddress = \"{}\"\n{zone}",
-                server_name(s),
-                link.address
-            )
-        })
-        .collect();
     let service = |name: &str, repeat: &str| {
+        let (before, after) = if made.lists > 0 { (source, "") } else { ("", source) };
         format!(
-            "[[service]]\nname = \"{name}\"\ntries = {{ most = 3, retry_share = 0.5 }}\n{}\n[[service.class]]\n\
-             name = \"{name}\"\nrepeat = \"{repeat}\"\naim = \"200ms\"\ndeadline = \"2s\"\n[[service.route]]\n\
-             host = \"{name}.example.org\"\npath = \"/api\"\n{servers}\n",
-            made.service
+            "[[service]]\nname = \"{name}\"\n{before}tries = {{ most = 3, retry_share = 0.5 }}\n{}\n[[service.class]]\n\
+             name = \"{name}\"\nrepeat = \"{repeat}\"\naim = \"{}ms\"\ndeadline = \"2s\"\n[[service.route]]\n\
+             host = \"{name}.example.org\"\npath = \"/api\"\n{after}\n",
+            made.service,
+            AIM.as_millis()
         )
     };
     format!(
--- a/crates/rig/src/fleet/schedule.rs
+++ b/crates/rig/src/fleet/schedule.rs
@@ -59,6 +59,17 @@
         value.to_string()
     }
 
+    /// The nodes and the servers that it names.
+    fn names(&self) -> (Vec<usize>, Vec<usize>) {
+        match self {
+            Step::Cut(a, b, _) => ([a.as_slice(), b].concat(), vec![]),
+            Step::Freeze(n, _) | Step::Kill(n) | Step::Start(n) | Step::End(n) => (vec![*n], vec![]),
+            Step::Server(s, _) | Step::Fails(s, _) => (vec![], vec![*s]),
+            Step::Ban(n, s, _) | Step::Lift(n, s) => (vec![*n], vec![*s]),
+            Step::Wait(_) | Step::Heal | Step::Loss(..) | Step::Delay(..) => (vec![], vec![]),
+        }
+    }
+
     /// Reads a line.
     ///
     /// # Errors
@@ -96,6 +107,34 @@
     }
 }
 
+/// A schedule as lines.
+pub fn write(steps: &[Step]) -> String {
+    steps.iter().map(|step| step.line() + "\n").collect()
+}
+
+/// Reads a schedule for so many nodes and servers. Empty lines, and those that begin with `#`, say nothing.
+///
+/// # Errors
+/// Where a line is no step, or names a node or server that there is none of; with its number.
+pub fn read(text: &str, nodes: usize, servers: usize) -> Result<Vec<Step>> {
+    let mut steps = Vec::new();
+    for (n, line) in text.lines().enumerate().map(|(n, line)| (n + 1, line.trim())) {
+        if line.is_empty() || line.starts_with('#') {
+            continue;
+        }
+        let step = Step::read(line).map_err(|e| format!("line {n}: {e}"))?;
+        let (of_nodes, of_servers) = step.names();
+        if let Some(m) = of_nodes.into_iter().find(|m| *m >= nodes) {
+            return Err(format!("line {n}: there is no node {m}").into());
+        }
+        if let Some(m) = of_servers.into_iter().find(|m| *m >= servers) {
+            return Err(format!("line {n}: there is no server {m}").into());
+        }
+        steps.push(step);
+    }
+    Ok(steps)
+}
+
 /// A schedule of about so long over so many nodes and servers, that ends with all faults healed.
 pub fn drawn(seed: u64, nodes: usize, servers: usize, time: Duration) -> Vec<Step> {
     let mut draw = Draw(seed);
--- /dev/null
+++ b/crates/rig/src/fleet/shorten.rs
@@ -0,0 +1,56 @@
+//! A schedule that breaks something, made as short as it can be.
+
+use std::future::Future;
+
+/// Removes parts of a schedule, ever smaller ones, as long as what is left still `breaks`; no more than so many trials.
+/// What comes back broke in the last trial that did, or is the whole; the other value is how many trials were made.
+///
+/// Source: Zeller, Hildebrandt, "Simplifying and Isolating Failure-Inducing Input", 2002: ddmin, complements alone.
+pub async fn shorten<S: Clone, F: Future<Output = bool>>(
+    steps: &[S], trials: usize, mut breaks: impl FnMut(Vec<S>) -> F,
+) -> (Vec<S>, usize) {
+    let mut left = steps.to_vec();
+    let (mut parts, mut tried) = (2, 0);
+    while left.len() >= 2 && tried < trials {
+        let size = left.len().div_ceil(parts);
+        let mut at = 0;
+        let mut shorter = false;
+        while at < left.len() && tried < trials {
+            let end = (at + size).min(left.len());
+            let rest = [&left[..at], &left[end..]].concat();
+            tried += 1;
+            if !rest.is_empty() && breaks(rest.clone()).await {
+                // The next part has come to this one's place.
+                (left, shorter) = (rest, true);
+            } else {
+                at = end;
+            }
+        }
+        if !shorter && size == 1 {
+            break;
+        }
+        parts = if shorter { parts.saturating_sub(1).max(2) } else { (parts * 2).min(left.len()) };
+    }
+    (left, tried)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[tokio::test]
+    async fn only_what_breaks_is_left() {
+        let steps: Vec<u32> = (0..100).collect();
+        let needs =
+            |of: &'static [u32]| move |s: Vec<u32>| std::future::ready(of.iter().all(|n| s.contains(n)));
+        assert_eq!(shorten(&steps, 1000, needs(&[17])).await.0, [17]);
+        let (left, tried) = shorten(&steps, 1000, needs(&[3, 50, 97])).await;
+        assert_eq!(left, [3, 50, 97]);
+        assert!(tried < 200, "{tried} trials");
+        // Within few trials it is as short as it could be made, and breaks still.
+        let (left, tried) = shorten(&steps, 5, needs(&[3, 50, 97])).await;
+        assert!(tried == 5 && left.len() <= 100 && [3, 50, 97].iter().all(|n| left.contains(n)));
+        // What never breaks stays whole; order is kept.
+        assert_eq!(shorten(&steps, 1000, |_| std::future::ready(false)).await.0, steps);
+    }
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -2,11 +2,13 @@
 
 use clap::{Parser, Subcommand};
 use reelfall_rig::discovery::{Discovery, Listed};
+use reelfall_rig::fleet::plays::Play;
+use reelfall_rig::fleet::{schedule, Made, WARM};
 use reelfall_rig::link::Link;
 use reelfall_rig::load::{self, Kind};
 use reelfall_rig::pool::{Manner, Pool};
 use reelfall_rig::registry::{self, Registry};
-use reelfall_rig::scenario::{fleet, graphql, membership, services, Report};
+use reelfall_rig::scenario::{self, graphql, membership, services, Report};
 use reelfall_rig::scripted::Program;
 use reelfall_rig::{demo, measure, relay, until_ended, Result};
 use serde_json::{json, Value};
@@ -118,6 +120,8 @@
         #[arg(long)]
         small: bool,
     },
+    /// A fleet of nodes under load, and a schedule of faults: drawn from a seed, or read from a file of lines
+    Fleet(Schedule),
     /// A node with its stand-ins, until ended
     Demo {
         /// `services`, `graphql` or `membership`
@@ -142,6 +146,84 @@
     },
 }
 
+/// A schedule, and what it is played on. Its lines are those of `--write`: `["cut",[0,1],[2],true]`, `["wait",500]`.
+#[derive(clap::Args)]
+struct Schedule {
+    /// Nodes
+    #[arg(long, default_value_t = 5)]
+    nodes: usize,
+    /// Servers
+    #[arg(long, default_value_t = 6)]
+    servers: usize,
+    /// Zones that nodes and servers are dealt into
+    #[arg(long, default_value_t = 1)]
+    zones: usize,
+    /// List services in place of written servers
+    #[arg(long, default_value_t = 0)]
+    lists: usize,
+    /// Lines of the part `[fleet]` of each node's settings
+    #[arg(long, default_value = "")]
+    fleet: String,
+    /// For the schedule, the links and the clients
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// About how long a drawn schedule is
+    #[arg(long, default_value_t = 15.0)]
+    seconds: f64,
+    /// Requests a second at each node
+    #[arg(long, default_value_t = 30.0)]
+    rate: f64,
+    /// Share of requests that may not be repeated
+    #[arg(long, default_value_t = 0.3)]
+    risky: f64,
+    /// A schedule to play in place of a drawn one
+    #[arg(long, value_name = "FILE")]
+    schedule: Option<PathBuf>,
+    /// Where to write the schedule; after `--shorten`, the shortened one
+    #[arg(long, value_name = "FILE")]
+    write: Option<PathBuf>,
+    /// Where to write all that happened
+    #[arg(long, value_name = "FILE")]
+    history: Option<PathBuf>,
+    /// If a rule breaks, look for a shorter schedule that breaks one, by so many plays at most
+    #[arg(long, default_value_t = 0, value_name = "PLAYS")]
+    shorten: usize,
+}
+
+/// Plays a schedule; the figures are the last line. Whether no rule was broken.
+async fn fleet_of(program: &Program, args: &Schedule) -> Result<bool> {
+    let made = Made {
+        nodes: args.nodes,
+        servers: args.servers,
+        zones: args.zones,
+        lists: args.lists,
+        fleet: Some(args.fleet.clone()),
+        service: WARM.to_owned(),
+        ..Made::default()
+    };
+    let play = Play { made, rate: args.rate, risky: args.risky, seed: args.seed };
+    let time = Duration::from_secs_f64(args.seconds);
+    let mut steps = match &args.schedule {
+        Some(file) => schedule::read(&std::fs::read_to_string(file)?, args.nodes, args.servers)?,
+        None => schedule::drawn(args.seed, args.nodes, args.servers, time),
+    };
+    let came = play.run(program, &steps).await?;
+    if let Some(file) = &args.history {
+        std::fs::write(file, came.lines())?;
+    }
+    if !came.broken.is_empty() && args.shorten > 0 {
+        let (shorter, plays) = play.shorten(program, &steps, args.shorten).await;
+        eprintln!("{} steps in place of {}, after {plays} plays", shorter.len(), steps.len());
+        steps = shorter;
+    }
+    if let Some(file) = &args.write {
+        std::fs::write(file, schedule::write(&steps))?;
+    }
+    came.broken.iter().for_each(|b| eprintln!("broken: {b}"));
+    println!("{}", came.figures());
+    Ok(came.broken.is_empty())
+}
+
 fn main() -> ExitCode {
     let mut args: Vec<_> = std::env::args_os().collect();
     if args.get(1).is_some_and(|a| a == "node") {
@@ -246,7 +328,8 @@
                     membership::run(&program, scale).await?
                 }
                 "fleet" => {
-                    let scale = if small { fleet::Scale::SMALL } else { fleet::Scale::WHOLE };
+                    use scenario::fleet::{self, Scale};
+                    let scale = if small { Scale::SMALL } else { Scale::WHOLE };
                     fleet::run(&program, scale).await?
                 }
                 _ => {
@@ -258,6 +341,7 @@
             println!("{}", report.line(&name));
             return Ok(report.pass());
         }
+        Command::Fleet(args) => return fleet_of(&program, &args).await,
         Command::Demo { name } => match name.as_str() {
             "services" => demo::services(&program).await?,
             "graphql" => demo::graphql(&program).await?,
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -197,16 +197,15 @@
     }
 }
 
-/// Processor time that a process has used, in seconds, to a hundredth.
+/// Processor time that a process has used, in seconds.
 ///
 /// # Errors
 /// If the process is gone, or the system does not tell.
 pub fn cpu_seconds(pid: u32) -> Result<f64> {
-    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
-    // The name is in brackets and may hold anything; fields are counted behind it.
-    let (_, fields) = stat.rsplit_once(')').ok_or("no stat")?;
-    let ticks = |n: usize| fields.split_whitespace().nth(n).and_then(|f| f.parse::<f64>().ok());
-    Ok((ticks(11).ok_or("no user time")? + ticks(12).ok_or("no system time")?) / 100.0)
+    // The clock of its processor time: `/proc` tells hundredths of a second alone.
+    let pid = nix::unistd::Pid::from_raw(i32::try_from(pid)?);
+    let used = nix::time::clock_getcpuclockid(pid)?.now()?;
+    Ok(Duration::from(used).as_secs_f64())
 }
 
 /// Memory that a process holds, in KiB.
--- a/crates/rig/src/scenario/fleet.rs
+++ b/crates/rig/src/scenario/fleet.rs
@@ -1,11 +1,16 @@
 //! Nodes that know each other, under drawn faults and load; then a ban, a server that fails and one that falls silent, with
 //! and without what the nodes tell each other.
 //!
+//! Then most of the nodes are killed at once and begin again.
+//!
 //! Promises: no effect twice; every request is answered once and in time; a ban holds at all nodes within a second and
 //! the half that each has to act on it, and ends at its time; after the faults all nodes agree.
 
 use super::Report;
-use crate::fleet::{check, schedule, Made, Rig, WARM};
+use crate::fleet::plays::{Came, Play};
+use crate::fleet::schedule::Step;
+use crate::fleet::verdicts::verdicts;
+use crate::fleet::{check, schedule, Made, Rig, AIM, WARM};
 use crate::scripted::Program;
 use crate::Result;
 use serde_json::json;
@@ -63,9 +68,12 @@
     let mut report = Report::default();
     let mut storms = Vec::new();
     for seed in 1..=scale.seeds {
-        storms.push(storm(program, &scale, seed, &mut report).await?);
+        let came = storm(program, &scale, seed, &mut report).await?;
+        storms.push(json!({ "seed": seed, "came": came.figures() }));
     }
     report.figure("storms", storms);
+    let mass = mass(program, &scale, &mut report).await?;
+    report.figure("most_killed", mass);
     let rig = Rig::start(program, &made(&scale, Some(""))).await?;
     gathered(&rig).await?;
     let ban = banned(&rig, &scale, &mut report).await?;
@@ -77,38 +85,23 @@
     let ratio = with.attempts as f64 / without.attempts.max(1) as f64;
     report.figure("silent_server_attempts_ratio", (ratio * 1e3).round() / 1e3);
     report.figure("evidence_to_last_ms", evidence(program, &scale).await?);
+    report.figure("waits_to_last_ms", last_after_silence(program, &scale).await?);
     Ok(report)
 }
 
-/// Drawn faults under load, and a ban after them.
-async fn storm(
-    program: &Program, scale: &Scale, seed: u64, report: &mut Report,
-) -> Result<serde_json::Value> {
-    let mut rig = Rig::start(program, &made(scale, Some(""))).await?;
-    gathered(&rig).await?;
-    rig.links().seed(seed);
+/// Drawn faults under load.
+async fn storm(program: &Program, scale: &Scale, seed: u64, report: &mut Report) -> Result<Came> {
+    let play = Play { made: made(scale, Some("")), rate: scale.rate, risky: 0.3, seed };
     let steps = schedule::drawn(seed, scale.nodes, scale.servers, scale.time);
-    let load = rig.load(scale.rate, 0.3, seed);
-    let from = rig.history.now();
-    schedule::play(&mut rig, &steps).await?;
-    let to = rig.history.now();
-    load.end().await;
-    let again = gathered(&rig).await?;
-    let happened = rig.history.events();
-    let broken = check::all(&happened);
-    let (share, asked) = check::served(&happened, from, to);
-    for line in broken.iter().take(5) {
+    let came = play.run(program, &steps).await?;
+    for line in came.broken.iter().take(5) {
         report.promise(false, || format!("seed {seed}: {line}"));
     }
-    Ok(json!({
-        "seed": seed,
-        "steps": steps.len(),
-        "asked": asked,
-        "served_percent": (share * 1e4).round() / 1e2,
-        "broken": broken.len(),
-        "agree_again_s": again.as_secs_f64(),
-        "datagrams": rig.links().passed(),
-    }))
+    let seen = verdicts(&came.history.events());
+    let over = seen.bans_over.last().copied().unwrap_or_default();
+    report
+        .promise(over <= check::SLACK, || format!("seed {seed}: a ban was in force {over:?} after its end"));
+    Ok(came)
 }
 
 /// A ban of six seconds at one node: when the last of the others stopped, and when the first and the last sent again.
@@ -148,6 +141,8 @@
 /// What a server that stands still costs.
 struct Cost {
     attempts: usize,
+    /// Of these, those that came before the news could be everywhere; the rest are trials, where nodes tell each other.
+    early: usize,
     nodes: usize,
     late: usize,
     asked: usize,
@@ -155,7 +150,7 @@
 
 impl Cost {
     fn figures(&self) -> serde_json::Value {
-        json!({ "attempts": self.attempts, "nodes": self.nodes, "not_served": self.late, "asked": self.asked })
+        json!({ "attempts": self.attempts, "in_the_first_second": self.early, "nodes": self.nodes, "not_served": self.late, "asked": self.asked })
     }
 }
 
@@ -176,30 +171,84 @@
     let happened = rig.history.events();
     let all: Vec<usize> = (0..scale.nodes).collect();
     let attempts = check::attempts(&happened, 0, from, to, &all).len();
+    let early = check::attempts(&happened, 0, from, from + NEWS, &all).len();
     let sent = |n: &usize| !check::attempts(&happened, 0, from, to, &[*n]).is_empty();
     let (share, asked) = check::served(&happened, from, to);
     let late = asked - (share * asked as f64).round() as usize;
-    Ok(Cost { attempts, nodes: all.iter().filter(|n| sent(n)).count(), late, asked })
+    Ok(Cost { attempts, early, nodes: all.iter().filter(|n| sent(n)).count(), late, asked })
 }
 
-/// A server fails all; from the third node's first failed attempt to the last attempt by anybody, in milliseconds.
-async fn evidence(program: &Program, scale: &Scale) -> Result<f64> {
-    let rig = Rig::start(program, &made(scale, Some("verdicts = { trial_every = \"60s\" }"))).await?;
+/// Six in ten nodes are killed at once and begin again: how long until those that are left know, and until all do.
+async fn mass(program: &Program, scale: &Scale, report: &mut Report) -> Result<serde_json::Value> {
+    let mut rig = Rig::start(program, &made(scale, Some(""))).await?;
     gathered(&rig).await?;
-    let load = rig.load(scale.rate, 0.0, 8);
-    tokio::time::sleep(Duration::from_secs(4)).await;
-    rig.servers[0].behave(|m| m.fail = 1.0);
-    let from = rig.history.now();
-    tokio::time::sleep(Duration::from_secs(6)).await;
+    let load = rig.load(scale.rate, 0.3, 11);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let killed = scale.nodes * 3 / 5;
+    let at = rig.history.now();
+    (0..killed).for_each(|n| rig.kill(n));
+    rig.until("those that are left know", async |rig| rig.gathered().await).await?;
+    let known = rig.history.now() - at;
+    let at = rig.history.now();
+    for n in 0..killed {
+        rig.start_node(n).await?;
+    }
+    gathered(&rig).await?;
+    let back = rig.history.now() - at;
     load.end().await;
     let happened = rig.history.events();
-    let firsts = (0..scale.nodes).filter_map(|n| {
-        let all = check::attempts(&happened, 0, from, Duration::MAX, &[n]);
-        all.first().map(|(t, _)| *t)
-    });
-    let mut firsts: Vec<Duration> = firsts.collect();
-    firsts.sort_unstable();
+    check::all(&happened).iter().take(5).for_each(|line| report.promise(false, || format!("killed: {line}")));
+    let mistaken = verdicts(&happened).mistaken.len();
+    Ok(
+        json!({ "killed": killed, "known_s": known.as_secs_f64(), "back_s": back.as_secs_f64(), "mistaken": mistaken }),
+    )
+}
+
+/// The least, the middle and the most of some times, in milliseconds.
+fn spread(mut all: Vec<Duration>) -> serde_json::Value {
+    all.sort_unstable();
+    let at = |n: usize| all.get(n).map(|t| (t.as_secs_f64() * MS).round());
+    let last = all.len().saturating_sub(1);
+    json!({ "n": all.len(), "least": at(0), "middle": at(last / 2), "most": at(last) })
+}
+
+/// Trouble of one server after another, each for four seconds; from the third node's first attempt there, `shown` later
+/// evidence, to the last attempt by anybody. Nobody is to try a condemned server meanwhile.
+async fn troubles(
+    program: &Program, scale: &Scale, shown: Duration, trouble: impl Fn(usize, bool) -> Step,
+) -> Result<Vec<Duration>> {
+    let fleet = "verdicts = { trial_every = \"60s\" }";
+    let mut rig = Rig::start(program, &made(scale, Some(fleet))).await?;
+    gathered(&rig).await?;
+    let load = rig.load(scale.rate, 0.0, 8);
+    let mut took = Vec::new();
     let all: Vec<usize> = (0..scale.nodes).collect();
-    let last = check::last_attempt(&happened, 0, from, &all).unwrap_or(from);
-    Ok(firsts.get(2).map_or(f64::NAN, |third| (last.as_secs_f64() - third.as_secs_f64()) * MS))
+    for server in 0..scale.servers.min(5) {
+        schedule::play(&mut rig, &[Step::Wait(Duration::from_secs(4)), trouble(server, true)]).await?;
+        let from = rig.history.now();
+        schedule::play(&mut rig, &[Step::Wait(Duration::from_secs(4))]).await?;
+        let to = rig.history.now();
+        schedule::play(&mut rig, &[trouble(server, false)]).await?;
+        let happened = rig.history.events();
+        let first = |n: &usize| check::attempts(&happened, server, from, to, &[*n]).first().map(|(t, _)| *t);
+        let mut firsts: Vec<Duration> = all.iter().filter_map(first).collect();
+        firsts.sort_unstable();
+        let last = check::attempts(&happened, server, from, to, &all).last().map(|(t, _)| *t);
+        if let (Some(third), Some(last)) = (firsts.get(2), last) {
+            took.push(last.saturating_sub(*third + shown));
+        }
+    }
+    load.end().await;
+    Ok(took)
+}
+
+/// A server fails all.
+async fn evidence(program: &Program, scale: &Scale) -> Result<serde_json::Value> {
+    let fails = |s, on| Step::Fails(s, if on { 1.0 } else { 0.0 });
+    Ok(spread(troubles(program, scale, Duration::ZERO, fails).await?))
+}
+
+/// A server stands still: there is evidence once attempts have waited past their aim.
+async fn last_after_silence(program: &Program, scale: &Scale) -> Result<serde_json::Value> {
+    Ok(spread(troubles(program, scale, AIM, Step::Server).await?))
 }
--- /dev/null
+++ b/crates/rig/tests/torn.rs
@@ -0,0 +1,207 @@
+//! Fleets of processes whose parts see different things: cuts in one direction, two processes with one name, buffers that
+//! are full, lists that disagree, servers that pause, and a fleet of which all servers fail. What is claimed is read from
+//! the history.
+
+mod fleets;
+
+use fleets::{late, none_broken, rest, start, turn, until_explained, until_sent, warm, SECOND};
+use reelfall_rig::discovery::Listed;
+use reelfall_rig::fleet::history::Event;
+use reelfall_rig::fleet::schedule::{play, Step};
+use reelfall_rig::fleet::{check, server_name, Made, Rig};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Whether any node wrote a line with these words since a place in the history.
+fn was_said(rig: &Rig, from: usize, words: &str) -> bool {
+    let happened = rig.history.events();
+    happened.iter().skip(from).any(|(_, e)| matches!(e, Event::Said { line, .. } if line.contains(words)))
+}
+
+/// Attempts at a server by these nodes since a moment.
+fn sent(rig: &Rig, server: usize, from: Duration, nodes: &[usize]) -> usize {
+    check::attempts(&rig.history.events(), server, from, Duration::MAX, nodes).len()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cuts_that_leave_a_way_round_part_nobody() {
+    let _turn = turn().await;
+    let rig = start(Made::default()).await;
+    // The first and the second never hear each other, of two more one hears the other alone: a third hears all.
+    rig.links().cut(&[0], &[1], true);
+    rig.links().cut(&[2], &[3], false);
+    let from = rig.history.len();
+    let load = rig.load(40.0, 0.2, 21);
+    until_sent(&rig, 0, &[0, 1, 2, 3, 4]).await;
+    // Longer than a probe and a suspicion take.
+    rest(9.0).await;
+    assert!(!was_said(&rig, from, "is gone"), "{}", rig.history.tail(20));
+    for (by, server) in [(0, 0), (2, 1)] {
+        rig.ban(by, server, Some(300)).await.unwrap();
+        let at = rig.history.now();
+        rest(2.5).await;
+        assert_eq!(late(&rig, server, at, &[0, 1, 2, 3, 4]), [], "sent to a banned server");
+    }
+    load.end().await;
+    none_broken(&rig);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn of_two_processes_with_one_name_one_speaks_and_both_hear() {
+    let _turn = turn().await;
+    let made = Made { nodes: 4, named: vec![(3, "n2".to_owned())], ..warm() };
+    let rig = Rig::start(&fleets::program(), &made).await.unwrap();
+    let load = rig.load(40.0, 0.2, 22);
+    rig.until("one stands aside", async |rig| was_said(rig, 0, "another process has this node's name"))
+        .await
+        .unwrap();
+    let aside = rig.history.events().iter().find_map(|(_, e)| match e {
+        Event::Said { node, line } if line.contains("another process has") => Some(*node),
+        _ => None,
+    });
+    let (aside, speaks) = if aside == Some(3) { (3, 2) } else { (2, 3) };
+    assert!(rig.ban(aside, 0, Some(300)).await.is_err(), "one name, two voices");
+    for (by, server) in [(speaks, 1), (0, 2)] {
+        rig.ban(by, server, Some(300)).await.unwrap();
+        let at = rig.history.now();
+        rest(2.5).await;
+        assert_eq!(late(&rig, server, at, &[0, 1, 2, 3]), [], "sent to a banned server");
+    }
+    load.end().await;
+    none_broken(&rig);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_full_buffer_and_datagrams_that_the_system_refuses_end_nothing() {
+    let _turn = turn().await;
+    // The system refuses to send there: a broadcast, which a process has to be allowed.
+    let seeds = (1..6).map(|port| ([127, 255, 255, 255], port).into()).collect();
+    let mut rig = start(Made { seeds, ..warm() }).await;
+    let refused = async |rig: &Rig| {
+        for n in 0..5 {
+            let Ok((200, said)) = rig.call(n, "GET", "/-/fleet/members").await else { return false };
+            if !said.contains(" 0 not taken by the system") {
+                return true;
+            }
+        }
+        false
+    };
+    rig.until("the system refuses", refused).await.unwrap();
+    // What comes to a process that stands still fills its buffer; the news after it is lost.
+    rig.freeze(4, true);
+    rig.links().flood(4, 8000).await;
+    rig.ban(0, 0, Some(300)).await.unwrap();
+    rest(2.0).await;
+    rig.freeze(4, false);
+    until_explained(&rig, "s0", "s0: out by hand").await;
+    let load = rig.load(40.0, 0.2, 23);
+    let at = rig.history.now();
+    rest(3.0).await;
+    assert_eq!(sent(&rig, 0, at, &[0, 1, 2, 3, 4]), 0, "sent to a banned server");
+    load.end().await;
+    none_broken(&rig);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn where_all_servers_fail_all_nodes_none_is_condemned_and_all_are_back_at_once() {
+    let _turn = turn().await;
+    let mut rig = start(Made { nodes: 6, servers: 8, ..warm() }).await;
+    let load = rig.load(50.0, 0.0, 24);
+    rest(2.0).await;
+    let all: Vec<Step> = (0..8).map(|s| Step::Fails(s, 1.0)).collect();
+    play(&mut rig, &all).await.unwrap();
+    rest(1.5).await;
+    let from = rig.history.now();
+    rest(2.0).await;
+    // One that is condemned is tried by about one node in a second.
+    let asked: Vec<usize> = (0..8).map(|s| sent(&rig, s, from, &[0, 1, 2, 3, 4, 5])).collect();
+    assert!(asked.iter().filter(|n| **n > 8).count() >= 6, "{asked:?}");
+    let none: Vec<Step> = (0..8).map(|s| Step::Fails(s, 0.0)).collect();
+    play(&mut rig, &none).await.unwrap();
+    rest(3.0).await;
+    let from = rig.history.now();
+    rest(3.0).await;
+    load.end().await;
+    let (share, n) = check::served(&rig.history.events(), from, from + 2 * SECOND);
+    assert!(share > 0.9, "{share} of {n}");
+    none_broken(&rig);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_server_that_pauses_is_left_before_any_wait_is_over_and_taken_back_when_it_answers() {
+    let _turn = turn().await;
+    let fleet = Some("verdicts = { trial_every = \"60s\", lasts = \"60s\" }".to_owned());
+    let mut rig = start(Made { nodes: 6, servers: 8, fleet, ..warm() }).await;
+    let load = rig.load_at(&[0, 1, 2, 3], 60.0, 0.2, 25);
+    until_sent(&rig, 0, &[0, 1, 2, 3]).await;
+    let from = rig.history.len();
+    play(&mut rig, &[Step::Server(0, true)]).await.unwrap();
+    let at = rig.history.now();
+    let first = |e: &Event| matches!(e, Event::Said { line, .. } if line.contains("s0 fails several nodes"));
+    let condemned = rig.history.until(from, first).await.unwrap() - at;
+    // An attempt waits for two seconds; that answers are late is known after a tenth of it.
+    assert!(condemned < Duration::from_millis(1500), "{condemned:?}");
+    play(&mut rig, &[Step::Server(0, false)]).await.unwrap();
+    until_explained(&rig, "s0", "not condemned").await;
+    let took = rig.history.now() - at - condemned;
+    assert!(took < 4 * SECOND, "it answers, and nodes kept for {took:?} to what was said of it");
+    // All send there again, those that had no work before as well.
+    let others = rig.load_at(&[4, 5], 60.0, 0.2, 26);
+    until_sent(&rig, 0, &[0, 1, 2, 3, 4, 5]).await;
+    load.end().await;
+    others.end().await;
+    none_broken(&rig);
+}
+
+/// A line of a list: a server that began again just now, at its old address.
+fn begun(rig: &Rig, server: usize, status: &'static str) -> Listed {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let since_ms = now.as_millis() as u64;
+    Listed { status, since_ms, ..Listed::active(&server_name(server), rig.servers[server].address) }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_verdict_on_one_start_says_nothing_of_another_and_lists_that_disagree_change_no_ban() {
+    let _turn = turn().await;
+    let fleet = Some("verdicts = { trial_every = \"60s\", lasts = \"60s\" }".to_owned());
+    let rig = start(Made { nodes: 7, servers: 6, lists: 2, fleet, ..warm() }).await;
+    let (ahead, behind) = ([0, 2, 4, 6], [1, 3]);
+    // A server is replaced under its name and address. One list tells of it, the other lags; the new one fails.
+    let new = begun(&rig, 0, "active");
+    rig.lists[0].tell(std::slice::from_ref(&new));
+    rest(0.5).await;
+    rig.servers[0].behave(|m| m.fail = 1.0);
+    let load = rig.load_at(&ahead, 60.0, 0.2, 27);
+    until_explained(&rig, "s0", "fails several nodes").await;
+    // The nodes that know the old one alone hold nothing against it.
+    rig.servers[0].behave(|m| m.fail = 0.0);
+    let others = rig.load_at(&behind, 60.0, 0.2, 28);
+    until_sent(&rig, 0, &behind).await;
+    // Their list catches up: what was said of the new one meanwhile holds at once, for one that never saw it fail.
+    rig.lists[1].tell(&[new]);
+    rest(1.0).await;
+    let at = rig.history.now();
+    let last = rig.load_at(&[5], 100.0, 0.2, 29);
+    until_sent(&rig, 1, &[5]).await;
+    rest(1.0).await;
+    assert_eq!(sent(&rig, 0, at, &[5]), 0, "sent to what fails others\n{}", rig.history.tail(20));
+
+    // Out by hand, it stays out, whatever a list says of it, and of a new start of it.
+    rig.ban(0, 1, None).await.unwrap();
+    rest(1.5).await;
+    let at = rig.history.now();
+    rig.lists[1].tell(&[begun(&rig, 1, "active")]);
+    rest(2.0).await;
+    assert_eq!(sent(&rig, 1, at, &[0, 1, 2, 3, 4, 5, 6]), 0, "a list brought a banned server back");
+    // A list's own word holds for those it tells, whatever the fleet says: its call back brings nothing back.
+    rig.lists[0].tell(&[begun(&rig, 2, "draining")]);
+    rest(0.6).await;
+    rig.lift(1, 2).await.unwrap();
+    let at = rig.history.now();
+    rest(2.0).await;
+    assert_eq!(sent(&rig, 2, at, &ahead), 0, "sent to a draining server");
+    assert!(sent(&rig, 2, at, &behind) > 0, "their list says nothing of it");
+    for load in [load, others, last] {
+        load.end().await;
+    }
+    none_broken(&rig);
+}
