Nodes tell the indexes of their lists; words on bans are no longer crowded out of the log

Ruled out: an end that is not told to the pools (the changes are the same that write the line, fleet/mod.rs), bans that the rig had not written down. Words on bans and on verdicts have bounds of their own now, so that an operator sees them.

Each list service's index is told to the fleet, shown beside the node's own, and a list that is behind for 2 s is said once.

--- a/crates/node/src/fleet/desk.rs
+++ b/crates/node/src/fleet/desk.rs
@@ -1,12 +1,13 @@
 //! Operators' calls that concern the fleet, answered.
 
-use super::Together;
+use super::{ListSeen, Together};
 use hyper::StatusCode;
 use reelfall_fleet::fleet::Fleet;
 use reelfall_fleet::table::Held;
 use reelfall_fleet::verdict::{Key, Report, ServerStart, Word};
 use reelfall_fleet::Time;
 use reelfall_operations::fleet::FleetCall;
+use std::collections::BTreeMap;
 use std::fmt::Write;
 
 /// Longest answer, in bytes; what does not fit is counted.
@@ -46,7 +47,7 @@
         let now = self.clock.now();
         match call {
             FleetCall::Members => self.members(now),
-            FleetCall::Verdicts => verdicts(&self.fleet.borrow(), now),
+            FleetCall::Verdicts => verdicts(&self.fleet.borrow(), &self.lists.borrow(), now),
             FleetCall::Explain(server) => self.explain(server, now),
             FleetCall::Ban { server, seconds, by } => {
                 let lasts = seconds.map(f64::from);
@@ -138,7 +139,7 @@
     }
 }
 
-fn verdicts(fleet: &Fleet, now: Time) -> (StatusCode, String) {
+fn verdicts(fleet: &Fleet, lists: &BTreeMap<String, ListSeen>, now: Time) -> (StatusCode, String) {
     let mut lines = Lines::new();
     let out: Vec<&str> = fleet.out(now).into_iter().collect();
     lines.add(format_args!("out by hand: {}", out.join(", ")));
@@ -159,7 +160,8 @@
                 lines.add(format_args!("{node}, life {}: on its way out", life.start));
             }
             (Key::Index { list }, _) => {
-                lines.add(format_args!("list {list}: index {} was seen", held.version.n))
+                let here = lists.get(list).map_or("none".to_owned(), |seen| seen.index.to_string());
+                lines.add(format_args!("list {list}: index {} was seen; here {here}", held.version.n));
             }
             (Key::Report { .. }, _) => {}
         }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 mod desk;
 
 use crate::net::shared::{Judged, Late, Sees, Shared};
+use crate::net::Log;
 use reelfall_conf::model;
 use reelfall_fleet::fleet::{Change, Fleet};
 use reelfall_fleet::members;
@@ -37,6 +38,8 @@
 const LOOK_EVERY: Time = 0.025;
 /// How often the servers that lists name are counted.
 const COUNT_EVERY: Time = 1.0;
+/// A list is behind that of others for so long before that is said: services tell their watches in some order.
+const BEHIND: Time = 2.0;
 /// How often it is told how many datagrams were dropped, if any were.
 const TELL_EVERY: Time = 10.0;
 
@@ -59,16 +62,30 @@
     }
 }
 
+/// What a list service has told this node of a list.
+struct ListSeen {
+    /// Its index.
+    index: u64,
+    /// Since when the fleet knows of a greater one; `None` in place of the moment once that was said.
+    behind: Option<Option<Time>>,
+}
+
 /// See the module.
 pub struct Together {
     fleet: RefCell<Fleet>,
     shared: Rc<Shared>,
     socket: UdpSocket,
     clock: Clock,
+    /// For what is said of servers: by hand, and as the fleet holds it. The node's own has a bound in lines, which the comings and
+    /// goings of a fleet in trouble use up just as an operator waits for the word that a ban is in force.
+    hand_log: Log,
+    verdict_log: Log,
     /// Something is to be told at once.
     told: Notify,
     /// What the pools were told of servers.
     judged: RefCell<BTreeMap<ServerStart, Judged>>,
+    /// Bounded by the services of the settings file.
+    lists: RefCell<BTreeMap<String, ListSeen>>,
     next_judge: Cell<Time>,
     next_look: Cell<Time>,
     /// How many servers lists name, and until when that is taken for true.
@@ -102,8 +119,11 @@
             shared: shared.clone(),
             socket,
             clock,
+            hand_log: Log::default(),
+            verdict_log: Log::default(),
             told: Notify::new(),
             judged: RefCell::default(),
+            lists: RefCell::default(),
             next_judge: Cell::new(0.0),
             next_look: Cell::new(0.0),
             listed: Cell::new((0, 0.0)),
@@ -191,6 +211,7 @@
         if now >= self.next_judge.get() {
             self.next_judge.set(now + JUDGE_EVERY);
             self.judge(now);
+            self.say_behind(now);
             self.say_dropped(now);
         }
     }
@@ -241,14 +262,13 @@
         };
         let old = self.judged.replace(new.clone());
         for server in old.keys().filter(|server| !new.contains_key(server)) {
-            self.shared.log.say(format_args!("fleet: {} is well, or nobody says otherwise", server.name));
+            self.verdict_log.say(format_args!("fleet: {} is well, or nobody says otherwise", server.name));
             self.shared.judge(&Judged { server: server.clone(), until: clock, tries: false });
         }
         for (server, judged) in &new {
             if !old.contains_key(server) {
                 let left = judged.until - clock;
-                self.shared
-                    .log
+                self.verdict_log
                     .say(format_args!("fleet: {} fails several nodes, for {left:.1} s", server.name));
             }
             self.shared.judge(judged);
@@ -269,10 +289,10 @@
             }
             Change::Told(Key::Hand { server, .. }) | Change::Over(Key::Hand { server, .. }) => {
                 match self.fleet.borrow().is_out(server, now) {
-                    Some(left) => {
-                        log.say(format_args!("fleet: {server} is out by hand, for {left:.0} s at most"))
-                    }
-                    None => log.say(format_args!("fleet: {server} is not out by hand")),
+                    Some(left) => self
+                        .hand_log
+                        .say(format_args!("fleet: {server} is out by hand, for {left:.0} s at most")),
+                    None => self.hand_log.say(format_args!("fleet: {server} is not out by hand")),
                 }
             }
             Change::Told(Key::Leaving { node, .. }) => {
@@ -285,6 +305,26 @@
         }
     }
 
+    /// Says of each list once that other nodes have heard of a later one for some time, and this one has not: its list
+    /// service lags, or its watch is broken.
+    fn say_behind(&self, now: Time) {
+        let fleet = self.fleet.borrow();
+        for (list, seen) in self.lists.borrow_mut().iter_mut() {
+            let Some(newest) = fleet.index(list, now).filter(|newest| *newest > seen.index) else { continue };
+            match seen.behind {
+                None => seen.behind = Some(Some(now)),
+                Some(Some(since)) if now - since > BEHIND => {
+                    seen.behind = Some(None);
+                    let index = seen.index;
+                    self.shared
+                        .log
+                        .say(format_args!("fleet: list {list} is at {index} here, others heard of {newest}"));
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
     fn say_dropped(&self, now: Time) {
         let (at, before) = self.told_dropped.get();
         let dropped = self.fleet.borrow().counts().dropped.values().sum();
@@ -307,4 +347,10 @@
     fn saw(&self, server: ServerStart, saw: Saw) {
         self.fleet.borrow_mut().saw(self.clock.now(), &server, saw);
     }
+
+    fn saw_list(&self, list: &str, index: u64) {
+        let at = self.clock.now();
+        self.lists.borrow_mut().insert(list.to_owned(), ListSeen { index, behind: None });
+        self.fleet.borrow_mut().saw_index(at, list, index);
+    }
 }
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -91,7 +91,7 @@
 /// A new address is turned to at once: the old one closes soon, and what the new one has to tell counts as told
 /// within seconds. What it calls a version need not be what the old one called so, hence the whole list is asked
 /// for first; that also heals any other change of the service behind an address. Harm: one list more a switch.
-pub async fn follow(pool: Rc<Pool>, mut address: watch::Receiver<SocketAddr>, known: u64) {
+pub async fn follow(pool: Rc<Pool>, mut address: watch::Receiver<SocketAddr>, known: u64, name: String) {
     let index = Cell::new(Some(known));
     let mut pause = PAUSE;
     loop {
@@ -101,7 +101,7 @@
         let at = *address.borrow_and_update();
         let before = index.get();
         let ended = tokio::select! {
-            ended = watch(&pool, at, &index) => ended,
+            ended = watch(&pool, at, &index, &name) => ended,
             Ok(()) = address.changed() => {
                 index.set(None);
                 pause = PAUSE;
@@ -131,7 +131,15 @@
     }
 }
 
-async fn watch(pool: &Rc<Pool>, address: SocketAddr, index: &Cell<Option<u64>>) -> Result<(), String> {
+async fn watch(
+    pool: &Rc<Pool>, address: SocketAddr, index: &Cell<Option<u64>>, name: &str,
+) -> Result<(), String> {
+    let heard = |new: u64| {
+        index.set(Some(new));
+        if let Some(sees) = pool.shared.sees() {
+            sees.saw_list(name, new);
+        }
+    };
     let late = |_| "nothing comes".to_owned();
     let said = |e: &dyn std::fmt::Display| e.to_string();
     let first = if pool.pushed() { SILENT } else { TURN };
@@ -157,7 +165,7 @@
             }
             let list = serde_json::from_slice(&held).map_err(|e| format!("a list that is none: {e}"))?;
             let after = take_in(pool, &list, false)?;
-            index.set(Some(after));
+            heard(after);
             timeout(first, send.ready()).await.map_err(late)?.map_err(|e| said(&e))?;
             after
         }
@@ -176,7 +184,7 @@
             if !line.trim_ascii().is_empty() {
                 let list =
                     serde_json::from_slice(&line).map_err(|e| format!("a line that is no list: {e}"))?;
-                index.set(Some(take_in(pool, &list, false)?));
+                heard(take_in(pool, &list, false)?);
             }
         }
         if held.len() > LINE_MOST {
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -37,11 +37,13 @@
     pub address: watch::Receiver<SocketAddr>,
     /// The version of the list that is known already.
     pub known: u64,
+    /// What the list is called among the nodes of a fleet.
+    pub list: String,
 }
 
 impl Source for Discovery {
     fn follow(self, pool: Rc<Pool>) -> impl Future<Output = ()> + 'static {
-        discovery::follow(pool, self.address, self.known)
+        discovery::follow(pool, self.address, self.known, self.list)
     }
 }
 
@@ -249,7 +251,8 @@
             model::Source::Discovery(address) => {
                 // The address is part of the key: with another, there is another pool.
                 let (_, address) = watch::channel(*address);
-                (follow(&pool, Discovery { address, known: 0 }), Told::Nothing)
+                let list = service.name.clone();
+                (follow(&pool, Discovery { address, known: 0, list }), Told::Nothing)
             }
             model::Source::Registry(followed) => {
                 let model::Followed { path, limits, known, .. } = followed.clone();
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -170,10 +170,12 @@
     pub aim: Time,
 }
 
-/// Whoever wants to know how attempts at servers end.
+/// Whoever wants to know how attempts at servers end, and how new lists are.
 pub trait Sees {
     /// An attempt at one start of a server has ended.
     fn saw(&self, server: ServerStart, saw: Saw);
+    /// A list service has told a list's index.
+    fn saw_list(&self, list: &str, index: u64);
 }
 
 /// See the module.
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -114,7 +114,7 @@
     let listening = listening.or_else(|_| Listening::bind(LISTENER, config.listen, bounds.clients, true))?;
     let held = if given.is_some() { bounds.halved() } else { bounds };
     shared.shrink(bounds, held);
-    let follow = service::follow(&pool, Discovery { address: named, known });
+    let follow = service::follow(&pool, Discovery { address: named, known, list: String::new() });
     tokio::task::spawn_local(reload(shared.clone(), hangup, address));
     let ticking = shared.clone();
     tokio::task::spawn_local(async move {
--- a/crates/rig/tests/torn.rs
+++ b/crates/rig/tests/torn.rs
@@ -9,6 +9,7 @@
 use reelfall_rig::fleet::history::Event;
 use reelfall_rig::fleet::schedule::{play, Step};
 use reelfall_rig::fleet::{check, server_name, Made, Rig};
+use std::collections::BTreeSet;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Whether any node wrote a line with these words since a place in the history.
@@ -22,6 +23,24 @@
     check::attempts(&rig.history.events(), server, from, Duration::MAX, nodes).len()
 }
 
+/// The most servers that a node held for sick at one time.
+fn condemned_at_once(rig: &Rig, from: usize, of: usize) -> usize {
+    let mut held = BTreeSet::new();
+    let mut most = 0;
+    for (_, event) in rig.history.events().into_iter().skip(from) {
+        let Event::Said { node, line } = event else { continue };
+        let Some((_, line)) = line.split_once("fleet: ").filter(|_| node == of) else { continue };
+        let server = line.split(' ').next().unwrap_or_default().to_owned();
+        if line.contains("fails several nodes") {
+            held.insert(server);
+        } else if line.contains("is well, or nobody says otherwise") {
+            held.remove(&server);
+        }
+        most = most.max(held.len());
+    }
+    most
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn cuts_that_leave_a_way_round_part_nobody() {
     let _turn = turn().await;
@@ -107,6 +126,14 @@
     let mut rig = start(Made { nodes: 6, servers: 8, ..warm() }).await;
     let load = rig.load(50.0, 0.0, 24);
     rest(2.0).await;
+    // Two of eight fail. No more than a fifth of the list is condemned, whichever services name it: one.
+    let from = rig.history.len();
+    play(&mut rig, &[Step::Fails(0, 1.0), Step::Fails(1, 1.0)]).await.unwrap();
+    let condemned = |e: &Event| matches!(e, Event::Said { line, .. } if line.contains("fails several nodes"));
+    rig.history.until(from, condemned).await.unwrap();
+    rest(2.5).await;
+    let most = (0..6).map(|n| condemned_at_once(&rig, from, n)).max();
+    assert_eq!(most, Some(1), "{}", rig.history.tail(30));
     let all: Vec<Step> = (0..8).map(|s| Step::Fails(s, 1.0)).collect();
     play(&mut rig, &all).await.unwrap();
     rest(1.5).await;
@@ -169,6 +196,9 @@
     let new = begun(&rig, 0, "active");
     rig.lists[0].tell(std::slice::from_ref(&new));
     rest(0.5).await;
+    // Its nodes hear from the others that theirs lags, and say so.
+    let lags = |e: &Event| matches!(e, Event::Said { node: 1, line } if line.contains("is at 1 here, others heard of 2"));
+    rig.history.until(0, lags).await.unwrap();
     rig.servers[0].behave(|m| m.fail = 1.0);
     let load = rig.load_at(&ahead, 60.0, 0.2, 27);
     until_explained(&rig, "s0", "fails several nodes").await;
@@ -205,3 +235,36 @@
     }
     none_broken(&rig);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_ban_that_is_lifted_on_one_side_of_a_cut_and_renewed_on_the_other_holds() {
+    let _turn = turn().await;
+    let rig = start(warm()).await;
+    let load = rig.load(40.0, 0.2, 30);
+    let (all, here, there) = ([0, 1, 2, 3, 4], [0, 1, 2], [3, 4]);
+    rig.ban(0, 0, None).await.unwrap();
+    rig.ban(0, 1, None).await.unwrap();
+    until_explained(&rig, "s0", "s0: out by hand").await;
+    until_explained(&rig, "s1", "s1: out by hand").await;
+    rig.links().cut(&here, &there, true);
+    // Both are lifted here; one is said anew there.
+    rig.lift(1, 0).await.unwrap();
+    rig.lift(1, 1).await.unwrap();
+    rig.ban(4, 0, None).await.unwrap();
+    until_sent(&rig, 0, &here).await;
+    let at = rig.history.now();
+    rest(1.5).await;
+    assert_eq!(sent(&rig, 0, at, &there) + sent(&rig, 1, at, &there), 0, "lifted through a cut");
+    rig.links().heal();
+    // The newer word of the two operators is heard by all, and what was lifted alone is back for all.
+    until_explained(&rig, "s0", "s0: out by hand").await;
+    until_explained(&rig, "s1", "s1: not out by hand").await;
+    let at = rig.history.now();
+    until_sent(&rig, 1, &all).await;
+    rest(2.0).await;
+    assert_eq!(late(&rig, 0, at, &all), [], "a ban that was renewed is gone");
+    rig.lift(2, 0).await.unwrap();
+    until_sent(&rig, 0, &all).await;
+    load.end().await;
+    none_broken(&rig);
+}
