--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -10,7 +10,8 @@
 //!   probe that fails to count, each death would double the time until it is told, and the death of many at once would
 //!   take nine times as long.
 //!
-//! Of Lifeguard there is: local health aware probe and suspicion, and the buddy system. Not there: the dynamic suspicion time-out by independent
+//! Of Lifeguard there is: local health aware probe and suspicion, and the buddy system. Not there: the dynamic suspicion
+//! time-out by independent
 //! confirmations, which the library has no place for.
 //!
 //! Sources: Das, Gupta, Motivala, "SWIM", 2002; Dadgar, Phillips, Currey, "Lifeguard", 2018 (sections IV.A to IV.C).
@@ -24,7 +25,7 @@
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
@@ -175,9 +176,7 @@
     pace: Pace,
     incarnation: u16,
     /// Whom to tell that this node suspects it, and when, in microseconds.
-    warnings: BTreeSet<(u64, u64)>,
-    /// By the numbers of the warnings.
-    warned: HashMap<u64, Met>,
+    warnings: BTreeMap<(u64, u64), Met>,
     /// When somebody was heard last, and when the probe under way began.
     heard_at: Time,
     probe_began: Time,
@@ -199,8 +198,7 @@
             score: 0,
             pace,
             incarnation: 0,
-            warnings: BTreeSet::new(),
-            warned: HashMap::new(),
+            warnings: BTreeMap::new(),
             heard_at: f64::MIN,
             probe_began: f64::MIN,
         }
@@ -311,7 +309,7 @@
     /// When [`Members::tick`] has something to do.
     pub fn deadline(&self) -> Option<Time> {
         let timer = self.timers.first_key_value().map(|((due, _), _)| *due);
-        let warning = self.warnings.first().map(|(due, _)| *due);
+        let warning = self.warnings.first_key_value().map(|((due, _), _)| *due);
         [timer, warning].into_iter().flatten().min().map(|due| due as f64 / 1e6)
     }
 
@@ -352,12 +350,8 @@
     /// The paper's buddy system: whoever is suspected hears it in time to refute. By news alone it would hear it by chance,
     /// in a large fleet whose links lose much too late. Harm: three datagrams for each suspicion.
     pub fn warning(&mut self, now: Time) -> Option<Met> {
-        let (due, n) = *self.warnings.first()?;
-        if due > (now * 1e6) as u64 {
-            return None;
-        }
-        self.warnings.remove(&(due, n));
-        self.warned.remove(&n)
+        let first = self.warnings.first_entry()?;
+        (first.key().0 <= (now * 1e6) as u64).then(|| first.remove())
     }
 
     /// Tells the suspect three times within the time that it has.
@@ -366,10 +360,9 @@
         for part in 0..WARNINGS {
             self.next += 1;
             let due = now + time * f64::from(part) / f64::from(WARNINGS);
-            self.warnings.insert(((due * 1e6) as u64, self.next));
             let met =
                 Met { node: member_id.clone(), incarnation: *incarnation, standing: Standing::Suspected };
-            self.warned.insert(self.next, met);
+            self.warnings.insert(((due * 1e6) as u64, self.next), met);
         }
     }
 
