--- a/crates/rig/src/ports.rs
+++ b/crates/rig/src/ports.rs
@@ -42,6 +42,7 @@
         Err(io::Error::from(io::ErrorKind::AddrInUse))
     }
 
+    /// Where its program listens.
     pub fn address(&self) -> SocketAddr {
         (Ipv4Addr::LOCALHOST, self.number).into()
     }
