Surely sick servers take no turns; a list that is followed no more is forgotten; no wall clock

Where more servers fail than a fifth of the list, which of them were held for sick changed with each report (hundreds of changes in a scenario of 60 s): judge.rs sorted by the very number of voices. Together::lists kept what a reload had removed until the process ended; a pool that no longer follows says so. A lint refuses the wall clock in the node but for the one reading at its begin, as it does in crates/fleet.

--- a/crates/fleet/src/judge.rs
+++ b/crates/fleet/src/judge.rs
@@ -83,12 +83,18 @@
     voices: impl Iterator<Item = (&'a ServerStart, Voices)>, listed: usize, quorum: &Quorum,
 ) -> BTreeMap<&'a ServerStart, Voices> {
     let mut by: Vec<_> = voices.filter_map(|(server, v)| Some((v.condemn(quorum)?, server, v))).collect();
+    // Guards against servers that take turns: where more fail than may be condemned, each report moved the count of one past
+    // another's, and each turn sends requests to one that fails. Harm: of two that are surely sick the worse may stay in.
+    by.iter_mut().for_each(|(proof, ..)| *proof = (*proof).min(SURE * quorum.witnesses));
     // Of equal proof the first by name, so that nodes that hold the same hold the same for condemned.
     by.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.cmp(b.1)));
     by.truncate(((quorum.most * listed as f64) as usize).max(1));
     by.into_iter().map(|(_, server, v)| (server, v)).collect()
 }
 
+/// More voices than so many times those that it takes prove nothing more.
+const SURE: usize = 2;
+
 /// Nodes that speak up for a server, as a multiple of those that it takes to condemn it.
 const SPEAKERS: usize = 4;
 
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 
 mod desk;
 
-use crate::net::shared::{Judged, Late, Sees, Shared};
+use crate::net::shared::{Judged, Late, PoolId, Sees, Shared};
 use crate::net::Log;
 use reelfall_conf::model;
 use reelfall_fleet::fleet::{Change, Fleet};
@@ -64,6 +64,8 @@
 
 /// What a list service has told this node of a list.
 struct ListSeen {
+    /// By whom it is followed.
+    pool: PoolId,
     /// Its index.
     index: u64,
     /// Since when the fleet knows of a greater one; `None` in place of the moment once that was said.
@@ -348,9 +350,14 @@
         self.fleet.borrow_mut().saw(self.clock.now(), &server, saw);
     }
 
-    fn saw_list(&self, list: &str, index: u64) {
+    fn saw_list(&self, list: &str, pool: PoolId, index: u64) {
         let at = self.clock.now();
-        self.lists.borrow_mut().insert(list.to_owned(), ListSeen { index, behind: None });
+        self.lists.borrow_mut().insert(list.to_owned(), ListSeen { pool, index, behind: None });
         self.fleet.borrow_mut().saw_index(at, list, index);
     }
+
+    fn left_list(&self, list: &str, pool: PoolId) {
+        // A reload may have put another pool in its place already, which follows a list of the same name.
+        self.lists.borrow_mut().retain(|name, seen| name != list || seen.pool != pool);
+    }
 }
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -86,12 +86,27 @@
     Some((listed, address))
 }
 
+/// A pool follows a list for as long as this is kept.
+struct Following {
+    pool: Rc<Pool>,
+    name: String,
+}
+
+impl Drop for Following {
+    fn drop(&mut self) {
+        if let Some(sees) = self.pool.shared.sees() {
+            sees.left_list(&self.name, self.pool.id);
+        }
+    }
+}
+
 /// Keeps a watch open for the life of the node, at whatever address the configuration names last.
 ///
 /// A new address is turned to at once: the old one closes soon, and what the new one has to tell counts as told
 /// within seconds. What it calls a version need not be what the old one called so, hence the whole list is asked
 /// for first; that also heals any other change of the service behind an address. Harm: one list more a switch.
 pub async fn follow(pool: Rc<Pool>, mut address: watch::Receiver<SocketAddr>, known: u64, name: String) {
+    let _following = Following { pool: pool.clone(), name: name.clone() };
     let index = Cell::new(Some(known));
     let mut pause = PAUSE;
     loop {
@@ -137,7 +152,7 @@
     let heard = |new: u64| {
         index.set(Some(new));
         if let Some(sees) = pool.shared.sees() {
-            sees.saw_list(name, new);
+            sees.saw_list(name, pool.id, new);
         }
     };
     let late = |_| "nothing comes".to_owned();
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -28,6 +28,7 @@
 }
 
 impl Clock {
+    #[allow(clippy::disallowed_methods)] // Once, as the process begins; from there on it counts by itself.
     fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1.0, |d| d.as_secs_f64().max(1.0));
         Clock { started: Instant::now(), unix }
@@ -174,8 +175,10 @@
 pub trait Sees {
     /// An attempt at one start of a server has ended.
     fn saw(&self, server: ServerStart, saw: Saw);
-    /// A list service has told a list's index.
-    fn saw_list(&self, list: &str, index: u64);
+    /// A list service has told a pool a list's index.
+    fn saw_list(&self, list: &str, pool: PoolId, index: u64);
+    /// A pool follows a list no longer.
+    fn left_list(&self, list: &str, pool: PoolId);
 }
 
 /// See the module.
