--- /dev/null
+++ b/crates/lease/src/clock.rs
@@ -0,0 +1,35 @@
+//! How long holder and keeper count a lease, on clocks of which none is right.
+//!
+//! A holder counts from *before* it asked, a keeper from *after* it granted, so that only the rates of their clocks can
+//! bring the keeper's end before the holder's. With a drift of `r` (each clock's rate between `1 - r` and `1 + r` of true
+//! time) a keeper that counts `L` waits a true time of `L / (1 + r)` at least, and a holder that counts `H` has done so
+//! after `H / (1 - r)` at most. `H = L (1 - 2r)` is enough: `(1 - r) / (1 + r) >= 1 - 2r`.
+
+use crate::Micros;
+
+/// How far clocks may drift.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Margins {
+    /// The most by which a clock runs too fast or too slow, in parts in a million. Crystals keep within 100, a clock that
+    /// is being slewed within 500 (`adjtimex`: `MAXFREQ`).
+    pub drift_ppm: u32,
+}
+
+impl Default for Margins {
+    fn default() -> Self {
+        Margins { drift_ppm: 1000 }
+    }
+}
+
+impl Margins {
+    /// How long a holder counts a lease of this length, from before it asked.
+    pub fn holder(&self, length: Micros) -> Micros {
+        let slack = u128::from(length) * 2 * u128::from(self.drift_ppm);
+        length.saturating_sub(u64::try_from(slack.div_ceil(1_000_000)).unwrap_or(u64::MAX))
+    }
+
+    /// How long a keeper counts it, from after it granted.
+    pub fn keeper(&self, length: Micros) -> Micros {
+        length
+    }
+}
--- /dev/null
+++ b/crates/lease/tests/explore.rs
@@ -0,0 +1,534 @@
+//! Three keepers, two askers, one resource: all orders of what can happen to their messages, with keepers that begin anew,
+//! askers that stand still, and clocks that drift. The code that is explored is the code that runs; the network, the
+//! disks and the resource are models.
+
+use reelfall_lease::clock::Margins;
+use reelfall_lease::holder::{Change, Lease, Rules};
+use reelfall_lease::image::Image;
+use reelfall_lease::keeper::{self, Keeper, To};
+use reelfall_lease::queue::Patience;
+use reelfall_lease::say::{Ask, Asker, Message, No, Said};
+use reelfall_lease::token::{Claim, Fence, Name};
+use reelfall_lease::Micros;
+use stateright::{Checker, Model, Property};
+use std::collections::BTreeSet;
+
+const KEEPERS: usize = 3;
+/// Most states, the same ones counted anew, that one exploration looks at.
+const MOST: usize = 2_000_000;
+
+fn lease() -> Name {
+    Name::try_from("task".to_owned()).unwrap()
+}
+
+fn asker(n: usize) -> Asker {
+    Asker { name: format!("n{n}"), tag: n as u64 }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Disked {
+    keeper: Keeper,
+    disk: Image,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Mail {
+    Ask(usize, usize, Ask),
+    Said(usize, usize, Said),
+    /// An act on its way to the resource.
+    Act(usize, u64),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct World {
+    now: u8,
+    keepers: Vec<Disked>,
+    askers: Vec<Lease>,
+    asked: [u8; 2],
+    renewed: u8,
+    /// The first asker gets the lease, and nothing goes wrong meanwhile.
+    prelude: bool,
+    mail: BTreeSet<Mail>,
+    restarts: u8,
+    twice: u8,
+    late: u8,
+    /// Who has acted, by which tokens, in the order in which the resource let them.
+    acted: Vec<(usize, u64)>,
+    /// Who has got the lease, by which tokens.
+    got: BTreeSet<(usize, u64)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Step {
+    Later,
+    /// A question comes to a keeper, and its answer back at once; or an act, or an answer that was late, comes.
+    Bring(Mail),
+    /// The answer takes longer, or never comes.
+    BringLate(Mail),
+    BringTwice(Mail),
+    /// The keeper takes it in and ends: before its disk has it, or before anybody hears of it.
+    BringAndEnd(Mail, bool),
+    Timer(usize),
+    Act(usize),
+}
+
+/// Which part is taken out, to see that the checker finds what it guards against.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Without {
+    Nothing,
+    /// The resource lets every act by.
+    Fence,
+    /// The holder counts the whole length, whatever the clocks do.
+    Margin,
+    /// Keepers answer before their disk has what they say.
+    Disk,
+    /// One keeper is enough, and each asker has one of its own.
+    Majority,
+}
+
+struct Explored {
+    without: Without,
+    length: Micros,
+    /// The last moment.
+    end: u8,
+    /// Clocks of keepers go by so many eighths of true time, and those of askers.
+    rates: (u64, u64),
+    asks: [u8; 2],
+    renewals: u8,
+    restarts: u8,
+    twice: u8,
+    /// How many answers come later than at once.
+    late: u8,
+    acts: bool,
+    /// Whose messages come to which keepers at all: majorities that meet in one keeper are the worst there are.
+    reach: [[bool; KEEPERS]; 2],
+    /// The first asker has the lease already.
+    held: bool,
+}
+
+impl Default for Explored {
+    fn default() -> Self {
+        Explored {
+            without: Without::Nothing,
+            length: 3,
+            end: 5,
+            rates: (8, 8),
+            asks: [0, 1],
+            renewals: 0,
+            restarts: 0,
+            twice: 0,
+            late: 1,
+            acts: false,
+            reach: [[true, false, true], [true, true, false]],
+            held: true,
+        }
+    }
+}
+
+impl Explored {
+    fn at_keeper(&self, now: u8) -> Micros {
+        u64::from(now) * self.rates.0 / 8
+    }
+
+    fn at_asker(&self, now: u8) -> Micros {
+        u64::from(now) * self.rates.1 / 8
+    }
+
+    fn margins(&self) -> Margins {
+        let drifts = self.rates != (8, 8) && self.without != Without::Margin;
+        Margins { drift_ppm: if drifts { 125_000 } else { 0 } }
+    }
+
+    fn keeper_rules(&self) -> keeper::Rules {
+        keeper::Rules {
+            margins: self.margins(),
+            longest: 100,
+            patience: Patience { turn: 1, lasts: 2 },
+            ..keeper::Rules::default()
+        }
+    }
+
+    fn asker_rules(&self) -> Rules {
+        let keepers = if self.without == Without::Majority { 1 } else { KEEPERS };
+        Rules { keepers, margins: self.margins(), length: self.length, answer_within: 1, rest: (0, 0) }
+    }
+
+    /// Which keeper an asker means.
+    fn keeper_of(&self, asker: usize, place: usize) -> usize {
+        if self.without == Without::Majority {
+            asker
+        } else {
+            place
+        }
+    }
+
+    /// What keepers have to write and say is written and said; whom they ask among themselves answers at once.
+    fn flush(&self, world: &mut World, n: usize) {
+        let mut due = vec![n];
+        while let Some(n) = due.pop() {
+            let effects = world.keepers[n].keeper.effects();
+            if self.without != Without::Disk || world.prelude {
+                effects.records.iter().for_each(|record| world.keepers[n].disk.apply(record));
+            }
+            for (to, message) in effects.says {
+                match (to, message) {
+                    (To::Keeper(to), Message::Between(between)) => {
+                        let now = self.at_keeper(world.now);
+                        world.keepers[to].keeper.heard(now, n, between);
+                        due.push(to);
+                    }
+                    (To::Asker(to), Message::Said(said)) => self.said(world, n, &to, said),
+                    other => panic!("{other:?}"),
+                }
+            }
+        }
+    }
+
+    fn said(&self, world: &mut World, from: usize, to: &Asker, said: Said) {
+        world.mail.insert(Mail::Said(from, to.tag as usize, said));
+    }
+
+    /// A keeper begins, with what its disk has.
+    fn begin(&self, world: &mut World, n: usize, tag: u64) {
+        let now = self.at_keeper(world.now);
+        let disk = world.keepers[n].disk.clone();
+        world.keepers[n].keeper = Keeper::open(n, KEEPERS, self.keeper_rules(), disk, tag, now);
+        self.flush(world, n);
+    }
+
+    fn post(&self, world: &mut World, n: usize) {
+        for (place, ask) in world.askers[n].asks() {
+            let keeper = self.keeper_of(n, place);
+            if self.reach[n][keeper] || world.prelude || self.without == Without::Majority {
+                world.mail.insert(Mail::Ask(n, keeper, ask));
+            }
+        }
+        for change in world.askers[n].changes() {
+            if let Change::Got(token) = change {
+                world.got.insert((n, token.number()));
+            }
+        }
+    }
+
+    fn ask(&self, world: &mut World, mail: &Mail) -> Option<usize> {
+        let Mail::Ask(from, keeper, ask) = mail else { return None };
+        world.keepers[*keeper].keeper.asked(self.at_keeper(world.now), &asker(*from), ask.clone());
+        Some(*keeper)
+    }
+
+    fn bring(&self, world: &mut World, mail: &Mail) {
+        match mail {
+            Mail::Ask(..) => {
+                if let Some(keeper) = self.ask(world, mail) {
+                    self.flush(world, keeper);
+                }
+            }
+            Mail::Said(keeper, to, said) => {
+                let place = if self.without == Without::Majority { 0 } else { *keeper };
+                world.askers[*to].heard(self.at_asker(world.now), place, said.clone(), 0);
+                self.post(world, *to);
+            }
+            Mail::Act(by, token) => {
+                let mut fence = Fence::new(1);
+                let claim = |token: u64| Claim { lease: lease(), token };
+                world.acted.iter().for_each(|(_, token)| {
+                    let _ = fence.admit(&claim(*token));
+                });
+                if self.without == Without::Fence || fence.admit(&claim(*token)).is_ok() {
+                    world.acted.push((*by, *token));
+                }
+            }
+        }
+    }
+
+    /// Takes away what changes nothing, now or later: answers to what is asked no more, and numbers that are over. Whether
+    /// they come makes no other world.
+    fn sweep(&self, world: &mut World) {
+        let (now, mail) = (self.at_asker(world.now), std::mem::take(&mut world.mail));
+        let alive = |mail: &Mail| match mail {
+            Mail::Act(..) => true,
+            Mail::Said(keeper, to, said) => {
+                let mut asker = world.askers[*to].clone();
+                asker.heard(
+                    now,
+                    if self.without == Without::Majority { 0 } else { *keeper },
+                    said.clone(),
+                    0,
+                );
+                asker != world.askers[*to]
+            }
+            Mail::Ask(from, keeper, ask) => {
+                let promised = world.keepers[*keeper].keeper.image().promised(&lease());
+                let awaited = |round: u64| {
+                    let mut asker = world.askers[*from].clone();
+                    let why = No::Behind { promised };
+                    let place = if self.without == Without::Majority { 0 } else { *keeper };
+                    asker.heard(now, place, Said::Refused { lease: lease(), round, why }, 0);
+                    asker != world.askers[*from]
+                };
+                match ask {
+                    Ask::Promise { counter, round, .. } => *counter > promised || awaited(*round),
+                    Ask::Grant { token, round, .. } => *token >= promised || awaited(*round),
+                    Ask::Release { token, .. } => *token >= promised,
+                }
+            }
+        };
+        world.mail = mail.into_iter().filter(alive).collect();
+    }
+
+    fn holding(&self, world: &World) -> Vec<u64> {
+        let now = self.at_asker(world.now);
+        world.askers.iter().filter_map(|a| a.held(now).map(|held| held.token().number())).collect()
+    }
+}
+
+impl Model for Explored {
+    type State = World;
+    type Action = Step;
+
+    fn init_states(&self) -> Vec<World> {
+        let disked = |n: usize| Disked {
+            keeper: Keeper::open(n, KEEPERS, self.keeper_rules(), Image::default(), n as u64 + 1, 0),
+            disk: Image::default(),
+        };
+        let mut world = World {
+            now: 0,
+            keepers: (0..KEEPERS).map(disked).collect(),
+            askers: (0..2).map(|_| Lease::new(lease(), self.asker_rules())).collect(),
+            asked: [0, 0],
+            renewed: 0,
+            prelude: self.held,
+            mail: BTreeSet::new(),
+            restarts: 0,
+            twice: 0,
+            late: 0,
+            acted: Vec::new(),
+            got: BTreeSet::new(),
+        };
+        // The first to begin asked before the others were there; they ask each other anew in time.
+        for _ in 0..4 {
+            for n in 0..KEEPERS {
+                self.flush(&mut world, n);
+            }
+            for n in 0..KEEPERS {
+                world.keepers[n].keeper.tick(0);
+                self.flush(&mut world, n);
+            }
+        }
+        // They have what they know on their disks, and begin anew with it.
+        for n in 0..KEEPERS {
+            self.begin(&mut world, n, 10 + n as u64);
+        }
+        for keeper in &world.keepers {
+            assert_eq!(keeper.keeper.standing(), reelfall_lease::trust::Standing::Trusted);
+        }
+        world.askers.iter_mut().for_each(|a| a.want(0));
+        if self.held {
+            world.askers[0].tick(0, 0);
+            self.post(&mut world, 0);
+            while let Some(mail) = world.mail.pop_first() {
+                self.bring(&mut world, &mail);
+            }
+            assert_eq!(self.holding(&world), [1]);
+            world.prelude = false;
+        }
+        vec![world]
+    }
+
+    fn actions(&self, world: &World, steps: &mut Vec<Step>) {
+        if world.now < self.end {
+            steps.push(Step::Later);
+        }
+        for mail in &world.mail {
+            steps.push(Step::Bring(mail.clone()));
+            if world.late < self.late
+                && matches!(mail, Mail::Ask(_, _, Ask::Promise { .. } | Ask::Grant { .. }))
+            {
+                steps.push(Step::BringLate(mail.clone()));
+            }
+            if world.twice < self.twice {
+                steps.push(Step::BringTwice(mail.clone()));
+            }
+            if world.restarts < self.restarts
+                && matches!(mail, Mail::Ask(_, _, Ask::Promise { .. } | Ask::Grant { .. }))
+            {
+                steps.push(Step::BringAndEnd(mail.clone(), false));
+                steps.push(Step::BringAndEnd(mail.clone(), true));
+            }
+        }
+        let now = self.at_asker(world.now);
+        for n in 0..2 {
+            let asks = world.askers[n].deadline().is_some_and(|due| due <= now);
+            let (held, renews) = (world.askers[n].held(now).is_some(), world.renewed < self.renewals);
+            if asks && (if held { renews } else { world.asked[n] < self.asks[n] }) {
+                steps.push(Step::Timer(n));
+            }
+            let acts = self.acts && !world.mail.iter().any(|m| matches!(m, Mail::Act(by, _) if *by == n));
+            if acts && world.acted.len() < 2 && world.askers[n].held(now).is_some() {
+                steps.push(Step::Act(n));
+            }
+        }
+    }
+
+    fn next_state(&self, last: &World, step: Step) -> Option<World> {
+        let mut world = last.clone();
+        match step {
+            Step::Later => world.now += 1,
+            Step::Bring(mail) => {
+                world.mail.remove(&mail);
+                let before = world.mail.clone();
+                self.bring(&mut world, &mail);
+                if let Mail::Ask(from, ..) = mail {
+                    let answers = |m: &&Mail| matches!(m, Mail::Said(_, to, _) if *to == from);
+                    let new: Vec<Mail> = world.mail.difference(&before).filter(answers).cloned().collect();
+                    for answer in new {
+                        world.mail.remove(&answer);
+                        self.bring(&mut world, &answer);
+                    }
+                }
+            }
+            Step::BringLate(mail) => {
+                world.late += 1;
+                world.mail.remove(&mail);
+                self.bring(&mut world, &mail);
+            }
+            Step::BringTwice(mail) => {
+                world.twice += 1;
+                self.bring(&mut world, &mail);
+            }
+            Step::BringAndEnd(mail, written) => {
+                world.mail.remove(&mail);
+                world.restarts += 1;
+                let n = self.ask(&mut world, &mail)?;
+                let effects = world.keepers[n].keeper.effects();
+                if written {
+                    effects.records.iter().for_each(|record| world.keepers[n].disk.apply(record));
+                }
+                if self.without == Without::Disk {
+                    for (to, message) in effects.says {
+                        if let (To::Asker(to), Message::Said(said)) = (to, message) {
+                            self.said(&mut world, n, &to, said);
+                        }
+                    }
+                }
+                self.begin(&mut world, n, 20);
+            }
+            Step::Timer(n) => {
+                let now = self.at_asker(world.now);
+                if world.askers[n].held(now).is_some() {
+                    world.renewed += 1;
+                } else {
+                    world.asked[n] += 1;
+                }
+                world.askers[n].tick(now, 0);
+                self.post(&mut world, n);
+            }
+            Step::Act(n) => {
+                let now = self.at_asker(world.now);
+                let token = world.askers[n].held(now)?.act(()).claim().token;
+                world.mail.insert(Mail::Act(n, token));
+            }
+        }
+        self.sweep(&mut world);
+        (world != *last).then_some(world)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("one holder", |model: &Explored, world: &World| model.holding(world).len() < 2),
+            Property::always("no lower token after a higher one", |_, world: &World| {
+                world.acted.windows(2).all(|two| two[0].1 <= two[1].1)
+            }),
+            Property::always("no token twice", |_, world: &World| {
+                world.acted.iter().all(|(by, token)| world.acted.iter().all(|(b, t)| t != token || b == by))
+                    && world
+                        .got
+                        .iter()
+                        .all(|(by, token)| world.got.iter().all(|(b, t)| t != token || b == by))
+            }),
+            Property::sometimes("one after the other", |model: &Explored, world: &World| {
+                let number = |n: usize| {
+                    world.askers[n].held(model.at_asker(world.now)).map(|held| held.token().number())
+                };
+                number(1).is_some_and(|token| token > 1) || number(0).is_some_and(|token| token > 1)
+            }),
+        ]
+    }
+}
+
+/// What was found to be false, and how many states were looked at.
+fn found(model: Explored) -> (Vec<&'static str>, usize) {
+    let checker = model.checker().threads(2).target_state_count(MOST).spawn_bfs().join();
+    // Whatever is not found was looked for everywhere.
+    assert!(checker.state_count() < MOST, "more states than are looked at");
+    let found = checker.discoveries().into_keys().collect();
+    (found, checker.unique_state_count())
+}
+
+/// All that can be: nothing is broken, and the lease passes from one to the other.
+fn holds(model: Explored) {
+    let (found, states) = found(model);
+    assert_eq!(found, ["one after the other"], "in {states} states");
+    assert!(states > 1000, "{states} states are too few to tell anything");
+}
+
+/// Without the part, something is found.
+fn breaks(model: Explored, what: &str) {
+    assert_ne!(model.without, Without::Nothing);
+    let (found, states) = found(model);
+    assert!(found.contains(&what), "{found:?} in {states} states");
+}
+
+fn acts(without: Without) -> Explored {
+    Explored { without, acts: true, late: 0, ..Explored::default() }
+}
+
+fn drifts(without: Without) -> Explored {
+    Explored { without, rates: (9, 7), length: 8, end: 9, late: 0, ..Explored::default() }
+}
+
+fn ends(without: Without) -> Explored {
+    Explored { without, restarts: 1, asks: [1, 1], late: 0, length: 2, end: 3, ..Explored::default() }
+}
+
+#[test]
+fn an_act_that_comes_late_is_refused() {
+    holds(acts(Without::Nothing));
+    breaks(acts(Without::Fence), "no lower token after a higher one");
+}
+
+#[test]
+fn clocks_that_drift_end_a_lease_before_its_keepers_do() {
+    holds(drifts(Without::Nothing));
+    breaks(drifts(Without::Margin), "one holder");
+}
+
+#[test]
+fn keepers_that_begin_anew_keep_their_word() {
+    holds(ends(Without::Nothing));
+    breaks(ends(Without::Disk), "no token twice");
+}
+
+#[test]
+fn two_majorities_meet_in_a_keeper() {
+    holds(Explored { renewals: 1, end: 4, late: 0, ..Explored::default() });
+    breaks(Explored { without: Without::Majority, ..Explored::default() }, "one holder");
+}
+
+#[test]
+fn renewals_and_answers_that_come_late_or_twice() {
+    holds(Explored { end: 4, ..Explored::default() });
+    holds(Explored { twice: 1, late: 0, end: 4, ..Explored::default() });
+}
+
+#[test]
+fn two_that_ask_at_once() {
+    holds(Explored {
+        held: false,
+        asks: [1, 1],
+        reach: [[true; KEEPERS]; 2],
+        end: 1,
+        late: 0,
+        ..Explored::default()
+    });
+}
