--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -341,9 +341,13 @@
         match said {
             Said::Promised { round, vote, .. } if round == self.round => self.promised(now, keeper, vote),
             Said::Granted { round, vote, .. } if round == self.round => self.granted(now, keeper, vote),
-            Said::Refused { round, why, .. } => self.refused(now, keeper, round, why, chance),
+            Said::Refused { round, why, promised, .. } => {
+                self.counter = self.counter.max(promised);
+                self.refused(now, keeper, round, why, chance);
+            }
             Said::Free { .. } => {
                 if matches!(self.state, State::Resting { .. }) {
+                    self.vain = 0;
                     self.ask(now);
                 }
             }
@@ -385,9 +389,6 @@
     }
 
     fn refused(&mut self, now: Micros, keeper: usize, round: u64, why: No, chance: u32) {
-        if let No::Behind { promised } = why {
-            self.counter = self.counter.max(promised);
-        }
         if round != self.round {
             return;
         }
@@ -400,7 +401,7 @@
         if !votes.lost() {
             return;
         }
-        if matches!(why, No::Behind { .. }) && self.vain == 0 && matches!(self.state, State::Asking { .. }) {
+        if why == No::Behind && self.vain == 0 && matches!(self.state, State::Asking { .. }) {
             // The number was too low, which is all that was wrong: the first time the next one is tried at once.
             self.vain = 1;
             self.ask(now);
--- a/crates/lease/src/keeper.rs
+++ b/crates/lease/src/keeper.rs
@@ -181,13 +181,13 @@
             Ask::Promise { lease, round, counter, length, waited } => {
                 Some(match self.promise(now, from, &lease, counter, length, waited) {
                     Ok(()) => Said::Promised { lease, round, vote: self.vote() },
-                    Err(why) => Said::Refused { lease, round, why },
+                    Err(why) => self.refusal(lease, round, why),
                 })
             }
             Ask::Grant { lease, round, token, length, fellows } => {
                 Some(match self.grant(now, from, &lease, token, length, &fellows) {
                     Ok(()) => Said::Granted { lease, round, vote: self.vote() },
-                    Err(why) => Said::Refused { lease, round, why },
+                    Err(why) => self.refusal(lease, round, why),
                 })
             }
             Ask::Release { lease, token } => {
@@ -200,6 +200,11 @@
         }
     }
 
+    fn refusal(&self, lease: Name, round: u64, why: No) -> Said {
+        let promised = self.image.promised(&lease);
+        Said::Refused { lease, round, why, promised }
+    }
+
     fn vote(&self) -> Vote {
         let own = self
             .image
@@ -236,7 +241,7 @@
             return Ok(());
         }
         if counter <= promised {
-            return Err(No::Behind { promised });
+            return Err(No::Behind);
         }
         // A greater number of the same process: whatever it held before, it holds no more.
         live.until = None;
@@ -274,13 +279,12 @@
         if !self.trust.trusted() {
             return Err(No::Untrusted);
         }
-        let promised = self.image.promised(lease);
         let kept = self.image.leases.get(lease);
         let is_so =
             kept.is_some_and(|k| k.promised == token && k.to.as_ref() == Some(from) && length <= k.length);
         let live = self.live.entry(lease.clone()).or_default();
         if !is_so || live.over == Some(token) {
-            return Err(No::Behind { promised });
+            return Err(No::Behind);
         }
         live.until = Some(now + self.rules.margins.keeper(length));
         live.used = self.rules.roughly(now);
--- a/crates/lease/src/say.rs
+++ b/crates/lease/src/say.rs
@@ -97,11 +97,8 @@
 /// Why a keeper says no.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum No {
-    /// A number this high was promised already.
-    Behind {
-        /// The number.
-        promised: u64,
-    },
+    /// A number as high as this one was promised already.
+    Behind,
     /// Somebody else has it, for so many microseconds more.
     Held {
         /// See above.
@@ -146,6 +143,8 @@
         round: u64,
         /// Why.
         why: No,
+        /// The highest number that was promised, so that the next one is higher.
+        promised: u64,
     },
     /// The lease is free, and it is this asker's turn.
     Free {
--- a/crates/lease/tests/explore.rs
+++ b/crates/lease/tests/explore.rs
@@ -261,9 +261,13 @@
                 let promised = world.keepers[*keeper].keeper.image().promised(&lease());
                 let awaited = |round: u64| {
                     let mut asker = world.askers[*from].clone();
-                    let why = No::Behind { promised };
                     let place = if self.without == Without::Majority { 0 } else { *keeper };
-                    asker.heard(now, place, Said::Refused { lease: lease(), round, why }, 0);
+                    asker.heard(
+                        now,
+                        place,
+                        Said::Refused { lease: lease(), round, why: No::Behind, promised },
+                        0,
+                    );
                     asker != world.askers[*from]
                 };
                 match ask {
