Leases, read again: floors bind kept names, other keepers' lists are not heard, calls end

(1) image.rs, promised(): a floor heard from a fellow did not count for a name that is kept with a lower number, so that a keeper that joined could promise a number which that fellow had given before it forgot the name. (2) Two files with different keepers could each have a majority of its own list; each message begins with a sum over the list now. (3) keeper.rs, learn(): of several fellows' lengths the last was kept for the time after a restart; the longest is. (4) call.rs: a call that was given up for its time could leave its connection's task behind. (5) Unused Lease::name and Queue::leave are gone; three tests more for defences that had none.

--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -183,11 +183,6 @@
         }
     }
 
-    /// Which lease.
-    pub fn name(&self) -> &Name {
-        &self.name
-    }
-
     /// Whether it is wanted.
     pub fn wanted(&self) -> bool {
         self.wanted
@@ -233,8 +228,8 @@
     fn drop_number(&mut self, now: Micros) {
         let token = match self.state {
             State::Held { token, until, .. } => {
-                let token_ = Token(token);
-                self.changes.push(if now < until { Change::Gave(token_) } else { Change::Lost(token_) });
+                let change = if now < until { Change::Gave } else { Change::Lost };
+                self.changes.push(change(Token(token)));
                 token
             }
             State::Proposing { token, .. } => token,
--- a/crates/lease/src/image.rs
+++ b/crates/lease/src/image.rs
@@ -21,7 +21,7 @@
     Promised(Name, Kept),
     /// A name is forgotten; its numbers are not.
     Forgotten(Name),
-    /// Of names that are not kept, no number up to this one counts.
+    /// No number up to this one counts, whatever the name.
     Floor(u64),
 }
 
@@ -70,7 +70,10 @@
     }
 
     /// No number up to this one may be promised for the lease.
+    ///
+    /// The floor counts for names that are kept, too: a fellow may have forgotten one whose number was higher than the one
+    /// that is kept here, and its floor is all that tells.
     pub fn promised(&self, lease: &Name) -> u64 {
-        self.leases.get(lease).map_or(self.floor, |kept| kept.promised)
+        self.leases.get(lease).map_or(0, |kept| kept.promised).max(self.floor)
     }
 }
--- a/crates/lease/src/keeper.rs
+++ b/crates/lease/src/keeper.rs
@@ -406,8 +406,11 @@
                 self.write(Record::Floor(kept.promised));
                 continue;
             }
-            if kept.promised > self.image.promised(name) {
-                self.write(Record::Promised(name.clone(), Kept { to: None, ..kept.clone() }));
+            // The longest of what several fellows tell: after a restart the disk alone says for how long nobody gets it.
+            let here = self.image.leases.get(name).map_or((0, 0), |here| (here.promised, here.length));
+            let (promised, length) = (kept.promised.max(here.0), kept.length.max(here.1));
+            if (promised, length) != here {
+                self.write(Record::Promised(name.clone(), Kept { promised, to: None, length }));
             }
             let live = self.live.entry(name.clone()).or_default();
             live.until = live.until.max(Some(now + self.rules.margins.keeper(kept.length)));
--- a/crates/lease/src/queue.rs
+++ b/crates/lease/src/queue.rs
@@ -59,17 +59,9 @@
         true
     }
 
-    /// It has the lease, or waits no more for another reason.
-    pub fn leave(&mut self, who: &Asker) {
-        self.waiting.retain(|w| w.who != *who);
-        if self.turn.take_if(|(whose, _)| whose == who).is_some() {
-            self.open = true;
-        }
-    }
-
-    /// The lease is granted: its next end is another matter.
+    /// The lease is granted, and its next end is another matter.
     pub fn granted(&mut self, who: &Asker) {
-        self.leave(who);
+        self.waiting.retain(|w| w.who != *who);
         (self.turn, self.open) = (None, false);
     }
 
--- a/crates/lease/src/say.rs
+++ b/crates/lease/src/say.rs
@@ -202,7 +202,7 @@
         after: Option<Name>,
         /// Some leases, in the order of their names.
         kept: Vec<(Name, Kept)>,
-        /// Of names that are not kept, no number up to this one counts.
+        /// No number up to this one counts, whatever the name.
         floor: u64,
         /// There are no more.
         last: bool,
--- a/crates/lease/tests/folders.rs
+++ b/crates/lease/tests/folders.rs
@@ -1,9 +1,9 @@
 //! Keepers whose folders are lost, old, or in another's place; and askers by the hundred.
 
 use reelfall_lease::holder::{Lease, Rules};
-use reelfall_lease::image::Image;
+use reelfall_lease::image::{Image, Record};
 use reelfall_lease::keeper::{self, Keeper, To};
-use reelfall_lease::say::{Asker, Message, Said};
+use reelfall_lease::say::{Ask, Asker, Kept, Message, No, Said};
 use reelfall_lease::token::{Claim, Fence, Fenced, Name};
 use reelfall_lease::trust::{Fault, Standing};
 use std::collections::BTreeMap;
@@ -239,6 +239,64 @@
     assert_eq!(order, sorted, "whoever waited longest is next");
 }
 
+fn promise(counter: u64) -> Ask {
+    Ask::Promise { lease: task(), round: counter, counter, length: SECOND, waited: 0 }
+}
+
+/// What a keeper says to a question at this moment.
+fn says(group: &mut Group, keeper: usize, who: u64, ask: Ask) -> Said {
+    let asker = Asker { name: who.to_string(), tag: who };
+    group.seats[keeper].keeper.asked(group.now, &asker, ask);
+    let said = group.seats[keeper].keeper.effects().says.pop();
+    match said {
+        Some((To::Asker(_), Message::Said(said))) => said,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_free_lease_is_the_firsts_for_half_a_second_and_then_anybodys() {
+    let mut group = Group::new(3, 0);
+    assert!(matches!(says(&mut group, 0, 1, promise(1)), Said::Promised { .. }));
+    let grant = Ask::Grant { lease: task(), round: 2, token: 1, length: SECOND, fellows: Vec::new() };
+    assert!(matches!(says(&mut group, 0, 1, grant), Said::Granted { .. }));
+    assert!(matches!(says(&mut group, 0, 2, promise(2)), Said::Refused { why: No::Held { .. }, .. }));
+    group.now += SECOND;
+    // Others come sooner than the one who waits.
+    assert!(matches!(says(&mut group, 0, 3, promise(3)), Said::Refused { why: No::Turn, promised: 1, .. }));
+    group.now += SECOND / 4;
+    assert!(matches!(says(&mut group, 0, 3, promise(3)), Said::Refused { why: No::Turn, .. }));
+    group.now += SECOND / 4;
+    assert!(matches!(says(&mut group, 0, 3, promise(3)), Said::Promised { .. }));
+}
+
+#[test]
+fn who_hears_its_turn_while_it_asks_asks_again_at_once() {
+    for called in [false, true] {
+        let mut lease = Lease::new(task(), Rules::of(3, 4 * SECOND));
+        lease.want(0);
+        lease.tick(0, 0);
+        if called {
+            lease.heard(1, 0, Said::Free { lease: task() }, 0);
+        }
+        for keeper in 0..3 {
+            let why = No::Held { left: 3 * SECOND };
+            lease.heard(2, keeper, Said::Refused { lease: task(), round: 1, why, promised: 1 }, u32::MAX);
+        }
+        assert_eq!(lease.deadline().unwrap() < SECOND / 10, called);
+    }
+}
+
+#[test]
+fn a_floor_counts_for_names_that_are_kept_too() {
+    let mut image = Image::default();
+    image.apply(&Record::Promised(task(), Kept { promised: 40, to: None, length: SECOND }));
+    image.apply(&Record::Floor(50));
+    assert_eq!(image.promised(&task()), 50);
+    image.apply(&Record::Promised(task(), Kept { promised: 60, to: None, length: SECOND }));
+    assert_eq!(image.promised(&task()), 60);
+}
+
 #[test]
 fn forgotten_names_leave_their_numbers() {
     let mut group = Group::new(3, 1);
--- a/crates/node/src/lease/call.rs
+++ b/crates/node/src/lease/call.rs
@@ -4,6 +4,7 @@
 //! one with 409 or 412 (RFC 9110, sections 15.5.10 and 15.5.13): the holder stood still, and somebody else has the lease.
 
 use super::Leases;
+use crate::net::service::AbortOnDrop;
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper::client::conn::http1::Builder;
@@ -50,7 +51,8 @@
     let stream = TcpStream::connect(call.address).await.map_err(|e| said(&e))?;
     let (mut send, connection) =
         Builder::new().handshake(TokioIo::new(stream)).await.map_err(|e| said(&e))?;
-    let task = tokio::task::spawn_local(connection);
+    // Ends with this call, also where that is given up: what is called may never answer.
+    let _connection = AbortOnDrop(tokio::task::spawn_local(connection).abort_handle());
     let Some(act) = leases.act(name, call.path.as_str()) else { return Ok(None) };
     let (claim, path) = act.into_parts();
     let request = Request::builder()
@@ -62,7 +64,6 @@
         .header("x-lease-holder", leases.me().name)
         .body(Empty::<Bytes>::new())
         .map_err(|e| said(&e))?;
-    let answer = send.send_request(request).await.map_err(|e| said(&e));
-    task.abort();
-    Ok(Some(answer?.status()))
+    let answer = send.send_request(request).await.map_err(|e| said(&e))?;
+    Ok(Some(answer.status()))
 }
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -27,6 +27,19 @@
 /// A lease that an operator had this node give back is wanted again after so many times its length.
 const WANTED_AGAIN: u32 = 2;
 
+/// What nodes with the same keepers, in the same order, have in common.
+///
+/// Guards against files that name other keepers: two majorities of two lists need not meet, and each would have a holder of its
+/// own. A process has one list, and with these bytes it counts in one group alone. Harm: nodes whose files differ keep and
+/// hold nothing together.
+fn group(keepers: &[String]) -> [u8; 8] {
+    let mut hasher = blake3::Hasher::new();
+    for name in keepers {
+        hasher.update(&(name.len() as u64).to_le_bytes()).update(name.as_bytes());
+    }
+    hasher.finalize().as_bytes().first_chunk().copied().unwrap_or_default()
+}
+
 /// A keeper, and its folder.
 struct Keeping {
     place: usize,
@@ -51,6 +64,8 @@
 pub struct Leases {
     together: Rc<Together>,
     keepers: Vec<String>,
+    /// Goes before each message.
+    group: [u8; 8],
     rules: Rules,
     longest: Micros,
     keeping: Option<Keeping>,
@@ -86,6 +101,7 @@
         let leases = Rc::new(Leases {
             together: together.clone(),
             keepers: settings.keepers.clone(),
+            group: group(&settings.keepers),
             rules: Rules { margins, ..Rules::of(settings.keepers.len(), length) },
             longest: length,
             keeping: keeping.transpose()?,
@@ -171,7 +187,7 @@
 
     /// Another node has said something.
     fn take(&self, from: &Node, body: &[u8]) {
-        let Some(message) = Message::read(body) else { return };
+        let Some(message) = body.strip_prefix(&self.group).and_then(Message::read) else { return };
         let place = || self.keepers.iter().position(|name| *name == from.name);
         match message {
             Message::Ask(ask) => {
@@ -254,7 +270,7 @@
             let message = Message::Ask(ask);
             if self.keeping.as_ref().is_some_and(|k| k.place == keeper) {
                 self.inbox.borrow_mut().push_back(message);
-            } else if let Some((name, body)) = self.keepers.get(keeper).zip(message.write()) {
+            } else if let Some((name, body)) = self.keepers.get(keeper).zip(self.written_out(&message)) {
                 self.together.run_errand(&Way::Name(name.clone()), body);
             }
         }
@@ -278,18 +294,22 @@
         }
     }
 
+    fn written_out(&self, message: &Message) -> Option<Vec<u8>> {
+        message.write().map(|bytes| [self.group.as_slice(), &bytes].concat())
+    }
+
     fn say(&self, says: Says) {
         let me = self.me().tag;
         for (to, message) in says {
             match to {
                 To::Asker(asker) if asker.tag == me => self.inbox.borrow_mut().push_back(message),
                 To::Asker(asker) => {
-                    if let Some(body) = message.write() {
+                    if let Some(body) = self.written_out(&message) {
                         self.together.run_errand(&Way::Tag(asker.tag), body);
                     }
                 }
                 To::Keeper(place) => {
-                    if let Some((name, body)) = self.keepers.get(place).zip(message.write()) {
+                    if let Some((name, body)) = self.keepers.get(place).zip(self.written_out(&message)) {
                         self.together.run_errand(&Way::Name(name.clone()), body);
                     }
                 }
