Cold servers: turns that lapse keep a whole fleet within what one bears

Change: the token bucket fills at four tenths of the node's part, holds one typical request and what all nodes may save together (as much again), and a turn that is not used lapses. Who has a turn is drawn more often in its place, so that the fleet's traffic to the server stays its share. A request larger than typical is owed, not barred. The backoff before discovery is asked again ends at 2 s in place of must_ask_in (10 s and a half more): what it has counts as told 6 s after it could be reached.

--- a/crates/core/src/decide/cold.rs
+++ b/crates/core/src/decide/cold.rs
@@ -3,8 +3,9 @@
 use super::state::*;
 use crate::interface::*;
 
-/// Part of a cold server's stated tolerance that is used; the rest covers uneven nodes and chance.
-const COLD_SAFETY: f64 = 0.7;
+/// Part of a cold server's tolerance that all nodes send it in a row, and as much that they may save up while
+/// they have nothing to send. Together they leave a fifth for uneven nodes, uneven work and chance.
+const COLD_PART: f64 = 0.4;
 
 /// Capacity assumed for a server before any was seen working: half of one standard core.
 pub(super) const COLD_PRIOR: f64 = 0.5;
@@ -24,10 +25,10 @@
     }
 
     /// Slow start: a cold server's draws shrink with its capacity, and stop beyond this node's part of what
-    /// it tolerates.
-    pub(super) fn cold_share(&self, s: &Server, r: &Request, now: Time) -> f64 {
+    /// it tolerates. One typical request has to be saved; what a larger one takes more is owed.
+    pub(super) fn cold_share(&self, s: &Server, now: Time) -> f64 {
         let warmth = self.warmth(s, now);
-        warmth * f64::from(warmth >= 1.0 || s.budget >= r.work)
+        [f64::from(s.budget >= self.typical) * warmth / s.turn, 1.0][usize::from(warmth >= 1.0)]
     }
 
     /// How fast each kind works against the mean of this node's part, by its averages: listed sizes may say
@@ -44,29 +45,24 @@
         sums.iter().map(|k| pace(k).clamp(1.0 - KIND_MOST, 1.0 + KIND_MOST)).collect()
     }
 
-    /// The budget of a cold server fills at this node's part of its tolerance. It starts at chance, so that
-    /// nodes whose part is under one request a window do not all send at once.
+    /// A token bucket for each cold server fills at this node's part of its tolerance, from a drawn level:
+    /// nodes whose part is under a request a window have turns. A turn not used in time lapses, or idle nodes
+    /// with one each would push a server over by the first burst; who has one sends for all.
     pub(super) fn refill_cold(&mut self, now: Time, dt: Time) {
-        let rules = &self.settings.rules;
-        let nodes = f64::from(self.block(self.servers.len() as f64));
-        let rate = COLD_SAFETY * rules.overload_factor * self.bearable / nodes;
-        let size = self.mean_size();
-        let pace = self.pace_of_kinds();
+        let (rules, nodes) = (&self.settings.rules, f64::from(self.block(self.servers.len() as f64)));
+        let rate = COLD_PART * rules.overload_factor * self.bearable / nodes;
+        let (size, typical, pace) = (self.mean_size(), self.typical, self.pace_of_kinds());
         for i in 0..self.servers.len() {
             let warmth = self.warmth(&self.servers[i], now);
             if warmth < 1.0 {
                 let s = &mut self.servers[i];
-                if !s.own {
-                    s.budget = 0.0;
-                    continue;
-                }
-                let rate = rate * listed(self.settings.weighted, s.entry.weight / size);
-                // Other balancers of this node that send to it have their parts.
-                let rate = rate * pace[usize::from(s.entry.kind)] / f64::from(s.entry.sharers.max(1));
-                // One that may go at once is left to each; were it more, idle balancers would save up a push.
-                let least = if s.entry.sharers > 1 { self.typical } else { 2.0 * self.typical };
-                let most = (rate * warmth * rules.tip_after).max(least);
-                s.budget = (s.budget + rate * warmth * dt).min(most);
+                let rate = f64::from(s.own) * rate * warmth / f64::from(s.entry.sharers.max(1));
+                let size = listed(self.settings.weighted, s.entry.weight / size);
+                let rate = rate * size * pace[usize::from(s.entry.kind)];
+                let saved = rate * rules.tip_after;
+                s.turn = (saved / typical).clamp(0.1, 1.0);
+                s.budget += rate * dt;
+                s.budget -= typical * ((s.budget - saved) / typical - 1.0).ceil().max(0.0);
             }
         }
     }
--- a/crates/core/src/decide/list.rs
+++ b/crates/core/src/decide/list.rs
@@ -6,9 +6,12 @@
 /// A server that was off the list for no longer than this has flapped, and comes back with its average.
 const FLAP: Time = 0.5;
 
-/// Servers of which something is kept after they left, and for how long: one that flaps comes back as it was.
-pub(super) const LEFT_MOST: usize = 64;
+/// Longest backoff before discovery is asked again: what it has counts as told 6 s after it could be reached,
+/// and a call may hang for half of that. Harm: a service short of room is asked more often.
+const BACKOFF_MOST: Time = 2.0;
 
+/// Servers of which something is kept after they left, and for how long.
+pub(super) const LEFT_MOST: usize = 64;
 pub(super) const LEFT_FOR: Time = 60.0;
 
 impl Balancer {
@@ -16,16 +19,15 @@
         &mut self, now: Time, list: ListKind, entries: Vec<Entry>, actions: &mut Vec<Action>,
     ) {
         if list == ListKind::Failed {
-            // Many nodes fail together: each waits a jittered time that doubles.
+            // Many nodes fail together: each backs off by a jittered time that doubles.
             self.subscribed = false;
-            let after = self.backoff * (0.5 + self.random());
-            self.backoff = (self.backoff * 2.0).min(self.settings.rules.must_ask_in);
+            let after = self.backoff * (0.5 + 0.5 * self.random());
+            self.backoff = (self.backoff * 2.0).min(BACKOFF_MOST);
             actions.push(Action::Timer { after, tag: WATCH });
             return;
         }
         if list != ListKind::Cached {
-            self.subscribed = true;
-            self.backoff = 1.0;
+            (self.subscribed, self.backoff) = (true, 1.0);
         }
         if list != ListKind::Delta {
             let mut listed: Vec<ServerId> = entries.iter().map(|e| e.server).collect();
@@ -105,7 +107,7 @@
             self.slot.resize(id + 1, None);
         }
         self.slot[id] = Some(self.servers.len());
-        let drawn = f64::from(own) * self.random() * self.typical / f64::from(entry.sharers.max(1));
+        let drawn = f64::from(own) * self.random() * self.typical;
         let budget = known.map_or(drawn, |l| l.budget.min(drawn));
         self.stays = self.stays.wrapping_add(1);
         self.servers.push(Server {
@@ -123,6 +125,7 @@
             overdue: 0,
             heard: now,
             budget,
+            turn: 1.0,
             asked: 0.0,
         });
     }
