Connections end in order, clients that left get no attempt, repeats keep their window

Causes, each seen red in tests/endings.rs on the code before: - A request stayed open, and was tried again, when its client closed behind bytes of a next request: the library reads no further then (mid_message_detect_eof). front.rs handed it whatever the gate let through. - A request whose client left while its connection came up was sent when it was up: upstream::attempt asked for the list and the time alone. - An answer of no stated length that broke off looked whole to a client of HTTP/1.0: its connection ended in order. - A resting connection, or one behind a last answer, was closed over what its client had sent: a reset (SO_ERROR). - A keyed request was repeated by the window at the decision, however long a connection took then; the property test of the engine is red without Request::starts_by.

Changes: a client's connection has a file of its own (net/client.rs). While a request is open nothing behind it goes through; what comes is kept (16 KiB) or dropped, so that an end is seen; what has come is read before a request goes on, and a client that was not looked at for 20 ms is looked at before each attempt. One close for all: shut down, read on for 0.2 s, close; a cut answer is reset. A half-close counts as leaving, as before. Host::wanted before each attempt. Command::Send carries starts_by.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -18,6 +18,9 @@
 /// A number of a server that is gone is not given to another while an attempt may name it; in seconds.
 pub const NUMBER_RESTS: Time = 30.0;
 
+/// What an attempt may take to its server, in seconds: a repeat has to arrive while the window for repeats lasts.
+const ON_THE_WAY: Time = 0.01;
+
 /// What decides: told of events, it answers with actions.
 ///
 /// The one decision module is [`Balancer`](crate::Balancer); tests put others in its place, that try to break
@@ -69,6 +72,8 @@
         attempt: u32,
         /// Where to.
         server: ServerId,
+        /// Nothing of it is sent later than this.
+        starts_by: Time,
         /// It ends by then.
         expires: Time,
     },
@@ -142,8 +147,8 @@
     /// Gone once the request has its final answer or its client left.
     reply: Option<H::Reply>,
     made: u32,
-    /// Some attempt may have run.
-    ran: bool,
+    /// When the first attempt was sent that may have run, if one was.
+    ran: Option<Time>,
     out: Option<Out>,
     last: Option<Outcome>,
     /// Its body has yet to come, and how long after that the final answer is due.
@@ -155,6 +160,18 @@
     spent: bool,
 }
 
+impl<H: Host> Request<H> {
+    /// Until when a further attempt may be sent, as far as its effect goes: the second rule. A keyed one is not known for
+    /// a repeat by its servers for ever.
+    fn starts_by(&self) -> Time {
+        match (self.effect, self.ran) {
+            (_, None) | (Effect::Idempotent, _) => self.deadline,
+            (Effect::AtMostOnce, Some(_)) => f64::NEG_INFINITY,
+            (Effect::Keyed { window, .. }, Some(first)) => self.deadline.min(first + window - ON_THE_WAY),
+        }
+    }
+}
+
 struct Out {
     attempt: u32,
     server: ServerId,
@@ -248,6 +265,11 @@
         self.requests.get_mut(&request).map(|r| &mut r.payload)
     }
 
+    /// Whether a request has no final answer yet, and nobody has said that its client has left.
+    pub fn wanted(&self, request: RequestId) -> bool {
+        self.requests.get(&request).is_some_and(|r| r.reply.is_some())
+    }
+
     /// Whether a further attempt of this request may be out.
     pub fn retried(&self, request: RequestId) -> bool {
         self.requests.get(&request).is_some_and(|r| r.out.is_some())
@@ -266,7 +288,7 @@
             effect: self.effects.get(usize::from(a.class)).copied().unwrap_or(Effect::AtMostOnce),
             reply: Some(reply),
             made: 0,
-            ran: false,
+            ran: None,
             out: None,
             last: None,
             flows: a.flows,
@@ -317,7 +339,9 @@
         let Some(r) = self.requests.get_mut(&request) else { return };
         let Some(o) = r.out.take_if(|o| o.attempt == attempt) else { return };
         r.last = Some(outcome);
-        r.ran |= !never_ran(outcome);
+        if !never_ran(outcome) {
+            r.ran.get_or_insert(o.sent);
+        }
         if let Some((answer, to)) = answer.and_then(|a| Some((a, r.reply.take()?))) {
             out.push(Command::Answer { request, to, answer: Final::Served(answer) });
         }
@@ -428,7 +452,7 @@
                 // Guards the second rule against the module itself: a refusal tells the client that trying again
                 // is harmless. Harm: none, the request has its final answer at the same moment.
                 let r = self.requests.get(&request)?;
-                let doubt = (r.ran || r.out.is_some()) && r.effect == Effect::AtMostOnce;
+                let doubt = (r.ran.is_some() || r.out.is_some()) && r.effect == Effect::AtMostOnce;
                 let answer = if doubt { Final::Failed(r.last) } else { Final::Refused { retry_after } };
                 self.close(request, answer, out);
             }
@@ -440,7 +464,8 @@
                 let r = self.requests.get_mut(&request)?;
                 let o = r.out.take_if(|o| o.attempt == attempt)?;
                 out.push(Command::Abort { request, attempt });
-                (r.last, r.ran) = (Some(Outcome::Revoked), true);
+                r.last = Some(Outcome::Revoked);
+                r.ran.get_or_insert(o.sent);
                 let (server, latency, ended) = (o.server, now - o.sent, r.reply.is_none());
                 self.tidy(request);
                 let outcome = Outcome::Revoked;
@@ -489,9 +514,8 @@
         let r = self.requests.get_mut(&request);
         let attempt = r.as_ref().map_or(0, |r| r.made);
         let open = |r: &&mut Request<H>| {
-            let twice = r.ran && r.effect == Effect::AtMostOnce;
             let may = listed && r.reply.is_some() && r.out.is_none();
-            may && !r.spent && r.made < self.max_attempts && now < r.deadline && !twice
+            may && !r.spent && r.made < self.max_attempts && now < r.starts_by()
         };
         let Some(r) = r.filter(open) else {
             if let Some(r) = self.requests.get_mut(&request) {
@@ -514,7 +538,7 @@
         // How long a body takes is its client's affair.
         let timeout = timeout.filter(|_| r.flows.is_none());
         let expires = timeout.map_or(r.deadline, |t| r.deadline.min(now + t.max(0.0)));
-        out.push(Command::Send { request, attempt, server, expires });
+        out.push(Command::Send { request, attempt, server, starts_by: r.starts_by().min(expires), expires });
         r.flows.map(|_| Event::Upload { request, left: None })
     }
 }
--- a/crates/core/tests/engine.rs
+++ b/crates/core/tests/engine.rs
@@ -84,6 +84,9 @@
     ]
 }
 
+/// How long repeats of a keyed request are known for such, shorter than what it may take to be sent twice.
+const WINDOW: f64 = 0.06;
+
 const OUTCOMES: [Outcome; 8] = [
     Outcome::Delivered,
     Outcome::Error,
@@ -103,6 +106,9 @@
     out: Option<(u32, f64)>,
     sent: u32,
     maybe_ran: bool,
+    /// When the last attempt was sent, and the first of those that may have run.
+    last: f64,
+    first: Option<f64>,
     answers: u32,
     left: bool,
 }
@@ -118,7 +124,7 @@
     fn check(&mut self, commands: Out) {
         for command in commands {
             match command {
-                Command::Send { request, attempt, server, expires } => {
+                Command::Send { request, attempt, server, starts_by, expires } => {
                     let r = self.requests.get_mut(&request).expect("a request that was submitted");
                     assert_eq!(r.answers, 0, "sent after the final answer");
                     assert!(!r.left, "sent for a client that left");
@@ -128,13 +134,20 @@
                     assert!(self.listed.contains_key(&server), "sent to a server that nobody named");
                     assert!(self.now < r.deadline, "sent after the deadline");
                     assert!(expires <= r.deadline && expires >= self.now, "an attempt past the deadline");
+                    if let Some(first) = r.first.filter(|_| r.class == 2) {
+                        // It has to be there while its servers still know the first for one of the same.
+                        assert!(starts_by < first + WINDOW, "a keyed request is repeated past its window");
+                    }
+                    assert!(starts_by <= expires, "an attempt that is sent after its end");
                     r.out = Some((attempt, expires));
+                    r.last = self.now;
                     r.sent += 1;
                 }
                 Command::Abort { request, attempt } => {
                     let r = self.requests.get_mut(&request).expect("a request that was submitted");
                     assert_eq!(r.out.take().map(|o| o.0), Some(attempt), "stopped what is not out");
                     r.maybe_ran = true;
+                    r.first.get_or_insert(r.last);
                 }
                 Command::Answer { request, to, answer } => {
                     assert_eq!(request, to, "the answer went to another's client");
@@ -163,7 +176,7 @@
 }
 
 fn classes() -> Vec<Class> {
-    let keyed = Effect::Keyed { group: Group::All, window: 1.0 };
+    let keyed = Effect::Keyed { group: Group::All, window: WINDOW };
     vec![class(Effect::Idempotent), class(Effect::AtMostOnce), class(keyed)]
 }
 
@@ -240,6 +253,9 @@
     let r = world.requests.get_mut(&id).expect("an open request");
     let Some((attempt, _)) = r.out.take() else { return };
     r.maybe_ran |= !never_ran(outcome);
+    if r.maybe_ran {
+        r.first.get_or_insert(r.last);
+    }
     let answer = (outcome == Outcome::Delivered).then_some("done");
     engine.ended(world.now, id, attempt, outcome, answer, out);
     // A second word on the same attempt changes nothing.
@@ -288,7 +304,7 @@
         loop {
             for command in out.drain(..) {
                 match command {
-                    Command::Send { request, attempt, server, expires } => {
+                    Command::Send { request, attempt, server, expires, .. } => {
                         let fate = random();
                         let (took, outcome, ran) = match server {
                             0 if fate < 0.8 => (0.002, Outcome::Error, fate < 0.4),
--- a/crates/core/tests/uploads.rs
+++ b/crates/core/tests/uploads.rs
@@ -38,7 +38,9 @@
 
 fn sent(out: &Out) -> Option<(RequestId, u32, ServerId, Time)> {
     out.iter().find_map(|c| match c {
-        Command::Send { request, attempt, server, expires } => Some((*request, *attempt, *server, *expires)),
+        Command::Send { request, attempt, server, expires, .. } => {
+            Some((*request, *attempt, *server, *expires))
+        }
         _ => None,
     })
 }
--- a/crates/emulator/src/world/nodes.rs
+++ b/crates/emulator/src/world/nodes.rs
@@ -19,7 +19,7 @@
     pub(super) fn carry_out(&mut self, n: NodeId, command: Command<Virtual>) {
         let (now, life) = (self.queue.now(), self.nodes[n].life);
         match command {
-            Command::Send { request, attempt, server, expires } => {
+            Command::Send { request, attempt, server, expires, .. } => {
                 self.send(n, request, attempt, server, expires)
             }
             Command::Answer { to, answer, .. } => self.answer(to, &answer),
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -1,8 +1,9 @@
 //! The client side: connections, requests in, answers out, and the end of it all on SIGTERM.
 
-use super::body::{Flow, Outgoing, Payload, FLOW_MOST};
+use super::body::{Flow, Outgoing, Payload};
+use super::client::{close, Client, ClientIo, Mark, Phase};
 use super::gate::{self, Gate};
-use super::message::{Answer, Arrival, Message, Reply};
+use super::message::{Answer, Arrival, Message, Reply, Waiter};
 use super::pool::Pool;
 use super::service::{AbortOnDrop, Found, Routing, Service, Table};
 use super::shared::{Held, OpenId, Permit, Shared};
@@ -30,38 +31,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll, Waker};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, Notify};
-use tokio::time::{timeout, timeout_at, Sleep};
+use tokio::time::{timeout, timeout_at};
 
-/// A new connection has to bring something within this time: what has not asked by then holds a descriptor for nothing.
-const ASKS_WITHIN: Duration = Duration::from_secs(2);
-/// A head may take so long from its first byte on, and nothing may rest for longer in the middle of a request.
-const REQUEST_WITHIN: Duration = Duration::from_millis(2600);
-/// A body may come as slowly as this, in bytes a second.
-const BODY_RATE: f64 = 40e3;
 /// A body that flows is given up after this time: the largest at the slowest, and a little.
 const FLOW_WITHIN: Duration = Duration::from_secs(900);
-/// A connection on which nothing was asked for so long is closed.
-const IDLE_WITHIN: Duration = Duration::from_secs(5);
 /// Under pressure, a request that has been coming for so long loses its connection.
 const COMING_LONG: Duration = Duration::from_secs(1);
-/// A client that takes nothing of its answer for this long has left; of one that flows, for the longer time.
-const WRITE_WITHIN: Duration = Duration::from_secs(3);
-const FLOW_TAKEN_WITHIN: Duration = Duration::from_secs(10);
-/// What the system may hold of an answer that flows. More would hide whether a slow client still takes something.
-const FLOW_BUFFER: usize = 128 << 10;
-/// How long, and for how much, a connection that is closed on its client reads on: an answer beside unread bytes
-/// may be lost with them.
-const CLOSE_WITHIN: Duration = Duration::from_millis(200);
-const CLOSE_READ: usize = 256 << 10;
-/// The same where the answer has come before the body.
-const EARLY_WITHIN: Duration = Duration::from_secs(3);
 /// What the library may read beyond the largest head.
 const BUFFER_MARGIN: usize = 16 << 10;
 /// How long connections go on being accepted after SIGTERM: they come for 0.4 s at the most.
@@ -112,97 +93,6 @@
     bound().map_err(|e| format!("{listen}: {e}"))
 }
 
-/// Where a client's connection stands.
-#[derive(Clone, Copy, PartialEq)]
-enum Phase {
-    /// Nothing has come yet.
-    Silent,
-    /// A request has begun to come.
-    Coming,
-    /// A request's body flows on to a server as it comes.
-    Flowing,
-    /// A request is whole and has no answer yet.
-    Open,
-    /// The answer is on its way.
-    Answered,
-    /// The answer is out, and nothing has come since.
-    Idle,
-}
-
-/// One client's connection.
-struct Client {
-    /// Look at the connection again: something here has changed.
-    wake: Notify,
-    phase: Cell<Phase>,
-    /// When the phase began; a first request begins with its connection.
-    since: Cell<Instant>,
-    /// It is closed as soon as no request is here.
-    leave: Cell<bool>,
-    /// What the client is told when its connection can't go on.
-    fault: Cell<Option<StatusCode>>,
-    /// Something was written since the last request began.
-    wrote: Cell<bool>,
-    /// Bytes of the request that is coming, and when the last of them came.
-    came: Cell<u64>,
-    last: Cell<Instant>,
-    /// How long more of a body that flows has been waited for, all rests together.
-    rested: Cell<Duration>,
-    /// Its answer flows.
-    streams: Cell<bool>,
-    /// Whether more of it may come.
-    comes: RefCell<Option<Rc<Cell<bool>>>>,
-    /// It was answered before its body was here: it is read on for a while, or the answer might be lost.
-    early: Cell<bool>,
-    /// It goes to another process as soon as no request is here.
-    passing: Cell<bool>,
-    /// Where it came in.
-    came_by: Rc<Mark>,
-}
-
-impl Client {
-    fn new(came_by: Rc<Mark>) -> Self {
-        Client {
-            wake: Notify::new(),
-            phase: Cell::new(Phase::Silent),
-            since: Cell::new(Instant::now()),
-            leave: Cell::new(false),
-            fault: Cell::new(None),
-            wrote: Cell::new(false),
-            came: Cell::new(0),
-            last: Cell::new(Instant::now()),
-            rested: Cell::default(),
-            streams: Cell::new(false),
-            comes: RefCell::default(),
-            early: Cell::new(false),
-            passing: Cell::new(false),
-            came_by,
-        }
-    }
-
-    fn turn(&self, phase: Phase) {
-        self.phase.set(phase);
-        self.since.set(Instant::now());
-    }
-
-    /// How long what has come of a request may have taken.
-    fn patience(&self) -> Duration {
-        REQUEST_WITHIN + Duration::from_secs_f64(self.came.get() as f64 / BODY_RATE)
-    }
-
-    /// Bytes of a request are here.
-    fn begun(&self) {
-        match self.phase.get() {
-            Phase::Silent | Phase::Idle => {
-                self.turn(Phase::Coming);
-                self.wrote.set(false);
-                self.came.set(0);
-                self.rested.set(Duration::ZERO);
-            }
-            _ => {}
-        }
-    }
-}
-
 /// An address where clients connect.
 pub struct Listening {
     address: SocketAddr,
@@ -210,15 +100,6 @@
     listener: TcpListener,
 }
 
-/// What clients keep of the listener that they came by. They must not keep the listener itself: its socket would stay
-/// open as long as they stay, and whoever connects then would wait in a backlog that nobody empties.
-struct Mark {
-    /// Its place in the plan in force; none once it was removed.
-    id: Cell<Option<ListenerId>>,
-    /// What the listener is called.
-    name: String,
-}
-
 impl Listening {
     /// Binds a listener.
     ///
@@ -573,11 +454,7 @@
                 None => return,
             }
         }
-        if let Some(status) = client.fault.get() {
-            turn_away(&stream, status, client.wrote.get()).await;
-        } else if client.early.get() {
-            read_on(&stream, FLOW_MOST as usize, EARLY_WITHIN).await;
-        }
+        close(&stream, client).await;
     }
 
     /// Answers what a client asks; true if it goes to another process now, of which nothing has been read yet that was not
@@ -652,7 +529,7 @@
         // By routes, one connection can be for several services, of which one may be gone or over its rate.
         let elsewhere = matches!(response.status(), StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS);
         let unusable = response.status().is_client_error() && !(routed && elsewhere);
-        if self.stopping.get() || self.shared.draining() || unusable {
+        if self.stopping.get() || self.shared.draining() || unusable || client.leave.get() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         let flows = response.body().flows();
@@ -728,14 +605,13 @@
     }
 
     async fn pass(
-        self: &Rc<Self>, chosen: Chosen, head: Parts, body: Incoming, client: &Client,
+        self: &Rc<Self>, chosen: Chosen, head: Parts, body: Incoming, client: &Rc<Client>,
     ) -> Response<Outgoing> {
         let pool = chosen.service.pool.clone();
         let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         let graphql = chosen.service.graphql.borrow().clone();
         if let Some(graphql) = graphql {
-            let opened = || client.turn(Phase::Open);
-            let mut response = self.graphql(&graphql, chosen, head, body, opened).await;
+            let mut response = self.graphql(&graphql, chosen, head, body, client).await;
             if chunked {
                 response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
@@ -748,7 +624,7 @@
         };
         let flow = body.flow().cloned();
         client.turn(if flow.is_some() { Phase::Flowing } else { Phase::Open });
-        let mut response = self.ask(&pool, chosen, head, body, held).await;
+        let mut response = self.ask(&pool, chosen, head, body, held, client).await;
         let unread = flow.is_some_and(|flow| !flow.is_done());
         if unread {
             // The rest of the body is for nobody; what follows it can't be told apart.
@@ -764,11 +640,15 @@
     /// Hands a request to the module and waits for its one answer.
     async fn ask(
         self: &Rc<Self>, pool: &Rc<Pool>, chosen: Chosen, head: Parts, body: Payload, held: Option<Held>,
+        client: &Rc<Client>,
     ) -> Response<Outgoing> {
-        let (message, arrival) = match self.translate(chosen, head, body, held, Instant::now()) {
+        let (message, arrival) = match self.translate(chosen, head, body, held, client.clone()) {
             Ok(request) => request,
             Err((status, text)) => return plain(status, text),
         };
+        if client.has_left() {
+            return plain(StatusCode::BAD_REQUEST, LEFT);
+        }
         let deadline = arrival.deadline;
         let (id, answer) = pool.submit(message, arrival);
         let mut waiting = Waiting::new(pool, id);
@@ -843,7 +723,7 @@
 
     /// Puts a request's head into the module's terms.
     fn translate(
-        &self, chosen: Chosen, head: Parts, body: Payload, held: Option<Held>, taken: Instant,
+        &self, chosen: Chosen, head: Parts, body: Payload, held: Option<Held>, waiter: Rc<Client>,
     ) -> Result<(Message, Arrival), (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
         let Chosen { service, assign, routed, admitted } = chosen;
@@ -875,7 +755,7 @@
         let left = Duration::try_from_secs_f64(left - pool.figures.answer_slack).unwrap_or_default();
         drop(names);
         let flows = body.flow().map(|_| left);
-        let due = taken + flows.map_or(left, |_| FLOW_WITHIN);
+        let due = Instant::now() + flows.map_or(left, |_| FLOW_WITHIN);
         let arrival = Arrival { class, flows, ..self.arrival(pool, &headers, due) };
         let path = uri.into_parts().path_and_query.ok_or(bad("no path\n"))?;
         let id = correlation_id(&headers).map_err(bad)?;
@@ -890,6 +770,7 @@
             _id: id,
             _admitted: admitted,
             judge: None,
+            waiter,
         };
         Ok((message, arrival))
     }
@@ -937,6 +818,8 @@
 
 /// What health says of a node that is being emptied.
 const DRAINED: &str = "drained by hand\n";
+/// What nobody reads.
+const LEFT: &str = "the client has left\n";
 /// What is said of an id that is taken.
 pub(super) const ID_OPEN: &str = "a request with this id is open\n";
 
@@ -1085,217 +968,3 @@
         Reply::Failed(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed\n"),
     }
 }
-
-/// Tells a client, if nothing was told yet, why its connection ends, and ends it.
-async fn turn_away(stream: &TcpStream, status: StatusCode, wrote: bool) {
-    if !wrote {
-        let text = format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
-        // A socket on which nothing was written takes so little at once, or its client is gone.
-        let _ = stream.try_write(text.as_bytes());
-    }
-    read_on(stream, CLOSE_READ, CLOSE_WITHIN).await;
-}
-
-/// Ends a connection from this side and reads on for a while: an answer beside unread bytes may be lost with them.
-async fn read_on(stream: &TcpStream, most: usize, within: Duration) {
-    let _ = socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
-    let rest = async {
-        let (mut scratch, mut size) = ([0; 4096], 0);
-        while size < most && stream.readable().await.is_ok() {
-            match stream.try_read(&mut scratch) {
-                Ok(0) => break,
-                Ok(n) => size += n,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => break,
-            }
-        }
-    };
-    let _ = timeout(within, rest).await;
-}
-
-/// A client's socket behind its gate. It keeps the times of the connection and ends one whose client does not
-/// read.
-struct ClientIo {
-    stream: Rc<TcpStream>,
-    client: Rc<Client>,
-    gate: Gate,
-    timer: Option<Pin<Box<Sleep>>>,
-    stalled: Option<Pin<Box<Sleep>>>,
-    /// Since when more of a body that flows is waited for.
-    waits: Option<Instant>,
-    /// The system holds little of what is written.
-    bounded: bool,
-}
-
-impl ClientIo {
-    fn new(stream: Rc<TcpStream>, client: Rc<Client>, gate: Gate) -> Self {
-        ClientIo { stream, client, gate, timer: None, stalled: None, waits: None, bounded: false }
-    }
-
-    fn fill(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read_buf(self.gate.room()) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                read => {
-                    let rested = self.waits.take().map_or(Duration::ZERO, |since| since.elapsed());
-                    self.client.rested.set(self.client.rested.get() + rested);
-                    if let Ok(n) = read {
-                        self.client.came.set(self.client.came.get() + n as u64);
-                        self.client.last.set(Instant::now());
-                    }
-                    return Poll::Ready(read);
-                }
-            }
-        }
-    }
-
-    /// An answer that flows is held by as little as will do.
-    fn bound(&mut self) {
-        if self.client.streams.get() && !self.bounded {
-            // Without the bound the client is only judged later.
-            let _ = socket2::SockRef::from(&*self.stream).set_send_buffer_size(FLOW_BUFFER);
-            self.bounded = true;
-        }
-    }
-
-    fn fault(&self, status: StatusCode) -> Poll<io::Result<()>> {
-        self.client.fault.set(Some(status));
-        Poll::Ready(Err(io::ErrorKind::InvalidData.into()))
-    }
-
-    /// Nothing more is here now. Whether to wait for it: a connection that asks nothing ends like one that its
-    /// client has closed, one that is slow in asking with an error.
-    ///
-    /// Guards against silent connections, heads and bodies that never end, and clients that ask once and stay;
-    /// it ought to catch whatever holds a connection without a whole request. Harm: a request that takes longer
-    /// than `REQUEST_WITHIN` to come is turned away, however honest its client.
-    fn wait(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
-        let client = self.client.clone();
-        if let Some(status) = client.fault.get() {
-            return self.fault(status);
-        }
-        let due = match client.phase.get() {
-            Phase::Silent | Phase::Idle if client.leave.get() => return Poll::Ready(Ok(())),
-            Phase::Silent => client.since.get() + ASKS_WITHIN,
-            Phase::Idle => client.since.get() + IDLE_WITHIN,
-            // As slowly as a body may come, but never at rest for long.
-            Phase::Coming => (client.since.get() + client.patience()).min(client.last.get() + REQUEST_WITHIN),
-            // Here it is the server that may have kept the client waiting: only rests count.
-            Phase::Flowing if self.gate.amid() => {
-                let left = client.patience().saturating_sub(client.rested.get());
-                *self.waits.get_or_insert_with(Instant::now) + left.min(REQUEST_WITHIN)
-            }
-            Phase::Flowing | Phase::Open | Phase::Answered => return Poll::Pending,
-        };
-        let due = due.into();
-        let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(due)));
-        if timer.deadline() != due {
-            timer.as_mut().reset(due);
-        }
-        ready!(timer.as_mut().poll(cx));
-        match client.phase.get() {
-            Phase::Coming | Phase::Flowing => self.fault(StatusCode::REQUEST_TIMEOUT),
-            _ => Poll::Ready(Ok(())),
-        }
-    }
-
-    fn wrote(&mut self, cx: &mut Context, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if wrote.is_ready() {
-            self.client.wrote.set(true);
-            self.stalled = None;
-            return wrote;
-        }
-        let within = if self.client.streams.get() { FLOW_TAKEN_WITHIN } else { WRITE_WITHIN };
-        let stalled = self.stalled.get_or_insert_with(|| Box::pin(tokio::time::sleep(within)));
-        ready!(stalled.as_mut().poll(cx));
-        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
-    }
-}
-
-impl AsyncRead for ClientIo {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        if buf.remaining() == 0 {
-            return Poll::Ready(Ok(()));
-        }
-        loop {
-            let passed = match this.gate.pass(buf) {
-                Ok(passed) => passed,
-                Err(status) => return this.fault(status),
-            };
-            if passed.is_break() || this.gate.amid() {
-                this.client.begun();
-            }
-            if passed.is_break() {
-                return Poll::Ready(Ok(()));
-            }
-            match this.fill(cx) {
-                Poll::Ready(Ok(0)) => return Poll::Ready(Ok(())),
-                Poll::Ready(Ok(_)) => {}
-                Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
-                Poll::Pending => return this.wait(cx),
-            }
-        }
-    }
-}
-
-impl AsyncWrite for ClientIo {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, data: &[u8]) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        this.bound();
-        let wrote = write_when_ready(&this.stream, cx, |stream| stream.try_write(data));
-        this.wrote(cx, wrote)
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>, cx: &mut Context, data: &[io::IoSlice],
-    ) -> Poll<io::Result<usize>> {
-        let this = self.get_mut();
-        this.bound();
-        let wrote = write_when_ready(&this.stream, cx, |stream| stream.try_write_vectored(data));
-        this.wrote(cx, wrote)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    /// The library flushes when all that is here of an answer is written.
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        let comes = self.client.comes.borrow().as_ref().is_some_and(|comes| comes.get());
-        if self.client.phase.get() == Phase::Answered && self.client.wrote.get() && !comes {
-            if self.gate.amid() {
-                // The next request is here already, in part or whole.
-                self.client.turn(Phase::Coming);
-                self.client.wrote.set(false);
-            } else {
-                self.client.turn(Phase::Idle);
-                if self.client.passing.get() {
-                    self.client.wake.notify_one();
-                }
-            }
-        }
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        if self.client.fault.get().is_some() {
-            // The library ends what it can't read; the client is still to be told why (`turn_away`).
-            return Poll::Ready(Ok(()));
-        }
-        Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
-    }
-}
-
-fn write_when_ready(
-    stream: &TcpStream, cx: &mut Context, write: impl Fn(&TcpStream) -> io::Result<usize>,
-) -> Poll<io::Result<usize>> {
-    loop {
-        ready!(stream.poll_write_ready(cx))?;
-        match write(stream) {
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            wrote => return Poll::Ready(wrote),
-        }
-    }
-}
--- a/crates/node/src/net/gate.rs
+++ b/crates/node/src/net/gate.rs
@@ -60,6 +60,21 @@
         }
     }
 
+    /// All of the requests before is handed over.
+    pub fn between(&self) -> bool {
+        matches!(self.stage, Stage::Head)
+    }
+
+    /// Bytes that wait here.
+    pub fn ahead(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Drops what waits here: nothing more can go through.
+    pub fn forget(&mut self) {
+        self.held = BytesMut::new();
+    }
+
     /// Hands over what may go through; `Continue` if more has to come first.
     pub fn pass(&mut self, to: &mut ReadBuf) -> Result<ControlFlow<()>, StatusCode> {
         if let Stage::Head = self.stage {
--- a/crates/node/src/net/graphql.rs
+++ b/crates/node/src/net/graphql.rs
@@ -5,8 +5,9 @@
 //! server and whether again, by the module. Here they meet the sockets.
 
 use super::body::{Outgoing, Payload};
+use super::client::{Client, Phase};
 use super::front::{Chosen, Front, Waiting};
-use super::message::{Answer, Arrival, Judge, Message, Reply};
+use super::message::{Answer, Arrival, Judge, Message, Reply, Waiter};
 use super::operations::{GraphQl, Head, Ready};
 use super::pool::Pool;
 use super::shared::{Held, Permit};
@@ -92,14 +93,16 @@
 impl Front {
     /// Answers a request to a GraphQL service.
     pub(super) async fn graphql(
-        self: &Rc<Self>, graphql: &GraphQl, chosen: Chosen, head: Parts, body: Incoming,
-        opened: impl FnOnce(),
+        self: &Rc<Self>, graphql: &GraphQl, chosen: Chosen, head: Parts, body: Incoming, client: &Rc<Client>,
     ) -> Answered {
         let (body, held) = match self.body(body, chosen.service.member).await {
             Ok(body) => body,
             Err(response) => return response,
         };
-        opened();
+        client.turn(Phase::Open);
+        if client.has_left() {
+            return text(400, Media::Json, Bytes::new());
+        }
         let taken = Instant::now();
         let said = |name: &header::HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
         let media = match media::negotiate(said(&header::ACCEPT)) {
@@ -128,7 +131,8 @@
         };
         let get = head.method == Method::GET;
         let held = held.map(Rc::new);
-        let head = Head { headers: head.headers, path, get, left, taken };
+        let waiter: Rc<dyn Waiter> = client.clone();
+        let head = Head { headers: head.headers, path, get, left, taken, waiter };
         match asked {
             Asked::One(params) => match graphql.ready(&params, (!get).then(|| body.clone()), &head) {
                 Ok(ready) => self.one(graphql, chosen, held, &head, ready, media).await,
@@ -167,9 +171,9 @@
         }
         let Ready { method, path, body, operation, .. } = ready;
         let judge: Option<Box<dyn Judge>> = Some(Box::new(IsAnswer(operation)));
-        let body = Payload::Held(body);
+        let (body, waiter) = (Payload::Held(body), head.waiter.clone());
         let message =
-            Message { method, path, headers, body, _held: held, _id: id, _admitted: admitted, judge };
+            Message { method, path, headers, body, _held: held, _id: id, _admitted: admitted, judge, waiter };
         let (request, answer) = pool.submit(message, arrival);
         let mut waiting = Waiting::new(pool, request);
         let guard = due + Duration::try_from_secs_f64(slack / 2.0).unwrap_or_default();
--- a/crates/node/src/net/message.rs
+++ b/crates/node/src/net/message.rs
@@ -24,6 +24,14 @@
     pub _admitted: Option<Permit>,
     /// What an answer has to be, beyond being whole; plain requests take any 200.
     pub judge: Option<Box<dyn Judge>>,
+    /// Who waits for its answer.
+    pub waiter: Rc<dyn Waiter>,
+}
+
+/// Whoever waits for an answer.
+pub trait Waiter {
+    /// Whether that is over: nothing new is sent then.
+    fn has_left(&self) -> bool;
 }
 
 /// Tells answers from what is none, for requests whose protocol says more than a status.
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The node's side of the sockets. It translates and enforces; every choice is the module's.
 
 pub mod body;
+mod client;
 pub mod discovery;
 pub mod front;
 pub mod gate;
--- a/crates/node/src/net/operations.rs
+++ b/crates/node/src/net/operations.rs
@@ -1,5 +1,6 @@
 //! A GraphQL service's settings, and what they make of a request: the operations that go to servers.
 
+use super::message::Waiter;
 use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method};
@@ -43,6 +44,8 @@
     /// The client waits so long, if it says so.
     pub left: Option<Time>,
     pub taken: Instant,
+    /// Who waits for the answer.
+    pub waiter: Rc<dyn Waiter>,
 }
 
 impl GraphQl {
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -3,7 +3,7 @@
 
 use super::message::{Answer, Arrival, Message, Reply};
 use super::shared::{Judged, Late, Peer, PoolId, Shared};
-use super::upstream::{self, Upstream};
+use super::upstream::{self, Times, Upstream};
 use super::Chance;
 use reelfall_core::engine::{self, Command, Engine, Place};
 use reelfall_core::interface::*;
@@ -332,12 +332,13 @@
 
     fn carry_out(self: &Rc<Self>, command: Command<Wire>) {
         match command {
-            Command::Send { request, attempt, server, expires } => {
+            Command::Send { request, attempt, server, starts_by, expires } => {
                 let mut engine = self.engine.borrow_mut();
                 let Some(ticket) = engine.payload(request) else { return };
                 let (pool, message) = (self.clone(), ticket.message.clone());
-                let expires = self.shared.clock.instant(expires);
-                let run = upstream::attempt(pool, request, attempt, server, message, expires);
+                let clock = &self.shared.clock;
+                let times = Times { starts_by: clock.instant(starts_by), expires: clock.instant(expires) };
+                let run = upstream::attempt(pool, request, attempt, server, message, times);
                 ticket.task = Some(tokio::task::spawn_local(run).abort_handle());
             }
             Command::Abort { request, .. } => {
@@ -476,6 +477,11 @@
         self.engine.borrow().address(server).copied()
     }
 
+    fn wanted(&self, request: RequestId) -> bool {
+        let mut engine = self.engine.borrow_mut();
+        engine.wanted(request) && engine.payload(request).is_some_and(|t| !t.message.waiter.has_left())
+    }
+
     fn retried(&self, request: RequestId) -> bool {
         self.engine.borrow().retried(request)
     }
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -47,6 +47,8 @@
     fn upstream(&self) -> &Upstream;
     /// The address of a server, unless the newest list says that it drains or is gone.
     fn address(&self, server: ServerId) -> Option<SocketAddr>;
+    /// Whether somebody still waits for the answer to a request.
+    fn wanted(&self, request: RequestId) -> bool;
     /// Whether a further attempt of this request may be out.
     fn retried(&self, request: RequestId) -> bool;
     /// Some of the body of a request is gone: no further attempt can have it.
@@ -275,12 +277,15 @@
 /// A connection and whether it is new, or why there is none. That this node has none left says nothing of the
 /// server: counted against it, a shortage here would put out one server after the other. So one is waited for.
 async fn acquire(
-    host: &impl Host, server: ServerId, expires: Instant,
+    host: &impl Host, id: RequestId, server: ServerId, expires: Instant,
 ) -> Result<(Connection, bool), Outcome> {
     let upstream = host.upstream();
     let most = upstream.connect_within;
     let until = expires.min(Instant::now() + most);
     loop {
+        if !host.wanted(id) {
+            return Err(Outcome::Unused);
+        }
         if let Some(connection) = upstream.take(server) {
             return Ok((connection, false));
         }
@@ -315,19 +320,33 @@
     Some(Connection { send, socket, since: Instant::now(), server, address, generation, task, _open: open })
 }
 
+/// The limits of an attempt.
+#[derive(Clone, Copy)]
+pub struct Times {
+    /// It is not sent later: a repeat may no longer be known for one.
+    pub starts_by: Instant,
+    /// It ends by then.
+    pub expires: Instant,
+}
+
 /// Makes one attempt and tells its host how it ended. What it says of the server's side is proved: an
 /// attempt never ran only if its last byte was not written or the server says so.
 pub async fn attempt(
-    host: impl Host, id: RequestId, number: u32, server: ServerId, message: Rc<Message>, expires: Instant,
+    host: impl Host, id: RequestId, number: u32, server: ServerId, message: Rc<Message>, times: Times,
 ) {
+    let Times { starts_by, expires } = times;
     let never = |outcome| host.ended(id, number, outcome, None);
     loop {
-        let (mut connection, fresh) = match acquire(&host, server, expires).await {
+        let (mut connection, fresh) = match acquire(&host, id, server, starts_by).await {
             Ok(acquired) => acquired,
             Err(outcome) => return never(outcome),
         };
-        // The list may have changed while the connection came up.
-        if host.address(server).is_none() || Instant::now() >= expires {
+        // The list may have changed while the connection came up, and the client may have left.
+        if !host.wanted(id) {
+            host.upstream().put(connection);
+            return never(Outcome::Unused);
+        }
+        if host.address(server).is_none() || Instant::now() >= starts_by {
             return never(Outcome::DialFailed);
         }
         let before = connection.socket.written.get();
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -22,19 +22,57 @@
     (listener, address)
 }
 
-/// Calls `with` on a thread of its own for each connection that comes.
-fn serve(with: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+/// A listener that has room for one connection that nobody has accepted: the next one waits until that is accepted, and
+/// the system tries again.
+pub fn full_queue() -> (TcpListener, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener: TcpListener = socket.into();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+/// Waits until somebody's connection to this port is on its way.
+pub fn until_connecting(port: u16) {
+    let began = Instant::now();
+    loop {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+        let syn_sent = format!(":{port:04X} 02 ");
+        if table.contains(&syn_sent) {
+            return;
+        }
+        assert!(began.elapsed() < PATIENCE, "nobody connects");
+        std::thread::yield_now();
+    }
+}
+
+/// Calls `with` on a thread of its own for each connection that comes, and its number from 0.
+pub fn serve(with: impl Fn(TcpStream, usize) + Send + Sync + 'static) -> SocketAddr {
     let (listener, address) = listen();
     let with = Arc::new(with);
     std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
+        for (number, stream) in listener.incoming().map_while(Result::ok).enumerate() {
             let with = with.clone();
-            std::thread::spawn(move || with(stream));
+            std::thread::spawn(move || with(stream, number));
         }
     });
     address
 }
 
+/// A list as the list service words it.
+pub fn list(index: u64, whole: bool, servers: &[(&str, SocketAddr, &str)]) -> String {
+    let lines: Vec<String> = servers
+        .iter()
+        .map(|(name, address, status)| {
+            format!(
+                r#"{{"name":"{name}","address":"{address}","zone":"a","type":"k","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
+            )
+        })
+        .collect();
+    format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, lines.join(","))
+}
+
 /// One message as it came: its first line, its headers in lower case, its body by `Content-Length`.
 pub struct Message {
     pub first: String,
@@ -90,7 +128,7 @@
     pub fn start() -> Discovery {
         let state = Arc::new((Mutex::new(State::default()), Condvar::new()));
         let shared = state.clone();
-        let address = serve(move |stream| watch(stream, &shared));
+        let address = serve(move |stream, _| watch(stream, &shared));
         Discovery { address, state }
     }
 
@@ -105,15 +143,7 @@
     }
 
     fn tell(&self, index: u64, whole: bool, servers: &[(&str, SocketAddr, &str)]) {
-        let lines: Vec<String> = servers
-            .iter()
-            .map(|(name, address, status)| {
-                format!(
-                    r#"{{"name":"{name}","address":"{address}","zone":"a","type":"k","group":1,"status":"{status}","weight":1.0,"since_ms":0}}"#
-                )
-            })
-            .collect();
-        let list = format!(r#"{{"index":{index},"snapshot":{whole},"endpoints":[{}]}}"#, lines.join(","));
+        let list = list(index, whole, servers);
         let mut state = self.state.0.lock().unwrap();
         state.list = list;
         state.changes += 1;
@@ -197,7 +227,7 @@
     pub fn start(answer: impl Fn(&Message, usize, &mut TcpStream) + Send + Sync + 'static) -> Server {
         let seen = Arc::new(AtomicUsize::new(0));
         let count = seen.clone();
-        let address = serve(move |mut stream| {
+        let address = serve(move |mut stream, _| {
             let mut reader = BufReader::new(stream.try_clone().unwrap());
             while let Some(request) = Message::read(&mut reader) {
                 let number = count.fetch_add(1, Ordering::SeqCst);
