Discovery: one deadline from connect to first word, indented lists, no endless retry

Causes, seen red in tests/discovery.rs on the code before: an indented change ended the watch, which began again at the same version for ever; so did a change that could not be used. Connect, head and first line each had 2.5 s of their own (10 s where lists are asked for), and any byte renewed the patience of a watch.

Changes: lists are read as a stream of JSON values, cut anywhere, within the old bound; what can't be used is healed by the whole list; one deadline from connect to first word (1.5 s pushed, 3 s asked); only a whole change or an empty line with nothing half read is a sign of life. The worst case stands as a sum beside the constants: 5.8 s pushed, 5.5 s asked.

Ruled out by tests that are green on the code before too: two watches in a row that fall silent, idle clients that hold every descriptor while discovery is down.

--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -2,9 +2,9 @@
 
 use super::pool::Pool;
 use super::BUFFER;
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -13,23 +13,40 @@
 use reelfall_core::settings::Listed;
 use serde_json::Value;
 use std::cell::Cell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::time::{timeout_at, Instant};
 
-/// A watch says something every 2 s. What it has not brought counts as told after 6 s, so a silent one is
-/// replaced while there is time for a second silent one.
+// What discovery has counts as told 6 s after it had it and could be reached, whatever failed before. The longest that
+// news can take, each part bounded by a constant here or by the module's backoff:
+//
+// | lists that are pushed | s | lists that are asked for | s |
+// | --- | --- | --- | --- |
+// | a watch falls silent: `SILENT` | 2.5 | the same | 2.5 |
+// | backoff, `BACKOFF` and half more | 0.1 | the module's first, 1 s at most | 1.0 |
+// | a connection that does not come up, or says nothing: `OPENS` | 1.5 | (a call that waits its turn) | |
+// | backoff, twice that | 0.2 | | |
+// | a connection that does | 1.5 | an answer in its turn | 2.0 |
+// | sum | 5.8 | sum | 5.5 |
+//
+// Where a call hangs as discovery comes back: `OPENS_ASKED` 3 s, the module's longest backoff 2 s, a call that is
+// answered within 1 s. After a new address: 1.5 + 0.2 + 1.5 s, of the 4 s that count there.
+
+/// A watch says something every 2 s; one that has said nothing whole for this long is broken.
 const SILENT: Duration = Duration::from_millis(2500);
-/// Where calls wait in turn, the first word may take this long.
-const TURN: Duration = Duration::from_secs(10);
-/// Pause before a new watch: the first, and the longest.
-const PAUSE: Duration = Duration::from_millis(50);
-const PAUSE_MOST: Duration = Duration::from_millis(800);
-/// Longest line of a watch, and the longest whole list.
-const LINE_MOST: usize = 4 << 20;
+/// From the connect to the first whole list, or the first sign of life, of a service that answers at once.
+const OPENS: Duration = Duration::from_millis(1500);
+/// The same where calls wait in turn: the service gives up on those that wait for 2 s.
+const OPENS_ASKED: Duration = Duration::from_secs(3);
+/// Backoff before a new watch: the first, and the longest.
+const BACKOFF: Duration = Duration::from_millis(50);
+const BACKOFF_MOST: Duration = Duration::from_millis(800);
+/// Longest change of a watch, and the longest whole list, in bytes.
+const LIST_MOST: usize = 4 << 20;
 
 /// Takes in a list or a change of it and returns its index.
 ///
@@ -108,7 +125,7 @@
 pub async fn follow(pool: Rc<Pool>, mut address: watch::Receiver<SocketAddr>, known: u64, name: String) {
     let _following = Following { pool: pool.clone(), name: name.clone() };
     let index = Cell::new(Some(known));
-    let mut pause = PAUSE;
+    let mut backoff = BACKOFF;
     loop {
         if !pool.pushed() {
             pool.watch.notified().await;
@@ -119,7 +136,7 @@
             ended = watch(&pool, at, &index, &name) => ended,
             Ok(()) = address.changed() => {
                 index.set(None);
-                pause = PAUSE;
+                backoff = BACKOFF;
                 // Where lists are asked for, the module's leave for the old address holds for the new one.
                 pool.watch.notify_one();
                 continue;
@@ -133,14 +150,14 @@
             pool.members(ListKind::Failed, Vec::new());
             continue;
         }
-        pause = if index.get() == before { (pause * 2).min(PAUSE_MOST) } else { PAUSE };
+        backoff = if index.get() == before { (backoff * 2).min(BACKOFF_MOST) } else { BACKOFF };
         // Watches end for many nodes at once: they must not come back in step.
-        let rest = tokio::time::sleep(pause.mul_f64(0.5 + pool.chance.fraction()));
+        let rest = tokio::time::sleep(backoff.mul_f64(0.5 + pool.chance.fraction()));
         tokio::select! {
             () = rest => {}
             Ok(()) = address.changed() => {
                 index.set(None);
-                pause = PAUSE;
+                backoff = BACKOFF;
             }
         }
     }
@@ -149,18 +166,20 @@
 async fn watch(
     pool: &Rc<Pool>, address: SocketAddr, index: &Cell<Option<u64>>, name: &str,
 ) -> Result<(), String> {
-    let heard = |new: u64| {
+    let take_in = |list: &Value| {
+        // What can't be used is not asked for again in the same way, for ever: the whole list heals it.
+        let new = take_in(pool, list, false).inspect_err(|_| index.set(None))?;
         index.set(Some(new));
         if let Some(sees) = pool.shared.sees() {
             sees.saw_list(name, pool.id, new);
         }
+        Ok::<u64, String>(new)
     };
-    let late = |_| "nothing comes".to_owned();
-    let said = |e: &dyn std::fmt::Display| e.to_string();
-    let first = if pool.pushed() { SILENT } else { TURN };
-    let stream = timeout(SILENT, TcpStream::connect(address)).await.map_err(late)?.map_err(|e| said(&e))?;
-    let (mut send, connection) =
-        Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(stream)).await.map_err(|e| said(&e))?;
+    // One deadline governs all that comes before the first word: parts that each take their time add up.
+    let opens = Instant::now() + if pool.pushed() { OPENS } else { OPENS_ASKED };
+    let stream = by(opens, TcpStream::connect(address)).await?;
+    let handshake = Builder::new().max_buf_size(BUFFER).handshake(TokioIo::new(stream));
+    let (mut send, connection) = by(opens, handshake).await?;
     let task = tokio::task::spawn_local(async move {
         let _ = connection.await;
     });
@@ -168,55 +187,125 @@
     let after = match index.get() {
         Some(after) => after,
         None => {
-            let mut body = ask(&mut send, address, "/catalog/members", first).await?;
-            let mut held = BytesMut::new();
-            while let Some(frame) = timeout(first, body.frame()).await.map_err(late)? {
-                if let Ok(data) = frame.map_err(|e| said(&e))?.into_data() {
-                    held.extend_from_slice(&data);
-                }
-                if held.len() > LINE_MOST {
-                    return Err("a list without end".to_owned());
-                }
+            let mut body = ask(&mut send, address, "/catalog/members", opens).await?;
+            let mut lists = Lists::default();
+            while let Some(data) = next(&mut body, opens).await? {
+                lists.push(&data)?;
             }
-            let list = serde_json::from_slice(&held).map_err(|e| format!("a list that is none: {e}"))?;
-            let after = take_in(pool, &list, false)?;
-            heard(after);
-            timeout(first, send.ready()).await.map_err(late)?.map_err(|e| said(&e))?;
+            let after = take_in(&lists.next()?.ok_or("a list that is none")?)?;
+            by(opens, send.ready()).await?;
             after
         }
     };
-    let mut body = ask(&mut send, address, &format!("/catalog/members?watch=1&after={after}"), first).await?;
-    let mut held = BytesMut::new();
-    let mut patience = first;
-    // A line that the connection's end cut off stays in `held` and is never taken for a whole one.
-    while let Some(frame) = timeout(patience, body.frame()).await.map_err(late)? {
-        patience = SILENT;
-        if let Ok(data) = frame.map_err(|e| said(&e))?.into_data() {
-            held.extend_from_slice(&data);
-        }
-        while let Some(end) = held.iter().position(|b| *b == b'\n') {
-            let line = held.split_to(end + 1);
-            if !line.trim_ascii().is_empty() {
-                let list =
-                    serde_json::from_slice(&line).map_err(|e| format!("a line that is no list: {e}"))?;
-                heard(take_in(pool, &list, false)?);
-            }
+    let mut body = ask(&mut send, address, &format!("/catalog/members?watch=1&after={after}"), opens).await?;
+    let mut lists = Lists::default();
+    let mut until = opens;
+    // What the connection's end cut off stays in `lists` and is never taken for a whole one.
+    while let Some(data) = next(&mut body, until).await? {
+        lists.push(&data).inspect_err(|_| index.set(None))?;
+        while let Some(list) = lists.next().inspect_err(|_| index.set(None))? {
+            take_in(&list)?;
+            until = Instant::now() + SILENT;
         }
-        if held.len() > LINE_MOST {
-            return Err("a line without end".to_owned());
+        // An empty line tells that nothing has changed; half a change, however often more of it comes, tells nothing.
+        if lists.is_empty() {
+            until = Instant::now() + SILENT;
         }
     }
     Ok(())
 }
 
+/// What comes of it in time.
+async fn by<T, E: std::fmt::Display>(
+    until: Instant, of: impl Future<Output = Result<T, E>>,
+) -> Result<T, String> {
+    timeout_at(until, of).await.map_err(|_| "nothing comes".to_owned())?.map_err(|e| e.to_string())
+}
+
+/// The next piece of a body; `None` at its end.
+async fn next(body: &mut Incoming, until: Instant) -> Result<Option<Bytes>, String> {
+    loop {
+        let frame = timeout_at(until, body.frame()).await.map_err(|_| "nothing comes".to_owned())?;
+        match frame.transpose().map_err(|e| e.to_string())?.map(Frame::into_data) {
+            None => return Ok(None),
+            Some(Ok(data)) => return Ok(Some(data)),
+            // Trailers tell nothing.
+            Some(Err(_)) => {}
+        }
+    }
+}
+
+/// Lists one behind the other as they come: JSON objects, on a line each or indented, cut anywhere.
+///
+/// Guards against a service that writes for people, and against one that writes what is no list, or without end. Harm: a
+/// list of more than `LIST_MOST` bytes can't be followed.
+#[derive(Default)]
+pub struct Lists {
+    held: BytesMut,
+    /// How much was here when half a list was last read in vain.
+    vain: usize,
+}
+
+impl Lists {
+    /// Takes what has come.
+    ///
+    /// # Errors
+    /// If it is too much for a list, or can begin none.
+    pub fn push(&mut self, data: &[u8]) -> Result<(), String> {
+        self.held.extend_from_slice(data);
+        self.skip();
+        match self.held.first() {
+            Some(b) if *b != b'{' => Err("what comes is no list".to_owned()),
+            _ if self.held.len() > LIST_MOST => Err("a list without end".to_owned()),
+            _ => Ok(()),
+        }
+    }
+
+    /// The next list that is whole.
+    ///
+    /// # Errors
+    /// If what is here can become none.
+    pub fn next(&mut self) -> Result<Option<Value>, String> {
+        // One that comes in many pieces is not read anew with each: when it may have ended, or half as much more is here.
+        let ends = self.held.trim_ascii_end().last() == Some(&b'}');
+        if self.held.is_empty() || (!ends && 2 * self.held.len() < 3 * self.vain) {
+            return Ok(None);
+        }
+        let mut values = serde_json::Deserializer::from_slice(&self.held).into_iter::<Value>();
+        let (value, end) = (values.next(), values.byte_offset());
+        match value {
+            Some(Ok(value)) => {
+                self.held.advance(end);
+                self.vain = 0;
+                self.skip();
+                Ok(Some(value))
+            }
+            Some(Err(e)) if !e.is_eof() => Err(format!("what comes is no list: {e}")),
+            _ => {
+                self.vain = self.held.len();
+                Ok(None)
+            }
+        }
+    }
+
+    /// Whether nothing of a list is here.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    fn skip(&mut self) {
+        let blank = self.held.len() - self.held.trim_ascii_start().len();
+        self.held.advance(blank);
+    }
+}
+
 /// Asks for `path`; the body of an answer 200 is all that is of use.
 async fn ask(
-    send: &mut SendRequest<Empty<Bytes>>, address: SocketAddr, path: &str, within: Duration,
+    send: &mut SendRequest<Empty<Bytes>>, address: SocketAddr, path: &str, until: Instant,
 ) -> Result<Incoming, String> {
     let request = Request::get(path).header("host", address.to_string()).body(Empty::new());
     let request = request.map_err(|e| e.to_string())?;
-    let answer = timeout(within, send.send_request(request)).await.map_err(|_| "nothing comes".to_owned())?;
-    let answer = answer.map_err(|e| e.to_string())?;
+    let answer = by(until, send.send_request(request)).await?;
     if answer.status() != StatusCode::OK {
         return Err(format!("answered {}", answer.status()));
     }
