The late connection to discovery is forced so that the test fails without the one deadline

The stand-in gave its silent connection back to the node by reading one byte of the call that had come, so that the test was green on the code before. It reads the call, and sends its head late: each part in a time that could be borne alone.

--- a/crates/rig/tests/discovery.rs
+++ b/crates/rig/tests/discovery.rs
@@ -170,7 +170,13 @@
         // The way is free now, but the system tries again only when a second has passed.
         drop((listener.accept().unwrap(), filler));
         let (mut late, _) = listener.accept().unwrap();
-        std::thread::spawn(move || silence(&mut late));
+        std::thread::spawn(move || {
+            Message::read(&mut BufReader::new(late.try_clone().unwrap()));
+            // Each part comes in a time that could be borne alone.
+            std::thread::sleep(Duration::from_millis(1200));
+            let _ = late.write_all(WATCHES.as_bytes());
+            silence(&mut late)
+        });
         for mut stream in listener.incoming().map_while(Result::ok) {
             let second = second.clone();
             std::thread::spawn(move || {
