--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -543,12 +543,6 @@
         self.pools.borrow_mut().insert(id, Rc::downgrade(pool));
     }
 
-    /// How many pools are known.
-    #[cfg(test)]
-    pub fn pools(&self) -> usize {
-        self.pools.borrow().len()
-    }
-
     /// Whether what one pool's list says concerns others.
     pub fn parts(&self) -> bool {
         self.limits.is_some()
@@ -589,3 +583,6 @@
         self.peers().into_iter().for_each(Peer::tick);
     }
 }
+
+#[cfg(test)]
+mod tests;
