--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use reelfall_core::interface::{Outcome, RequestId, ServerId, Time};
 use reelfall_routes::budget::Denied;
+use reelfall_routes::keep_alive::KeepAlive;
 use reelfall_routes::limits::Member;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -142,6 +143,8 @@
     send: SendRequest<Sending>,
     socket: Rc<Socket>,
     since: Instant,
+    /// It has brought an answer.
+    used: bool,
     server: ServerId,
     address: SocketAddr,
     generation: u64,
@@ -175,21 +178,23 @@
     member: Option<Member>,
     /// Whoever waits for a connection looks again.
     freed: Notify,
-    idle: Duration,
+    keep_alive: Cell<KeepAlive>,
+    /// When idle connections were looked through last.
+    looked: Cell<Instant>,
     connect_within: Duration,
 }
 
 impl Upstream {
     /// No connections yet.
     pub fn new(shared: Rc<Shared>, member: Option<Member>, conn_idle: Time, connect_timeout: Time) -> Self {
-        let idle = Duration::try_from_secs_f64(conn_idle * IDLE_PART).unwrap_or(Duration::MAX);
         Upstream {
             pools: RefCell::default(),
             generations: Cell::new(0),
             shared,
             member,
             freed: Notify::new(),
-            idle,
+            keep_alive: Cell::new(KeepAlive::new(conn_idle * IDLE_PART)),
+            looked: Cell::new(Instant::now()),
             connect_within: Duration::try_from_secs_f64(connect_timeout).unwrap_or_default(),
         }
     }
@@ -202,19 +207,35 @@
     /// Closes what has stood idle for too long or was closed from the other side.
     pub fn retire(&self) {
         let now = Instant::now();
+        let mut keep_alive = self.keep_alive.get();
+        keep_alive.tick((now - self.looked.replace(now)).as_secs_f64());
+        self.keep_alive.set(keep_alive);
+        let idle = self.idle();
         for pool in self.pools.borrow_mut().values_mut() {
-            pool.idle.retain(|c| now - c.since < self.idle && !c.send.is_closed() && c.socket.quiet());
+            pool.idle.retain(|c| now - c.since < idle && !c.send.is_closed() && c.socket.quiet());
         }
     }
 
+    /// How long an idle connection is kept now.
+    fn idle(&self) -> Duration {
+        Duration::try_from_secs_f64(self.keep_alive.get().seconds()).unwrap_or(Duration::MAX)
+    }
+
+    /// A server has turned a new connection away.
+    fn turned_away(&self) {
+        let mut keep_alive = self.keep_alive.get();
+        keep_alive.turned_away();
+        self.keep_alive.set(keep_alive);
+    }
+
     fn take(&self, server: ServerId) -> Option<Connection> {
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&server)?;
-        let mut at = pool.idle.len();
+        let (mut at, idle) = (pool.idle.len(), self.idle());
         while at > 0 {
             at -= 1;
             let c = pool.idle.get(at)?;
-            if c.send.is_closed() || c.since.elapsed() >= self.idle || !c.socket.quiet() {
+            if c.send.is_closed() || c.since.elapsed() >= idle || !c.socket.quiet() {
                 pool.idle.remove(at);
             } else if c.send.is_ready() {
                 return Some(pool.idle.remove(at));
@@ -227,7 +248,7 @@
         if connection.send.is_closed() {
             return;
         }
-        connection.since = Instant::now();
+        (connection.since, connection.used) = (Instant::now(), true);
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(&connection.server).filter(|p| p.generation == connection.generation);
         if let Some(pool) = pool {
@@ -317,7 +338,17 @@
         let _ = connection.await;
     });
     let task = task.abort_handle();
-    Some(Connection { send, socket, since: Instant::now(), server, address, generation, task, _open: open })
+    Some(Connection {
+        send,
+        socket,
+        since: Instant::now(),
+        used: false,
+        server,
+        address,
+        generation,
+        task,
+        _open: open,
+    })
 }
 
 /// The limits of an attempt.
@@ -461,6 +492,12 @@
         status if judge.is_some_and(|j| j.may_answer(status)) => Outcome::Delivered,
         _ => Outcome::Error,
     };
+    let closes =
+        head.headers.get(header::CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
+    if outcome == Outcome::Shed && closes && !connection.used {
+        // The server has all the connections that it takes, and ends this one.
+        host.upstream().turned_away();
+    }
     if outcome != Outcome::Delivered {
         host.ended(id, number, outcome, None);
         return finish(host, connection, body).await;
@@ -469,8 +506,6 @@
     // none could tell a whole one from half of one. They may have run, and their connection is of no further use.
     // It ought to catch every answer that is not plainly framed; it does harm to servers that end an answer by
     // closing without having said so.
-    let closes =
-        head.headers.get(header::CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     let framed = body.size_hint().exact().is_some()
         || head.headers.contains_key(header::TRANSFER_ENCODING)
         || closes
--- a/crates/rig/tests/endings.rs
+++ b/crates/rig/tests/endings.rs
@@ -6,6 +6,7 @@
 };
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
 use std::sync::{Arc, Barrier, Mutex};
 use std::time::{Duration, Instant};
 
@@ -217,3 +218,37 @@
         }
     }
 }
+
+#[test]
+fn a_server_that_turns_new_connections_away_gets_idle_ones_back_sooner() {
+    let (held, hold) = (Arc::new(Barrier::new(2)), Arc::new(Barrier::new(2)));
+    let (at, until) = (held.clone(), hold.clone());
+    let (told, gone) = channel();
+    let told = Mutex::new(told);
+    let server = serve(move |mut stream, number| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let Some(request) = Message::read(&mut reader) else { return };
+        if number > 0 {
+            let head = "HTTP/1.1 503 Service Unavailable\r\nx-unprocessed: 1\r\nconnection: close\r\n";
+            let _ = stream.write_all((head.to_owned() + "content-length: 0\r\n\r\n").as_bytes());
+            return;
+        }
+        at.wait();
+        until.wait();
+        let _ = stream.write_all(&answer_to(&request));
+        let idle = Instant::now();
+        // It is the node that closes.
+        let _ = stream.read(&mut [0; 1]);
+        let _ = told.lock().unwrap().send(idle.elapsed());
+    });
+    let (_discovery, node) = before(server);
+    let mut first = connect(node.address);
+    first.write_all(read_request("held").as_bytes()).unwrap();
+    held.wait();
+    assert_eq!(get(node.address, "away").status, 503);
+    hold.wait();
+    assert_eq!(answer(&first).map(|g| g.status), Some(200));
+    // Idle connections are kept for 4 s where none is turned away.
+    let kept = gone.recv_timeout(PATIENCE).unwrap();
+    assert!(kept < Duration::from_secs(3), "{kept:?}");
+}
--- a/crates/routes/src/lib.rs
+++ b/crates/routes/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod common;
 
+pub mod keep_alive;
 pub mod limits;
 pub mod rate;
 pub mod table;
