Discovery that refuses calls is called less and less again; only silence is followed at once

Seen: the clean run of the whole suite was red, a_discovery_that_refuses_everyone_is_called_less_and_less_and_the_list_stays: 41 calls in four seconds, under 25 wanted. The test is right.

Change: a watch says why it ended (Fault::Silent or Fault::Said).

--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -13,6 +13,7 @@
 use reelfall_core::settings::Listed;
 use serde_json::Value;
 use std::cell::Cell;
+use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -35,8 +36,8 @@
 // answered within 1 s. After a new address: 1.5 + 1.5 s, of the 4 s that count there.
 //
 // Where lists are pushed, what the agent hears when discovery is back counts at once, with no more than the grace for
-// drains to hear of it. So nothing rests in between: a connection waits there all the time but for `CONNECTS` and
-// `BACKOFF_MOST`, and what has waited long begins anew at once.
+// drains to hear of it. So nothing rests in between while it is silent: a connection waits there all the time but for
+// `CONNECTS`, and what has waited in vain begins anew at once. Who refuses calls is called less and less.
 
 /// A watch says something every 2 s; one that has said nothing whole for this long is broken.
 const SILENT: Duration = Duration::from_millis(2500);
@@ -46,9 +47,9 @@
 const CONNECTS: Duration = Duration::from_millis(150);
 /// The same where calls wait in turn: the service gives up on those that wait for 2 s.
 const OPENS_ASKED: Duration = Duration::from_secs(3);
-/// Backoff from the beginning of one watch to that of the next: the first, and the longest.
+/// Backoff from the beginning of one watch to that of the next: the first, and the longest while calls are refused.
 const BACKOFF: Duration = Duration::from_millis(50);
-const BACKOFF_MOST: Duration = Duration::from_millis(100);
+const BACKOFF_MOST: Duration = Duration::from_millis(800);
 /// Longest change of a watch, and the longest whole list, in bytes.
 const LIST_MOST: usize = 4 << 20;
 
@@ -146,7 +147,7 @@
                 continue;
             }
         };
-        if let Err(fault) = ended {
+        if let Err(fault) = &ended {
             pool.shared.log.say(format_args!("discovery: {fault}"));
         }
         if !pool.pushed() {
@@ -154,7 +155,8 @@
             pool.members(ListKind::Failed, Vec::new());
             continue;
         }
-        backoff = if index.get() == before { (backoff * 2).min(BACKOFF_MOST) } else { BACKOFF };
+        let refused = index.get() == before && !matches!(ended, Err(Fault::Silent));
+        backoff = if refused { (backoff * 2).min(BACKOFF_MOST) } else { BACKOFF };
         // Watches end for many nodes at once: they must not come back in step.
         let rest = tokio::time::sleep_until(began + backoff.mul_f64(0.5 + pool.chance.fraction()));
         tokio::select! {
@@ -167,9 +169,32 @@
     }
 }
 
+/// Why a watch has ended.
+enum Fault {
+    /// Nothing came in time.
+    Silent,
+    /// What came, or its end.
+    Said(String),
+}
+
+impl From<String> for Fault {
+    fn from(said: String) -> Self {
+        Fault::Said(said)
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::Silent => f.write_str("nothing comes"),
+            Fault::Said(said) => f.write_str(said),
+        }
+    }
+}
+
 async fn watch(
     pool: &Rc<Pool>, address: SocketAddr, index: &Cell<Option<u64>>, name: &str,
-) -> Result<(), String> {
+) -> Result<(), Fault> {
     let take_in = |list: &Value| {
         // What can't be used is not asked for again in the same way, for ever: the whole list heals it.
         let new = take_in(pool, list, false).inspect_err(|_| index.set(None))?;
@@ -198,7 +223,7 @@
             while let Some(data) = next(&mut body, opens).await? {
                 lists.push(&data)?;
             }
-            let after = take_in(&lists.next()?.ok_or("a list that is none")?)?;
+            let after = take_in(&lists.next()?.ok_or_else(|| "a list that is none".to_owned())?)?;
             by(opens, send.ready()).await?;
             after
         }
@@ -224,14 +249,14 @@
 /// What comes of it in time.
 async fn by<T, E: std::fmt::Display>(
     until: Instant, of: impl Future<Output = Result<T, E>>,
-) -> Result<T, String> {
-    timeout_at(until, of).await.map_err(|_| "nothing comes".to_owned())?.map_err(|e| e.to_string())
+) -> Result<T, Fault> {
+    timeout_at(until, of).await.map_err(|_| Fault::Silent)?.map_err(|e| Fault::Said(e.to_string()))
 }
 
 /// The next piece of a body; `None` at its end.
-async fn next(body: &mut Incoming, until: Instant) -> Result<Option<Bytes>, String> {
+async fn next(body: &mut Incoming, until: Instant) -> Result<Option<Bytes>, Fault> {
     loop {
-        let frame = timeout_at(until, body.frame()).await.map_err(|_| "nothing comes".to_owned())?;
+        let frame = timeout_at(until, body.frame()).await.map_err(|_| Fault::Silent)?;
         match frame.transpose().map_err(|e| e.to_string())?.map(Frame::into_data) {
             None => return Ok(None),
             Some(Ok(data)) => return Ok(Some(data)),
@@ -308,12 +333,12 @@
 /// Asks for `path`; the body of an answer 200 is all that is of use.
 async fn ask(
     send: &mut SendRequest<Empty<Bytes>>, address: SocketAddr, path: &str, until: Instant,
-) -> Result<Incoming, String> {
+) -> Result<Incoming, Fault> {
     let request = Request::get(path).header("host", address.to_string()).body(Empty::new());
     let request = request.map_err(|e| e.to_string())?;
     let answer = by(until, send.send_request(request)).await?;
     if answer.status() != StatusCode::OK {
-        return Err(format!("answered {}", answer.status()));
+        return Err(Fault::Said(format!("answered {}", answer.status())));
     }
     Ok(answer.into_body())
 }
