--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`scenario`] | promises, kept or broken under load and faults |
 //! | [`demo`] | a node with its stand-ins, to be tried by hand |
 //! | [`measure`] | what the node costs |
+//! | [`scale`] | what the control side of a fleet costs as sizes grow |
 //! | [`scripted`] | peers of which each byte is told, in blocking code |
 
 pub mod client;
@@ -30,6 +31,7 @@
 pub mod ports;
 pub mod registry;
 pub mod relay;
+pub mod scale;
 pub mod scenario;
 pub mod scripted;
 
--- /dev/null
+++ b/crates/rig/src/scale/report.rs
@@ -0,0 +1,198 @@
+//! The figures of a scale run, as they are written to and read from JSON.
+
+use serde::{Deserialize, Serialize};
+
+/// Format of the JSON; readers refuse any other.
+pub const SCHEMA: u32 = 1;
+
+/// How large the system is that a run plays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    /// Nodes of the fleet.
+    pub nodes: usize,
+    /// Servers of all services together.
+    pub servers: usize,
+    /// Services.
+    pub services: usize,
+    /// Routes of all services together.
+    pub routes: usize,
+    /// Tenants of all services together.
+    pub tenants: usize,
+    /// Configuration changes a day.
+    pub changes: usize,
+    /// Server restarts a day.
+    pub restarts: usize,
+}
+
+impl Size {
+    /// The size that the system has to carry in two years.
+    pub const TARGET: Size = Size {
+        nodes: 6_000,
+        servers: 50_000,
+        services: 2_600,
+        routes: 74_000,
+        tenants: 560_000,
+        changes: 13_000,
+        restarts: 18_000,
+    };
+
+    /// The same size with one axis set to another value.
+    pub fn with(mut self, axis: Axis, value: usize) -> Size {
+        *self.axis_mut(axis) = value;
+        self
+    }
+
+    /// The value on an axis.
+    pub fn get(mut self, axis: Axis) -> usize {
+        *self.axis_mut(axis)
+    }
+
+    fn axis_mut(&mut self, axis: Axis) -> &mut usize {
+        match axis {
+            Axis::Nodes => &mut self.nodes,
+            Axis::Servers => &mut self.servers,
+            Axis::Services => &mut self.services,
+            Axis::Routes => &mut self.routes,
+            Axis::Tenants => &mut self.tenants,
+            Axis::Changes => &mut self.changes,
+            Axis::Restarts => &mut self.restarts,
+        }
+    }
+}
+
+/// One dimension of a [`Size`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Axis {
+    /// [`Size::nodes`].
+    Nodes,
+    /// [`Size::servers`].
+    Servers,
+    /// [`Size::services`].
+    Services,
+    /// [`Size::routes`].
+    Routes,
+    /// [`Size::tenants`].
+    Tenants,
+    /// [`Size::changes`].
+    Changes,
+    /// [`Size::restarts`].
+    Restarts,
+}
+
+/// What a run was played with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Source {
+    /// Control sides of nodes on loopback sockets, many in one process.
+    HollowNodes,
+    /// Processes of the program, which serve requests.
+    RealNodes,
+    /// The same code in virtual time.
+    VirtualTime,
+    /// One computation, such as reading a settings file.
+    Computation,
+}
+
+/// Traffic of one kind of message, for one node.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Traffic {
+    /// The kind, such as `gossip` or `list`.
+    pub kind: String,
+    /// Bytes received a second.
+    pub bytes_in: f64,
+    /// Bytes sent a second.
+    pub bytes_out: f64,
+    /// Messages received a second.
+    pub messages_in: f64,
+    /// Messages sent a second.
+    pub messages_out: f64,
+}
+
+/// What control costs one node, as a mean over the nodes of a run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PerNode {
+    /// Traffic by kind of message.
+    pub traffic: Vec<Traffic>,
+    /// Most bytes received and sent by any node within a second.
+    pub peak_bytes: f64,
+    /// Processor time, in seconds a second.
+    pub cpu: f64,
+    /// Memory, in bytes.
+    pub memory: f64,
+}
+
+/// A distribution of times, in seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Times {
+    /// Median.
+    pub p50: f64,
+    /// 99th percentile.
+    pub p99: f64,
+    /// The largest.
+    pub last: f64,
+}
+
+/// Times of requests through a real node, at rest and while the control side is loaded.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RequestTimes {
+    /// With nothing else to do.
+    pub at_rest: Times,
+    /// While changes arrive.
+    pub under_changes: Times,
+}
+
+/// One run at one size.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Run {
+    /// What it was about, such as `quiet`, `sweep` or the name of a worst moment.
+    pub name: String,
+    /// What it was played with.
+    pub source: Source,
+    /// How large it was.
+    pub size: Size,
+    /// How long it took, in seconds of its own clock.
+    pub seconds: f64,
+    /// What control cost each node.
+    pub per_node: PerNode,
+    /// Time until a change was in force at the nodes.
+    pub in_force: Option<Times>,
+    /// What requests felt of it.
+    pub requests: Option<RequestTimes>,
+}
+
+/// A straight line through the figures of a sweep.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Slope {
+    /// The axis that was swept.
+    pub axis: Axis,
+    /// The figure, with its unit.
+    pub figure: String,
+    /// Sizes on the axis and the figure there.
+    pub points: Vec<(f64, f64)>,
+    /// The figure at zero.
+    pub intercept: f64,
+    /// Growth of the figure for one more on the axis.
+    pub slope: f64,
+    /// Standard error of the slope.
+    pub standard_error: f64,
+    /// The residuals show a bend: the line must not be extended.
+    pub bent: bool,
+}
+
+/// All figures of one invocation.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// [`SCHEMA`].
+    pub schema: u32,
+    /// The commit that was measured.
+    pub commit: String,
+    /// The seed of all draws.
+    pub seed: u64,
+    /// Cores of the machine.
+    pub cores: usize,
+    /// Single runs.
+    pub runs: Vec<Run>,
+    /// Lines through the sweeps.
+    pub slopes: Vec<Slope>,
+}
