Settings: reading and checking cost in proportion to the file, services up to 4,096

Cause: the line of every item was counted from the file's start, and earlier servers, listeners, classes, registries and methods were looked through for each; the TOML tree took many times the text. Change: line starts with binary search, maps by name and address; a file is split by the TOML reader's own lexer into its services, read one by one. Bounds of their own for services (4,096), listeners, classes (256) and members of a service (65,535, what a tenant's number holds).

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -20,5 +20,8 @@
     let name = path.display().to_string();
     let text = std::fs::read_to_string(path)
         .map_err(|e| Faults(vec![Fault { origin: model::Origin::file(&name), mistake: e.to_string() }]))?;
-    check(reader::toml(&name, &text)?)
+    let model = reader::toml(&name, &text)?;
+    // The model holds nothing of the text, and the check takes memory of its own.
+    drop(text);
+    check(model)
 }
--- a/crates/conf/src/reader/fleet.rs
+++ b/crates/conf/src/reader/fleet.rs
@@ -1,6 +1,6 @@
 //! The parts of a file that concern a fleet and its operators.
 
-use super::{share, AddressText, TimeText};
+use super::values::{share, AddressText, TimeText};
 use crate::model::{Call, Fleet, Leases, Management};
 use reelfall_fleet::fleet::Rules;
 use reelfall_fleet::judge::Quorum;
--- /dev/null
+++ b/crates/conf/tests/bounds.rs
@@ -0,0 +1,54 @@
+//! How many of everything a file may have.
+
+mod common;
+
+use common::*;
+use reelfall_conf::check::{check, CLASSES_MOST, LISTENERS_MOST, MEMBERS_MOST, ROUTES_MOST, SERVICES_MOST};
+use reelfall_conf::reader;
+use reelfall_core::interface::{ClassId, TenantId};
+use reelfall_routes::table::ListenerId;
+
+fn faults(text: &str) -> Vec<String> {
+    let read = reader::toml("f.toml", text).and_then(check);
+    read.err().map(|f| f.0.iter().map(ToString::to_string).collect()).unwrap_or_default()
+}
+
+/// As many as the bound are taken, and one more is refused.
+#[track_caller]
+fn bounded(most: usize, file: impl Fn(usize) -> String, refusal: &str) {
+    assert_eq!(faults(&file(most)), Vec::<String>::new());
+    assert_eq!(faults(&file(most + 1)), [refusal]);
+}
+
+#[test]
+fn services() {
+    const { assert!(SERVICES_MOST >= 2_600) };
+    let file = |n| LISTENER.to_owned() + &times(n, whole_service);
+    bounded(SERVICES_MOST, file, "f.toml: 4097 services, 4096 at most");
+}
+
+#[test]
+fn listeners() {
+    let file = |n| times(n, listener) + &whole_service(0);
+    bounded(LISTENERS_MOST, file, "f.toml: 257 listeners, 256 at most");
+}
+
+#[test]
+fn classes_of_a_service() {
+    let file = |n| LISTENER.to_owned() + &service("a") + &times(n, class) + &route(0, "");
+    bounded(CLASSES_MOST, file, "f.toml:4: service `a` has 257 classes, 256 at most");
+}
+
+#[test]
+fn members_of_a_service() {
+    let file = |n| LISTENER.to_owned() + &service("a") + CLASS + &route(0, "") + &times(n, member);
+    bounded(MEMBERS_MOST, file, "f.toml:4: service `a` has 65536 members, 65535 at most");
+}
+
+#[test]
+fn the_numbers_of_things_hold_as_many_as_there_may_be() {
+    assert!(ListenerId::try_from(LISTENERS_MOST).is_ok());
+    assert!(ClassId::try_from(CLASSES_MOST).is_ok());
+    assert!(TenantId::try_from(MEMBERS_MOST).is_ok());
+    const { assert!(ROUTES_MOST >= 74_000) };
+}
