A reload reads on a thread of its own, and touches only the services that changed

SIGHUP read, checked and compared the settings file in the thread that serves: a large file stopped every request. A thread of its own reads, checks and compares it with the plan in force; what is the same is shared between both, so that the serving thread compares pointers, swaps the table and works on changed services alone. Files of proofs of registries are read there too, and old plans freed. What is read after SIGTERM is left: it would open listeners again.

--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -517,10 +517,13 @@
                         drop(routing);
                         self.pass(chosen, head, body, &client).await
                     }
-                    Err(response) => match discard(body).await {
-                        Ok(()) => *response,
-                        Err(response) => response,
-                    },
+                    Err(response) => {
+                        drop(routing);
+                        match discard(body).await {
+                            Ok(()) => *response,
+                            Err(response) => response,
+                        }
+                    }
                 },
             },
         };
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -4,25 +4,29 @@
 use super::discovery;
 use super::operations::GraphQl;
 use super::pool::{Missing, Pool};
-use super::registry::{Registry, Way};
+use super::registry::Registry;
 use super::shared::Shared;
 use reelfall_conf::model;
-use reelfall_conf::Plan;
 use reelfall_core::engine::Place;
-use reelfall_core::interface::{ClassId, ListKind, ServerState, Time};
+use reelfall_core::interface::{ClassId, ListKind, Time};
 use reelfall_core::settings::Listed;
 use reelfall_graphql::persisted::Persisted;
 use reelfall_routes::limits::{Allowed, Member};
 use reelfall_routes::table::Query;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 
+pub mod prepared;
+
+use prepared::{same, Parts, PoolKey, Prepared, Terms, Written};
+
 /// A node that knows servers from before waits this long for newer news before it serves.
 const NEWS_WITHIN: Duration = Duration::from_secs(1);
 
@@ -47,16 +51,9 @@
     }
 }
 
-/// A server of a list that somebody wrote, and since when it has been taking requests: 0 for long ago.
-#[derive(Clone, PartialEq)]
-pub struct Written {
-    server: model::Server,
-    since: Time,
-}
-
 /// A list that somebody wrote, in the form that was written last.
 pub struct Static {
-    pub list: watch::Receiver<Vec<Written>>,
+    pub list: watch::Receiver<Arc<Vec<Written>>>,
 }
 
 impl Source for Static {
@@ -142,74 +139,21 @@
     /// What its requests are, if they are not plain ones.
     pub graphql: RefCell<Option<Rc<GraphQl>>>,
     told: Told,
-    /// What the pool was made from.
-    key: Option<PoolKey>,
+    /// What the pool was made from, if that is a settings file.
+    key: Option<Arc<PoolKey>>,
+    /// What is in force of all that can change under the pool.
+    terms: RefCell<Option<Arc<Terms>>>,
     _follow: AbortOnDrop,
 }
 
 /// How a source is told of changes in the settings.
 enum Told {
     /// The list of a static source.
-    Static(watch::Sender<Vec<Written>>),
+    Static(watch::Sender<Arc<Vec<Written>>>),
     /// Nothing, or somebody else does.
     Nothing,
 }
 
-/// All that a pool is made from: as long as this stays, the pool stays, with all that it has learned.
-#[derive(Clone, PartialEq)]
-struct PoolKey {
-    source: SourceKey,
-    tries: model::Tries,
-    cold: model::Cold,
-    classes: Vec<model::At<model::Class>>,
-    members: Vec<model::At<model::Member>>,
-    zone: Option<String>,
-    nodes: u32,
-}
-
-#[derive(Clone, PartialEq)]
-enum SourceKey {
-    Static,
-    Discovery(SocketAddr),
-    Registry(Box<(Option<model::Registry>, model::Followed)>),
-}
-
-impl SourceKey {
-    fn of(model: &model::Model, source: &model::Source) -> Self {
-        match source {
-            model::Source::Static(_) => SourceKey::Static,
-            model::Source::Discovery(address) => SourceKey::Discovery(*address),
-            model::Source::Registry(followed) => {
-                let registry = registry(model, followed).map(|r| {
-                    // What concerns the node's own entry alone leaves the pool as it is.
-                    model::Registry { entry: None, ..r.clone() }
-                });
-                SourceKey::Registry(Box::new((registry, followed.clone())))
-            }
-        }
-    }
-}
-
-/// The registry that a service follows.
-fn registry<'a>(model: &'a model::Model, followed: &model::Followed) -> Option<&'a model::Registry> {
-    model.registries.iter().find(|r| r.name == followed.registry).map(|r| &r.value)
-}
-
-impl PoolKey {
-    fn of(model: &model::Model, service: &model::Service) -> Self {
-        let process = &model.process;
-        PoolKey {
-            source: SourceKey::of(model, &service.source),
-            tries: service.tries,
-            cold: service.cold,
-            classes: service.classes.clone(),
-            members: service.members.clone(),
-            zone: process.zone.clone(),
-            nodes: process.nodes,
-        }
-    }
-}
-
 impl Service {
     /// The one service of a node on its platform.
     pub fn alone(pool: Rc<Pool>, follow: AbortOnDrop) -> Rc<Self> {
@@ -222,30 +166,28 @@
             graphql: RefCell::default(),
             told: Told::Nothing,
             key: None,
+            terms: RefCell::default(),
             _follow: follow,
         })
     }
 
     fn start(
-        shared: &Rc<Shared>, plan: &Plan, service: &model::Service, seed: u64, member: Option<Member>,
-        since: &Since,
+        shared: &Rc<Shared>, prepared: &Prepared, service: &model::Service, parts: &Parts, seed: u64,
+        member: Option<Member>,
     ) -> Result<Rc<Self>, String> {
-        let (settings, names, figures) = plan.settings(service);
+        let (settings, names, figures) = prepared.plan.settings(service);
         let missing = match service.source {
             model::Source::Static(_) => Missing::Unused,
             model::Source::Discovery(_) | model::Source::Registry(_) => Missing::Ended,
         };
         let way = match &service.source {
-            model::Source::Registry(followed) => {
-                let registry = registry(&plan.model, followed).ok_or("no such registry")?;
-                Some(Way::of(registry)?)
-            }
+            model::Source::Registry(followed) => Some(prepared.way(&followed.registry)?.clone()),
             _ => None,
         };
         let pool = Pool::new(settings, names, figures, seed, missing, shared.clone(), member)?;
         let (follow, told) = match &service.source {
-            model::Source::Static(list) => {
-                let (sender, list) = watch::channel(written(list, since));
+            model::Source::Static(_) => {
+                let (sender, list) = watch::channel(parts.list.clone().unwrap_or_default());
                 (follow(&pool, Static { list }), Told::Static(sender))
             }
             model::Source::Discovery(address) => {
@@ -268,7 +210,8 @@
             retry_after: Cell::new(service.tries.retry_after),
             graphql: RefCell::new(graphql(service, None)?),
             told,
-            key: Some(PoolKey::of(&plan.model, service)),
+            key: Some(parts.key.clone()),
+            terms: RefCell::default(),
             _follow: follow,
         }))
     }
@@ -284,16 +227,37 @@
         (!self.pool.has_servers()).then_some("no server takes requests\n")
     }
 
-    fn tell(&self, service: &model::Service, since: &Since) {
-        if let (Told::Static(list), model::Source::Static(servers)) = (&self.told, &service.source) {
-            let new = written(servers, since);
-            list.send_if_modified(|old| {
-                let changed = *old != new;
-                *old = new;
+    /// Whether its pool is one that is made from this.
+    fn is_made_from(&self, key: &Arc<PoolKey>) -> bool {
+        self.key.as_ref().is_some_and(|own| same(own, key))
+    }
+
+    /// Tells the pool its list, if that has changed.
+    fn tell(&self, list: Option<&Arc<Vec<Written>>>) {
+        if let (Told::Static(told), Some(list)) = (&self.told, list) {
+            told.send_if_modified(|old| {
+                let changed = !same(old, list);
+                *old = list.clone();
                 changed
             });
         }
     }
+
+    /// Takes over what can change under its pool, if any of that has. `terms` are those of `service`.
+    fn set_terms(&self, shared: &Shared, service: &model::Service, terms: &Arc<Terms>) {
+        let old = self.terms.replace(Some(terms.clone()));
+        if old.is_some_and(|old| same(&old, terms)) {
+            return;
+        }
+        let known = self.graphql.borrow().as_ref().map(|g| g.persisted.clone());
+        // The plan was checked: what can't be made here can't be in it.
+        self.graphql.replace(graphql(service, known).unwrap_or_default());
+        self.draining.set(service.state == model::ServiceState::Draining);
+        self.retry_after.set(service.tries.retry_after);
+        if let Some(member) = self.member {
+            shared.allow(member, &service.allowed);
+        }
+    }
 }
 
 /// What a service needs to take GraphQL; the documents that it knows already are kept.
@@ -310,14 +274,6 @@
     })))
 }
 
-/// Since when the servers of static lists have been taking requests.
-type Since = HashMap<SocketAddr, Time>;
-
-fn written(list: &[model::At<model::Server>], since: &Since) -> Vec<Written> {
-    let since = |s: &model::Server| since.get(&s.address).copied().unwrap_or(0.0);
-    list.iter().map(|s| Written { server: s.value.clone(), since: since(s) }).collect()
-}
-
 /// Where a request goes.
 pub struct Found {
     pub service: Rc<Service>,
@@ -330,18 +286,24 @@
     /// All go to the one service.
     Alone(Rc<Service>),
     /// By the table.
-    Table(Box<Table>),
+    Table(Rc<Table>),
 }
 
+/// Takes a plan that is no longer in force, to free it where nobody waits for that.
+pub type Retire = Rc<dyn Fn(Arc<Prepared>)>;
+
 /// A plan and its services, in the same order.
 pub struct Table {
-    plan: Plan,
+    /// `None` before the first plan.
+    prepared: Option<Arc<Prepared>>,
     services: Vec<Rc<Service>>,
+    retire: Retire,
 }
 
 impl Table {
     pub fn find(&self, q: &Query) -> Option<Found> {
-        let goal = self.plan.goals.get(self.plan.table.get(q)?)?;
+        let plan = &self.prepared.as_ref()?.plan;
+        let goal = plan.goals.get(plan.table.get(q)?)?;
         Some(Found { service: self.services.get(goal.service)?.clone(), assign: goal.assign })
     }
 
@@ -350,6 +312,14 @@
     }
 }
 
+impl Drop for Table {
+    fn drop(&mut self) {
+        if let Some(prepared) = self.prepared.take() {
+            (self.retire)(prepared);
+        }
+    }
+}
+
 impl Routing {
     /// The longest time that a client waits, over all services.
     pub fn longest_deadline(&self) -> Duration {
@@ -365,57 +335,63 @@
 /// The services of a node with a file of its own, over all its reloads.
 pub struct Services {
     shared: Rc<Shared>,
-    current: RefCell<Vec<Rc<Service>>>,
+    current: RefCell<Rc<Table>>,
     /// Pools that are replaced or removed and have requests in hand still. Their sources are followed to the end, so
     /// that a drain is kept by what is left of them too.
     leaving: RefCell<Vec<Rc<Service>>>,
-    /// `None` before the first plan.
-    since: RefCell<Option<Since>>,
     seeds: Cell<u64>,
+    retire: Retire,
 }
 
 impl Services {
     /// No services yet. `seed` is for the choices of the modules.
-    pub fn new(shared: Rc<Shared>, seed: u64) -> Self {
+    pub fn new(shared: Rc<Shared>, seed: u64, retire: Retire) -> Self {
+        let none = Table { prepared: None, services: Vec::new(), retire: retire.clone() };
         Services {
             shared,
-            current: RefCell::default(),
+            current: RefCell::new(Rc::new(none)),
             leaving: RefCell::default(),
-            since: RefCell::default(),
             seeds: Cell::new(seed),
+            retire,
         }
     }
 
-    /// A list that is written by hand says nothing of starts. What the first plan lists counts as warm; what is added
-    /// later, or takes requests again after a drain, counts as started at that moment.
-    ///
-    /// Guards the rule on cold servers against servers that are started and written into the file. Harm: a warm
-    /// server that is added gets less than its part for as long as a start takes.
-    fn since(&self, plan: &Plan) -> Since {
-        let old = self.since.borrow();
-        let now = if old.is_some() { self.shared.clock.now() } else { 0.0 };
-        let lists = plan.model.services.iter().filter_map(|s| match &s.source {
-            model::Source::Static(list) => Some(list),
-            model::Source::Discovery(_) | model::Source::Registry(_) => None,
-        });
-        let up = lists.flatten().filter(|s| s.state == ServerState::Up);
-        let since = |a: SocketAddr| old.as_ref().and_then(|o| o.get(&a)).copied().unwrap_or(now);
-        up.map(|s| (s.address, since(s.address))).collect()
+    /// The plan that is in force, if there is one already.
+    pub fn in_force(&self) -> Option<Arc<Prepared>> {
+        self.current.borrow().prepared.clone()
     }
 
     /// Puts a plan in force, whole or not at all: what can fail is done before anything changes.
     ///
     /// # Errors
     /// Says what of the plan can't be used; everything is as it was.
-    pub fn apply(&self, plan: Plan) -> Result<Routing, String> {
-        let model = &plan.model;
-        let since = self.since(&plan);
-        let mut services = Vec::with_capacity(model.services.len());
+    pub fn apply(&self, prepared: Arc<Prepared>) -> Result<Routing, String> {
+        let services = self.start(&prepared)?;
+        // Nothing fails from here on.
+        let model = &prepared.plan.model;
+        self.shared.set_totals(prepared.plan.totals, model.process.server_connections);
+        for ((service, new), parts) in services.iter().zip(&model.services).zip(&prepared.services) {
+            service.set_terms(&self.shared, new, &parts.terms);
+            service.tell(parts.list.as_ref());
+        }
+        let retire = self.retire.clone();
+        let table = Rc::new(Table { prepared: Some(prepared), services, retire });
+        let old = self.current.replace(table.clone());
+        self.let_go(&old, &table);
+        self.tick();
+        Ok(Routing::Table(table))
+    }
+
+    /// The services of a plan: those that there are, where their pools stay, and new ones.
+    fn start(&self, prepared: &Prepared) -> Result<Vec<Rc<Service>>, String> {
+        let current = self.current.borrow().clone();
+        let by_name: HashMap<&str, &Rc<Service>> =
+            current.services.iter().map(|s| (s.name.as_str(), s)).collect();
+        let mut services = Vec::with_capacity(prepared.services.len());
         let mut joined = Vec::new();
-        for service in &model.services {
-            let old = self.current.borrow().iter().find(|s| s.name == service.name).cloned();
-            let key = PoolKey::of(model, service);
-            if let Some(old) = old.as_ref().filter(|old| old.key.as_ref() == Some(&key)) {
+        for (service, parts) in prepared.plan.model.services.iter().zip(&prepared.services) {
+            let old = by_name.get(service.name.as_str()).copied();
+            if let Some(old) = old.filter(|old| old.is_made_from(&parts.key)) {
                 services.push(old.clone());
                 continue;
             }
@@ -427,7 +403,7 @@
             });
             let seed = self.seeds.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
             self.seeds.set(seed);
-            match Service::start(&self.shared, &plan, service, seed, member, &since) {
+            match Service::start(&self.shared, prepared, service, parts, seed, member) {
                 Ok(new) => services.push(new),
                 Err(fault) => {
                     joined.into_iter().for_each(|member| self.shared.leave(member));
@@ -435,40 +411,28 @@
                 }
             }
         }
-        // Nothing fails from here on.
-        self.shared.set_totals(plan.totals, model.process.server_connections);
-        for (service, new) in services.iter().zip(&model.services) {
-            let kept = service.graphql.borrow().as_ref().map(|g| g.persisted.clone());
-            // The plan was checked: what can't be made here can't be in it.
-            service.graphql.replace(graphql(new, kept).unwrap_or_default());
-            service.draining.set(new.state == model::ServiceState::Draining);
-            service.retry_after.set(new.tries.retry_after);
-            service.tell(new, &since);
-            if let Some(member) = service.member {
-                self.shared.allow(member, &new.allowed);
-            }
-        }
-        let old = self.current.replace(services.clone());
-        for old in old {
-            if services.iter().any(|s| Rc::ptr_eq(s, &old)) {
-                continue;
-            }
-            match model.services.iter().find(|s| s.name == old.name) {
-                Some(new) => old.tell(new, &since),
+        Ok(services)
+    }
+
+    /// Services that are replaced or removed finish what they have.
+    fn let_go(&self, old: &Table, new: &Table) {
+        let stay: HashSet<*const Service> = new.services.iter().map(Rc::as_ptr).collect();
+        let parts = new.prepared.as_ref().map(|new| new.by_name()).unwrap_or_default();
+        for old in old.services.iter().filter(|s| !stay.contains(&Rc::as_ptr(s))) {
+            match parts.get(old.name.as_str()) {
+                Some(parts) => old.tell(parts.list.as_ref()),
                 // It keeps its place, but no reservations, until what it has taken is done.
                 None => old.member.into_iter().for_each(|member| self.shared.allow(member, &Allowed::OPEN)),
             }
-            self.leaving.borrow_mut().push(old);
+            self.leaving.borrow_mut().push(old.clone());
         }
-        self.since.replace(Some(since));
-        self.tick();
-        Ok(Routing::Table(Box::new(Table { plan, services })))
     }
 
     /// Every service that is not drained on purpose can serve.
     pub fn are_ready(&self) -> bool {
         let current = self.current.borrow();
-        !current.is_empty() && current.iter().all(|s| s.draining.get() || s.unready().is_none())
+        !current.services.is_empty()
+            && current.services.iter().all(|s| s.draining.get() || s.unready().is_none())
     }
 
     /// Lets pools go that have nothing in hand any more.
@@ -481,7 +445,8 @@
         };
         for service in done {
             let kept = |s: &Rc<Service>| s.member == service.member;
-            let used = self.current.borrow().iter().any(kept) || self.leaving.borrow().iter().any(kept);
+            let used =
+                self.current.borrow().services.iter().any(kept) || self.leaving.borrow().iter().any(kept);
             service.member.into_iter().filter(|_| !used).for_each(|member| self.shared.leave(member));
         }
     }
--- a/crates/node/src/net/service/tests.rs
+++ b/crates/node/src/net/service/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::net::pool::Pool;
-use reelfall_conf::{check, reader};
+use reelfall_conf::{check, reader, Plan};
 
 fn plan(text: &str) -> Plan {
     reader::toml("test", text).and_then(check).expect("a plan")
@@ -31,15 +31,29 @@
 }
 
 fn start(text: &str) -> (Rc<Shared>, Services, Vec<Rc<Service>>) {
+    start_with(text, Rc::new(drop))
+}
+
+fn start_with(text: &str, retire: Retire) -> (Rc<Shared>, Services, Vec<Rc<Service>>) {
     let plan = plan(text);
     let shared = Shared::parted(plan.totals, None);
-    let services = Services::new(shared.clone(), 7);
+    let services = Services::new(shared.clone(), 7, retire);
     let now = apply(&services, text);
     (shared, services, now)
 }
 
+/// What is costly is done on another thread, as in a node.
+fn prepare(services: &Services, text: &str) -> Arc<Prepared> {
+    let (plan, before, now) = (plan(text), services.in_force(), services.shared.clock.now());
+    let preparing = std::thread::spawn(move || match before {
+        Some(before) => Prepared::after(plan, &before, now),
+        None => Prepared::first(plan),
+    });
+    preparing.join().expect("a plan")
+}
+
 fn apply(services: &Services, text: &str) -> Vec<Rc<Service>> {
-    match services.apply(plan(text)) {
+    match services.apply(prepare(services, text)) {
         Ok(Routing::Table(table)) => table.services().to_vec(),
         _ => panic!("the plan is not put in force"),
     }
@@ -100,8 +114,8 @@
     local(async {
         let (_shared, services, _first) = start(&text(&[service("a", &[("a1", 1)])]));
         let since = |address: u16| {
-            let since = services.since.borrow();
-            since.as_ref().and_then(|s| s.get(&SocketAddr::from(([127, 0, 0, 1], address))).copied())
+            let address = SocketAddr::from(([127, 0, 0, 1], address));
+            services.in_force().and_then(|plan| plan.since.get(&address).copied())
         };
         assert_eq!(since(1), Some(0.0));
         let two = service("a", &[("a1", 1), ("a2", 2)]);
@@ -138,3 +152,99 @@
     })
     .await;
 }
+
+/// A service's list, as its pool will hear of it.
+fn heard(service: &Service) -> watch::Receiver<Arc<Vec<Written>>> {
+    match &service.told {
+        Told::Static(told) => told.subscribe(),
+        Told::Nothing => panic!("the list does not come from the file"),
+    }
+}
+
+#[tokio::test]
+async fn a_service_that_did_not_change_is_not_touched() {
+    local(async {
+        let graphql = "[service.graphql]\nother_query = \"c\"\nother_mutation = \"w\"\n\
+             [[service.class]]\nname = \"w\"\nrepeat = \"unsafe\"\naim = \"100ms\"\ndeadline = \"1s\"\n";
+        let a = service("a", &[("a1", 1), ("a2", 2)])
+            .replace("[[service.route]]", &format!("{graphql}[[service.route]]"));
+        let b = service("b", &[("b1", 3)]);
+        let (_shared, services, first) = start(&text(&[a.clone(), b.clone()]));
+        let list = heard(&first[0]);
+        let parsed = first[0].graphql.borrow().clone().expect("settings of GraphQL");
+        let terms = first[0].terms.borrow().clone().expect("terms");
+        // The neighbour's routes, limits, list and classes change, and all lines move.
+        let further = "[[service.route]]\nhost = \"more.example.org\"\n";
+        let routed = format!("{b}{further}");
+        let limited = b.replace("[[service.class]]", "limits = { open = 7 }\n[[service.class]]");
+        let listed = service("b", &[("b1", 3), ("b2", 4)]);
+        let remade = b.replace("\"1s\"", "\"2s\"");
+        for b in [routed, limited, listed, remade] {
+            let now = apply(&services, &text(&[b, a.clone()]));
+            assert!(Rc::ptr_eq(&first[0], &now[1]));
+            assert!(!list.has_changed().expect("the list is told still"), "told its list anew");
+            assert!(now[1].graphql.borrow().as_ref().is_some_and(|g| Rc::ptr_eq(g, &parsed)));
+            assert!(now[1].terms.borrow().as_ref().is_some_and(|t| Arc::ptr_eq(t, &terms)));
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn a_change_of_a_list_or_of_terms_reaches_its_service() {
+    local(async {
+        let a = service("a", &[("a1", 1)]);
+        let (_shared, services, first) = start(&text(std::slice::from_ref(&a)));
+        let mut list = heard(&first[0]);
+        let two = service("a", &[("a1", 1), ("a2", 2)]);
+        apply(&services, &text(std::slice::from_ref(&two)));
+        assert!(list.has_changed().expect("the list is told still"));
+        assert_eq!(list.borrow_and_update().len(), 2);
+        let draining = two.replace("[[service.class]]", "state = \"draining\"\n[[service.class]]");
+        apply(&services, &text(&[draining]));
+        assert!(first[0].draining.get());
+        assert!(!list.has_changed().expect("the list is told still"));
+        apply(&services, &text(&[two]));
+        assert!(!first[0].draining.get());
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn plans_no_longer_in_force_are_freed_by_whoever_is_to_free_them() {
+    local(async {
+        let retired: Rc<RefCell<Vec<Arc<Prepared>>>> = Rc::default();
+        let freeing = retired.clone();
+        let a = service("a", &[("a1", 1)]);
+        let (_shared, services, _first) =
+            start_with(&text(std::slice::from_ref(&a)), Rc::new(move |plan| freeing.borrow_mut().push(plan)));
+        assert!(retired.borrow().is_empty());
+        for n in 1..=3 {
+            let changed = format!("{a}[[service.route]]\nhost = \"more{n}.example.org\"\n");
+            apply(&services, &text(&[changed]));
+            assert_eq!(retired.borrow().len(), n);
+        }
+        assert!(retired.borrow_mut().iter_mut().all(|plan| Arc::get_mut(plan).is_some()), "held elsewhere");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn what_can_not_be_put_in_force_leaves_all_as_it_was() {
+    local(async {
+        let a = service("a", &[("a1", 1)]);
+        let (shared, services, first) = start(&text(std::slice::from_ref(&a)));
+        let before = services.in_force().expect("a plan");
+        let registry = "[[registry]]\nname = \"r\"\nmembers = [\"127.0.0.1:1\"]\ndigest_file = \"/none\"\n";
+        let changed = a.replace("[[service.class]]", "state = \"draining\"\n[[service.class]]");
+        let follower = service("z", &[])
+            .replace("[[service.class]]", "registry = { name = \"r\", path = \"/z\" }\n[[service.class]]");
+        let wrong = HEAD.to_owned() + registry + &changed + &follower;
+        let fault = services.apply(prepare(&services, &wrong)).err();
+        assert!(fault.is_some_and(|fault| fault.contains("service `z`") && fault.contains("/none")));
+        assert!(services.in_force().is_some_and(|now| Arc::ptr_eq(&now, &before)));
+        assert!(!first[0].draining.get());
+        assert_eq!(shared.pools(), 1);
+    })
+    .await;
+}
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -5,13 +5,14 @@
 use crate::net::front::{Front, Listening};
 use crate::net::management::{Desk, Management};
 use crate::net::registry::{Entered, Way};
+use crate::net::service::prepared::Prepared;
 use crate::net::service::Services;
 use crate::net::shared::Shared;
 use crate::platform::plain;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hyper::StatusCode;
-use reelfall_conf::model::{At, Model, NodeEntry, Registry};
-use reelfall_conf::{reader, Plan};
+use reelfall_conf::model::{self, NodeEntry};
+use reelfall_conf::Plan;
 use reelfall_membership::own;
 use reelfall_operations::fleet::FleetCall;
 use std::cell::{Cell, RefCell};
@@ -22,14 +23,16 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::{signal, SignalKind};
 
+mod reload;
+
+use reload::Reader;
+
 /// How often idle connections and pools that leave are looked through.
 const TICK_EVERY: Duration = Duration::from_millis(250);
-/// A file has to stay as it is for this long before it is taken for whole, and is waited for so many times.
-const SETTLES_IN: Duration = Duration::from_millis(30);
-const SETTLE_TRIES: u32 = 100;
 
 /// Serves by the file until SIGTERM.
 ///
@@ -73,27 +76,28 @@
     // Two starts must not share their choices.
     let seed = RandomState::new().hash_one(std::process::id());
     let shared = Shared::parted(plan.totals, plan.model.process.server_connections);
-    let services = Services::new(shared.clone(), seed);
+    let reader = Reader::start(path.to_owned(), shared.clock).map_err(|e| e.to_string())?;
+    let freeing = reader.clone();
+    let services = Services::new(shared.clone(), seed, Rc::new(move |plan| freeing.free(plan)));
     let began = (shared.clock.now() * 1e3) as u64;
     let (front, entries) = (RefCell::default(), RefCell::default());
     let leaving = Cell::new(false);
-    let model = plan.model.clone();
+    let (fleet, calls) = (plan.model.fleet.clone(), plan.model.management.clone());
     let node = Rc::new(Node { shared, services, entries, leaving, began, front, seed });
-    let together = model.fleet.as_ref().map(|f| Together::open(&node.shared, f)).transpose()?;
-    let front = node.apply(plan)?;
-    let management = model.management.as_ref().map(|m| own_socket(m.address)).transpose()?;
+    let together = fleet.as_ref().map(|f| Together::open(&node.shared, f)).transpose()?;
+    let front = node.apply(Prepared::first(plan))?;
+    let management = calls.as_ref().map(|m| own_socket(m.address)).transpose()?;
     announce(&front, management.as_ref(), together.as_deref());
     if let Some(together) = &together {
         node.shared.tell_of_attempts(together.clone());
         tokio::task::spawn_local(together.clone().run());
     }
-    let leases =
-        match model.fleet.as_ref().and_then(|f| f.leases.as_ref().map(|l| (f, l))).zip(together.as_ref()) {
-            Some(((fleet, settings), together)) => Some(Leases::start(together, fleet, settings)?),
-            None => None,
-        };
-    if let Some(listener) = management {
-        manage(&node, &model, listener, together.as_ref(), leases.clone())?;
+    let leases = match fleet.as_ref().and_then(|f| f.leases.as_ref().map(|l| (f, l))).zip(together.as_ref()) {
+        Some(((fleet, settings), together)) => Some(Leases::start(together, fleet, settings)?),
+        None => None,
+    };
+    if let Some((listener, settings)) = management.zip(calls.as_deref()) {
+        manage(&node, settings, fleet.as_deref(), listener, together.as_ref(), leases.clone())?;
     }
     let ticking = node.clone();
     tokio::task::spawn_local(async move {
@@ -106,11 +110,11 @@
             }
         }
     });
-    let (reloading, path) = (node.clone(), path.to_owned());
+    let (reloading, name) = (node.clone(), path.display().to_string());
     tokio::task::spawn_local(async move {
         // Signals that come while a file is read are one more reading, however many they are.
         while hangup.recv().await.is_some() {
-            reloading.reload(&path).await;
+            reloading.reload(&reader, &name).await;
         }
     });
     let stop = async {
@@ -135,15 +139,15 @@
 /// Answers operators' calls. Like the fleet it is from the start of the process to its end:
 /// what a reload says of them holds from the next start.
 fn manage(
-    node: &Rc<Node>, model: &Model, listener: std::net::TcpListener, together: Option<&Rc<Together>>,
-    leases: Option<Rc<Leases>>,
+    node: &Rc<Node>, settings: &model::Management, fleet: Option<&model::Fleet>,
+    listener: std::net::TcpListener, together: Option<&Rc<Together>>, leases: Option<Rc<Leases>>,
 ) -> Result<(), String> {
     let listener = tokio::net::TcpListener::from_std(listener).map_err(|e| e.to_string())?;
-    let name = model.fleet.as_ref().map_or("node", |fleet| &fleet.node);
+    let name = fleet.map_or("node", |fleet| &fleet.node);
     let serving = node.clone();
     let ready = Box::new(move || serving.services.are_ready());
     let desk = together.cloned().map(|t| Box::new(move |call: &_| obey(&t, leases.as_deref(), call)) as Desk);
-    let folder = model.management.as_ref().and_then(|m| m.folder.as_deref());
+    let folder = settings.folder.as_deref();
     let answering = Management::new(node.shared.clone(), folder, &plain(name), ready, desk);
     tokio::task::spawn_local(answering.clone().accept(listener));
     tokio::task::spawn_local(answering.follow());
@@ -173,11 +177,11 @@
 
 impl Node {
     /// Puts a plan in force, whole or not at all.
-    fn apply(&self, plan: Plan) -> Result<Rc<Front>, String> {
-        let clients = plan.clients;
+    fn apply(&self, prepared: Arc<Prepared>) -> Result<Rc<Front>, String> {
+        let (model, clients) = (&prepared.plan.model, prepared.plan.clients);
         let old = self.front.borrow().clone();
-        let mut listening = Vec::with_capacity(plan.model.listeners.len());
-        for listener in &plan.model.listeners {
+        let mut listening = Vec::with_capacity(model.listeners.len());
+        for listener in &model.listeners {
             let kept = old.as_ref().and_then(|front| front.listener(&listener.name, listener.address));
             listening.push(match kept {
                 Some(kept) => kept,
@@ -185,8 +189,8 @@
                     .map_err(|e| format!("{}: listener `{}`: {e}", listener.origin, listener.name))?,
             });
         }
-        let entries = self.entries_of(&plan.model)?;
-        let routing = self.services.apply(plan)?;
+        let entries = entries_of(&prepared)?;
+        let routing = self.services.apply(prepared)?;
         let front = match old {
             Some(front) => {
                 front.route(routing, clients);
@@ -200,17 +204,6 @@
         Ok(front)
     }
 
-    /// The entries that a model wants, by their registries.
-    fn entries_of(&self, model: &Model) -> Result<HashMap<String, Wanted>, String> {
-        let wanted = model.registries.iter().filter_map(|r| Some((r, r.entry.as_ref()?)));
-        let wanted = wanted.map(|(registry, entry): (&At<Registry>, &At<NodeEntry>)| {
-            let way = Way::of(registry).map_err(|e| format!("{}: {e}", registry.origin))?;
-            let (entry, zone) = (entry.value.clone(), model.process.zone.clone());
-            Ok((registry.name.clone(), Wanted { way, entry, zone }))
-        });
-        wanted.collect()
-    }
-
     /// Keeps the entries that are wanted and lets the others go.
     fn enter(&self, front: &Front, wanted: HashMap<String, Wanted>) {
         if self.leaving.get() {
@@ -243,13 +236,21 @@
     }
 
     /// Takes in the file again. What is wrong with it is told, and then all stays as it was.
-    async fn reload(&self, path: &Path) {
-        let name = path.display().to_string();
-        let plan = match settled(path).await {
-            Ok(text) => reader::toml(&name, &text).and_then(reelfall_conf::check).map_err(|e| e.to_string()),
-            Err(e) => Err(format!("{name}: {e}")),
-        };
-        match plan.and_then(|plan| self.apply(plan)) {
+    async fn reload(&self, reader: &Reader, name: &str) {
+        let Some(in_force) = self.services.in_force() else { return };
+        let read = reader.read(in_force).await;
+        if self.leaving.get() {
+            // Listeners that have been closed would be opened again.
+            eprintln!("reelfall: {name} is not taken in: the node is ending");
+            return;
+        }
+        let applied = read.and_then(|prepared| {
+            let applied = self.apply(prepared.clone());
+            // If it was not put in force, nobody else uses it.
+            reader.free(prepared);
+            applied
+        });
+        match applied {
             Ok(_) => eprintln!("reelfall: {name} is in force"),
             // Not through the log, whose bound on lines could cut the list of mistakes short.
             Err(fault) => eprintln!("{fault}\nreelfall: the settings from before stay in force"),
@@ -257,26 +258,16 @@
     }
 }
 
-/// The text of a file that nobody is writing to.
-///
-/// Guards against a file that is read while it is replaced in place, of which the first half may well be a whole
-/// file of other meaning: it counts only when two readings in a row are alike. Harm: a reload takes this much longer.
-/// What is stopped halfway for longer than that is not caught; a new file that is renamed into place has no halves.
-async fn settled(path: &Path) -> std::io::Result<String> {
-    let mut last = None;
-    for _ in 0..SETTLE_TRIES {
-        let text = std::fs::read(path).map_err(|e| (e.kind(), e.to_string()));
-        match (text, last) {
-            (Ok(text), Some(Ok(before))) if text == before => {
-                return String::from_utf8(text)
-                    .map_err(|_| std::io::Error::other("the file is not text in UTF-8"));
-            }
-            (Err(e), Some(Err(before))) if e == before => return Err(std::io::Error::new(e.0, e.1)),
-            (text, _) => last = Some(text),
-        }
-        tokio::time::sleep(SETTLES_IN).await;
-    }
-    Err(std::io::Error::other("the file does not stop changing"))
+/// The entries that a plan wants, by their registries.
+fn entries_of(prepared: &Prepared) -> Result<HashMap<String, Wanted>, String> {
+    let model = &prepared.plan.model;
+    let wanted = model.registries.iter().filter_map(|r| Some((r, r.entry.as_ref()?)));
+    let wanted = wanted.map(|(registry, entry)| {
+        let way = prepared.way(&registry.name).map_err(|e| format!("{}: {e}", registry.origin))?.clone();
+        let (entry, zone) = (entry.value.clone(), model.process.zone.clone());
+        Ok((registry.name.clone(), Wanted { way, entry, zone }))
+    });
+    wanted.collect()
 }
 
 /// Tells on standard output where clients can connect; with port 0 in the file, nobody else could know.
