--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -164,7 +164,7 @@
 
 fn leases(c: &mut Checker, fleet: &At<Fleet>) {
     let Some(leases) = &fleet.leases else { return };
-    let most = reelfall_lease::say::KEEPERS_MOST;
+    let most = reelfall_lease::message::MAX_KEEPERS;
     let keepers: BTreeSet<&String> = leases.keepers.iter().collect();
     let count = leases.keepers.len();
     c.want(count % 2 == 1 && count <= most && keepers.len() == count, &fleet.origin, || {
@@ -182,12 +182,12 @@
     let mut names = BTreeSet::new();
     for call in &leases.calls {
         let sound =
-            reelfall_lease::token::Name::try_from(call.name.clone()).is_ok() && names.insert(&call.name);
+            reelfall_lease::token::LeaseName::try_from(call.name.clone()).is_ok() && names.insert(&call.name);
         c.want(sound, &fleet.origin, || {
             format!(
                 "fleet.leases: call `{}`: {}, and each but once",
                 call.name,
-                reelfall_lease::token::BadName
+                reelfall_lease::token::InvalidLeaseName
             )
         });
         c.want((0.05..=86_400.0).contains(&call.every), &fleet.origin, || {
--- a/crates/lease/src/clock.rs
+++ b/crates/lease/src/clock.rs
@@ -1,4 +1,4 @@
-//! How long holder and keeper count a lease, on clocks of which none is right.
+//! How long holders and keepers count a lease, on clocks that drift.
 //!
 //! A holder counts from *before* it asked, a keeper from *after* it granted, so that only the rates of their clocks can
 //! bring the keeper's end before the holder's. With a drift of `r` (each clock's rate between `1 - r` and `1 + r` of true
@@ -7,11 +7,14 @@
 
 use crate::Micros;
 
-/// How far clocks may drift.
+/// Parts per million in the whole.
+const PPM: u128 = 1_000_000;
+
+/// The safety margins for clock drift.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Margins {
-    /// The most by which a clock runs too fast or too slow, in parts in a million. Crystals keep within 100, a clock that
-    /// is being slewed within 500 (`adjtimex`: `MAXFREQ`).
+    /// The maximum drift of a clock, in parts per million. Crystals keep within 100, a clock that is being slewed within
+    /// 500 (`adjtimex`: `MAXFREQ`).
     pub drift_ppm: u32,
 }
 
@@ -23,13 +26,13 @@
 
 impl Margins {
     /// How long a holder counts a lease of this length, from before it asked.
-    pub fn holder(&self, length: Micros) -> Micros {
+    pub fn holder_length(&self, length: Micros) -> Micros {
         let slack = u128::from(length) * 2 * u128::from(self.drift_ppm);
-        length.saturating_sub(u64::try_from(slack.div_ceil(1_000_000)).unwrap_or(u64::MAX))
+        length.saturating_sub(u64::try_from(slack.div_ceil(PPM)).unwrap_or(u64::MAX))
     }
 
     /// How long a keeper counts it, from after it granted.
-    pub fn keeper(&self, length: Micros) -> Micros {
+    pub fn keeper_length(&self, length: Micros) -> Micros {
         length
     }
 }
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -1,204 +1,211 @@
-//! One node's part in one lease: asking, holding, renewing, giving back.
+//! One node's part in one lease: requesting, holding, renewing, releasing. In terms of Paxos, a proposer.
 //!
 //! | state | ends |
 //! | --- | --- |
 //! | idle | when the lease is wanted |
-//! | resting | at its end, or when a keeper says that the lease is free |
-//! | asking for promises | by a majority; by too many noes; after [`Rules::answer_within`] |
-//! | asking for grants | the same |
-//! | holding | when it is given back, or at its end if a majority has not renewed it |
+//! | backing off | at its end, or when a keeper announces that the lease is available |
+//! | preparing | by a majority of promises; by too many refusals; after [`Config::response_timeout`] |
+//! | proposing | by a majority of grants; by too many refusals; after [`Config::response_timeout`] |
+//! | held | when it is released, or on expiry if a majority has not renewed it |
 //!
-//! Requests never wait for any of this: who does not hold a lease does what its task does without one.
+//! Requests that the node serves never wait for any of this: a node that does not hold a lease does what its task does
+//! without one.
 
 use crate::clock::Margins;
 use crate::majority;
-use crate::say::{Ask, No, Said, Seen, Vote};
-use crate::token::{Act, Name, Token};
+use crate::message::{LogPosition, Refusal, Request, Response, Vote};
+use crate::token::{LeaseName, Operation, Token};
 use crate::Micros;
 
-/// How a lease is asked for and kept.
+/// A lease is renewed after this part of its length.
+const RENEWALS_PER_LENGTH: u64 = 3;
+/// The exponent of the backoff grows up to this.
+const MAX_BACKOFF_EXPONENT: u32 = 16;
+
+/// How a lease is requested and kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Rules {
-    /// How many keepers there are.
+pub struct Config {
+    /// Number of keepers.
     pub keepers: usize,
-    /// How far clocks may drift.
+    /// Safety margins for clock drift.
     pub margins: Margins,
-    /// How long a lease lasts without being renewed, in microseconds.
+    /// How long a lease lasts without renewal, in microseconds.
     pub length: Micros,
-    /// Keepers that have not answered by then are asked anew, in microseconds.
-    pub answer_within: Micros,
-    /// The shortest and the longest rest between two askings, in microseconds.
-    pub rest: (Micros, Micros),
+    /// Keepers that have not responded within this time are asked again, in microseconds.
+    pub response_timeout: Micros,
+    /// The shortest and the longest backoff between two attempts, in microseconds.
+    pub backoff: (Micros, Micros),
 }
 
-impl Rules {
-    /// Defaults for a lease of this length, of so many keepers.
-    pub fn of(keepers: usize, length: Micros) -> Rules {
-        Rules {
+impl Config {
+    /// Defaults for a lease of this length, with so many keepers.
+    pub fn new(keepers: usize, length: Micros) -> Config {
+        Config {
             keepers,
             margins: Margins::default(),
             length,
-            answer_within: (length / 8).clamp(50_000, 1_000_000),
-            // Nobody rests for longer than a lease takes to end by itself.
-            rest: (50_000, length.clamp(500_000, 5_000_000)),
+            response_timeout: (length / 8).clamp(50_000, 1_000_000),
+            // No backoff is longer than a lease takes to expire.
+            backoff: (50_000, length.clamp(500_000, 5_000_000)),
         }
     }
 }
 
-/// What has become of a lease.
+/// A change of a lease.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Change {
+pub enum LeaseEvent {
     /// It is held.
-    Got(Token),
-    /// It was given back.
-    Gave(Token),
-    /// It has ended without a majority's renewal.
+    Acquired(Token),
+    /// It was released.
+    Released(Token),
+    /// It has expired without renewal by a majority.
     Lost(Token),
 }
 
-/// Who has said yes.
+/// The votes on one request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Votes {
-    yes: Vec<Option<Vote>>,
-    no: Vec<bool>,
+    accepted: Vec<Option<Vote>>,
+    refused: Vec<bool>,
 }
 
 impl Votes {
-    fn of(keepers: usize) -> Votes {
-        Votes { yes: vec![None; keepers], no: vec![false; keepers] }
+    fn new(keepers: usize) -> Votes {
+        Votes { accepted: vec![None; keepers], refused: vec![false; keepers] }
     }
 
-    /// The latest of each keeper's folders that anybody here has heard of.
-    fn fellows(&self) -> Vec<Option<Seen>> {
-        let mut all = vec![None; self.yes.len()];
-        for (n, vote) in self.yes.iter().enumerate() {
+    /// The latest log position of each keeper that any vote reports.
+    fn latest_positions(&self) -> Vec<Option<LogPosition>> {
+        let mut latest = vec![None; self.accepted.len()];
+        for (n, vote) in self.accepted.iter().enumerate() {
             let Some(vote) = vote else { continue };
-            for (known, told) in all.iter_mut().zip(&vote.fellows) {
-                *known = (*known).max(*told);
+            for (known, reported) in latest.iter_mut().zip(&vote.peers) {
+                *known = (*known).max(*reported);
             }
-            all[n] = all[n].max(Some(vote.own));
+            latest[n] = latest[n].max(Some(vote.own));
         }
-        all
+        latest
     }
 
-    /// Whether a majority has said yes.
+    /// Whether a majority has accepted.
     ///
-    /// Guards against a folder whose place another one has taken, and that has not heard of it: it forgot nothing, but
-    /// what it promises its successor does not know. Harm: none; its vote is no vote.
-    fn carried(&self) -> bool {
-        let known = self.fellows();
-        let counts = |(vote, known): (&Option<Vote>, &Option<Seen>)| {
-            vote.as_ref().is_some_and(|v| known.is_none_or(|known| known.seal <= v.own.seal))
+    /// Guards against a folder that another one has replaced and that has not heard of it: it forgot nothing, but its
+    /// successor does not know what it promises. Harm: none; its vote does not count.
+    fn has_majority(&self) -> bool {
+        let latest = self.latest_positions();
+        let counts = |(vote, known): (&Option<Vote>, &Option<LogPosition>)| {
+            vote.as_ref().is_some_and(|v| known.is_none_or(|known| known.storage <= v.own.storage))
         };
-        self.yes.iter().zip(&known).filter(|pair| counts(*pair)).count() >= majority(self.yes.len())
+        let accepted = self.accepted.iter().zip(&latest).filter(|pair| counts(*pair)).count();
+        accepted >= majority(self.accepted.len())
     }
 
-    /// Whether too many have said no for a majority.
-    fn lost(&self) -> bool {
-        let no = self.no.iter().filter(|no| **no).count();
-        no > self.no.len() - majority(self.no.len())
+    /// Whether too many have refused for a majority.
+    fn is_lost(&self) -> bool {
+        let refused = self.refused.iter().filter(|refused| **refused).count();
+        refused > self.refused.len() - majority(self.refused.len())
     }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum State {
     Idle,
-    Resting { until: Micros },
-    Asking { counter: u64, began: Micros, votes: Votes },
+    BackingOff { until: Micros },
+    Preparing { ballot: u64, began: Micros, votes: Votes },
     Proposing { token: u64, began: Micros, votes: Votes },
-    Held { token: u64, until: Micros, renewal: Option<Renewal>, next: Micros },
+    Held { token: u64, until: Micros, renewal: Option<Renewal>, next_renewal: Micros },
 }
 
-/// A renewal that was asked for.
+/// A renewal that is under way.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Renewal {
     began: Micros,
     votes: Votes,
 }
 
-/// See the module.
+/// One node's part in one lease. See the module.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Lease {
-    name: Name,
-    rules: Rules,
+    name: LeaseName,
+    config: Config,
     wanted: bool,
-    /// Since when it is waited for.
-    since: Micros,
-    /// The highest number that was heard of.
-    counter: u64,
-    /// Counts what was asked, so that answers to something else are told apart.
+    /// When the wait for it began.
+    waiting_since: Micros,
+    /// The highest ballot known.
+    highest_ballot: u64,
+    /// Counts requests, so that responses to earlier ones are told apart.
     round: u64,
-    /// Askings in vain, one after the other.
-    vain: u32,
-    /// It is this asker's turn, of which it heard while it was asking.
-    called: bool,
-    /// When the lease that somebody else has can end, as far as keepers say.
+    /// Consecutive failed attempts.
+    failed_attempts: u32,
+    /// A keeper announced that it is this client's turn while a request was under way.
+    turn_announced: bool,
+    /// The earliest time at which another client's grant can expire, as far as keepers report.
     held_until: Option<Micros>,
     state: State,
-    asks: Vec<(usize, Ask)>,
-    changes: Vec<Change>,
+    requests: Vec<(usize, Request)>,
+    events: Vec<LeaseEvent>,
 }
 
 /// A lease that is held at this moment.
 #[derive(Clone, Copy, Debug)]
 pub struct Held<'a> {
-    name: &'a Name,
+    name: &'a LeaseName,
     token: u64,
     left: Micros,
 }
 
 impl Held<'_> {
-    /// Something to be done by grace of it.
-    pub fn act<T>(&self, what: T) -> Act<T> {
-        Act::by(self.name, self.token, what)
+    /// An operation that is performed under the lease.
+    pub fn operation<T>(&self, payload: T) -> Operation<T> {
+        Operation::new(self.name, self.token, payload)
     }
 
-    /// Its token.
+    /// The fencing token.
     pub fn token(&self) -> Token {
         Token(self.token)
     }
 
-    /// How long it is held without being renewed, in microseconds.
+    /// Remaining time without renewal, in microseconds.
     pub fn left(&self) -> Micros {
         self.left
     }
 }
 
 impl Lease {
-    /// One that is not wanted yet.
-    pub fn new(name: Name, rules: Rules) -> Lease {
+    /// A lease that is not wanted yet.
+    pub fn new(name: LeaseName, config: Config) -> Lease {
         Lease {
             name,
-            rules,
+            config,
             wanted: false,
-            since: 0,
-            counter: 0,
+            waiting_since: 0,
+            highest_ballot: 0,
             round: 0,
-            vain: 0,
-            called: false,
+            failed_attempts: 0,
+            turn_announced: false,
             held_until: None,
             state: State::Idle,
-            asks: Vec::new(),
-            changes: Vec::new(),
+            requests: Vec::new(),
+            events: Vec::new(),
         }
     }
 
     /// Whether it is wanted.
-    pub fn wanted(&self) -> bool {
+    pub fn is_wanted(&self) -> bool {
         self.wanted
     }
 
-    /// What is to be said, and to which keeper.
-    pub fn asks(&mut self) -> Vec<(usize, Ask)> {
-        std::mem::take(&mut self.asks)
+    /// Takes the requests to send, each with the place of its keeper.
+    pub fn take_requests(&mut self) -> Vec<(usize, Request)> {
+        std::mem::take(&mut self.requests)
     }
 
-    /// What has become of it.
-    pub fn changes(&mut self) -> Vec<Change> {
-        std::mem::take(&mut self.changes)
+    /// Takes the events since the last call.
+    pub fn take_events(&mut self) -> Vec<LeaseEvent> {
+        std::mem::take(&mut self.events)
     }
 
-    /// The lease, if it is held at this moment. To be asked anew before each act.
+    /// The lease, if it is held at this moment. To be asked again before each operation.
     pub fn held(&self, now: Micros) -> Option<Held<'_>> {
         match self.state {
             State::Held { token, until, .. } if now < until => {
@@ -208,210 +215,217 @@
         }
     }
 
-    /// It is wanted from now on.
-    pub fn want(&mut self, now: Micros) {
+    /// Begins to acquire the lease, and to keep it.
+    pub fn acquire(&mut self, now: Micros) {
         if !self.wanted {
             self.wanted = true;
-            self.since = now;
-            self.state = State::Resting { until: now };
+            self.waiting_since = now;
+            self.state = State::BackingOff { until: now };
         }
     }
 
-    /// It is not wanted any more, and given back if it is held.
-    pub fn give_back(&mut self, now: Micros) {
+    /// Stops acquiring the lease, and releases it if it is held.
+    pub fn release(&mut self, now: Micros) {
         self.wanted = false;
-        self.drop_number(now);
+        self.release_ballot(now);
         self.state = State::Idle;
     }
 
-    /// The number that was got, or asked for, is used no more; keepers are told so.
-    fn drop_number(&mut self, now: Micros) {
+    /// Tells the keepers that the ballot that was granted, or proposed, is used no more.
+    fn release_ballot(&mut self, now: Micros) {
         let token = match self.state {
             State::Held { token, until, .. } => {
-                let change = if now < until { Change::Gave } else { Change::Lost };
-                self.changes.push(change(Token(token)));
+                let event = if now < until { LeaseEvent::Released } else { LeaseEvent::Lost };
+                self.events.push(event(Token(token)));
                 token
             }
             State::Proposing { token, .. } => token,
             _ => return,
         };
-        for keeper in 0..self.rules.keepers {
-            self.asks.push((keeper, Ask::Release { lease: self.name.clone(), token }));
+        for keeper in 0..self.config.keepers {
+            self.requests.push((keeper, Request::Release { lease: self.name.clone(), token }));
         }
     }
 
-    // ---- time ----
-
     /// When [`Lease::tick`] has something to do.
     pub fn deadline(&self) -> Option<Micros> {
         match &self.state {
             State::Idle => None,
-            State::Resting { until } => Some(*until),
-            State::Asking { began, .. } | State::Proposing { began, .. } => {
-                Some(began + self.rules.answer_within)
+            State::BackingOff { until } => Some(*until),
+            State::Preparing { began, .. } | State::Proposing { began, .. } => {
+                Some(began + self.config.response_timeout)
             }
-            State::Held { until, next, .. } => Some(*until.min(next)),
+            State::Held { until, next_renewal, .. } => Some(*until.min(next_renewal)),
         }
     }
 
-    /// Time has passed. `chance` is drawn anew for each call, over all numbers.
-    pub fn tick(&mut self, now: Micros, chance: u32) {
+    /// Does what is due at this time. `random` is uniform over all values, and new for each call.
+    pub fn tick(&mut self, now: Micros, random: u32) {
         match &self.state {
-            State::Resting { until } if now >= *until => self.ask(now),
-            State::Asking { began, .. } | State::Proposing { began, .. }
-                if now >= began + self.rules.answer_within =>
+            State::BackingOff { until } if now >= *until => self.prepare(now),
+            State::Preparing { began, .. } | State::Proposing { began, .. }
+                if now >= began + self.config.response_timeout =>
             {
-                self.in_vain(now, chance);
+                self.back_off(now, random);
             }
             State::Held { token, until, .. } if now >= *until => {
                 let token = Token(*token);
-                self.changes.push(Change::Lost(token));
-                self.since = now;
-                self.ask(now);
+                self.events.push(LeaseEvent::Lost(token));
+                self.waiting_since = now;
+                self.prepare(now);
             }
-            State::Held { next, .. } if now >= *next => self.renew(now),
+            State::Held { next_renewal, .. } if now >= *next_renewal => self.renew(now),
             _ => {}
         }
     }
 
-    /// Asks all keepers for a promise of a number higher than any that was heard of.
-    fn ask(&mut self, now: Micros) {
-        self.counter = self.counter.saturating_add(1);
+    /// Asks all keepers to promise a ballot that is higher than any known one.
+    fn prepare(&mut self, now: Micros) {
+        self.highest_ballot = self.highest_ballot.saturating_add(1);
         self.round += 1;
-        (self.held_until, self.called) = (None, false);
-        let (counter, round) = (self.counter, self.round);
-        let (length, waited) = (self.rules.length, now.saturating_sub(self.since));
-        for keeper in 0..self.rules.keepers {
+        (self.held_until, self.turn_announced) = (None, false);
+        let (ballot, round) = (self.highest_ballot, self.round);
+        let (length, waited) = (self.config.length, now.saturating_sub(self.waiting_since));
+        for keeper in 0..self.config.keepers {
             let lease = self.name.clone();
-            self.asks.push((keeper, Ask::Promise { lease, round, counter, length, waited }));
+            self.requests.push((keeper, Request::Prepare { lease, round, ballot, length, waited }));
         }
-        self.state = State::Asking { counter, began: now, votes: Votes::of(self.rules.keepers) };
+        self.state = State::Preparing { ballot, began: now, votes: Votes::new(self.config.keepers) };
     }
 
-    /// Asks for grants. The lease counts from here, before anybody can have granted it.
-    fn propose(&mut self, now: Micros, token: u64, fellows: &[Option<Seen>]) {
+    /// Asks for grants. The lease counts from here, before any keeper can have granted it.
+    fn propose(&mut self, now: Micros, token: u64, peers: &[Option<LogPosition>]) {
         self.round += 1;
-        self.grants(token, fellows);
-        self.state = State::Proposing { token, began: now, votes: Votes::of(self.rules.keepers) };
+        self.request_grants(token, peers);
+        self.state = State::Proposing { token, began: now, votes: Votes::new(self.config.keepers) };
     }
 
     fn renew(&mut self, now: Micros) {
         let State::Held { token, .. } = self.state else { return };
         self.round += 1;
-        self.grants(token, &[]);
-        let votes = Votes::of(self.rules.keepers);
-        if let State::Held { renewal, next, .. } = &mut self.state {
+        self.request_grants(token, &[]);
+        let votes = Votes::new(self.config.keepers);
+        if let State::Held { renewal, next_renewal, .. } = &mut self.state {
             *renewal = Some(Renewal { began: now, votes });
-            *next = now + self.rules.answer_within;
+            *next_renewal = now + self.config.response_timeout;
         }
     }
 
-    fn grants(&mut self, token: u64, fellows: &[Option<Seen>]) {
-        let (round, length) = (self.round, self.rules.length);
-        for keeper in 0..self.rules.keepers {
-            let (lease, fellows) = (self.name.clone(), fellows.to_vec());
-            self.asks.push((keeper, Ask::Grant { lease, round, token, length, fellows }));
+    fn request_grants(&mut self, token: u64, peers: &[Option<LogPosition>]) {
+        let (round, length) = (self.round, self.config.length);
+        for keeper in 0..self.config.keepers {
+            let (lease, peers) = (self.name.clone(), peers.to_vec());
+            self.requests.push((keeper, Request::Grant { lease, round, token, length, peers }));
         }
     }
 
-    /// Rests before asking anew: until the lease can be free, or longer from time to time, never in step with others.
+    /// Backs off before the next attempt: until the lease can be available, or else exponentially, with jitter.
     ///
-    /// Guards against askers that outbid each other for ever, and against three hundred that ask at once. Harm: a lease
-    /// that nobody has may be without a holder for as long.
-    fn in_vain(&mut self, now: Micros, chance: u32) {
-        self.drop_number(now);
-        let (least, most) = self.rules.rest;
-        if std::mem::take(&mut self.called) {
-            (self.vain, self.held_until) = (0, None);
+    /// Guards against clients that outbid each other for ever, and against three hundred that ask at once. Harm: a lease
+    /// that nobody holds may be without a holder for as long.
+    fn back_off(&mut self, now: Micros, random: u32) {
+        self.release_ballot(now);
+        let (least, most) = self.config.backoff;
+        if std::mem::take(&mut self.turn_announced) {
+            (self.failed_attempts, self.held_until) = (0, None);
         }
-        let rest = match self.held_until {
+        let backoff = match self.held_until {
             Some(until) => until.saturating_sub(now).clamp(least, most),
-            None => (least << self.vain.min(16)).min(most),
+            None => (least << self.failed_attempts.min(MAX_BACKOFF_EXPONENT)).min(most),
         };
-        self.vain = self.vain.saturating_add(1);
-        let drawn = rest / 2 + rest * u64::from(chance) / u64::from(u32::MAX);
-        self.state = State::Resting { until: now + drawn };
+        self.failed_attempts = self.failed_attempts.saturating_add(1);
+        let jittered = backoff / 2 + backoff * u64::from(random) / u64::from(u32::MAX);
+        self.state = State::BackingOff { until: now + jittered };
     }
 
-    // ---- answers ----
-
-    /// A keeper has said something. `chance` is drawn anew for each call, over all numbers.
-    pub fn heard(&mut self, now: Micros, keeper: usize, said: Said, chance: u32) {
-        if keeper >= self.rules.keepers || said.lease() != &self.name {
+    /// Handles a response of a keeper. `random` is uniform over all values, and new for each call.
+    pub fn handle_response(&mut self, now: Micros, keeper: usize, response: Response, random: u32) {
+        if keeper >= self.config.keepers || response.lease() != &self.name {
             return;
         }
-        match said {
-            Said::Promised { round, vote, .. } if round == self.round => self.promised(now, keeper, vote),
-            Said::Granted { round, vote, .. } if round == self.round => self.granted(now, keeper, vote),
-            Said::Refused { round, why, promised, .. } => {
-                self.counter = self.counter.max(promised);
-                self.refused(now, keeper, round, why, chance);
+        match response {
+            Response::Promised { round, vote, .. } if round == self.round => {
+                self.handle_promised(now, keeper, vote);
             }
-            Said::Free { .. } => match self.state {
-                State::Resting { .. } => {
-                    self.vain = 0;
-                    self.ask(now);
-                }
-                // What is asked now may have been refused before the lease was free.
-                State::Asking { .. } | State::Proposing { .. } => self.called = true,
-                State::Idle | State::Held { .. } => {}
-            },
-            Said::Promised { .. } | Said::Granted { .. } => {}
+            Response::Granted { round, vote, .. } if round == self.round => {
+                self.handle_granted(now, keeper, vote);
+            }
+            Response::Refused { round, reason, promised, .. } => {
+                self.highest_ballot = self.highest_ballot.max(promised);
+                self.handle_refused(now, keeper, round, reason, random);
+            }
+            Response::Available { .. } => self.handle_available(now),
+            Response::Promised { .. } | Response::Granted { .. } => {}
         }
     }
 
-    fn promised(&mut self, now: Micros, keeper: usize, vote: Vote) {
-        let State::Asking { counter, votes, .. } = &mut self.state else { return };
-        votes.yes[keeper] = Some(vote);
-        if votes.carried() {
-            let (token, fellows) = (*counter, votes.fellows());
-            self.propose(now, token, &fellows);
+    fn handle_available(&mut self, now: Micros) {
+        match self.state {
+            State::BackingOff { .. } => {
+                self.failed_attempts = 0;
+                self.prepare(now);
+            }
+            // What is requested now may have been refused before the lease was available.
+            State::Preparing { .. } | State::Proposing { .. } => self.turn_announced = true,
+            State::Idle | State::Held { .. } => {}
+        }
+    }
+
+    fn handle_promised(&mut self, now: Micros, keeper: usize, vote: Vote) {
+        let State::Preparing { ballot, votes, .. } = &mut self.state else { return };
+        votes.accepted[keeper] = Some(vote);
+        if votes.has_majority() {
+            let (token, peers) = (*ballot, votes.latest_positions());
+            self.propose(now, token, &peers);
         }
     }
 
-    fn granted(&mut self, now: Micros, keeper: usize, vote: Vote) {
-        let lasts = self.rules.margins.holder(self.rules.length);
-        let again = self.rules.length / 3;
+    fn handle_granted(&mut self, now: Micros, keeper: usize, vote: Vote) {
+        let lasts = self.config.margins.holder_length(self.config.length);
+        let renew_after = self.config.length / RENEWALS_PER_LENGTH;
         match &mut self.state {
             State::Proposing { token, began, votes } => {
-                votes.yes[keeper] = Some(vote);
-                let (token, until, next) = (*token, *began + lasts, *began + again);
-                if votes.carried() && now < until {
-                    self.state = State::Held { token, until, renewal: None, next };
-                    self.vain = 0;
-                    self.changes.push(Change::Got(Token(token)));
+                votes.accepted[keeper] = Some(vote);
+                let (token, until, next_renewal) = (*token, *began + lasts, *began + renew_after);
+                if votes.has_majority() && now < until {
+                    self.state = State::Held { token, until, renewal: None, next_renewal };
+                    self.failed_attempts = 0;
+                    self.events.push(LeaseEvent::Acquired(Token(token)));
                 }
             }
-            State::Held { until, renewal: Some(asked), next, .. } => {
-                asked.votes.yes[keeper] = Some(vote);
-                // One that comes after the end renews nothing: the next holder may have begun.
-                if asked.votes.carried() && now < *until {
-                    (*until, *next) = (asked.began + lasts, asked.began + again);
+            State::Held { until, renewal: Some(renewal), next_renewal, .. } => {
+                renewal.votes.accepted[keeper] = Some(vote);
+                // One that comes after the expiry renews nothing: the next holder may have begun.
+                if renewal.votes.has_majority() && now < *until {
+                    (*until, *next_renewal) = (renewal.began + lasts, renewal.began + renew_after);
                 }
             }
             _ => {}
         }
     }
 
-    fn refused(&mut self, now: Micros, keeper: usize, round: u64, why: No, chance: u32) {
+    fn handle_refused(&mut self, now: Micros, keeper: usize, round: u64, reason: Refusal, random: u32) {
         if round != self.round {
             return;
         }
-        if let No::Held { left } = why {
+        if let Refusal::Held { left } = reason {
             let until = now + left;
             self.held_until = Some(self.held_until.map_or(until, |known| known.min(until)));
         }
-        let (State::Asking { votes, .. } | State::Proposing { votes, .. }) = &mut self.state else { return };
-        votes.no[keeper] = true;
-        if !votes.lost() {
+        let (State::Preparing { votes, .. } | State::Proposing { votes, .. }) = &mut self.state else {
+            return;
+        };
+        votes.refused[keeper] = true;
+        if !votes.is_lost() {
             return;
         }
-        if why == No::Behind && self.vain == 0 && matches!(self.state, State::Asking { .. }) {
-            // The number was too low, which is all that was wrong: the first time the next one is tried at once.
-            self.vain = 1;
-            self.ask(now);
+        let is_first_attempt = self.failed_attempts == 0 && matches!(self.state, State::Preparing { .. });
+        if reason == Refusal::StaleBallot && is_first_attempt {
+            // Only the ballot was too low: the first time the next one is tried at once.
+            self.failed_attempts = 1;
+            self.prepare(now);
         } else {
-            self.in_vain(now, chance);
+            self.back_off(now, random);
         }
     }
 }
--- /dev/null
+++ b/crates/lease/src/keeper/mod.rs
@@ -0,0 +1,248 @@
+//! One keeper: which leases it has promised and granted to whom. In terms of Paxos, an acceptor.
+//!
+//! | state | owner | bound | ends |
+//! | --- | --- | --- | --- |
+//! | promises | [`DurableState`], on disk | [`Config::max_leases`] | evicted after [`Config::evict_after`] without use; the floor keeps the ballot |
+//! | grants | [`Keeper`], in memory | one per lease | on expiry or release |
+//! | waiting clients | [`Queue`] | [`Config::max_waiters`] per lease | granted, or idle |
+//! | log positions of the peers | [`DurableState`] and [`Keeper`] | the keepers | never |
+//!
+//! Promises are on disk, grants are not: a restarted keeper assumes that each lease that it has promised was granted at
+//! that moment, for its whole length. So a lease costs two writes when it is acquired and none while it is held.
+
+mod clients;
+mod peers;
+
+use crate::clock::Margins;
+use crate::durable::{DurableState, Record};
+use crate::message::{ClientId, LogPosition, Message, Promise, Refusal};
+use crate::queue::{Queue, QueueTimeouts};
+use crate::recovery::{Recovery, Status};
+use crate::token::LeaseName;
+use crate::Micros;
+use std::collections::BTreeMap;
+
+/// Times of last use are rounded down to this part of [`Config::evict_after`].
+const USE_RESOLUTION: u64 = 64;
+
+/// Settings of a keeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Config {
+    /// Safety margins for clock drift.
+    pub margins: Margins,
+    /// Maximum length of a lease, in microseconds.
+    pub max_length: Micros,
+    /// Maximum number of leases.
+    pub max_leases: usize,
+    /// Maximum number of clients that wait for one lease.
+    pub max_waiters: usize,
+    /// Time limits of the queues.
+    pub queue_timeouts: QueueTimeouts,
+    /// A lease that no client has asked for in so long is evicted, in microseconds.
+    pub evict_after: Micros,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Config {
+            margins: Margins::default(),
+            max_length: 60_000_000,
+            max_leases: 1024,
+            max_waiters: 512,
+            queue_timeouts: QueueTimeouts { turn: 500_000, idle: 15_000_000 },
+            evict_after: 86_400_000_000,
+        }
+    }
+}
+
+impl Config {
+    /// A time of last use, rounded down to what matters for eviction.
+    fn round_use(&self, now: Micros) -> Micros {
+        now - now % (self.evict_after / USE_RESOLUTION).max(1)
+    }
+}
+
+/// The receiver of a message.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Destination {
+    /// A client.
+    Client(ClientId),
+    /// A peer, by its place in the settings.
+    Keeper(usize),
+}
+
+/// The effects of an event. The records have to be on disk before the messages are sent; messages of later events are sent
+/// after these.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Effects {
+    /// To be written.
+    pub records: Vec<Record>,
+    /// To be sent.
+    pub messages: Vec<(Destination, Message)>,
+}
+
+/// The volatile state of a lease.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct VolatileLease {
+    /// When the grant expires.
+    granted_until: Option<Micros>,
+    /// This ballot was released: a late grant request for it counts for nothing.
+    released: Option<u64>,
+    queue: Queue,
+    /// When a client last asked for it, rounded.
+    last_use: Micros,
+}
+
+impl VolatileLease {
+    fn is_granted(&self, now: Micros) -> bool {
+        self.granted_until.is_some_and(|until| until > now)
+    }
+
+    fn has_expired(&self, now: Micros) -> bool {
+        self.granted_until.is_some_and(|until| until <= now)
+    }
+}
+
+/// A lease as a keeper sees it, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeaseView<'a> {
+    /// The lease.
+    pub lease: &'a LeaseName,
+    /// The last promise.
+    pub promise: &'a Promise,
+    /// Remaining time of the grant, in microseconds; `None` if it is not granted.
+    pub left: Option<Micros>,
+    /// The waiting clients, longest wait first.
+    pub waiting: Vec<&'a ClientId>,
+}
+
+/// One keeper. See the module.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Keeper {
+    me: usize,
+    keepers: usize,
+    config: Config,
+    state: DurableState,
+    recovery: Recovery,
+    /// The latest known log position of each peer, recorded or not.
+    peer_positions: Vec<Option<LogPosition>>,
+    leases: BTreeMap<LeaseName, VolatileLease>,
+    effects: Effects,
+}
+
+impl Keeper {
+    /// Starts a keeper from its durable state. `tag` is random for each process.
+    pub fn open(
+        me: usize, keepers: usize, config: Config, state: DurableState, tag: u64, now: Micros,
+    ) -> Keeper {
+        // What was granted before is unknown: each promised lease may have been granted a moment ago.
+        let assume_granted = |(lease, promise): (&LeaseName, &Promise)| {
+            let granted_until = Some(now + config.margins.keeper_length(promise.length));
+            let last_use = config.round_use(now);
+            (lease.clone(), VolatileLease { granted_until, last_use, ..VolatileLease::default() })
+        };
+        let peer_positions = (0..keepers).map(|n| state.peers.get(&(n as u8)).copied()).collect();
+        let mut keeper = Keeper {
+            me,
+            keepers,
+            config,
+            recovery: Recovery::new(me, keepers, &state, tag, now),
+            peer_positions,
+            leases: state.leases.iter().map(assume_granted).collect(),
+            state,
+            effects: Effects::default(),
+        };
+        keeper.advance_recovery(now);
+        keeper
+    }
+
+    /// Takes the effects since the last call.
+    pub fn take_effects(&mut self) -> Effects {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The phase of its recovery.
+    pub fn status(&self) -> Status {
+        self.recovery.status()
+    }
+
+    /// The durable state, as it is on disk once all records are written.
+    pub fn state(&self) -> &DurableState {
+        &self.state
+    }
+
+    /// The leases, for operators.
+    pub fn leases(&self, now: Micros) -> impl Iterator<Item = LeaseView<'_>> {
+        self.state.leases.iter().map(move |(lease, promise)| {
+            let volatile = self.leases.get(lease);
+            let granted_until = volatile.and_then(|v| v.granted_until).filter(|until| *until > now);
+            let left = granted_until.map(|until| until - now);
+            let waiting = volatile.map(|v| v.queue.clients().collect()).unwrap_or_default();
+            LeaseView { lease, promise, left, waiting }
+        })
+    }
+
+    fn append(&mut self, record: Record) {
+        self.state.apply(&record);
+        self.effects.records.push(record);
+    }
+
+    fn send(&mut self, to: Destination, message: Message) {
+        self.effects.messages.push((to, message));
+    }
+
+    /// Ensures that there is capacity for this lease; a new one may evict another.
+    fn ensure_capacity(&mut self, now: Micros, lease: &LeaseName) -> Result<(), Refusal> {
+        if self.state.leases.contains_key(lease) || self.state.leases.len() < self.config.max_leases {
+            return Ok(());
+        }
+        let is_free = |l: &&LeaseName| self.leases.get(*l).is_none_or(|v| !v.is_granted(now));
+        let last_use = |l: &&LeaseName| self.leases.get(*l).map_or(0, |v| v.last_use);
+        let candidates = self.state.leases.keys().filter(is_free);
+        let oldest = candidates.min_by_key(last_use).cloned().ok_or(Refusal::AtCapacity)?;
+        self.evict(oldest);
+        Ok(())
+    }
+
+    /// Evicts a lease; the floor covers its ballot from then on.
+    fn evict(&mut self, lease: LeaseName) {
+        self.leases.remove(&lease);
+        self.append(Record::Evicted(lease));
+    }
+
+    /// When [`Keeper::tick`] has something to do.
+    pub fn deadline(&self) -> Micros {
+        let leases = self.leases.values().filter_map(|v| v.granted_until.or(v.queue.deadline()));
+        leases.fold(self.recovery.deadline(), Micros::min)
+    }
+
+    /// Does what is due at this time.
+    pub fn tick(&mut self, now: Micros) {
+        self.advance_recovery(now);
+        self.expire_turns(now);
+        self.expire_grants(now);
+        self.evict_unused(now);
+    }
+
+    fn expire_turns(&mut self, now: Micros) {
+        for lease in self.leases.values_mut().filter(|v| v.granted_until.is_none()) {
+            lease.queue.expire_turn(now);
+        }
+    }
+
+    fn expire_grants(&mut self, now: Micros) {
+        let expired = self.leases.iter().filter(|(_, v)| v.has_expired(now));
+        let expired: Vec<LeaseName> = expired.map(|(lease, _)| lease.clone()).collect();
+        expired.iter().for_each(|lease| self.announce_if_available(now, lease));
+    }
+
+    fn evict_unused(&mut self, now: Micros) {
+        let evict_after = self.config.evict_after;
+        let is_unused = |v: &VolatileLease| {
+            v.granted_until.is_none() && v.queue.is_empty() && v.last_use + evict_after <= now
+        };
+        let unused = self.leases.iter().filter(|(_, v)| is_unused(v));
+        let unused: Vec<LeaseName> = unused.map(|(lease, _)| lease.clone()).collect();
+        unused.into_iter().for_each(|lease| self.evict(lease));
+    }
+}
--- /dev/null
+++ b/crates/lease/src/keeper/peers.rs
@@ -0,0 +1,124 @@
+//! A keeper's handling of messages from its peers, the other keepers.
+
+use super::{Destination, Keeper};
+use crate::durable::Record;
+use crate::message::{LogPosition, Message, PeerMessage, Promise, MAX_MESSAGE_LEN};
+use crate::recovery::Status;
+use crate::token::{LeaseName, MAX_LEASE_NAME_LEN};
+use crate::Micros;
+use std::ops::Bound;
+
+/// What a page of promises takes beside its promises at most, in bytes.
+const PAGE_OVERHEAD: usize = 2 * MAX_LEASE_NAME_LEN + 64;
+/// What a promise takes beside its names at most: the lengths of both, and the tag, the ballot and the length.
+const PROMISE_OVERHEAD: usize = 2 + 3 * 10;
+
+impl Keeper {
+    /// Handles a message from a peer.
+    pub fn handle_peer_message(&mut self, now: Micros, from: usize, message: PeerMessage) {
+        if from >= self.keepers || from == self.me {
+            return;
+        }
+        match message {
+            PeerMessage::PositionQuery { own } => self.handle_position_query(from, own),
+            PeerMessage::PositionReply { recorded, voting } => {
+                self.recovery.handle_position_reply(now, from, &self.state, recorded, voting);
+                self.advance_recovery(now);
+            }
+            PeerMessage::PromiseQuery { after } => {
+                let page = self.promise_page(after);
+                self.send(Destination::Keeper(from), Message::Peer(page));
+            }
+            PeerMessage::PromisePage { after, promises, floor, last, voting } => {
+                self.adopt_promises(now, &promises, floor);
+                let up_to = promises.last().map(|(lease, _)| lease.clone()).or(after);
+                self.recovery.handle_promise_page(now, from, up_to, last, voting);
+                self.advance_recovery(now);
+            }
+        }
+    }
+
+    fn handle_position_query(&mut self, from: usize, own: Option<LogPosition>) {
+        let recorded = self.state.peers.get(&(from as u8)).copied();
+        let new_storage = own.filter(|own| recorded.is_none_or(|recorded| recorded.storage < own.storage));
+        // Guards against an old copy that grows: with records of its own it would have as many as its peers know of before
+        // they have said so. Until it votes it writes nothing, and knows no new folder of a peer. Harm: a peer that is to
+        // be admitted waits until this keeper votes.
+        let writes = !matches!(self.recovery.status(), Status::Verifying | Status::Rejected(_));
+        if own > self.peer_positions[from] && (writes || new_storage.is_none()) {
+            self.peer_positions[from] = own;
+            if let Some(position) = new_storage {
+                self.append(Record::Peer(from as u8, position));
+            }
+        }
+        let (recorded, voting) = (self.peer_positions[from], self.recovery.is_voting());
+        let reply = PeerMessage::PositionReply { recorded, voting };
+        self.send(Destination::Keeper(from), Message::Peer(reply));
+    }
+
+    /// Advances the recovery as far as possible, and sends the queries that are due.
+    pub(super) fn advance_recovery(&mut self, now: Micros) {
+        while let Some(record) = self.recovery.advance(now, &self.state) {
+            self.append(record);
+        }
+        for (to, query) in self.recovery.tick(now, &self.state) {
+            self.send(Destination::Keeper(to), Message::Peer(query));
+        }
+    }
+
+    /// The promises for leases after this one, as many as fit in a message.
+    fn promise_page(&self, after: Option<LeaseName>) -> PeerMessage {
+        let from = after.clone().map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = self.state.leases.range((from, Bound::Unbounded)).peekable();
+        let (mut promises, mut left) = (Vec::new(), MAX_MESSAGE_LEN - PAGE_OVERHEAD);
+        while let Some((lease, promise)) = rest.next_if(|(lease, promise)| {
+            let client = promise.client.as_ref().map_or(0, |client| client.name.len());
+            let size = lease.as_str().len() + client + PROMISE_OVERHEAD;
+            let fits = size <= left;
+            left = left.saturating_sub(size);
+            fits
+        }) {
+            promises.push((lease.clone(), promise.clone()));
+        }
+        let last = rest.peek().is_none();
+        let voting = self.recovery.is_voting();
+        PeerMessage::PromisePage { after, promises, floor: self.state.floor, last, voting }
+    }
+
+    /// Adopts the promises of a peer, so that no ballot that it has promised is promised here.
+    ///
+    /// Guards against a vote by a promise that another keeper made: a client that holds the lease by this keeper's former
+    /// folder is known to one peer, and what another peer has promised since is no majority's. So these are promises to
+    /// nobody, and for a lease's whole length nobody gets one. Harm: a holder that has one peer's vote and the former
+    /// folder's loses its lease.
+    fn adopt_promises(&mut self, now: Micros, promises: &[(LeaseName, Promise)], floor: u64) {
+        if !matches!(self.recovery.status(), Status::CatchingUp) {
+            return;
+        }
+        for (lease, promise) in promises {
+            self.adopt_promise(now, lease, promise);
+        }
+        if floor > self.state.floor {
+            self.append(Record::Floor(floor));
+        }
+    }
+
+    fn adopt_promise(&mut self, now: Micros, lease: &LeaseName, promise: &Promise) {
+        if self.ensure_capacity(now, lease).is_err() {
+            // Its ballot counts even though it can't be kept: no other lease gets a ballot as low as this.
+            self.append(Record::Floor(promise.ballot));
+            return;
+        }
+        // The longest length that any peer tells: after a restart the disk alone says for how long nobody gets the lease.
+        let own = self.state.leases.get(lease).map_or((0, 0), |own| (own.ballot, own.length));
+        let (ballot, length) = (promise.ballot.max(own.0), promise.length.max(own.1));
+        if (ballot, length) != own {
+            let adopted = Promise { ballot, client: None, length };
+            self.append(Record::Promised(lease.clone(), adopted));
+        }
+        let granted_until = Some(now + self.config.margins.keeper_length(promise.length));
+        let volatile = self.leases.entry(lease.clone()).or_default();
+        volatile.granted_until = volatile.granted_until.max(granted_until);
+        volatile.last_use = self.config.round_use(now);
+    }
+}
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -1,37 +1,37 @@
-//! Leases for tasks that one node does for a whole fleet: two holders never act at once.
+//! Leases for tasks that one node performs for a whole fleet: two holders never act at once.
 //!
-//! No I/O: messages, moments and chance are arguments; what is to be sent, and what has to be on the disk before that,
-//! comes back as values.
+//! No I/O: messages, times and randomness are arguments; messages to send, and records that have to be on disk before
+//! that, are returned as values.
 //!
-//! | module | what belongs there |
+//! | module | responsibility |
 //! | --- | --- |
 //! | [`clock`] | how long holder and keeper count, on clocks that drift |
-//! | [`token`] | names, tokens that only grow, acts that can't be written without one, fences that refuse lower ones |
-//! | [`say`] | what askers and keepers say to each other |
-//! | [`image`] | what a keeper has on its disk |
-//! | [`queue`] | who waits, in a fair order |
-//! | [`keeper`] | who has promised and granted what |
-//! | [`trust`] | whether a keeper's folder is what its fellows know it to be |
-//! | [`holder`] | one node's part in one lease: asking, holding, renewing, giving back |
+//! | [`token`] | lease names, fencing tokens, operations that can't be built without one, fences that refuse lower ones |
+//! | [`message`] | the messages between clients and keepers |
+//! | [`durable`] | the state that a keeper has on its disk |
+//! | [`queue`] | the clients that wait, in a fair order |
+//! | [`keeper`] | promises and grants of one keeper (an acceptor) |
+//! | [`recovery`] | whether a keeper's storage is the one that its peers know |
+//! | [`holder`] | one node's part in one lease (a proposer): requesting, holding, renewing, releasing |
 //!
-//! A lease is held by grace of a majority of a few keepers, in the manner of PaxosLease (Trencseni, Gazso, Reinhardt,
-//! "PaxosLease: Diskless Paxos for Leases", 2012), with one difference: what is promised is on the disk before it is
-//! said, so that its numbers are tokens in the sense of Gray and Cheriton's and Kleppmann's fences. The proof is in
+//! A lease is held by grant of a majority of a few keepers, in the manner of PaxosLease (Trencseni, Gazso, Reinhardt,
+//! "PaxosLease: Diskless Paxos for Leases", 2012), with one difference: promises are on disk before they are sent, so that
+//! ballot numbers are fencing tokens in the sense of Gray and Cheriton and of Kleppmann. The proof is in
 //! `docs/design/leases.md`.
 
 pub mod clock;
+pub mod durable;
 pub mod holder;
-pub mod image;
 pub mod keeper;
+pub mod message;
 pub mod queue;
-pub mod say;
+pub mod recovery;
 pub mod token;
-pub mod trust;
 
 /// Microseconds on one process's own monotonic clock; only differences matter.
 pub type Micros = u64;
 
-/// How many of so many keepers are a majority.
+/// The size of a majority of so many keepers.
 pub fn majority(keepers: usize) -> usize {
     keepers / 2 + 1
 }
--- a/crates/lease/src/queue.rs
+++ b/crates/lease/src/queue.rs
@@ -1,111 +1,113 @@
-//! Who waits for a lease, the longest first.
+//! The queue of clients that wait for a lease, longest wait first.
 //!
-//! Each keeper has a queue of its own, sorted by what the askers say of their waits, so that the queues are alike. When a
-//! lease is free, the first is told so, and for a while nobody else is promised it: a release wakes one and not three
-//! hundred. The first may be gone, so its turn has an end, after which whoever asks may have it.
+//! Each keeper has its own queue, ordered by the waiting times that clients report, so that the queues are alike. When a
+//! lease becomes available, the first client is notified, and during its turn nobody else is promised the lease: a
+//! release wakes one client and not three hundred. The first client may be gone, so its turn expires, and from then on
+//! any client may acquire the lease.
 
-use crate::say::Asker;
+use crate::message::ClientId;
 use crate::Micros;
 
-/// Askers who have waited for as long as each other, but for so many microseconds, are sorted by their names.
+/// Clients whose waits began within the same interval of this length, in microseconds, are ordered by their identities.
 ///
-/// Guards against keepers whose first is not the same: what an asker says of its wait comes to each of them after another
-/// time, and of two that began together one keeper would have the one and another keeper the other. Harm: of two that
-/// began nearly together the second may be the first.
-const TOGETHER: i64 = 250_000;
+/// Guards against keepers that disagree on the first client: a reported waiting time reaches each keeper after a different
+/// delay, and of two clients that began together one keeper would put the one first and another keeper the other. Harm: of
+/// two that began nearly together the second may be the first.
+const ARRIVAL_INTERVAL: i64 = 250_000;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Waiter {
-    who: Asker,
-    /// Since when it waits, by this keeper's clock; before the clock's begin where it waits for longer.
+    client: ClientId,
+    /// When the wait began, by this keeper's clock; negative if it began before the clock did.
     since: i64,
-    /// When it last asked.
-    asked: Micros,
+    /// When the client last asked.
+    last_request: Micros,
 }
 
-/// See the module.
+/// The clients that wait for one lease. See the module.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Queue {
-    waiting: Vec<Waiter>,
-    /// Whose turn it is, and until when.
-    turn: Option<(Asker, Micros)>,
-    /// It is free, and nobody's turn.
+    waiters: Vec<Waiter>,
+    /// The client whose turn it is, and when the turn expires.
+    turn: Option<(ClientId, Micros)>,
+    /// The lease is available, and it is nobody's turn.
     open: bool,
 }
 
-/// How long things take.
+/// Time limits of a queue.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Patience {
-    /// Whose turn it is has so long to get the lease, in microseconds.
+pub struct QueueTimeouts {
+    /// The time that a client has to acquire the lease in its turn, in microseconds.
     pub turn: Micros,
-    /// Who has not asked for so long waits no more, in microseconds.
-    pub lasts: Micros,
+    /// A client that has not asked for so long, in microseconds, leaves the queue.
+    pub idle: Micros,
 }
 
 impl Queue {
-    /// Somebody has asked in vain; whether there is room for it.
-    pub fn wait(&mut self, now: Micros, who: &Asker, waited: Micros, most: usize) -> bool {
-        if let Some(waiter) = self.waiting.iter_mut().find(|w| w.who == *who) {
-            waiter.asked = now;
+    /// Adds a client whose request was refused; returns whether there is room for it.
+    pub fn enqueue(&mut self, now: Micros, client: &ClientId, waited: Micros, max_waiters: usize) -> bool {
+        if let Some(waiter) = self.waiters.iter_mut().find(|w| w.client == *client) {
+            waiter.last_request = now;
             return true;
         }
-        if self.waiting.len() >= most {
+        if self.waiters.len() >= max_waiters {
             return false;
         }
         let since = now as i64 - i64::try_from(waited).unwrap_or(i64::MAX);
-        let order = |since: i64| since.div_euclid(TOGETHER);
-        let after = self.waiting.partition_point(|w| (order(w.since), &w.who) < (order(since), who));
-        self.waiting.insert(after, Waiter { who: who.clone(), since, asked: now });
+        let interval = |since: i64| since.div_euclid(ARRIVAL_INTERVAL);
+        let position =
+            self.waiters.partition_point(|w| (interval(w.since), &w.client) < (interval(since), client));
+        self.waiters.insert(position, Waiter { client: client.clone(), since, last_request: now });
         true
     }
 
-    /// The lease is granted, and its next end is another matter.
-    pub fn granted(&mut self, who: &Asker) {
-        self.waiting.retain(|w| w.who != *who);
+    /// The lease was granted to this client: it leaves the queue, and any turn is over.
+    pub fn handle_grant(&mut self, client: &ClientId) {
+        self.waiters.retain(|w| w.client != *client);
         (self.turn, self.open) = (None, false);
     }
 
-    /// Whether the lease, which is free, may go to this asker.
-    pub fn may_go(&mut self, now: Micros, who: &Asker, patience: &Patience) -> bool {
-        self.lapse(now);
+    /// Whether this client may acquire the lease, which is available.
+    pub fn may_acquire(&mut self, now: Micros, client: &ClientId, timeouts: &QueueTimeouts) -> bool {
+        self.expire_turn(now);
         if !self.open && self.turn.is_none() {
-            self.next(now, patience);
+            self.begin_turn(now, timeouts);
         }
-        self.turn.as_ref().is_none_or(|(whose, _)| whose == who)
+        self.turn.as_ref().is_none_or(|(first, _)| first == client)
     }
 
-    /// The lease is free from now on: who has to be told so.
-    pub fn next(&mut self, now: Micros, patience: &Patience) -> Option<Asker> {
-        self.waiting.retain(|w| w.asked + patience.lasts > now);
-        let first = self.waiting.first().map(|first| first.who.clone());
+    /// The lease is available from now on; returns the client to notify, whose turn begins.
+    pub fn begin_turn(&mut self, now: Micros, timeouts: &QueueTimeouts) -> Option<ClientId> {
+        self.waiters.retain(|w| w.last_request + timeouts.idle > now);
+        let first = self.waiters.first().map(|first| first.client.clone());
         self.open = first.is_none();
-        self.turn = first.clone().map(|first| (first, now + patience.turn));
+        self.turn = first.clone().map(|first| (first, now + timeouts.turn));
         first
     }
 
-    /// Ends a turn that is over.
+    /// Ends a turn whose time is over.
     ///
-    /// Guards against a first who is gone, and against keepers that have not the same one for the first, where turn after
-    /// turn nobody would have a majority: from here on whoever asks may get the lease. Harm: one that is slow by more than
-    /// a turn waits on.
-    pub fn lapse(&mut self, now: Micros) {
+    /// Guards against a first client that is gone, and against keepers that disagree on the first client, where turn after
+    /// turn nobody would have a majority: from here on any client may acquire the lease. Harm: a client that is slow by
+    /// more than a turn has to wait further.
+    pub fn expire_turn(&mut self, now: Micros) {
         if self.turn.take_if(|(_, until)| *until <= now).is_some() {
             self.open = true;
         }
     }
 
-    /// When a turn ends.
+    /// When the current turn expires.
     pub fn deadline(&self) -> Option<Micros> {
         self.turn.as_ref().map(|(_, until)| *until)
     }
 
-    /// Who waits, the longest first.
-    pub fn waiting(&self) -> impl Iterator<Item = &Asker> {
-        self.waiting.iter().map(|w| &w.who)
+    /// The waiting clients, longest wait first.
+    pub fn clients(&self) -> impl Iterator<Item = &ClientId> {
+        self.waiters.iter().map(|w| &w.client)
     }
 
     /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.waiters.is_empty()
     }
 }
--- /dev/null
+++ b/crates/lease/src/recovery.rs
@@ -0,0 +1,210 @@
+//! Recovery of a keeper: whether its storage folder is the one that its peers know.
+//!
+//! A keeper's vote is worth what its disk remembers. A folder that was emptied, or restored from a backup, has lost
+//! promises, and with its vote a token could be issued twice. Hence each folder has an identity, each peer remembers the
+//! latest identity and how many records it has heard of, and
+//!
+//! | the folder | votes |
+//! | --- | --- |
+//! | is empty | once it has an identity greater than any before it, the peers have recorded that, and it has read the promises of a majority of voting peers, or of all peers |
+//! | has an identity that the peers know, and no peer knows of more records than it has | once enough peers agree to make a majority with them |
+//! | has fewer records than a peer knows of: it was restored from a backup | never; it has to be emptied |
+//! | has a smaller identity than a peer knows: another folder took its place | never |
+//!
+//! This holds while no more than a minority of folders is lost or restored since they last voted together. When all
+//! folders are lost, so are the tokens: see the operators' page.
+
+use crate::durable::{DurableState, Record};
+use crate::majority;
+use crate::message::{LogPosition, PeerMessage, StorageId};
+use crate::token::LeaseName;
+use crate::Micros;
+use thiserror::Error;
+
+/// Interval of queries to the peers, in microseconds, while the keeper does not vote.
+pub const RECOVERY_QUERY_INTERVAL: Micros = 200_000;
+/// Interval of queries to the peers, in microseconds, while it votes.
+pub const VOTING_QUERY_INTERVAL: Micros = 1_000_000;
+
+/// Why a folder is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Error)]
+pub enum StorageFault {
+    /// Another folder replaced it.
+    #[error("another folder has taken this keeper's place (generation {by}); this one must not vote")]
+    Replaced {
+        /// The generation of the other folder.
+        by: u32,
+    },
+    /// It has lost records.
+    #[error(
+        "the folder has {here} records, a fellow knows of {known}: it is an old copy; empty it to begin anew"
+    )]
+    Outdated {
+        /// Number of records in this folder.
+        here: u64,
+        /// Number of records that a peer knows of.
+        known: u64,
+    },
+}
+
+/// The phase of a keeper's recovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Status {
+    /// The folder is empty: the keeper queries its peers for its previous generation.
+    Empty,
+    /// The folder is new: the keeper reads the promises of its peers.
+    CatchingUp,
+    /// The folder existed before: the keeper verifies with its peers that it is the latest.
+    Verifying,
+    /// The keeper votes.
+    Voting,
+    /// The keeper must not vote.
+    Rejected(StorageFault),
+}
+
+/// What is known of a peer since this keeper's start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Peer {
+    /// It has answered.
+    answered: bool,
+    /// It votes.
+    voting: bool,
+    /// It has recorded this keeper's present folder as the latest.
+    agrees: bool,
+    /// The last lease whose promise was read from it.
+    read_up_to: Option<LeaseName>,
+    /// Whether it voted when its last page was read; `None` until then.
+    read_completely: Option<bool>,
+}
+
+/// The recovery state machine of one keeper. See the module.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Recovery {
+    me: usize,
+    status: Status,
+    peers: Vec<Peer>,
+    /// The latest generation of this keeper's folders that any peer knows.
+    generation: u32,
+    /// Random, for the identity of a new folder.
+    tag: u64,
+    next_query: Micros,
+}
+
+impl Recovery {
+    /// Starts the recovery of a keeper from its durable state.
+    pub fn new(me: usize, keepers: usize, state: &DurableState, tag: u64, now: Micros) -> Recovery {
+        let status = match (state.storage, state.admitted) {
+            (None, _) => Status::Empty,
+            (Some(_), false) => Status::CatchingUp,
+            (Some(_), true) => Status::Verifying,
+        };
+        Recovery { me, status, peers: vec![Peer::default(); keepers], generation: 0, tag, next_query: now }
+    }
+
+    /// The current phase.
+    pub fn status(&self) -> Status {
+        self.status
+    }
+
+    /// Whether the keeper votes.
+    pub fn is_voting(&self) -> bool {
+        self.status == Status::Voting
+    }
+
+    /// When [`Recovery::tick`] has queries to send.
+    pub fn deadline(&self) -> Micros {
+        self.next_query
+    }
+
+    fn others(&self) -> impl Iterator<Item = &Peer> {
+        let me = self.me;
+        self.peers.iter().enumerate().filter(move |(n, _)| *n != me).map(|(_, peer)| peer)
+    }
+
+    /// Returns the queries that are due, with the places of the peers that they go to.
+    pub fn tick(&mut self, now: Micros, state: &DurableState) -> Vec<(usize, PeerMessage)> {
+        if now < self.next_query {
+            return Vec::new();
+        }
+        self.next_query =
+            now + if self.is_voting() { VOTING_QUERY_INTERVAL } else { RECOVERY_QUERY_INTERVAL };
+        let mut queries = Vec::new();
+        for (n, peer) in self.peers.iter().enumerate().filter(|(n, _)| *n != self.me) {
+            queries.push((n, PeerMessage::PositionQuery { own: state.position() }));
+            if self.status == Status::CatchingUp && peer.agrees && peer.read_completely.is_none() {
+                queries.push((n, PeerMessage::PromiseQuery { after: peer.read_up_to.clone() }));
+            }
+        }
+        queries
+    }
+
+    /// Handles a peer's reply about the position that it has recorded for this keeper.
+    pub fn handle_position_reply(
+        &mut self, now: Micros, from: usize, state: &DurableState, recorded: Option<LogPosition>,
+        voting: bool,
+    ) {
+        let Some(peer) = self.peers.get_mut(from) else { return };
+        (peer.answered, peer.voting) = (true, voting);
+        self.generation = self.generation.max(recorded.map_or(0, |recorded| recorded.storage.generation));
+        if let (Some(own), Some(known)) = (state.position(), recorded) {
+            if known.storage > own.storage {
+                self.status = Status::Rejected(StorageFault::Replaced { by: known.storage.generation });
+            } else if known.storage == own.storage && known.records > own.records {
+                self.status =
+                    Status::Rejected(StorageFault::Outdated { here: own.records, known: known.records });
+            } else if known.storage == own.storage && !peer.agrees {
+                peer.agrees = true;
+                // Its promises are queried at once.
+                self.next_query = now;
+            }
+        }
+    }
+
+    /// Notes that a page of a peer's promises was read.
+    pub fn handle_promise_page(
+        &mut self, now: Micros, from: usize, up_to: Option<LeaseName>, last: bool, voting: bool,
+    ) {
+        let Some(peer) = self.peers.get_mut(from).filter(|p| p.agrees && p.read_completely.is_none()) else {
+            return;
+        };
+        if last {
+            peer.read_completely = Some(voting);
+        } else if up_to > peer.read_up_to {
+            peer.read_up_to = up_to;
+        }
+        self.next_query = now;
+    }
+
+    /// Moves to the next phase if its condition holds; returns the record that this requires, if any.
+    pub fn advance(&mut self, now: Micros, state: &DurableState) -> Option<Record> {
+        let (keepers, all_peers) = (self.peers.len(), self.peers.len() - 1);
+        // Those that voted with this keeper's previous folder are among these, or all others are lost as well.
+        let enough = |voting: usize, all: usize| voting >= majority(keepers) || all == all_peers;
+        match self.status {
+            Status::Empty => {
+                let answered: Vec<&Peer> = self.others().filter(|p| p.answered).collect();
+                if !enough(answered.iter().filter(|p| p.voting).count(), answered.len()) {
+                    return None;
+                }
+                self.status = Status::CatchingUp;
+                self.next_query = now;
+                Some(Record::Created(StorageId { generation: self.generation + 1, tag: self.tag }))
+            }
+            Status::CatchingUp => {
+                let read: Vec<bool> = self.others().filter_map(|p| p.read_completely).collect();
+                if !enough(read.iter().filter(|voting| **voting).count(), read.len()) {
+                    return None;
+                }
+                self.status = Status::Voting;
+                Some(Record::Admitted)
+            }
+            Status::Verifying => {
+                if self.others().filter(|p| p.agrees).count() + 1 >= majority(keepers) && state.admitted {
+                    self.status = Status::Voting;
+                }
+                None
+            }
+            Status::Voting | Status::Rejected(_) => None,
+        }
+    }
+}
--- a/crates/lease/src/token.rs
+++ b/crates/lease/src/token.rs
@@ -1,160 +1,163 @@
-//! Names of leases, their tokens, and what is done by them.
+//! Lease names, fencing tokens, and the operations that carry them.
 //!
-//! A holder that stands still between its last look at the clock and its act acts late, and no clock can tell. So each
-//! act carries the token of its lease, and whatever is acted on keeps the highest one that it has seen and refuses
-//! lower ones. Both ends are in the types: an [`Act`] comes from a lease that is held and from nowhere else, and a
-//! [`Fence`] gives back what was to be done only if the token is not a lower one.
+//! A holder that is paused between its last look at the clock and its operation acts late, and no clock can tell. Hence
+//! each operation carries the token of its lease, and the resource it acts on keeps the highest token that it has seen and
+//! refuses lower ones. Both ends are in the types: an [`Operation`] comes from a lease that is held and from nowhere else,
+//! and a [`Fence`] admits an operation only if its token is not a lower one.
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use thiserror::Error;
 
-/// Longest name of a lease, in bytes.
-pub const NAME_MOST: usize = 64;
+/// Maximum length of a lease name, in bytes.
+pub const MAX_LEASE_NAME_LEN: usize = 64;
 
-/// The name of a lease: 1 to [`NAME_MOST`] bytes of letters, digits, `-`, `_`, `.`, `/` and `:`.
+/// The name of a lease: 1 to [`MAX_LEASE_NAME_LEN`] bytes of letters, digits, `-`, `_`, `.`, `/` and `:`.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
-pub struct Name(String);
+pub struct LeaseName(String);
 
-/// What a name can't be.
+/// The text is not a valid [`LeaseName`].
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-#[error("a lease's name has 1 to {NAME_MOST} letters, digits, '-', '_', '.', '/' or ':'")]
-pub struct BadName;
+#[error("a lease's name has 1 to {MAX_LEASE_NAME_LEN} letters, digits, '-', '_', '.', '/' or ':'")]
+pub struct InvalidLeaseName;
 
-impl TryFrom<String> for Name {
-    type Error = BadName;
+impl TryFrom<String> for LeaseName {
+    type Error = InvalidLeaseName;
 
-    fn try_from(name: String) -> Result<Name, BadName> {
-        let sound = |b: u8| b.is_ascii_alphanumeric() || b"-_./:".contains(&b);
-        let fits = !name.is_empty() && name.len() <= NAME_MOST && name.bytes().all(sound);
-        fits.then_some(Name(name)).ok_or(BadName)
+    fn try_from(name: String) -> Result<LeaseName, InvalidLeaseName> {
+        let is_allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_./:".contains(&b);
+        let is_valid = !name.is_empty() && name.len() <= MAX_LEASE_NAME_LEN && name.bytes().all(is_allowed);
+        is_valid.then_some(LeaseName(name)).ok_or(InvalidLeaseName)
     }
 }
 
-impl From<Name> for String {
-    fn from(name: Name) -> String {
+impl From<LeaseName> for String {
+    fn from(name: LeaseName) -> String {
         name.0
     }
 }
 
-impl std::fmt::Display for Name {
+impl std::fmt::Display for LeaseName {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
         f.write_str(&self.0)
     }
 }
 
-impl Name {
-    /// As text.
+impl LeaseName {
+    /// The name as text.
     pub fn as_str(&self) -> &str {
         &self.0
     }
 }
 
-/// One holding of a lease. Of two holdings of one lease the later one has the greater token, whoever had it and
-/// whatever was started anew between them.
+/// The fencing token of one holding of a lease. Of two holdings of one lease the later one has the greater token, whoever
+/// held it and whatever was restarted between them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Token(pub(crate) u64);
 
 impl Token {
-    /// As a number, for whatever is told it.
+    /// The token as a number, to be sent to a resource.
     pub fn number(self) -> u64 {
         self.0
     }
 }
 
-/// Something that is done by grace of a lease.
+/// An operation that is performed under a lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Act<T> {
+pub struct Operation<T> {
     claim: Claim,
-    what: T,
+    payload: T,
 }
 
-impl<T> Act<T> {
-    pub(crate) fn by(lease: &Name, token: u64, what: T) -> Act<T> {
-        Act { claim: Claim { lease: lease.clone(), token }, what }
+impl<T> Operation<T> {
+    pub(crate) fn new(lease: &LeaseName, token: u64, payload: T) -> Operation<T> {
+        Operation { claim: Claim { lease: lease.clone(), token }, payload }
     }
 
-    /// By which lease.
+    /// The lease and the token that the operation is performed under.
     pub fn claim(&self) -> &Claim {
         &self.claim
     }
 
-    /// The claim and what is to be done, for the way to whatever is acted on.
+    /// The claim and the payload, to be sent to a resource.
     pub fn into_parts(self) -> (Claim, T) {
-        (self.claim, self.what)
+        (self.claim, self.payload)
     }
 }
 
-/// What an act says of its lease on the way to whatever is acted on.
+/// The lease and the token that an operation presents to a resource.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Claim {
-    /// Which lease.
-    pub lease: Name,
+    /// The lease.
+    pub lease: LeaseName,
     /// The token's number.
     pub token: u64,
 }
 
-/// Why something is not done.
+/// Why a fence refuses an operation.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum Fenced {
-    /// A later holding of the lease has acted already.
-    #[error("token {told} of lease {lease} is over: {seen} was seen")]
-    Stale {
-        /// Which lease.
-        lease: Name,
-        /// What the act said.
-        told: u64,
-        /// The highest one that was seen.
-        seen: u64,
+pub enum FenceError {
+    /// A later holder of the lease has acted already.
+    #[error("token {presented} of lease {lease} is over: {highest} was seen")]
+    StaleToken {
+        /// The lease.
+        lease: LeaseName,
+        /// The token of the operation.
+        presented: u64,
+        /// The highest token seen so far.
+        highest: u64,
     },
-    /// No more leases can be told apart.
+    /// The fence can't track another lease.
     #[error("no room for lease {0}")]
-    Full(Name),
+    AtCapacity(LeaseName),
 }
 
-/// The highest token of each lease that whatever is acted on has seen.
+/// The highest token of each lease that a resource has seen.
 ///
-/// A name is never forgotten, since a lower token may come at any time later; so their number has a bound.
+/// A lease is never forgotten, since a lower token may come at any later time; so the number of leases is bounded.
 #[derive(Clone, Debug)]
 pub struct Fence {
-    seen: BTreeMap<Name, u64>,
-    most: usize,
+    highest: BTreeMap<LeaseName, u64>,
+    max_leases: usize,
 }
 
 impl Fence {
-    /// One that can tell so many leases apart.
-    pub fn new(most: usize) -> Fence {
-        Fence { seen: BTreeMap::new(), most }
+    /// A fence for at most so many leases.
+    pub fn new(max_leases: usize) -> Fence {
+        Fence { highest: BTreeMap::new(), max_leases }
     }
 
-    /// Lets an act by if no later holding of its lease has acted.
+    /// Admits an operation if no later holder of its lease has acted.
     ///
-    /// Guards against a holder that stood still past its lease and wakes in the middle of an act: by then somebody else
-    /// may have done it. Harm: an act of the lease's last holder that comes after the next one's first is lost.
+    /// Guards against a holder that was paused past its lease and resumes in the middle of an operation: by then another
+    /// holder may have performed it. Harm: an operation of the lease's last holder that comes after the next one's first is
+    /// lost.
     ///
     /// # Errors
-    /// Says why it must not be done.
-    pub fn admit(&mut self, claim: &Claim) -> Result<(), Fenced> {
-        let full = self.seen.len() >= self.most;
-        match self.seen.get_mut(&claim.lease) {
-            Some(seen) if claim.token < *seen => {
-                Err(Fenced::Stale { lease: claim.lease.clone(), told: claim.token, seen: *seen })
-            }
-            Some(seen) => {
-                *seen = claim.token;
+    /// If the operation must not be performed.
+    pub fn admit(&mut self, claim: &Claim) -> Result<(), FenceError> {
+        let full = self.highest.len() >= self.max_leases;
+        match self.highest.get_mut(&claim.lease) {
+            Some(highest) if claim.token < *highest => Err(FenceError::StaleToken {
+                lease: claim.lease.clone(),
+                presented: claim.token,
+                highest: *highest,
+            }),
+            Some(highest) => {
+                *highest = claim.token;
                 Ok(())
             }
-            None if full => Err(Fenced::Full(claim.lease.clone())),
+            None if full => Err(FenceError::AtCapacity(claim.lease.clone())),
             None => {
-                self.seen.insert(claim.lease.clone(), claim.token);
+                self.highest.insert(claim.lease.clone(), claim.token);
                 Ok(())
             }
         }
     }
 
-    /// The highest token of a lease that was seen.
-    pub fn seen(&self, lease: &Name) -> Option<u64> {
-        self.seen.get(lease).copied()
+    /// The highest token seen of a lease.
+    pub fn highest(&self, lease: &LeaseName) -> Option<u64> {
+        self.highest.get(lease).copied()
     }
 }
--- a/crates/lease/tests/explore.rs
+++ b/crates/lease/tests/explore.rs
@@ -1,14 +1,14 @@
-//! Three keepers, two askers, one resource: all orders of what can happen to their messages, with keepers that begin anew,
-//! askers that stand still, and clocks that drift. The code that is explored is the code that runs; the network, the
+//! Three keepers, two clients, one resource: all orders of what can happen to their messages, with keepers that begin anew,
+//! clients that stand still, and clocks that drift. The code that is explored is the code that runs; the network, the
 //! disks and the resource are models.
 
 use reelfall_lease::clock::Margins;
-use reelfall_lease::holder::{Change, Lease, Rules};
-use reelfall_lease::image::Image;
-use reelfall_lease::keeper::{self, Keeper, To};
-use reelfall_lease::queue::Patience;
-use reelfall_lease::say::{Ask, Asker, Message, No, Said};
-use reelfall_lease::token::{Claim, Fence, Name};
+use reelfall_lease::durable::DurableState;
+use reelfall_lease::holder::{Config, Lease, LeaseEvent};
+use reelfall_lease::keeper::{self, Destination, Keeper};
+use reelfall_lease::message::{ClientId, Message, Refusal, Request, Response};
+use reelfall_lease::queue::QueueTimeouts;
+use reelfall_lease::token::{Claim, Fence, LeaseName};
 use reelfall_lease::Micros;
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeSet;
@@ -17,24 +17,24 @@
 /// Most states, the same ones counted anew, that one exploration looks at.
 const MOST: usize = 2_000_000;
 
-fn lease() -> Name {
-    Name::try_from("task".to_owned()).unwrap()
+fn lease() -> LeaseName {
+    LeaseName::try_from("task".to_owned()).unwrap()
 }
 
-fn asker(n: usize) -> Asker {
-    Asker { name: format!("n{n}"), tag: n as u64 }
+fn client(n: usize) -> ClientId {
+    ClientId { name: format!("n{n}"), tag: n as u64 }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Disked {
+struct DurableKeeper {
     keeper: Keeper,
-    disk: Image,
+    disk: DurableState,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-enum Mail {
-    Ask(usize, usize, Ask),
-    Said(usize, usize, Said),
+enum Packet {
+    Request(usize, usize, Request),
+    Response(usize, usize, Response),
     /// An act on its way to the resource.
     Act(usize, u64),
 }
@@ -42,13 +42,13 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
     now: u8,
-    keepers: Vec<Disked>,
-    askers: Vec<Lease>,
+    keepers: Vec<DurableKeeper>,
+    clients: Vec<Lease>,
     asked: [u8; 2],
     renewed: u8,
-    /// The first asker gets the lease, and nothing goes wrong meanwhile.
+    /// The first client gets the lease, and nothing goes wrong meanwhile.
     prelude: bool,
-    mail: BTreeSet<Mail>,
+    in_flight: BTreeSet<Packet>,
     restarts: u8,
     twice: u8,
     late: u8,
@@ -62,12 +62,12 @@
 enum Step {
     Later,
     /// A question comes to a keeper, and its answer back at once; or an act, or an answer that was late, comes.
-    Bring(Mail),
+    Bring(Packet),
     /// The answer takes longer, or never comes.
-    BringLate(Mail),
-    BringTwice(Mail),
+    BringLate(Packet),
+    BringTwice(Packet),
     /// The keeper takes it in and ends: before its disk has it, or before anybody hears of it.
-    BringAndEnd(Mail, bool),
+    BringAndEnd(Packet, bool),
     Timer(usize),
     Act(usize),
 }
@@ -82,7 +82,7 @@
     Margin,
     /// Keepers answer before their disk has what they say.
     Disk,
-    /// One keeper is enough, and each asker has one of its own.
+    /// One keeper is enough, and each client has one of its own.
     Majority,
 }
 
@@ -91,9 +91,9 @@
     length: Micros,
     /// The last moment.
     end: u8,
-    /// Clocks of keepers go by so many eighths of true time, and those of askers.
+    /// Clocks of keepers go by so many eighths of true time, and those of clients.
     rates: (u64, u64),
-    asks: [u8; 2],
+    requests: [u8; 2],
     renewals: u8,
     restarts: u8,
     twice: u8,
@@ -102,7 +102,7 @@
     acts: bool,
     /// Whose messages come to which keepers at all: majorities that meet in one keeper are the worst there are.
     reach: [[bool; KEEPERS]; 2],
-    /// The first asker has the lease already.
+    /// The first client has the lease already.
     held: bool,
 }
 
@@ -113,7 +113,7 @@
             length: 3,
             end: 5,
             rates: (8, 8),
-            asks: [0, 1],
+            requests: [0, 1],
             renewals: 0,
             restarts: 0,
             twice: 0,
@@ -130,7 +130,7 @@
         u64::from(now) * self.rates.0 / 8
     }
 
-    fn at_asker(&self, now: u8) -> Micros {
+    fn at_client(&self, now: u8) -> Micros {
         u64::from(now) * self.rates.1 / 8
     }
 
@@ -139,24 +139,24 @@
         Margins { drift_ppm: if drifts { 125_000 } else { 0 } }
     }
 
-    fn keeper_rules(&self) -> keeper::Rules {
-        keeper::Rules {
+    fn keeper_config(&self) -> keeper::Config {
+        keeper::Config {
             margins: self.margins(),
-            longest: 100,
-            patience: Patience { turn: 1, lasts: 2 },
-            ..keeper::Rules::default()
+            max_length: 100,
+            queue_timeouts: QueueTimeouts { turn: 1, idle: 2 },
+            ..keeper::Config::default()
         }
     }
 
-    fn asker_rules(&self) -> Rules {
+    fn client_config(&self) -> Config {
         let keepers = if self.without == Without::Majority { 1 } else { KEEPERS };
-        Rules { keepers, margins: self.margins(), length: self.length, answer_within: 1, rest: (0, 0) }
+        Config { keepers, margins: self.margins(), length: self.length, response_timeout: 1, backoff: (0, 0) }
     }
 
-    /// Which keeper an asker means.
-    fn keeper_of(&self, asker: usize, place: usize) -> usize {
+    /// Which keeper an client means.
+    fn keeper_of(&self, client: usize, place: usize) -> usize {
         if self.without == Without::Majority {
-            asker
+            client
         } else {
             place
         }
@@ -166,69 +166,75 @@
     fn flush(&self, world: &mut World, n: usize) {
         let mut due = vec![n];
         while let Some(n) = due.pop() {
-            let effects = world.keepers[n].keeper.effects();
+            let effects = world.keepers[n].keeper.take_effects();
             if self.without != Without::Disk || world.prelude {
                 effects.records.iter().for_each(|record| world.keepers[n].disk.apply(record));
             }
-            for (to, message) in effects.says {
+            for (to, message) in effects.messages {
                 match (to, message) {
-                    (To::Keeper(to), Message::Between(between)) => {
+                    (Destination::Keeper(to), Message::Peer(message)) => {
                         let now = self.at_keeper(world.now);
-                        world.keepers[to].keeper.heard(now, n, between);
+                        world.keepers[to].keeper.handle_peer_message(now, n, message);
                         due.push(to);
                     }
-                    (To::Asker(to), Message::Said(said)) => self.said(world, n, &to, said),
+                    (Destination::Client(to), Message::Response(response)) => {
+                        self.post_response(world, n, &to, response)
+                    }
                     other => panic!("{other:?}"),
                 }
             }
         }
     }
 
-    fn said(&self, world: &mut World, from: usize, to: &Asker, said: Said) {
-        world.mail.insert(Mail::Said(from, to.tag as usize, said));
+    fn post_response(&self, world: &mut World, from: usize, to: &ClientId, response: Response) {
+        world.in_flight.insert(Packet::Response(from, to.tag as usize, response));
     }
 
     /// A keeper begins, with what its disk has.
     fn begin(&self, world: &mut World, n: usize, tag: u64) {
         let now = self.at_keeper(world.now);
         let disk = world.keepers[n].disk.clone();
-        world.keepers[n].keeper = Keeper::open(n, KEEPERS, self.keeper_rules(), disk, tag, now);
+        world.keepers[n].keeper = Keeper::open(n, KEEPERS, self.keeper_config(), disk, tag, now);
         self.flush(world, n);
     }
 
     fn post(&self, world: &mut World, n: usize) {
-        for (place, ask) in world.askers[n].asks() {
+        for (place, request) in world.clients[n].take_requests() {
             let keeper = self.keeper_of(n, place);
             if self.reach[n][keeper] || world.prelude || self.without == Without::Majority {
-                world.mail.insert(Mail::Ask(n, keeper, ask));
+                world.in_flight.insert(Packet::Request(n, keeper, request));
             }
         }
-        for change in world.askers[n].changes() {
-            if let Change::Got(token) = change {
+        for event in world.clients[n].take_events() {
+            if let LeaseEvent::Acquired(token) = event {
                 world.got.insert((n, token.number()));
             }
         }
     }
 
-    fn ask(&self, world: &mut World, mail: &Mail) -> Option<usize> {
-        let Mail::Ask(from, keeper, ask) = mail else { return None };
-        world.keepers[*keeper].keeper.asked(self.at_keeper(world.now), &asker(*from), ask.clone());
+    fn deliver_request(&self, world: &mut World, packet: &Packet) -> Option<usize> {
+        let Packet::Request(from, keeper, request) = packet else { return None };
+        world.keepers[*keeper].keeper.handle_request(
+            self.at_keeper(world.now),
+            &client(*from),
+            request.clone(),
+        );
         Some(*keeper)
     }
 
-    fn bring(&self, world: &mut World, mail: &Mail) {
-        match mail {
-            Mail::Ask(..) => {
-                if let Some(keeper) = self.ask(world, mail) {
+    fn bring(&self, world: &mut World, packet: &Packet) {
+        match packet {
+            Packet::Request(..) => {
+                if let Some(keeper) = self.deliver_request(world, packet) {
                     self.flush(world, keeper);
                 }
             }
-            Mail::Said(keeper, to, said) => {
+            Packet::Response(keeper, to, response) => {
                 let place = if self.without == Without::Majority { 0 } else { *keeper };
-                world.askers[*to].heard(self.at_asker(world.now), place, said.clone(), 0);
+                world.clients[*to].handle_response(self.at_client(world.now), place, response.clone(), 0);
                 self.post(world, *to);
             }
-            Mail::Act(by, token) => {
+            Packet::Act(by, token) => {
                 let mut fence = Fence::new(1);
                 let claim = |token: u64| Claim { lease: lease(), token };
                 world.acted.iter().for_each(|(_, token)| {
@@ -244,45 +250,45 @@
     /// Takes away what changes nothing, now or later: answers to what is asked no more, and numbers that are over. Whether
     /// they come makes no other world.
     fn sweep(&self, world: &mut World) {
-        let (now, mail) = (self.at_asker(world.now), std::mem::take(&mut world.mail));
-        let alive = |mail: &Mail| match mail {
-            Mail::Act(..) => true,
-            Mail::Said(keeper, to, said) => {
-                let mut asker = world.askers[*to].clone();
-                asker.heard(
+        let (now, in_flight) = (self.at_client(world.now), std::mem::take(&mut world.in_flight));
+        let alive = |packet: &Packet| match packet {
+            Packet::Act(..) => true,
+            Packet::Response(keeper, to, response) => {
+                let mut client = world.clients[*to].clone();
+                client.handle_response(
                     now,
                     if self.without == Without::Majority { 0 } else { *keeper },
-                    said.clone(),
+                    response.clone(),
                     0,
                 );
-                asker != world.askers[*to]
+                client != world.clients[*to]
             }
-            Mail::Ask(from, keeper, ask) => {
-                let promised = world.keepers[*keeper].keeper.image().promised(&lease());
+            Packet::Request(from, keeper, request) => {
+                let promised = world.keepers[*keeper].keeper.state().promised_ballot(&lease());
                 let awaited = |round: u64| {
-                    let mut asker = world.askers[*from].clone();
+                    let mut client = world.clients[*from].clone();
                     let place = if self.without == Without::Majority { 0 } else { *keeper };
-                    asker.heard(
+                    client.handle_response(
                         now,
                         place,
-                        Said::Refused { lease: lease(), round, why: No::Behind, promised },
+                        Response::Refused { lease: lease(), round, reason: Refusal::StaleBallot, promised },
                         0,
                     );
-                    asker != world.askers[*from]
+                    client != world.clients[*from]
                 };
-                match ask {
-                    Ask::Promise { counter, round, .. } => *counter > promised || awaited(*round),
-                    Ask::Grant { token, round, .. } => *token >= promised || awaited(*round),
-                    Ask::Release { token, .. } => *token >= promised,
+                match request {
+                    Request::Prepare { ballot, round, .. } => *ballot > promised || awaited(*round),
+                    Request::Grant { token, round, .. } => *token >= promised || awaited(*round),
+                    Request::Release { token, .. } => *token >= promised,
                 }
             }
         };
-        world.mail = mail.into_iter().filter(alive).collect();
+        world.in_flight = in_flight.into_iter().filter(alive).collect();
     }
 
     fn holding(&self, world: &World) -> Vec<u64> {
-        let now = self.at_asker(world.now);
-        world.askers.iter().filter_map(|a| a.held(now).map(|held| held.token().number())).collect()
+        let now = self.at_client(world.now);
+        world.clients.iter().filter_map(|a| a.held(now).map(|held| held.token().number())).collect()
     }
 }
 
@@ -291,18 +297,18 @@
     type Action = Step;
 
     fn init_states(&self) -> Vec<World> {
-        let disked = |n: usize| Disked {
-            keeper: Keeper::open(n, KEEPERS, self.keeper_rules(), Image::default(), n as u64 + 1, 0),
-            disk: Image::default(),
+        let durable_keeper = |n: usize| DurableKeeper {
+            keeper: Keeper::open(n, KEEPERS, self.keeper_config(), DurableState::default(), n as u64 + 1, 0),
+            disk: DurableState::default(),
         };
         let mut world = World {
             now: 0,
-            keepers: (0..KEEPERS).map(disked).collect(),
-            askers: (0..2).map(|_| Lease::new(lease(), self.asker_rules())).collect(),
+            keepers: (0..KEEPERS).map(durable_keeper).collect(),
+            clients: (0..2).map(|_| Lease::new(lease(), self.client_config())).collect(),
             asked: [0, 0],
             renewed: 0,
             prelude: self.held,
-            mail: BTreeSet::new(),
+            in_flight: BTreeSet::new(),
             restarts: 0,
             twice: 0,
             late: 0,
@@ -324,14 +330,14 @@
             self.begin(&mut world, n, 10 + n as u64);
         }
         for keeper in &world.keepers {
-            assert_eq!(keeper.keeper.standing(), reelfall_lease::trust::Standing::Trusted);
+            assert_eq!(keeper.keeper.status(), reelfall_lease::recovery::Status::Voting);
         }
-        world.askers.iter_mut().for_each(|a| a.want(0));
+        world.clients.iter_mut().for_each(|a| a.acquire(0));
         if self.held {
-            world.askers[0].tick(0, 0);
+            world.clients[0].tick(0, 0);
             self.post(&mut world, 0);
-            while let Some(mail) = world.mail.pop_first() {
-                self.bring(&mut world, &mail);
+            while let Some(packet) = world.in_flight.pop_first() {
+                self.bring(&mut world, &packet);
             }
             assert_eq!(self.holding(&world), [1]);
             world.prelude = false;
@@ -343,32 +349,33 @@
         if world.now < self.end {
             steps.push(Step::Later);
         }
-        for mail in &world.mail {
-            steps.push(Step::Bring(mail.clone()));
+        for packet in &world.in_flight {
+            steps.push(Step::Bring(packet.clone()));
             if world.late < self.late
-                && matches!(mail, Mail::Ask(_, _, Ask::Promise { .. } | Ask::Grant { .. }))
+                && matches!(packet, Packet::Request(_, _, Request::Prepare { .. } | Request::Grant { .. }))
             {
-                steps.push(Step::BringLate(mail.clone()));
+                steps.push(Step::BringLate(packet.clone()));
             }
             if world.twice < self.twice {
-                steps.push(Step::BringTwice(mail.clone()));
+                steps.push(Step::BringTwice(packet.clone()));
             }
             if world.restarts < self.restarts
-                && matches!(mail, Mail::Ask(_, _, Ask::Promise { .. } | Ask::Grant { .. }))
+                && matches!(packet, Packet::Request(_, _, Request::Prepare { .. } | Request::Grant { .. }))
             {
-                steps.push(Step::BringAndEnd(mail.clone(), false));
-                steps.push(Step::BringAndEnd(mail.clone(), true));
+                steps.push(Step::BringAndEnd(packet.clone(), false));
+                steps.push(Step::BringAndEnd(packet.clone(), true));
             }
         }
-        let now = self.at_asker(world.now);
+        let now = self.at_client(world.now);
         for n in 0..2 {
-            let asks = world.askers[n].deadline().is_some_and(|due| due <= now);
-            let (held, renews) = (world.askers[n].held(now).is_some(), world.renewed < self.renewals);
-            if asks && (if held { renews } else { world.asked[n] < self.asks[n] }) {
+            let is_due = world.clients[n].deadline().is_some_and(|due| due <= now);
+            let (held, renews) = (world.clients[n].held(now).is_some(), world.renewed < self.renewals);
+            if is_due && (if held { renews } else { world.asked[n] < self.requests[n] }) {
                 steps.push(Step::Timer(n));
             }
-            let acts = self.acts && !world.mail.iter().any(|m| matches!(m, Mail::Act(by, _) if *by == n));
-            if acts && world.acted.len() < 2 && world.askers[n].held(now).is_some() {
+            let acts =
+                self.acts && !world.in_flight.iter().any(|m| matches!(m, Packet::Act(by, _) if *by == n));
+            if acts && world.acted.len() < 2 && world.clients[n].held(now).is_some() {
                 steps.push(Step::Act(n));
             }
         }
@@ -378,59 +385,60 @@
         let mut world = last.clone();
         match step {
             Step::Later => world.now += 1,
-            Step::Bring(mail) => {
-                world.mail.remove(&mail);
-                let before = world.mail.clone();
-                self.bring(&mut world, &mail);
-                if let Mail::Ask(from, ..) = mail {
-                    let answers = |m: &&Mail| matches!(m, Mail::Said(_, to, _) if *to == from);
-                    let new: Vec<Mail> = world.mail.difference(&before).filter(answers).cloned().collect();
+            Step::Bring(packet) => {
+                world.in_flight.remove(&packet);
+                let before = world.in_flight.clone();
+                self.bring(&mut world, &packet);
+                if let Packet::Request(from, ..) = packet {
+                    let answers = |m: &&Packet| matches!(m, Packet::Response(_, to, _) if *to == from);
+                    let new: Vec<Packet> =
+                        world.in_flight.difference(&before).filter(answers).cloned().collect();
                     for answer in new {
-                        world.mail.remove(&answer);
+                        world.in_flight.remove(&answer);
                         self.bring(&mut world, &answer);
                     }
                 }
             }
-            Step::BringLate(mail) => {
+            Step::BringLate(packet) => {
                 world.late += 1;
-                world.mail.remove(&mail);
-                self.bring(&mut world, &mail);
+                world.in_flight.remove(&packet);
+                self.bring(&mut world, &packet);
             }
-            Step::BringTwice(mail) => {
+            Step::BringTwice(packet) => {
                 world.twice += 1;
-                self.bring(&mut world, &mail);
+                self.bring(&mut world, &packet);
             }
-            Step::BringAndEnd(mail, written) => {
-                world.mail.remove(&mail);
+            Step::BringAndEnd(packet, written) => {
+                world.in_flight.remove(&packet);
                 world.restarts += 1;
-                let n = self.ask(&mut world, &mail)?;
-                let effects = world.keepers[n].keeper.effects();
+                let n = self.deliver_request(&mut world, &packet)?;
+                let effects = world.keepers[n].keeper.take_effects();
                 if written {
                     effects.records.iter().for_each(|record| world.keepers[n].disk.apply(record));
                 }
                 if self.without == Without::Disk {
-                    for (to, message) in effects.says {
-                        if let (To::Asker(to), Message::Said(said)) = (to, message) {
-                            self.said(&mut world, n, &to, said);
+                    for (to, message) in effects.messages {
+                        if let (Destination::Client(to), Message::Response(response)) = (to, message) {
+                            self.post_response(&mut world, n, &to, response);
                         }
                     }
                 }
                 self.begin(&mut world, n, 20);
             }
             Step::Timer(n) => {
-                let now = self.at_asker(world.now);
-                if world.askers[n].held(now).is_some() {
+                let now = self.at_client(world.now);
+                if world.clients[n].held(now).is_some() {
                     world.renewed += 1;
                 } else {
                     world.asked[n] += 1;
                 }
-                world.askers[n].tick(now, 0);
+                world.clients[n].tick(now, 0);
                 self.post(&mut world, n);
             }
             Step::Act(n) => {
-                let now = self.at_asker(world.now);
-                let token = world.askers[n].held(now)?.act(()).claim().token;
-                world.mail.insert(Mail::Act(n, token));
+                let now = self.at_client(world.now);
+                let token = world.clients[n].held(now)?.operation(()).claim().token;
+                world.in_flight.insert(Packet::Act(n, token));
             }
         }
         self.sweep(&mut world);
@@ -452,7 +460,7 @@
             }),
             Property::sometimes("one after the other", |model: &Explored, world: &World| {
                 let number = |n: usize| {
-                    world.askers[n].held(model.at_asker(world.now)).map(|held| held.token().number())
+                    world.clients[n].held(model.at_client(world.now)).map(|held| held.token().number())
                 };
                 number(1).is_some_and(|token| token > 1) || number(0).is_some_and(|token| token > 1)
             }),
@@ -492,7 +500,7 @@
 }
 
 fn ends(without: Without) -> Explored {
-    Explored { without, restarts: 1, asks: [1, 1], late: 0, length: 2, end: 3, ..Explored::default() }
+    Explored { without, restarts: 1, requests: [1, 1], late: 0, length: 2, end: 3, ..Explored::default() }
 }
 
 #[test]
@@ -529,7 +537,7 @@
 fn two_that_ask_at_once() {
     holds(Explored {
         held: false,
-        asks: [1, 1],
+        requests: [1, 1],
         reach: [[true; KEEPERS]; 2],
         end: 1,
         late: 0,
--- a/crates/lease/tests/folders.rs
+++ b/crates/lease/tests/folders.rs
@@ -1,100 +1,107 @@
-//! Keepers whose folders are lost, old, or in another's place; and askers by the hundred.
+//! Keepers whose folders are lost, old, or in another's place; and clients by the hundred.
 
-use reelfall_lease::holder::{Lease, Rules};
-use reelfall_lease::image::{Image, Record};
-use reelfall_lease::keeper::{self, Keeper, To};
-use reelfall_lease::say::{Ask, Asker, Kept, Message, No, Said};
-use reelfall_lease::token::{Claim, Fence, Fenced, Name};
-use reelfall_lease::trust::{Fault, Standing};
+use reelfall_lease::durable::{DurableState, Record};
+use reelfall_lease::holder::{Config, Lease};
+use reelfall_lease::keeper::{self, Destination, Keeper};
+use reelfall_lease::message::{ClientId, Message, PeerMessage, Promise, Refusal, Request, Response};
+use reelfall_lease::recovery::{Status, StorageFault};
+use reelfall_lease::token::{Claim, Fence, FenceError, LeaseName};
 use std::collections::BTreeMap;
 
 const SECOND: u64 = 1_000_000;
 
-fn task() -> Name {
-    Name::try_from("task".to_owned()).unwrap()
+fn task() -> LeaseName {
+    LeaseName::try_from("task".to_owned()).unwrap()
 }
 
-struct Seat {
+struct KeeperSlot {
     keeper: Keeper,
-    disk: Image,
+    disk: DurableState,
     up: bool,
 }
 
 /// Keepers whose messages come at once, but where somebody is not reached.
 struct Group {
     now: u64,
-    seats: Vec<Seat>,
-    askers: Vec<Lease>,
-    /// Keepers that an asker does not reach.
+    slots: Vec<KeeperSlot>,
+    clients: Vec<Lease>,
+    /// Keepers that an client does not reach.
     unreached: Vec<(usize, usize)>,
     free: usize,
     tags: u64,
 }
 
 impl Group {
-    fn new(keepers: usize, askers: usize) -> Group {
-        let rules = Rules::of(keepers, 2 * SECOND);
-        let seat = |n: usize| Seat {
-            keeper: Keeper::open(n, keepers, keeper::Rules::default(), Image::default(), 1 + n as u64, 0),
-            disk: Image::default(),
+    fn new(keepers: usize, clients: usize) -> Group {
+        let config = Config::new(keepers, 2 * SECOND);
+        let slot = |n: usize| KeeperSlot {
+            keeper: Keeper::open(
+                n,
+                keepers,
+                keeper::Config::default(),
+                DurableState::default(),
+                1 + n as u64,
+                0,
+            ),
+            disk: DurableState::default(),
             up: true,
         };
-        let askers = (0..askers).map(|_| Lease::new(task(), rules)).collect();
-        let seats = (0..keepers).map(seat).collect();
-        let mut group = Group { now: 0, seats, askers, unreached: Vec::new(), free: 0, tags: 100 };
+        let clients = (0..clients).map(|_| Lease::new(task(), config)).collect();
+        let slots = (0..keepers).map(slot).collect();
+        let mut group = Group { now: 0, slots, clients, unreached: Vec::new(), free: 0, tags: 100 };
         group.run(2 * SECOND);
-        assert!((0..keepers).all(|n| group.standing(n) == Standing::Trusted));
+        assert!((0..keepers).all(|n| group.status(n) == Status::Voting));
         group
     }
 
-    fn standing(&self, n: usize) -> Standing {
-        self.seats[n].keeper.standing()
+    fn status(&self, n: usize) -> Status {
+        self.slots[n].keeper.status()
     }
 
     /// A keeper begins with this folder.
-    fn begin(&mut self, n: usize, disk: Image) {
+    fn begin(&mut self, n: usize, disk: DurableState) {
         self.tags += 1;
-        let (keepers, now) = (self.seats.len(), self.now);
-        let keeper = Keeper::open(n, keepers, keeper::Rules::default(), disk.clone(), self.tags, now);
-        self.seats[n] = Seat { keeper, disk, up: true };
+        let (keepers, now) = (self.slots.len(), self.now);
+        let keeper = Keeper::open(n, keepers, keeper::Config::default(), disk.clone(), self.tags, now);
+        self.slots[n] = KeeperSlot { keeper, disk, up: true };
     }
 
     fn settle(&mut self) {
         loop {
             let mut quiet = true;
-            for n in 0..self.seats.len() {
-                let effects = self.seats[n].keeper.effects();
-                effects.records.iter().for_each(|record| self.seats[n].disk.apply(record));
-                if !self.seats[n].up {
+            for n in 0..self.slots.len() {
+                let effects = self.slots[n].keeper.take_effects();
+                effects.records.iter().for_each(|record| self.slots[n].disk.apply(record));
+                if !self.slots[n].up {
                     continue;
                 }
-                for (to, message) in effects.says {
+                for (to, message) in effects.messages {
                     quiet = false;
                     match (to, message) {
-                        (To::Keeper(to), Message::Between(between)) => {
+                        (Destination::Keeper(to), Message::Peer(message)) => {
                             // A page fits.
-                            assert!(Message::Between(between.clone()).write().is_some());
-                            if self.seats[to].up {
-                                self.seats[to].keeper.heard(self.now, n, between);
+                            assert!(Message::Peer(message.clone()).encode().is_some());
+                            if self.slots[to].up {
+                                self.slots[to].keeper.handle_peer_message(self.now, n, message);
                             }
                         }
-                        (To::Asker(to), Message::Said(said)) => {
-                            self.free += usize::from(matches!(said, Said::Free { .. }));
-                            let asker: usize = to.name.parse().unwrap();
-                            if !self.unreached.contains(&(asker, n)) {
-                                self.askers[asker].heard(self.now, n, said, u32::MAX / 2);
+                        (Destination::Client(to), Message::Response(response)) => {
+                            self.free += usize::from(matches!(response, Response::Available { .. }));
+                            let client: usize = to.name.parse().unwrap();
+                            if !self.unreached.contains(&(client, n)) {
+                                self.clients[client].handle_response(self.now, n, response, u32::MAX / 2);
                             }
                         }
                         other => panic!("{other:?}"),
                     }
                 }
             }
-            for n in 0..self.askers.len() {
-                for (keeper, ask) in self.askers[n].asks() {
+            for n in 0..self.clients.len() {
+                for (keeper, request) in self.clients[n].take_requests() {
                     quiet = false;
-                    if self.seats[keeper].up && !self.unreached.contains(&(n, keeper)) {
-                        let who = Asker { name: n.to_string(), tag: n as u64 };
-                        self.seats[keeper].keeper.asked(self.now, &who, ask);
+                    if self.slots[keeper].up && !self.unreached.contains(&(n, keeper)) {
+                        let who = ClientId { name: n.to_string(), tag: n as u64 };
+                        self.slots[keeper].keeper.handle_request(self.now, &who, request);
                     }
                 }
             }
@@ -109,10 +116,10 @@
         while self.now < end {
             self.now += 10_000;
             let now = self.now;
-            self.seats.iter_mut().filter(|s| s.keeper.deadline() <= now).for_each(|s| s.keeper.tick(now));
-            for (n, asker) in self.askers.iter_mut().enumerate() {
-                if asker.deadline().is_some_and(|due| due <= now) {
-                    asker.tick(now, (n as u32 + 1).wrapping_mul(2_654_435_761));
+            self.slots.iter_mut().filter(|s| s.keeper.deadline() <= now).for_each(|s| s.keeper.tick(now));
+            for (n, client) in self.clients.iter_mut().enumerate() {
+                if client.deadline().is_some_and(|due| due <= now) {
+                    client.tick(now, (n as u32 + 1).wrapping_mul(2_654_435_761));
                 }
             }
             self.settle();
@@ -120,11 +127,11 @@
     }
 
     fn holder(&self) -> Option<usize> {
-        self.askers.iter().position(|a| a.held(self.now).is_some())
+        self.clients.iter().position(|a| a.held(self.now).is_some())
     }
 
     fn token(&self, n: usize) -> u64 {
-        self.askers[n].held(self.now).unwrap().token().number()
+        self.clients[n].held(self.now).unwrap().token().number()
     }
 }
 
@@ -133,22 +140,22 @@
     let mut group = Group::new(3, 2);
     // The first has it by the votes of keepers 0 and 1.
     group.unreached = vec![(0, 2), (1, 0)];
-    group.askers[0].want(group.now);
+    group.clients[0].acquire(group.now);
     group.run(SECOND / 10);
     assert_eq!(group.holder(), Some(0));
     let token = group.token(0);
     // Keeper 1 loses its folder, and reaches keeper 2 alone, which knows of nothing.
-    group.begin(1, Image::default());
-    group.seats[0].up = false;
-    group.askers[1].want(group.now);
+    group.begin(1, DurableState::default());
+    group.slots[0].up = false;
+    group.clients[1].acquire(group.now);
     group.run(SECOND);
-    assert_ne!(group.standing(1), Standing::Trusted);
-    assert!(group.askers[1].held(group.now).is_none());
+    assert_ne!(group.status(1), Status::Voting);
+    assert!(group.clients[1].held(group.now).is_none());
     // With keeper 0 it votes again, and no token comes twice.
-    group.seats[0].up = true;
-    group.askers[0].give_back(group.now);
+    group.slots[0].up = true;
+    group.clients[0].release(group.now);
     group.run(6 * SECOND);
-    assert_eq!(group.standing(1), Standing::Trusted);
+    assert_eq!(group.status(1), Status::Voting);
     assert_eq!(group.holder(), Some(1));
     assert!(group.token(1) > token);
 }
@@ -156,60 +163,68 @@
 #[test]
 fn a_folder_from_a_backup_is_refused_until_it_is_emptied() {
     let mut group = Group::new(3, 1);
-    let backup = group.seats[1].disk.clone();
-    group.askers[0].want(group.now);
+    let backup = group.slots[1].disk.clone();
+    group.clients[0].acquire(group.now);
     group.run(SECOND);
     group.begin(1, backup);
     group.run(SECOND);
-    assert!(matches!(group.standing(1), Standing::Refused(Fault::Older { .. })), "{:?}", group.standing(1));
-    group.begin(1, Image::default());
+    assert!(
+        matches!(group.status(1), Status::Rejected(StorageFault::Outdated { .. })),
+        "{:?}",
+        group.status(1)
+    );
+    group.begin(1, DurableState::default());
     group.run(SECOND);
-    assert_eq!(group.standing(1), Standing::Trusted);
-    assert_eq!(group.seats[1].disk.seal.unwrap().generation, 2);
+    assert_eq!(group.status(1), Status::Voting);
+    assert_eq!(group.slots[1].disk.storage.unwrap().generation, 2);
 }
 
 #[test]
 fn an_old_copy_does_not_grow_before_its_fellows_have_spoken() {
     let mut group = Group::new(3, 1);
-    // The copy is from before it knew its fellows, and lacks as many records as it would write down of them.
-    let mut backup = group.seats[1].disk.clone();
-    let (known, missing) = (backup.written, backup.fellows.len() as u64);
-    backup.fellows.clear();
-    backup.written = known - missing;
-    group.seats[1].up = false;
+    // The copy is from before it knew its peers, and lacks as many records as it would write down of them.
+    let mut backup = group.slots[1].disk.clone();
+    let (known, missing) = (backup.records, backup.peers.len() as u64);
+    backup.peers.clear();
+    backup.records = known - missing;
+    group.slots[1].up = false;
     group.begin(1, backup);
     // It hears of them before they answer.
-    group.seats[1].up = false;
+    group.slots[1].up = false;
     for n in [0, 2] {
-        let own = group.seats[n].disk.seen();
-        group.seats[1].keeper.heard(group.now, n, reelfall_lease::say::Between::Who { own });
+        let own = group.slots[n].disk.position();
+        group.slots[1].keeper.handle_peer_message(group.now, n, PeerMessage::PositionQuery { own });
     }
-    group.seats[1].up = true;
+    group.slots[1].up = true;
     group.run(2 * SECOND);
-    assert!(matches!(group.standing(1), Standing::Refused(Fault::Older { .. })), "{:?}", group.standing(1));
+    assert!(
+        matches!(group.status(1), Status::Rejected(StorageFault::Outdated { .. })),
+        "{:?}",
+        group.status(1)
+    );
 }
 
 #[test]
 fn of_two_processes_with_one_keepers_name_the_former_does_not_count() {
     let mut group = Group::new(3, 1);
-    // Another process with an empty folder takes keeper 1's place; the former runs on, cut off from its fellows.
-    let former = group.seats[1].keeper.clone();
-    let disk = group.seats[1].disk.clone();
-    group.begin(1, Image::default());
+    // Another process with an empty folder takes keeper 1's place; the former runs on, cut off from its peers.
+    let former = group.slots[1].keeper.clone();
+    let disk = group.slots[1].disk.clone();
+    group.begin(1, DurableState::default());
     group.run(SECOND);
-    assert_eq!(group.standing(1), Standing::Trusted);
-    let latter = std::mem::replace(&mut group.seats[1], Seat { keeper: former, disk, up: true });
-    // The asker reaches keeper 0 and the former of the two.
+    assert_eq!(group.status(1), Status::Voting);
+    let latter = std::mem::replace(&mut group.slots[1], KeeperSlot { keeper: former, disk, up: true });
+    // The client reaches keeper 0 and the former of the two.
     group.unreached = vec![(0, 2)];
     let now = group.now;
-    group.askers[0].want(now);
-    group.askers[0].tick(now, 0);
+    group.clients[0].acquire(now);
+    group.clients[0].tick(now, 0);
     group.settle();
     assert_eq!(group.holder(), None, "a lease by the vote of a folder whose place was taken");
-    // It hears of it from its fellows, and says no itself.
+    // It hears of it from its peers, and says no itself.
     group.run(SECOND);
-    assert!(matches!(group.standing(1), Standing::Refused(Fault::Replaced { .. })));
-    group.seats[1] = latter;
+    assert!(matches!(group.status(1), Status::Rejected(StorageFault::Replaced { .. })));
+    group.slots[1] = latter;
     group.run(10 * SECOND);
     assert_eq!(group.holder(), Some(0));
 }
@@ -218,7 +233,7 @@
 fn three_hundred_wait_for_one_lease_and_each_release_wakes_one() {
     let mut group = Group::new(3, 301);
     for n in 0..301 {
-        group.askers[n].want(group.now);
+        group.clients[n].acquire(group.now);
         // In the order of their numbers, and not nearly together.
         group.run(300_000);
     }
@@ -228,7 +243,7 @@
         let holder = group.holder().unwrap();
         order.push(holder);
         let before = group.free;
-        group.askers[holder].give_back(group.now);
+        group.clients[holder].release(group.now);
         group.run(20_000);
         assert!(group.free - before <= 3, "a release wakes {} through three keepers", group.free - before);
         if order.len() < 301 {
@@ -239,17 +254,17 @@
     assert_eq!(order, sorted, "whoever waited longest is next");
 }
 
-fn promise(counter: u64) -> Ask {
-    Ask::Promise { lease: task(), round: counter, counter, length: SECOND, waited: 0 }
+fn promise(ballot: u64) -> Request {
+    Request::Prepare { lease: task(), round: ballot, ballot, length: SECOND, waited: 0 }
 }
 
 /// What a keeper says to a question at this moment.
-fn says(group: &mut Group, keeper: usize, who: u64, ask: Ask) -> Said {
-    let asker = Asker { name: who.to_string(), tag: who };
-    group.seats[keeper].keeper.asked(group.now, &asker, ask);
-    let said = group.seats[keeper].keeper.effects().says.pop();
-    match said {
-        Some((To::Asker(_), Message::Said(said))) => said,
+fn respond(group: &mut Group, keeper: usize, who: u64, request: Request) -> Response {
+    let client = ClientId { name: who.to_string(), tag: who };
+    group.slots[keeper].keeper.handle_request(group.now, &client, request);
+    let response = group.slots[keeper].keeper.take_effects().messages.pop();
+    match response {
+        Some((Destination::Client(_), Message::Response(response))) => response,
         other => panic!("{other:?}"),
     }
 }
@@ -257,31 +272,45 @@
 #[test]
 fn a_free_lease_is_the_firsts_for_half_a_second_and_then_anybodys() {
     let mut group = Group::new(3, 0);
-    assert!(matches!(says(&mut group, 0, 1, promise(1)), Said::Promised { .. }));
-    let grant = Ask::Grant { lease: task(), round: 2, token: 1, length: SECOND, fellows: Vec::new() };
-    assert!(matches!(says(&mut group, 0, 1, grant), Said::Granted { .. }));
-    assert!(matches!(says(&mut group, 0, 2, promise(2)), Said::Refused { why: No::Held { .. }, .. }));
+    assert!(matches!(respond(&mut group, 0, 1, promise(1)), Response::Promised { .. }));
+    let grant = Request::Grant { lease: task(), round: 2, token: 1, length: SECOND, peers: Vec::new() };
+    assert!(matches!(respond(&mut group, 0, 1, grant), Response::Granted { .. }));
+    assert!(matches!(
+        respond(&mut group, 0, 2, promise(2)),
+        Response::Refused { reason: Refusal::Held { .. }, .. }
+    ));
     group.now += SECOND;
     // Others come sooner than the one who waits.
-    assert!(matches!(says(&mut group, 0, 3, promise(3)), Said::Refused { why: No::Turn, promised: 1, .. }));
+    assert!(matches!(
+        respond(&mut group, 0, 3, promise(3)),
+        Response::Refused { reason: Refusal::NotFirstInQueue, promised: 1, .. }
+    ));
     group.now += SECOND / 4;
-    assert!(matches!(says(&mut group, 0, 3, promise(3)), Said::Refused { why: No::Turn, .. }));
+    assert!(matches!(
+        respond(&mut group, 0, 3, promise(3)),
+        Response::Refused { reason: Refusal::NotFirstInQueue, .. }
+    ));
     group.now += SECOND / 4;
-    assert!(matches!(says(&mut group, 0, 3, promise(3)), Said::Promised { .. }));
+    assert!(matches!(respond(&mut group, 0, 3, promise(3)), Response::Promised { .. }));
 }
 
 #[test]
 fn who_hears_its_turn_while_it_asks_asks_again_at_once() {
     for called in [false, true] {
-        let mut lease = Lease::new(task(), Rules::of(3, 4 * SECOND));
-        lease.want(0);
+        let mut lease = Lease::new(task(), Config::new(3, 4 * SECOND));
+        lease.acquire(0);
         lease.tick(0, 0);
         if called {
-            lease.heard(1, 0, Said::Free { lease: task() }, 0);
+            lease.handle_response(1, 0, Response::Available { lease: task() }, 0);
         }
         for keeper in 0..3 {
-            let why = No::Held { left: 3 * SECOND };
-            lease.heard(2, keeper, Said::Refused { lease: task(), round: 1, why, promised: 1 }, u32::MAX);
+            let reason = Refusal::Held { left: 3 * SECOND };
+            lease.handle_response(
+                2,
+                keeper,
+                Response::Refused { lease: task(), round: 1, reason, promised: 1 },
+                u32::MAX,
+            );
         }
         assert_eq!(lease.deadline().unwrap() < SECOND / 10, called);
     }
@@ -289,58 +318,61 @@
 
 #[test]
 fn a_floor_counts_for_names_that_are_kept_too() {
-    let mut image = Image::default();
-    image.apply(&Record::Promised(task(), Kept { promised: 40, to: None, length: SECOND }));
-    image.apply(&Record::Floor(50));
-    assert_eq!(image.promised(&task()), 50);
-    image.apply(&Record::Promised(task(), Kept { promised: 60, to: None, length: SECOND }));
-    assert_eq!(image.promised(&task()), 60);
+    let mut state = DurableState::default();
+    state.apply(&Record::Promised(task(), Promise { ballot: 40, client: None, length: SECOND }));
+    state.apply(&Record::Floor(50));
+    assert_eq!(state.promised_ballot(&task()), 50);
+    state.apply(&Record::Promised(task(), Promise { ballot: 60, client: None, length: SECOND }));
+    assert_eq!(state.promised_ballot(&task()), 60);
 }
 
 #[test]
 fn forgotten_names_leave_their_numbers() {
     let mut group = Group::new(3, 1);
-    group.askers[0].want(group.now);
+    group.clients[0].acquire(group.now);
     group.run(SECOND);
     let token = group.token(0);
-    group.askers[0].give_back(group.now);
+    group.clients[0].release(group.now);
     group.settle();
     // A day and more later.
     group.now += 2 * 86_400 * SECOND;
     group.run(SECOND);
-    assert!(group.seats.iter().all(|s| s.keeper.image().leases.is_empty()));
-    group.askers[0] = Lease::new(task(), Rules::of(3, 2 * SECOND));
-    group.askers[0].want(group.now);
+    assert!(group.slots.iter().all(|s| s.keeper.state().leases.is_empty()));
+    group.clients[0] = Lease::new(task(), Config::new(3, 2 * SECOND));
+    group.clients[0].acquire(group.now);
     group.run(SECOND);
     assert!(group.token(0) > token);
 }
 
 #[test]
 fn a_fence_lets_the_latest_by_and_its_number_of_leases_has_a_bound() {
-    let claim = |lease: &str, token| Claim { lease: Name::try_from(lease.to_owned()).unwrap(), token };
+    let claim = |lease: &str, token| Claim { lease: LeaseName::try_from(lease.to_owned()).unwrap(), token };
     let mut fence = Fence::new(2);
     assert_eq!(fence.admit(&claim("a", 3)), Ok(()));
     assert_eq!(fence.admit(&claim("a", 3)), Ok(()));
-    assert!(matches!(fence.admit(&claim("a", 2)), Err(Fenced::Stale { told: 2, seen: 3, .. })));
+    assert!(matches!(
+        fence.admit(&claim("a", 2)),
+        Err(FenceError::StaleToken { presented: 2, highest: 3, .. })
+    ));
     assert_eq!(fence.admit(&claim("b", 1)), Ok(()));
-    assert!(matches!(fence.admit(&claim("c", 1)), Err(Fenced::Full(_))));
+    assert!(matches!(fence.admit(&claim("c", 1)), Err(FenceError::AtCapacity(_))));
     let names: BTreeMap<&str, bool> =
         [("", false), ("a b", false), ("probe/s-1:80", true), ("\u{e4}", false)].into_iter().collect();
     for (name, sound) in names {
-        assert_eq!(Name::try_from(name.to_owned()).is_ok(), sound, "{name}");
+        assert_eq!(LeaseName::try_from(name.to_owned()).is_ok(), sound, "{name}");
     }
-    assert!(Name::try_from("x".repeat(65)).is_err());
+    assert!(LeaseName::try_from("x".repeat(65)).is_err());
 }
 
 #[test]
 fn messages_that_this_program_does_not_make_are_none() {
-    let free = Message::Said(Said::Free { lease: task() });
-    let bytes = free.write().unwrap();
-    assert_eq!(Message::read(&bytes), Some(free));
-    assert!((0..bytes.len()).all(|cut| Message::read(&bytes[..cut]).is_none()));
-    assert_eq!(Message::read(&[bytes.as_slice(), &[0]].concat()), None);
-    assert_eq!(Message::read(&vec![0; 5000]), None);
+    let free = Message::Response(Response::Available { lease: task() });
+    let bytes = free.encode().unwrap();
+    assert_eq!(Message::decode(&bytes), Some(free));
+    assert!((0..bytes.len()).all(|cut| Message::decode(&bytes[..cut]).is_none()));
+    assert_eq!(Message::decode(&[bytes.as_slice(), &[0]].concat()), None);
+    assert_eq!(Message::decode(&vec![0; 5000]), None);
     // A name that is none.
     let spoilt: Vec<u8> = bytes.iter().map(|b| if *b == b'k' { b' ' } else { *b }).collect();
-    assert_eq!(Message::read(&spoilt), None);
+    assert_eq!(Message::decode(&spoilt), None);
 }
--- a/crates/lease/tests/schedules.rs
+++ b/crates/lease/tests/schedules.rs
@@ -1,30 +1,30 @@
-//! Keepers and askers in virtual time, on drawn schedules of faults: links that lose, delay and repeat; processes that stand
+//! Keepers and clients in virtual time, on drawn schedules of faults: links that lose, delay and repeat; processes that stand
 //! still, end before or after their disk has what they say, and begin anew; folders that are lost, and folders that come
 //! back from a backup; clocks that drift. Judged by the world's one clock.
 
 use proptest::prelude::*;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use reelfall_lease::holder::{Change, Lease, Rules};
-use reelfall_lease::image::{Image, Record};
-use reelfall_lease::keeper::{self, Keeper, To};
-use reelfall_lease::say::{Asker, Message};
-use reelfall_lease::token::{Claim, Fence, Fenced, Name};
-use reelfall_lease::trust::Standing;
+use reelfall_lease::durable::{DurableState, Record};
+use reelfall_lease::holder::{Config, Lease, LeaseEvent};
+use reelfall_lease::keeper::{self, Destination, Keeper};
+use reelfall_lease::message::{ClientId, Message, Response};
+use reelfall_lease::recovery::Status;
+use reelfall_lease::token::{Claim, Fence, FenceError, LeaseName};
 use std::collections::{BTreeMap, BTreeSet};
 
 const SECOND: u64 = 1_000_000;
 
-fn name(text: &str) -> Name {
-    Name::try_from(text.to_owned()).unwrap()
+fn name(text: &str) -> LeaseName {
+    LeaseName::try_from(text.to_owned()).unwrap()
 }
 
 /// What is due.
 enum Event {
     ToKeeper(usize, From, Message),
-    ToAsker(usize, u64, usize, Message),
+    ToClient(usize, u64, usize, Message),
     /// What a keeper wrote is on its disk.
-    Written(usize, u64, Vec<Record>, Vec<(To, Message)>),
+    Written(usize, u64, Vec<Record>, Vec<(Destination, Message)>),
     /// An act comes to the resource.
     Acted(Claim),
     Fault(Fault),
@@ -32,7 +32,7 @@
 
 #[derive(Clone)]
 enum From {
-    Asker(Asker),
+    Client(ClientId),
     Keeper(usize),
 }
 
@@ -52,10 +52,10 @@
     /// A backup of all folders.
     Backup,
     Frozen(usize, u64),
-    AskerFrozen(usize, u64),
-    AskerKilled(usize),
+    ClientFrozen(usize, u64),
+    ClientKilled(usize),
     Cut {
-        asker: usize,
+        client: usize,
         keeper: usize,
         lasts: u64,
     },
@@ -78,18 +78,18 @@
     }
 }
 
-struct KeeperSeat {
+struct KeeperSlot {
     process: Process,
     keeper: Option<Keeper>,
-    disk: Image,
-    backup: Image,
+    disk: DurableState,
+    backup: DurableState,
     /// What is being written is on the disk by then.
     busy_until: u64,
     /// Its folder is not what it was, and it has not been found trusted since.
     lost: bool,
 }
 
-struct AskerSeat {
+struct ClientSlot {
     process: Process,
     lease: Lease,
     acts_at: u64,
@@ -100,9 +100,9 @@
     draw: Pcg64Mcg,
     events: BTreeMap<(u64, u64), Event>,
     next: u64,
-    keepers: Vec<KeeperSeat>,
-    askers: Vec<AskerSeat>,
-    rules: Rules,
+    keepers: Vec<KeeperSlot>,
+    clients: Vec<ClientSlot>,
+    config: Config,
     loss: f64,
     cuts: BTreeMap<(bool, usize, usize), u64>,
     fence: Fence,
@@ -115,37 +115,37 @@
 }
 
 impl World {
-    fn new(seed: u64, keepers: usize, askers: usize, length: u64) -> World {
+    fn new(seed: u64, keepers: usize, clients: usize, length: u64) -> World {
         let mut draw = Pcg64Mcg::seed_from_u64(seed);
         let mut process = |n: u64| Process {
             rate: 1.0 + draw.random_range(-0.001..0.001),
             frozen_until: 0,
             tag: seed.wrapping_mul(1000) + n,
         };
-        let rules = Rules::of(keepers, length);
-        let keepers = (0..keepers).map(|n| KeeperSeat {
+        let config = Config::new(keepers, length);
+        let keepers = (0..keepers).map(|n| KeeperSlot {
             process: process(n as u64),
             keeper: None,
-            disk: Image::default(),
-            backup: Image::default(),
+            disk: DurableState::default(),
+            backup: DurableState::default(),
             busy_until: 0,
             lost: false,
         });
-        let keepers: Vec<KeeperSeat> = keepers.collect();
-        let askers = (0..askers).map(|n| AskerSeat {
+        let keepers: Vec<KeeperSlot> = keepers.collect();
+        let clients = (0..clients).map(|n| ClientSlot {
             process: process(100 + n as u64),
-            lease: Lease::new(name("task"), rules),
+            lease: Lease::new(name("task"), config),
             acts_at: 0,
         });
-        let askers = askers.collect();
+        let clients = clients.collect();
         let mut world = World {
             t: 0,
             draw,
             events: BTreeMap::new(),
             next: 0,
             keepers,
-            askers,
-            rules,
+            clients,
+            config,
             loss: 0.0,
             cuts: BTreeMap::new(),
             fence: Fence::new(4),
@@ -160,8 +160,8 @@
         world
     }
 
-    fn keeper_rules() -> keeper::Rules {
-        keeper::Rules::default()
+    fn keeper_config() -> keeper::Config {
+        keeper::Config::default()
     }
 
     fn at(&mut self, t: u64, event: Event) {
@@ -172,30 +172,30 @@
     fn begin(&mut self, n: usize) {
         let keepers = self.keepers.len();
         let tag = self.draw.random::<u64>() | 1;
-        let seat = &mut self.keepers[n];
-        seat.process.tag = tag;
-        seat.busy_until = self.t;
-        let now = seat.process.clock(self.t);
-        seat.keeper = Some(Keeper::open(n, keepers, World::keeper_rules(), seat.disk.clone(), tag, now));
+        let slot = &mut self.keepers[n];
+        slot.process.tag = tag;
+        slot.busy_until = self.t;
+        let now = slot.process.clock(self.t);
+        slot.keeper = Some(Keeper::open(n, keepers, World::keeper_config(), slot.disk.clone(), tag, now));
         self.flush_keeper(n);
     }
 
     fn flush_keeper(&mut self, n: usize) {
         let slow = self.draw.random_bool(0.02);
         let takes = if slow { self.draw.random_range(1..500_000) } else { self.draw.random_range(50..5_000) };
-        let seat = &mut self.keepers[n];
-        let Some(keeper) = &mut seat.keeper else { return };
-        if keeper.standing() == Standing::Trusted {
-            seat.lost = false;
+        let slot = &mut self.keepers[n];
+        let Some(keeper) = &mut slot.keeper else { return };
+        if keeper.status() == Status::Voting {
+            slot.lost = false;
         }
-        let effects = keeper.effects();
+        let effects = keeper.take_effects();
         if effects == keeper::Effects::default() {
             return;
         }
-        let done = self.t.max(seat.busy_until) + if effects.records.is_empty() { 0 } else { takes };
-        seat.busy_until = done;
-        let tag = seat.process.tag;
-        self.at(done, Event::Written(n, tag, effects.records, effects.says));
+        let done = self.t.max(slot.busy_until) + if effects.records.is_empty() { 0 } else { takes };
+        slot.busy_until = done;
+        let tag = slot.process.tag;
+        self.at(done, Event::Written(n, tag, effects.records, effects.messages));
     }
 
     /// Whether something passes now, and how long it takes; twice, if it comes twice.
@@ -217,40 +217,40 @@
             .collect()
     }
 
-    fn send_from_keeper(&mut self, n: usize, to: To, message: Message) {
+    fn send_from_keeper(&mut self, n: usize, to: Destination, message: Message) {
         match to {
-            To::Keeper(to) => {
+            Destination::Keeper(to) => {
                 for way in self.ways((true, n.min(to), n.max(to))) {
                     self.at(self.t + way, Event::ToKeeper(to, From::Keeper(n), message.clone()));
                 }
             }
-            To::Asker(asker) => {
-                if matches!(message, Message::Said(reelfall_lease::say::Said::Free { .. })) {
+            Destination::Client(client) => {
+                if matches!(message, Message::Response(Response::Available { .. })) {
                     self.free += 1;
                 }
-                let place: usize = asker.name.parse().unwrap();
+                let place: usize = client.name.parse().unwrap();
                 for way in self.ways((false, place, n)) {
-                    self.at(self.t + way, Event::ToAsker(place, asker.tag, n, message.clone()));
+                    self.at(self.t + way, Event::ToClient(place, client.tag, n, message.clone()));
                 }
             }
         }
     }
 
-    fn flush_asker(&mut self, n: usize) {
-        let seat = &mut self.askers[n];
-        let who = Asker { name: n.to_string(), tag: seat.process.tag };
-        for change in seat.lease.changes() {
-            if let Change::Got(token) = change {
+    fn flush_client(&mut self, n: usize) {
+        let slot = &mut self.clients[n];
+        let who = ClientId { name: n.to_string(), tag: slot.process.tag };
+        for event in slot.lease.take_events() {
+            if let LeaseEvent::Acquired(token) = event {
                 if self.got.last().is_some_and(|last| *last >= token.number()) {
                     self.broken.insert(format!("token {} after {:?}", token.number(), self.got.last()));
                 }
                 self.got.push(token.number());
             }
         }
-        for (keeper, ask) in seat.lease.asks() {
+        for (keeper, request) in slot.lease.take_requests() {
             for way in self.ways((false, n, keeper)) {
-                let message = Message::read(&Message::Ask(ask.clone()).write().unwrap()).unwrap();
-                self.at(self.t + way, Event::ToKeeper(keeper, From::Asker(who.clone()), message));
+                let message = Message::decode(&Message::Request(request.clone()).encode().unwrap()).unwrap();
+                self.at(self.t + way, Event::ToKeeper(keeper, From::Client(who.clone()), message));
             }
         }
     }
@@ -268,37 +268,41 @@
                 let now = self.keepers[n].process.clock(self.t);
                 let Some(keeper) = &mut self.keepers[n].keeper else { return };
                 match (from, message) {
-                    (From::Asker(who), Message::Ask(ask)) => keeper.asked(now, &who, ask),
-                    (From::Keeper(from), Message::Between(between)) => keeper.heard(now, from, between),
+                    (From::Client(who), Message::Request(request)) => {
+                        keeper.handle_request(now, &who, request)
+                    }
+                    (From::Keeper(from), Message::Peer(message)) => {
+                        keeper.handle_peer_message(now, from, message)
+                    }
                     _ => unreachable!(),
                 }
                 self.flush_keeper(n);
             }
-            Event::ToAsker(n, tag, keeper, message) => {
-                if self.askers[n].process.frozen_until > self.t {
-                    let later = self.askers[n].process.frozen_until;
-                    return self.at(later, Event::ToAsker(n, tag, keeper, message));
+            Event::ToClient(n, tag, keeper, message) => {
+                if self.clients[n].process.frozen_until > self.t {
+                    let later = self.clients[n].process.frozen_until;
+                    return self.at(later, Event::ToClient(n, tag, keeper, message));
                 }
-                if self.askers[n].process.tag == tag {
-                    let (now, chance) = (self.askers[n].process.clock(self.t), self.draw.random());
-                    let Message::Said(said) = message else { unreachable!() };
-                    self.askers[n].lease.heard(now, keeper, said, chance);
-                    self.flush_asker(n);
+                if self.clients[n].process.tag == tag {
+                    let (now, chance) = (self.clients[n].process.clock(self.t), self.draw.random());
+                    let Message::Response(response) = message else { unreachable!() };
+                    self.clients[n].lease.handle_response(now, keeper, response, chance);
+                    self.flush_client(n);
                 }
             }
-            Event::Written(n, tag, records, says) => {
+            Event::Written(n, tag, records, messages) => {
                 if self.keepers[n].process.frozen_until > self.t {
                     let later = self.keepers[n].process.frozen_until;
-                    return self.at(later, Event::Written(n, tag, records, says));
+                    return self.at(later, Event::Written(n, tag, records, messages));
                 }
                 if self.keepers[n].keeper.is_some() && self.keepers[n].process.tag == tag {
                     records.iter().for_each(|record| self.keepers[n].disk.apply(record));
-                    says.into_iter().for_each(|(to, message)| self.send_from_keeper(n, to, message));
+                    messages.into_iter().for_each(|(to, message)| self.send_from_keeper(n, to, message));
                 }
             }
             Event::Acted(claim) => match self.fence.admit(&claim) {
                 Ok(()) => self.accepted += 1,
-                Err(Fenced::Stale { .. }) => self.stale += 1,
+                Err(FenceError::StaleToken { .. }) => self.stale += 1,
                 Err(other) => panic!("{other}"),
             },
             Event::Fault(fault) => self.fault(fault),
@@ -307,39 +311,39 @@
 
     fn turn(&mut self) {
         for n in 0..self.keepers.len() {
-            let seat = &mut self.keepers[n];
-            let now = seat.process.clock(self.t);
-            if seat.process.frozen_until > self.t {
+            let slot = &mut self.keepers[n];
+            let now = slot.process.clock(self.t);
+            if slot.process.frozen_until > self.t {
                 continue;
             }
-            if let Some(keeper) = seat.keeper.as_mut().filter(|k| k.deadline() <= now) {
+            if let Some(keeper) = slot.keeper.as_mut().filter(|k| k.deadline() <= now) {
                 keeper.tick(now);
                 self.flush_keeper(n);
             }
         }
         let mut holders = Vec::new();
-        for n in 0..self.askers.len() {
+        for n in 0..self.clients.len() {
             let chance = self.draw.random();
-            let seat = &mut self.askers[n];
-            if seat.process.frozen_until > self.t {
+            let slot = &mut self.clients[n];
+            if slot.process.frozen_until > self.t {
                 continue;
             }
-            let now = seat.process.clock(self.t);
-            if seat.lease.deadline().is_some_and(|due| due <= now) {
-                seat.lease.tick(now, chance);
+            let now = slot.process.clock(self.t);
+            if slot.lease.deadline().is_some_and(|due| due <= now) {
+                slot.lease.tick(now, chance);
             }
-            if let Some(held) = seat.lease.held(now) {
+            if let Some(held) = slot.lease.held(now) {
                 holders.push(n);
-                if self.t >= seat.acts_at {
-                    seat.acts_at = self.t + 50_000;
-                    let (claim, ()) = held.act(()).into_parts();
+                if self.t >= slot.acts_at {
+                    slot.acts_at = self.t + 50_000;
+                    let (claim, ()) = held.operation(()).into_parts();
                     // Between the look at the clock and the act the process may stand still.
                     let way = if self.draw.random_bool(0.05) { 8 * SECOND } else { 500 };
                     let way = self.draw.random_range(0..way);
                     self.at(self.t + way, Event::Acted(claim));
                 }
             }
-            self.flush_asker(n);
+            self.flush_client(n);
         }
         if holders.len() > 1 {
             self.broken.insert(format!("{holders:?} hold at once"));
@@ -374,23 +378,26 @@
                 if lost + 1 > (self.keepers.len() - 1) / 2 {
                     return;
                 }
-                let seat = &mut self.keepers[keeper];
-                seat.lost = true;
-                seat.disk =
-                    if matches!(fault, Fault::Restored(_)) { seat.backup.clone() } else { Image::default() };
+                let slot = &mut self.keepers[keeper];
+                slot.lost = true;
+                slot.disk = if matches!(fault, Fault::Restored(_)) {
+                    slot.backup.clone()
+                } else {
+                    DurableState::default()
+                };
                 self.begin(keeper);
             }
             Fault::Backup => self.keepers.iter_mut().for_each(|k| k.backup = k.disk.clone()),
             Fault::Frozen(keeper, lasts) => self.keepers[keeper].process.frozen_until = self.t + lasts,
-            Fault::AskerFrozen(asker, lasts) => self.askers[asker].process.frozen_until = self.t + lasts,
-            Fault::AskerKilled(asker) => {
-                self.askers[asker].process.tag = self.draw.random();
-                self.askers[asker].lease = Lease::new(name("task"), self.rules);
-                let now = self.askers[asker].process.clock(self.t);
-                self.askers[asker].lease.want(now);
+            Fault::ClientFrozen(client, lasts) => self.clients[client].process.frozen_until = self.t + lasts,
+            Fault::ClientKilled(client) => {
+                self.clients[client].process.tag = self.draw.random();
+                self.clients[client].lease = Lease::new(name("task"), self.config);
+                let now = self.clients[client].process.clock(self.t);
+                self.clients[client].lease.acquire(now);
             }
-            Fault::Cut { asker, keeper, lasts } => {
-                self.cuts.insert((false, asker, keeper), self.t + lasts);
+            Fault::Cut { client, keeper, lasts } => {
+                self.cuts.insert((false, client, keeper), self.t + lasts);
             }
             Fault::KeepersCut { one, other, lasts } => {
                 self.cuts.insert((true, one.min(other), one.max(other)), self.t + lasts);
@@ -414,17 +421,17 @@
     /// Operators empty a folder that was refused.
     fn operate(&mut self) {
         for n in 0..self.keepers.len() {
-            let refused = |k: &Keeper| matches!(k.standing(), Standing::Refused(_));
+            let refused = |k: &Keeper| matches!(k.status(), Status::Rejected(_));
             if self.keepers[n].keeper.as_ref().is_some_and(refused) {
                 self.refused_folders += 1;
-                self.keepers[n].disk = Image::default();
+                self.keepers[n].disk = DurableState::default();
                 self.begin(n);
             }
         }
     }
 
     fn holder(&self) -> Option<usize> {
-        self.askers.iter().position(|a| a.lease.held(a.process.clock(self.t)).is_some())
+        self.clients.iter().position(|a| a.lease.held(a.process.clock(self.t)).is_some())
     }
 
     fn until_held(&mut self, patience: u64) {
@@ -435,16 +442,16 @@
     }
 
     /// All want the lease.
-    fn want(&mut self) {
-        for asker in &mut self.askers {
-            let now = asker.process.clock(self.t);
-            asker.lease.want(now);
+    fn acquire_all(&mut self) {
+        for client in &mut self.clients {
+            let now = client.process.clock(self.t);
+            client.lease.acquire(now);
         }
     }
 }
 
-fn fault(keepers: usize, askers: usize) -> impl Strategy<Value = Fault> {
-    let (keeper, asker, lasts) = (0..keepers, 0..askers, 50_000..6 * SECOND);
+fn fault(keepers: usize, clients: usize) -> impl Strategy<Value = Fault> {
+    let (keeper, client, lasts) = (0..keepers, 0..clients, 50_000..6 * SECOND);
     prop_oneof![
         3 => (keeper.clone(), any::<bool>()).prop_map(|(keeper, written)| Fault::Ends { keeper, written }),
         4 => keeper.clone().prop_map(Fault::Begins),
@@ -452,17 +459,17 @@
         1 => keeper.clone().prop_map(Fault::Restored),
         1 => Just(Fault::Backup),
         2 => (keeper.clone(), lasts.clone()).prop_map(|(k, l)| Fault::Frozen(k, l)),
-        3 => (asker.clone(), lasts.clone()).prop_map(|(a, l)| Fault::AskerFrozen(a, l)),
-        1 => asker.clone().prop_map(Fault::AskerKilled),
-        3 => (asker, keeper.clone(), lasts.clone())
-            .prop_map(|(asker, keeper, lasts)| Fault::Cut { asker, keeper, lasts }),
+        3 => (client.clone(), lasts.clone()).prop_map(|(a, l)| Fault::ClientFrozen(a, l)),
+        1 => client.clone().prop_map(Fault::ClientKilled),
+        3 => (client, keeper.clone(), lasts.clone())
+            .prop_map(|(client, keeper, lasts)| Fault::Cut { client, keeper, lasts }),
         1 => (keeper.clone(), keeper, lasts).prop_map(|(one, other, lasts)| Fault::KeepersCut { one, other, lasts }),
     ]
 }
 
 fn play(seed: u64, keepers: usize, loss: f64, faults: Vec<(u64, Fault)>) -> World {
     let mut world = World::new(seed, keepers, 4, 2 * SECOND);
-    world.want();
+    world.acquire_all();
     world.until_held(15 * SECOND);
     assert!(world.holder().is_some(), "nobody gets it with nothing wrong");
     world.loss = loss;
@@ -501,8 +508,8 @@
         let mut draw = Pcg64Mcg::seed_from_u64(seed);
         let mut faults = vec![(1000, Fault::Backup)];
         for _ in 0..15 {
-            let (asker, keeper) = (draw.random_range(0..4), draw.random_range(0..3));
-            faults.push((SECOND, Fault::AskerFrozen(asker, 4 * SECOND)));
+            let (client, keeper) = (draw.random_range(0..4), draw.random_range(0..3));
+            faults.push((SECOND, Fault::ClientFrozen(client, 4 * SECOND)));
             faults.push((SECOND / 2, Fault::Ends { keeper, written: draw.random() }));
             faults.push((SECOND / 2, Fault::Begins(keeper)));
         }
--- /dev/null
+++ b/crates/node/src/lease/admin.rs
@@ -0,0 +1,95 @@
+//! The admin handlers for leases.
+
+use super::{Leases, LocalKeeper, LocalLease};
+use crate::report::Report;
+use hyper::StatusCode;
+use reelfall_lease::keeper::{Keeper, LeaseView};
+use reelfall_lease::recovery::Status;
+use reelfall_lease::token::LeaseName;
+use reelfall_lease::Micros;
+
+/// Describes a keeper's status, to follow the words "this keeper".
+pub fn describe(status: Status) -> String {
+    match status {
+        Status::Empty => "has an empty folder and asks its fellows what was before".to_owned(),
+        Status::CatchingUp => "has a new folder and reads what its fellows have promised".to_owned(),
+        Status::Verifying => "asks its fellows whether its folder is the latest".to_owned(),
+        Status::Voting => "votes".to_owned(),
+        Status::Rejected(why) => format!("does not vote: {why}"),
+    }
+}
+
+impl Leases {
+    /// The former name of [`Leases::report`], for callers that have not followed yet.
+    pub fn said(&self) -> (StatusCode, String) {
+        self.report()
+    }
+
+    /// Reports who holds what, as far as this node knows: its own leases, and as a keeper what it has promised.
+    pub fn report(&self) -> (StatusCode, String) {
+        let (now, mut report) = (self.now(), Report::default());
+        for (name, local) in self.local_leases.borrow().iter() {
+            add_local_lease(&mut report, name, local, now);
+        }
+        match &self.local_keeper {
+            None => report.add(format_args!("no keeper; the keepers are {}", self.keepers.join(", "))),
+            Some(local) => add_keeper(&mut report, local, now),
+        }
+        (StatusCode::OK, report.finish())
+    }
+
+    /// Releases a lease for a while, on behalf of an operator.
+    pub fn release(&self, lease: &str, why: &str) -> (StatusCode, String) {
+        match LeaseName::try_from(lease.to_owned()) {
+            Ok(name) if self.release_for_a_while(&name) => {
+                self.log.say(format_args!("lease {name}: given back by an operator: {why}"));
+                (StatusCode::OK, format!("{name} is given back\n"))
+            }
+            Ok(name) => (StatusCode::CONFLICT, format!("{name} is not held here\n")),
+            Err(e) => (StatusCode::BAD_REQUEST, format!("{e}\n")),
+        }
+    }
+}
+
+fn add_local_lease(report: &mut Report, name: &LeaseName, local: &LocalLease, now: Micros) {
+    match local.lease.held(now) {
+        Some(held) => report.add(format_args!(
+            "{name}: held here, token {}, for {:.1} s without a renewal",
+            held.token().number(),
+            seconds(held.left())
+        )),
+        None if local.lease.is_wanted() => report.add(format_args!("{name}: wanted here")),
+        None => report.add(format_args!("{name}: given back here")),
+    }
+}
+
+fn add_keeper(report: &mut Report, local: &LocalKeeper, now: Micros) {
+    let keeper = local.keeper.borrow();
+    let Some(keeper) = &*keeper else {
+        return report.add(format_args!("this keeper does not vote: {}", local.last_status.borrow()));
+    };
+    report.add(format_args!("this keeper {}", describe(Keeper::status(keeper))));
+    for view in keeper.leases(now) {
+        add_promised_lease(report, &view);
+    }
+    if local.dropped_requests.get() > 0 {
+        let dropped = local.dropped_requests.get();
+        report.add(format_args!("{dropped} questions left, as the disk is slow"));
+    }
+}
+
+fn add_promised_lease(report: &mut Report, view: &LeaseView) {
+    let holder = view.promise.client.as_ref().map_or("a fellow's asker", |client| client.name.as_str());
+    let granted = match view.left {
+        Some(left) => format!("to {holder}, for {:.1} s", seconds(left)),
+        None => "to nobody".to_owned(),
+    };
+    let waiting = view.waiting.iter().map(|client| client.name.as_str()).collect::<Vec<_>>().join(", ");
+    let waiting = if waiting.is_empty() { waiting } else { format!("; waiting: {waiting}") };
+    let (lease, ballot) = (view.lease, view.promise.ballot);
+    report.add(format_args!("{lease}: granted {granted}, last number {ballot}{waiting}"));
+}
+
+fn seconds(micros: Micros) -> f64 {
+    micros as f64 / 1e6
+}
--- a/crates/node/src/lease/disk.rs
+++ b/crates/node/src/lease/disk.rs
@@ -1,131 +1,134 @@
-//! A keeper's folder, on a thread of its own: a disk that takes half a second for a write holds up no request.
+//! A keeper's storage folder, on a thread of its own: a disk that takes half a second for a write delays no request.
 
-use reelfall_lease::image::{Image, Record};
-use reelfall_lease::keeper::To;
-use reelfall_lease::say::Message;
+use reelfall_lease::durable::{DurableState, Record};
+use reelfall_lease::keeper::Destination;
+use reelfall_lease::message::Message;
 use reelfall_lease_store::Store;
 use std::cell::Cell;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::time::Duration;
-use tokio::sync::mpsc as back;
+use tokio::sync::mpsc as async_mpsc;
 
-/// Writes that wait for the disk at most; what askers ask meanwhile is left, as if it had been lost on the way.
-pub const WAITING_MOST: usize = 256;
-/// Writes that go to the disk together at most.
-const TOGETHER: usize = 64;
-/// A folder that can't be used is tried again after so long.
-const AGAIN: Duration = Duration::from_secs(5);
+/// Maximum number of writes that wait for the disk; requests that come meanwhile are dropped, as if lost on the way.
+pub const MAX_PENDING_WRITES: usize = 256;
+/// Maximum number of writes in one batch.
+const MAX_BATCH: usize = 64;
+/// A folder that can't be used is tried again after this time.
+const REOPEN_INTERVAL: Duration = Duration::from_secs(5);
 
-/// What is to be said, and to whom.
-pub type Says = Vec<(To, Message)>;
+/// Messages to send, with their receivers.
+pub type Outbox = Vec<(Destination, Message)>;
 
-/// What has become of the folder.
-pub enum Done {
-    /// It is open, for the so manieth time, and holds this.
-    Opened(u64, Box<Image>),
-    /// So many writes are on the disk, and this may be said.
-    Written(u64, usize, Says),
-    /// It can't be used: nothing more is written for this opening of it.
+/// An event of the folder.
+pub enum DiskEvent {
+    /// The folder is open, for the so manieth time, and holds this state.
+    Opened(u64, Box<DurableState>),
+    /// So many writes of this opening are durable, and these messages may be sent.
+    Written(u64, usize, Outbox),
+    /// The folder can't be used: nothing more is written for this opening of it.
     Failed(String),
 }
 
-struct Job {
+struct WriteJob {
     opening: u64,
     records: Vec<Record>,
-    says: Says,
+    messages: Outbox,
 }
 
-/// See the module.
+/// The sending end of the disk thread.
 pub struct Disk {
-    jobs: mpsc::SyncSender<Job>,
-    /// Writes that were asked for and are not done.
-    waiting: Cell<usize>,
+    jobs: mpsc::SyncSender<WriteJob>,
+    /// Number of writes that are not done yet.
+    pending: Cell<usize>,
 }
 
 impl Disk {
-    /// Opens the folder, and goes on trying where it can't be used. What becomes of it comes back by `done`.
+    /// Starts the thread, which opens the folder and keeps trying where it can't be used. Its events come by `events`.
     ///
     /// # Errors
-    /// If no thread is to be had.
-    pub fn start(folder: PathBuf, done: back::UnboundedSender<Done>) -> std::io::Result<Disk> {
-        let (jobs, work) = mpsc::sync_channel(2 * WAITING_MOST);
-        std::thread::Builder::new().name("leases".to_owned()).spawn(move || serve(&folder, &work, &done))?;
-        Ok(Disk { jobs, waiting: Cell::new(0) })
+    /// If no thread can be started.
+    pub fn start(folder: PathBuf, events: async_mpsc::UnboundedSender<DiskEvent>) -> std::io::Result<Disk> {
+        let (jobs, receiver) = mpsc::sync_channel(2 * MAX_PENDING_WRITES);
+        std::thread::Builder::new()
+            .name("leases".to_owned())
+            .spawn(move || run(&folder, &receiver, &events))?;
+        Ok(Disk { jobs, pending: Cell::new(0) })
     }
 
-    /// Whether more may be asked of the keeper.
+    /// Whether the keeper may handle more requests.
     pub fn has_room(&self) -> bool {
-        self.waiting.get() < WAITING_MOST
+        self.pending.get() < MAX_PENDING_WRITES
     }
 
-    /// Whether all that was to be written is.
+    /// Whether all writes are done.
     pub fn is_idle(&self) -> bool {
-        self.waiting.get() == 0
+        self.pending.get() == 0
     }
 
-    /// Records are written, and what may be said after them comes back. Whether there was room for that.
-    pub fn write(&self, opening: u64, records: Vec<Record>, says: Says) -> bool {
-        let taken = self.jobs.try_send(Job { opening, records, says }).is_ok();
-        self.waiting.set(self.waiting.get() + usize::from(taken));
-        taken
+    /// Queues records to be written, and messages to be returned after that; returns whether there was room.
+    pub fn write(&self, opening: u64, records: Vec<Record>, messages: Outbox) -> bool {
+        let queued = self.jobs.try_send(WriteJob { opening, records, messages }).is_ok();
+        self.pending.set(self.pending.get() + usize::from(queued));
+        queued
     }
 
-    /// So many writes have come back.
-    pub fn done(&self, writes: usize) {
-        self.waiting.set(self.waiting.get().saturating_sub(writes));
+    /// Notes that so many writes are done.
+    pub fn complete(&self, writes: usize) {
+        self.pending.set(self.pending.get().saturating_sub(writes));
     }
 
-    /// What was asked of an earlier opening comes back no more.
-    pub fn begin_anew(&self) {
-        self.waiting.set(0);
+    /// Forgets the writes of an earlier opening, which will not be reported.
+    pub fn reset(&self) {
+        self.pending.set(0);
     }
 }
 
-fn serve(folder: &Path, work: &mpsc::Receiver<Job>, done: &back::UnboundedSender<Done>) {
+fn run(folder: &Path, jobs: &mpsc::Receiver<WriteJob>, events: &async_mpsc::UnboundedSender<DiskEvent>) {
     for opening in 1.. {
-        let failed = match Store::open(folder) {
-            Ok((store, image)) => {
-                // What was asked of the opening before is not answered: its keeper is no more.
-                while work.try_recv().is_ok() {}
-                if done.send(Done::Opened(opening, Box::new(image))).is_err() {
+        let failure = match Store::open(folder) {
+            Ok((store, state)) => {
+                // Jobs of the previous opening are not answered: its keeper is gone.
+                while jobs.try_recv().is_ok() {}
+                if events.send(DiskEvent::Opened(opening, Box::new(state))).is_err() {
                     return;
                 }
-                match write(opening, store, work, done) {
-                    Some(failed) => failed,
+                match write_jobs(opening, store, jobs, events) {
+                    Some(failure) => failure,
                     None => return,
                 }
             }
             Err(e) => e.to_string(),
         };
-        if done.send(Done::Failed(failed)).is_err() {
+        if events.send(DiskEvent::Failed(failure)).is_err() {
             return;
         }
-        std::thread::sleep(AGAIN);
+        std::thread::sleep(REOPEN_INTERVAL);
     }
 }
 
-/// Writes what comes, until a write fails; `None` once nobody asks any more.
-fn write(
-    opening: u64, mut store: Store, work: &mpsc::Receiver<Job>, done: &back::UnboundedSender<Done>,
+/// Writes jobs in batches until a write fails; `None` once the other end is gone.
+fn write_jobs(
+    opening: u64, mut store: Store, jobs: &mpsc::Receiver<WriteJob>,
+    events: &async_mpsc::UnboundedSender<DiskEvent>,
 ) -> Option<String> {
-    while let Ok(first) = work.recv() {
-        let mut jobs = vec![first];
-        while let Some(job) = work.try_recv().ok().filter(|_| jobs.len() < TOGETHER) {
-            jobs.push(job);
+    while let Ok(first) = jobs.recv() {
+        let mut batch = vec![first];
+        while let Some(job) = jobs.try_recv().ok().filter(|_| batch.len() < MAX_BATCH) {
+            batch.push(job);
         }
-        jobs.retain(|job| job.opening == opening);
-        let (mut records, mut says, writes) = (Vec::new(), Vec::new(), jobs.len());
-        for job in jobs {
+        batch.retain(|job| job.opening == opening);
+        let (mut records, mut messages, writes) = (Vec::new(), Vec::new(), batch.len());
+        for job in batch {
             records.extend(job.records);
-            says.extend(job.says);
+            messages.extend(job.messages);
         }
         if !records.is_empty() {
             if let Err(e) = store.write(&records) {
                 return Some(e.to_string());
             }
         }
-        done.send(Done::Written(opening, writes, says)).ok()?;
+        events.send(DiskEvent::Written(opening, writes, messages)).ok()?;
     }
     None
 }
--- /dev/null
+++ b/crates/node/src/lease/dispatch.rs
@@ -0,0 +1,228 @@
+//! Dispatch of lease messages: from the socket and the disk to the state machines, and their effects back.
+
+use super::admin;
+use super::disk::{Disk, DiskEvent, Outbox};
+use super::{Leases, LocalKeeper};
+use crate::fleet::To as Way;
+use reelfall_conf::model;
+use reelfall_fleet::node::Node;
+use reelfall_lease::holder::LeaseEvent;
+use reelfall_lease::keeper::{self, Destination, Effects, Keeper};
+use reelfall_lease::message::{ClientId, Message, Request, Response};
+use reelfall_lease::token::LeaseName;
+use reelfall_lease::Micros;
+use std::rc::Rc;
+use tokio::sync::mpsc;
+
+impl LocalKeeper {
+    /// Starts the storage of the keeper on this node, if the settings name the node as one.
+    pub(super) fn start(
+        node: &str, settings: &model::Leases, events: mpsc::UnboundedSender<DiskEvent>,
+    ) -> Result<Option<LocalKeeper>, String> {
+        let place = settings.keepers.iter().position(|name| name == node);
+        let Some((place, folder)) = place.zip(settings.folder.clone()) else { return Ok(None) };
+        let disk = Disk::start(folder, events).map_err(|e| format!("leases: {e}"))?;
+        let (keeper, opening, last_status, dropped_requests) = Default::default();
+        Ok(Some(LocalKeeper { place, disk, keeper, opening, last_status, dropped_requests }))
+    }
+}
+
+impl Leases {
+    /// Subscribes to the messages of other nodes.
+    pub(super) fn receive_messages(self: &Rc<Self>) {
+        let leases = Rc::downgrade(self);
+        self.together.take_errands(Box::new(move |from, body| {
+            if let Some(leases) = leases.upgrade() {
+                leases.handle_message(from, body);
+            }
+        }));
+    }
+
+    fn handle_message(&self, from: &Node, body: &[u8]) {
+        let Some(message) = body.strip_prefix(&self.group_id).and_then(Message::decode) else { return };
+        let place = || self.keepers.iter().position(|name| *name == from.name);
+        match message {
+            Message::Request(request) => {
+                let client = ClientId { name: from.name.clone(), tag: from.life.tag };
+                self.with_keeper(|keeper, now| keeper.handle_request(now, &client, request));
+            }
+            Message::Peer(message) => {
+                if let Some(place) = place() {
+                    self.with_keeper(|keeper, now| keeper.handle_peer_message(now, place, message));
+                }
+            }
+            Message::Response(response) => {
+                if let Some(place) = place() {
+                    self.handle_response(place, response);
+                }
+            }
+        }
+        self.process_effects();
+        self.wake.notify_one();
+    }
+
+    /// Calls the keeper on this node, if there is one and its disk keeps up.
+    fn with_keeper(&self, call: impl FnOnce(&mut Keeper, Micros)) {
+        let Some(local) = &self.local_keeper else { return };
+        if !local.disk.has_room() {
+            // Guards against a disk that is slower than the requests. Harm: the clients ask again.
+            local.dropped_requests.set(local.dropped_requests.get() + 1);
+            return;
+        }
+        if let Some(keeper) = local.keeper.borrow_mut().as_mut() {
+            call(keeper, self.now());
+        }
+    }
+
+    fn handle_response(&self, place: usize, response: Response) {
+        let (now, random) = (self.now(), self.draw());
+        if let Some(local) = self.local_leases.borrow_mut().get_mut(response.lease()) {
+            local.lease.handle_response(now, place, response, random);
+        }
+    }
+
+    /// Sends, writes and logs the effects of events, until there are no more.
+    pub(super) fn process_effects(&self) {
+        loop {
+            self.process_leases();
+            self.process_keeper();
+            let Some(message) = self.loopback.borrow_mut().pop_front() else { return };
+            let Some(place) = self.local_keeper.as_ref().map(|k| k.place) else { continue };
+            match message {
+                Message::Request(request) => {
+                    let me = self.client_id();
+                    self.with_keeper(|keeper, now| keeper.handle_request(now, &me, request));
+                }
+                Message::Response(response) => self.handle_response(place, response),
+                Message::Peer(_) => {}
+            }
+        }
+    }
+
+    fn process_leases(&self) {
+        let mut requests = Vec::new();
+        for (name, local) in self.local_leases.borrow_mut().iter_mut() {
+            requests.extend(local.lease.take_requests());
+            for event in local.lease.take_events() {
+                self.changed.notify_waiters();
+                self.log_event(name, &event);
+            }
+        }
+        for (place, request) in requests {
+            self.send_request(place, request);
+        }
+    }
+
+    fn log_event(&self, name: &LeaseName, event: &LeaseEvent) {
+        match event {
+            LeaseEvent::Acquired(token) => {
+                self.log.say(format_args!("lease {name}: held here, token {}", token.number()));
+            }
+            LeaseEvent::Released(token) => {
+                self.log.say(format_args!("lease {name}: given back, token {}", token.number()));
+            }
+            LeaseEvent::Lost(token) => {
+                self.log.say(format_args!("lease {name}: lost, token {}", token.number()));
+            }
+        }
+    }
+
+    fn send_request(&self, place: usize, request: Request) {
+        let message = Message::Request(request);
+        if self.local_keeper.as_ref().is_some_and(|k| k.place == place) {
+            self.loopback.borrow_mut().push_back(message);
+        } else {
+            self.send_to_keeper(place, &message);
+        }
+    }
+
+    fn send_to_keeper(&self, place: usize, message: &Message) {
+        if let Some((name, body)) = self.keepers.get(place).zip(self.encode(message)) {
+            self.together.run_errand(&Way::Name(name.clone()), body);
+        }
+    }
+
+    fn send_to_client(&self, client: &ClientId, message: &Message) {
+        if let Some(body) = self.encode(message) {
+            self.together.run_errand(&Way::Tag(client.tag), body);
+        }
+    }
+
+    fn encode(&self, message: &Message) -> Option<Vec<u8>> {
+        message.encode().map(|bytes| [self.group_id.as_slice(), &bytes].concat())
+    }
+
+    fn send_all(&self, messages: Outbox) {
+        let me = self.client_id().tag;
+        for (to, message) in messages {
+            match to {
+                Destination::Client(client) if client.tag == me => {
+                    self.loopback.borrow_mut().push_back(message);
+                }
+                Destination::Client(client) => self.send_to_client(&client, &message),
+                Destination::Keeper(place) => self.send_to_keeper(place, &message),
+            }
+        }
+    }
+
+    fn process_keeper(&self) {
+        let Some(local) = &self.local_keeper else { return };
+        let Effects { records, messages } = match local.keeper.borrow_mut().as_mut() {
+            Some(keeper) => keeper.take_effects(),
+            None => return,
+        };
+        if records.is_empty() && messages.is_empty() {
+            return;
+        }
+        if records.is_empty() && local.disk.is_idle() {
+            return self.send_all(messages);
+        }
+        // Messages after a write that waits must not overtake it.
+        if !local.disk.write(local.opening.get(), records, messages) {
+            self.stop_keeper(local, "more waits for the disk than may");
+        }
+    }
+
+    pub(super) fn handle_disk_event(&self, event: DiskEvent) {
+        let Some(local) = &self.local_keeper else { return };
+        match event {
+            DiskEvent::Opened(opening, state) => {
+                local.opening.set(opening);
+                local.disk.reset();
+                let (margins, max_length) = (self.config.margins, self.max_length);
+                let config = keeper::Config { margins, max_length, ..keeper::Config::default() };
+                let tag = self.random_tag();
+                let keeper = Keeper::open(local.place, self.keepers.len(), config, *state, tag, self.now());
+                local.keeper.replace(Some(keeper));
+            }
+            DiskEvent::Written(opening, writes, messages) => {
+                if opening == local.opening.get() && local.keeper.borrow().is_some() {
+                    local.disk.complete(writes);
+                    self.send_all(messages);
+                }
+            }
+            DiskEvent::Failed(why) => self.stop_keeper(local, &why),
+        }
+        self.process_effects();
+        self.log_status(local);
+    }
+
+    /// Stops the keeper until its folder is open again: its state in memory may be ahead of the disk.
+    fn stop_keeper(&self, local: &LocalKeeper, why: &str) {
+        local.keeper.replace(None);
+        local.opening.set(0);
+        if local.last_status.replace(why.to_owned()) != why {
+            self.log.say(format_args!("leases: the keeper's folder: {why}"));
+        }
+    }
+
+    /// Logs the keeper's status if it has changed.
+    fn log_status(&self, local: &LocalKeeper) {
+        let status = local.keeper.borrow().as_ref().map(Keeper::status);
+        let Some(status) = status.map(admin::describe) else { return };
+        if *local.last_status.borrow() != status {
+            self.log.say(format_args!("leases: this keeper {status}"));
+            local.last_status.replace(status);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,4 +13,5 @@
 mod net;
 mod operate;
 mod platform;
+mod report;
 mod standalone;
--- a/crates/rig/src/fleet/resource.rs
+++ b/crates/rig/src/fleet/resource.rs
@@ -8,7 +8,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
-use reelfall_lease::token::{Claim, Fence, Name};
+use reelfall_lease::token::{Claim, Fence, LeaseName};
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -56,7 +56,7 @@
     let said =
         |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok()).map(str::to_owned);
     let claim = || {
-        let lease = Name::try_from(said("x-lease")?).ok()?;
+        let lease = LeaseName::try_from(said("x-lease")?).ok()?;
         Some(Claim { lease, token: said("x-lease-token")?.parse().ok()? })
     };
     let (Some(claim), Some(by)) = (claim(), said("x-lease-holder")) else { return StatusCode::BAD_REQUEST };
