--- a/crates/conf/src/check.rs
+++ b/crates/conf/src/check.rs
@@ -207,24 +207,24 @@
 fn fleet(c: &mut Checker, model: &Model) {
     let Some(fleet) = &model.fleet else { return };
     leases(c, fleet);
-    let (rules, pace) = (&fleet.rules, &fleet.rules.pace);
-    let named = |name: &str| !name.is_empty() && name.len() <= reelfall_fleet::node::NAME_MOST;
+    let (rules, pace) = (&fleet.rules, &fleet.rules.membership);
+    let named = |name: &str| !name.is_empty() && name.len() <= reelfall_fleet::node::MAX_NAME_LEN;
     c.want(named(&fleet.name) && named(&fleet.node), &fleet.origin, || {
-        format!("fleet: name and node have 1 to {} bytes", reelfall_fleet::node::NAME_MOST)
+        format!("fleet: name and node have 1 to {} bytes", reelfall_fleet::node::MAX_NAME_LEN)
     });
     c.want(fleet.advertise.unwrap_or(fleet.listen).ip().is_unspecified().not(), &fleet.origin, || {
         format!("fleet: nobody can send to {}: add advertise", fleet.listen)
     });
     let zone = model.process.zone.as_ref();
-    c.want(zone.is_none_or(|zone| zone.len() <= reelfall_fleet::node::NAME_MOST), &fleet.origin, || {
-        format!("fleet: the zone's name has {} bytes at most", reelfall_fleet::node::NAME_MOST)
+    c.want(zone.is_none_or(|zone| zone.len() <= reelfall_fleet::node::MAX_NAME_LEN), &fleet.origin, || {
+        format!("fleet: the zone's name has {} bytes at most", reelfall_fleet::node::MAX_NAME_LEN)
     });
     let times = [
         ("probe_every", pace.probe_every, 0.05, 60.0),
         ("suspect_for", pace.suspect_for, 0.1, 600.0),
         ("spread_every", rules.spread_every, 0.01, 10.0),
         ("heal_every", rules.heal_every, 0.05, 60.0),
-        ("verdicts.lasts", rules.report_lasts, 1.0, reelfall_fleet::verdict::REPORT_MOST),
+        ("verdicts.lasts", rules.report_lasts, 1.0, reelfall_fleet::entry::MAX_REPORT_TTL),
         ("verdicts.trial_every", rules.trial_every, 0.1, 60.0),
     ];
     for (what, time, least, most) in times {
--- a/crates/conf/src/reader/fleet.rs
+++ b/crates/conf/src/reader/fleet.rs
@@ -2,9 +2,9 @@
 
 use super::{share, AddressText, TimeText};
 use crate::model::{Call, Fleet, Leases, Management};
-use reelfall_fleet::fleet::Rules;
-use reelfall_fleet::judge::Quorum;
-use reelfall_fleet::members::Pace;
+use reelfall_fleet::fleet::Config;
+use reelfall_fleet::members::MembershipConfig;
+use reelfall_fleet::quorum::Quorum;
 use serde::Deserialize;
 use std::path::PathBuf;
 
@@ -100,10 +100,10 @@
 impl FleetText {
     pub(super) fn model(self, zone: Option<String>) -> Fleet {
         let time = |text: Option<TimeText>, default: f64| text.map_or(default, |t| t.0);
-        let (rules, pace, quorum) = (Rules::default(), Pace::default(), Quorum::default());
+        let (rules, pace, quorum) = (Config::default(), MembershipConfig::default(), Quorum::default());
         let verdicts = self.verdicts;
-        let rules = Rules {
-            pace: Pace {
+        let rules = Config {
+            membership: MembershipConfig {
                 probe_every: time(self.probe_every, pace.probe_every),
                 answer_within: time(self.answer_within, pace.answer_within),
                 suspect_for: time(self.suspect_for, pace.suspect_for),
--- a/crates/emulator/examples/together.rs
+++ b/crates/emulator/examples/together.rs
@@ -3,8 +3,8 @@
 //! seen and what nodes that stand still do to the others.
 
 use reelfall_emulator::together::{rules, World};
-use reelfall_fleet::fleet::Rules;
-use reelfall_fleet::members::Pace;
+use reelfall_fleet::fleet::Config;
+use reelfall_fleet::members::MembershipConfig;
 
 struct Seen {
     /// When each node had the news, in seconds, in order.
@@ -17,7 +17,8 @@
 
 fn play(nodes: usize, loss: f64, seed: u64) -> Seen {
     let size = nodes as u32;
-    let of = move |_| Rules { pace: Pace { size, ..Pace::default() }, ..rules() };
+    let of =
+        move |_| Config { membership: MembershipConfig { size, ..MembershipConfig::default() }, ..rules() };
     let mut world = World::new(nodes, seed, of);
     world.until(120.0, |w| w.gathered() || w.t > 60.0);
     world.links.loss = loss;
@@ -58,7 +59,8 @@
 /// Hundreds join at once, and more than half of them end at once: how long it takes until all that are there know.
 fn storm(nodes: usize, killed: usize, seed: u64) {
     let size = nodes as u32;
-    let of = move |_| Rules { pace: Pace { size, ..Pace::default() }, ..rules() };
+    let of =
+        move |_| Config { membership: MembershipConfig { size, ..MembershipConfig::default() }, ..rules() };
     let mut world = World::new(nodes, seed, of);
     let share = |w: &World| {
         let there: Vec<usize> = (0..nodes).filter(|n| w.nodes[*n].is_some()).collect();
@@ -91,8 +93,10 @@
 /// How long after its end a node is first taken for gone, by the first and by the last of the others; the mean over some ends.
 fn detection(nodes: usize, ends: usize, seed: u64) -> (f64, f64) {
     let size = nodes as u32;
-    let mut world =
-        World::new(nodes, seed, move |_| Rules { pace: Pace { size, ..Pace::default() }, ..rules() });
+    let mut world = World::new(nodes, seed, move |_| Config {
+        membership: MembershipConfig { size, ..MembershipConfig::default() },
+        ..rules()
+    });
     world.until(120.0, World::gathered);
     let (mut first, mut last) = (0.0, 0.0);
     for n in 0..ends {
@@ -123,7 +127,10 @@
 /// How often a minute a node without trouble is taken for gone, by one without and by one with trouble.
 fn troubled(nodes: usize, some: usize, trouble: Trouble, doubt: u32, seed: u64) -> (f64, f64) {
     let size = nodes as u32;
-    let of = move |_| Rules { pace: Pace { size, doubt_most: doubt, ..Pace::default() }, ..rules() };
+    let of = move |_| Config {
+        membership: MembershipConfig { size, max_health_score: doubt, ..MembershipConfig::default() },
+        ..rules()
+    };
     let mut world = World::new(nodes, seed, of);
     world.until(120.0, World::gathered);
     world.run(2.0);
--- a/crates/emulator/src/together.rs
+++ b/crates/emulator/src/together.rs
@@ -5,10 +5,10 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use reelfall_fleet::fleet::{Change, Fleet, Rules};
-use reelfall_fleet::members;
-use reelfall_fleet::node::{Life, Node};
-use reelfall_fleet::verdict::{Key, Version, Word};
+use reelfall_fleet::entry::{Key, Value, Version};
+use reelfall_fleet::fleet::{Config, Fleet, FleetEvent};
+use reelfall_fleet::members::MemberEvent;
+use reelfall_fleet::node::{Incarnation, Node};
 use reelfall_fleet::wire::Secret;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -74,7 +74,7 @@
     pub listed: usize,
     /// Datagrams that wait for a process that stands still, at most.
     pub inbox_most: usize,
-    rules: Box<dyn Fn(usize) -> Rules>,
+    rules: Box<dyn Fn(usize) -> Config>,
     under_way: BTreeMap<(u64, u64), (usize, Vec<u8>)>,
     next: u64,
     /// Chance.
@@ -108,8 +108,8 @@
 }
 
 /// How nodes take part, with the first three as seeds.
-pub fn rules() -> Rules {
-    Rules { seeds: (0..3).map(address).collect(), ..Rules::default() }
+pub fn rules() -> Config {
+    Config { seeds: (0..3).map(address).collect(), ..Config::default() }
 }
 
 /// The fleet's key.
@@ -122,7 +122,7 @@
 
 impl World {
     /// So many nodes that begin at once, each with its rules.
-    pub fn new(nodes: usize, seed: u64, rules: impl Fn(usize) -> Rules + 'static) -> World {
+    pub fn new(nodes: usize, seed: u64, rules: impl Fn(usize) -> Config + 'static) -> World {
         let mut world = World {
             t: 0.0,
             nodes: (0..nodes).map(|_| None).collect(),
@@ -228,14 +228,14 @@
         let t = self.t;
         let (mut out, mut told, mut gone) = (Vec::new(), Vec::new(), Vec::new());
         let Some(process) = self.nodes[n].as_mut() else { return };
-        while let Some(sent) = process.fleet.outgoing() {
+        while let Some(sent) = process.fleet.next_datagram() {
             out.push(sent);
         }
-        while let Some(change) = process.fleet.change() {
+        while let Some(change) = process.fleet.next_event() {
             match change {
-                Change::Told(key) => told.push(key),
-                Change::Over(key) => drop(process.in_force.remove(&key)),
-                Change::Member(members::Change::Down(node)) => gone.push(node),
+                FleetEvent::Updated(key) => told.push(key),
+                FleetEvent::Expired(key) => drop(process.in_force.remove(&key)),
+                FleetEvent::Member(MemberEvent::Down(node)) => gone.push(node),
                 _ => {}
             }
         }
@@ -243,18 +243,18 @@
         for key in told {
             let Some(held) = process.fleet.table().get(&key, now) else { continue };
             // An index is told by whoever sees it: each time is a making of its own.
-            if !matches!(key, Key::Index { .. }) {
+            if !matches!(key, Key::ListIndex { .. }) {
                 self.born.entry((key.clone(), held.version)).or_insert(t);
             }
-            match held.word {
-                Word::Lifted { .. } => {
+            match held.value {
+                Value::BanLifted { .. } => {
                     process.in_force.remove(&key);
                     process.lifted.insert(key);
                 }
-                Word::Out { .. } if process.lifted.contains(&key) => {
+                Value::Banned { .. } if process.lifted.contains(&key) => {
                     self.broken.push(format!("{t:.3}: a lifted ban is back at node {n}"));
                 }
-                Word::Out { .. } => drop(process.in_force.insert(key)),
+                Value::Banned { .. } => drop(process.in_force.insert(key)),
                 _ => {}
             }
         }
@@ -362,7 +362,7 @@
             }
             for (key, held) in process.fleet.table().live(process.clock(self.t)) {
                 let Some(born) = self.born.get(&(key.clone(), held.version)) else { continue };
-                let (age, lasts) = (self.t - born, f64::from(held.lasts_ms) / 1e3);
+                let (age, lasts) = (self.t - born, f64::from(held.ttl_ms) / 1e3);
                 self.oldest = self.oldest.max(age / lasts);
                 if age > lasts {
                     self.broken
@@ -375,7 +375,7 @@
     /// The servers that are out by hand at a node.
     pub fn out(&self, n: usize) -> BTreeSet<String> {
         let Some(process) = &self.nodes[n] else { return BTreeSet::new() };
-        process.fleet.out(process.clock(self.t)).into_iter().map(str::to_owned).collect()
+        process.fleet.banned_servers(process.clock(self.t)).into_iter().map(str::to_owned).collect()
     }
 
     /// How many others a node takes for there.
@@ -383,9 +383,9 @@
         self.nodes[n].as_ref().map_or(0, |p| p.fleet.members().count())
     }
 
-    /// Which life of its name a node has.
-    pub fn life(&self, n: usize) -> Life {
-        self.nodes[n].as_ref().map_or(Life::default(), |p| p.fleet.members().me().life)
+    /// The incarnation of a node.
+    pub fn incarnation(&self, n: usize) -> Incarnation {
+        self.nodes[n].as_ref().map_or(Incarnation::default(), |p| p.fleet.members().me().incarnation)
     }
 
     /// Runs until something holds; how long it took.
--- /dev/null
+++ b/crates/fleet/src/entry.rs
@@ -0,0 +1,229 @@
+//! The entries that nodes replicate.
+//!
+//! | value | owner | expires |
+//! | --- | --- | --- |
+//! | [`Value::Report`] | the node that reports | after [`MAX_REPORT_TTL`] at most, or with a newer one of its owner |
+//! | [`Value::Banned`] | the admin call of an operator | with its time to live, or when that ban is lifted |
+//! | [`Value::BanLifted`] | the same ban | [`MAX_BAN_TTL`] after the lift: no ban lasts longer, so none comes back |
+//! | [`Value::Leaving`] | the node that leaves | with that incarnation of the node, after [`MAX_LEAVING_TTL`] at most |
+//! | [`Value::ListIndex`] | nobody: the greatest counts | [`MAX_INDEX_TTL`] after it was seen |
+//!
+//! A report on a server is about one instance of it. A ban names the server alone: operators mean the machine.
+//!
+//! Merging takes the greater of two entries by a total order ([`Entry::precedence`], then the smaller age), so that it is
+//! commutative, associative and idempotent. [`Value::BanLifted`] is a tombstone: it is greater than anything else of its
+//! ban, so that a lifted ban never counts again, however late it comes. A ban that an operator repeats is another ban, and
+//! no older tombstone covers it.
+
+use crate::node::{Incarnation, MAX_NAME_LEN};
+use crate::{Time, MICROS_PER_SECOND, MILLIS_PER_SECOND};
+use serde::{Deserialize, Serialize};
+
+/// Maximum time to live of a report on a server, in seconds.
+pub const MAX_REPORT_TTL: Time = 60.0;
+/// Maximum time to live of a ban or its tombstone, in seconds: a week.
+pub const MAX_BAN_TTL: Time = 7.0 * 86_400.0;
+/// Maximum time to live of the notice of a leaving node, in seconds.
+pub const MAX_LEAVING_TTL: Time = 3600.0;
+/// Maximum time to live of the index of a list, in seconds.
+pub const MAX_INDEX_TTL: Time = 600.0;
+
+/// One instance of a server, from its start to its end.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServerInstance {
+    /// Its name, as in the list.
+    pub name: String,
+    /// When it began to take requests, in milliseconds, as its list tells it; 0 for long ago.
+    pub since: u64,
+}
+
+/// The identity of a ban: one admin call of an operator at one node.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct BanId {
+    /// The node that was called.
+    pub node: String,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Counts the calls of that incarnation.
+    pub number: u32,
+}
+
+/// The subject and the owner of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Key {
+    /// A ban of a server by an operator.
+    Ban {
+        /// The name of the server.
+        server: String,
+        /// The ban.
+        id: BanId,
+    },
+    /// One node's report on a server.
+    Report {
+        /// The server.
+        server: ServerInstance,
+        /// The reporting node.
+        by: String,
+    },
+    /// A node that is leaving.
+    Leaving {
+        /// Its name.
+        node: String,
+        /// The leaving incarnation, and no other.
+        incarnation: Incarnation,
+    },
+    /// The latest index of a list.
+    ListIndex {
+        /// The list's name.
+        list: String,
+    },
+}
+
+impl Key {
+    /// The smallest key in the order of keys.
+    pub fn first() -> Key {
+        Key::first_ban(String::new())
+    }
+
+    /// The smallest key of a ban of this server.
+    pub fn first_ban(server: String) -> Key {
+        let id = BanId { node: String::new(), incarnation: Incarnation::default(), number: 0 };
+        Key::Ban { server, id }
+    }
+
+    /// The smallest key of a report.
+    pub fn first_report() -> Key {
+        let server = ServerInstance { name: String::new(), since: 0 };
+        Key::Report { server, by: String::new() }
+    }
+}
+
+/// What a node has found out about a server, the strongest evidence last. The names are part of the admin output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Finding {
+    /// It answers in time.
+    Well,
+    /// It broke down while it was cold, or shed load.
+    Tipped,
+    /// It was unreachable: that may be due to the path.
+    Unreached,
+    /// It was reached and answered too slowly.
+    Slow,
+    /// It was reached and did not answer.
+    Silent,
+    /// It was reached and failed.
+    Failing,
+    /// The previous report was wrong: it answered after all. Counts for nothing, and replaces that report.
+    Unclear,
+}
+
+impl Finding {
+    /// Whether it counts against the server.
+    pub fn is_fault(self) -> bool {
+        !matches!(self, Finding::Well | Finding::Unclear)
+    }
+}
+
+/// A node's report on a server, with its evidence.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Report {
+    /// The finding.
+    pub finding: Finding,
+    /// Number of failed attempts, each a request of its own.
+    pub bad: u16,
+    /// Number of successful attempts in the same time.
+    pub good: u16,
+    /// The zone of the reporting node; empty for none.
+    pub zone: String,
+    /// Number of servers that the node finds faulty.
+    pub accused: u16,
+    /// Number of servers that it knows.
+    pub listed: u16,
+}
+
+/// The value of an entry.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Value {
+    /// See [`Report`].
+    Report(Report),
+    /// No new requests go to the server.
+    Banned {
+        /// The operator.
+        by: String,
+    },
+    /// Tombstone: the ban was lifted.
+    BanLifted {
+        /// The operator.
+        by: String,
+    },
+    /// No new requests go to the node.
+    Leaving,
+    /// See [`Key::ListIndex`]; the index is the version.
+    ListIndex,
+}
+
+/// Orders an owner's values of one key.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Version {
+    /// The owner's incarnation.
+    pub incarnation: Incarnation,
+    /// Counted within it.
+    pub n: u64,
+}
+
+/// An entry as one node sends it to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its subject and owner.
+    pub key: Key,
+    /// Its version.
+    pub version: Version,
+    /// Its value.
+    pub value: Value,
+    /// Its time to live from its creation, in milliseconds.
+    pub ttl_ms: u32,
+    /// An upper bound of its age, in microseconds.
+    pub age_us: u64,
+}
+
+impl Entry {
+    /// An upper bound of its age, in seconds.
+    pub fn age(&self) -> Time {
+        self.age_us as f64 / MICROS_PER_SECOND
+    }
+
+    /// Its time to live, in seconds.
+    pub fn ttl(&self) -> Time {
+        f64::from(self.ttl_ms) / MILLIS_PER_SECOND
+    }
+
+    /// The order of entries with the same key, without their ages.
+    pub fn precedence(&self) -> (bool, Version, &Value, u32) {
+        (matches!(self.value, Value::BanLifted { .. }), self.version, &self.value, self.ttl_ms)
+    }
+
+    /// Whether a node can have created it: names within their bounds, a value that fits its key, a bounded time to live.
+    ///
+    /// Guards the table against entries that would live too long or take too much room. Harm: none; this program creates no
+    /// others.
+    pub fn is_valid(&self) -> bool {
+        let are_names = |names: &[&String]| names.iter().all(|n| !n.is_empty() && n.len() <= MAX_NAME_LEN);
+        let (fits, max_ttl) = match (&self.key, &self.value) {
+            (Key::Report { server, by }, Value::Report(r)) => {
+                (are_names(&[&server.name, by]) && r.zone.len() <= MAX_NAME_LEN, MAX_REPORT_TTL)
+            }
+            (Key::Ban { server, id }, Value::Banned { by } | Value::BanLifted { by }) => {
+                (are_names(&[server, &id.node]) && by.len() <= MAX_NAME_LEN, MAX_BAN_TTL)
+            }
+            (Key::Leaving { node, .. }, Value::Leaving) => (are_names(&[node]), MAX_LEAVING_TTL),
+            (Key::ListIndex { list }, Value::ListIndex) => (are_names(&[list]), MAX_INDEX_TTL),
+            _ => (false, 0.0),
+        };
+        fits && self.ttl() <= max_ttl
+    }
+
+    /// Whether an operator's call created it, directly or indirectly: it outranks what nodes have observed.
+    pub fn is_manual(&self) -> bool {
+        matches!(self.key, Key::Ban { .. } | Key::Leaving { .. })
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/query.rs
@@ -0,0 +1,138 @@
+//! What the entries in the table say of servers and lists.
+
+use super::Fleet;
+use crate::entry::{Key, Report, ServerInstance, Value};
+use crate::quorum::{self, Votes};
+use crate::table::{HeldEntry, Table};
+use crate::Time;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A condemned server, as this node sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CondemnedServer {
+    /// The server.
+    pub server: ServerInstance,
+    /// The votes on it.
+    pub votes: Votes,
+    /// Whether it is this node's turn to probe it.
+    pub is_prober: bool,
+    /// How long this can hold without further reports, in seconds.
+    pub left: Time,
+}
+
+/// A report on a server in the table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PublishedReport<'a> {
+    /// The reporting node.
+    pub by: &'a str,
+    /// The report.
+    pub report: &'a Report,
+    /// Its age, in seconds.
+    pub age: Time,
+}
+
+impl Fleet {
+    /// The live bans of a server.
+    pub(super) fn bans_of<'a>(
+        &'a self, server: &'a str, now: Time,
+    ) -> impl Iterator<Item = (&'a Key, &'a HeldEntry)> {
+        let from = Key::first_ban(server.to_owned());
+        let is_on_server = move |key: &Key| matches!(key, Key::Ban { server: s, .. } if s == server);
+        let all = self.table.live_from(&from, now).take_while(move |(key, _)| is_on_server(key));
+        all.filter(|(_, held)| matches!(held.value, Value::Banned { .. }))
+    }
+
+    /// For how many seconds a server is banned, without further calls; `None` if it is not banned.
+    pub fn ban_left(&self, server: &str, now: Time) -> Option<Time> {
+        self.bans_of(server, now).map(|(_, held)| held.left(now)).reduce(f64::max)
+    }
+
+    /// The banned servers.
+    pub fn banned_servers(&self, now: Time) -> BTreeSet<&str> {
+        let all = self.table.live_from(&Key::first(), now);
+        let bans = all.take_while(|(key, _)| matches!(key, Key::Ban { .. }));
+        let banned = bans.filter(|(_, held)| matches!(held.value, Value::Banned { .. }));
+        banned
+            .filter_map(|(key, _)| match key {
+                Key::Ban { server, .. } => Some(server.as_str()),
+                _ => None,
+            })
+            .collect()
+    }
+
+    /// The latest index of a list that any node has seen.
+    pub fn latest_list_index(&self, list: &str, now: Time) -> Option<u64> {
+        self.table.get(&Key::ListIndex { list: list.to_owned() }, now).map(|held| held.version.n)
+    }
+
+    /// The votes on each server that there are reports on, as they count in this node's zone.
+    pub fn votes(&self, now: Time) -> BTreeMap<&ServerInstance, Votes> {
+        let mut votes: BTreeMap<&ServerInstance, Votes> = BTreeMap::new();
+        for (key, held) in self.table.live_from(&Key::first_report(), now) {
+            let (Key::Report { server, by }, Value::Report(report)) = (key, &held.value) else { break };
+            let on_server = votes.entry(server).or_default();
+            if self.members.contains(by) {
+                on_server.add(report, &self.config.zone, &self.config.quorum);
+            } else {
+                on_server.ignored += 1;
+            }
+        }
+        votes
+    }
+
+    /// The servers of a list of so many that several nodes' reports condemn. A single node condemns nobody here: its
+    /// decision module knows its own observations.
+    pub fn condemned_servers(&self, now: Time, listed: usize) -> Vec<CondemnedServer> {
+        let votes = self.votes(now);
+        let votes = votes.iter().map(|(server, votes)| (*server, *votes));
+        let condemned = quorum::condemned(votes, listed, &self.config.quorum);
+        let turn = (now / self.config.trial_every) as u64;
+        let (me, nodes) = (self.members.me().name.as_str(), self.members.count() + 1);
+        let to_condemned = |(server, votes): (&ServerInstance, Votes)| CondemnedServer {
+            server: server.clone(),
+            votes,
+            is_prober: quorum::is_prober(server, turn, me, nodes),
+            left: self.condemned_for(server, now),
+        };
+        condemned.into_iter().map(to_condemned).collect()
+    }
+
+    /// How long a server can remain condemned: until so many of the reports have expired that they are no quorum.
+    fn condemned_for(&self, server: &ServerInstance, now: Time) -> Time {
+        let counts = |report: &Report| {
+            let mut votes = Votes::default();
+            votes.add(report, &self.config.zone, &self.config.quorum);
+            votes.failed + votes.unreachable > 0
+        };
+        let mut left: Vec<Time> = reports_on(&self.table, server, now)
+            .filter(|(_, by, held)| {
+                self.members.contains(by) && matches!(&held.value, Value::Report(r) if counts(r))
+            })
+            .map(|(_, _, held)| held.left(now))
+            .collect();
+        left.sort_by(|a, b| b.total_cmp(a));
+        left.get(self.config.quorum.witnesses.saturating_sub(1)).copied().unwrap_or(0.0)
+    }
+
+    /// The live reports on one server.
+    pub fn reports<'a>(&'a self, server: &'a ServerInstance, now: Time) -> Vec<PublishedReport<'a>> {
+        let all = reports_on(&self.table, server, now);
+        all.filter_map(|(_, by, held)| match &held.value {
+            Value::Report(report) => Some(PublishedReport { by, report, age: held.age(now) }),
+            _ => None,
+        })
+        .collect()
+    }
+}
+
+/// The live reports on one server, with the reporting nodes.
+pub(super) fn reports_on<'a>(
+    table: &'a Table, server: &'a ServerInstance, now: Time,
+) -> impl Iterator<Item = (&'a Key, &'a str, &'a HeldEntry)> {
+    let from = Key::Report { server: server.clone(), by: String::new() };
+    let by = move |key: &'a Key| match key {
+        Key::Report { server: s, by } if s == server => Some(by.as_str()),
+        _ => None,
+    };
+    table.live_from(&from, now).map_while(move |(key, held)| Some((key, by(key)?, held)))
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/receive.rs
@@ -0,0 +1,182 @@
+//! Handling of received datagrams.
+
+use super::{Fleet, FleetEvent};
+use crate::entry::Entry;
+use crate::freshness;
+use crate::node::Node;
+use crate::table::MergeOutcome;
+use crate::wire::{
+    self, AntiEntropy, AppMessage, Digests, DropReason, Header, MemberState, MemberUpdate, Writer,
+    MEMBER_PARTITIONS,
+};
+use crate::{Time, MICROS_PER_SECOND};
+use rand::RngExt;
+
+/// Maximum number of datagrams of entries that answer one comparison of tables; the rest comes with the next one.
+pub const MAX_ENTRY_DATAGRAMS: usize = 4;
+/// Maximum number of datagrams of members that answer one comparison; the rest comes with the next one.
+pub const MAX_MEMBER_DATAGRAMS: usize = 4;
+/// Maximum number of application messages that wait for their application.
+pub const MAX_MESSAGES: usize = 256;
+
+impl Fleet {
+    /// Handles a datagram.
+    pub fn receive(&mut self, now: Time, datagram: &[u8]) {
+        if AppMessage::matches(datagram) {
+            return self.receive_message(datagram);
+        }
+        let (header, entries) = match self.open(now, datagram) {
+            Ok(opened) => opened,
+            Err(reason) => return self.count_dropped(reason),
+        };
+        self.counters.received += 1;
+        self.received_at = now;
+        self.incarnations.record(&header.from);
+        if let Some(newer) = header.newer_incarnation {
+            self.handle_newer_incarnation(now, newer);
+        }
+        self.members.note_heard(now);
+        if !header.swim.is_empty() {
+            self.members.receive(now, &header.swim);
+        }
+        if !header.members.is_empty() {
+            self.receive_members(now, &header);
+        }
+        self.merge_entries(now, &header, entries);
+        self.respond(now, &header);
+        self.process_effects(now);
+    }
+
+    fn open(&mut self, now: Time, datagram: &[u8]) -> Result<(Header, Vec<Entry>), DropReason> {
+        let (header, entries) = wire::open(&self.secret, datagram)?;
+        let tag = header.from.incarnation.tag;
+        if tag == self.members.me().incarnation.tag {
+            return Err(DropReason::Own);
+        }
+        if !self.clocks.record(now, tag, header.sequence, header.clock_us) {
+            return Err(DropReason::Duplicate);
+        }
+        Ok((header, entries))
+    }
+
+    fn count_dropped(&mut self, reason: DropReason) {
+        *self.counters.dropped.entry(reason).or_default() += 1;
+    }
+
+    fn receive_members(&mut self, now: Time, header: &Header) {
+        let mut dead = self.members.apply_updates(now, &header.members);
+        self.send_members(now, &header.from, &mut dead);
+        let me = self.members.me();
+        let suspects_me =
+            |update: &MemberUpdate| update.state == MemberState::Suspected && update.node == *me;
+        if header.members.iter().any(suspects_me) {
+            // Any datagram of the membership protocol tells this node's current incarnation, which refutes it.
+            self.members.announce(now, header.from.address);
+        }
+    }
+
+    fn receive_message(&mut self, datagram: &[u8]) {
+        let me = self.members.me().incarnation.tag;
+        let message = AppMessage::open(&self.secret, datagram);
+        match message {
+            Ok(message) if message.to != me => self.count_dropped(DropReason::Misdirected),
+            Ok(message) if self.messages.len() < MAX_MESSAGES => {
+                self.counters.received += 1;
+                self.messages.push_back((message.from, message.body));
+            }
+            // The application does not take its messages: as good as lost.
+            Ok(_) => {}
+            Err(reason) => self.count_dropped(reason),
+        }
+    }
+
+    /// Merges entries with their age and the longest time that they can have been in transit. Without proof of that they
+    /// are ignored.
+    fn merge_entries(&mut self, now: Time, header: &Header, entries: Vec<Entry>) {
+        let is_for_me = header.to == self.members.me().incarnation.tag;
+        let echo = header.echo.filter(|_| is_for_me);
+        let Some(transit) = echo.and_then(|echo| freshness::max_transit(now, echo)) else {
+            self.counters.unproven += entries.len() as u64;
+            return;
+        };
+        let transit_us = (transit * MICROS_PER_SECOND).ceil() as u64;
+        for mut entry in entries {
+            entry.age_us = entry.age_us.saturating_add(transit_us);
+            let key = entry.key.clone();
+            match self.table.merge(now, entry) {
+                MergeOutcome::Updated => self.events.push_back(FleetEvent::Updated(key)),
+                MergeOutcome::Unchanged => {}
+                MergeOutcome::Expired => self.counters.expired += 1,
+                MergeOutcome::Rejected => self.counters.rejected += 1,
+            }
+        }
+    }
+
+    fn respond(&mut self, now: Time, header: &Header) {
+        let to = &header.from;
+        let newer_incarnation = self.incarnations.newer_than(to);
+        match header.anti_entropy {
+            Some(AntiEntropy::Request(digests)) => self.send_differences(now, to, &digests, true),
+            Some(AntiEntropy::Response(digests)) => self.send_differences(now, to, &digests, false),
+            None => {}
+        }
+        let was_awaited = self.awaiting_echo.remove(&to.incarnation.tag);
+        if header.requests_echo || was_awaited || newer_incarnation.is_some() {
+            let mut answer = self.header(now, to);
+            answer.newer_incarnation = newer_incarnation;
+            self.send_with_entries(now, to.address, &answer);
+        }
+    }
+
+    pub(super) fn digests(&self) -> Digests {
+        Digests { entries: self.table.digests(), members: self.members.digests() }
+    }
+
+    /// Sends the entries and members in which another node's digests differ; with this node's digests in response to a
+    /// request.
+    fn send_differences(&mut self, now: Time, to: &Node, digests: &Digests, is_request: bool) {
+        let mine = self.digests();
+        if mine == *digests {
+            return;
+        }
+        let entries = self.table.differing(now, &digests.entries);
+        let mut entries = entries.iter().peekable();
+        for n in 0..MAX_ENTRY_DATAGRAMS {
+            let mut header = self.header(now, to);
+            header.anti_entropy = (is_request && n == 0).then_some(AntiEntropy::Response(mine));
+            if header.anti_entropy.is_none() && entries.peek().is_none() {
+                break;
+            }
+            let Some(mut writer) = Writer::new(&header) else { return };
+            while entries.next_if(|entry| writer.add(entry)).is_some() {}
+            self.send(to.address, writer);
+        }
+        self.send_unknown_members(now, to, &digests.members);
+    }
+
+    /// Sends the members that another node may not know.
+    ///
+    /// Guards a node that joins a fleet: the library tells it some members, and of the others it would hear as they happen
+    /// to write to it, for minutes in a large fleet; their reports on servers would not count meanwhile. Harm: under heavy
+    /// churn some datagrams tell what is known.
+    fn send_unknown_members(&mut self, now: Time, to: &Node, digests: &[u32; MEMBER_PARTITIONS]) {
+        let mut updates = self.members.differing(digests, to);
+        // Shuffled: members that two nodes have sent already, a third need not send first.
+        for n in (1..updates.len()).rev() {
+            updates.swap(n, self.rng.random_range(0..=n));
+        }
+        self.send_members(now, to, &mut updates);
+    }
+
+    pub(super) fn send_members(&mut self, now: Time, to: &Node, updates: &mut Vec<MemberUpdate>) {
+        for _ in 0..MAX_MEMBER_DATAGRAMS {
+            if updates.is_empty() {
+                return;
+            }
+            let mut header = self.header(now, to);
+            header.add_members(updates);
+            let Some(writer) = Writer::new(&header) else { return };
+            self.send(to.address, writer);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/freshness.rs
@@ -0,0 +1,104 @@
+//! How old a datagram can be at most.
+//!
+//! An entry's age comes with it, as it was when the datagram was written. How long the datagram was in transit nobody
+//! tells: a link may delay it, and so may the system's buffer of a process that is paused. So each datagram echoes what
+//! its writer last heard of the reader's clock, and how long ago that was. What the writer heard was sent before the
+//! datagram was written; so the datagram is no older than the reader's clock has advanced since, less the time that the
+//! writer held the echo. Only differences of one and the same clock are used.
+//!
+//! A datagram without such an echo proves nothing about the age of its entries: a process that was paused over it, or an
+//! attacker who replays it, can't make an old entry new.
+
+use crate::{Time, DRIFT, MICROS_PER_SECOND};
+use serde::{Deserialize, Serialize};
+use std::collections::{HashMap, VecDeque};
+
+/// A peer's clock is echoed for so long after it was heard, in seconds; the error grows with that by [`DRIFT`].
+pub const MAX_ECHO_AGE: Time = 120.0;
+/// Entries in a datagram that may have been in transit for longer, in seconds, are ignored.
+pub const MAX_TRANSIT: Time = 60.0;
+/// Number of a peer's last datagrams for which duplicates are detected.
+const REPLAY_WINDOW: u64 = 64;
+
+/// What a writer last heard of its reader's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClockEcho {
+    /// The time that was heard, in microseconds of the reader's clock.
+    pub clock_us: u64,
+    /// How long ago the writer heard it, in microseconds of the writer's clock, rounded down.
+    pub held_us: u64,
+}
+
+/// How long a datagram with this echo can have been in transit at most, in seconds; `None` if that can't be told.
+pub fn max_transit(now: Time, echo: ClockEcho) -> Option<Time> {
+    let since = now - echo.clock_us as f64 / MICROS_PER_SECOND;
+    let held = echo.held_us as f64 / MICROS_PER_SECOND;
+    if since < 0.0 || held > MAX_ECHO_AGE {
+        return None;
+    }
+    let transit = (since / (1.0 - DRIFT) - held / (1.0 + DRIFT)).max(0.0);
+    (transit <= MAX_TRANSIT).then_some(transit)
+}
+
+/// The clocks of the peers, by the tags of their incarnations, and which of their datagrams have come.
+#[derive(Debug)]
+pub struct PeerClocks {
+    peers: HashMap<u64, PeerClock>,
+    /// The tags, oldest first.
+    order: VecDeque<u64>,
+    max_peers: usize,
+}
+
+#[derive(Debug)]
+struct PeerClock {
+    clock_us: u64,
+    heard_at: Time,
+    /// The greatest sequence number, and a bit for each of those before it that has come.
+    last_sequence: u64,
+    window: u64,
+}
+
+impl PeerClocks {
+    /// The clocks of at most so many peers; of more, those that were heard first are forgotten.
+    pub fn new(max_peers: usize) -> PeerClocks {
+        PeerClocks { peers: HashMap::new(), order: VecDeque::new(), max_peers: max_peers.max(1) }
+    }
+
+    /// Records a datagram's sequence number and clock; returns whether the datagram is new.
+    ///
+    /// Guards against datagrams that a link or somebody else repeats. Harm: one that is overtaken by more than 63 others of
+    /// its writer is lost, as datagrams may be.
+    pub fn record(&mut self, now: Time, tag: u64, sequence: u64, clock_us: u64) -> bool {
+        let Some(peer) = self.peers.get_mut(&tag) else {
+            self.insert(tag, PeerClock { clock_us, heard_at: now, last_sequence: sequence, window: 1 });
+            return true;
+        };
+        if sequence > peer.last_sequence {
+            let shift = sequence - peer.last_sequence;
+            peer.window = if shift < REPLAY_WINDOW { peer.window << shift } else { 0 } | 1;
+            (peer.last_sequence, peer.clock_us, peer.heard_at) = (sequence, clock_us, now);
+            return true;
+        }
+        let back = peer.last_sequence - sequence;
+        let bit = 1u64.checked_shl(u32::try_from(back).unwrap_or(u32::MAX)).unwrap_or(0);
+        let is_new = bit != 0 && peer.window & bit == 0;
+        peer.window |= bit;
+        is_new
+    }
+
+    fn insert(&mut self, tag: u64, peer: PeerClock) {
+        if self.order.len() >= self.max_peers {
+            self.order.pop_front().and_then(|oldest| self.peers.remove(&oldest));
+        }
+        self.order.push_back(tag);
+        self.peers.insert(tag, peer);
+    }
+
+    /// The echo of a peer's clock to send to it.
+    pub fn echo(&self, now: Time, tag: u64) -> Option<ClockEcho> {
+        let peer = self.peers.get(&tag)?;
+        let held = now - peer.heard_at;
+        let held_us = (held.max(0.0) * MICROS_PER_SECOND) as u64;
+        (held <= MAX_ECHO_AGE).then_some(ClockEcho { clock_us: peer.clock_us, held_us })
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,33 +1,39 @@
-//! A fleet of nodes: who is in it, and what its nodes know together.
+//! A fleet of nodes: its membership, and the table of entries that its nodes replicate.
 //!
-//! No I/O: datagrams, moments and chance are arguments, and what is to be sent comes back as a value.
+//! No I/O: datagrams, times and randomness are arguments, and datagrams to send are returned as values.
 //!
-//! | module | what belongs there |
+//! | module | responsibility |
 //! | --- | --- |
-//! | [`verdict`] | what nodes tell one another, as a small typed table with owners, versions and ends |
-//! | [`table`] | merging verdicts, their ages and ends, what still has to be told to others |
-//! | [`fresh`] | how old a datagram can be at most, by the reader's own clock |
-//! | [`wire`] | datagrams: bounded, versioned, under the fleet's key |
-//! | [`members`] | who is there: probes, suspicion, refutation |
-//! | [`witness`] | what this node has seen of servers, as reports |
-//! | [`judge`] | what several reports make of a server, and who tries it again |
+//! | [`node`] | the identity of a node: name, address, incarnation |
+//! | [`entry`] | what nodes replicate: typed keys and values with owners, versions and times to live |
+//! | [`table`] | merging entries, their ages and expiry, what still has to be gossiped |
+//! | [`freshness`] | how old a datagram can be at most, by the receiver's own clock |
+//! | [`wire`] | datagrams: bounded, versioned, authenticated by the fleet's key |
+//! | [`members`] | membership: probes, suspicion, refutation (SWIM) |
+//! | [`observer`] | this node's observations of servers, as failure reports |
+//! | [`quorum`] | what several nodes' reports make of a server, and which node probes it |
 //! | [`fleet`] | all of it together: one node's part in a fleet |
 //!
 //! The proof of the bound on ages is in `docs/design/verdicts.md`.
 
+pub mod entry;
 pub mod fleet;
-pub mod fresh;
-pub mod judge;
+pub mod freshness;
 pub mod members;
 pub mod node;
+pub mod observer;
+pub mod quorum;
 pub mod table;
-pub mod verdict;
 pub mod wire;
-pub mod witness;
 
 /// Seconds on the reader's own monotonic clock; only differences matter.
 pub type Time = f64;
 
-/// The most by which a clock may run too fast or too slow, as a share. Crystals keep within 100 parts in a million, a
-/// clock that is being slewed within 500 (`adjtimex`: `MAXFREQ`).
+/// Microseconds in a second.
+const MICROS_PER_SECOND: f64 = 1e6;
+/// Milliseconds in a second.
+const MILLIS_PER_SECOND: f64 = 1e3;
+
+/// The maximum drift of a clock, as a share. Crystals keep within 100 parts per million, a clock that is being slewed
+/// within 500 (`adjtimex`: `MAXFREQ`).
 pub const DRIFT: f64 = 500e-6;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,24 +1,23 @@
-//! Who is there: SWIM, by a library, with Lifeguard's local health around it.
+//! The membership of the fleet: SWIM, by a library, with Lifeguard's local health around it.
 //!
-//! The library is told moments by [`Members::tick`] and gives back what is to be sent. Its timers are kept here, so that
-//! a node in trouble can take its time: Lifeguard's local health multiplier (a score from 0 to [`SCORE_MOST`]) stretches
-//! probes and suspicions of others. The score falls with each probe that succeeds, and rises
+//! The library is told the time by [`Members::tick`] and returns what is to be sent. Its timers are kept here, so that a
+//! node in trouble can take its time: Lifeguard's local health multiplier (a score from 0 to [`MAX_HEALTH_SCORE`])
+//! stretches probes and suspicions of others. The score falls with each probe that succeeds, and rises
 //!
 //! - with each suspicion of this node that it has to refute,
-//! - with a probe that fails while nobody else was heard either. The paper tells by the nacks of those that a probe goes by
-//!   whose trouble it is; the library has none, so that whatever comes from others meanwhile stands for them. Were every
-//!   probe that fails to count, each death would double the time until it is told, and the death of many at once would
-//!   take nine times as long.
+//! - with a probe that fails while nobody else was heard either. The paper tells by the nacks of the indirect probers whose
+//!   trouble it is; the library has none, so that whatever comes from others meanwhile stands for them. Were every probe
+//!   that fails to count, each death would double the time until it is detected, and the death of many at once would take
+//!   nine times as long.
 //!
 //! Of Lifeguard there is: local health aware probe and suspicion, and the buddy system. Not there: the dynamic suspicion
-//! time-out by independent
-//! confirmations, which the library has no place for.
+//! time-out by independent confirmations, which the library has no place for.
 //!
 //! Sources: Das, Gupta, Motivala, "SWIM", 2002; Dadgar, Phillips, Currey, "Lifeguard", 2018 (sections IV.A to IV.C).
 
-use crate::node::{Life, Node};
-use crate::wire::{Met, Standing, MEMBER_PARTS, SWIM_MOST};
-use crate::Time;
+use crate::node::{Incarnation, Node};
+use crate::wire::{MemberState, MemberUpdate, MAX_SWIM_LEN, MEMBER_PARTITIONS};
+use crate::{Time, MICROS_PER_SECOND};
 use foca::{
     Config, Foca, Member, NoCustomBroadcast, Notification, PeriodicParams, PostcardCodec, Runtime, State,
     Timer,
@@ -30,128 +29,149 @@
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
 
-/// The worst that a node holds of its own health, by default; the paper's S.
-pub const SCORE_MOST: u32 = 8;
-
-/// How often one that is suspected is told so by whoever began to.
-const WARNINGS: u32 = 3;
-
-/// How members are watched.
+/// The worst health score of a node, by default; the paper's S.
+pub const MAX_HEALTH_SCORE: u32 = 8;
+
+/// How often a suspected node is notified by whoever began to suspect it.
+const SUSPICION_NOTICES: u32 = 3;
+/// A dead member is remembered for so long, in seconds.
+const REMOVE_DEAD_AFTER: Time = 3600.0;
+/// Interval of the library's announcements to a member, in seconds.
+const ANNOUNCE_INTERVAL: Time = 10.0;
+/// Interval of the library's announcements to a dead member, in seconds.
+const ANNOUNCE_TO_DEAD_INTERVAL: Time = 2.0;
+/// Interval and fan-out of the library's gossip.
+const GOSSIP: (Time, usize) = (0.2, 3);
+
+/// How members are probed. The fields are named after the settings.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Pace {
-    /// One other is probed in each such time, in seconds.
+pub struct MembershipConfig {
+    /// Interval of probes, in seconds; each goes to one other member.
     pub probe_every: Time,
-    /// A probe that is not answered directly within this time, in seconds, goes by way of others.
+    /// A probe that is not answered directly within this time, in seconds, is repeated indirectly.
     pub answer_within: Time,
-    /// Who is suspected for so long without refuting it is gone, in seconds.
+    /// A member that is suspected for so long without refuting it is dead, in seconds.
     pub suspect_for: Time,
-    /// Others that a probe goes by.
-    pub by_way_of: usize,
-    /// The number of nodes that the fleet is expected to have: news are told the oftener the more there are.
+    /// Number of members that an indirect probe goes through.
+    pub indirect_probes: usize,
+    /// The expected number of nodes: updates are retransmitted the oftener the more there are.
     pub size: u32,
-    /// The worst that a node holds of its own health: its probes and suspicions take so many times longer, and once more. At 0 it
-    /// never doubts itself.
-    pub doubt_most: u32,
+    /// The worst health score: probes and suspicions take so many times longer, and once more. At 0 the node never doubts
+    /// its own health.
+    pub max_health_score: u32,
 }
 
-impl Default for Pace {
+impl Default for MembershipConfig {
     fn default() -> Self {
-        Pace {
+        MembershipConfig {
             probe_every: 1.0,
             answer_within: 0.3,
             suspect_for: 4.0,
-            by_way_of: 3,
+            indirect_probes: 3,
             size: 32,
-            doubt_most: SCORE_MOST,
+            max_health_score: MAX_HEALTH_SCORE,
         }
     }
 }
 
-/// How often one piece of news is told by each who hears it: 4 log10(N + 1), as in the library's own settings for a LAN.
-pub fn tellings(size: usize) -> u32 {
+/// How often each node retransmits an update: 4 log10(N + 1), as in the library's own settings for a LAN.
+pub fn max_transmissions(size: usize) -> u32 {
     ((size as f64 + 1.0).log10() * 4.0).ceil().clamp(2.0, 32.0) as u32
 }
 
-impl Pace {
-    fn config(&self) -> Config {
+impl MembershipConfig {
+    fn library_config(&self) -> Config {
         let seconds = Duration::from_secs_f64;
-        let some = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
-        let each =
-            |every: Time, n: usize| Some(PeriodicParams { frequency: seconds(every), num_members: some(n) });
+        let nonzero = |n: usize| NonZeroUsize::new(n).unwrap_or(NonZeroUsize::MIN);
+        let periodic = |interval: Time, n: usize| {
+            Some(PeriodicParams { frequency: seconds(interval), num_members: nonzero(n) })
+        };
+        let transmissions = max_transmissions(self.size as usize) as u8;
         Config {
             probe_period: seconds(self.probe_every),
             probe_rtt: seconds(self.answer_within),
-            num_indirect_probes: some(self.by_way_of),
-            max_transmissions: NonZeroU8::new(tellings(self.size as usize) as u8).unwrap_or(NonZeroU8::MIN),
+            num_indirect_probes: nonzero(self.indirect_probes),
+            max_transmissions: NonZeroU8::new(transmissions).unwrap_or(NonZeroU8::MIN),
             suspect_to_down_after: seconds(self.suspect_for),
-            remove_down_after: Some(seconds(3600.0)),
-            max_packet_size: some(SWIM_MOST),
+            remove_down_after: Some(seconds(REMOVE_DEAD_AFTER)),
+            max_packet_size: nonzero(MAX_SWIM_LEN),
             notify_down_members: true,
-            periodic_announce: each(10.0, 1),
-            // Those that a cut took away are asked again and again, so that what is healed finds itself.
-            periodic_announce_to_down_members: each(2.0, 1),
-            periodic_gossip: each(0.2, 3),
+            periodic_announce: periodic(ANNOUNCE_INTERVAL, 1),
+            // Dead members are asked again and again, so that the parts of a healed partition find each other.
+            periodic_announce_to_down_members: periodic(ANNOUNCE_TO_DEAD_INTERVAL, 1),
+            periodic_gossip: periodic(GOSSIP.0, GOSSIP.1),
         }
     }
 }
 
-/// In which part a life is compared, and what it adds to its sum.
-fn part(life: &Life) -> (usize, u32) {
-    let mixed =
-        (life.tag ^ life.start.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_mul(0xd6e8_feb8_6659_fd93);
-    ((mixed >> 61) as usize % MEMBER_PARTS, (mixed >> 16) as u32)
+/// The partition in which an incarnation is compared, and what it contributes to the digest.
+fn partition(incarnation: &Incarnation) -> (usize, u32) {
+    let mixed = (incarnation.tag ^ incarnation.number.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+        .wrapping_mul(0xd6e8_feb8_6659_fd93);
+    ((mixed >> 61) as usize % MEMBER_PARTITIONS, (mixed >> 16) as u32)
 }
 
-fn met(member: &Member<Node>) -> Met {
-    let standing = match member.state() {
-        State::Alive => Standing::There,
-        State::Suspect => Standing::Suspected,
-        State::Down => Standing::Gone,
+fn to_update(member: &Member<Node>) -> MemberUpdate {
+    let state = match member.state() {
+        State::Alive => MemberState::Alive,
+        State::Suspect => MemberState::Suspected,
+        State::Down => MemberState::Dead,
     };
-    Met { node: member.id().clone(), incarnation: member.incarnation(), standing }
+    MemberUpdate { node: member.id().clone(), swim_incarnation: member.incarnation(), state }
 }
 
-/// What became of a member.
+fn to_member(update: &MemberUpdate) -> Member<Node> {
+    let state = match update.state {
+        MemberState::Alive => State::Alive,
+        MemberState::Suspected => State::Suspect,
+        MemberState::Dead => State::Down,
+    };
+    Member::new(update.node.clone(), update.swim_incarnation, state)
+}
+
+/// A change of the membership.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// It is there.
+pub enum MemberEvent {
+    /// A member joined.
     Up(Node),
-    /// It is gone.
+    /// A member died or left.
     Down(Node),
-    /// This node was taken for gone, and is back as a later life.
-    Back(Life),
+    /// This node was declared dead, and has rejoined as a later incarnation.
+    Rejoined(Incarnation),
 }
 
-/// What the library wants done.
+/// What the library has requested.
 #[derive(Default)]
-struct Wants {
-    sends: VecDeque<(Node, Vec<u8>)>,
+struct LibraryOutput {
+    datagrams: VecDeque<(Node, Vec<u8>)>,
     timers: Vec<(Timer<Node>, Duration)>,
-    /// What became of whom; a later life in an earlier one's place is told as its end and, if that was there, its own
-    /// beginning.
-    changes: Vec<(Change, Option<Node>)>,
-    failed: u32,
-    incarnation: u16,
+    /// Events, with the successor where a later incarnation takes an earlier one's place: that is reported as the end of
+    /// the earlier one and, if that was a member, the beginning of its successor.
+    events: Vec<(MemberEvent, Option<Node>)>,
+    failed_probes: u32,
+    swim_incarnation: u16,
 }
 
-impl Runtime<Node> for Wants {
+impl Runtime<Node> for LibraryOutput {
     fn notify(&mut self, notification: Notification<'_, Node>) {
         match notification {
-            Notification::MemberUp(node) => self.changes.push((Change::Up(node.clone()), None)),
-            Notification::MemberDown(node) => self.changes.push((Change::Down(node.clone()), None)),
+            Notification::MemberUp(node) => self.events.push((MemberEvent::Up(node.clone()), None)),
+            Notification::MemberDown(node) => self.events.push((MemberEvent::Down(node.clone()), None)),
             Notification::Rename(old, new) => {
-                self.changes.push((Change::Down(old.clone()), Some(new.clone())))
+                self.events.push((MemberEvent::Down(old.clone()), Some(new.clone())));
+            }
+            Notification::Rejoin(node) => {
+                self.events.push((MemberEvent::Rejoined(node.incarnation), None));
             }
-            Notification::Rejoin(node) => self.changes.push((Change::Back(node.life), None)),
-            Notification::ProbeFailed(..) => self.failed += 1,
-            Notification::DataSent(header) => self.incarnation = header.src_incarnation,
+            Notification::ProbeFailed(..) => self.failed_probes += 1,
+            Notification::DataSent(header) => self.swim_incarnation = header.src_incarnation,
             Notification::Active | Notification::Idle | Notification::Defunct => {}
             Notification::DataReceived(_) => {}
         }
     }
 
     fn send_to(&mut self, to: Node, data: &[u8]) {
-        self.sends.push_back((to, data.to_vec()));
+        self.datagrams.push_back((to, data.to_vec()));
     }
 
     fn submit_after(&mut self, event: Timer<Node>, after: Duration) {
@@ -159,46 +179,49 @@
     }
 }
 
-/// See the module.
+/// The members of the fleet, as this node knows them. See the module.
 pub struct Members {
-    foca: Foca<Node, PostcardCodec, Pcg64Mcg, NoCustomBroadcast>,
-    wants: Wants,
-    /// What is due when, in microseconds, in the order in which it was wanted.
+    library: Foca<Node, PostcardCodec, Pcg64Mcg, NoCustomBroadcast>,
+    output: LibraryOutput,
+    /// Timers by when they are due, in microseconds, and in the order in which they were set.
     timers: BTreeMap<(u64, u64), Timer<Node>>,
-    next: u64,
+    /// Counts timers and notices.
+    next_number: u64,
     me: Node,
-    /// Others that are there, by their tags.
-    up: HashMap<u64, Node>,
-    /// The tags by their names.
-    names: HashMap<String, u64>,
-    changes: VecDeque<Change>,
-    score: u32,
-    pace: Pace,
-    incarnation: u16,
-    /// Whom to tell that this node suspects it, and when, in microseconds.
-    warnings: BTreeMap<(u64, u64), Met>,
-    /// When somebody was heard last, and when the probe under way began.
+    /// The other members, by their tags.
+    by_tag: HashMap<u64, Node>,
+    /// Their tags, by their names.
+    tags: HashMap<String, u64>,
+    events: VecDeque<MemberEvent>,
+    health_score: u32,
+    config: MembershipConfig,
+    swim_incarnation: u16,
+    /// Notices to suspected members, by when they are due, in microseconds.
+    suspicion_notices: BTreeMap<(u64, u64), MemberUpdate>,
+    /// When any other node was last heard.
     heard_at: Time,
+    /// When the current probe began.
     probe_began: Time,
 }
 
 impl Members {
-    /// A node that knows nobody yet.
-    pub fn new(me: Node, pace: Pace, seed: u64) -> Members {
-        let foca = Foca::new(me.clone(), pace.config(), Pcg64Mcg::seed_from_u64(seed), PostcardCodec);
+    /// The membership of a node that knows nobody yet.
+    pub fn new(me: Node, config: MembershipConfig, seed: u64) -> Members {
+        let rng = Pcg64Mcg::seed_from_u64(seed);
+        let library = Foca::new(me.clone(), config.library_config(), rng, PostcardCodec);
         Members {
-            foca,
-            wants: Wants::default(),
+            library,
+            output: LibraryOutput::default(),
             timers: BTreeMap::new(),
-            next: 0,
+            next_number: 0,
             me,
-            up: HashMap::new(),
-            names: HashMap::new(),
-            changes: VecDeque::new(),
-            score: 0,
-            pace,
-            incarnation: 0,
-            warnings: BTreeMap::new(),
+            by_tag: HashMap::new(),
+            tags: HashMap::new(),
+            events: VecDeque::new(),
+            health_score: 0,
+            config,
+            swim_incarnation: 0,
+            suspicion_notices: BTreeMap::new(),
             heard_at: f64::MIN,
             probe_began: f64::MIN,
         }
@@ -209,245 +232,255 @@
         &self.me
     }
 
-    /// Others that are there.
+    /// The other members.
     pub fn others(&self) -> impl Iterator<Item = &Node> {
-        self.up.values()
+        self.by_tag.values()
     }
 
-    /// How many others are there.
+    /// Number of other members.
     pub fn count(&self) -> usize {
-        self.up.len()
+        self.by_tag.len()
     }
 
-    /// Whether a node of this name is there, this one included.
-    pub fn has(&self, name: &str) -> bool {
-        self.me.name == name || self.names.contains_key(name)
+    /// Whether a node of this name is a member, this one included.
+    pub fn contains(&self, name: &str) -> bool {
+        self.me.name == name || self.tags.contains_key(name)
     }
 
-    /// Another process that is there, by its tag.
-    pub fn tagged(&self, tag: u64) -> Option<&Node> {
-        self.up.get(&tag)
+    /// Another member, by its tag.
+    pub fn by_tag(&self, tag: u64) -> Option<&Node> {
+        self.by_tag.get(&tag)
     }
 
-    /// Another node that is there, by its name.
-    pub fn named(&self, name: &str) -> Option<&Node> {
-        self.names.get(name).and_then(|tag| self.up.get(tag))
+    /// Another member, by its name.
+    pub fn by_name(&self, name: &str) -> Option<&Node> {
+        self.tags.get(name).and_then(|tag| self.by_tag.get(tag))
     }
 
-    /// This node's doubt of its own health: 0 for none.
-    pub fn score(&self) -> u32 {
-        self.score
+    /// This node's health score: 0 for healthy.
+    pub fn health_score(&self) -> u32 {
+        self.health_score
     }
 
-    /// Asks somebody who may be there to be let in.
+    /// Asks a node that may be a member to let this one join.
     pub fn announce(&mut self, now: Time, to: SocketAddr) {
-        let to = Node { name: String::new(), address: to, life: Life::default() };
-        // What can't be written or sent is as good as lost; the next one may not be.
-        let _ = self.foca.announce(to, &mut self.wants);
-        self.settle(now);
+        let to = Node { name: String::new(), address: to, incarnation: Incarnation::default() };
+        // What can't be encoded or sent is as good as lost; the next one may not be.
+        let _ = self.library.announce(to, &mut self.output);
+        self.process_output(now);
     }
 
-    /// The membership's part of a datagram has come.
+    /// Handles the membership protocol's part of a datagram.
     pub fn receive(&mut self, now: Time, data: &[u8]) {
-        // It is authentic; what is wrong with it is a matter of two versions, and loses that datagram alone.
-        let _ = self.foca.handle_data(data, &mut self.wants);
-        self.settle(now);
+        // It is authentic; an error is a matter of two versions, and loses that datagram alone.
+        let _ = self.library.handle_data(data, &mut self.output);
+        self.process_output(now);
     }
 
-    /// Somebody was heard, whatever it said.
-    pub fn heard(&mut self, now: Time) {
+    /// Notes that a datagram of any kind was received from another node.
+    pub fn note_heard(&mut self, now: Time) {
         self.heard_at = now;
     }
 
-    /// A sum of each part of those that are there, this node included. Parts with one sum are alike, as far as chance allows.
-    pub fn sums(&self) -> [u32; MEMBER_PARTS] {
-        let mut sums = [0; MEMBER_PARTS];
-        for node in self.up.values().chain([&self.me]) {
-            let (part, sum) = part(&node.life);
-            sums[part] ^= sum;
+    /// A digest of each partition of the members, this node included. Partitions with equal digests have the same members,
+    /// up to collisions.
+    pub fn digests(&self) -> [u32; MEMBER_PARTITIONS] {
+        let mut digests = [0; MEMBER_PARTITIONS];
+        for node in self.by_tag.values().chain([&self.me]) {
+            let (partition, digest) = partition(&node.incarnation);
+            digests[partition] ^= digest;
         }
-        sums
+        digests
     }
 
-    /// Those that are there, or suspected, in the parts in which another's sums differ; but for that one itself.
-    pub fn differing(&self, sums: &[u32; MEMBER_PARTS], from: &Node) -> Vec<Met> {
-        let mine = self.sums();
+    /// The members, suspected ones included, of the partitions in which another node's digests differ; without that node.
+    pub fn differing(&self, digests: &[u32; MEMBER_PARTITIONS], from: &Node) -> Vec<MemberUpdate> {
+        let mine = self.digests();
         let differs = |node: &Node| {
-            let (part, _) = part(&node.life);
-            mine[part] != sums[part] && node != from
-        };
-        self.foca.iter_members().filter(|m| differs(m.id())).map(met).collect()
-    }
-
-    /// Another node takes these for there, or for gone. Gives back those of whom it does not know that they are gone: the
-    /// end of a life is final, and whoever missed the word would keep to it until its own probe comes round.
-    pub fn meet(&mut self, now: Time, met: &[Met]) -> Vec<Met> {
-        let is_there = |met: &&Met| self.up.get(&met.node.life.tag) == Some(&met.node);
-        let new = met.iter().filter(|m| m.standing != Standing::Gone && !is_there(m)).map(|m| &m.node);
-        let new: HashSet<&Node> = new.collect();
-        let gone = |m: &&Member<Node>| m.state() == State::Down && new.contains(m.id());
-        let gone = self.foca.iter_membership_state().filter(gone).map(self::met).collect();
-        let member = |met: &Met| {
-            let state = match met.standing {
-                Standing::There => State::Alive,
-                Standing::Suspected => State::Suspect,
-                Standing::Gone => State::Down,
-            };
-            Member::new(met.node.clone(), met.incarnation, state)
+            let (partition, _) = partition(&node.incarnation);
+            mine[partition] != digests[partition] && node != from
         };
-        // They go no further from here: whoever misses one compares.
-        let _ = self.foca.apply_many(met.iter().map(member), false, &mut self.wants);
-        self.settle(now);
-        gone
-    }
-
-    /// From now on this node is a later life.
-    pub fn become_life(&mut self, now: Time, life: Life) {
-        let me = Node { life, ..self.me.clone() };
-        if self.foca.change_identity(me.clone(), &mut self.wants).is_ok() {
+        self.library.iter_members().filter(|m| differs(m.id())).map(to_update).collect()
+    }
+
+    /// Applies the member updates of another node. Returns those members of which it does not know that they are dead: the
+    /// end of an incarnation is final, and whoever missed it would hold on to the member until its own probe.
+    pub fn apply_updates(&mut self, now: Time, updates: &[MemberUpdate]) -> Vec<MemberUpdate> {
+        let is_known =
+            |update: &&MemberUpdate| self.by_tag.get(&update.node.incarnation.tag) == Some(&update.node);
+        let unknown: HashSet<&Node> = updates
+            .iter()
+            .filter(|update| update.state != MemberState::Dead && !is_known(update))
+            .map(|update| &update.node)
+            .collect();
+        let is_dead = |m: &&Member<Node>| m.state() == State::Down && unknown.contains(m.id());
+        let dead = self.library.iter_membership_state().filter(is_dead).map(to_update).collect();
+        // They are not forwarded from here: whoever misses one compares.
+        let members = updates.iter().map(to_member);
+        let _ = self.library.apply_many(members, false, &mut self.output);
+        self.process_output(now);
+        dead
+    }
+
+    /// Changes the incarnation of this node.
+    pub fn change_incarnation(&mut self, now: Time, incarnation: Incarnation) {
+        let me = Node { incarnation, ..self.me.clone() };
+        if self.library.change_identity(me.clone(), &mut self.output).is_ok() {
             self.me = me;
         }
-        self.settle(now);
+        self.process_output(now);
     }
 
     /// Tells the others that this node leaves.
     pub fn leave(&mut self, now: Time) {
-        let _ = self.foca.leave_cluster(&mut self.wants);
-        self.settle(now);
+        let _ = self.library.leave_cluster(&mut self.output);
+        self.process_output(now);
     }
 
     /// When [`Members::tick`] has something to do.
     pub fn deadline(&self) -> Option<Time> {
         let timer = self.timers.first_key_value().map(|((due, _), _)| *due);
-        let warning = self.warnings.first_key_value().map(|((due, _), _)| *due);
-        [timer, warning].into_iter().flatten().min().map(|due| due as f64 / 1e6)
+        let notice = self.suspicion_notices.first_key_value().map(|((due, _), _)| *due);
+        [timer, notice].into_iter().flatten().min().map(|due| due as f64 / MICROS_PER_SECOND)
     }
 
-    /// Time has passed.
+    /// Does what is due at this time.
     pub fn tick(&mut self, now: Time) {
         while let Some(first) = self.timers.first_entry() {
             let due = first.key().0;
-            if due > (now * 1e6) as u64 {
+            if due > (now * MICROS_PER_SECOND) as u64 {
                 break;
             }
             let timer = first.remove();
-            let late = now - due as f64 / 1e6 > self.pace.answer_within;
-            if late && matches!(timer, Timer::ChangeSuspectToDown { .. }) {
-                // Guards whoever refuted while this process stood still, if that word was lost. Harm: one that is gone is
-                // told later by as long.
-                self.wants.timers.push((timer, Duration::from_secs_f64(self.pace.suspect_for)));
-                self.settle(now);
-                continue;
+            let is_late = now - due as f64 / MICROS_PER_SECOND > self.config.answer_within;
+            if is_late && matches!(timer, Timer::ChangeSuspectToDown { .. }) {
+                // Guards whoever refuted while this process was paused, if that message was lost. Harm: a dead member is
+                // detected later by as long.
+                let again = Duration::from_secs_f64(self.config.suspect_for);
+                self.output.timers.push((timer, again));
+            } else {
+                self.handle_timer(now, timer);
             }
-            let probed = matches!(timer, Timer::ProbeRandomMember(_));
-            self.wants.failed = 0;
-            // A timer that came too late for its matter is an error to the library, and none here.
-            let _ = self.foca.handle_timer(timer, &mut self.wants);
-            if probed {
-                let began = std::mem::replace(&mut self.probe_began, now);
-                if self.wants.failed == 0 {
-                    self.score = self.score.saturating_sub(1);
-                } else if self.heard_at < began {
-                    self.doubt();
-                }
-            }
-            self.settle(now);
+            self.process_output(now);
         }
     }
 
-    /// Somebody who has to be told now that this node suspects it.
+    fn handle_timer(&mut self, now: Time, timer: Timer<Node>) {
+        let is_probe = matches!(timer, Timer::ProbeRandomMember(_));
+        self.output.failed_probes = 0;
+        // A timer that comes too late is an error to the library, and none here.
+        let _ = self.library.handle_timer(timer, &mut self.output);
+        if !is_probe {
+            return;
+        }
+        let began = std::mem::replace(&mut self.probe_began, now);
+        if self.output.failed_probes == 0 {
+            self.health_score = self.health_score.saturating_sub(1);
+        } else if self.heard_at < began {
+            self.degrade_health();
+        }
+    }
+
+    /// Takes the next notice that is due, to a member that this node suspects.
     ///
-    /// The paper's buddy system: whoever is suspected hears it in time to refute. By news alone it would hear it by chance,
-    /// in a large fleet whose links lose much too late. Harm: three datagrams for each suspicion.
-    pub fn warning(&mut self, now: Time) -> Option<Met> {
-        let first = self.warnings.first_entry()?;
-        (first.key().0 <= (now * 1e6) as u64).then(|| first.remove())
+    /// The paper's buddy system: a suspected member is told in time to refute. By gossip alone it would hear it by chance,
+    /// in a large fleet with lossy links much too late. Harm: three datagrams for each suspicion.
+    pub fn next_suspicion_notice(&mut self, now: Time) -> Option<MemberUpdate> {
+        let first = self.suspicion_notices.first_entry()?;
+        (first.key().0 <= (now * MICROS_PER_SECOND) as u64).then(|| first.remove())
     }
 
-    /// Tells the suspect three times within the time that it has.
-    fn warn(&mut self, now: Time, timer: &Timer<Node>, time: Time) {
+    /// Schedules the notices to a suspected member, evenly over the time that it has to refute.
+    fn schedule_notices(&mut self, now: Time, timer: &Timer<Node>, time: Time) {
         let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return };
-        for part in 0..WARNINGS {
-            self.next += 1;
-            let due = now + time * f64::from(part) / f64::from(WARNINGS);
-            let met =
-                Met { node: member_id.clone(), incarnation: *incarnation, standing: Standing::Suspected };
-            self.warnings.insert(((due * 1e6) as u64, self.next), met);
+        for n in 0..SUSPICION_NOTICES {
+            self.next_number += 1;
+            let due = now + time * f64::from(n) / f64::from(SUSPICION_NOTICES);
+            let notice = MemberUpdate {
+                node: member_id.clone(),
+                swim_incarnation: *incarnation,
+                state: MemberState::Suspected,
+            };
+            self.suspicion_notices.insert(((due * MICROS_PER_SECOND) as u64, self.next_number), notice);
         }
     }
 
-    /// What is to be sent next.
-    pub fn outgoing(&mut self) -> Option<(Node, Vec<u8>)> {
-        self.wants.sends.pop_front()
+    /// Takes the next datagram to send: its receiver, and the membership protocol's part.
+    pub fn next_datagram(&mut self) -> Option<(Node, Vec<u8>)> {
+        self.output.datagrams.pop_front()
     }
 
-    /// What became of members.
-    pub fn change(&mut self) -> Option<Change> {
-        self.changes.pop_front()
+    /// Takes the next event.
+    pub fn next_event(&mut self) -> Option<MemberEvent> {
+        self.events.pop_front()
     }
 
-    fn doubt(&mut self) {
-        self.score = (self.score + 1).min(self.pace.doubt_most);
+    fn degrade_health(&mut self) {
+        self.health_score = (self.health_score + 1).min(self.config.max_health_score);
     }
 
-    fn settle(&mut self, now: Time) {
-        // A greater incarnation is a suspicion that this node had to refute.
-        if self.wants.incarnation > self.incarnation {
-            self.doubt();
+    fn process_output(&mut self, now: Time) {
+        // A greater incarnation refutes a suspicion of this node.
+        if self.output.swim_incarnation > self.swim_incarnation {
+            self.degrade_health();
         }
-        self.incarnation = self.wants.incarnation;
-        for (timer, after) in std::mem::take(&mut self.wants.timers) {
-            let stretched = matches!(
-                timer,
-                Timer::ProbeRandomMember(_)
-                    | Timer::SendIndirectProbe { .. }
-                    | Timer::ChangeSuspectToDown { .. }
-            );
-            let by = if stretched { f64::from(1 + self.score) } else { 1.0 };
-            let time = after.as_secs_f64() * by;
-            let due = ((now + time) * 1e6) as u64;
-            self.warn(now, &timer, time);
-            self.next += 1;
-            self.timers.insert((due, self.next), timer);
+        self.swim_incarnation = self.output.swim_incarnation;
+        for (timer, after) in std::mem::take(&mut self.output.timers) {
+            self.set_timer(now, timer, after);
         }
-        for (change, successor) in std::mem::take(&mut self.wants.changes) {
-            self.changed(change, successor);
+        for (event, successor) in std::mem::take(&mut self.output.events) {
+            self.process_event(event, successor);
         }
     }
 
-    fn changed(&mut self, change: Change, successor: Option<Node>) {
-        match change {
-            Change::Up(node) => self.came(node),
-            Change::Down(node) => {
-                let was_there = self.went(&node);
-                // The library tells of a successor's coming only where its predecessor was not there.
-                if let Some(node) = successor.filter(|_| was_there) {
-                    self.came(node);
+    fn set_timer(&mut self, now: Time, timer: Timer<Node>, after: Duration) {
+        let is_stretched = matches!(
+            timer,
+            Timer::ProbeRandomMember(_) | Timer::SendIndirectProbe { .. } | Timer::ChangeSuspectToDown { .. }
+        );
+        let factor = if is_stretched { f64::from(1 + self.health_score) } else { 1.0 };
+        let time = after.as_secs_f64() * factor;
+        let due = ((now + time) * MICROS_PER_SECOND) as u64;
+        self.schedule_notices(now, &timer, time);
+        self.next_number += 1;
+        self.timers.insert((due, self.next_number), timer);
+    }
+
+    fn process_event(&mut self, event: MemberEvent, successor: Option<Node>) {
+        match event {
+            MemberEvent::Up(node) => self.add_member(node),
+            MemberEvent::Down(node) => {
+                let was_member = self.remove_member(&node);
+                // The library reports a successor only where its predecessor was no member.
+                if let Some(node) = successor.filter(|_| was_member) {
+                    self.add_member(node);
                 }
             }
-            Change::Back(life) => {
-                self.me.life = life;
-                self.changes.push_back(change);
+            MemberEvent::Rejoined(incarnation) => {
+                self.me.incarnation = incarnation;
+                self.events.push_back(event);
             }
         }
     }
 
-    fn came(&mut self, node: Node) {
-        self.names.insert(node.name.clone(), node.life.tag);
-        self.up.insert(node.life.tag, node.clone());
-        self.changes.push_back(Change::Up(node));
+    fn add_member(&mut self, node: Node) {
+        let tag = node.incarnation.tag;
+        self.tags.insert(node.name.clone(), tag);
+        self.by_tag.insert(tag, node.clone());
+        self.events.push_back(MemberEvent::Up(node));
     }
 
-    /// Whether it was there; a later life of the same process may be by now.
-    fn went(&mut self, node: &Node) -> bool {
-        if self.up.get(&node.life.tag) != Some(node) {
+    /// Removes a member; returns whether it was one. A later incarnation of the same process may be one by now.
+    fn remove_member(&mut self, node: &Node) -> bool {
+        let tag = node.incarnation.tag;
+        if self.by_tag.get(&tag) != Some(node) {
             return false;
         }
-        self.up.remove(&node.life.tag);
-        if self.names.get(&node.name) == Some(&node.life.tag) {
-            self.names.remove(&node.name);
+        self.by_tag.remove(&tag);
+        if self.tags.get(&node.name) == Some(&tag) {
+            self.tags.remove(&node.name);
         }
-        self.changes.push_back(Change::Down(node.clone()));
+        self.events.push_back(MemberEvent::Down(node.clone()));
         true
     }
 }
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -1,21 +1,21 @@
-//! What a node of a fleet is known as.
+//! The identity of a node in the fleet.
 
 use foca::Identity;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Longest name of a node, a server, a list or a person, in bytes.
-pub const NAME_MOST: usize = 64;
+/// Maximum length of the name of a node, a server, a list or a person, in bytes.
+pub const MAX_NAME_LEN: usize = 64;
 
-/// One life of a node: a process from its start to its end.
+/// One incarnation of a node: a process from its start to its end.
 ///
-/// No clock is asked for it. A process begins with the first number and learns from the others which one its name had
-/// last; it goes on from there. The tag tells processes apart that have one name at one time.
+/// It does not depend on a clock. A process begins with the first number and learns from the others which one its name had
+/// last; it goes on from there. The tag tells processes apart that have the same name at the same time.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Life {
-    /// Which life of its name this is; a later one counts before an earlier one.
-    pub start: u64,
-    /// Drawn by each process.
+pub struct Incarnation {
+    /// Counts the incarnations of the name; a later one takes precedence over an earlier one.
+    pub number: u64,
+    /// Random for each process.
     pub tag: u64,
 }
 
@@ -26,17 +26,17 @@
     pub name: String,
     /// Where the others reach it.
     pub address: SocketAddr,
-    /// Which life of it.
-    pub life: Life,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
 }
 
 impl Identity for Node {
     type Addr = SocketAddr;
 
-    /// Taken for gone, it is back as a later life.
+    /// A node that was declared dead rejoins as a later incarnation.
     fn renew(&self) -> Option<Self> {
-        let start = self.life.start.checked_add(1)?;
-        Some(Node { life: Life { start, ..self.life }, ..self.clone() })
+        let number = self.incarnation.number.checked_add(1)?;
+        Some(Node { incarnation: Incarnation { number, ..self.incarnation }, ..self.clone() })
     }
 
     fn addr(&self) -> SocketAddr {
@@ -44,6 +44,6 @@
     }
 
     fn win_addr_conflict(&self, adversary: &Self) -> bool {
-        self.life > adversary.life
+        self.incarnation > adversary.incarnation
     }
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,296 +1,309 @@
-//! The verdicts that a node holds.
+//! The table of entries that a node holds: a replicated map, kept in step with others by gossip and anti-entropy.
 //!
-//! | state of a verdict | owner | ends |
+//! | state of an entry | owner | ends |
 //! | --- | --- | --- |
-//! | fresh: not yet told to enough others | [`Table`] | when it was told so often, or replaced, or at its end |
-//! | held | [`Table`] | replaced by one of a greater rank, or at its end |
-//! | over | nobody | at once |
+//! | pending: not yet sent to enough others | [`Table`] | when it was sent so often, or replaced, or expired |
+//! | held | [`Table`] | replaced by one of a greater precedence, or expired |
+//! | expired | nobody | at once |
 //!
-//! An age is never less than the true one: it comes with the verdict, grows by the time that it may have been under way
-//! and by this node's own clock, which is taken to run as slow as [`DRIFT`] allows. So whoever holds a verdict lets it
-//! go no later than its maker meant.
+//! An age is never less than the true one: it comes with the entry, grows by the time that the entry may have been in
+//! transit and by this node's own clock, which is assumed to run as slow as [`DRIFT`] allows. So whoever holds an entry
+//! drops it no later than its creator meant.
 
-use crate::verdict::{Entry, Key, Version, Word};
-use crate::{Time, DRIFT};
+use crate::entry::{Entry, Key, Value, Version};
+use crate::{Time, DRIFT, MICROS_PER_SECOND, MILLIS_PER_SECOND};
+use std::cmp::{Ordering, Reverse};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Most verdicts that are held.
-pub const HELD_MOST: usize = 8192;
-/// Most reports of one node; a node that finds fault with more servers says nothing that could be used.
-pub const REPORTS_MOST: usize = 256;
-/// In how many parts tables are compared.
-pub const PARTS: usize = 32;
+/// Maximum number of entries.
+pub const MAX_ENTRIES: usize = 8192;
+/// Maximum number of reports of one node; a node that finds more servers faulty reports nothing useful.
+pub const MAX_REPORTS_PER_NODE: usize = 256;
+/// Number of partitions in which tables are compared.
+pub const PARTITIONS: usize = 32;
+/// Microseconds in a millisecond.
+const MICROS_PER_MILLI: u64 = 1000;
 
-/// What became of a verdict that was told.
+/// The outcome of merging an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Joined {
-    /// It changes what holds.
-    New,
+pub enum MergeOutcome {
+    /// It was added, or replaces another one.
+    Updated,
     /// It was known, or a newer one is.
-    Known,
-    /// It is over.
-    Over,
-    /// There is no room, or it is none that a node can have made.
-    Refused,
+    Unchanged,
+    /// It has expired.
+    Expired,
+    /// There is no room, or it is invalid.
+    Rejected,
 }
 
-/// A verdict that is held.
+/// An entry in the table.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Held {
+pub struct HeldEntry {
     /// Its version.
     pub version: Version,
-    /// What is said.
-    pub word: Word,
-    /// How long it counts, in milliseconds from its making.
-    pub lasts_ms: u32,
-    /// How old it was at most when it came, in seconds, and when that was.
-    age: Time,
-    came: Time,
-    /// How often it has been told to others.
-    told: u32,
-    hash: u64,
+    /// Its value.
+    pub value: Value,
+    /// Its time to live from its creation, in milliseconds.
+    pub ttl_ms: u32,
+    /// An upper bound of its age when it was received, in seconds.
+    received_age: Time,
+    received_at: Time,
+    /// How often it has been sent to others.
+    transmissions: u32,
+    digest: u64,
 }
 
-impl Held {
-    /// How old it is at most, in seconds.
+impl HeldEntry {
+    /// An upper bound of its age, in seconds.
     pub fn age(&self, now: Time) -> Time {
-        self.age + (now - self.came).max(0.0) / (1.0 - DRIFT)
+        self.received_age + (now - self.received_at).max(0.0) / (1.0 - DRIFT)
     }
 
-    /// How long it counts still, in seconds.
+    /// Its remaining time to live, in seconds.
     pub fn left(&self, now: Time) -> Time {
-        f64::from(self.lasts_ms) / 1e3 - self.age(now)
+        f64::from(self.ttl_ms) / MILLIS_PER_SECOND - self.age(now)
+    }
+
+    fn is_live(&self, now: Time) -> bool {
+        self.left(now) > 0.0
     }
 
     fn entry(&self, key: &Key, now: Time) -> Entry {
-        let age_us = (self.age(now) * 1e6).ceil() as u64;
-        let (version, word) = (self.version, self.word.clone());
-        Entry { key: key.clone(), version, word, lasts_ms: self.lasts_ms, age_us }
+        let age_us = (self.age(now) * MICROS_PER_SECOND).ceil() as u64;
+        let (version, value) = (self.version, self.value.clone());
+        Entry { key: key.clone(), version, value, ttl_ms: self.ttl_ms, age_us }
+    }
+
+    fn precedence(&self) -> (bool, Version, &Value, u32) {
+        (matches!(self.value, Value::BanLifted { .. }), self.version, &self.value, self.ttl_ms)
+    }
+
+    /// When it expires, in whole microseconds, rounded up.
+    fn expires_at_us(&self) -> u64 {
+        let ttl = f64::from(self.ttl_ms) / MILLIS_PER_SECOND;
+        let expires_at = self.received_at + (ttl - self.received_age) * (1.0 - DRIFT);
+        (expires_at.max(0.0) * MICROS_PER_SECOND).ceil() as u64
     }
 }
 
-/// See the module.
+/// The table. See the module.
 #[derive(Clone, Debug, Default)]
 pub struct Table {
-    held: BTreeMap<Key, Held>,
-    /// Verdicts that others have to be told, by how often they were.
-    fresh: BTreeSet<(u32, Key)>,
-    /// When verdicts end, in whole microseconds, rounded up.
-    ends: BTreeSet<(u64, Key)>,
-    /// How many reports there are of each node.
+    entries: BTreeMap<Key, HeldEntry>,
+    /// Entries that have to be sent to others, by how often they were.
+    pending: BTreeSet<(u32, Key)>,
+    /// When entries expire, in microseconds.
+    expiries: BTreeSet<(u64, Key)>,
+    /// Number of reports by reporting node.
     reports: BTreeMap<String, usize>,
-    /// Those that are over, until somebody is told.
-    over: Vec<Key>,
-    parts: [u64; PARTS],
+    /// Expired entries that have not been taken.
+    expired: Vec<Key>,
+    digests: [u64; PARTITIONS],
 }
 
-fn ends_at(held: &Held) -> u64 {
-    let end = held.came + (f64::from(held.lasts_ms) / 1e3 - held.age) * (1.0 - DRIFT);
-    (end.max(0.0) * 1e6).ceil() as u64
-}
-
-/// What tells two verdicts apart in a comparison of tables: all but the age.
-fn hash(key: &Key, version: Version, word: &Word, lasts_ms: u32) -> u64 {
-    // Plain values in memory always have a form.
-    let bytes = postcard::to_stdvec(&(key, version, word, lasts_ms)).unwrap_or_default();
+/// Distinguishes two entries in a comparison of tables, by all but their age.
+fn digest(entry: &Entry) -> u64 {
+    // Plain values in memory can always be encoded.
+    let fields = (&entry.key, entry.version, &entry.value, entry.ttl_ms);
+    let bytes = postcard::to_stdvec(&fields).unwrap_or_default();
     let hash = blake3::hash(&bytes);
     u64::from_le_bytes(hash.as_bytes().first_chunk().copied().unwrap_or_default())
 }
 
-fn part(key: &Key) -> usize {
+fn partition(key: &Key) -> usize {
     let bytes = postcard::to_stdvec(key).unwrap_or_default();
-    usize::from(blake3::hash(&bytes).as_bytes().first().copied().unwrap_or_default()) % PARTS
+    usize::from(blake3::hash(&bytes).as_bytes().first().copied().unwrap_or_default()) % PARTITIONS
 }
 
 impl Table {
-    /// Takes in a verdict, the age of which is what it was when it came.
-    pub fn join(&mut self, now: Time, entry: Entry) -> Joined {
-        if !entry.is_sound() {
-            return Joined::Refused;
+    /// Merges an entry whose age is the one at its reception.
+    pub fn merge(&mut self, now: Time, entry: Entry) -> MergeOutcome {
+        if !entry.is_valid() {
+            return MergeOutcome::Rejected;
         }
-        self.end(now);
-        if entry.age() >= entry.lasts() {
-            return Joined::Over;
+        self.expire(now);
+        if entry.age() >= entry.ttl() {
+            return MergeOutcome::Expired;
         }
-        if let Some(held) = self.held.get(&entry.key) {
-            let known = (matches!(held.word, Word::Lifted { .. }), held.version, &held.word, held.lasts_ms);
-            match entry.rank().cmp(&known) {
-                std::cmp::Ordering::Less => return Joined::Known,
-                std::cmp::Ordering::Equal => {
-                    self.younger(now, &entry);
-                    return Joined::Known;
+        if let Some(held) = self.entries.get(&entry.key) {
+            match entry.precedence().cmp(&held.precedence()) {
+                Ordering::Less => return MergeOutcome::Unchanged,
+                Ordering::Equal => {
+                    self.reduce_age(now, &entry);
+                    return MergeOutcome::Unchanged;
                 }
-                std::cmp::Ordering::Greater => {}
+                Ordering::Greater => {}
             }
-        } else if !self.has_room(&entry) {
-            return Joined::Refused;
+        } else if !self.make_room(&entry) {
+            return MergeOutcome::Rejected;
         }
-        self.take_out(&entry.key);
-        let hash = hash(&entry.key, entry.version, &entry.word, entry.lasts_ms);
-        let age = entry.age();
-        let Entry { key, version, word, lasts_ms, .. } = entry;
-        let held = Held { version, word, lasts_ms, age, came: now, told: 0, hash };
-        self.put(key, held);
-        Joined::New
+        self.remove(&entry.key);
+        self.insert(now, entry);
+        MergeOutcome::Updated
     }
 
-    /// The same verdict came by a quicker way: its age is known better.
-    fn younger(&mut self, now: Time, entry: &Entry) {
-        let Some(held) = self.held.get(&entry.key) else { return };
+    /// The same entry came by a faster path: its age is known better.
+    fn reduce_age(&mut self, now: Time, entry: &Entry) {
+        let Some(held) = self.entries.get(&entry.key) else { return };
         if entry.age() < held.age(now) {
             let mut held = held.clone();
-            self.ends.remove(&(ends_at(&held), entry.key.clone()));
-            (held.age, held.came) = (entry.age(), now);
-            self.ends.insert((ends_at(&held), entry.key.clone()));
-            self.held.insert(entry.key.clone(), held);
+            self.expiries.remove(&(held.expires_at_us(), entry.key.clone()));
+            (held.received_age, held.received_at) = (entry.age(), now);
+            self.expiries.insert((held.expires_at_us(), entry.key.clone()));
+            self.entries.insert(entry.key.clone(), held);
         }
     }
 
-    /// Room for a verdict on a new subject. Where there is none, a report makes room for what was made by hand.
-    fn has_room(&mut self, entry: &Entry) -> bool {
+    /// Makes room for a new entry; returns whether there is any. A report gives way to a manual entry.
+    fn make_room(&mut self, entry: &Entry) -> bool {
         if let Key::Report { by, .. } = &entry.key {
-            if self.reports.get(by).is_some_and(|n| *n >= REPORTS_MOST) {
+            if self.reports.get(by).is_some_and(|n| *n >= MAX_REPORTS_PER_NODE) {
                 return false;
             }
         }
-        if self.held.len() < HELD_MOST {
+        if self.entries.len() < MAX_ENTRIES {
             return true;
         }
-        let soonest = self.ends.iter().map(|(_, key)| key).find(|key| matches!(key, Key::Report { .. }));
-        match soonest.cloned().filter(|_| entry.by_hand()) {
+        let is_report = |key: &&Key| matches!(key, Key::Report { .. });
+        let first_to_expire = self.expiries.iter().map(|(_, key)| key).find(is_report);
+        match first_to_expire.cloned().filter(|_| entry.is_manual()) {
             Some(key) => {
-                self.take_out(&key);
+                self.remove(&key);
                 true
             }
             None => false,
         }
     }
 
-    fn put(&mut self, key: Key, held: Held) {
+    fn insert(&mut self, now: Time, entry: Entry) {
+        let (digest, received_age) = (digest(&entry), entry.age());
+        let Entry { key, version, value, ttl_ms, .. } = entry;
+        let held =
+            HeldEntry { version, value, ttl_ms, received_age, received_at: now, transmissions: 0, digest };
         if let Key::Report { by, .. } = &key {
             *self.reports.entry(by.clone()).or_default() += 1;
         }
-        self.parts[part(&key)] ^= held.hash;
-        self.ends.insert((ends_at(&held), key.clone()));
-        self.fresh.insert((held.told, key.clone()));
-        self.held.insert(key, held);
+        self.digests[partition(&key)] ^= held.digest;
+        self.expiries.insert((held.expires_at_us(), key.clone()));
+        self.pending.insert((held.transmissions, key.clone()));
+        self.entries.insert(key, held);
     }
 
-    fn take_out(&mut self, key: &Key) -> Option<Held> {
-        let held = self.held.remove(key)?;
+    fn remove(&mut self, key: &Key) {
+        let Some(held) = self.entries.remove(key) else { return };
         if let Key::Report { by, .. } = key {
-            if let Some(n) = self.reports.get_mut(by) {
-                *n -= 1;
-                if *n == 0 {
-                    self.reports.remove(by);
-                }
+            self.forget_report(by);
+        }
+        self.digests[partition(key)] ^= held.digest;
+        self.expiries.remove(&(held.expires_at_us(), key.clone()));
+        self.pending.remove(&(held.transmissions, key.clone()));
+    }
+
+    fn forget_report(&mut self, by: &str) {
+        if let Some(n) = self.reports.get_mut(by) {
+            *n -= 1;
+            if *n == 0 {
+                self.reports.remove(by);
             }
         }
-        self.parts[part(key)] ^= held.hash;
-        self.ends.remove(&(ends_at(&held), key.clone()));
-        self.fresh.remove(&(held.told, key.clone()));
-        Some(held)
     }
 
-    /// Lets go of what is over. Whatever made it look, the end is kept to be told: who acts on a verdict and never
-    /// heard of its end would act on it for ever.
-    pub fn end(&mut self, now: Time) {
-        let now_us = (now * 1e6) as u64;
-        while self.ends.first().is_some_and(|(end, _)| *end <= now_us) {
-            let Some((_, key)) = self.ends.pop_first() else { break };
-            self.take_out(&key);
-            self.over.push(key);
+    /// Drops what has expired. Whichever call notices it, the expiry is kept until it is taken: whoever acts on an entry
+    /// and never heard of its expiry would act on it for ever.
+    pub fn expire(&mut self, now: Time) {
+        let now_us = (now * MICROS_PER_SECOND) as u64;
+        while self.expiries.first().is_some_and(|(at, _)| *at <= now_us) {
+            let Some((_, key)) = self.expiries.pop_first() else { break };
+            self.remove(&key);
+            self.expired.push(key);
         }
     }
 
-    /// The verdicts that are over since this was last asked.
-    pub fn over(&mut self) -> Vec<Key> {
-        std::mem::take(&mut self.over)
+    /// Takes the keys of the entries that have expired since the last call.
+    pub fn take_expired(&mut self) -> Vec<Key> {
+        std::mem::take(&mut self.expired)
     }
 
-    /// When the next verdict is over.
-    pub fn next_end(&self) -> Option<Time> {
-        self.ends.first().map(|(end, _)| *end as f64 / 1e6)
+    /// When the next entry expires.
+    pub fn next_expiry(&self) -> Option<Time> {
+        self.expiries.first().map(|(at, _)| *at as f64 / MICROS_PER_SECOND)
     }
 
-    /// The verdicts that count now.
-    pub fn live(&self, now: Time) -> impl Iterator<Item = (&Key, &Held)> {
-        self.held.iter().filter(move |(_, held)| held.left(now) > 0.0)
+    /// The live entries.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = (&Key, &HeldEntry)> {
+        self.entries.iter().filter(move |(_, held)| held.is_live(now))
     }
 
-    /// The verdicts on one server that count now, from the first key that could be one.
-    pub fn on<'a>(&'a self, from: &Key, now: Time) -> impl Iterator<Item = (&'a Key, &'a Held)> {
-        self.held.range(from.clone()..).filter(move |(_, held)| held.left(now) > 0.0)
+    /// The live entries from this key on.
+    pub fn live_from<'a>(&'a self, from: &Key, now: Time) -> impl Iterator<Item = (&'a Key, &'a HeldEntry)> {
+        self.entries.range(from.clone()..).filter(move |(_, held)| held.is_live(now))
     }
 
-    /// The verdict on a subject, if it counts now.
-    pub fn get(&self, key: &Key, now: Time) -> Option<&Held> {
-        self.held.get(key).filter(|held| held.left(now) > 0.0)
+    /// The entry of a key, if it is live.
+    pub fn get(&self, key: &Key, now: Time) -> Option<&HeldEntry> {
+        self.entries.get(key).filter(|held| held.is_live(now))
     }
 
-    /// How many verdicts are held.
+    /// Number of entries.
     pub fn len(&self) -> usize {
-        self.held.len()
+        self.entries.len()
     }
 
-    /// None is held.
+    /// Whether there are no entries.
     pub fn is_empty(&self) -> bool {
-        self.held.is_empty()
+        self.entries.is_empty()
     }
 
-    // ---- telling others ----
-
-    /// Something has been told to fewer than so many others.
-    pub fn has_fresh(&self, most_told: u32) -> bool {
-        self.fresh.first().is_some_and(|(told, _)| *told < most_told)
+    /// Whether an entry has been sent less often than this.
+    pub fn has_pending(&self, max_transmissions: u32) -> bool {
+        self.pending.first().is_some_and(|(transmissions, _)| *transmissions < max_transmissions)
     }
 
-    /// What to tell somebody next, what was told least first. `take` says whether one fits; it counts as told then.
-    pub fn tell(&mut self, now: Time, most_told: u32, mut take: impl FnMut(&Entry) -> bool) {
-        self.end(now);
-        let mut told = Vec::new();
-        for (n, key) in self.fresh.range(..(most_told, Key::first())) {
-            let Some(held) = self.held.get(key) else { continue };
-            if !take(&held.entry(key, now)) {
+    /// Offers the pending entries to a datagram, the least often sent first. `add` returns whether one fits; it counts as
+    /// sent then.
+    pub fn gossip(&mut self, now: Time, max_transmissions: u32, mut add: impl FnMut(&Entry) -> bool) {
+        self.expire(now);
+        let mut sent = Vec::new();
+        for (transmissions, key) in self.pending.range(..(max_transmissions, Key::first())) {
+            let Some(held) = self.entries.get(key) else { continue };
+            if !add(&held.entry(key, now)) {
                 break;
             }
-            told.push((*n, key.clone()));
+            sent.push((*transmissions, key.clone()));
         }
-        for (n, key) in told {
-            self.fresh.remove(&(n, key.clone()));
-            if let Some(held) = self.held.get_mut(&key) {
-                held.told = n + 1;
-            }
-            if n + 1 < most_told {
-                self.fresh.insert((n + 1, key));
-            }
+        for (transmissions, key) in sent {
+            self.count_transmission(transmissions, key, max_transmissions);
         }
     }
 
-    /// A sum of each part of the table. Parts with one sum hold the same verdicts, as far as chance allows.
-    pub fn sums(&self) -> [u64; PARTS] {
-        self.parts
+    fn count_transmission(&mut self, transmissions: u32, key: Key, max_transmissions: u32) {
+        self.pending.remove(&(transmissions, key.clone()));
+        if let Some(held) = self.entries.get_mut(&key) {
+            held.transmissions = transmissions + 1;
+        }
+        if transmissions + 1 < max_transmissions {
+            self.pending.insert((transmissions + 1, key));
+        }
     }
 
-    /// The verdicts of the parts in which another table has other sums; those that count longest come first.
-    pub fn differing(&self, now: Time, sums: &[u64; PARTS]) -> Vec<Entry> {
+    /// The digest of each partition. Partitions with equal digests hold the same entries, up to hash collisions.
+    pub fn digests(&self) -> [u64; PARTITIONS] {
+        self.digests
+    }
+
+    /// The entries of the partitions in which another table has other digests; those that live longest come first.
+    pub fn differing(&self, now: Time, digests: &[u64; PARTITIONS]) -> Vec<Entry> {
         let differs = |key: &Key| {
-            let part = part(key);
-            self.parts[part] != sums[part]
+            let partition = partition(key);
+            self.digests[partition] != digests[partition]
         };
         let live = self.live(now).filter(|(key, _)| differs(key));
         let mut entries: Vec<Entry> = live.map(|(key, held)| held.entry(key, now)).collect();
         entries.sort_by_key(|e| {
-            std::cmp::Reverse(u64::from(e.lasts_ms) * 1000 - e.age_us.min(u64::from(e.lasts_ms) * 1000))
+            let ttl_us = u64::from(e.ttl_ms) * MICROS_PER_MILLI;
+            Reverse(ttl_us - e.age_us.min(ttl_us))
         });
         entries
     }
 }
-
-impl Key {
-    /// No key is less than this one.
-    pub fn first() -> Key {
-        let call = crate::verdict::Call { node: String::new(), life: Default::default(), number: 0 };
-        Key::Hand { server: String::new(), call }
-    }
-}
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,50 +1,56 @@
 //! Datagrams between the nodes of a fleet.
 //!
 //! ```text
-//! "rF" | version | first 16 bytes of a keyed BLAKE3 of what follows | head (postcard) | verdicts (postcard), to the end
+//! "rF" | version | first 16 bytes of a keyed BLAKE3 of what follows | header (postcard) | entries (postcard), to the end
+//! "rL" | version | first 16 bytes of a keyed BLAKE3 of what follows | application message (postcard)
 //! ```
 //!
-//! The key comes from the fleet's key file and its name, so that whoever has another key, another fleet's name or another
-//! version is not heard. Nothing is hidden: a datagram tells whoever sees it which servers are sick.
+//! The key is derived from the fleet's key file and its name, so that datagrams under another key, of another fleet's name
+//! or of another version are dropped. Nothing is encrypted: a datagram tells whoever sees it which servers are faulty.
 //!
 //! Sources: BLAKE3's keyed hash and `derive_key` (the BLAKE3 paper, sections 2.3 and 6.2); RFC 8085, section 3.2, for
 //! the bound.
 
-use crate::fresh::Echo;
-use crate::node::{Life, Node, NAME_MOST};
-use crate::table::PARTS;
-use crate::verdict::Entry;
+use crate::entry::Entry;
+use crate::freshness::ClockEcho;
+use crate::node::{Incarnation, Node, MAX_NAME_LEN};
+use crate::table::PARTITIONS;
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// Longest datagram, in bytes: one that no path on the way has to cut.
-pub const DATAGRAM_MOST: usize = 1200;
-/// Of it, for the membership's part at most.
-pub const SWIM_MOST: usize = 700;
-/// Least length of a key file, in bytes.
-pub const SECRET_LEAST: usize = 16;
+/// Maximum length of a datagram, in bytes: one that no path has to fragment.
+pub const MAX_DATAGRAM_LEN: usize = 1200;
+/// Maximum length of the membership protocol's part of it.
+pub const MAX_SWIM_LEN: usize = 700;
+/// Minimum length of a key file, in bytes.
+pub const MIN_KEY_FILE_LEN: usize = 16;
+/// Number of partitions in which memberships are compared.
+pub const MEMBER_PARTITIONS: usize = 8;
 
-const MAGIC: [u8; 2] = *b"rF";
-const ERRAND: [u8; 2] = *b"rL";
+const GOSSIP_MAGIC: [u8; 2] = *b"rF";
+const MESSAGE_MAGIC: [u8; 2] = *b"rL";
 const VERSION: u8 = 2;
-const MAC: usize = 16;
-const FRONT: usize = MAGIC.len() + 1 + MAC;
+const MAC_LEN: usize = 16;
+/// What precedes the body: magic, version and MAC.
+const PREFIX_LEN: usize = GOSSIP_MAGIC.len() + 1 + MAC_LEN;
+/// Maximum length of the encoded number of member updates, in bytes.
+const MAX_COUNT_LEN: usize = 2;
 
 /// The fleet's key.
 #[derive(Clone)]
 pub struct Secret([u8; 32]);
 
 impl Secret {
-    /// From the bytes of the key file and the fleet's name.
+    /// Derives the key from the bytes of the key file and the fleet's name.
     ///
     /// # Errors
     /// If they are too few to be a secret.
     pub fn new(file: &[u8], fleet: &str) -> Result<Secret, String> {
-        if file.len() < SECRET_LEAST {
-            return Err(format!("the key has {} bytes, {SECRET_LEAST} at least", file.len()));
+        if file.len() < MIN_KEY_FILE_LEN {
+            return Err(format!("the key has {} bytes, {MIN_KEY_FILE_LEN} at least", file.len()));
         }
         let mut hasher = blake3::Hasher::new_derive_key("reelfall fleet datagrams, version 1");
-        // The length parts the name from the key: no two pairs of them are alike when put together.
+        // The length separates the name from the key: no two pairs of them have the same concatenation.
         hasher.update(&(fleet.len() as u64).to_le_bytes()).update(fleet.as_bytes()).update(file);
         Ok(Secret(*hasher.finalize().as_bytes()))
     }
@@ -54,234 +60,234 @@
     }
 }
 
-/// A comparison of tables.
+/// An anti-entropy exchange: a comparison of the digests of two nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Compare {
-    /// These are my sums: tell me what differs, and yours.
-    Ask(Sums),
-    /// These are mine, since you asked.
-    Answer(Sums),
+pub enum AntiEntropy {
+    /// The writer's digests; asks for what differs, and for the reader's digests.
+    Request(Digests),
+    /// The writer's digests, in response.
+    Response(Digests),
 }
 
-/// Sums of what two nodes compare.
+/// The digests that two nodes compare.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sums {
-    /// Of the parts of the table of verdicts.
-    pub verdicts: [u64; PARTS],
-    /// Of the parts of the members.
-    pub members: [u32; MEMBER_PARTS],
+pub struct Digests {
+    /// Of the partitions of the table.
+    pub entries: [u64; PARTITIONS],
+    /// Of the partitions of the membership.
+    pub members: [u32; MEMBER_PARTITIONS],
 }
 
-/// In how many parts members are compared.
-pub const MEMBER_PARTS: usize = 8;
-
-/// What the writer holds of a member.
+/// The state of a member, as the writer knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Standing {
-    /// It is there.
-    There,
-    /// It is suspected.
+pub enum MemberState {
+    /// It is alive.
+    Alive,
+    /// It is suspected to be dead.
     Suspected,
-    /// It is gone.
-    Gone,
+    /// It is dead.
+    Dead,
 }
 
-/// Somebody of whom the writer knows.
+/// What the writer knows of a member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Met {
-    /// Who it is.
+pub struct MemberUpdate {
+    /// The member.
     pub node: Node,
-    /// The latest word on it, as the membership counts them.
-    pub incarnation: u16,
-    /// What that word is.
-    pub standing: Standing,
+    /// The latest incarnation in the sense of the membership protocol, which a node increments to refute a suspicion.
+    pub swim_incarnation: u16,
+    /// Its state in that.
+    pub state: MemberState,
 }
 
-/// What a datagram says beside its verdicts.
+/// What a datagram contains beside its entries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Head {
-    /// Who wrote it.
+pub struct Header {
+    /// The writer.
     pub from: Node,
-    /// The tag of whom it was written to; 0 where that is not known.
+    /// The tag of the receiving process; 0 where that is not known.
     pub to: u64,
     /// Counted by the writer.
-    pub number: u64,
+    pub sequence: u64,
     /// The writer's clock, in microseconds.
-    pub stamp_us: u64,
-    /// What the writer heard last of the reader's clock; it is the reader's own if `to` is.
-    pub echo: Option<Echo>,
-    /// The writer has news that need a proof of their age: an answer gives it one.
-    pub asks: bool,
-    /// The greatest life that the writer knows of the reader's name, if the reader told a lesser one.
-    pub known_life: Option<Life>,
-    /// The membership's part.
+    pub clock_us: u64,
+    /// What the writer last heard of the clock of `to`.
+    pub echo: Option<ClockEcho>,
+    /// The writer has entries to send that need a proof of their age: any answer gives it an echo.
+    pub requests_echo: bool,
+    /// The greatest incarnation of the reader's name that the writer knows, if the reader used a smaller one.
+    pub newer_incarnation: Option<Incarnation>,
+    /// The membership protocol's part.
     pub swim: Vec<u8>,
-    /// A comparison of tables.
-    pub compare: Option<Compare>,
-    /// Members of whom the reader may not know.
-    pub met: Vec<Met>,
+    /// An anti-entropy exchange.
+    pub anti_entropy: Option<AntiEntropy>,
+    /// Members that the reader may not know.
+    pub members: Vec<MemberUpdate>,
 }
 
-impl Head {
+impl Header {
     /// Moves members from the end of a list into the datagram, as many as fit.
-    pub fn meet(&mut self, all: &mut Vec<Met>) {
-        let size = |head: &Head| postcard::to_stdvec(head).map_or(DATAGRAM_MOST, |bytes| bytes.len());
-        // The number of those that are told takes a byte, or two.
-        let mut left = DATAGRAM_MOST.saturating_sub(FRONT + 2 + size(self));
-        while let Some(met) = all.last() {
-            let needs = postcard::to_stdvec(met).map_or(DATAGRAM_MOST, |bytes| bytes.len());
-            if needs > left {
+    pub fn add_members(&mut self, updates: &mut Vec<MemberUpdate>) {
+        let encoded_len =
+            |header: &Header| postcard::to_stdvec(header).map_or(MAX_DATAGRAM_LEN, |bytes| bytes.len());
+        let mut left = MAX_DATAGRAM_LEN.saturating_sub(PREFIX_LEN + MAX_COUNT_LEN + encoded_len(self));
+        while let Some(update) = updates.last() {
+            let needed = postcard::to_stdvec(update).map_or(MAX_DATAGRAM_LEN, |bytes| bytes.len());
+            if needed > left {
                 return;
             }
-            left -= needs;
-            self.met.extend(all.pop());
+            left -= needed;
+            self.members.extend(updates.pop());
         }
     }
 }
 
 /// Why a datagram is dropped.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Error)]
-pub enum Drop {
-    /// It is longer than any.
+pub enum DropReason {
+    /// It exceeds [`MAX_DATAGRAM_LEN`].
     #[error("too long")]
-    Long,
-    /// It is none of these, or of another version.
+    TooLong,
+    /// It is of another kind or version.
     #[error("of another kind or version")]
     Foreign,
-    /// It was not written with this key, or was changed on the way.
+    /// It was not written with this key, or was changed in transit.
     #[error("not under this fleet's key")]
-    Forged,
-    /// It is under the key and can't be read.
+    Unauthenticated,
+    /// It is authenticated and can't be decoded.
     #[error("unreadable")]
-    Torn,
+    Malformed,
     /// It came before.
     #[error("repeated")]
-    Repeated,
+    Duplicate,
     /// This node wrote it.
     #[error("this node's own")]
     Own,
     /// It is for another process of this name.
     #[error("for another process")]
-    Other,
+    Misdirected,
 }
 
-/// A datagram in the making.
+/// A datagram under construction.
 pub struct Writer {
     bytes: Vec<u8>,
-    /// Verdicts that are in it.
-    pub verdicts: usize,
+    /// Number of entries in it.
+    pub entries: usize,
 }
 
 impl Writer {
-    /// A datagram with this head; `None` if it does not fit.
-    pub fn new(head: &Head) -> Option<Writer> {
-        let mut bytes = vec![0; FRONT];
-        bytes[..2].copy_from_slice(&MAGIC);
+    /// A datagram with this header; `None` if it does not fit.
+    pub fn new(header: &Header) -> Option<Writer> {
+        Writer::with_body(GOSSIP_MAGIC, header)
+    }
+
+    fn with_body<T: Serialize>(magic: [u8; 2], body: &T) -> Option<Writer> {
+        let mut bytes = vec![0; PREFIX_LEN];
+        bytes[..2].copy_from_slice(&magic);
         bytes[2] = VERSION;
-        let bytes = postcard::to_extend(head, bytes).ok()?;
-        (bytes.len() <= DATAGRAM_MOST).then_some(Writer { bytes, verdicts: 0 })
+        let bytes = postcard::to_extend(body, bytes).ok()?;
+        (bytes.len() <= MAX_DATAGRAM_LEN).then_some(Writer { bytes, entries: 0 })
     }
 
-    /// Adds a verdict; whether it fits.
+    /// Adds an entry; returns whether it fits.
     pub fn add(&mut self, entry: &Entry) -> bool {
         let Ok(more) = postcard::to_stdvec(entry) else { return false };
-        let fits = self.bytes.len() + more.len() <= DATAGRAM_MOST;
+        let fits = self.bytes.len() + more.len() <= MAX_DATAGRAM_LEN;
         if fits {
             self.bytes.extend_from_slice(&more);
-            self.verdicts += 1;
+            self.entries += 1;
         }
         fits
     }
 
-    /// The datagram.
+    /// The authenticated datagram.
     pub fn seal(mut self, secret: &Secret) -> Vec<u8> {
-        let mac = secret.mac(&self.bytes[FRONT..]);
-        self.bytes[3..FRONT].copy_from_slice(&mac.as_bytes()[..MAC]);
+        let mac = secret.mac(&self.bytes[PREFIX_LEN..]);
+        self.bytes[3..PREFIX_LEN].copy_from_slice(&mac.as_bytes()[..MAC_LEN]);
         self.bytes
     }
 }
 
-/// Reads a datagram.
+/// Authenticates and decodes a datagram.
 ///
 /// # Errors
-/// Says why it is dropped. Nothing of it is read before the key is proven.
-pub fn open(secret: &Secret, datagram: &[u8]) -> Result<(Head, Vec<Entry>), Drop> {
-    let body = proven(secret, datagram, MAGIC)?;
-    let (head, mut rest): (Head, &[u8]) = postcard::take_from_bytes(body).map_err(|_| Drop::Torn)?;
-    if !named(&head.from) || !head.met.iter().all(|met| named(&met.node)) {
-        return Err(Drop::Torn);
+/// Why it is dropped. Nothing of it is decoded before it is authenticated.
+pub fn open(secret: &Secret, datagram: &[u8]) -> Result<(Header, Vec<Entry>), DropReason> {
+    let body = authenticate(secret, datagram, GOSSIP_MAGIC)?;
+    let (header, mut rest): (Header, &[u8]) =
+        postcard::take_from_bytes(body).map_err(|_| DropReason::Malformed)?;
+    if !has_valid_name(&header.from) || !header.members.iter().all(|update| has_valid_name(&update.node)) {
+        return Err(DropReason::Malformed);
     }
     let mut entries = Vec::new();
     while !rest.is_empty() {
-        let (entry, more) = postcard::take_from_bytes(rest).map_err(|_| Drop::Torn)?;
+        let (entry, more) = postcard::take_from_bytes(rest).map_err(|_| DropReason::Malformed)?;
         entries.push(entry);
         rest = more;
     }
-    Ok((head, entries))
+    Ok((header, entries))
 }
 
-fn named(node: &Node) -> bool {
-    !node.name.is_empty() && node.name.len() <= NAME_MOST
+fn has_valid_name(node: &Node) -> bool {
+    !node.name.is_empty() && node.name.len() <= MAX_NAME_LEN
 }
 
-/// What follows the front of a datagram, once it is known to be written with the key.
-fn proven<'a>(secret: &Secret, datagram: &'a [u8], magic: [u8; 2]) -> Result<&'a [u8], Drop> {
-    if datagram.len() > DATAGRAM_MOST {
-        return Err(Drop::Long);
+/// The body of a datagram, once it is known to be written with the key.
+fn authenticate<'a>(secret: &Secret, datagram: &'a [u8], magic: [u8; 2]) -> Result<&'a [u8], DropReason> {
+    if datagram.len() > MAX_DATAGRAM_LEN {
+        return Err(DropReason::TooLong);
     }
-    let Some((front, body)) = datagram.split_at_checked(FRONT) else { return Err(Drop::Foreign) };
-    if front[..2] != magic || front[2] != VERSION {
-        return Err(Drop::Foreign);
+    let Some((prefix, body)) = datagram.split_at_checked(PREFIX_LEN) else {
+        return Err(DropReason::Foreign);
+    };
+    if prefix[..2] != magic || prefix[2] != VERSION {
+        return Err(DropReason::Foreign);
     }
-    let mut told = [0; 32];
+    let mut received = [0; 32];
     let mac = secret.mac(body);
-    told[..MAC].copy_from_slice(&front[3..]);
-    told[MAC..].copy_from_slice(&mac.as_bytes()[MAC..]);
+    received[..MAC_LEN].copy_from_slice(&prefix[3..]);
+    received[MAC_LEN..].copy_from_slice(&mac.as_bytes()[MAC_LEN..]);
     // Compared in constant time, so that a forger learns nothing from how long it takes.
-    if mac != told {
-        return Err(Drop::Forged);
+    if mac != received {
+        return Err(DropReason::Unauthenticated);
     }
     Ok(body)
 }
 
-/// What two nodes say to each other on another matter than who is there and what holds. It is the matter's own part to
-/// bear that it comes late, twice, or not at all.
+/// A message of an application that shares the fleet's socket, such as leases. It may be lost, duplicated, delayed or
+/// reordered, and the application has to bear that.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Errand {
-    /// Who wrote it.
+pub struct AppMessage {
+    /// The writer.
     pub from: Node,
-    /// The tag of the process that it is for.
+    /// The tag of the receiving process.
     pub to: u64,
-    /// What it says.
+    /// The application's part.
     pub body: Vec<u8>,
 }
 
-impl Errand {
+impl AppMessage {
     /// Whether a datagram may be one.
-    pub fn is(datagram: &[u8]) -> bool {
-        datagram.starts_with(&ERRAND)
+    pub fn matches(datagram: &[u8]) -> bool {
+        datagram.starts_with(&MESSAGE_MAGIC)
     }
 
-    /// The datagram; `None` if it would be too long.
+    /// The authenticated datagram; `None` if it would be too long.
     pub fn seal(&self, secret: &Secret) -> Option<Vec<u8>> {
-        let mut bytes = vec![0; FRONT];
-        bytes[..2].copy_from_slice(&ERRAND);
-        bytes[2] = VERSION;
-        let bytes = postcard::to_extend(self, bytes).ok()?;
-        (bytes.len() <= DATAGRAM_MOST).then(|| Writer { bytes, verdicts: 0 }.seal(secret))
+        Writer::with_body(MESSAGE_MAGIC, self).map(|writer| writer.seal(secret))
     }
 
-    /// Reads one.
+    /// Authenticates and decodes a datagram.
     ///
     /// # Errors
-    /// Says why it is dropped. Nothing of it is read before the key is proven.
-    pub fn open(secret: &Secret, datagram: &[u8]) -> Result<Errand, Drop> {
-        let body = proven(secret, datagram, ERRAND)?;
-        let errand: Errand = postcard::from_bytes(body).map_err(|_| Drop::Torn)?;
-        if named(&errand.from) {
-            Ok(errand)
+    /// Why it is dropped. Nothing of it is decoded before it is authenticated.
+    pub fn open(secret: &Secret, datagram: &[u8]) -> Result<AppMessage, DropReason> {
+        let body = authenticate(secret, datagram, MESSAGE_MAGIC)?;
+        let message: AppMessage = postcard::from_bytes(body).map_err(|_| DropReason::Malformed)?;
+        if has_valid_name(&message.from) {
+            Ok(message)
         } else {
-            Err(Drop::Torn)
+            Err(DropReason::Malformed)
         }
     }
 }
--- a/crates/fleet/tests/explore.rs
+++ b/crates/fleet/tests/explore.rs
@@ -1,10 +1,10 @@
 //! Three nodes, all orders of what can happen to their words: sent, brought late, brought twice, lost; a node that forgets
 //! all. The merge, the ages and the proofs are the code that runs.
 
-use reelfall_fleet::fresh::{transit, Echo};
-use reelfall_fleet::node::Life;
-use reelfall_fleet::table::{Held, Table, PARTS};
-use reelfall_fleet::verdict::{Call, Entry, Key, Version, Word};
+use reelfall_fleet::entry::{BanId, Entry, Key, Value, Version};
+use reelfall_fleet::freshness::{max_transit, ClockEcho};
+use reelfall_fleet::node::Incarnation;
+use reelfall_fleet::table::{HeldEntry, Table, PARTITIONS};
 use stateright::{Checker, Model, Property};
 
 const NODES: usize = 3;
@@ -15,7 +15,7 @@
 const UNDER_WAY: usize = 1;
 
 /// A verdict as a node holds it: as it came, and when that was.
-type Kept = (Entry, u8);
+type ReceivedEntry = (Entry, u8);
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 struct Datagram {
@@ -25,7 +25,7 @@
     /// What the writer had heard last of the reader's clock, and when.
     heard: Option<(u8, u8)>,
     /// Forms of the verdicts, each with its age.
-    says: Vec<(bool, u32, u64, u64)>,
+    entries: Vec<(bool, u32, u64, u64)>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -64,30 +64,30 @@
 }
 
 fn entry(lifted: bool, call: u32, n: u64, age_us: u64) -> Entry {
-    let life = Life { start: 1, tag: 7 };
+    let incarnation = Incarnation { number: 1, tag: 7 };
     let by = "ada".to_owned();
-    let word = if lifted { Word::Lifted { by } } else { Word::Out { by } };
-    let call = Call { node: "a".to_owned(), life, number: call };
+    let value = if lifted { Value::BanLifted { by } } else { Value::Banned { by } };
+    let id = BanId { node: "a".to_owned(), incarnation, number: call };
     // A lift outlives what it lifts by far.
-    let lasts_ms = if lifted { 600_000 } else { u32::from(LASTS) * 1000 };
-    let key = Key::Hand { server: "s".to_owned(), call };
-    Entry { key, version: Version { life, n }, word, lasts_ms, age_us }
+    let ttl_ms = if lifted { 600_000 } else { u32::from(LASTS) * 1000 };
+    let key = Key::Ban { server: "s".to_owned(), id };
+    Entry { key, version: Version { incarnation, n }, value, ttl_ms, age_us }
 }
 
-fn form(key: &Key, held: &Held) -> (bool, u32, u64) {
-    let number = if let Key::Hand { call, .. } = key { call.number } else { 0 };
-    (matches!(held.word, Word::Lifted { .. }), number, held.version.n)
+fn form(key: &Key, held: &HeldEntry) -> (bool, u32, u64) {
+    let number = if let Key::Ban { id, .. } = key { id.number } else { 0 };
+    (matches!(held.value, Value::BanLifted { .. }), number, held.version.n)
 }
 
 impl Node {
-    fn kept(&self) -> Vec<Kept> {
+    fn received(&self) -> Vec<ReceivedEntry> {
         self.holds.iter().map(|(l, c, n, age, came)| (entry(*l, *c, *n, *age), *came)).collect()
     }
 
     fn table(&self) -> Table {
         let mut table = Table::default();
-        for (entry, came) in self.kept() {
-            table.join(f64::from(came), entry);
+        for (entry, came) in self.received() {
+            table.merge(f64::from(came), entry);
         }
         table
     }
@@ -96,7 +96,7 @@
     fn take(&mut self, now: u8, told: (bool, u32, u64, u64)) {
         let mut table = self.table();
         let (l, c, n, age) = told;
-        table.join(f64::from(now), entry(l, c, n, age));
+        table.merge(f64::from(now), entry(l, c, n, age));
         let mut holds = Vec::new();
         let came = |f: (bool, u32, u64)| {
             let was = self.holds.iter().find(|h| (h.0, h.1, h.2) == f).copied();
@@ -183,7 +183,7 @@
             steps.extend([Step::Bring(at, false), Step::Bring(at, true), Step::Lose(at)]);
         }
         if !state.forgot {
-            // The maker of the ban begins again as another life, whose words these are not.
+            // The maker of the ban begins again as another incarnation, whose entries these are not.
             steps.extend([Step::Forget(1), Step::Forget(2)]);
         }
     }
@@ -205,26 +205,26 @@
                 state.nodes[1].take(now, (true, call, n, 0));
             }
             Step::Send(from, to) => {
-                let mut says = Vec::new();
-                for told in state.nodes[from].table().differing(f64::from(now), &[u64::MAX; PARTS]) {
-                    let lifted = matches!(told.word, Word::Lifted { .. });
-                    let number = if let Key::Hand { call, .. } = &told.key { call.number } else { 0 };
-                    says.push((lifted, number, told.version.n, told.age_us));
+                let mut entries = Vec::new();
+                for told in state.nodes[from].table().differing(f64::from(now), &[u64::MAX; PARTITIONS]) {
+                    let lifted = matches!(told.value, Value::BanLifted { .. });
+                    let number = if let Key::Ban { id, .. } = &told.key { id.number } else { 0 };
+                    entries.push((lifted, number, told.version.n, told.age_us));
                 }
                 let heard = state.nodes[from].heard[to];
-                state.under_way.push(Datagram { from, to, sent: now, heard, says });
+                state.under_way.push(Datagram { from, to, sent: now, heard, entries });
                 state.under_way.sort();
             }
             Step::Bring(at, again) => {
                 let d = if again { state.under_way[at].clone() } else { state.under_way.remove(at) };
                 let node = &mut state.nodes[d.to];
                 node.heard[d.from] = Some((d.sent, now));
-                let echo = d.heard.map(|(stamp, came)| Echo {
-                    stamp_us: u64::from(stamp) * 1_000_000,
+                let echo = d.heard.map(|(stamp, came)| ClockEcho {
+                    clock_us: u64::from(stamp) * 1_000_000,
                     held_us: u64::from(d.sent - came) * 1_000_000,
                 });
-                if let Some(most) = echo.and_then(|echo| transit(f64::from(now), echo)) {
-                    for (l, c, n, age) in d.says {
+                if let Some(most) = echo.and_then(|echo| max_transit(f64::from(now), echo)) {
+                    for (l, c, n, age) in d.entries {
                         node.take(now, (l, c, n, age + (most * 1e6).ceil() as u64));
                     }
                 }
@@ -255,12 +255,14 @@
                     let all = |order: [usize; NODES]| {
                         let mut table = Table::default();
                         for n in order {
-                            for told in s.nodes[n].table().differing(f64::from(s.now), &[u64::MAX; PARTS]) {
-                                table.join(f64::from(s.now), told);
+                            for told in
+                                s.nodes[n].table().differing(f64::from(s.now), &[u64::MAX; PARTITIONS])
+                            {
+                                table.merge(f64::from(s.now), told);
                             }
                         }
                         let live: Vec<_> = table.live(f64::from(s.now)).map(|(k, h)| form(k, h)).collect();
-                        (live, table.sums())
+                        (live, table.digests())
                     };
                     all([0, 1, 2]) == all([2, 1, 0]) && all([0, 1, 2]) == all([1, 0, 2])
                 },
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -3,10 +3,10 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use reelfall_emulator::together::{address, rules, secret, Links, World};
-use reelfall_fleet::fleet::{Fleet, Rules};
-use reelfall_fleet::verdict::{ServerStart, Word};
-use reelfall_fleet::wire::{self, Drop, Secret};
-use reelfall_fleet::witness::{Overdue, Saw};
+use reelfall_fleet::entry::{ServerInstance, Value};
+use reelfall_fleet::fleet::{Config, Fleet};
+use reelfall_fleet::observer::{AttemptOutcome, OverdueAttempt};
+use reelfall_fleet::wire::{self, DropReason, Secret};
 
 fn gathered(nodes: usize, seed: u64) -> World {
     let mut world = World::new(nodes, seed, |_| rules());
@@ -198,32 +198,32 @@
 #[test]
 fn a_process_that_begins_again_is_a_later_life_and_takes_no_orders_for_the_old_one() {
     let mut world = gathered(5, 23);
-    let first = world.life(4);
+    let first = world.incarnation(4);
     world.at(4, |f, now| f.ban(now, "sick", "ada", None)).unwrap();
     world.until(2.0, |w| all_out(w, "sick", true));
     world.kill(4);
     world.run(1.0);
     world.start(4);
-    world.until(20.0, |w| w.gathered() && w.life(4) > first);
-    assert!(world.life(4).start > first.start && world.life(4).tag != first.tag);
+    world.until(20.0, |w| w.gathered() && w.incarnation(4) > first);
+    assert!(world.incarnation(4).number > first.number && world.incarnation(4).tag != first.tag);
     world.until(5.0, |w| w.out(4).contains("sick"));
     // Its own words count at once, though it counts them from one again.
     world.at(4, |f, now| f.ban(now, "new", "ada", None)).unwrap();
     world.until(2.0, |w| all_out(w, "new", true));
-    // It leaves; the next life of it is not on its way out.
+    // It leaves; its next incarnation is not leaving.
     world.at(4, |f, now| f.leave(now)).unwrap();
     world.run(1.0);
     world.kill(4);
     world.start(4);
     world.until(20.0, World::gathered);
-    let life = world.life(4);
+    let incarnation = world.incarnation(4);
     world.run(2.0);
     let leaving = |n: usize| {
         let process = world.nodes[n].as_ref().unwrap();
         let live = process.fleet.table().live(process.clock(world.t));
         live.filter(|(key, held)| {
-            held.word == Word::Leaving
-                && matches!(key, reelfall_fleet::verdict::Key::Leaving { life: l, .. } if *l == life)
+            held.value == Value::Leaving
+                && matches!(key, reelfall_fleet::entry::Key::Leaving { incarnation: i, .. } if *i == incarnation)
         })
         .count()
     };
@@ -238,7 +238,7 @@
     world.run(20.0);
     let aside = |n: usize| {
         let process = world.nodes[n].as_ref().unwrap();
-        process.fleet.is_aside(process.clock(world.t))
+        process.fleet.has_name_conflict(process.clock(world.t))
     };
     assert_eq!([3, 4].into_iter().filter(|n| aside(*n)).count(), 1, "one name, two voices");
     assert!((0..3).all(|n| !aside(n)));
@@ -261,38 +261,38 @@
 
 // ---- learned verdicts ----
 
-fn server(n: usize) -> ServerStart {
-    ServerStart { name: format!("server-{n}"), since: 5 }
+fn server(n: usize) -> ServerInstance {
+    ServerInstance { name: format!("server-{n}"), since: 5 }
 }
 
 fn condemned(world: &World, n: usize) -> Vec<String> {
     let process = world.nodes[n].as_ref().unwrap();
-    let all = process.fleet.condemned(process.clock(world.t), world.listed);
+    let all = process.fleet.condemned_servers(process.clock(world.t), world.listed);
     all.into_iter().map(|c| c.server.name).collect()
 }
 
-fn see(world: &mut World, nodes: &[usize], servers: &[usize], saw: Saw) {
+fn see(world: &mut World, nodes: &[usize], servers: &[usize], outcome: AttemptOutcome) {
     for n in nodes {
         for s in servers {
-            world.at(*n, |f, now| f.saw(now, &server(*s), saw));
+            world.at(*n, |f, now| f.record_outcome(now, &server(*s), outcome));
         }
     }
 }
 
-fn zones(n: usize) -> Rules {
-    Rules { zone: if n < 4 { "ikeja" } else { "lekki" }.to_owned(), ..rules() }
+fn zones(n: usize) -> Config {
+    Config { zone: if n < 4 { "ikeja" } else { "lekki" }.to_owned(), ..rules() }
 }
 
 #[test]
 fn three_that_a_server_fails_condemn_it_for_all_and_one_does_not() {
     let mut world = gathered(9, 31);
     for _ in 0..3 {
-        see(&mut world, &[1], &[0], Saw::Failure);
+        see(&mut world, &[1], &[0], AttemptOutcome::ServerError);
         world.run(0.3);
     }
     assert!((0..9).all(|n| condemned(&world, n).is_empty()), "one voice condemns");
     for _ in 0..3 {
-        see(&mut world, &[1, 2, 3], &[0], Saw::Failure);
+        see(&mut world, &[1, 2, 3], &[0], AttemptOutcome::ServerError);
         world.run(0.05);
     }
     let took = world.until(3.0, |w| (0..9).all(|n| condemned(w, n) == ["server-0"]));
@@ -307,8 +307,9 @@
 fn wait_for(world: &mut World, nodes: &[usize], waits: Option<f64>) {
     for n in nodes {
         world.at(*n, |f, now| {
-            let of = |past| Overdue { server: server(0), since: now - 0.2 - past, late_from: now - past };
-            f.waits(now, &waits.map(of).into_iter().collect::<Vec<_>>());
+            let of =
+                |past| OverdueAttempt { server: server(0), since: now - 0.2 - past, late_from: now - past };
+            f.set_overdue(now, &waits.map(of).into_iter().collect::<Vec<_>>());
         });
     }
 }
@@ -321,7 +322,7 @@
     // By the next round of news, and not the one after it.
     assert!(took < 0.1, "{took} s");
     // It only paused: those that waited are answered late, and nobody is left with what they said.
-    see(&mut world, &[0, 1, 2], &[0], Saw::Late);
+    see(&mut world, &[0, 1, 2], &[0], AttemptOutcome::AnsweredLate);
     wait_for(&mut world, &[0, 1, 2], None);
     let took = world.until(2.0, |w| (0..9).all(|n| condemned(w, n).is_empty()));
     assert!(took < 0.6, "taken back, and held for {took} s");
@@ -333,7 +334,7 @@
     // Where the wait ends in silence, what was said stands, on the evidence of the end.
     wait_for(&mut world, &[6, 7, 8], Some(0.01));
     world.until(2.0, |w| condemned(w, 0) == ["server-0"]);
-    see(&mut world, &[6, 7, 8], &[0], Saw::Silence);
+    see(&mut world, &[6, 7, 8], &[0], AttemptOutcome::TimedOut);
     wait_for(&mut world, &[6, 7, 8], None);
     world.run(9.0);
     assert!((0..9).all(|n| condemned(&world, n) == ["server-0"]));
@@ -346,11 +347,11 @@
 fn a_server_that_has_answered_others_since_is_busy_and_not_silent() {
     let mut world = gathered(5, 71);
     // Sent before the server was last heard.
-    see(&mut world, &[0, 1, 2], &[0], Saw::Answer);
+    see(&mut world, &[0, 1, 2], &[0], AttemptOutcome::Answered);
     for _ in 0..20 {
         wait_for(&mut world, &[0, 1, 2], Some(0.3));
         world.run(0.1);
-        see(&mut world, &[0, 1, 2], &[0], Saw::Answer);
+        see(&mut world, &[0, 1, 2], &[0], AttemptOutcome::Answered);
     }
     assert!((0..5).all(|n| condemned(&world, n).is_empty()));
     // Sent since, it tells.
@@ -361,10 +362,10 @@
 
 #[test]
 fn who_is_gone_condemns_nobody() {
-    let mut world = World::new(9, 59, |_| Rules { report_lasts: 60.0, ..rules() });
+    let mut world = World::new(9, 59, |_| Config { report_lasts: 60.0, ..rules() });
     world.until(20.0, World::gathered);
     for _ in 0..3 {
-        see(&mut world, &[6, 7, 8], &[0], Saw::Failure);
+        see(&mut world, &[6, 7, 8], &[0], AttemptOutcome::ServerError);
         world.run(0.1);
     }
     world.until(2.0, |w| (0..6).all(|n| condemned(w, n) == ["server-0"]));
@@ -376,20 +377,20 @@
 fn nodes_that_a_server_answers_speak_up_against_those_that_it_fails() {
     let mut world = gathered(9, 37);
     for _ in 0..4 {
-        see(&mut world, &[0, 1, 2], &[0], Saw::Failure);
-        see(&mut world, &[4, 5, 6, 7], &[0], Saw::Answer);
+        see(&mut world, &[0, 1, 2], &[0], AttemptOutcome::ServerError);
+        see(&mut world, &[4, 5, 6, 7], &[0], AttemptOutcome::Answered);
         world.run(0.2);
     }
     world.run(1.0);
     assert!((0..9).all(|n| condemned(&world, n).is_empty()), "three condemn what four are served by");
     // One that is condemned and answers again is heard of: by those that it failed, too.
     for _ in 0..4 {
-        see(&mut world, &[0, 1, 2, 3], &[1], Saw::Silence);
+        see(&mut world, &[0, 1, 2, 3], &[1], AttemptOutcome::TimedOut);
         world.run(0.1);
     }
     world.until(2.0, |w| (0..9).all(|n| condemned(w, n) == ["server-1"]));
     for _ in 0..3 {
-        see(&mut world, &[0, 1], &[1], Saw::Answer);
+        see(&mut world, &[0, 1], &[1], AttemptOutcome::Answered);
         world.run(0.1);
     }
     let took = world.until(3.0, |w| (0..9).all(|n| condemned(w, n).is_empty()));
@@ -403,7 +404,7 @@
     let all: Vec<usize> = (0..20).collect();
     // A whole zone can't reach the servers of the other: true for that zone alone.
     for _ in 0..3 {
-        see(&mut world, &[0, 1, 2, 3], &[10, 11, 12], Saw::Unreached);
+        see(&mut world, &[0, 1, 2, 3], &[10, 11, 12], AttemptOutcome::Unreachable);
         world.run(0.2);
     }
     world.run(1.0);
@@ -415,7 +416,7 @@
     world.run(12.0);
     // Three nodes with bad links see all servers fail: more likely it is them.
     for _ in 0..3 {
-        see(&mut world, &[0, 1, 5], &all, Saw::Silence);
+        see(&mut world, &[0, 1, 5], &all, AttemptOutcome::TimedOut);
         world.run(0.2);
     }
     world.run(1.0);
@@ -425,7 +426,7 @@
     let some: Vec<usize> = (0..6).collect();
     let nodes: Vec<usize> = (0..8).collect();
     for _ in 0..3 {
-        see(&mut world, &nodes, &some, Saw::Failure);
+        see(&mut world, &nodes, &some, AttemptOutcome::ServerError);
         world.run(0.2);
     }
     world.run(1.0);
@@ -437,13 +438,13 @@
 fn a_verdict_on_a_server_says_nothing_of_its_next_start() {
     let mut world = gathered(5, 43);
     for _ in 0..3 {
-        see(&mut world, &[0, 1, 2], &[0], Saw::Failure);
+        see(&mut world, &[0, 1, 2], &[0], AttemptOutcome::ServerError);
         world.run(0.1);
     }
     world.until(2.0, |w| condemned(w, 4) == ["server-0"]);
     let process = world.nodes[4].as_ref().unwrap();
-    let judged = process.fleet.condemned(process.clock(world.t), 20);
-    let next = ServerStart { since: 6, ..server(0) };
+    let judged = process.fleet.condemned_servers(process.clock(world.t), 20);
+    let next = ServerInstance { since: 6, ..server(0) };
     assert!(judged.iter().all(|c| c.server != next && c.server == server(0)));
 }
 
@@ -458,7 +459,7 @@
     let process = world.nodes[0].as_mut().unwrap();
     let now = process.clock(world.t);
     process.fleet.tick(now + 0.2, 20);
-    while let Some((to, datagram)) = process.fleet.outgoing() {
+    while let Some((to, datagram)) = process.fleet.next_datagram() {
         kept.push((to, datagram));
     }
     assert!(!kept.is_empty());
@@ -479,16 +480,17 @@
     world.run(14.0);
     assert!(all_out(&world, "sick", false), "what was said again counts again");
     assert_eq!(world.broken, Vec::<String>::new());
-    let dropped = |n: usize, why: Drop| {
-        world.nodes[n].as_ref().map_or(0, |p| p.fleet.counts().dropped.get(&why).copied().unwrap_or(0))
+    let dropped = |n: usize, why: DropReason| {
+        world.nodes[n].as_ref().map_or(0, |p| p.fleet.counters().dropped.get(&why).copied().unwrap_or(0))
     };
-    for why in [Drop::Repeated, Drop::Forged, Drop::Foreign, Drop::Long] {
+    for why in [DropReason::Duplicate, DropReason::Unauthenticated, DropReason::Foreign, DropReason::TooLong]
+    {
         assert!((1..3).any(|n| dropped(n, why) > 0), "{why} is not counted");
     }
     let other = Secret::new(b"a key of this world's own", "abuja").unwrap();
     assert_eq!(
         wire::open(&other, &kept[0].1).unwrap_err(),
-        Drop::Forged,
+        DropReason::Unauthenticated,
         "another fleet's name is another key"
     );
     assert!(Secret::new(b"short", "lagos").is_err());
@@ -505,10 +507,10 @@
     while t < 3.0 {
         one.tick(t, 1);
         two.tick(t, 1);
-        while let Some((_, d)) = two.outgoing() {
+        while let Some((_, d)) = two.next_datagram() {
             one.receive(t, &d);
         }
-        while let Some((_, d)) = one.outgoing() {
+        while let Some((_, d)) = one.next_datagram() {
             late.push(d);
         }
         t += 0.05;
@@ -516,8 +518,8 @@
     for d in late {
         two.receive(60.0, &d);
     }
-    assert_eq!(two.is_out("sick", 60.0), None, "a minute under way, and taken for new");
-    assert!(two.counts().late + two.counts().unproven > 0);
+    assert_eq!(two.ban_left("sick", 60.0), None, "a minute under way, and taken for new");
+    assert!(two.counters().expired + two.counters().unproven > 0);
 }
 
 // ---- any schedule ----
@@ -571,7 +573,12 @@
         }
         Step::See(n, s, well) => {
             if world.nodes[n].as_ref().is_some_and(|p| !p.frozen) {
-                see(world, &[n], &[s], if well { Saw::Answer } else { Saw::Failure });
+                see(
+                    world,
+                    &[n],
+                    &[s],
+                    if well { AttemptOutcome::Answered } else { AttemptOutcome::ServerError },
+                );
             }
         }
         Step::Cut(a, b, both) => world.part(&[a], &[b], both),
--- a/crates/fleet/tests/judge.rs
+++ b/crates/fleet/tests/quorum.rs
@@ -1,18 +1,18 @@
 //! Which servers are condemned where more fail than may be.
 
 use proptest::prelude::*;
-use reelfall_fleet::judge::{condemned, Quorum, Voices};
-use reelfall_fleet::verdict::ServerStart;
+use reelfall_fleet::entry::ServerInstance;
+use reelfall_fleet::quorum::{condemned, Quorum, Votes};
 
 const LISTED: usize = 20;
 
-fn servers(n: usize) -> Vec<ServerStart> {
-    (0..n).map(|n| ServerStart { name: format!("s{n:02}"), since: 0 }).collect()
+fn servers(n: usize) -> Vec<ServerInstance> {
+    (0..n).map(|n| ServerInstance { name: format!("s{n:02}"), since: 0 }).collect()
 }
 
-fn names(servers: &[ServerStart], failed: &[usize]) -> Vec<String> {
-    let voices = failed.iter().map(|failed| Voices { failed: *failed, ..Voices::default() });
-    condemned(servers.iter().zip(voices), LISTED, &Quorum::default()).keys().map(|s| s.name.clone()).collect()
+fn names(servers: &[ServerInstance], failed: &[usize]) -> Vec<String> {
+    let votes = failed.iter().map(|failed| Votes { failed: *failed, ..Votes::default() });
+    condemned(servers.iter().zip(votes), LISTED, &Quorum::default()).keys().map(|s| s.name.clone()).collect()
 }
 
 proptest! {
--- a/crates/fleet/tests/table.rs
+++ b/crates/fleet/tests/table.rs
@@ -2,25 +2,25 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use reelfall_fleet::node::Life;
-use reelfall_fleet::table::{Joined, Table, HELD_MOST, REPORTS_MOST};
-use reelfall_fleet::verdict::{Call, Entry, Finding, Key, Report, ServerStart, Version, Word};
+use reelfall_fleet::entry::{BanId, Entry, Finding, Key, Report, ServerInstance, Value, Version};
+use reelfall_fleet::node::Incarnation;
+use reelfall_fleet::table::{MergeOutcome, Table, MAX_ENTRIES, MAX_REPORTS_PER_NODE};
 
 fn report(server: usize, by: &str, n: u64, bad: u16) -> Entry {
-    let server = ServerStart { name: format!("s{server}"), since: 0 };
-    let version = Version { life: Life { start: 1, tag: 1 }, n };
+    let server = ServerInstance { name: format!("s{server}"), since: 0 };
+    let version = Version { incarnation: Incarnation { number: 1, tag: 1 }, n };
     let report =
         Report { finding: Finding::Failing, bad, good: 0, zone: String::new(), accused: 1, listed: 9 };
     let key = Key::Report { server, by: by.to_owned() };
-    Entry { key, version, word: Word::Report(report), lasts_ms: 10_000, age_us: 0 }
+    Entry { key, version, value: Value::Report(report), ttl_ms: 10_000, age_us: 0 }
 }
 
-fn hand(server: &str, number: u32, n: u64, lifted: bool, lasts_ms: u32) -> Entry {
-    let call = Call { node: "a".to_owned(), life: Life { start: 1, tag: 1 }, number };
+fn hand(server: &str, number: u32, n: u64, lifted: bool, ttl_ms: u32) -> Entry {
+    let id = BanId { node: "a".to_owned(), incarnation: Incarnation { number: 1, tag: 1 }, number };
     let by = "ada".to_owned();
-    let word = if lifted { Word::Lifted { by } } else { Word::Out { by } };
-    let version = Version { life: Life { start: 1, tag: 1 }, n };
-    Entry { key: Key::Hand { server: server.to_owned(), call }, version, word, lasts_ms, age_us: 0 }
+    let value = if lifted { Value::BanLifted { by } } else { Value::Banned { by } };
+    let version = Version { incarnation: Incarnation { number: 1, tag: 1 }, n };
+    Entry { key: Key::Ban { server: server.to_owned(), id }, version, value, ttl_ms, age_us: 0 }
 }
 
 fn entry() -> impl Strategy<Value = Entry> {
@@ -34,11 +34,11 @@
 fn joined(entries: &[Entry]) -> Vec<String> {
     let mut table = Table::default();
     for entry in entries {
-        table.join(1.0, entry.clone());
+        table.merge(1.0, entry.clone());
     }
     table
         .live(1.0)
-        .map(|(key, held)| format!("{key:?} {:?} {:?} {:.5}", held.version, held.word, held.left(1.0)))
+        .map(|(key, held)| format!("{key:?} {:?} {:?} {:.5}", held.version, held.value, held.left(1.0)))
         .collect()
 }
 
@@ -50,7 +50,7 @@
         entries in prop::collection::vec(entry(), 0..24), turned in any::<u64>(), again in any::<u64>(),
     ) {
         // What is over when it comes is passed over, so that it could make room for what it outranks: none of those here.
-        let entries: Vec<Entry> = entries.into_iter().filter(|e| e.age() < e.lasts()).collect();
+        let entries: Vec<Entry> = entries.into_iter().filter(|e| e.age() < e.ttl()).collect();
         let mut other = entries.clone();
         let n = other.len().max(1);
         other.rotate_left(turned as usize % n);
@@ -67,16 +67,16 @@
         one in prop::collection::vec(entry(), 0..16), other in prop::collection::vec(entry(), 0..16),
     ) {
         let (mut a, mut b) = (Table::default(), Table::default());
-        one.into_iter().for_each(|e| assert_ne!(a.join(1.0, e), Joined::Refused));
-        other.into_iter().for_each(|e| assert_ne!(b.join(1.0, e), Joined::Refused));
-        for entry in a.differing(1.0, &b.sums()) {
-            b.join(1.0, entry);
+        one.into_iter().for_each(|e| assert_ne!(a.merge(1.0, e), MergeOutcome::Rejected));
+        other.into_iter().for_each(|e| assert_ne!(b.merge(1.0, e), MergeOutcome::Rejected));
+        for entry in a.differing(1.0, &b.digests()) {
+            b.merge(1.0, entry);
         }
-        for entry in b.differing(1.0, &a.sums()) {
-            a.join(1.0, entry);
+        for entry in b.differing(1.0, &a.digests()) {
+            a.merge(1.0, entry);
         }
-        prop_assert_eq!(a.sums(), b.sums());
-        let words = |t: &Table| t.live(1.0).map(|(k, h)| format!("{k:?} {:?}", h.word)).collect::<Vec<_>>();
+        prop_assert_eq!(a.digests(), b.digests());
+        let words = |t: &Table| t.live(1.0).map(|(k, h)| format!("{k:?} {:?}", h.value)).collect::<Vec<_>>();
         prop_assert_eq!(words(&a), words(&b));
     }
 }
@@ -84,56 +84,60 @@
 #[test]
 fn a_lift_covers_every_later_word_of_its_call_and_no_other_call() {
     let mut table = Table::default();
-    assert_eq!(table.join(0.0, hand("s", 1, 1, false, 60_000)), Joined::New);
-    assert_eq!(table.join(0.0, hand("s", 1, 2, true, 60_000)), Joined::New);
+    assert_eq!(table.merge(0.0, hand("s", 1, 1, false, 60_000)), MergeOutcome::Updated);
+    assert_eq!(table.merge(0.0, hand("s", 1, 2, true, 60_000)), MergeOutcome::Updated);
     // The maker has not heard, and says it anew.
-    assert_eq!(table.join(1.0, hand("s", 1, 9, false, 60_000)), Joined::Known);
-    assert!(table.live(1.0).all(|(_, held)| matches!(held.word, Word::Lifted { .. })));
-    assert_eq!(table.join(1.0, hand("s", 2, 3, false, 60_000)), Joined::New);
+    assert_eq!(table.merge(1.0, hand("s", 1, 9, false, 60_000)), MergeOutcome::Unchanged);
+    assert!(table.live(1.0).all(|(_, held)| matches!(held.value, Value::BanLifted { .. })));
+    assert_eq!(table.merge(1.0, hand("s", 2, 3, false, 60_000)), MergeOutcome::Updated);
     assert_eq!(table.live(1.0).count(), 2);
 }
 
 #[test]
 fn a_verdict_counts_to_its_end_and_is_let_go_then() {
     let mut table = Table::default();
-    table.join(5.0, Entry { age_us: 4_000_000, ..report(0, "a", 1, 1) });
+    table.merge(5.0, Entry { age_us: 4_000_000, ..report(0, "a", 1, 1) });
     assert_eq!(table.live(10.9).count(), 1);
     assert_eq!(table.live(11.0).count(), 0);
-    assert!(table.next_end().is_some_and(|end| end <= 11.0));
+    assert!(table.next_expiry().is_some_and(|end| end <= 11.0));
     // Looked at for another's sake: the end is told all the same, once.
-    table.join(11.001, report(1, "a", 1, 1));
-    assert_eq!((table.over().len(), table.over().len()), (1, 0));
-    table.end(30.0);
-    assert_eq!((table.over().len(), table.is_empty()), (1, true));
-    assert_eq!(table.sums(), Table::default().sums());
-    assert_eq!(table.join(11.0, Entry { age_us: 10_000_000, ..report(0, "a", 2, 1) }), Joined::Over);
+    table.merge(11.001, report(1, "a", 1, 1));
+    assert_eq!((table.take_expired().len(), table.take_expired().len()), (1, 0));
+    table.expire(30.0);
+    assert_eq!((table.take_expired().len(), table.is_empty()), (1, true));
+    assert_eq!(table.digests(), Table::default().digests());
+    assert_eq!(
+        table.merge(11.0, Entry { age_us: 10_000_000, ..report(0, "a", 2, 1) }),
+        MergeOutcome::Expired
+    );
 }
 
 #[test]
 fn a_table_has_a_bound_one_node_has_one_of_its_own_and_hands_come_before_reports() {
     let mut table = Table::default();
-    let mine =
-        (0..REPORTS_MOST + 5).filter(|n| table.join(0.0, report(*n, "a", 1, 1)) == Joined::New).count();
-    assert_eq!(mine, REPORTS_MOST, "one node fills the table");
+    let mine = (0..MAX_REPORTS_PER_NODE + 5)
+        .filter(|n| table.merge(0.0, report(*n, "a", 1, 1)) == MergeOutcome::Updated)
+        .count();
+    assert_eq!(mine, MAX_REPORTS_PER_NODE, "one node fills the table");
     let mut n = 0;
-    while table.len() < HELD_MOST {
-        table.join(0.0, report(n % 200, &format!("n{}", n / 200), 1, 1));
+    while table.len() < MAX_ENTRIES {
+        table.merge(0.0, report(n % 200, &format!("n{}", n / 200), 1, 1));
         n += 1;
     }
-    assert_eq!(table.join(0.0, report(0, "late", 1, 1)), Joined::Refused);
-    assert_eq!(table.join(0.0, hand("s", 1, 1, false, 1000)), Joined::New);
-    assert_eq!(table.len(), HELD_MOST);
+    assert_eq!(table.merge(0.0, report(0, "late", 1, 1)), MergeOutcome::Rejected);
+    assert_eq!(table.merge(0.0, hand("s", 1, 1, false, 1000)), MergeOutcome::Updated);
+    assert_eq!(table.len(), MAX_ENTRIES);
 }
 
 #[test]
 fn words_that_no_node_can_have_made_are_refused() {
     let mut table = Table::default();
     let long = hand(&"x".repeat(65), 1, 1, false, 1000);
-    let lasting = Entry { lasts_ms: 61_000, ..report(0, "a", 1, 1) };
-    let odd = Entry { word: Word::Leaving, ..report(0, "a", 1, 1) };
+    let lasting = Entry { ttl_ms: 61_000, ..report(0, "a", 1, 1) };
+    let odd = Entry { value: Value::Leaving, ..report(0, "a", 1, 1) };
     let nobody = hand("", 1, 1, false, 1000);
     for entry in [long, lasting, odd, nobody] {
-        assert_eq!(table.join(0.0, entry.clone()), Joined::Refused, "{entry:?}");
+        assert_eq!(table.merge(0.0, entry.clone()), MergeOutcome::Rejected, "{entry:?}");
     }
     assert!(table.is_empty());
 }
--- /dev/null
+++ b/crates/node/src/fleet/clock.rs
@@ -0,0 +1,37 @@
+//! The clock that the fleet runs by.
+
+use reelfall_fleet::Time;
+use rustix::time::{clock_gettime, ClockId};
+use std::time::Duration;
+
+/// Time since this process began, on a clock that goes on while the machine sleeps: a node that was suspended must not take
+/// its entries for as young as they were.
+pub struct Clock {
+    start: Duration,
+}
+
+impl Clock {
+    /// Starts at 0.
+    pub fn start() -> Clock {
+        Clock { start: Self::read() }
+    }
+
+    fn read() -> Duration {
+        let now = clock_gettime(ClockId::Boottime);
+        Duration::new(now.tv_sec.unsigned_abs(), u32::try_from(now.tv_nsec).unwrap_or(0))
+    }
+
+    fn elapsed(&self) -> Duration {
+        Self::read().saturating_sub(self.start)
+    }
+
+    /// Seconds since the start.
+    pub fn now(&self) -> Time {
+        self.elapsed().as_secs_f64()
+    }
+
+    /// Microseconds since the start.
+    pub fn micros(&self) -> u64 {
+        u64::try_from(self.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet/events.rs
@@ -0,0 +1,160 @@
+//! Acting on the fleet's events: bans and condemnations are applied to the pools, and changes are logged.
+
+use super::FleetRuntime;
+use crate::net::shared::{Condemnation, OverdueRequest};
+use reelfall_fleet::entry::{Key, ServerInstance};
+use reelfall_fleet::fleet::{CondemnedServer, FleetEvent};
+use reelfall_fleet::members::MemberEvent;
+use reelfall_fleet::observer::OverdueAttempt;
+use reelfall_fleet::Time;
+use std::collections::BTreeMap;
+
+/// Interval at which condemnations are applied to the pools again: a server that joins a list is subject to them, too.
+pub(super) const CONDEMN_INTERVAL: Time = 0.1;
+/// How soon a changed report is applied; a flood of reports costs one evaluation in each such time.
+const CONDEMN_DELAY: Time = 0.02;
+/// A list that has lagged behind that of others for so long, in seconds, is logged: services notify watchers in some order.
+const LIST_LAG: Time = 2.0;
+/// Interval of log lines about dropped datagrams, in seconds.
+const DROPPED_LOG_INTERVAL: Time = 10.0;
+
+/// Whether a list lags behind the one that other nodes have seen.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum ListLag {
+    /// It does not.
+    None,
+    /// It has since this time.
+    Since(Time),
+    /// It does, and that has been logged.
+    Logged,
+}
+
+impl FleetRuntime {
+    /// Tells the observer which attempts have waited past their target.
+    pub(super) fn report_overdue(&self, now: Time) {
+        let to_attempt = |late: OverdueRequest| {
+            let since = now - late.waited;
+            OverdueAttempt { server: late.server, since, late_from: since + late.aim }
+        };
+        let overdue: Vec<OverdueAttempt> = self.shared.overdue().into_iter().map(to_attempt).collect();
+        self.fleet.borrow_mut().set_overdue(now, &overdue);
+    }
+
+    /// Acts on events.
+    pub(super) fn handle_events(&self, events: &[FleetEvent], now: Time) {
+        let is_ban = |event: &FleetEvent| {
+            matches!(event, FleetEvent::Updated(Key::Ban { .. }) | FleetEvent::Expired(Key::Ban { .. }))
+        };
+        let is_report = |event: &FleetEvent| {
+            matches!(event, FleetEvent::Updated(Key::Report { .. }) | FleetEvent::Expired(Key::Report { .. }))
+        };
+        if events.iter().any(is_ban) {
+            // The pools may report attempts as they act: the fleet is not borrowed meanwhile.
+            let banned = self.fleet.borrow().banned_servers(now).into_iter().map(str::to_owned).collect();
+            self.shared.banned_by_fleet(&banned);
+        }
+        if events.iter().any(is_report) {
+            let soon = self.next_condemn.get() - CONDEMN_INTERVAL + CONDEMN_DELAY;
+            self.next_condemn.set(self.next_condemn.get().min(soon));
+        }
+        events.iter().for_each(|event| self.log_event(event, now));
+    }
+
+    /// Applies the condemnations to the pools.
+    pub(super) fn apply_condemnations(&self, now: Time) {
+        let pool_clock = self.shared.clock.now();
+        let new = self.condemnations(now, pool_clock);
+        let old = self.condemned.replace(new.clone());
+        for server in old.keys().filter(|server| !new.contains_key(server)) {
+            let name = &server.name;
+            self.condemned_log.say(format_args!("fleet: {name} is well, or nobody says otherwise"));
+            let ended = Condemnation { server: server.clone(), until: pool_clock, is_prober: false };
+            self.shared.apply_condemnation(&ended);
+        }
+        for (server, condemnation) in &new {
+            if !old.contains_key(server) {
+                let (name, left) = (&server.name, condemnation.until - pool_clock);
+                self.condemned_log.say(format_args!("fleet: {name} fails several nodes, for {left:.1} s"));
+            }
+            self.shared.apply_condemnation(condemnation);
+        }
+    }
+
+    fn condemnations(&self, now: Time, pool_clock: Time) -> BTreeMap<ServerInstance, Condemnation> {
+        let condemned = self.fleet.borrow().condemned_servers(now, self.listed(now));
+        let to_condemnation = |c: CondemnedServer| {
+            let until = pool_clock + c.left;
+            let condemnation = Condemnation { server: c.server.clone(), until, is_prober: c.is_prober };
+            (c.server, condemnation)
+        };
+        condemned.into_iter().map(to_condemnation).collect()
+    }
+
+    fn log_event(&self, event: &FleetEvent, now: Time) {
+        let log = &self.shared.log;
+        match event {
+            FleetEvent::Member(MemberEvent::Up(n)) => {
+                log.say(format_args!("fleet: {} at {} is there", n.name, n.address));
+            }
+            FleetEvent::Member(MemberEvent::Down(n)) => {
+                log.say(format_args!("fleet: {} at {} is gone", n.name, n.address));
+            }
+            FleetEvent::Member(MemberEvent::Rejoined(_)) => {
+                log.say(format_args!("fleet: taken for gone, and back"));
+            }
+            FleetEvent::Updated(Key::Ban { server, .. }) | FleetEvent::Expired(Key::Ban { server, .. }) => {
+                self.log_ban(server, now)
+            }
+            FleetEvent::Updated(Key::Leaving { node, .. }) => {
+                log.say(format_args!("fleet: {node} is on its way out"));
+            }
+            FleetEvent::Updated(_) | FleetEvent::Expired(_) => {}
+            FleetEvent::NameConflict => {
+                log.say(format_args!("fleet: another process has this node's name; this one tells nothing"));
+            }
+        }
+    }
+
+    fn log_ban(&self, server: &str, now: Time) {
+        match self.fleet.borrow().ban_left(server, now) {
+            Some(left) => {
+                self.ban_log.say(format_args!("fleet: {server} is out by hand, for {left:.0} s at most"));
+            }
+            None => self.ban_log.say(format_args!("fleet: {server} is not out by hand")),
+        }
+    }
+
+    /// Logs once for each list that other nodes have seen a later index for some time, and this one has not: its list
+    /// service lags, or its watch is broken.
+    pub(super) fn log_lagging_lists(&self, now: Time) {
+        let fleet = self.fleet.borrow();
+        for (list, followed) in self.lists.borrow_mut().iter_mut() {
+            let latest = fleet.latest_list_index(list, now);
+            let Some(latest) = latest.filter(|latest| *latest > followed.index) else { continue };
+            match followed.lag {
+                ListLag::None => followed.lag = ListLag::Since(now),
+                ListLag::Since(since) if now - since > LIST_LAG => {
+                    followed.lag = ListLag::Logged;
+                    let index = followed.index;
+                    self.shared
+                        .log
+                        .say(format_args!("fleet: list {list} is at {index} here, others heard of {latest}"));
+                }
+                ListLag::Since(_) | ListLag::Logged => {}
+            }
+        }
+    }
+
+    /// Logs how many datagrams were dropped, if there are more than at the last time.
+    pub(super) fn log_dropped(&self, now: Time) {
+        let (logged_at, logged) = self.logged_dropped.get();
+        let fleet = self.fleet.borrow();
+        let by_reason = &fleet.counters().dropped;
+        let dropped: u64 = by_reason.values().sum();
+        if dropped > logged && now - logged_at >= DROPPED_LOG_INTERVAL {
+            self.logged_dropped.set((now, dropped));
+            let by_reason: Vec<String> = by_reason.iter().map(|(why, n)| format!("{n} {why}")).collect();
+            self.shared.log.say(format_args!("fleet: datagrams dropped so far: {}", by_reason.join(", ")));
+        }
+    }
+}
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -1,19 +1,21 @@
-//! This node's part in a fleet, on a socket: datagrams, moments and what follows from verdicts. What is decided is
-//! [`reelfall_fleet`]'s; here it is sent, timed and put in force.
+//! This node's part in a fleet, on a socket. The decisions are made by [`reelfall_fleet`]; this module sends and receives
+//! datagrams, schedules, and applies the results to the pools.
 
-mod desk;
+mod admin;
+mod clock;
+mod events;
 
-use crate::net::shared::{Judged, Late, PoolId, Sees, Shared};
+use crate::net::shared::{Condemnation, FleetObserver, PoolId, Shared};
 use crate::net::Log;
+use clock::Clock;
+use events::{ListLag, CONDEMN_INTERVAL};
 use reelfall_conf::model;
-use reelfall_fleet::fleet::{Change, Fleet};
-use reelfall_fleet::members;
+use reelfall_fleet::entry::ServerInstance;
+use reelfall_fleet::fleet::Fleet;
 use reelfall_fleet::node::Node;
-use reelfall_fleet::verdict::{Key, ServerStart};
-use reelfall_fleet::wire::{Secret, DATAGRAM_MOST};
-use reelfall_fleet::witness::{Overdue, Saw};
+use reelfall_fleet::observer::AttemptOutcome;
+use reelfall_fleet::wire::{Secret, MAX_DATAGRAM_LEN};
 use reelfall_fleet::Time;
-use rustix::time::{clock_gettime, ClockId};
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::collections::BTreeMap;
@@ -24,210 +26,181 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-/// Datagrams that are taken in before others of the node have their turn.
+/// Maximum number of datagrams that are received before other tasks of the node have their turn.
 ///
 /// Guards requests against a flood of datagrams. Harm: of a flood, what the system's buffer does not hold is lost.
-const AT_ONCE: usize = 64;
-/// How often the pools are told again what is held of servers: a server that joins a list is under it, too.
-const JUDGE_EVERY: Time = 0.1;
-/// How soon a new word about servers is put in force; a flood of words costs one look in each such time.
-const JUDGE_AGAIN: Time = 0.02;
-/// How often it is looked for attempts that are out past their aim.
+const RECEIVE_BATCH: usize = 64;
+/// Interval at which overdue attempts are looked for.
 ///
-/// Guards the others' requests: each node that has not heard sends what it would have to a server that stands still. Harm: a
-/// look at what is open, forty times in a second.
-const LOOK_EVERY: Time = 0.025;
-/// How often the servers that lists name are counted.
-const COUNT_EVERY: Time = 1.0;
-/// A list is behind that of others for so long before that is said: services tell their watches in some order.
-const BEHIND: Time = 2.0;
-/// How often it is told how many datagrams were dropped, if any were.
-const TELL_EVERY: Time = 10.0;
-
-/// Seconds since this process began, on a clock that goes on while the machine sleeps: a node that was suspended must
-/// not take what it held for as young as it was.
-struct Clock(Duration);
-
-impl Clock {
-    fn begin() -> Clock {
-        Clock(Self::read())
-    }
-
-    fn read() -> Duration {
-        let now = clock_gettime(ClockId::Boottime);
-        Duration::new(now.tv_sec.unsigned_abs(), u32::try_from(now.tv_nsec).unwrap_or(0))
-    }
-
-    fn now(&self) -> Time {
-        Self::read().saturating_sub(self.0).as_secs_f64()
-    }
-
-    fn micros(&self) -> u64 {
-        u64::try_from(Self::read().saturating_sub(self.0).as_micros()).unwrap_or(u64::MAX)
-    }
+/// Guards the others' requests: each node that has not heard sends what it would have to a server that hangs. Harm: a look
+/// at what is open, forty times in a second.
+const OVERDUE_INTERVAL: Time = 0.025;
+/// Interval at which the servers in the lists are counted, in seconds.
+const COUNT_INTERVAL: Time = 1.0;
+/// The shortest and the longest rest of the event loop, in seconds.
+const REST: (Time, Time) = (0.001, 60.0);
+
+/// The receiver of an application message.
+pub enum Recipient {
+    /// The node of this name, whichever incarnation of it.
+    Named(String),
+    /// The process with this tag alone.
+    Tagged(u64),
 }
 
-/// Whom an errand is for.
-pub enum To {
-    /// The node of this name, whichever life of it.
-    Name(String),
-    /// This process alone.
-    Tag(u64),
-}
-
-/// What a list service has told this node of a list.
-struct ListSeen {
-    /// By whom it is followed.
+/// A list that a pool of this node follows.
+struct FollowedList {
     pool: PoolId,
-    /// Its index.
     index: u64,
-    /// Since when the fleet knows of a greater one; `None` in place of the moment once that was said.
-    behind: Option<Option<Time>>,
+    lag: ListLag,
 }
 
-/// Takes what other nodes say on another matter, and who it was.
-pub type Errands = Box<dyn Fn(&Node, &[u8])>;
+/// Handles application messages of other nodes.
+pub type MessageHandler = Box<dyn Fn(&Node, &[u8])>;
+
+/// The former name of [`FleetRuntime`], for users that have not followed yet.
+pub type Together = FleetRuntime;
 
-/// See the module.
-pub struct Together {
+/// This node's part in a fleet, on a socket. See the module.
+pub struct FleetRuntime {
     fleet: RefCell<Fleet>,
     shared: Rc<Shared>,
     socket: UdpSocket,
     clock: Clock,
-    /// For what is said of servers: by hand, and as the fleet holds it. The node's own has a bound in lines, which the comings and
-    /// goings of a fleet in trouble use up just as an operator waits for the word that a ban is in force.
-    hand_log: Log,
-    verdict_log: Log,
-    /// Something is to be told at once.
-    told: Notify,
-    /// What the pools were told of servers.
-    judged: RefCell<BTreeMap<ServerStart, Judged>>,
+    /// Logs of their own, since the node's log is limited in lines, and the churn of a fleet in trouble uses them up just as
+    /// an operator waits for the confirmation of a ban.
+    ban_log: Log,
+    condemned_log: Log,
+    /// There is something to send at once.
+    wake: Notify,
+    /// The condemnations that are applied to the pools.
+    condemned: RefCell<BTreeMap<ServerInstance, Condemnation>>,
     /// Bounded by the services of the settings file.
-    lists: RefCell<BTreeMap<String, ListSeen>>,
-    next_judge: Cell<Time>,
-    next_look: Cell<Time>,
-    /// How many servers lists name, and until when that is taken for true.
+    lists: RefCell<BTreeMap<String, FollowedList>>,
+    next_condemn: Cell<Time>,
+    next_overdue: Cell<Time>,
+    /// Number of servers in the lists, and until when that is valid.
     listed: Cell<(usize, Time)>,
-    /// Who has to do with errands.
-    errands: RefCell<Option<Errands>>,
-    /// Datagrams that the system did not take, and those dropped at the last telling.
+    message_handler: RefCell<Option<MessageHandler>>,
+    /// Datagrams that the system did not accept.
     unsent: Cell<u64>,
-    told_dropped: Cell<(Time, u64)>,
+    /// When dropped datagrams were last logged, and how many there were.
+    logged_dropped: Cell<(Time, u64)>,
 }
 
-impl Together {
-    /// Opens the socket and reads the key. Nobody is written to yet.
+impl FleetRuntime {
+    /// Opens the socket and reads the key. No datagram is sent yet.
     ///
     /// # Errors
-    /// If the key can't be read or the address is not to be had.
-    pub fn open(shared: &Rc<Shared>, settings: &model::Fleet) -> Result<Rc<Together>, String> {
-        let file = &settings.key_file;
-        let key = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
-        let secret = Secret::new(&key, &settings.name).map_err(|e| format!("{}: {e}", file.display()))?;
-        let at = |e: std::io::Error| format!("fleet: {}: {e}", settings.listen);
-        let socket = std::net::UdpSocket::bind(settings.listen).map_err(at)?;
-        socket.set_nonblocking(true).map_err(at)?;
-        let address = settings.advertise.map_or_else(|| socket.local_addr().map_err(at), Ok)?;
-        let socket = UdpSocket::from_std(socket).map_err(at)?;
-        let drawn = |what: &str| RandomState::new().hash_one((what, std::process::id()));
-        let clock = Clock::begin();
-        let (tag, seed) = (drawn("tag") | 1, drawn("seed"));
-        let rules = settings.rules.clone();
-        let fleet = Fleet::new(&settings.node, address, tag, rules, secret, seed, clock.now());
-        Ok(Rc::new(Together {
+    /// If the key can't be read or the address can't be bound.
+    pub fn open(shared: &Rc<Shared>, settings: &model::Fleet) -> Result<Rc<FleetRuntime>, String> {
+        let secret = read_secret(settings)?;
+        let to_text = |e: std::io::Error| format!("fleet: {}: {e}", settings.listen);
+        let socket = std::net::UdpSocket::bind(settings.listen).map_err(to_text)?;
+        socket.set_nonblocking(true).map_err(to_text)?;
+        let address = settings.advertise.map_or_else(|| socket.local_addr().map_err(to_text), Ok)?;
+        let socket = UdpSocket::from_std(socket).map_err(to_text)?;
+        let random = |what: &str| RandomState::new().hash_one((what, std::process::id()));
+        let clock = Clock::start();
+        let (tag, seed) = (random("tag") | 1, random("seed"));
+        let config = settings.rules.clone();
+        let fleet = Fleet::new(&settings.node, address, tag, config, secret, seed, clock.now());
+        Ok(Rc::new(FleetRuntime {
             fleet: RefCell::new(fleet),
             shared: shared.clone(),
             socket,
             clock,
-            hand_log: Log::default(),
-            verdict_log: Log::default(),
-            told: Notify::new(),
-            judged: RefCell::default(),
+            ban_log: Log::default(),
+            condemned_log: Log::default(),
+            wake: Notify::new(),
+            condemned: RefCell::default(),
             lists: RefCell::default(),
-            next_judge: Cell::new(0.0),
-            next_look: Cell::new(0.0),
+            next_condemn: Cell::new(0.0),
+            next_overdue: Cell::new(0.0),
             listed: Cell::new((0, 0.0)),
-            errands: RefCell::default(),
+            message_handler: RefCell::default(),
             unsent: Cell::new(0),
-            told_dropped: Cell::new((0.0, 0)),
+            logged_dropped: Cell::new((0.0, 0)),
         }))
     }
 
-    /// Where datagrams are taken.
+    /// The address that datagrams are received at.
     pub fn address(&self) -> Option<SocketAddr> {
         self.socket.local_addr().ok()
     }
 
-    /// Takes part for as long as it is polled.
+    /// Takes part in the fleet for as long as it is polled.
     pub async fn run(self: Rc<Self>) {
         loop {
-            let more = self.take_in();
-            self.turn();
-            if more {
-                // Requests have their turn between two parts of a flood.
+            let may_have_more = self.receive_datagrams();
+            self.tick();
+            if may_have_more {
+                // Requests have their turn between two batches of a flood.
                 tokio::task::yield_now().await;
                 continue;
             }
-            let due = self.fleet.borrow().deadline().min(self.next_judge.get()).min(self.next_look.get());
-            let rest = (due - self.clock.now()).max(0.001);
-            let due =
-                tokio::time::sleep_until((Instant::now() + Duration::from_secs_f64(rest.min(60.0))).into());
+            let rest = (self.deadline() - self.clock.now()).max(REST.0).min(REST.1);
+            let due = tokio::time::sleep_until((Instant::now() + Duration::from_secs_f64(rest)).into());
             tokio::select! {
                 _ = self.socket.readable() => {}
-                () = self.told.notified() => {}
+                () = self.wake.notified() => {}
                 () = due => {}
             }
         }
     }
 
-    /// Takes in what has come, before any timer: what was due while this process stood still may be answered by it.
-    /// Whether there may be more.
-    fn take_in(&self) -> bool {
-        // One byte more than any datagram of the fleet, so that one that is too long is seen to be.
-        let mut buffer = [0; DATAGRAM_MOST + 1];
-        for _ in 0..AT_ONCE {
+    fn deadline(&self) -> Time {
+        let fleet = self.fleet.borrow().deadline();
+        fleet.min(self.next_condemn.get()).min(self.next_overdue.get())
+    }
+
+    /// Receives a batch of datagrams, before any timer: what was due while this process was paused may be answered by them.
+    /// Returns whether there may be more.
+    fn receive_datagrams(&self) -> bool {
+        // One byte more than any datagram of the fleet, so that one that is too long is noticed.
+        let mut buffer = [0; MAX_DATAGRAM_LEN + 1];
+        for _ in 0..RECEIVE_BATCH {
             match self.socket.try_recv_from(&mut buffer) {
                 Ok((n, _)) => {
                     let datagram = buffer.get(..n).unwrap_or_default();
                     self.fleet.borrow_mut().receive(self.clock.now(), datagram);
-                    self.hand_over();
+                    self.deliver_messages();
                 }
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return false,
-                // Word of a datagram that could not be delivered; the next one may be another's.
+                // An earlier datagram could not be delivered; the next one may be another node's.
                 Err(_) => {}
             }
         }
         true
     }
 
-    /// Gives errands that have come to whoever has to do with them.
-    fn hand_over(&self) {
+    /// Passes application messages to their handler.
+    fn deliver_messages(&self) {
         loop {
-            // Whoever takes one may send others: nothing of the fleet is held meanwhile.
-            let Some((from, body)) = self.fleet.borrow_mut().errand() else { return };
-            if let Some(errands) = &*self.errands.borrow() {
-                errands(&from, &body);
+            // The handler may send others: the fleet is not borrowed meanwhile.
+            let Some((from, body)) = self.fleet.borrow_mut().next_message() else { return };
+            if let Some(handler) = &*self.message_handler.borrow() {
+                handler(&from, &body);
             }
         }
     }
 
-    /// From now on somebody has to do with errands.
-    pub fn take_errands(&self, errands: Errands) {
-        self.errands.replace(Some(errands));
+    /// Sets the handler of application messages.
+    pub fn set_message_handler(&self, handler: MessageHandler) {
+        self.message_handler.replace(Some(handler));
     }
 
-    /// Says something on another matter to the node of this name, or to the process of this tag; it may be lost, as it is where
-    /// nobody of that name is there.
-    pub fn run_errand(&self, to: &To, body: Vec<u8>) {
+    /// Sends an application message; it may be lost, as it is where the recipient is no member.
+    pub fn send_message(&self, to: &Recipient, body: Vec<u8>) {
         let mut fleet = self.fleet.borrow_mut();
         let to = match to {
-            To::Name(name) => fleet.members().named(name).cloned(),
-            To::Tag(tag) => fleet.members().tagged(*tag).cloned(),
+            Recipient::Named(name) => fleet.members().by_name(name).cloned(),
+            Recipient::Tagged(tag) => fleet.members().by_tag(*tag).cloned(),
         };
         if let Some(to) = to {
-            fleet.run_errand(&to, body);
+            fleet.send_message(&to, body);
             drop(fleet);
-            self.flush();
+            self.send_datagrams();
         }
     }
 
@@ -241,184 +214,78 @@
         self.clock.micros()
     }
 
-    /// Does what is due and puts in force what has changed.
-    fn turn(&self) {
+    /// Does what is due and acts on the events.
+    fn tick(&self) {
         let now = self.clock.now();
-        if now >= self.next_look.get() {
-            self.next_look.set(now + LOOK_EVERY);
-            self.look(now);
+        if now >= self.next_overdue.get() {
+            self.next_overdue.set(now + OVERDUE_INTERVAL);
+            self.report_overdue(now);
         }
         let listed = self.listed(now);
-        let changes = {
+        let events = {
             let mut fleet = self.fleet.borrow_mut();
             fleet.tick(now, listed);
-            std::iter::from_fn(|| fleet.change()).collect::<Vec<_>>()
+            std::iter::from_fn(|| fleet.next_event()).collect::<Vec<_>>()
         };
-        self.flush();
-        if changes
-            .iter()
-            .any(|c| matches!(c, Change::Told(Key::Hand { .. }) | Change::Over(Key::Hand { .. })))
-        {
-            // The pools may tell of attempts as they act: nothing of the fleet is held meanwhile.
-            let out = self.fleet.borrow().out(now).into_iter().map(str::to_owned).collect();
-            self.shared.banned_by_fleet(&out);
-        }
-        if changes
-            .iter()
-            .any(|c| matches!(c, Change::Told(Key::Report { .. }) | Change::Over(Key::Report { .. })))
-        {
-            let soon = self.next_judge.get() - JUDGE_EVERY + JUDGE_AGAIN;
-            self.next_judge.set(self.next_judge.get().min(soon));
-        }
-        changes.iter().for_each(|change| self.say(change, now));
-        if now >= self.next_judge.get() {
-            self.next_judge.set(now + JUDGE_EVERY);
-            self.judge(now);
-            self.say_behind(now);
-            self.say_dropped(now);
+        self.send_datagrams();
+        self.handle_events(&events, now);
+        if now >= self.next_condemn.get() {
+            self.next_condemn.set(now + CONDEMN_INTERVAL);
+            self.apply_condemnations(now);
+            self.log_lagging_lists(now);
+            self.log_dropped(now);
         }
     }
 
-    /// Looks for attempts that are out past their aim.
-    fn look(&self, now: Time) {
-        let of = |late: Late| {
-            let since = now - late.waited;
-            Overdue { server: late.server, since, late_from: since + late.aim }
-        };
-        let overdue: Vec<Overdue> = self.shared.overdue().into_iter().map(of).collect();
-        self.fleet.borrow_mut().waits(now, &overdue);
-    }
-
-    /// How many servers the lists name.
+    /// Number of servers in the lists.
     fn listed(&self, now: Time) -> usize {
-        let (listed, until) = self.listed.get();
-        if now < until {
+        let (listed, valid_until) = self.listed.get();
+        if now < valid_until {
             return listed;
         }
         let listed = self.shared.listed();
-        self.listed.set((listed, now + COUNT_EVERY));
+        self.listed.set((listed, now + COUNT_INTERVAL));
         listed
     }
 
-    /// Sends what is to be sent. What the system refuses (no buffer, no permission, no route) is lost, as a datagram
+    /// Sends the outgoing datagrams. What the system refuses (no buffer, no permission, no route) is lost, as a datagram
     /// may be, and ends nothing.
-    fn flush(&self) {
+    fn send_datagrams(&self) {
         let mut fleet = self.fleet.borrow_mut();
-        while let Some((to, datagram)) = fleet.outgoing() {
+        while let Some((to, datagram)) = fleet.next_datagram() {
             if self.socket.try_send_to(&datagram, to).is_err() {
                 self.unsent.set(self.unsent.get() + 1);
             }
         }
     }
 
-    /// Tells the pools what is held of servers.
-    fn judge(&self, now: Time) {
-        let clock = self.shared.clock.now();
-        let new: BTreeMap<ServerStart, Judged> = {
-            let fleet = self.fleet.borrow();
-            let condemned = fleet.condemned(now, self.listed(now));
-            let of = |c: reelfall_fleet::fleet::Condemned| {
-                let judged = Judged { server: c.server.clone(), until: clock + c.left, tries: c.tries };
-                (c.server, judged)
-            };
-            condemned.into_iter().map(of).collect()
-        };
-        let old = self.judged.replace(new.clone());
-        for server in old.keys().filter(|server| !new.contains_key(server)) {
-            self.verdict_log.say(format_args!("fleet: {} is well, or nobody says otherwise", server.name));
-            self.shared.judge(&Judged { server: server.clone(), until: clock, tries: false });
-        }
-        for (server, judged) in &new {
-            if !old.contains_key(server) {
-                let left = judged.until - clock;
-                self.verdict_log
-                    .say(format_args!("fleet: {} fails several nodes, for {left:.1} s", server.name));
-            }
-            self.shared.judge(judged);
-        }
-    }
-
-    fn say(&self, change: &Change, now: Time) {
-        let log = &self.shared.log;
-        match change {
-            Change::Member(members::Change::Up(n)) => {
-                log.say(format_args!("fleet: {} at {} is there", n.name, n.address))
-            }
-            Change::Member(members::Change::Down(n)) => {
-                log.say(format_args!("fleet: {} at {} is gone", n.name, n.address))
-            }
-            Change::Member(members::Change::Back(_)) => {
-                log.say(format_args!("fleet: taken for gone, and back"))
-            }
-            Change::Told(Key::Hand { server, .. }) | Change::Over(Key::Hand { server, .. }) => {
-                match self.fleet.borrow().is_out(server, now) {
-                    Some(left) => self
-                        .hand_log
-                        .say(format_args!("fleet: {server} is out by hand, for {left:.0} s at most")),
-                    None => self.hand_log.say(format_args!("fleet: {server} is not out by hand")),
-                }
-            }
-            Change::Told(Key::Leaving { node, .. }) => {
-                log.say(format_args!("fleet: {node} is on its way out"))
-            }
-            Change::Told(_) | Change::Over(_) => {}
-            Change::Aside => {
-                log.say(format_args!("fleet: another process has this node's name; this one tells nothing"))
-            }
-        }
-    }
-
-    /// Says of each list once that other nodes have heard of a later one for some time, and this one has not: its list
-    /// service lags, or its watch is broken.
-    fn say_behind(&self, now: Time) {
-        let fleet = self.fleet.borrow();
-        for (list, seen) in self.lists.borrow_mut().iter_mut() {
-            let Some(newest) = fleet.index(list, now).filter(|newest| *newest > seen.index) else { continue };
-            match seen.behind {
-                None => seen.behind = Some(Some(now)),
-                Some(Some(since)) if now - since > BEHIND => {
-                    seen.behind = Some(None);
-                    let index = seen.index;
-                    self.shared
-                        .log
-                        .say(format_args!("fleet: list {list} is at {index} here, others heard of {newest}"));
-                }
-                Some(_) => {}
-            }
-        }
-    }
-
-    fn say_dropped(&self, now: Time) {
-        let (at, before) = self.told_dropped.get();
-        let dropped = self.fleet.borrow().counts().dropped.values().sum();
-        if dropped > before && now - at >= TELL_EVERY {
-            self.told_dropped.set((now, dropped));
-            let by: Vec<String> =
-                self.fleet.borrow().counts().dropped.iter().map(|(why, n)| format!("{n} {why}")).collect();
-            self.shared.log.say(format_args!("fleet: datagrams dropped so far: {}", by.join(", ")));
-        }
-    }
-
     /// Tells the others that this node leaves.
     pub fn leave(&self) {
         self.fleet.borrow_mut().leave(self.clock.now());
-        self.flush();
+        self.send_datagrams();
     }
 }
 
-impl Sees for Together {
-    fn saw(&self, server: ServerStart, saw: Saw) {
-        self.fleet.borrow_mut().saw(self.clock.now(), &server, saw);
+fn read_secret(settings: &model::Fleet) -> Result<Secret, String> {
+    let file = &settings.key_file;
+    let key = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    Secret::new(&key, &settings.name).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+impl FleetObserver for FleetRuntime {
+    fn attempt_ended(&self, server: ServerInstance, outcome: AttemptOutcome) {
+        self.fleet.borrow_mut().record_outcome(self.clock.now(), &server, outcome);
     }
 
-    fn saw_list(&self, list: &str, pool: PoolId, index: u64) {
-        let at = self.clock.now();
-        self.lists.borrow_mut().insert(list.to_owned(), ListSeen { pool, index, behind: None });
-        self.fleet.borrow_mut().saw_index(at, list, index);
+    fn list_updated(&self, list: &str, pool: PoolId, index: u64) {
+        let now = self.clock.now();
+        let followed = FollowedList { pool, index, lag: ListLag::None };
+        self.lists.borrow_mut().insert(list.to_owned(), followed);
+        self.fleet.borrow_mut().publish_list_index(now, list, index);
     }
 
-    fn left_list(&self, list: &str, pool: PoolId) {
+    fn list_dropped(&self, list: &str, pool: PoolId) {
         // A reload may have put another pool in its place already, which follows a list of the same name.
-        self.lists.borrow_mut().retain(|name, seen| name != list || seen.pool != pool);
+        self.lists.borrow_mut().retain(|name, followed| name != list || followed.pool != pool);
     }
 }
--- a/crates/node/src/lease/dispatch.rs
+++ b/crates/node/src/lease/dispatch.rs
@@ -3,7 +3,7 @@
 use super::admin;
 use super::disk::{Disk, DiskEvent, Outbox};
 use super::{Leases, LocalKeeper};
-use crate::fleet::To as Way;
+use crate::fleet::Recipient;
 use reelfall_conf::model;
 use reelfall_fleet::node::Node;
 use reelfall_lease::holder::LeaseEvent;
@@ -31,7 +31,7 @@
     /// Subscribes to the messages of other nodes.
     pub(super) fn receive_messages(self: &Rc<Self>) {
         let leases = Rc::downgrade(self);
-        self.together.take_errands(Box::new(move |from, body| {
+        self.fleet.set_message_handler(Box::new(move |from, body| {
             if let Some(leases) = leases.upgrade() {
                 leases.handle_message(from, body);
             }
@@ -43,7 +43,7 @@
         let place = || self.keepers.iter().position(|name| *name == from.name);
         match message {
             Message::Request(request) => {
-                let client = ClientId { name: from.name.clone(), tag: from.life.tag };
+                let client = ClientId { name: from.name.clone(), tag: from.incarnation.tag };
                 self.with_keeper(|keeper, now| keeper.handle_request(now, &client, request));
             }
             Message::Peer(message) => {
@@ -138,13 +138,13 @@
 
     fn send_to_keeper(&self, place: usize, message: &Message) {
         if let Some((name, body)) = self.keepers.get(place).zip(self.encode(message)) {
-            self.together.run_errand(&Way::Name(name.clone()), body);
+            self.fleet.send_message(&Recipient::Named(name.clone()), body);
         }
     }
 
     fn send_to_client(&self, client: &ClientId, message: &Message) {
         if let Some(body) = self.encode(message) {
-            self.together.run_errand(&Way::Tag(client.tag), body);
+            self.fleet.send_message(&Recipient::Tagged(client.tag), body);
         }
     }
 
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -6,7 +6,7 @@
 mod disk;
 mod dispatch;
 
-use crate::fleet::Together;
+use crate::fleet::FleetRuntime;
 use crate::net::Log;
 use disk::{Disk, DiskEvent};
 use reelfall_conf::model;
@@ -71,7 +71,7 @@
 
 /// This node's leases, and its keeper if it is one. See the module.
 pub struct Leases {
-    together: Rc<Together>,
+    fleet: Rc<FleetRuntime>,
     keepers: Vec<String>,
     /// Precedes each message.
     group_id: [u8; GROUP_ID_LEN],
@@ -97,18 +97,18 @@
     /// # Errors
     /// If the node can't have what it needs. A folder that can't be used now is no error: it is tried again.
     pub fn start(
-        together: &Rc<Together>, fleet: &model::Fleet, settings: &model::Leases,
+        fleet: &Rc<FleetRuntime>, fleet_settings: &model::Fleet, settings: &model::Leases,
     ) -> Result<Rc<Leases>, String> {
         let margins = Margins { drift_ppm: (settings.drift * 1e6).ceil() as u32 };
         let length = (settings.length * MICROS_PER_SECOND) as Micros;
         let (sender, disk_events) = mpsc::unbounded_channel();
         let leases = Rc::new(Leases {
-            together: together.clone(),
+            fleet: fleet.clone(),
             keepers: settings.keepers.clone(),
             group_id: group_id(&settings.keepers),
             config: Config { margins, ..Config::new(settings.keepers.len(), length) },
             max_length: length,
-            local_keeper: LocalKeeper::start(&fleet.node, settings, sender)?,
+            local_keeper: LocalKeeper::start(&fleet_settings.node, settings, sender)?,
             local_leases: RefCell::default(),
             loopback: RefCell::default(),
             wake: Notify::new(),
@@ -129,7 +129,7 @@
     }
 
     fn now(&self) -> Micros {
-        self.together.micros()
+        self.fleet.micros()
     }
 
     /// A new random number, uniform over all values.
@@ -144,8 +144,8 @@
     }
 
     fn client_id(&self) -> ClientId {
-        let me = self.together.me();
-        ClientId { name: me.name, tag: me.life.tag }
+        let me = self.fleet.me();
+        ClientId { name: me.name, tag: me.incarnation.tag }
     }
 
     /// Does what is due for as long as it is polled.
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -116,8 +116,8 @@
 
 impl Drop for Following {
     fn drop(&mut self) {
-        if let Some(sees) = self.pool.shared.sees() {
-            sees.left_list(&self.name, self.pool.id);
+        if let Some(observer) = self.pool.shared.fleet_observer() {
+            observer.list_dropped(&self.name, self.pool.id);
         }
     }
 }
@@ -199,8 +199,8 @@
         // What can't be used is not asked for again in the same way, for ever: the whole list heals it.
         let new = take_in(pool, list, false).inspect_err(|_| index.set(None))?;
         index.set(Some(new));
-        if let Some(sees) = pool.shared.sees() {
-            sees.saw_list(name, pool.id, new);
+        if let Some(observer) = pool.shared.fleet_observer() {
+            observer.list_updated(name, pool.id, new);
         }
         Ok::<u64, String>(new)
     };
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -2,15 +2,15 @@
 //! engine wants done. No choice is made here.
 
 use super::message::{Answer, Arrival, Message, Reply};
-use super::shared::{Judged, Late, Peer, PoolId, Shared};
+use super::shared::{Condemnation, OverdueRequest, Peer, PoolId, Shared};
 use super::upstream::{self, Times, Upstream};
 use super::Chance;
 use reelfall_core::engine::{self, Command, Engine, Place};
 use reelfall_core::interface::*;
 use reelfall_core::settings::{Figures, Vocabulary};
 use reelfall_core::Balancer;
-use reelfall_fleet::verdict::ServerStart;
-use reelfall_fleet::witness::Saw;
+use reelfall_fleet::entry::ServerInstance;
+use reelfall_fleet::observer::AttemptOutcome;
 use reelfall_routes::common::{Line, Word};
 use reelfall_routes::limits::Member;
 use serde::Deserialize;
@@ -294,26 +294,26 @@
         }
     }
 
-    /// One start of a server as the whole fleet knows it. A list that is written by hand tells of no start: when its file
-    /// was read is each node's own affair.
-    fn start_of(&self, server: ServerId) -> Option<ServerStart> {
+    /// The instance of a server as the whole fleet knows it. A list that is written by hand tells of no start: when its
+    /// file was read is different on each node.
+    fn instance_of(&self, server: ServerId) -> Option<ServerInstance> {
         let since = match self.missing {
             Missing::Ended => self.own.borrow().places.get(&server)?.entry.ready_at,
             Missing::Unused => 0.0,
         };
         let name = self.names.borrow().servers.name(server)?.to_owned();
-        Some(ServerStart { name, since: (since.max(0.0) * 1e3).round() as u64 })
+        Some(ServerInstance { name, since: (since.max(0.0) * 1e3).round() as u64 })
     }
 
-    /// Tells whoever wants to know how an attempt ended.
-    fn seen(&self, request: RequestId, attempt: u32, outcome: Outcome) {
-        let Some(sees) = self.shared.sees() else { return };
+    /// Tells the fleet's observer how an attempt ended.
+    fn report_outcome(&self, request: RequestId, attempt: u32, outcome: Outcome) {
+        let Some(observer) = self.shared.fleet_observer() else { return };
         let Some((server, class, sent)) = self.engine.borrow().attempt_of(request, attempt) else { return };
         let Some(aim) = self.classes.get(usize::from(class)).map(|c| c.aim) else { return };
         let waited = self.shared.clock.now() - sent;
-        let Some(saw) = saw(outcome, waited, aim) else { return };
-        if let Some(start) = self.start_of(server) {
-            sees.saw(start, saw);
+        let Some(attempt) = attempt_outcome(outcome, waited, aim) else { return };
+        if let Some(instance) = self.instance_of(server) {
+            observer.attempt_ended(instance, attempt);
         }
     }
 
@@ -367,16 +367,16 @@
     }
 }
 
-/// What an attempt that ended so tells others of its server. A client whose time was short tells nothing.
-fn saw(outcome: Outcome, waited: Time, aim: Time) -> Option<Saw> {
+/// What the outcome of an attempt tells others about its server. A client with a short deadline tells nothing.
+fn attempt_outcome(outcome: Outcome, waited: Time, aim: Time) -> Option<AttemptOutcome> {
     match outcome {
-        Outcome::Delivered if waited <= aim => Some(Saw::Answer),
-        Outcome::Delivered => Some(Saw::Late),
-        Outcome::Error => Some(Saw::Failure),
-        Outcome::Dropped => Some(Saw::Broken),
-        Outcome::Shed => Some(Saw::Tipped),
-        Outcome::Expired if waited >= aim => Some(Saw::Silence),
-        Outcome::DialFailed => Some(Saw::Unreached),
+        Outcome::Delivered if waited <= aim => Some(AttemptOutcome::Answered),
+        Outcome::Delivered => Some(AttemptOutcome::AnsweredLate),
+        Outcome::Error => Some(AttemptOutcome::ServerError),
+        Outcome::Dropped => Some(AttemptOutcome::ConnectionBroken),
+        Outcome::Shed => Some(AttemptOutcome::Shed),
+        Outcome::Expired if waited >= aim => Some(AttemptOutcome::TimedOut),
+        Outcome::DialFailed => Some(AttemptOutcome::Unreachable),
         Outcome::Expired | Outcome::Revoked | Outcome::Unused => None,
     }
 }
@@ -433,30 +433,31 @@
         self.names.borrow().servers.get(name).is_some()
     }
 
-    fn listed(&self, to: &mut BTreeSet<ServerStart>) {
+    fn listed(&self, to: &mut BTreeSet<ServerInstance>) {
         let servers: Vec<ServerId> = self.own.borrow().places.keys().copied().collect();
-        to.extend(servers.into_iter().filter_map(|server| self.start_of(server)));
+        to.extend(servers.into_iter().filter_map(|server| self.instance_of(server)));
     }
 
-    fn overdue(&self, now: Time, to: &mut Vec<Late>) {
+    fn overdue(&self, now: Time, to: &mut Vec<OverdueRequest>) {
         let engine = self.engine.borrow();
         for (server, class, since) in engine.waits() {
             let Some(aim) = self.classes.get(usize::from(class)).map(|c| c.aim) else { continue };
             let waited = now - since;
             if waited > aim {
-                to.extend(self.start_of(server).map(|server| Late { server, waited, aim }));
+                to.extend(self.instance_of(server).map(|server| OverdueRequest { server, waited, aim }));
             }
         }
     }
 
-    fn judged(self: Rc<Self>, judged: &Judged) {
-        let server = self.names.borrow().servers.get(&judged.server.name);
-        // What holds of one start says nothing of another.
-        let Some(server) = server.filter(|s| self.start_of(*s).as_ref() == Some(&judged.server)) else {
+    fn apply_condemnation(self: Rc<Self>, condemnation: &Condemnation) {
+        let server = self.names.borrow().servers.get(&condemnation.server.name);
+        // The condemnation of one instance says nothing about another.
+        let Some(server) = server.filter(|s| self.instance_of(*s).as_ref() == Some(&condemnation.server))
+        else {
             return;
         };
-        let Judged { until, tries, .. } = *judged;
-        self.tell(|engine, now, out| engine.told(now, server, until, tries, out));
+        let Condemnation { until, is_prober, .. } = *condemnation;
+        self.tell(|engine, now, out| engine.told(now, server, until, is_prober, out));
     }
 
     fn retold(self: Rc<Self>, address: SocketAddr) {
@@ -497,7 +498,7 @@
 
     fn ended(&self, request: RequestId, attempt: u32, outcome: Outcome, answer: Option<Answer>) {
         let answer = answer.map(Box::new);
-        self.seen(request, attempt, outcome);
+        self.report_outcome(request, attempt, outcome);
         self.tell(|engine, now, out| engine.ended(now, request, attempt, outcome, answer, out));
     }
 }
