--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -3,8 +3,8 @@
 
 use super::{Bounds, Log};
 use reelfall_core::interface::Time;
-use reelfall_fleet::verdict::ServerStart;
-use reelfall_fleet::witness::Saw;
+use reelfall_fleet::entry::ServerInstance;
+use reelfall_fleet::observer::AttemptOutcome;
 use reelfall_operations::ban::{Bans, View as Banned};
 use reelfall_operations::ledger::Ledger;
 use reelfall_routes::budget::Denied;
@@ -145,40 +145,41 @@
     /// Whether its list has named a server, now or lately.
     fn knows(&self, name: &str) -> bool;
     /// Adds the servers that its list names, as the fleet knows them.
-    fn listed(&self, to: &mut BTreeSet<ServerStart>);
-    /// Adds the attempts that are out past their aim.
-    fn overdue(&self, now: Time, to: &mut Vec<Late>);
-    /// The nodes of a fleet hold something of a server together.
-    fn judged(self: Rc<Self>, judged: &Judged);
+    fn listed(&self, to: &mut BTreeSet<ServerInstance>);
+    /// Adds the attempts that have waited past their target.
+    fn overdue(&self, now: Time, to: &mut Vec<OverdueRequest>);
+    /// Applies, or ends, the condemnation of a server by the fleet.
+    fn apply_condemnation(self: Rc<Self>, condemnation: &Condemnation);
 }
 
-/// What the nodes of a fleet hold of one start of a server together: it fails others.
+/// The condemnation of one instance of a server by the nodes of the fleet: it fails others.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Judged {
-    pub server: ServerStart,
-    /// It counts until then without another word; a moment that has passed takes it back.
+pub struct Condemnation {
+    pub server: ServerInstance,
+    /// When it expires without further reports; a time that has passed ends it.
     pub until: Time,
-    /// This node tries it meanwhile, for all.
-    pub tries: bool,
+    /// Whether this node probes the server meanwhile, for all.
+    pub is_prober: bool,
 }
 
-/// An attempt that is out past its aim.
+/// An attempt that has waited for an answer past its target.
 #[derive(Clone, Debug)]
-pub struct Late {
-    pub server: ServerStart,
-    /// How long an answer has been waited for, and how long it should have taken at most, in seconds.
+pub struct OverdueRequest {
+    pub server: ServerInstance,
+    /// How long it has waited, in seconds.
     pub waited: Time,
+    /// How long it should have waited at most, in seconds.
     pub aim: Time,
 }
 
-/// Whoever wants to know how attempts at servers end, and how new lists are.
-pub trait Sees {
-    /// An attempt at one start of a server has ended.
-    fn saw(&self, server: ServerStart, saw: Saw);
-    /// A list service has told a pool a list's index.
-    fn saw_list(&self, list: &str, pool: PoolId, index: u64);
-    /// A pool follows a list no longer.
-    fn left_list(&self, list: &str, pool: PoolId);
+/// Observes how attempts at servers end, and which lists are followed.
+pub trait FleetObserver {
+    /// An attempt at one instance of a server has ended.
+    fn attempt_ended(&self, server: ServerInstance, outcome: AttemptOutcome);
+    /// A pool received a list with this index.
+    fn list_updated(&self, list: &str, pool: PoolId, index: u64);
+    /// A pool stopped following a list.
+    fn list_dropped(&self, list: &str, pool: PoolId);
 }
 
 /// See the module.
@@ -207,7 +208,7 @@
     /// Servers that any node of the fleet was told to send out.
     fleet_bans: RefCell<Bans>,
     /// The fleet, if the node is part of one.
-    sees: RefCell<Option<Rc<dyn Sees>>>,
+    observer: RefCell<Option<Rc<dyn FleetObserver>>>,
     /// The node begins or ends to be emptied.
     pub drained: Notify,
     /// Processes of this node that serve beside each other, this one included.
@@ -246,7 +247,7 @@
             next_pool: Cell::new(0),
             operations: RefCell::default(),
             fleet_bans: RefCell::default(),
-            sees: RefCell::default(),
+            observer: RefCell::default(),
             drained: Notify::new(),
             processes: Cell::new(1),
         }
@@ -451,9 +452,9 @@
         }
     }
 
-    /// Tells all pools what the fleet holds of a server.
-    pub fn judge(&self, judged: &Judged) {
-        self.peers().into_iter().for_each(|p| p.judged(judged));
+    /// Applies, or ends, the condemnation of a server in all pools.
+    pub fn apply_condemnation(&self, condemnation: &Condemnation) {
+        self.peers().into_iter().for_each(|p| p.apply_condemnation(condemnation));
     }
 
     /// How many servers the lists name; one that several name is one.
@@ -463,21 +464,21 @@
         all.len()
     }
 
-    /// The attempts that are out past their aim, of all pools.
-    pub fn overdue(&self) -> Vec<Late> {
+    /// The attempts of all pools that have waited past their target.
+    pub fn overdue(&self) -> Vec<OverdueRequest> {
         let (now, mut all) = (self.clock.now(), Vec::new());
         self.peers().iter().for_each(|p| p.overdue(now, &mut all));
         all
     }
 
-    /// From now on somebody is told how attempts end.
-    pub fn tell_of_attempts(&self, to: Rc<dyn Sees>) {
-        self.sees.replace(Some(to));
+    /// Sets the observer of attempts and lists.
+    pub fn tell_of_attempts(&self, to: Rc<dyn FleetObserver>) {
+        self.observer.replace(Some(to));
     }
 
-    /// Whoever is told how attempts end.
-    pub fn sees(&self) -> Option<Rc<dyn Sees>> {
-        self.sees.borrow().clone()
+    /// The observer of attempts and lists, if the node is part of a fleet.
+    pub fn fleet_observer(&self) -> Option<Rc<dyn FleetObserver>> {
+        self.observer.borrow().clone()
     }
 
     /// Whether the node is being emptied.
