Emulator: a network of zones and regions in virtual time, and fleets of nodes on it

Sockets hold a few hundred nodes; the control side has to be played at thousands. Endpoints without I/O over links with delay, loss, duplicates, bandwidth and partitions; every byte is accounted for, over any 10 s, and processor time by the thread's clock where one is given. Nodes of reelfall_fleet are introduced to all others as they begin, since how a fleet finds itself is another matter. Whole copies of settings as formulas, which a small play agrees with.

--- /dev/null
+++ b/crates/emulator/src/control/links.rs
@@ -0,0 +1,87 @@
+//! What links do to the frames that pass over them.
+
+use super::topology::Distance;
+
+/// How frames are delivered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Delivery {
+    /// Each frame by itself: it may be lost, duplicated and overtaken, as over UDP.
+    Datagrams,
+    /// In order between two endpoints, as over TCP: a lost frame delays itself and those behind it by a retransmission.
+    /// Frames sent to a process that has ended meanwhile are not delivered to its successor.
+    Streams {
+        /// Seconds until a lost frame is sent again.
+        retransmit_after: f64,
+    },
+}
+
+/// A link of one kind.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Link {
+    /// The least delay of a frame, in seconds.
+    pub delay_least: f64,
+    /// The largest delay of a frame, in seconds.
+    pub delay_most: f64,
+    /// Share of frames that are lost.
+    pub loss: f64,
+    /// Share of datagrams that are delivered twice.
+    pub duplicates: f64,
+}
+
+/// The links of a network.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Links {
+    /// Between endpoints of one zone.
+    pub within_zone: Link,
+    /// Between zones of one region.
+    pub within_region: Link,
+    /// Between regions.
+    pub between_regions: Link,
+    /// What each endpoint can send, in bytes a second.
+    pub bandwidth: f64,
+    /// What headers take of each frame beside its own bytes; counted wherever bytes are.
+    pub overhead: usize,
+    /// How frames are delivered.
+    pub delivery: Delivery,
+}
+
+/// Headers of IPv4 and UDP, in bytes.
+pub const UDP_OVERHEAD: usize = 28;
+/// A gigabit a second, in bytes.
+const GIGABIT: f64 = 125e6;
+
+impl Default for Links {
+    /// Assumed round trips of 0.6 ms within a zone, 2 ms between zones and 80 ms between regions; one frame in a
+    /// thousand lost between regions.
+    fn default() -> Self {
+        let link =
+            |delay_least, delay_most, loss| Link { delay_least, delay_most, loss, duplicates: loss / 10.0 };
+        Links {
+            within_zone: link(0.000_2, 0.000_4, 0.000_01),
+            within_region: link(0.000_7, 0.001_3, 0.000_1),
+            between_regions: link(0.03, 0.05, 0.001),
+            bandwidth: GIGABIT,
+            overhead: UDP_OVERHEAD,
+            delivery: Delivery::Datagrams,
+        }
+    }
+}
+
+impl Links {
+    /// The link between two endpoints that are so far apart.
+    pub fn over(&self, distance: Distance) -> Link {
+        match distance {
+            Distance::WithinZone => self.within_zone,
+            Distance::WithinRegion => self.within_region,
+            Distance::BetweenRegions => self.between_regions,
+        }
+    }
+
+    /// The same share of frames lost on all links.
+    pub fn with_loss(mut self, loss: f64) -> Links {
+        for link in [&mut self.within_zone, &mut self.within_region, &mut self.between_regions] {
+            link.loss = loss;
+        }
+        self
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/control/mod.rs
@@ -0,0 +1,27 @@
+//! The control side of a large fleet in virtual time: who is in the fleet, and how configuration reaches every node.
+//!
+//! Endpoints are any code without I/O that takes frames and time ([`endpoint::Endpoint`]); a [`network::Network`]
+//! delivers what they send over links with delay, loss, duplication, bandwidth and partitions, and accounts for every
+//! byte. One clock, one seed: the same run each time.
+//!
+//! | module | what belongs there |
+//! | --- | --- |
+//! | [`topology`] | regions, zones and racks, and which endpoint is in which |
+//! | [`links`] | what links do to frames |
+//! | [`endpoint`] | what runs at the ends of links |
+//! | [`network`] | the event queue, frames between endpoints, partitions, crashes and pauses |
+//! | [`account`] | what each endpoint sent, received and computed |
+//! | [`times`] | percentiles of times |
+//! | [`membership`] | nodes of [`reelfall_fleet`] as endpoints |
+//! | [`baseline`] | what distribution without deltas costs: whole files and whole lists |
+//! | [`whole_copies`] | the same, played at sizes that can be |
+
+pub mod account;
+pub mod baseline;
+pub mod endpoint;
+pub mod links;
+pub mod membership;
+pub mod network;
+pub mod times;
+pub mod topology;
+pub mod whole_copies;
--- /dev/null
+++ b/crates/emulator/src/control/topology.rs
@@ -0,0 +1,137 @@
+//! Regions, zones and racks, and which endpoint is in which.
+
+/// Endpoints of one rack.
+pub const RACK_SIZE: usize = 40;
+
+/// Zones of each region of the target system: 13 in 4 regions.
+pub const TARGET_ZONES: [u16; 4] = [4, 3, 3, 3];
+
+/// Where an endpoint is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Site {
+    /// Its region.
+    pub region: u16,
+    /// Its zone; numbered over all regions.
+    pub zone: u16,
+    /// Its rack; numbered within the zone.
+    pub rack: u16,
+}
+
+/// How far apart two endpoints are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Distance {
+    /// In one zone.
+    WithinZone,
+    /// In two zones of one region.
+    WithinRegion,
+    /// In two regions.
+    BetweenRegions,
+}
+
+/// A set of endpoints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All of them.
+    All,
+    /// Those of a region.
+    Region(u16),
+    /// Those of a zone.
+    Zone(u16),
+    /// Those of a rack of a zone.
+    Rack(u16, u16),
+    /// One of them.
+    Endpoint(u32),
+}
+
+impl Scope {
+    /// Whether an endpoint at a site belongs to the set.
+    pub fn contains(self, endpoint: u32, site: Site) -> bool {
+        match self {
+            Scope::All => true,
+            Scope::Region(region) => site.region == region,
+            Scope::Zone(zone) => site.zone == zone,
+            Scope::Rack(zone, rack) => site.zone == zone && site.rack == rack,
+            Scope::Endpoint(number) => endpoint == number,
+        }
+    }
+}
+
+/// The sites of all endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct Topology {
+    /// The region of each zone.
+    regions: Vec<u16>,
+    sites: Vec<Site>,
+    /// Endpoints of each zone so far.
+    populations: Vec<usize>,
+}
+
+impl Topology {
+    /// Regions with so many zones each, and no endpoints.
+    pub fn new(zones_of_regions: &[u16]) -> Topology {
+        let mut regions = Vec::new();
+        for (region, zones) in (0u16..).zip(zones_of_regions) {
+            regions.extend((0..*zones).map(|_| region));
+        }
+        let populations = vec![0; regions.len()];
+        Topology { regions, sites: Vec::new(), populations }
+    }
+
+    /// Endpoints spread evenly over the zones, in blocks of neighbouring numbers.
+    pub fn even(zones_of_regions: &[u16], endpoints: usize) -> Topology {
+        let mut topology = Topology::new(zones_of_regions);
+        let zones = topology.regions.len().max(1);
+        for endpoint in 0..endpoints {
+            topology.add((endpoint * zones / endpoints) as u16);
+        }
+        topology
+    }
+
+    /// Adds an endpoint to a zone; its number.
+    pub fn add(&mut self, zone: u16) -> u32 {
+        let region = self.regions.get(usize::from(zone)).copied().unwrap_or_default();
+        let mut rack = 0;
+        if let Some(population) = self.populations.get_mut(usize::from(zone)) {
+            rack = (*population / RACK_SIZE) as u16;
+            *population += 1;
+        }
+        self.sites.push(Site { region, zone, rack });
+        (self.sites.len() - 1) as u32
+    }
+
+    /// How many endpoints there are.
+    pub fn len(&self) -> usize {
+        self.sites.len()
+    }
+
+    /// Whether there are no endpoints.
+    pub fn is_empty(&self) -> bool {
+        self.sites.is_empty()
+    }
+
+    /// How many zones there are.
+    pub fn zones(&self) -> usize {
+        self.regions.len()
+    }
+
+    /// Where an endpoint is.
+    pub fn site(&self, endpoint: u32) -> Option<Site> {
+        self.sites.get(endpoint as usize).copied()
+    }
+
+    /// The endpoints of a set.
+    pub fn endpoints(&self, scope: Scope) -> Vec<u32> {
+        let numbered = (0u32..).zip(&self.sites);
+        numbered.filter(|(number, site)| scope.contains(*number, **site)).map(|(number, _)| number).collect()
+    }
+
+    /// How far apart two endpoints are.
+    pub fn distance(&self, a: u32, b: u32) -> Option<Distance> {
+        let (a, b) = (self.site(a)?, self.site(b)?);
+        Some(match (a.region == b.region, a.zone == b.zone) {
+            (true, true) => Distance::WithinZone,
+            (true, false) => Distance::WithinRegion,
+            _ => Distance::BetweenRegions,
+        })
+    }
+}
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -3,9 +3,10 @@
 //!
 //! [`plan`] says what there is and what happens; [`world`] plays it; [`rules`] watches the four rules on the way;
 //! [`report`] tells what came of it. [`scenario`] holds the plans that the project measures itself by, [`trials`] those
-//! drawn from seeds at the size of the whole fleet; [`together`] plays nodes that know each other. The servers are
-//! models and no measurements of real machines.
+//! drawn from seeds at the size of the whole fleet; [`together`] plays nodes that know each other, [`control`] the control
+//! side of thousands of nodes. The servers are models and no measurements of real machines.
 
+pub mod control;
 pub mod plan;
 pub mod queue;
 pub mod report;
--- a/crates/emulator/src/queue.rs
+++ b/crates/emulator/src/queue.rs
@@ -56,6 +56,11 @@
         self.heap.push(Due { at, number: self.numbers, event });
     }
 
+    /// When the next event is due.
+    pub fn next_at(&self) -> Option<Time> {
+        self.heap.peek().map(|due| due.at)
+    }
+
     /// Takes the next event, and turns the clock to its time.
     pub fn take(&mut self) -> Option<E> {
         let due = self.heap.pop()?;
