--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -8,6 +8,7 @@
 use reelfall_rig::load::{self, Kind};
 use reelfall_rig::pool::{Manner, Pool};
 use reelfall_rig::registry::{self, Registry};
+use reelfall_rig::scale;
 use reelfall_rig::scenario::{self, graphql, membership, services, Report};
 use reelfall_rig::scripted::Program;
 use reelfall_rig::{demo, measure, relay, until_ended, Result};
@@ -127,6 +128,8 @@
         /// `services`, `graphql` or `membership`
         name: String,
     },
+    /// What the control side of a fleet costs each node: one run at one size, or sweeps
+    Scale(Box<scale::command::Args>),
     /// Measures what the node costs; the figures are the last line
     Measure {
         /// `services`, `graphql`, `membership` or `fleet`
@@ -342,6 +345,7 @@
             return Ok(report.pass());
         }
         Command::Fleet(args) => return fleet_of(&program, &args).await,
+        Command::Scale(args) => return scale::command::run(&program, &args).await,
         Command::Demo { name } => match name.as_str() {
             "services" => demo::services(&program).await?,
             "graphql" => demo::graphql(&program).await?,
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -3,7 +3,43 @@
 //! | module | what belongs there |
 //! | --- | --- |
 //! | [`report`] | the figures of a scale run, as they are written to and read from JSON |
+//! | [`record`] | the JSON file: the report with its notes |
 //! | [`settings`] | settings files of any size |
+//! | [`hollow`] | the control side of one node: all that uses the fleet's own package |
+//! | [`network`] | many hollow nodes on sockets, and faults between them |
+//! | [`drive`] | one thread of them |
+//! | [`counters`] | what they count, and kinds of datagrams |
+//! | [`lists`] | a stand-in for the services that tell nodes their servers |
+//! | [`window`] | changes at a rate, and what they cost in a window |
+//! | [`faults`] | the worst moments |
+//! | [`real`] | real nodes beside the hollow ones |
+//! | [`computation`] | what reading settings and lists costs |
+//! | [`limits`] | what fits on a machine, and when a run ends |
+//! | [`machine`] | what the system tells of processor time and memory |
+//! | [`single`] | one run at one size |
+//! | [`sweep`] | runs along the axes, and lines through them |
+//! | [`fit`] | least squares, errors and bends |
+//! | [`plot`] | plots of sweeps |
+//! | [`smoke`] | the short form, in virtual time |
+//! | [`command`] | the command line |
 
+pub mod command;
+pub mod computation;
+pub mod counters;
+pub mod drive;
+pub mod faults;
+pub mod fit;
+pub mod hollow;
+pub mod limits;
+pub mod lists;
+pub mod machine;
+pub mod network;
+pub mod plot;
+pub mod real;
+pub mod record;
 pub mod report;
 pub mod settings;
+pub mod single;
+pub mod smoke;
+pub mod sweep;
+pub mod window;
--- /dev/null
+++ b/crates/rig/src/scale/record.rs
@@ -0,0 +1,170 @@
+//! The JSON file of a run: its report, with what a reader has to know beside the figures.
+
+use super::machine;
+use super::report::{Axis, Report, Run, Slope, Times, SCHEMA};
+use crate::Result;
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+use std::process::Command;
+
+/// How a figure depends on two axes together: `figure = constant + a x + b y + product x y`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Product {
+    /// The two axes.
+    pub axes: (Axis, Axis),
+    /// The figure, with its unit.
+    pub figure: String,
+    /// Sizes on both axes and the figure there.
+    pub points: Vec<(f64, f64, f64)>,
+    /// Constant, the first axis, the second one, their product.
+    pub factors: Vec<f64>,
+    /// The standard error of each.
+    pub standard_errors: Vec<f64>,
+}
+
+/// Time until a change of a list was taken in, in one run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ListsInForce {
+    /// The run.
+    pub run: String,
+    /// The times.
+    pub times: Times,
+}
+
+/// All that is written.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The figures.
+    #[serde(flatten)]
+    pub report: Report,
+    /// Fits of two axes together.
+    #[serde(default)]
+    pub products: Vec<Product>,
+    /// Times of lists.
+    #[serde(default)]
+    pub lists_in_force: Vec<ListsInForce>,
+    /// The run was ended before its end, or left something out.
+    #[serde(default)]
+    pub partial: bool,
+    /// What was left out, and what else bears on the figures.
+    #[serde(default)]
+    pub notes: Vec<String>,
+}
+
+impl Record {
+    /// Nothing measured yet, by the program at hand.
+    pub fn new(seed: u64) -> Record {
+        let report = Report {
+            schema: SCHEMA,
+            commit: commit(),
+            seed,
+            cores: machine::cores(),
+            runs: Vec::new(),
+            slopes: Vec::new(),
+        };
+        Record { report, products: Vec::new(), lists_in_force: Vec::new(), partial: false, notes: Vec::new() }
+    }
+
+    /// Says something that bears on the figures.
+    pub fn note(&mut self, note: impl Into<String>) {
+        let note = note.into();
+        eprintln!("{note}");
+        self.notes.push(note);
+    }
+
+    /// Says what was left out.
+    pub fn left_out(&mut self, what: impl Into<String>) {
+        self.partial = true;
+        self.note(format!("left out: {}", what.into()));
+    }
+
+    /// Adds a run and prints it.
+    pub fn add(&mut self, run: Run) {
+        println!("{}", line(&run));
+        self.report.runs.push(run);
+    }
+
+    /// Adds a line through a sweep and prints it.
+    pub fn add_slope(&mut self, slope: Slope) {
+        super::sweep::print(&slope);
+        self.report.slopes.push(slope);
+    }
+
+    /// The JSON text.
+    ///
+    /// # Errors
+    /// If a figure can't be written.
+    pub fn to_json(&self) -> Result<String> {
+        Ok(serde_json::to_string_pretty(self)? + "\n")
+    }
+
+    /// Reads a JSON text.
+    ///
+    /// # Errors
+    /// If it is none, or of another schema.
+    pub fn from_json(text: &str) -> Result<Record> {
+        #[derive(Deserialize)]
+        struct Schema {
+            schema: u32,
+        }
+        let Schema { schema } = serde_json::from_str(text)?;
+        if schema != SCHEMA {
+            return Err(format!("the report has schema {schema}, and this program reads {SCHEMA}").into());
+        }
+        Ok(serde_json::from_str(text)?)
+    }
+
+    /// Writes the JSON to a file, if one is named.
+    ///
+    /// # Errors
+    /// If it can't be written.
+    pub fn write(&self, file: Option<&Path>) -> Result<()> {
+        if let Some(file) = file {
+            std::fs::write(file, self.to_json()?)?;
+            println!("written: {}", file.display());
+        }
+        Ok(())
+    }
+}
+
+/// One run as a line.
+fn line(run: &Run) -> String {
+    let total = |of: fn(&super::report::Traffic) -> f64| run.per_node.traffic.iter().map(of).sum::<f64>();
+    let mut line = format!(
+        "{} [{:?}] nodes {} servers {}: {:.0} B/s in, {:.0} B/s out, {:.1} messages/s out, peak {:.0} B in 1 s, \
+         {:.4} % of a core, {:.2} MiB",
+        run.name,
+        run.source,
+        run.size.nodes,
+        run.size.servers,
+        total(|t| t.bytes_in),
+        total(|t| t.bytes_out),
+        total(|t| t.messages_out),
+        run.per_node.peak_bytes,
+        run.per_node.cpu * 100.0,
+        run.per_node.memory / f64::from(1 << 20),
+    );
+    if let Some(times) = &run.in_force {
+        line += &format!(", in force p50 {:.3} s p99 {:.3} s last {:.3} s", times.p50, times.p99, times.last);
+    }
+    if let Some(requests) = &run.requests {
+        let (rest, under) = (requests.at_rest, requests.under_changes);
+        line += &format!(
+            ", requests p50 {:.3} ms p99 {:.3} ms at rest, {:.3} ms and {:.3} ms under changes",
+            rest.p50 * 1e3,
+            rest.p99 * 1e3,
+            under.p50 * 1e3,
+            under.p99 * 1e3
+        );
+    }
+    line
+}
+
+/// The commit of the working directory's repository, with `-dirty` if files differ from it.
+fn commit() -> String {
+    let output = Command::new("git").args(["describe", "--always", "--dirty", "--abbrev=12"]).output();
+    match output {
+        Ok(output) if output.status.success() => String::from_utf8_lossy(&output.stdout).trim().to_owned(),
+        Ok(_) | Err(_) => "unknown".to_owned(),
+    }
+}
