Capacity: roles, worst moments, audit of bounds and loops; formulas, not built yet

Need: docs/CAPACITY.md as a whole, its tables made by a command. Change: the page with the audit of 68 bounds and of the loops; formulas, tables and the command (crates/rig/src/capacity), a probe of what one thing costs (examples/state_size.rs), and tests. The ranking is the one by hand; other tables are empty.

--- /dev/null
+++ b/crates/rig/src/capacity/inputs.rs
@@ -0,0 +1,180 @@
+//! Figures that formulas stand on: where each comes from, and how it was got.
+
+use super::table::{self, amount, Unit};
+use super::Fault;
+use crate::scale::report::{Report, Run, Source, SCHEMA as REPORT_SCHEMA};
+use serde::Deserialize;
+use std::path::Path;
+
+/// Format of the inputs' JSON; others are refused.
+pub const SCHEMA: u32 = 1;
+
+/// How a figure was got.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// By a command, at a commit.
+    Measured,
+    /// By a formula from other figures, or by reading the code.
+    WorkedOut,
+    /// By nobody: it has to be taken for something.
+    Assumed,
+}
+
+impl Kind {
+    /// The word for it on the page.
+    pub fn word(self) -> &'static str {
+        match self {
+            Kind::Measured => "measured",
+            Kind::WorkedOut => "worked out",
+            Kind::Assumed => "assumed",
+        }
+    }
+}
+
+/// One figure.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Input {
+    /// What formulas call it.
+    pub name: String,
+    /// The figure.
+    pub value: f64,
+    /// Its unit, in words.
+    pub unit: String,
+    /// How it was got.
+    pub kind: Kind,
+    /// What it is, and at which sizes it was taken.
+    pub about: String,
+    /// The command that gives it, if one does.
+    pub command: Option<String>,
+    /// The commit that was measured.
+    pub commit: Option<String>,
+}
+
+/// All figures.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Inputs {
+    /// [`SCHEMA`].
+    pub schema: u32,
+    /// The figures, in the order of the page.
+    pub inputs: Vec<Input>,
+}
+
+impl Inputs {
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// If it can't be read or is of another format.
+    pub fn read(path: &Path) -> Result<Inputs, Fault> {
+        let inputs: Inputs = json(path)?;
+        known(path, inputs.schema, SCHEMA)?;
+        Ok(inputs)
+    }
+
+    /// The value of a figure.
+    ///
+    /// # Errors
+    /// If there is none of that name.
+    pub fn get(&self, name: &'static str) -> Result<f64, Fault> {
+        let input = self.inputs.iter().find(|i| i.name == name);
+        input.map(|i| i.value).ok_or(Fault::Missing(name))
+    }
+
+    /// The figures as a table.
+    pub fn table(&self) -> String {
+        let row = |i: &Input| {
+            let from = match (&i.command, &i.commit) {
+                (Some(command), Some(commit)) => format!("`{command}`, {commit}"),
+                (Some(command), None) => format!("`{command}`"),
+                (None, Some(commit)) => format!("by hand at {commit}; the command was not kept"),
+                (None, None) => String::new(),
+            };
+            let value = format!("{} {}", table::plain(i.value), i.unit);
+            vec![format!("`{}`", i.name), value, i.kind.word().to_owned(), i.about.clone(), from]
+        };
+        let rows: Vec<_> = self.inputs.iter().map(row).collect();
+        table::markdown(&["input", "value", "kind", "what it is", "command, commit"], &rows)
+    }
+}
+
+/// All runs of the scale reports in a folder, with their commits; none if there is no such folder.
+///
+/// # Errors
+/// If a report can't be read or is of another format.
+pub fn scale_runs(folder: &Path) -> Result<Vec<(String, Run)>, Fault> {
+    let Ok(entries) = std::fs::read_dir(folder) else { return Ok(Vec::new()) };
+    let mut files: Vec<_> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
+    files.retain(|path| path.extension().is_some_and(|e| e == "json"));
+    files.sort();
+    let mut runs = Vec::new();
+    for path in files {
+        let report: Report = json(&path)?;
+        known(&path, report.schema, REPORT_SCHEMA)?;
+        let Report { commit, runs: of_report, .. } = report;
+        runs.extend(of_report.into_iter().map(|run| (commit.clone(), run)));
+    }
+    Ok(runs)
+}
+
+/// Scale runs as a table.
+pub fn runs_table(runs: &[(String, Run)]) -> String {
+    if runs.is_empty() {
+        return "Not measured yet.\n".to_owned();
+    }
+    let row = |(commit, run): &(String, Run)| {
+        let each = &run.per_node;
+        let bytes: f64 = each.traffic.iter().map(|t| t.bytes_in + t.bytes_out).sum();
+        let messages: f64 = each.traffic.iter().map(|t| t.messages_in + t.messages_out).sum();
+        let in_force = run.in_force.map_or("not measured".to_owned(), |t| {
+            format!("{}, {}", amount(t.p99, Unit::Seconds), amount(t.last, Unit::Seconds))
+        });
+        vec![
+            run.name.clone(),
+            source(run.source).to_owned(),
+            amount(run.size.nodes as f64, Unit::Count),
+            amount(run.size.servers as f64, Unit::Count),
+            amount(bytes, Unit::BytesPerSecond),
+            amount(messages, Unit::CountPerSecond),
+            amount(each.peak_bytes, Unit::Bytes),
+            amount(each.cpu, Unit::Cores),
+            amount(each.memory, Unit::Bytes),
+            in_force,
+            commit.chars().take(7).collect(),
+        ]
+    };
+    let rows: Vec<_> = runs.iter().map(row).collect();
+    let head = [
+        "run",
+        "played with",
+        "nodes",
+        "servers",
+        "bytes in and out",
+        "messages in and out",
+        "most in a second",
+        "processor",
+        "memory",
+        "in force: p99, last",
+        "commit",
+    ];
+    table::markdown(&head, &rows)
+}
+
+fn source(source: Source) -> &'static str {
+    match source {
+        Source::HollowNodes => "hollow nodes",
+        Source::RealNodes => "real nodes",
+        Source::VirtualTime => "virtual time",
+        Source::Computation => "one computation",
+    }
+}
+
+fn json<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, Fault> {
+    let text = std::fs::read(path).map_err(|e| Fault::File(path.to_owned(), e))?;
+    serde_json::from_slice(&text).map_err(|e| Fault::Form(path.to_owned(), e))
+}
+
+fn known(path: &Path, found: u32, known: u32) -> Result<(), Fault> {
+    (found == known).then_some(()).ok_or_else(|| Fault::Schema { path: path.to_owned(), found, known })
+}
--- /dev/null
+++ b/crates/rig/tests/capacity.rs
@@ -0,0 +1,389 @@
+//! docs/CAPACITY.md says what its inputs make of it, names every bound of the program, and its formulas are right.
+
+use reelfall_rig::capacity::inputs::{Input, Inputs, Kind, SCHEMA};
+use reelfall_rig::capacity::model::{self, bound, Costs};
+use reelfall_rig::capacity::table::{amount, plain, Row, Unit, Verdict};
+use reelfall_rig::capacity::{page, ranking, tables, Fault, INPUTS, PAGE};
+use reelfall_rig::scale::report::Size;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+fn root() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn the_page() -> String {
+    std::fs::read_to_string(root().join(PAGE)).unwrap()
+}
+
+fn costs() -> Costs {
+    Costs::of(&Inputs::read(&root().join(INPUTS)).unwrap()).unwrap()
+}
+
+fn near(a: f64, b: f64) {
+    assert!((a - b).abs() <= 1e-6 * b.abs(), "{a} is not {b}");
+}
+
+// ---- the page ----
+
+#[test]
+fn the_tables_of_the_page_are_what_the_inputs_make_of_them() {
+    let tables = tables(&root()).unwrap();
+    let stale = page::stale(&the_page(), &tables).unwrap();
+    assert!(stale.is_empty(), "{stale:?}: cargo run -p reelfall-rig --example capacity -- --write");
+}
+
+#[test]
+fn a_page_with_another_figure_is_told() {
+    let mut tables = tables(&root()).unwrap();
+    tables.get_mut("ranking").unwrap().push_str("| another row |\n");
+    assert_eq!(page::stale(&the_page(), &tables).unwrap(), ["ranking"]);
+    let written = page::with_tables(&the_page(), &tables).unwrap();
+    assert_eq!(page::stale(&written, &tables).unwrap(), [""; 0]);
+}
+
+#[test]
+fn each_marker_of_the_page_has_a_table() {
+    let tables = tables(&root()).unwrap();
+    let page = the_page();
+    let markers: Vec<&str> = page.lines().filter_map(|l| l.strip_prefix("<!-- table: ")).collect();
+    let named: Vec<&str> = markers.iter().map(|m| m.strip_suffix(" -->").unwrap()).collect();
+    assert_eq!(named.len(), tables.len());
+    assert!(named.iter().all(|name| tables.contains_key(name)), "{named:?}");
+}
+
+#[test]
+fn a_table_without_a_whole_place_is_told() {
+    let tables = BTreeMap::from([("a", "| x |\n".to_owned())]);
+    for page in ["", "<!-- table: a -->\n", "<!-- table: a -->\n<!-- table: b -->\n<!-- end -->\n"] {
+        assert!(matches!(page::with_tables(page, &tables), Err(Fault::NoPlace(_))), "{page}");
+    }
+    let whole = page::with_tables("<!-- table: a -->\n<!-- end -->\n", &tables).unwrap();
+    assert_eq!(whole, "<!-- table: a -->\n\n| x |\n\n<!-- end -->\n");
+}
+
+#[test]
+fn the_first_row_is_the_changes_of_settings() {
+    let first = &ranking::misfits(&costs())[0];
+    assert!(first.what.starts_with("changes of settings"), "{}", first.what);
+    let factors: Vec<f64> = ranking::misfits(&costs()).iter().map(ranking::Misfit::factor).collect();
+    assert!(factors.is_sorted_by(|a, b| a >= b) && factors.iter().all(|f| *f > 1.0), "{factors:?}");
+}
+
+// ---- the audit ----
+
+/// A bound in the sources: file, name and value.
+type Bound = (String, String, String);
+
+/// All constants of a source whose names end in `_MOST`.
+fn bounds_of(file: &str, source: &str) -> Vec<Bound> {
+    let of = |line: &str| {
+        let line = line.trim_start();
+        let (_, rest) = line.split_once("const ").filter(|(before, _)| !before.contains("//"))?;
+        let (name, rest) = rest.split_once(':')?;
+        let (_, value) = rest.split_once('=')?;
+        name.ends_with("_MOST")
+            .then(|| (file.to_owned(), name.to_owned(), value.trim().trim_end_matches(';').to_owned()))
+    };
+    source.lines().filter_map(of).collect()
+}
+
+/// The bounds that have no row of their own in the page, as rows that want to be filled in.
+fn unlisted(page: &str, bounds: &[Bound]) -> Vec<String> {
+    let row = |(file, name, value): &Bound| format!("| `{file}`, `{name}` | `{value}` |");
+    let listed = |row: &String| page.lines().any(|line| line.starts_with(row.as_str()));
+    bounds.iter().map(row).filter(|row| !listed(row)).collect()
+}
+
+fn sources(folder: &Path, all: &mut Vec<PathBuf>) {
+    for entry in std::fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, all);
+        } else if path.extension().is_some_and(|e| e == "rs") {
+            all.push(path);
+        }
+    }
+}
+
+/// All bounds in the sources of all packages.
+fn bounds() -> Vec<Bound> {
+    let mut files = Vec::new();
+    for package in std::fs::read_dir(root().join("crates")).unwrap() {
+        let source = package.unwrap().path().join("src");
+        if source.is_dir() {
+            sources(&source, &mut files);
+        }
+    }
+    files.sort();
+    let root = root();
+    let of = |path: &PathBuf| {
+        let name = path.strip_prefix(&root).unwrap().to_str().unwrap().to_owned();
+        bounds_of(&name, &std::fs::read_to_string(path).unwrap())
+    };
+    files.iter().flat_map(of).collect()
+}
+
+#[test]
+fn every_bound_of_the_sources_stands_in_the_audit() {
+    let bounds = bounds();
+    assert!(bounds.len() > 50, "{} bounds were found", bounds.len());
+    let unlisted = unlisted(&the_page(), &bounds);
+    assert!(unlisted.is_empty(), "rows wanted in {PAGE}:\n{}", unlisted.join("\n"));
+}
+
+#[test]
+fn every_row_of_the_audit_is_a_bound_of_the_sources() {
+    let bounds = bounds();
+    let page = the_page();
+    let rows = page.lines().filter(|l| l.starts_with("| `crates/") && l.contains("_MOST` | `"));
+    let gone: Vec<&str> = rows
+        .filter(|row| !bounds.iter().any(|(f, n, v)| row.starts_with(&format!("| `{f}`, `{n}` | `{v}` |"))))
+        .collect();
+    assert!(gone.is_empty(), "{gone:#?}");
+}
+
+#[test]
+fn a_bound_that_is_new_or_has_another_value_is_told() {
+    let source =
+        "// const OLD_MOST: usize = 1;\npub const NEW_MOST: usize = 2 << 10;\npub(super) const A: u8 = 1;\n";
+    let bounds = bounds_of("crates/x/src/y.rs", source);
+    assert_eq!(bounds, [("crates/x/src/y.rs".into(), "NEW_MOST".into(), "2 << 10".into())]);
+    let row = "| `crates/x/src/y.rs`, `NEW_MOST` | `2 << 10` | names | 5 | fits | refused |";
+    assert_eq!(unlisted(row, &bounds), [""; 0]);
+    assert_eq!(
+        unlisted(&row.replace("2 <<", "3 <<"), &bounds),
+        ["| `crates/x/src/y.rs`, `NEW_MOST` | `2 << 10` |"]
+    );
+    assert_eq!(unlisted("", &bounds).len(), 1);
+}
+
+#[test]
+fn the_bounds_of_the_model_are_the_program_s() {
+    use reelfall_conf::check;
+    use reelfall_fleet::{fleet, fresh, judge, table, wire, witness};
+    let rules = reelfall_lease::keeper::Rules::default();
+    let gossip = fleet::Rules::default();
+    let pairs = [
+        (bound::SERVICES, check::SERVICES_MOST as f64),
+        (bound::ROUTES, check::ROUTES_MOST as f64),
+        (bound::CONNECTIONS, check::parts(1024, 128).1 as f64),
+        (bound::PEERS, fleet::PEERS_MOST as f64),
+        (bound::VERDICTS, table::HELD_MOST as f64),
+        (bound::DATAGRAM, wire::DATAGRAM_MOST as f64),
+        (bound::WITNESSED, witness::SERVERS_MOST as f64),
+        (bound::ECHO_HELD, fresh::HELD_MOST),
+        (bound::WITNESSES, judge::Quorum::default().witnesses as f64),
+        (bound::LEASES, rules.leases_most as f64),
+        (bound::WAITERS, rules.waiters_most as f64),
+        (bound::NEWS, gossip.fanout as f64 / gossip.spread_every),
+    ];
+    pairs.iter().for_each(|(model, program)| near(*model, *program));
+    for nodes in [1, 30, 300, 1500, 6000] {
+        near(model::tellings(nodes as f64), f64::from(reelfall_fleet::members::tellings(nodes)));
+    }
+}
+
+// ---- the formulas, by hand ----
+
+/// Costs in round figures.
+fn round() -> Costs {
+    Costs {
+        settings_bytes: 39e6,
+        read_seconds: 80.0,
+        read_length: 4e6,
+        read_memory: 150e6,
+        route_bytes: 1000.0,
+        tenant_bytes: 100.0,
+        pool_bytes: 20_000.0,
+        entry_bytes: 2000.0,
+        peer_bytes: 500.0,
+        list_line_bytes: 200.0,
+        list_changes_a_restart: 3.0,
+        packet_overhead: 50.0,
+        beat_bytes: 6.0,
+        beat_every: 2.0,
+        idle_kept: 12.0,
+        gossip_datagrams: 3.5,
+        verdict_bytes: 100.0,
+        member_bytes: 40.0,
+        head_bytes: 100.0,
+        lease_length: 5.0,
+        keepers: 5.0,
+        lease_ask_bytes: 100.0,
+        lease_said_bytes: 150.0,
+        machine_link: 1e9,
+        reread_every: 30.0,
+        entry_read_bytes: 210.0,
+        entry_read_seconds: 60e-6,
+        ..costs()
+    }
+}
+
+#[test]
+fn sizes_are_in_the_target_s_proportion() {
+    let few = model::size(300);
+    assert_eq!((few.servers, few.services, few.routes, few.tenants), (2500, 130, 3700, 28_000));
+    assert_eq!((few.changes, few.restarts), (650, 900));
+    assert_eq!(model::size(6000), Size::TARGET);
+    near(model::requests(&few), 85_000.0);
+}
+
+#[test]
+fn settings_by_hand() {
+    let (costs, target) = (round(), Size::TARGET);
+    assert_eq!(model::entries(&target), 686_600.0);
+    near(model::settings(&costs, &target), 39e6);
+    near(model::settings(&costs, &model::size(1500)), 9.75e6);
+    near(model::changes(&target), 13_000.0 / 86_400.0);
+    near(model::read_squared(&costs, 40e6), 8000.0);
+    near(model::read_memory(&costs, 40e6), 1.5e9);
+    near(39e6 * model::changes(&target), 5_868_055.555_555);
+}
+
+#[test]
+fn lists_by_hand() {
+    let (costs, target) = (round(), Size::TARGET);
+    near(model::beats(&costs, &target), 1300.0 * 106.0);
+    near(model::lists(&costs, 50_000.0), 1e7);
+    assert_eq!(model::longest_list(&costs), 20_971.0);
+    near(model::list_changes(&costs, 2.5), 2250.0);
+    let (bytes, cores) = model::rereads(&costs, &target);
+    near(bytes, 350_000.0);
+    near(cores, 0.1);
+}
+
+#[test]
+fn what_a_node_holds_by_hand() {
+    let held = model::held(&round(), &Size::TARGET);
+    [74e6, 56e6, 2600.0 * 4000.0, 100e6, 2_999_500.0]
+        .iter()
+        .zip(held)
+        .for_each(|(hand, held)| near(held, *hand));
+}
+
+#[test]
+fn connections_by_hand() {
+    let (costs, target) = (round(), Size::TARGET);
+    near(model::pair_rate(&target), 1.7e6 / 3e8);
+    // 1 - e^-0.068
+    near(model::standing(&costs, &target), 0.065_739_526_42);
+    near(model::well_met(&target), 850.0 / 6.0);
+}
+
+#[test]
+fn a_fleet_by_hand() {
+    let (costs, target) = (round(), Size::TARGET);
+    assert_eq!(model::tellings(6000.0), 16.0);
+    near(model::most_news(), 72_000.0);
+    // Eleven verdicts in a datagram.
+    near(model::told_in(&costs, 3300.0, 6000.0), 3300.0 * 16.0 / 11.0 / 30.0);
+    // 1 - e^(-420 / 5999)
+    near(model::echoes(&costs, &target), 0.067_617_059_77);
+    near(model::node_restarts(&target, 2.8), 0.3);
+    near(model::membership_news(&costs, &target, 2.8), 2.0 * 14.4 * 140.0);
+    assert_eq!(model::condemned(&target), 2730.0);
+    assert_eq!(model::condemned(&model::size(300)), 500.0);
+}
+
+#[test]
+fn leases_by_hand() {
+    let (costs, target) = (round(), Size::TARGET);
+    assert_eq!(model::names(&target), 33_800.0);
+    near(model::renewals(&costs, &target), 20_280.0);
+    near(model::keeper_traffic(&costs, &target), 5_070_000.0);
+    near(model::asker_traffic(&costs, &target), 650_000.0);
+}
+
+#[test]
+fn tenants_and_machines_by_hand() {
+    let (costs, target) = (round(), Size::TARGET);
+    // e^(-17,000 / 560,000)
+    near(model::first_requests(&target, 60.0), 0.970_099_007_74);
+    assert_eq!(model::beyond_quota(&target), 18_000.0);
+    near(model::nodes_of_a_machine(&target, 13.0), 461.538_461_538);
+    near(model::given_in(&costs, 39e6, 1500.0, 4.5), 13.0);
+}
+
+// ---- inputs, rows and words ----
+
+fn input(name: &str) -> Input {
+    let (name, unit, about) = (name.to_owned(), "B".to_owned(), "a thing".to_owned());
+    Input { name, value: 2.0, unit, kind: Kind::Assumed, about, command: None, commit: None }
+}
+
+#[test]
+fn an_input_that_is_missing_is_named() {
+    let inputs = Inputs { schema: SCHEMA, inputs: vec![input("settings_bytes")] };
+    assert_eq!(inputs.get("settings_bytes").unwrap(), 2.0);
+    assert!(matches!(Costs::of(&inputs), Err(Fault::Missing("read_seconds"))));
+}
+
+#[test]
+fn inputs_of_another_format_are_refused() {
+    let folder = reelfall_rig::node::Folder::new().unwrap();
+    let file = folder.path().join("inputs.json");
+    std::fs::write(&file, r#"{"schema":9,"inputs":[]}"#).unwrap();
+    assert!(matches!(Inputs::read(&file), Err(Fault::Schema { found: 9, .. })));
+    std::fs::write(&file, "{").unwrap();
+    assert!(matches!(Inputs::read(&file), Err(Fault::Form(..))));
+    assert!(matches!(Inputs::read(&folder.path().join("none")), Err(Fault::File(..))));
+}
+
+#[test]
+fn measured_inputs_say_at_which_commit_and_all_say_what_they_are() {
+    let inputs = Inputs::read(&root().join(INPUTS)).unwrap();
+    for input in &inputs.inputs {
+        assert!(!input.about.is_empty(), "{}", input.name);
+        assert!(input.kind != Kind::Measured || input.commit.is_some(), "{}", input.name);
+        assert!(inputs.inputs.iter().filter(|i| i.name == input.name).count() == 1, "{} twice", input.name);
+    }
+}
+
+fn row(target: Option<f64>, budget: Option<f64>, with: Option<(&'static str, f64)>) -> Row {
+    Row {
+        what: "a thing",
+        how: "counted",
+        kind: Kind::Measured,
+        at: [Some(1.0), None, target],
+        budget,
+        unit: Unit::Count,
+        carried: "nobody",
+        with,
+    }
+}
+
+#[test]
+fn verdicts_by_hand() {
+    assert_eq!(row(Some(10.0), Some(10.0), None).verdict(), Verdict::Fits);
+    assert_eq!(row(Some(15.0), Some(10.0), None).verdict(), Verdict::DoesNotFit(1.5));
+    assert_eq!(row(Some(15.0), Some(10.0), Some(("x", 9.0))).verdict(), Verdict::FitsWith("x", 9.0));
+    assert_eq!(row(Some(15.0), Some(10.0), Some(("x", 11.0))).verdict(), Verdict::DoesNotFit(1.5));
+    assert_eq!(row(Some(15.0), None, None).verdict(), Verdict::NoBudget);
+    assert_eq!(row(None, Some(10.0), None).verdict(), Verdict::NotKnown);
+}
+
+#[test]
+fn amounts_are_written_to_three_digits() {
+    let plains = [
+        (0.0, "0"),
+        (1234.6, "1,235"),
+        (1_300_000.0, "1,300,000"),
+        (0.012, "0.012"),
+        (39.04, "39"),
+        (0.5, "0.5"),
+    ];
+    plains.iter().for_each(|(value, text)| assert_eq!(plain(*value), *text));
+    let amounts = [
+        (39e6, Unit::Bytes, "39 MB"),
+        (8000.0, Unit::BytesPerSecond, "8 KB/s"),
+        (999.9, Unit::Bytes, "1 KB"),
+        (0.0017, Unit::Seconds, "1.7 ms"),
+        (37e-6, Unit::Seconds, "37 us"),
+        (8532.0, Unit::Seconds, "8,532 s"),
+        (0.012, Unit::Cores, "1.2 % of a core"),
+        (2600.0, Unit::Count, "2,600"),
+        (0.0, Unit::Bytes, "0 B"),
+    ];
+    amounts.iter().for_each(|(value, unit, text)| assert_eq!(amount(*value, *unit), *text));
+}
