--- a/crates/rig/src/capacity/inputs.rs
+++ b/crates/rig/src/capacity/inputs.rs
@@ -2,7 +2,7 @@
 
 use super::table::{self, amount, Unit};
 use super::Fault;
-use crate::scale::report::{Report, Run, Source, SCHEMA as REPORT_SCHEMA};
+use crate::scale::report::{Report, Run, Size, Slope, Source, SCHEMA as REPORT_SCHEMA};
 use serde::Deserialize;
 use std::path::Path;
 
@@ -99,23 +99,71 @@
     }
 }
 
-/// All runs of the scale reports in a folder, with their commits; none if there is no such folder.
-///
-/// # Errors
-/// If a report can't be read or is of another format.
-pub fn scale_runs(folder: &Path) -> Result<Vec<(String, Run)>, Fault> {
-    let Ok(entries) = std::fs::read_dir(folder) else { return Ok(Vec::new()) };
-    let mut files: Vec<_> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
-    files.retain(|path| path.extension().is_some_and(|e| e == "json"));
-    files.sort();
-    let mut runs = Vec::new();
-    for path in files {
-        let report: Report = json(&path)?;
-        known(&path, report.schema, REPORT_SCHEMA)?;
-        let Report { commit, runs: of_report, .. } = report;
-        runs.extend(of_report.into_iter().map(|run| (commit.clone(), run)));
+/// What scale runs have measured, each with its commit.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Measured {
+    /// Single runs.
+    pub runs: Vec<(String, Run)>,
+    /// Lines through sweeps.
+    pub slopes: Vec<(String, Slope)>,
+}
+
+impl Measured {
+    /// Reads all reports of a folder; nothing was measured if there is no such folder.
+    ///
+    /// # Errors
+    /// If a report can't be read or is of another format.
+    pub fn read(folder: &Path) -> Result<Measured, Fault> {
+        let Ok(entries) = std::fs::read_dir(folder) else { return Ok(Measured::default()) };
+        let mut files: Vec<_> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
+        files.retain(|path| path.extension().is_some_and(|e| e == "json"));
+        files.sort();
+        let mut measured = Measured::default();
+        for path in files {
+            let report: Report = json(&path)?;
+            known(&path, report.schema, REPORT_SCHEMA)?;
+            let Report { commit, runs, slopes, .. } = report;
+            measured.runs.extend(runs.into_iter().map(|run| (commit.clone(), run)));
+            measured.slopes.extend(slopes.into_iter().map(|slope| (commit.clone(), slope)));
+        }
+        Ok(measured)
+    }
+}
+
+/// Lines through sweeps as a table, extended to the target where they are straight.
+pub fn slopes_table(slopes: &[(String, Slope)]) -> String {
+    if slopes.is_empty() {
+        return "Not measured yet.\n".to_owned();
     }
-    Ok(runs)
+    let row = |(commit, slope): &(String, Slope)| {
+        let target = Size::TARGET.get(slope.axis) as f64;
+        let from_to = |of: fn(f64, f64) -> f64, from| slope.points.iter().map(|p| p.0).fold(from, of);
+        let at_target = match slope.bent {
+            true => "not extended: it bends".to_owned(),
+            false => {
+                let error = slope.standard_error * target;
+                format!(
+                    "{}, standard error {}",
+                    table::plain(slope.intercept + slope.slope * target),
+                    table::plain(error)
+                )
+            }
+        };
+        vec![
+            slope.figure.clone(),
+            format!("{:?}", slope.axis).to_lowercase(),
+            format!(
+                "{} to {}",
+                table::plain(from_to(f64::min, f64::MAX)),
+                table::plain(from_to(f64::max, 0.0))
+            ),
+            format!("{:.3e}, standard error {:.1e}", slope.slope, slope.standard_error),
+            at_target,
+            commit.chars().take(7).collect(),
+        ]
+    };
+    let rows: Vec<_> = slopes.iter().map(row).collect();
+    table::markdown(&["figure", "over", "measured from", "grows by", "at the target", "commit"], &rows)
 }
 
 /// Scale runs as a table.
--- a/crates/rig/src/capacity/mod.rs
+++ b/crates/rig/src/capacity/mod.rs
@@ -20,11 +20,11 @@
 pub mod roles;
 pub mod table;
 
-use inputs::Inputs;
+use inputs::{Inputs, Measured};
 use model::Costs;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::path::{Path, PathBuf};
-use thiserror::Error;
 
 /// The page, from the root of the repository.
 pub const PAGE: &str = "docs/CAPACITY.md";
@@ -34,16 +34,13 @@
 pub const SCALE_RUNS: &str = "docs/measurements/scale";
 
 /// Why tables can't be made.
-#[derive(Debug, Error)]
+#[derive(Debug)]
 pub enum Fault {
     /// A file can't be read or written.
-    #[error("{0}: {1}")]
     File(PathBuf, std::io::Error),
     /// A file is not what it should be.
-    #[error("{0}: {1}")]
     Form(PathBuf, serde_json::Error),
     /// A file is of another format.
-    #[error("{path}: schema {found}, {known} is known")]
     Schema {
         /// The file.
         path: PathBuf,
@@ -53,25 +50,48 @@
         known: u32,
     },
     /// A formula needs an input that is not there.
-    #[error("there is no input `{0}`")]
     Missing(&'static str),
     /// The page has no such marker, or no end after it.
-    #[error("the page has no place for the table `{0}`")]
     NoPlace(String),
 }
 
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Fault::File(path, e) => write!(f, "{}: {e}", path.display()),
+            Fault::Form(path, e) => write!(f, "{}: {e}", path.display()),
+            Fault::Schema { path, found, known } => {
+                write!(f, "{}: schema {found}, {known} is known", path.display())
+            }
+            Fault::Missing(input) => write!(f, "there is no input `{input}`"),
+            Fault::NoPlace(table) => write!(f, "the page has no place for the table `{table}`"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {
+    fn source(&self) -> Option<&(dyn std::error::Error + 'static)> {
+        match self {
+            Fault::File(_, e) => Some(e),
+            Fault::Form(_, e) => Some(e),
+            Fault::Schema { .. } | Fault::Missing(_) | Fault::NoPlace(_) => None,
+        }
+    }
+}
+
 /// All tables of the page, by their names.
 ///
 /// # Errors
 /// If an input can't be read or is missing.
 pub fn tables(root: &Path) -> Result<BTreeMap<&'static str, String>, Fault> {
     let inputs = Inputs::read(&root.join(INPUTS))?;
-    let runs = inputs::scale_runs(&root.join(SCALE_RUNS))?;
+    let Measured { runs, slopes } = Measured::read(&root.join(SCALE_RUNS))?;
     let costs = Costs::of(&inputs)?;
     let mut tables = roles::tables(&costs, &runs);
     tables.insert("ranking", ranking::table(&costs));
     tables.insert("moments", moments::table(&costs, &runs));
     tables.insert("scale", inputs::runs_table(&runs));
+    tables.insert("slopes", inputs::slopes_table(&slopes));
     tables.insert("inputs", inputs.table());
     Ok(tables)
 }
--- a/crates/rig/src/capacity/model.rs
+++ b/crates/rig/src/capacity/model.rs
@@ -108,8 +108,9 @@
     pub head_bytes: f64,
     pub update_seconds: f64,
     pub draw_seconds: f64,
-    pub sweep_seconds: f64,
-    pub sweeps_a_second: f64,
+    pub service_rest_cores: f64,
+    pub rest_cores: f64,
+    pub rest_bytes: f64,
     pub count_seconds: f64,
     pub lapse_seconds: f64,
     pub judge_seconds: f64,
@@ -166,8 +167,9 @@
             head_bytes,
             update_seconds,
             draw_seconds,
-            sweep_seconds,
-            sweeps_a_second,
+            service_rest_cores,
+            rest_cores,
+            rest_bytes,
             count_seconds,
             lapse_seconds,
             judge_seconds,
@@ -268,8 +270,8 @@
 
 // ---- what a node holds ----
 
-/// Bytes that a node holds of the system, by what: routes, tenants, pools, servers, peers.
-pub fn held(costs: &Costs, size: &Size) -> [f64; 5] {
+/// Bytes that a node holds, by what: routes, tenants, pools, servers, peers, the program itself.
+pub fn held(costs: &Costs, size: &Size) -> [f64; 6] {
     let Size { nodes, servers, services, routes, tenants, .. } = *size;
     // A pool's figure was taken with eight servers of its own.
     let pool = (costs.pool_bytes - 8.0 * costs.entry_bytes).max(0.0);
@@ -279,12 +281,14 @@
         services as f64 * pool,
         servers as f64 * costs.entry_bytes,
         (nodes as f64 - 1.0) * costs.peer_bytes,
+        costs.rest_bytes,
     ]
 }
 
-/// Processor time of the timers of pools at rest: each pool sweeps its servers by itself.
-pub fn sweeps(costs: &Costs, size: &Size) -> f64 {
-    size.services as f64 * costs.sweeps_a_second * costs.sweep_seconds
+/// Processor time of a node that nobody asks, in a fleet: each pool has a timer of its own and is looked at by itself, so that the
+/// line through 64 to 256 services goes on.
+pub fn at_rest(costs: &Costs, size: &Size) -> f64 {
+    costs.rest_cores + size.services as f64 * costs.service_rest_cores
 }
 
 /// Seconds for which requests wait while the servers of all lists are counted, once a second.
--- a/crates/rig/src/capacity/ranking.rs
+++ b/crates/rig/src/capacity/ranking.rs
@@ -159,13 +159,13 @@
 }
 
 fn memory(costs: &Costs) -> Misfit {
-    let [routes, tenants, pools, servers, peers] = model::held(costs, &Size::TARGET);
+    let [routes, tenants, pools, servers, peers, program] = model::held(costs, &Size::TARGET);
     let part = |what, bytes| over(what, bytes, budget::MEMORY, Unit::Bytes);
     Misfit {
         what: "memory: routes, tenants, pools and servers are held whole by every node",
         carried: "`crates/conf/src/check.rs`, `crates/node/src/net/service.rs`, `pool.rs`",
         over: vec![
-            part("all", routes + tenants + pools + servers + peers),
+            part("all", routes + tenants + pools + servers + peers + program),
             part("tenants", tenants),
             part("servers", servers),
             part("routes", routes),
@@ -176,7 +176,7 @@
 
 fn at_rest(costs: &Costs) -> Misfit {
     let target = Size::TARGET;
-    let (sweeps, count) = (model::sweeps(costs, &target), model::count(costs, &target));
+    let (rest, count) = (model::at_rest(costs, &target), model::count(costs, &target));
     Misfit {
         what: "work of a node at rest that grows with services and servers; requests \
                 wait for it, as there is one thread",
@@ -189,7 +189,7 @@
                 budget::PROCESSOR,
                 Unit::Cores,
             ),
-            over("timers of pools", sweeps, budget::PROCESSOR, Unit::Cores),
+            over("timers of pools, looks at pools", rest, budget::PROCESSOR, Unit::Cores),
             over("pause while servers are counted", count, budget::ADDED, Unit::Seconds),
         ],
     }
--- a/crates/rig/src/capacity/roles.rs
+++ b/crates/rig/src/capacity/roles.rs
@@ -111,12 +111,18 @@
             memory,
             "`crates/fleet/src/members.rs`, `fresh.rs`, `fleet.rs`",
         ),
+        Of("the program with one service", "`rest_bytes`", Measured, Unit::Bytes).row(
+            part(5),
+            memory,
+            "`crates/node`",
+        ),
         with(
             Of("all of these", "sum", WorkedOut, Unit::Bytes).row(all, memory, "`crates/node`"),
             "all of the above, and other nodes of the region alone",
             compact.iter().sum::<f64>()
                 + 650.0 * (costs.pool_bytes - 8.0 * costs.entry_bytes).max(0.0)
-                + region * costs.peer_bytes,
+                + region * costs.peer_bytes
+                + costs.rest_bytes,
         ),
         Of(
             "while a settings file is read",
@@ -297,16 +303,21 @@
             processor,
             "`crates/conf/src/reader.rs`",
         ),
-        Of(
-            "timers of pools at rest",
-            "`sweeps_a_second` of `sweep_seconds` for each service",
-            WorkedOut,
-            Unit::Cores,
-        )
-        .row(
-            at(|size| model::sweeps(costs, size)),
-            processor,
-            "`crates/core/src/decide/mod.rs`, `crates/node/src/net/pool.rs`",
+        with(
+            Of(
+                "at rest, nobody asking: timers of pools, looks at pools",
+                "`rest_cores`, `service_rest_cores`; measured to 256 services",
+                WorkedOut,
+                Unit::Cores,
+            )
+            .row(
+                at(|size| model::at_rest(costs, size)),
+                processor,
+                "`crates/core/src/decide/mod.rs` (`sweep`), `crates/node/src/net/pool.rs`, \
+                `crates/node/src/net/shared.rs`",
+            ),
+            "pools that rest without a timer: as one service",
+            costs.rest_cores,
         ),
         with(
             Of(
@@ -587,7 +598,8 @@
 
 fn operator(costs: &Costs) -> Vec<Row> {
     let nodes = |size: &Size| size.nodes as f64;
-    let line = costs.member_bytes;
+    // A line of `crates/node/src/fleet/desk.rs`: a name, an address and a life.
+    let line = 36.0;
     vec![
         Of("a change of settings", "a file at each node and SIGHUP, by hand", WorkedOut, Unit::Count).row(
             at(nodes),
@@ -623,7 +635,7 @@
 fn elsewhere(costs: &Costs) -> String {
     let target = Size::TARGET;
     let regions = model::REGIONS;
-    let [routes, tenants, _, servers, peers] = model::held(costs, &target);
+    let [routes, tenants, _, servers, peers, _] = model::held(costs, &target);
     let bytes = |b: f64| amount(b, Unit::Bytes);
     let first = |window: f64| format!("{:.0} of 100", 100.0 * model::first_requests(&target, window));
     let requests = model::requests(&target) / target.nodes as f64;
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -1,10 +1,10 @@
 //! docs/CAPACITY.md says what its inputs make of it, names every bound of the program, and its formulas are right.
 
-use reelfall_rig::capacity::inputs::{Input, Inputs, Kind, SCHEMA};
+use reelfall_rig::capacity::inputs::{self, Input, Inputs, Kind, Measured, SCHEMA};
 use reelfall_rig::capacity::model::{self, bound, Costs};
 use reelfall_rig::capacity::table::{amount, plain, Row, Unit, Verdict};
-use reelfall_rig::capacity::{page, ranking, tables, Fault, INPUTS, PAGE};
-use reelfall_rig::scale::report::Size;
+use reelfall_rig::capacity::{moments, page, ranking, tables, Fault, INPUTS, PAGE};
+use reelfall_rig::scale::report::{self, Axis, PerNode, Report, Run, Size, Slope, Source, Times, Traffic};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
@@ -213,6 +213,15 @@
         lease_ask_bytes: 100.0,
         lease_said_bytes: 150.0,
         machine_link: 1e9,
+        rest_cores: 0.004,
+        service_rest_cores: 1e-4,
+        rest_bytes: 6e6,
+        count_seconds: 1e-6,
+        lapse_seconds: 1e-8,
+        judge_seconds: 1e-7,
+        update_seconds: 1e-9,
+        draw_seconds: 1e-7,
+        lease_scan_seconds: 1e-7,
         reread_every: 30.0,
         entry_read_bytes: 210.0,
         entry_read_seconds: 60e-6,
@@ -262,6 +271,18 @@
         .for_each(|(hand, held)| near(held, *hand));
 }
 
+#[test]
+fn work_by_hand() {
+    let (costs, target) = (round(), Size::TARGET);
+    near(model::at_rest(&costs, &target), 0.264);
+    near(model::count(&costs, &target), 0.05);
+    near(model::lapses(&costs, &target), 0.002);
+    near(model::judging(&costs, &target), 10.0 * 2730.0 * 2600.0 * 1e-7);
+    near(model::update(&costs, 6000.0), 6e-6);
+    near(model::draws(&costs, 6000.0), 0.006);
+    near(model::keeper_scans(&costs, &target), 20_280.0 * 33_800.0 * 1e-7);
+}
+
 #[test]
 fn connections_by_hand() {
     let (costs, target) = (round(), Size::TARGET);
@@ -340,6 +361,63 @@
     }
 }
 
+/// A report with one run, of the region's start at the target, and a line that bends or not.
+fn report(bent: bool) -> Report {
+    let traffic = Traffic {
+        kind: "gossip".to_owned(),
+        bytes_in: 1000.0,
+        bytes_out: 2000.0,
+        messages_in: 1.0,
+        messages_out: 2.0,
+    };
+    let run = Run {
+        name: "region-start".to_owned(),
+        source: Source::HollowNodes,
+        size: Size::TARGET,
+        seconds: 60.0,
+        per_node: PerNode { traffic: vec![traffic], peak_bytes: 5000.0, cpu: 0.001, memory: 9e6 },
+        in_force: Some(Times { p50: 1.0, p99: 2.5, last: 4.0 }),
+        requests: None,
+    };
+    let slope = Slope {
+        axis: Axis::Nodes,
+        figure: "bytes a second".to_owned(),
+        points: vec![(300.0, 700.0), (1500.0, 3100.0)],
+        intercept: 100.0,
+        slope: 2.0,
+        standard_error: 0.01,
+        bent,
+    };
+    let commit = "0123456789abcdef".to_owned();
+    Report { schema: report::SCHEMA, commit, seed: 1, cores: 4, runs: vec![run], slopes: vec![slope] }
+}
+
+#[test]
+fn what_scale_runs_have_measured_is_shown() {
+    let folder = reelfall_rig::node::Folder::new().unwrap();
+    assert_eq!(Measured::read(&folder.path().join("none")).unwrap(), Measured::default());
+    let write = |report: &Report| {
+        let text = serde_json::to_vec(report).unwrap();
+        std::fs::write(folder.path().join("a.json"), text).unwrap();
+    };
+    write(&report(false));
+    let measured = Measured::read(folder.path()).unwrap();
+    let runs = inputs::runs_table(&measured.runs);
+    assert!(
+        runs.contains("| region-start | hollow nodes | 6,000 | 50,000 | 3 KB/s | 3/s | 5 KB |"),
+        "{runs}"
+    );
+    let lines = inputs::slopes_table(&measured.slopes);
+    assert!(lines.contains("| 12,100, standard error 60 |"), "{lines}");
+    let moments = moments::table(&costs(), &measured.runs);
+    assert!(moments.contains("6,000 nodes at 0123456: 5 KB; 2.5 s, 4 s; 9 MB"), "{moments}");
+    write(&report(true));
+    let lines = inputs::slopes_table(&Measured::read(folder.path()).unwrap().slopes);
+    assert!(lines.contains("| not extended: it bends |"), "{lines}");
+    write(&Report { schema: 9, ..report(false) });
+    assert!(matches!(Measured::read(folder.path()), Err(Fault::Schema { found: 9, .. })));
+}
+
 fn row(target: Option<f64>, budget: Option<f64>, with: Option<(&'static str, f64)>) -> Row {
     Row {
         what: "a thing",
