Scale runs and the emulator by the fleet package's new names

The packages were written side by side: control/membership.rs of the emulator and scale/hollow.rs of the rig follow the renames. No behaviour changes.

--- a/crates/emulator/examples/scale/tables.rs
+++ b/crates/emulator/examples/scale/tables.rs
@@ -4,7 +4,7 @@
 use super::Output;
 use clap::Args;
 use reelfall_emulator::control::account::Usage;
-use reelfall_emulator::control::membership::{Acquainted, Peers, REMEMBERED_MOST};
+use reelfall_emulator::control::membership::{Acquainted, Peers, MAX_REMEMBERED};
 use std::rc::Rc;
 
 /// Nodes over which memory is averaged.
@@ -20,7 +20,7 @@
 }
 
 pub fn play(arguments: &Arguments) -> Result<(), String> {
-    println!("clocks and lives of {REMEMBERED_MOST} peers are remembered");
+    println!("clocks and lives of {MAX_REMEMBERED} peers are remembered");
     let mut kept = Vec::new();
     let mut runs = Vec::new();
     for peers in &arguments.peers {
--- a/crates/emulator/src/control/membership.rs
+++ b/crates/emulator/src/control/membership.rs
@@ -9,17 +9,17 @@
 use crate::together::secret;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use reelfall_fleet::fleet::{Change, Fleet, Rules, PEERS_MOST};
-use reelfall_fleet::members::{self, Pace};
-use reelfall_fleet::node::{Life, Node};
-use reelfall_fleet::verdict::Key;
-use reelfall_fleet::wire::{Head, Met, Secret, Standing, Writer};
+use reelfall_fleet::entry::Key;
+use reelfall_fleet::fleet::{Config, Fleet, FleetEvent, MAX_PEERS};
+use reelfall_fleet::members::{MemberEvent, MembershipConfig};
+use reelfall_fleet::node::{Incarnation, Node};
+use reelfall_fleet::wire::{Header, MemberState, MemberUpdate, Secret, Writer};
 use std::collections::BTreeMap;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 
-/// Most peers of which a node remembers clocks and lives.
-pub const REMEMBERED_MOST: usize = PEERS_MOST;
+/// Maximum number of peers of which a node remembers clocks and incarnations.
+pub const MAX_REMEMBERED: usize = MAX_PEERS;
 
 /// Port of all nodes; each has an address of its own.
 const PORT: u16 = 7400;
@@ -42,19 +42,19 @@
     format!("node-{endpoint}")
 }
 
-/// A datagram's head from one node to another, with nothing in it.
-fn empty_head(from: Node, to: u64, number: u64, stamp_us: u64) -> Head {
-    Head {
+/// A datagram's header from one node to another, with nothing in it.
+fn empty_header(from: Node, to: u64, sequence: u64, clock_us: u64) -> Header {
+    Header {
         from,
         to,
-        number,
-        stamp_us,
+        sequence,
+        clock_us,
         echo: None,
-        asks: false,
-        known_life: None,
+        requests_echo: false,
+        newer_incarnation: None,
         swim: Vec::new(),
-        compare: None,
-        met: Vec::new(),
+        anti_entropy: None,
+        members: Vec::new(),
     }
 }
 
@@ -62,20 +62,20 @@
 pub struct Roster {
     /// The tag of each node, and the seed of its draws.
     tags: Vec<(u64, u64)>,
-    rules: Rules,
+    config: Config,
     secret: Secret,
 }
 
 impl Roster {
-    /// So many nodes in their first lives.
+    /// So many nodes in their first incarnations.
     pub fn new(nodes: u32, seed: u64) -> Rc<Roster> {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let tags = (0..nodes).map(|_| (rng.random::<u64>() | 1, rng.random())).collect();
         let secret = secret();
-        let pace = Pace { size: nodes, ..Pace::default() };
+        let membership = MembershipConfig { size: nodes, ..MembershipConfig::default() };
         let seeds = seeds(nodes).map(address_of).collect();
-        let rules = Rules { pace, seeds, ..Rules::default() };
-        Rc::new(Roster { tags, rules, secret })
+        let config = Config { membership, seeds, ..Config::default() };
+        Rc::new(Roster { tags, config, secret })
     }
 
     /// The tag and the seed of a node.
@@ -92,22 +92,22 @@
         let mut number = 0;
         while !told.is_empty() {
             number += 1;
-            let mut head = empty_head(introducer.clone(), 0, number, 0);
-            head.meet(&mut told);
-            let Some(writer) = Writer::new(&head).filter(|_| !head.met.is_empty()) else { break };
+            let mut header = empty_header(introducer.clone(), 0, number, 0);
+            header.add_members(&mut told);
+            let Some(writer) = Writer::new(&header).filter(|_| !header.members.is_empty()) else { break };
             datagrams.push(writer.seal(&self.secret));
         }
         datagrams
     }
 
-    fn shuffled(&self, seed: u64) -> Vec<Met> {
+    fn shuffled(&self, seed: u64) -> Vec<MemberUpdate> {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let met = |(endpoint, (tag, _)): (u32, &(u64, u64))| Met {
+        let update = |(endpoint, (tag, _)): (u32, &(u64, u64))| MemberUpdate {
             node: node(endpoint, *tag),
-            incarnation: 0,
-            standing: Standing::There,
+            swim_incarnation: 0,
+            state: MemberState::Alive,
         };
-        let mut all: Vec<Met> = (0u32..).zip(&self.tags).map(met).collect();
+        let mut all: Vec<MemberUpdate> = (0u32..).zip(&self.tags).map(update).collect();
         for n in (1..all.len()).rev() {
             all.swap(n, rng.random_range(0..=n));
         }
@@ -121,7 +121,11 @@
 }
 
 fn node(endpoint: u32, tag: u64) -> Node {
-    Node { name: name_of(endpoint), address: address_of(endpoint), life: Life { start: 1, tag } }
+    Node {
+        name: name_of(endpoint),
+        address: address_of(endpoint),
+        incarnation: Incarnation { number: 1, tag },
+    }
 }
 
 /// A node of the fleet.
@@ -178,12 +182,12 @@
 
     /// Verdicts that came without a proof of their age, and were left for that.
     pub fn unproven(&self) -> u64 {
-        self.fleet.as_ref().map_or(0, |fleet| fleet.counts().unproven)
+        self.fleet.as_ref().map_or(0, |fleet| fleet.counters().unproven)
     }
 
     /// Datagrams that it took in.
     pub fn taken(&self) -> u64 {
-        self.fleet.as_ref().map_or(0, |fleet| fleet.counts().taken)
+        self.fleet.as_ref().map_or(0, |fleet| fleet.counters().received)
     }
 
     /// An operator bans a server here.
@@ -201,9 +205,9 @@
     }
 
     fn begin(&mut self) {
-        let (rules, secret) = (self.roster.rules.clone(), self.roster.secret.clone());
+        let (config, secret) = (self.roster.config.clone(), self.roster.secret.clone());
         let (name, address) = (name_of(self.endpoint), address_of(self.endpoint));
-        let mut fleet = Fleet::new(&name, address, self.tag, rules, secret, self.seed, 0.0);
+        let mut fleet = Fleet::new(&name, address, self.tag, config, secret, self.seed, 0.0);
         if self.introduced {
             let introductions = self.roster.introductions(self.seed);
             introductions.iter().for_each(|datagram| fleet.receive(0.0, datagram));
@@ -213,17 +217,17 @@
 
     fn flush(&mut self, now: f64, sends: &mut Vec<(u32, Vec<u8>)>) {
         let Some(fleet) = &mut self.fleet else { return };
-        while let Some((address, datagram)) = fleet.outgoing() {
+        while let Some((address, datagram)) = fleet.next_datagram() {
             if let Some(to) = endpoint_of(address) {
                 sends.push((to, datagram));
             }
         }
-        while let Some(change) = fleet.change() {
-            match change {
-                Change::Told(Key::Hand { server, .. }) => {
+        while let Some(event) = fleet.next_event() {
+            match event {
+                FleetEvent::Updated(Key::Ban { server, .. }) => {
                     self.bans.entry(server).or_insert(now);
                 }
-                Change::Member(members::Change::Down(_)) => self.downs += 1,
+                FleetEvent::Member(MemberEvent::Down(_)) => self.downs += 1,
                 _ => {}
             }
         }
@@ -267,7 +271,7 @@
         let (reader, _) = roster.draws_of(count);
         let datagrams = (0..count)
             .zip(&roster.tags)
-            .filter_map(|(peer, (tag, _))| Writer::new(&empty_head(node(peer, *tag), reader, 1, 0)))
+            .filter_map(|(peer, (tag, _))| Writer::new(&empty_header(node(peer, *tag), reader, 1, 0)))
             .map(|writer| writer.seal(&roster.secret))
             .collect();
         Rc::new(Peers { roster, endpoint: count, datagrams })
--- a/crates/rig/src/scale/hollow.rs
+++ b/crates/rig/src/scale/hollow.rs
@@ -5,16 +5,16 @@
 //! attempts at failing servers would have shown is drawn.
 
 use crate::Draw;
-use reelfall_fleet::fleet::{Change, Fleet, Rules};
-use reelfall_fleet::members::Pace;
-use reelfall_fleet::verdict::{Key, ServerStart};
-use reelfall_fleet::wire::{self, Errand, Secret, Writer};
-use reelfall_fleet::witness::Saw;
+use reelfall_fleet::entry::{Key, ServerInstance};
+use reelfall_fleet::fleet::{Config, Fleet, FleetEvent};
+use reelfall_fleet::members::MembershipConfig;
+use reelfall_fleet::observer::AttemptOutcome;
+use reelfall_fleet::wire::{self, AppMessage, Secret, Writer};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// Longest datagram of a fleet, in bytes.
-pub const DATAGRAM_MOST: usize = wire::DATAGRAM_MOST;
+pub const DATAGRAM_MOST: usize = wire::MAX_DATAGRAM_LEN;
 /// The pauses of the node's program: how often it looks for attempts that are overdue, in seconds.
 pub const LOOK_EVERY: f64 = 0.025;
 /// How often the node's program judges servers, in seconds.
@@ -87,16 +87,16 @@
 
 /// Reads a datagram's kinds; `None` for what is no datagram of this fleet.
 pub fn parts(secret: &Secret, datagram: &[u8]) -> Option<Parts> {
-    if Errand::is(datagram) {
+    if AppMessage::matches(datagram) {
         return Some(Parts { kind: ERRAND, own: datagram.len(), verdicts: 0 });
     }
-    let (head, entries) = wire::open(secret, datagram).ok()?;
-    let own = if entries.is_empty() { datagram.len() } else { Writer::new(&head)?.seal(secret).len() };
-    let kind = if head.compare.is_some() {
+    let (header, entries) = wire::open(secret, datagram).ok()?;
+    let own = if entries.is_empty() { datagram.len() } else { Writer::new(&header)?.seal(secret).len() };
+    let kind = if header.anti_entropy.is_some() {
         COMPARISON
-    } else if !head.met.is_empty() {
+    } else if !header.members.is_empty() {
         INTRODUCTION
-    } else if !head.swim.is_empty() {
+    } else if !header.swim.is_empty() {
         MEMBERSHIP
     } else {
         VERDICTS
@@ -110,8 +110,8 @@
     draw: Draw,
     next_look: f64,
     next_judge: f64,
-    condemned: BTreeSet<ServerStart>,
-    tries: BTreeSet<ServerStart>,
+    condemned: BTreeSet<ServerInstance>,
+    probes: BTreeSet<ServerInstance>,
 }
 
 impl Hollow {
@@ -121,34 +121,34 @@
     /// If the fleet's key can't be made.
     pub fn new(setup: &Setup, seed: u64, now: f64) -> Result<Hollow, String> {
         let mut draw = Draw(seed);
-        let rules = Rules {
-            pace: Pace { size: setup.size, ..Pace::default() },
+        let config = Config {
+            membership: MembershipConfig { size: setup.size, ..MembershipConfig::default() },
             seeds: setup.seeds.clone(),
             zone: setup.zone.clone(),
-            ..Rules::default()
+            ..Config::default()
         };
         let (tag, chance) = (draw.number() | 1, draw.number());
-        let fleet = Fleet::new(&setup.name, setup.address, tag, rules, secret()?, chance, now);
-        let (condemned, tries) = (BTreeSet::new(), BTreeSet::new());
-        Ok(Hollow { fleet, draw, next_look: now, next_judge: now, condemned, tries })
+        let fleet = Fleet::new(&setup.name, setup.address, tag, config, secret()?, chance, now);
+        let (condemned, probes) = (BTreeSet::new(), BTreeSet::new());
+        Ok(Hollow { fleet, draw, next_look: now, next_judge: now, condemned, probes })
     }
 
     /// A datagram has come.
     pub fn receive(&mut self, now: f64, datagram: &[u8]) {
         self.fleet.receive(now, datagram);
-        while self.fleet.errand().is_some() {}
+        while self.fleet.next_message().is_some() {}
     }
 
     /// Does what is due. Returns the servers that are newly out by hand.
     pub fn turn(&mut self, now: f64, listed: usize, failing: &[Failing]) -> Vec<String> {
         if now >= self.next_look {
             self.next_look = now + LOOK_EVERY;
-            self.fleet.waits(now, &[]);
+            self.fleet.set_overdue(now, &[]);
         }
         self.fleet.tick(now, listed);
         let mut out = Vec::new();
-        while let Some(change) = self.fleet.change() {
-            if let Change::Told(Key::Hand { server, .. }) = change {
+        while let Some(event) = self.fleet.next_event() {
+            if let FleetEvent::Updated(Key::Ban { server, .. }) = event {
                 out.push(server);
             }
         }
@@ -167,7 +167,7 @@
 
     /// What is to be sent next, and where to.
     pub fn outgoing(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
-        self.fleet.outgoing()
+        self.fleet.next_datagram()
     }
 
     /// How many others are there.
@@ -182,26 +182,26 @@
 
     /// This node has taken in a list.
     pub fn saw_list(&mut self, now: f64, list: &str, index: u64) {
-        self.fleet.saw_index(now, list, index);
+        self.fleet.publish_list_index(now, list, index);
     }
 
     fn judge(&mut self, now: f64, listed: usize) {
-        let condemned = self.fleet.condemned(now, listed);
-        self.tries = condemned.iter().filter(|c| c.tries).map(|c| c.server.clone()).collect();
+        let condemned = self.fleet.condemned_servers(now, listed);
+        self.probes = condemned.iter().filter(|c| c.is_prober).map(|c| c.server.clone()).collect();
         self.condemned = condemned.into_iter().map(|c| c.server).collect();
     }
 
     /// Attempts at failing servers: none at one that is condemned, unless it is this node's turn to try it.
     fn attempt(&mut self, now: f64, failing: &[Failing]) {
         for server in failing {
-            let server = ServerStart { name: server.name.clone(), since: server.since };
+            let server = ServerInstance { name: server.name.clone(), since: server.since };
             let sends = if self.condemned.contains(&server) {
-                self.tries.contains(&server)
+                self.probes.contains(&server)
             } else {
                 self.draw.fraction() < ATTEMPTS * JUDGE_EVERY
             };
             if sends {
-                self.fleet.saw(now, &server, Saw::Failure);
+                self.fleet.record_outcome(now, &server, AttemptOutcome::ServerError);
             }
         }
     }
