Settings: a header whose key is quoted without escapes is split as a bare one

Need: a file with one quoted header was read at once, whose tree takes more than thirty times the text. Change: only a key written with escapes, a service that is no list and tables apart from their service make the reader take a file at once.

--- a/crates/conf/src/reader/sections.rs
+++ b/crates/conf/src/reader/sections.rs
@@ -1,13 +1,13 @@
 //! Splits a file's text into documents that can be read one after the other.
 //!
-//! The TOML reader makes a tree of a document that takes some forty times its text. Each `[[service]]` with the tables
-//! below it is a document of its own, and so is all that belongs to no service; read one by one, the tree is never
-//! larger than that of the largest service.
+//! The TOML reader makes a tree of a document that takes more than thirty times the memory of its text. Each
+//! `[[service]]` with the tables below it is a document of its own, and so is all that belongs to no service; read one
+//! by one, the tree is never larger than that of the largest service.
 //!
 //! The text is taken apart by the TOML reader's own lexer, so strings, comments and values over several lines are
 //! told from headers as the reader tells them. A file whose services can't be told from its headers alone is one
-//! document: where a key is quoted, where `service` is not a list of tables, or where tables of a service stand apart
-//! from it.
+//! document: where a key is written with escapes, where `service` is not a list of tables, or where tables of a service
+//! stand apart from it.
 
 use std::iter::Peekable;
 use std::ops::Range;
@@ -86,8 +86,8 @@
         }
         in_root = in_root && form == Form::Pair;
         let of_service = match key {
-            Key::Bare(name) => name == SERVICE,
-            Key::Quoted => return None,
+            Key::Plain(name) => name == SERVICE,
+            Key::Escaped => return None,
             Key::Missing => false,
         };
         let next = match (form, of_service) {
@@ -121,8 +121,10 @@
 /// The first key of a statement.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Key<'a> {
-    Bare(&'a str),
-    Quoted,
+    /// One that stands as it is meant, bare or quoted.
+    Plain(&'a str),
+    /// One that is written with escapes.
+    Escaped,
     /// A mistake that the reader tells.
     Missing,
 }
@@ -156,12 +158,12 @@
 
     fn key(&mut self) -> Key<'a> {
         let Some(token) = self.tokens.peek() else { return Key::Missing };
+        let written = part(self.text, token);
         match token.kind() {
-            TokenKind::Atom => Key::Bare(part(self.text, token)),
-            TokenKind::BasicString
-            | TokenKind::LiteralString
-            | TokenKind::MlBasicString
-            | TokenKind::MlLiteralString => Key::Quoted,
+            TokenKind::Atom => Key::Plain(written),
+            TokenKind::LiteralString => Key::Plain(written.trim_matches('\'')),
+            TokenKind::BasicString if !written.contains('\\') => Key::Plain(written.trim_matches('"')),
+            TokenKind::BasicString => Key::Escaped,
             _ => Key::Missing,
         }
     }
--- a/crates/conf/tests/sections.rs
+++ b/crates/conf/tests/sections.rs
@@ -1,7 +1,7 @@
 //! A file that is read service by service says the same as one that is read at once.
 //!
-//! A quoted key in a header makes the reader take a file at once. Each file here has the same listener once with a bare
-//! key and once with a quoted one.
+//! A key with escapes in a header makes the reader take a file at once. Each file here has the same listener once with a
+//! bare key and once with one that is written with escapes.
 
 mod common;
 
@@ -10,7 +10,7 @@
 use reelfall_conf::{reader, Faults};
 
 /// Headers of the listener.
-const HEADERS: [&str; 2] = ["[[listener]]", "[[\"listener\"]]"];
+const HEADERS: [&str; 2] = ["[[listener]]", "[[\"list\\u0065ner\"]]"];
 
 /// Reads a file service by service and at once; `file` makes it with a listener.
 fn both(file: impl Fn(&str) -> String) -> [Result<Model, Faults>; 2] {
@@ -48,9 +48,9 @@
     "[[service.route]]\npath = \"/a\"\n",
     "[[service.member]]\r\nname = 'm'\r\nquota = \"1/s\"\r\n",
     "[process]\nzone = '''\n[[service]]\n'''\n",
-    "[service]\n",
-    "service = []\n",
-    "\"service\" = []\n",
+    "'service' = []\n",
+    "[['service']]\nname = \"b\"\nserver = []\n",
+    "[ \"service\".cold]\n",
     "server = [\n# [[service]]\n]\n",
     "methods = [\n\"GET\", # ]\n\"PUT\"]\n",
 ];
@@ -90,6 +90,9 @@
         "[[service]]\nserver = []\n[service.limits]\nopen = -1\n",
         "=\n",
         "\u{1}\n",
+        "[[\"service]]\n",
+        "[['service]]\n",
+        "[[\"servic\\u0065\"]]\n",
     ] {
         let [split, whole] = both(|listener| listener.to_owned() + &services + mistake);
         assert!(whole.is_err(), "no mistake: {mistake}");
