Capacity: what telling pools of sick servers costs is measured; who keeps what by region

Need: the second row of the ranking stood on an assumed cost. Change: examples/state_size.rs measures the loop; the ranking says which amounts are assumed; machines for control by region.

--- a/crates/rig/examples/state_size.rs
+++ b/crates/rig/examples/state_size.rs
@@ -22,10 +22,12 @@
 use reelfall_lease::token::Name;
 use reelfall_routes::common::{Common, Line, Word as ListWord};
 use reelfall_routes::table::Host;
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hint::black_box;
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 type Result<T> = std::result::Result<T, Box<dyn std::error::Error>>;
@@ -291,7 +293,27 @@
         }
         black_box(all.len());
     });
-    Figures::from([("seconds".to_owned(), seconds), ("lapse_seconds".to_owned(), lapse(size))])
+    Figures::from([
+        ("seconds".to_owned(), seconds),
+        ("lapse_seconds".to_owned(), lapse(size)),
+        ("judge_seconds".to_owned(), judge(size.div_ceil(19))),
+    ])
+}
+
+/// The loop that tells each of so many pools, of nineteen servers, of one server: seconds for one pool.
+fn judge(pools: usize) -> f64 {
+    let names = |pool: usize| {
+        let of = |n| (format!("service-{pool}-server-{n}"), n);
+        Rc::new(RefCell::new((0..19).map(of).collect::<HashMap<String, u32>>()))
+    };
+    let all: Vec<_> = (0..pools).map(names).collect();
+    let known: HashMap<usize, Weak<_>> = all.iter().map(Rc::downgrade).enumerate().collect();
+    let told = timed(200, |n| {
+        let name = format!("service-{}-server-3", n * 7 % pools);
+        let peers: Vec<_> = known.values().filter_map(Weak::upgrade).collect();
+        black_box(peers.into_iter().filter_map(|pool| pool.borrow().get(&name).copied()).count());
+    });
+    told / pools as f64
 }
 
 /// The look through what lists say of so many servers, for words that no longer hold.
--- a/crates/rig/src/capacity/roles.rs
+++ b/crates/rig/src/capacity/roles.rs
@@ -365,7 +365,7 @@
         Of(
             "each pool told of each server held for sick, at the worst moment",
             "a full table of verdicts, ten times a second",
-            Assumed,
+            WorkedOut,
             Unit::Cores,
         )
         .row(
@@ -471,7 +471,7 @@
         ),
         Of("which node has which version", "16 bytes a node, all nodes", Assumed, Unit::Bytes).row(
             at(|size| 16.0 * size.nodes as f64),
-            Some(budget::MEMORY),
+            None,
             none,
         ),
     ]
@@ -691,7 +691,7 @@
                 "other nodes".into(),
                 bytes(peers),
                 bytes(target.nodes as f64 * 32.0),
-                bytes(peers / regions),
+                bytes(target.nodes as f64 * 32.0 / regions),
                 "not needed for a request".into(),
                 none(),
             ]),
