--- a/crates/rig/examples/reload/main.rs
+++ b/crates/rig/examples/reload/main.rs
@@ -2,6 +2,9 @@
 //!
 //! Sends requests at a steady rate through a node, for seconds at rest and seconds with a reload in turn, and prints
 //! the latencies of both and what the reloads have added: as JSON, and as a line.
+//!
+//! Without load it then measures the processor time that a reload takes of the thread that serves: the thread stands
+//! still for no longer, and other work on the machine shows less in it than in latencies.
 
 mod settings;
 
@@ -9,7 +12,7 @@
 use hdrhistogram::Histogram;
 use reelfall_rig::load::{self, Came, Kind};
 use reelfall_rig::node::Node;
-use reelfall_rig::pool::{Manner, Pool};
+use reelfall_rig::pool::{Manner, Pool, Server};
 use reelfall_rig::scripted::Program;
 use reelfall_rig::Result;
 use serde_json::{json, Value};
@@ -20,11 +23,15 @@
 /// Services that requests are sent to, and the servers of each.
 const LOADED: usize = 3;
 const SERVERS: usize = 3;
+/// Requests that a server works on at once; more than ever come, so that none waits for another.
+const WORKERS: usize = 64;
 /// How long a server takes for a request.
 const SERVICE: Duration = Duration::from_millis(2);
 /// How long a load lasts, and when in it a reload begins.
 const WINDOW: Duration = Duration::from_secs(1);
 const RELOAD_AT: Duration = Duration::from_millis(200);
+/// How long the node is watched at rest, without load.
+const AT_REST: Duration = Duration::from_secs(4);
 /// Longer than a reload may take; it counts as seen, not as lost.
 const DEADLINE: Duration = Duration::from_secs(10);
 
@@ -83,7 +90,13 @@
 
     fn figures(&self) -> Value {
         let [p50, p99, max] = self.latencies();
-        json!({ "sent": self.sent, "answered_200": self.good, "p50_ms": p50, "p99_ms": p99, "max_ms": max })
+        json!({
+            "sent": self.sent,
+            "answered_200": self.good,
+            "p50_ms": p50,
+            "p99_ms": p99,
+            "max_ms": max,
+        })
     }
 }
 
@@ -109,6 +122,40 @@
     Ok(begun.elapsed())
 }
 
+/// Processor time that the thread that serves has used, in seconds: a process's first.
+fn serving_seconds(pid: u32) -> Result<f64> {
+    let used = std::fs::read_to_string(format!("/proc/{pid}/task/{pid}/schedstat"))?;
+    let nanoseconds: u64 = used.split_whitespace().next().ok_or("no times of the thread")?.parse()?;
+    Ok(nanoseconds as f64 / 1e9)
+}
+
+/// What each reload without load takes of the serving thread beyond what it uses at rest, in milliseconds and in order.
+async fn serving(node: &mut Node, files: impl Iterator<Item = String>) -> Result<Vec<f64>> {
+    let pid = node.pid();
+    let (begun, before) = (Instant::now(), serving_seconds(pid)?);
+    tokio::time::sleep(AT_REST).await;
+    let at_rest = (serving_seconds(pid)? - before) / begun.elapsed().as_secs_f64();
+    let mut taken = Vec::new();
+    for file in files {
+        let (begun, before) = (Instant::now(), serving_seconds(pid)?);
+        reload(node, &file).await?;
+        let used = serving_seconds(pid)? - before;
+        taken.push((used - at_rest * begun.elapsed().as_secs_f64()) * 1e3);
+    }
+    taken.sort_by(f64::total_cmp);
+    Ok(taken)
+}
+
+/// Servers that a service lists.
+async fn stand_ins(service: usize) -> Result<Pool> {
+    let mut servers = Vec::new();
+    for n in 0..SERVERS {
+        let name = format!("loaded-{service}-{n}");
+        servers.push(Server::start(&name, WORKERS, Manner::good(SERVICE), n as u64).await?);
+    }
+    Ok(Pool { servers })
+}
+
 #[tokio::main]
 async fn main() -> Result<()> {
     let arguments = Arguments::parse();
@@ -117,7 +164,7 @@
     let mut lists = Vec::new();
     let mut pools = Vec::new();
     for n in 0..LOADED {
-        let pool = Pool::start(&format!("loaded-{n}"), SERVERS, Manner::good(SERVICE), n as u64).await?;
+        let pool = stand_ins(n).await?;
         lists.push(pool.listed());
         pools.push(pool);
     }
@@ -139,15 +186,22 @@
         in_force.push(took?.as_secs_f64() * 1e3);
     }
     in_force.sort_by(f64::total_cmp);
-    report(&size, first.len(), rate, &rest, &reloading, &in_force);
+    let quiet = (reloads + 1..=2 * reloads).map(|n| settings::text(&size, &lists, n));
+    let serving = serving(&mut node, quiet).await?;
+    report(&size, first.len(), rate, &rest, &reloading, &in_force, &serving);
     Ok(())
 }
 
-fn report(size: &Size, bytes: usize, rate: f64, rest: &Seen, reloading: &Seen, in_force: &[f64]) {
+fn report(
+    size: &Size, bytes: usize, rate: f64, rest: &Seen, reloading: &Seen, in_force: &[f64], serving: &[f64],
+) {
     let (at_rest, seen) = (rest.latencies(), reloading.latencies());
     let [p50, p99, max] = [0, 1, 2].map(|n| seen[n] - at_rest[n]);
-    let median = in_force.get(in_force.len() / 2).copied().unwrap_or_default();
-    let longest = in_force.last().copied().unwrap_or_default();
+    let middle_and_most = |sorted: &[f64]| {
+        let at = |n: usize| sorted.get(n).copied().unwrap_or_default();
+        (at(sorted.len() / 2), at(sorted.len().saturating_sub(1)))
+    };
+    let ((median, longest), (serving, most)) = (middle_and_most(in_force), middle_and_most(serving));
     let Size { services, servers, routes, listed } = size;
     let figures = json!({
         "file": { "services": services, "servers": servers, "routes": routes, "listed": listed, "bytes": bytes },
@@ -156,12 +210,13 @@
         "at_rest": rest.figures(),
         "with_reloads": reloading.figures(),
         "added": { "p50_ms": p50, "p99_ms": p99, "max_ms": max },
+        "serving_thread": { "median_ms": serving, "max_ms": most },
         "in_force_after": { "median_ms": median, "max_ms": longest },
     });
     println!("{figures}");
     println!(
         "{} reloads of {routes} routes under {rate}/s: p50 {p50:+.2} ms, p99 {p99:+.2} ms, max {max:+.2} ms; \
-         in force after {median:.0} ms (longest {longest:.0} ms)",
+         each takes {serving:.2} ms (most {most:.2} ms) of the serving thread; in force after {median:.0} ms (longest {longest:.0} ms)",
         in_force.len()
     );
 }
