Settings: three more mistakes that are told alike, read by services and at once

Need: headers of a quoted key, one over several lines, and a service that is no list were not in the test. Change: they are.

--- a/crates/conf/tests/sections.rs
+++ b/crates/conf/tests/sections.rs
@@ -92,6 +92,9 @@
         "\u{1}\n",
         "[[\"service]]\n",
         "[['service]]\n",
+        "[['service']]\n",
+        "[['''service''']]\n",
+        "[service]\n",
         "[[\"servic\\u0065\"]]\n",
     ] {
         let [split, whole] = both(|listener| listener.to_owned() + &services + mistake);
