Node: net/front.rs split by job, and its circle with net/takeover.rs ended

They are now front/{accept,request,translate,reply,handover,listening}.rs; code was moved, not changed. front and takeover imported each other: Passing is now front's, and front asks a trait (Succession) that Takeover implements. crate::net::front::{Front, Listening} stay.

--- /dev/null
+++ b/crates/node/src/net/front/reply.rs
@@ -0,0 +1,45 @@
+//! Answers to clients: those of servers, and those of the node itself.
+
+use super::translate::strip;
+use crate::net::body::Outgoing;
+use crate::net::message::{Answer, Reply};
+use hyper::header::{self, HeaderValue};
+use hyper::{Response, StatusCode};
+use reelfall_core::interface::Outcome;
+
+pub(super) fn told(status: StatusCode, why: &dyn std::fmt::Display) -> Response<Outgoing> {
+    let mut response = Response::new(Outgoing::from(format!("{why}\n")));
+    *response.status_mut() = status;
+    response
+}
+
+pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Outgoing> {
+    let mut response = Response::new(Outgoing::from(text));
+    *response.status_mut() = status;
+    response
+}
+
+pub(super) fn respond(reply: Reply) -> Response<Outgoing> {
+    match reply {
+        Reply::Served(answer) => {
+            let Answer { headers, body, rest, .. } = *answer;
+            let mut response = Response::new(Outgoing::new(body, rest));
+            *response.headers_mut() = headers;
+            strip(response.headers_mut());
+            response
+        }
+        Reply::Refused { retry_after } => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
+            let after = retry_after.and_then(|t| HeaderValue::try_from(format!("{t:.3}")).ok());
+            if let Some(after) = after {
+                response.headers_mut().insert(header::RETRY_AFTER, after);
+            }
+            response
+        }
+        // Never 429 or 503: those would promise that a retry is harmless.
+        Reply::Failed(Some(Outcome::Error)) => plain(StatusCode::BAD_GATEWAY, "the server failed\n"),
+        Reply::Failed(Some(Outcome::Expired)) => plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time\n"),
+        Reply::Failed(Some(Outcome::Dropped)) => plain(StatusCode::BAD_GATEWAY, "the connection broke\n"),
+        Reply::Failed(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed\n"),
+    }
+}
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -2,7 +2,7 @@
 //!
 //! Who does what when is decided in [`reelfall_operations::takeover`].
 
-use super::front::Front;
+use super::front::{Front, Passing, Succession};
 use super::service::AbortOnDrop;
 use super::shared::Shared;
 use bytes::{Buf, BytesMut};
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::io::Interest;
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, Notify};
 use tokio::time::timeout;
 
 /// How long a new process waits for what the old one gives, before it binds the address itself.
@@ -199,13 +199,6 @@
 /// What the modules of a process have learned, by their pools' names.
 pub type Learn = Box<dyn Fn() -> Vec<(String, serde_json::Value)>>;
 
-/// A client on its way to the heir; it comes back if it can't be passed.
-pub struct Passing {
-    pub stream: std::net::TcpStream,
-    pub listener: String,
-    pub done: oneshot::Sender<Result<(), std::net::TcpStream>>,
-}
-
 /// This process in the succession of the node's processes.
 pub struct Takeover {
     place: Option<Place>,
@@ -238,41 +231,16 @@
         })
     }
 
-    /// Whether this process accepts clients.
-    pub fn accepts(&self) -> bool {
-        self.elder.borrow().accepts() && self.heir.get().accepts()
-    }
-
     /// Whether this process serves, and one that served before it knows.
     pub fn is_serving(&self) -> bool {
         self.serving.get()
     }
 
-    /// Whether another process has the listening sockets too.
-    pub fn shares(&self) -> bool {
-        self.elder.borrow().shares()
-    }
-
     fn elder(&self, front: &Front, change: impl FnOnce(&mut Elder)) {
         change(&mut self.elder.borrow_mut());
         front.turn();
     }
 
-    /// SIGTERM has come.
-    pub fn terminate(&self) {
-        self.elder.borrow_mut().terminate();
-    }
-
-    /// No more connections are to be expected after it.
-    pub fn late(&self) {
-        self.elder.borrow_mut().late();
-    }
-
-    /// Whether clients without a request in hand go to the heir.
-    pub fn passes(&self) -> bool {
-        self.elder.borrow().passes()
-    }
-
     /// This process can serve: it accepts, tells the old one, takes in its clients, and stands ready for its own heir.
     pub async fn serve(self: Rc<Self>, front: Rc<Front>, given: Option<Given>) {
         let mut heir = self.heir.get();
@@ -379,6 +347,28 @@
     }
 }
 
+impl Succession for Takeover {
+    fn accepts(&self) -> bool {
+        self.elder.borrow().accepts() && self.heir.get().accepts()
+    }
+
+    fn shares(&self) -> bool {
+        self.elder.borrow().shares()
+    }
+
+    fn passes(&self) -> bool {
+        self.elder.borrow().passes()
+    }
+
+    fn terminate(&self) {
+        self.elder.borrow_mut().terminate();
+    }
+
+    fn late(&self) {
+        self.elder.borrow_mut().late();
+    }
+}
+
 async fn pass(talk: &Talk, passing: Passing) -> io::Result<()> {
     let Passing { stream, listener, done } = passing;
     let sent = talk.send(&Frame::Client { listener }, &[stream.as_fd()]).await;
