Names: the program and the size probe follow the fleet's and the leases' new names

The aliases that the renames had left for standalone.rs are gone; crates/rig/examples/state_size.rs uses the new names. No behaviour changes.

--- a/crates/node/src/fleet/admin.rs
+++ b/crates/node/src/fleet/admin.rs
@@ -11,11 +11,6 @@
 use std::collections::BTreeMap;
 
 impl FleetRuntime {
-    /// The former name of [`FleetRuntime::handle_call`], for callers that have not followed yet.
-    pub fn obey(&self, call: &FleetCall) -> (StatusCode, String) {
-        self.handle_call(call)
-    }
-
     /// Handles an admin call.
     pub fn handle_call(&self, call: &FleetCall) -> (StatusCode, String) {
         let now = self.clock.now();
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -58,9 +58,6 @@
 /// Handles application messages of other nodes.
 pub type MessageHandler = Box<dyn Fn(&Node, &[u8])>;
 
-/// The former name of [`FleetRuntime`], for users that have not followed yet.
-pub type Together = FleetRuntime;
-
 /// This node's part in a fleet, on a socket. See the module.
 pub struct FleetRuntime {
     fleet: RefCell<Fleet>,
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -1,6 +1,6 @@
 //! A node with a settings file of its own: several services behind several listeners, changed by SIGHUP.
 
-use crate::fleet::Together;
+use crate::fleet::FleetRuntime;
 use crate::lease::Leases;
 use crate::net::front::{Front, Listening};
 use crate::net::management::{Desk, Management};
@@ -84,7 +84,7 @@
     let leaving = Cell::new(false);
     let (fleet, calls) = (plan.model.fleet.clone(), plan.model.management.clone());
     let node = Rc::new(Node { shared, services, entries, leaving, began, front, seed });
-    let together = fleet.as_ref().map(|f| Together::open(&node.shared, f)).transpose()?;
+    let together = fleet.as_ref().map(|f| FleetRuntime::open(&node.shared, f)).transpose()?;
     let front = node.apply(Prepared::first(plan))?;
     let management = calls.as_ref().map(|m| own_socket(m.address)).transpose()?;
     announce(&front, management.as_ref(), together.as_deref());
@@ -140,13 +140,15 @@
 /// what a reload says of them holds from the next start.
 fn manage(
     node: &Rc<Node>, settings: &model::Management, fleet: Option<&model::Fleet>,
-    listener: std::net::TcpListener, together: Option<&Rc<Together>>, leases: Option<Rc<Leases>>,
+    listener: std::net::TcpListener, together: Option<&Rc<FleetRuntime>>, leases: Option<Rc<Leases>>,
 ) -> Result<(), String> {
     let listener = tokio::net::TcpListener::from_std(listener).map_err(|e| e.to_string())?;
     let name = fleet.map_or("node", |fleet| &fleet.node);
     let serving = node.clone();
     let ready = Box::new(move || serving.services.are_ready());
-    let desk = together.cloned().map(|t| Box::new(move |call: &_| obey(&t, leases.as_deref(), call)) as Desk);
+    let desk = together
+        .cloned()
+        .map(|t| Box::new(move |call: &_| handle_fleet_call(&t, leases.as_deref(), call)) as Desk);
     let folder = settings.folder.as_deref();
     let answering = Management::new(node.shared.clone(), folder, &plain(name), ready, desk);
     tokio::task::spawn_local(answering.clone().accept(listener));
@@ -158,14 +160,16 @@
 }
 
 /// Answers a call that concerns the fleet.
-fn obey(together: &Together, leases: Option<&Leases>, call: &FleetCall) -> (StatusCode, String) {
+fn handle_fleet_call(
+    together: &FleetRuntime, leases: Option<&Leases>, call: &FleetCall,
+) -> (StatusCode, String) {
     match (call, leases) {
         (FleetCall::Leases, Some(leases)) => leases.said(),
         (FleetCall::Release { lease, why }, Some(leases)) => leases.release(lease, why),
         (FleetCall::Leases | FleetCall::Release { .. }, None) => {
             (StatusCode::NOT_FOUND, "this node has no [fleet.leases]\n".to_owned())
         }
-        (call, _) => together.obey(call),
+        (call, _) => together.handle_call(call),
     }
 }
 
@@ -271,13 +275,13 @@
 }
 
 /// Tells on standard output where clients can connect; with port 0 in the file, nobody else could know.
-fn announce(front: &Front, management: Option<&std::net::TcpListener>, together: Option<&Together>) {
+fn announce(front: &Front, management: Option<&std::net::TcpListener>, together: Option<&FleetRuntime>) {
     let addresses: serde_json::Map<String, serde_json::Value> =
         front.addresses().into_iter().map(|(name, address)| (name, address.to_string().into())).collect();
     let mut line = serde_json::Map::from_iter([("listening".to_owned(), addresses.into())]);
     let further = [
         ("management", management.and_then(|m| m.local_addr().ok())),
-        ("fleet", together.and_then(Together::address)),
+        ("fleet", together.and_then(FleetRuntime::address)),
     ];
     for (name, address) in further {
         line.extend(address.map(|address| (name.to_owned(), address.to_string().into())));
--- a/crates/rig/examples/state_size.rs
+++ b/crates/rig/examples/state_size.rs
@@ -12,14 +12,16 @@
 
 use reelfall_conf::model::{At, Member, Model, Route};
 use reelfall_conf::{check, reader, Plan};
-use reelfall_fleet::fleet::{Fleet, Rules};
-use reelfall_fleet::fresh::Echo;
-use reelfall_fleet::node::{Life, Node};
-use reelfall_fleet::verdict::{Call, Entry, Finding, Key, Report, ServerStart, Version, Word};
-use reelfall_fleet::wire::{Errand, Head, Met, Secret, Standing, Writer};
+use reelfall_fleet::entry::{BanId, Entry, Finding, Key, Report, ServerInstance, Value, Version};
+use reelfall_fleet::fleet::{Config, Fleet};
+use reelfall_fleet::freshness::ClockEcho;
+use reelfall_fleet::node::{Incarnation, Node};
+use reelfall_fleet::wire::{AppMessage, Header, MemberState, MemberUpdate, Secret, Writer};
 use reelfall_lease::keeper::{self, Keeper};
-use reelfall_lease::say::{Ask, Asker, Between, Message, Said, Seal, Seen, Vote};
-use reelfall_lease::token::Name;
+use reelfall_lease::message::{
+    ClientId, LogPosition, Message, PeerMessage, Promise, Request, Response, StorageId, Vote,
+};
+use reelfall_lease::token::LeaseName;
 use reelfall_routes::common::{Common, Line, Word as ListWord};
 use reelfall_routes::table::Host;
 use std::cell::RefCell;
@@ -204,31 +206,31 @@
     Node {
         name: format!("node-{n:04}"),
         address,
-        life: Life { start: 3, tag: (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1 },
+        incarnation: Incarnation { number: 3, tag: (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1 },
     }
 }
 
-fn head(from: Node, to: u64, met: Vec<Met>) -> Head {
-    Head {
+fn header(from: Node, to: u64, members: Vec<MemberUpdate>) -> Header {
+    Header {
         from,
         to,
-        number: 1_000_000,
-        stamp_us: 86_400_000_000,
-        echo: Some(Echo { stamp_us: 86_400_000_000, held_us: 500_000 }),
-        asks: false,
-        known_life: None,
+        sequence: 1_000_000,
+        clock_us: 86_400_000_000,
+        echo: Some(ClockEcho { clock_us: 86_400_000_000, held_us: 500_000 }),
+        requests_echo: false,
+        newer_incarnation: None,
         swim: Vec::new(),
-        compare: None,
-        met,
+        anti_entropy: None,
+        members,
     }
 }
 
-fn met(n: usize) -> Met {
-    Met { node: node(n), incarnation: 1, standing: Standing::There }
+fn update(n: usize) -> MemberUpdate {
+    MemberUpdate { node: node(n), swim_incarnation: 1, state: MemberState::Alive }
 }
 
-fn datagram(secret: &Secret, head: &Head, entries: &[Entry]) -> Result<Vec<u8>> {
-    let mut writer = Writer::new(head).ok_or("a head that does not fit")?;
+fn datagram(secret: &Secret, header: &Header, entries: &[Entry]) -> Result<Vec<u8>> {
+    let mut writer = Writer::new(header).ok_or("a header that does not fit")?;
     if entries.iter().all(|entry| writer.add(entry)) {
         return Ok(writer.seal(secret));
     }
@@ -240,12 +242,12 @@
     let secret = secret()?;
     let me = node(0);
     let before = resident("self")?;
-    let tag = me.life.tag;
-    let rules = Rules::default();
-    let mut fleet = Fleet::new(&me.name, me.address, tag, rules, secret.clone(), 7, 0.0);
+    let tag = me.incarnation.tag;
+    let config = Config::default();
+    let mut fleet = Fleet::new(&me.name, me.address, tag, config, secret.clone(), 7, 0.0);
     for n in 1..size {
-        fleet.receive(0.1, &datagram(&secret, &head(node(n), tag, vec![met(n)]), &[])?);
-        while fleet.outgoing().is_some() || fleet.change().is_some() {}
+        fleet.receive(0.1, &datagram(&secret, &header(node(n), tag, vec![update(n)]), &[])?);
+        while fleet.next_datagram().is_some() || fleet.next_event().is_some() {}
     }
     let after = resident("self")?;
     if fleet.members().count() + 1 != size {
@@ -255,16 +257,16 @@
     let mut again: Vec<Vec<u8>> = Vec::new();
     for n in 0..500 {
         let about = 1 + n * 7 % (size - 1);
-        let head = Head { number: 2_000_000 + n as u64, ..head(node(1), tag, vec![met(about)]) };
-        again.push(datagram(&secret, &head, &[])?);
+        let header = Header { sequence: 2_000_000 + n as u64, ..header(node(1), tag, vec![update(about)]) };
+        again.push(datagram(&secret, &header, &[])?);
     }
     let word = timed(again.len(), |n| fleet.receive(0.2, again.get(n).map_or(&[], Vec::as_slice)));
-    while fleet.outgoing().is_some() || fleet.change().is_some() {}
+    while fleet.next_datagram().is_some() || fleet.next_event().is_some() {}
     // News is told to three others in each tenth of a second.
     fleet.ban(0.3, "server-1", "measured", None);
     let spread = timed(5, |n| {
         fleet.tick(0.3 + 0.1 * n as f64, 1000);
-        while fleet.outgoing().is_some() {}
+        while fleet.next_datagram().is_some() {}
     });
     Ok(Figures::from([
         ("bytes".to_owned(), after - before),
@@ -287,7 +289,7 @@
             let servers: Vec<u32> = list.keys().copied().collect();
             let start = |id: u32| {
                 let (name, since) = list.get(&id)?;
-                Some(ServerStart { name: name.clone(), since: (since * 1e3).round() as u64 })
+                Some(ServerInstance { name: name.clone(), since: (since * 1e3).round() as u64 })
             };
             all.extend(servers.into_iter().filter_map(start));
         }
@@ -330,32 +332,32 @@
 
 // ---- leases ----
 
-fn asker(n: usize) -> Asker {
-    Asker { name: format!("node-{n:04}"), tag: (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1 }
+fn client(n: usize) -> ClientId {
+    ClientId { name: format!("node-{n:04}"), tag: (n as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1 }
 }
 
-fn name(n: usize) -> Result<Name> {
-    Ok(Name::try_from(format!("asker/service-{:04}/zone-{:02}", n / 13, n % 13))?)
+fn name(n: usize) -> Result<LeaseName> {
+    Ok(LeaseName::try_from(format!("asker/service-{:04}/zone-{:02}", n / 13, n % 13))?)
 }
 
 /// A keeper by itself with so many names, all held.
 fn names(size: usize) -> Result<Figures> {
     let (length, now) = (60_000_000, 1_000_000);
-    let rules = keeper::Rules { leases_most: size, ..keeper::Rules::default() };
-    let mut keeper = Keeper::open(0, 1, rules, Default::default(), 7, now);
+    let config = keeper::Config { max_leases: size, ..keeper::Config::default() };
+    let mut keeper = Keeper::open(0, 1, config, Default::default(), 7, now);
     keeper.tick(now);
-    let _ = keeper.effects();
+    let _ = keeper.take_effects();
     let before = resident("self")?;
     for n in 0..size {
-        let (lease, counter) = (name(n)?, 1);
-        let ask = Ask::Promise { lease: lease.clone(), round: 1, counter, length, waited: 0 };
-        keeper.asked(now, &asker(n % 6000), ask);
-        let ask = Ask::Grant { lease, round: 1, token: counter, length, fellows: Vec::new() };
-        keeper.asked(now, &asker(n % 6000), ask);
-        let _ = keeper.effects();
+        let (lease, ballot) = (name(n)?, 1);
+        let request = Request::Prepare { lease: lease.clone(), round: 1, ballot, length, waited: 0 };
+        keeper.handle_request(now, &client(n % 6000), request);
+        let request = Request::Grant { lease, round: 1, token: ballot, length, peers: Vec::new() };
+        keeper.handle_request(now, &client(n % 6000), request);
+        let _ = keeper.take_effects();
     }
     let after = resident("self")?;
-    let held = keeper.seats(now).filter(|seat| seat.left.is_some()).count();
+    let held = keeper.leases(now).filter(|lease| lease.left.is_some()).count();
     if held != size {
         return Err(format!("{held} names are held of {size}").into());
     }
@@ -372,31 +374,34 @@
 fn lengths() -> Result<()> {
     let secret = secret()?;
     let says = |name: &str, bytes: usize| println!("{name}: {bytes} B");
-    let plain = datagram(&secret, &head(node(5000), node(1).life.tag, Vec::new()), &[])?.len();
+    let plain = datagram(&secret, &header(node(5000), node(1).incarnation.tag, Vec::new()), &[])?.len();
     says("head", plain);
-    let members = head(node(5000), node(1).life.tag, (2000..2010).map(met).collect());
+    let members = header(node(5000), node(1).incarnation.tag, (2000..2010).map(update).collect());
     says("member", (datagram(&secret, &members, &[])?.len() - plain) / 10);
     let with = |entry: Entry| -> Result<usize> {
-        let of = head(node(5000), node(1).life.tag, Vec::new());
+        let of = header(node(5000), node(1).incarnation.tag, Vec::new());
         Ok(datagram(&secret, &of, &[entry])?.len() - plain)
     };
     says("ban", with(ban())?);
     says("report", with(report())?);
     says("list index", with(index())?);
-    let errand = |message: Message| -> Result<usize> {
-        let body = message.write().ok_or("a message that does not fit")?;
+    let app_message = |message: Message| -> Result<usize> {
+        let body = message.encode().ok_or("a message that does not fit")?;
         let body = [[0; 8].as_slice(), &body].concat();
-        let errand = Errand { from: node(5000), to: node(1).life.tag, body };
-        Ok(errand.seal(&secret).ok_or("an errand that does not fit")?.len())
+        let message = AppMessage { from: node(5000), to: node(1).incarnation.tag, body };
+        Ok(message.seal(&secret).ok_or("a message that does not fit")?.len())
     };
     let (lease, round) = (name(30_000)?, 1000);
     let grant =
-        Ask::Grant { lease: lease.clone(), round, token: 5000, length: 5_000_000, fellows: Vec::new() };
-    says("renewal", errand(Message::Ask(grant))?);
-    let seen = Seen { seal: Seal { generation: 1, tag: u64::MAX }, written: 1_000_000 };
-    let vote = Vote { own: seen, fellows: vec![Some(seen); 5] };
-    says("its answer, five keepers", errand(Message::Said(Said::Granted { lease, round, vote }))?);
-    says("a name with its promise", kept()?);
+        Request::Grant { lease: lease.clone(), round, token: 5000, length: 5_000_000, peers: Vec::new() };
+    says("renewal", app_message(Message::Request(grant))?);
+    let position = LogPosition { storage: StorageId { generation: 1, tag: u64::MAX }, records: 1_000_000 };
+    let vote = Vote { own: position, peers: vec![Some(position); 5] };
+    says(
+        "its answer, five keepers",
+        app_message(Message::Response(Response::Granted { lease, round, vote }))?,
+    );
+    says("a name with its promise", promise_bytes()?);
     let line = serde_json::json!({
         "name": "service-1234-server-12", "address": "10.123.45.67:8080", "zone": "zone-12", "type": "kind-3", "group": 1,
         "status": "active", "weight": 1.0, "since_ms": 1_790_000_000_000u64,
@@ -405,19 +410,19 @@
     Ok(())
 }
 
-fn entry(key: Key, word: Word, lasts_ms: u32) -> Entry {
-    let version = Version { life: node(5000).life, n: 100 };
-    Entry { key, version, word, lasts_ms, age_us: 1_500_000 }
+fn entry(key: Key, value: Value, ttl_ms: u32) -> Entry {
+    let version = Version { incarnation: node(5000).incarnation, n: 100 };
+    Entry { key, version, value, ttl_ms, age_us: 1_500_000 }
 }
 
 fn ban() -> Entry {
-    let call = Call { node: node(5000).name, life: node(5000).life, number: 100 };
-    let key = Key::Hand { server: "service-1234-server-12".to_owned(), call };
-    entry(key, Word::Out { by: "operator".to_owned() }, 604_800_000)
+    let id = BanId { node: node(5000).name, incarnation: node(5000).incarnation, number: 100 };
+    let key = Key::Ban { server: "service-1234-server-12".to_owned(), id };
+    entry(key, Value::Banned { by: "operator".to_owned() }, 604_800_000)
 }
 
 fn report() -> Entry {
-    let server = ServerStart { name: "service-1234-server-12".to_owned(), since: 1_790_000_000_000 };
+    let server = ServerInstance { name: "service-1234-server-12".to_owned(), since: 1_790_000_000_000 };
     let report = Report {
         finding: Finding::Failing,
         bad: 5,
@@ -426,20 +431,21 @@
         accused: 3,
         listed: 50_000,
     };
-    entry(Key::Report { server, by: node(5000).name }, Word::Report(report), 10_000)
+    entry(Key::Report { server, by: node(5000).name }, Value::Report(report), 10_000)
 }
 
 fn index() -> Entry {
-    entry(Key::Index { list: "service-1234".to_owned() }, Word::Index, 600_000)
+    entry(Key::ListIndex { list: "service-1234".to_owned() }, Value::ListIndex, 600_000)
 }
 
-/// Bytes of one name and what was promised of it, as fellows tell it each other.
-fn kept() -> Result<usize> {
-    let kept = |n| reelfall_lease::say::Kept { promised: 5000, to: Some(asker(n)), length: 5_000_000 };
+/// Bytes of one name and what was promised of it, as keepers tell it each other.
+fn promise_bytes() -> Result<usize> {
+    let promise = |n| Promise { ballot: 5000, client: Some(client(n)), length: 5_000_000 };
     let page = |n: usize| -> Result<usize> {
-        let kept: Result<Vec<_>> = (0..n).map(|n| Ok((name(30_000 + n)?, kept(n)))).collect();
-        let page = Between::Page { after: None, kept: kept?, floor: 0, last: true, trusted: true };
-        Ok(Message::Between(page).write().ok_or("a page that does not fit")?.len())
+        let promises: Result<Vec<_>> = (0..n).map(|n| Ok((name(30_000 + n)?, promise(n)))).collect();
+        let page =
+            PeerMessage::PromisePage { after: None, promises: promises?, floor: 0, last: true, voting: true };
+        Ok(Message::Peer(page).encode().ok_or("a page that does not fit")?.len())
     };
     Ok((page(11)? - page(1)?) / 10)
 }
