--- a/crates/rig/src/capacity/roles.rs
+++ b/crates/rig/src/capacity/roles.rs
@@ -295,12 +295,12 @@
     vec![
         Of(
             "reading the whole file at each change",
-            "the square of its length (f7150b6)",
+            "`read_seconds` by length, changes a day",
             WorkedOut,
             Unit::Cores,
         )
         .row(
-            at(|size| model::read_squared(costs, model::settings(costs, size)) * model::changes(size)),
+            at(|size| model::read_time(costs, model::settings(costs, size)) * model::changes(size)),
             processor,
             "`crates/conf/src/reader.rs`",
         ),
@@ -395,7 +395,7 @@
         Of("a list of 5,000 servers taken in", "one core; requests wait", Measured, Unit::Seconds).row(
             [costs.join_seconds_5000; 3],
             Some(budget::ADDED),
-            "`crates/core/src/decide/list.rs` (being mended)",
+            "`crates/core/src/decide/list.rs`, `crates/core/src/floored.rs`",
         ),
     ]
 }
