Scale runs: a window counts its own bans alone, and says where threads were busy

At 300 nodes cut apart and healed, a ban of the moment before was heard again and counted as one of 10 s. Bans older than their window are left out now; a window whose threads were more than 80 % busy says so, since its times are longer than alone.

--- a/crates/rig/src/scale/drive.rs
+++ b/crates/rig/src/scale/drive.rs
@@ -23,6 +23,13 @@
 /// What the names of servers that are sent out by hand begin with; the microsecond of the ban follows.
 const BANNED: &str = "change-";
 
+/// How long ago the bans were made that have these servers' names, in seconds; of those that are not older than a window.
+pub fn ages(servers: &[String], window_us: u64, now: f64) -> impl Iterator<Item = f64> + '_ {
+    let made = |server: &String| server.strip_prefix(BANNED).and_then(|us| us.parse::<u64>().ok());
+    let new = servers.iter().filter_map(made).filter(move |us| *us >= window_us);
+    new.map(move |us| now - us as f64 / 1e6)
+}
+
 /// Runs some nodes until the run ends.
 pub fn thread(shared: Arc<Shared>, thread: usize, nodes: Vec<(usize, UdpSocket)>) {
     let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
@@ -191,16 +198,14 @@
         }
     }
 
-    /// Notes how long ago the bans were made that are in force here now.
+    /// Notes how long ago the bans of this window were made that are in force here now.
     fn in_force(&self, out: &[String]) {
         if out.is_empty() {
             return;
         }
-        let now = self.shared.now();
-        let made = |server: &String| server.strip_prefix(BANNED).and_then(|us| us.parse::<f64>().ok());
-        let took = out.iter().filter_map(made).map(|us| now - us / 1e6);
+        let (now, window_us) = (self.shared.now(), self.shared.window_us.load(Ordering::Relaxed));
         let mut forces = self.shared.forces[self.thread].lock().unwrap_or_else(PoisonError::into_inner);
-        forces.bans.extend(took);
+        forces.bans.extend(ages(out, window_us, now));
     }
 
     fn flush(&mut self, node: &mut Hollow) {
--- a/crates/rig/src/scale/faults.rs
+++ b/crates/rig/src/scale/faults.rs
@@ -12,6 +12,8 @@
 const MOMENT: f64 = 10.0;
 /// Within what time a fleet has to know all of its nodes again.
 pub const GATHERS_IN: Duration = Duration::from_secs(60);
+/// Threads that are busier than this, as a share, let nodes wait for one another.
+const BUSY_MOST: f64 = 0.8;
 /// How long drawn faults last.
 const FAULT_LASTS: Duration = Duration::from_secs(4);
 /// One of so many nodes is frozen, and one of so many is killed, among drawn faults.
@@ -25,6 +27,12 @@
         record
             .note(format!("{name}: of {bans} bans, {missing} have not come into force at one of the nodes"));
     }
+    if measured.busy > BUSY_MOST {
+        let percent = measured.busy * 100.0;
+        record.note(format!(
+            "{name}: the threads that drive the nodes were {percent:.0} % busy, so that times are longer than alone"
+        ));
+    }
     if let Some(times) = measured.lists_in_force {
         record.lists_in_force.push(ListsInForce { run: name, times });
     }
--- a/crates/rig/src/scale/network.rs
+++ b/crates/rig/src/scale/network.rs
@@ -80,6 +80,8 @@
     wholes: RwLock<Arc<Vec<Line>>>,
     /// Counts windows, so that peaks begin anew in each.
     pub window: AtomicU32,
+    /// When the window began, in microseconds: a node that starts hears of bans that were made before.
+    pub window_us: AtomicU64,
     /// Ends all threads.
     pub stop: AtomicBool,
     /// Reads datagrams for their kinds.
@@ -197,6 +199,7 @@
             wholes: RwLock::new(Arc::new(wholes(&lists, 0))),
             lists,
             window: AtomicU32::new(0),
+            window_us: AtomicU64::new(0),
             stop: AtomicBool::new(false),
             sampler: Sampler::start()?,
             forces: (0..threads).map(|_| Mutex::default()).collect(),
@@ -224,6 +227,11 @@
         self.shared.places.len()
     }
 
+    /// How many threads drive them.
+    pub fn threads(&self) -> usize {
+        self.threads.len().max(1)
+    }
+
     /// The nodes that run.
     pub fn running(&self) -> Vec<usize> {
         let runs = |n: &usize| self.shared.places[*n].doing() == Doing::Runs;
@@ -287,6 +295,7 @@
     /// Begins a window: peaks, kinds and times until changes are in force count anew.
     pub fn begin_window(&self) -> Totals {
         self.shared.window.fetch_add(1, Ordering::Relaxed);
+        self.shared.window_us.store(self.shared.now_us(), Ordering::Relaxed);
         self.shared.sampler.take();
         self.forces();
         self.totals()
--- a/crates/rig/src/scale/record.rs
+++ b/crates/rig/src/scale/record.rs
@@ -1,7 +1,7 @@
 //! The JSON file of a run: its report, with what a reader has to know beside the figures.
 
 use super::machine;
-use super::report::{Axis, Report, Run, Slope, Times, SCHEMA};
+use super::report::{Axis, Report, Run, Slope, Times, Traffic, SCHEMA};
 use crate::Result;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
@@ -129,21 +129,26 @@
 
 /// One run as a line.
 fn line(run: &Run) -> String {
-    let total = |of: fn(&super::report::Traffic) -> f64| run.per_node.traffic.iter().map(of).sum::<f64>();
+    let (size, per_node) = (&run.size, &run.per_node);
     let mut line = format!(
-        "{} [{:?}] nodes {} servers {}: {:.0} B/s in, {:.0} B/s out, {:.1} messages/s out, peak {:.0} B in 1 s, \
-         {:.4} % of a core, {:.2} MiB",
+        "{} [{:?}] nodes {} servers {}: {:.4} % of a core, {:.2} MiB",
         run.name,
         run.source,
-        run.size.nodes,
-        run.size.servers,
-        total(|t| t.bytes_in),
-        total(|t| t.bytes_out),
-        total(|t| t.messages_out),
-        run.per_node.peak_bytes,
-        run.per_node.cpu * 100.0,
-        run.per_node.memory / f64::from(1 << 20),
+        size.nodes,
+        size.servers,
+        per_node.cpu * 100.0,
+        per_node.memory / f64::from(1 << 20),
     );
+    if !per_node.traffic.is_empty() {
+        let total = |of: fn(&Traffic) -> f64| per_node.traffic.iter().map(of).sum::<f64>();
+        line += &format!(
+            ", {:.0} B/s in, {:.0} B/s out, {:.1} messages/s out, peak {:.0} B in 1 s",
+            total(|t| t.bytes_in),
+            total(|t| t.bytes_out),
+            total(|t| t.messages_out),
+            per_node.peak_bytes,
+        );
+    }
     if let Some(times) = &run.in_force {
         line += &format!(", in force p50 {:.3} s p99 {:.3} s last {:.3} s", times.p50, times.p99, times.last);
     }
--- a/crates/rig/src/scale/window.rs
+++ b/crates/rig/src/scale/window.rs
@@ -53,6 +53,8 @@
     pub lists_in_force: Option<Times>,
     /// What was played.
     pub played: Played,
+    /// How busy the threads were that drive the nodes, as a share.
+    pub busy: f64,
     /// Pairs of a ban and a node that runs at which the ban has not come into force.
     pub missing: usize,
 }
@@ -149,6 +151,7 @@
         tokio::time::sleep(DRAIN).await;
     }
     let forces = network.forces();
+    let busy = (after.cpu - before.cpu) / took / network.threads() as f64;
     let mut per_node = per_node(&before, &after, &sample, network.nodes(), took);
     per_node.peak_bytes = peak;
     per_node.memory = network.memory()?;
@@ -163,7 +166,7 @@
         requests: None,
     };
     let missing = expected.saturating_sub(forces.bans.len());
-    Ok(Measured { run, lists_in_force: times(&forces.lines), played, missing })
+    Ok(Measured { run, lists_in_force: times(&forces.lines), played, busy, missing })
 }
 
 /// The distribution of some times; `None` if there are none.
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -2,6 +2,7 @@
 
 use reelfall_rig::scale::computation::{self, Computation};
 use reelfall_rig::scale::counters::{per_node, Counters, Meter, Sample, Totals};
+use reelfall_rig::scale::drive::ages;
 use reelfall_rig::scale::hollow::{self, Hollow, Parts, Setup, KINDS};
 use reelfall_rig::scale::limits::{memory_of, Deadline, Machine, TooLarge, FILES_RESERVED, RUN_MOST};
 use reelfall_rig::scale::lists::{server_name, Lists, Read, FAILING};
@@ -302,6 +303,14 @@
     assert!(schedule(Rates::NONE, 3.0, 10, &mut Draw(1)).is_empty());
 }
 
+#[test]
+fn bans_that_were_made_before_a_window_do_not_count_in_it() {
+    let servers = ["change-1500000", "change-999999", "change-1000000", "server-1", "change-", "change-x"];
+    let servers = servers.map(str::to_owned);
+    assert_eq!(ages(&servers, 1_000_000, 2.0).collect::<Vec<_>>(), [0.5, 1.0]);
+    assert_eq!(ages(&servers, 0, 2.0).count(), 3);
+}
+
 // ---- hollow nodes ----
 
 /// Nodes that hand each other datagrams without sockets, by a clock of the test.
@@ -522,7 +531,7 @@
     let lines = by["list"].messages_in * run.seconds;
     assert!(lines > 0.0 && lines < 8.0 + 1e-6, "{lines}");
     assert!(by["membership"].messages_out > 0.0 && by["verdicts"].bytes_out > 0.0);
-    assert!(run.per_node.cpu > 0.0 && run.per_node.peak_bytes > 0.0);
+    assert!(run.per_node.cpu > 0.0 && run.per_node.peak_bytes > 0.0 && measured.busy > 0.0);
 }
 
 #[tokio::test(flavor = "multi_thread")]
