--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -1,6 +1,56 @@
 //! Distribution of configuration from authors over relays to nodes.
 //!
-//! No I/O: frames, moments and chance are arguments; what is to be sent, stored or applied comes back as values.
+//! No I/O: frames, moments and the seed of chance are arguments; what is to be sent, stored or applied comes back as
+//! values, in the order in which it is to be done.
+//!
+//! | module | what belongs there |
+//! | --- | --- |
+//! | [`resource`] | names, versions, bodies with their hashes, changes, selectors |
+//! | [`message`] | frames between an upstream and its children |
+//! | [`peer`] | numbers of processes |
+//! | [`output`] | what a machine asks its driver to do, and what is stored |
+//! | [`coverage`] | which versions a holder has been told of |
+//! | [`log`] | the latest change of each resource, in order of versions |
+//! | [`link`] | one session with one peer: order, loss, repetition, proofs of age |
+//! | [`bucket`], [`chance`] | the budget of a link, spreads of time |
+//! | [`chunks`] | bodies that take several frames |
+//! | [`child`], [`downstream`] | what a relay sends its children, and in which order |
+//! | [`upstream`] | whom a process follows, when it leaves, when it returns |
+//! | [`report`] | what is told upwards: standings, refusals, orphans |
+//! | [`author`], [`relay`], [`subscriber`] | the three machines |
+//!
+//! # Use
+//!
+//! Each machine has `receive(now, from, frame, outputs)`, `poll(now, outputs)` and `next_wakeup()`. The driver calls
+//! `poll` after each call that changes something and when `next_wakeup` is due, and performs outputs in their order: a
+//! [`output::Output::Persist`] is on the disk before a later [`output::Output::Send`] leaves. Frames may be lost,
+//! repeated, delayed and overtaken.
+//!
+//! An author holds the lease of the settings: [`author::Author::hold`] tells it until when, and
+//! [`author::Author::publish`] writes by that lease's claim. A relay follows one of its `upstreams` (authors for the
+//! first relays, relays for the others) and serves children. A subscriber follows one of its relays; on
+//! [`output::Output::Apply`] the driver answers with `accepted` or `rejected`.
+
+pub mod author;
+pub mod bucket;
+pub mod chance;
+pub mod child;
+pub mod chunks;
+pub mod coverage;
+pub mod downstream;
+pub mod link;
+pub mod log;
+pub mod message;
+pub mod output;
+pub mod peer;
+pub mod relay;
+pub mod report;
+pub mod resource;
+pub mod subscriber;
+pub mod upstream;
 
 /// Seconds on one process's own monotonic clock; only differences matter.
 pub type Time = f64;
+
+/// Clocks run between `1 - DRIFT` and `1 + DRIFT` of true time.
+pub const DRIFT: f64 = 500e-6;
--- /dev/null
+++ b/crates/distribution/src/message.rs
@@ -0,0 +1,197 @@
+//! Frames between an upstream and its children.
+//!
+//! ```text
+//! "rD" | version | first 8 bytes of BLAKE3 of what follows | head (postcard) | payload (postcard)
+//! ```
+//!
+//! The hash finds frames that were cut or changed under way; it proves nobody's name. Who may speak at all is for the
+//! driver's transport.
+
+use crate::coverage::Coverage;
+use crate::output::Reason;
+use crate::report::Report;
+use crate::resource::{Change, ContentHash, Key, Part, Selector, Urgency, Version};
+use reelfall_lease::token::Claim;
+use serde::{Deserialize, Serialize};
+
+/// Longest frame, in bytes.
+pub const FRAME_MOST: usize = 16 * 1024;
+/// Most keys in one [`Payload::Manifest`].
+pub const MANIFEST_KEYS: usize = 256;
+/// What a frame takes beside its payload at most, in bytes.
+pub const FRAME_OVERHEAD: usize = 80;
+
+const MAGIC: [u8; 3] = *b"rD\x01";
+const SUM: usize = 8;
+
+/// What a writer has heard last of its reader's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The moment, in microseconds of the reader's clock.
+    pub stamp_us: u64,
+    /// How long ago the writer heard it, in microseconds of the writer's clock, rounded down.
+    pub held_us: u64,
+}
+
+/// What every frame begins with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Head {
+    /// The session, as the child named it.
+    pub session: u64,
+    /// Written by the child.
+    pub up: bool,
+    /// The number of this payload, from 1; 0 for one that needs no acknowledgement.
+    pub number: u64,
+    /// All payloads of the reader up to this one have come.
+    pub acknowledged: u64,
+    /// The writer's clock, in microseconds.
+    pub stamp_us: u64,
+    /// What the writer heard last of the reader's clock.
+    pub echo: Option<Echo>,
+}
+
+/// The versions between `after` (not in it) and `upto` (in it).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Span {
+    /// Its lower end.
+    pub after: Version,
+    /// Its upper end.
+    pub upto: Version,
+}
+
+/// A part of a long body.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// Of which key.
+    pub key: Key,
+    /// Of which change.
+    pub version: Version,
+    /// The change's urgency.
+    pub urgency: Urgency,
+    /// The change's part of the nodes.
+    pub part: Part,
+    /// The body's length.
+    pub total: u32,
+    /// The body's hash.
+    pub hash: ContentHash,
+    /// Where these bytes stand in it.
+    pub offset: u32,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// Who an author is, and what it knew when it took over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Epoch {
+    /// The lease and its token.
+    pub claim: Claim,
+    /// What the author had of earlier authors. Another change of theirs is an orphan.
+    pub known: Coverage,
+}
+
+/// One thing that is asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Subscribe {
+    /// The child's number of this subscription, in this session.
+    pub id: u32,
+    /// What it asks for.
+    pub selector: Selector,
+    /// What the child has of it already.
+    pub coverage: Coverage,
+    /// Removals up to here are known to the child.
+    pub floor: Version,
+}
+
+/// What a frame says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Payload {
+    /// Nothing but its head.
+    Acknowledge,
+    /// A child begins a session.
+    Open {
+        /// Whether it needs changes for other nodes than itself, as relays and authors do.
+        relay: bool,
+    },
+    /// A child asks for more.
+    Subscribe(Vec<Subscribe>),
+    /// A child asks for less.
+    Unsubscribe(Vec<u32>),
+    /// A child tells what is to be told upwards.
+    Reports(Vec<Report>),
+    /// The session is over, or was never there.
+    Close {
+        /// Why.
+        why: Reason,
+        /// When to come back at the earliest, in milliseconds.
+        rest_ms: u32,
+    },
+    /// Who the author is.
+    Epoch(Epoch),
+    /// Whole changes of a subscription. Of each key whose latest change is in the span, this change is in here or has
+    /// been sent before.
+    Changes {
+        /// Which subscription.
+        id: u32,
+        /// The span.
+        span: Span,
+        /// The changes.
+        changes: Vec<Change>,
+    },
+    /// A part of a body of a subscription. The last one stands for a [`Payload::Changes`] with this change and span.
+    Chunk {
+        /// Which subscription.
+        id: u32,
+        /// The span.
+        span: Span,
+        /// The part.
+        chunk: Chunk,
+    },
+    /// Digests of all keys of a subscription that are not removed, for one that has to hear of forgotten removals.
+    Manifest {
+        /// Which subscription.
+        id: u32,
+        /// Whether these are the first ones.
+        first: bool,
+        /// Whether these are the last ones.
+        last: bool,
+        /// What has an earlier version or this one, and is not listed, is no more.
+        floor: Version,
+        /// The digests.
+        digests: Vec<u64>,
+    },
+    /// Everything that the writer has of all subscriptions has been sent.
+    Current {
+        /// The latest version that the writer has.
+        head: Version,
+        /// The age of the writer's own knowledge at most, in microseconds; none if it can't tell.
+        age_us: Option<u64>,
+    },
+}
+
+/// The bytes of a frame.
+pub fn encode(head: &Head, payload: &Payload) -> Vec<u8> {
+    let body = postcard::to_allocvec(&(head, payload)).unwrap_or_default();
+    let mut frame = Vec::with_capacity(MAGIC.len() + SUM + body.len());
+    frame.extend_from_slice(&MAGIC);
+    frame.extend_from_slice(&blake3::hash(&body).as_bytes()[..SUM]);
+    frame.extend_from_slice(&body);
+    frame
+}
+
+/// Reads a frame; none if it is not one.
+pub fn decode(frame: &[u8]) -> Option<(Head, Payload)> {
+    if frame.len() > FRAME_MOST {
+        return None;
+    }
+    let rest = frame.strip_prefix(&MAGIC)?;
+    let (sum, body) = rest.split_at_checked(SUM)?;
+    if &blake3::hash(body).as_bytes()[..SUM] != sum {
+        return None;
+    }
+    postcard::from_bytes(body).ok()
+}
+
+/// How many bytes a payload takes in a frame, without its head.
+pub fn size(payload: &Payload) -> usize {
+    postcard::to_allocvec(payload).map_or(FRAME_MOST, |bytes| bytes.len())
+}
--- /dev/null
+++ b/crates/distribution/src/output.rs
@@ -0,0 +1,112 @@
+//! What a machine asks its driver to do.
+
+use crate::coverage::Coverage;
+use crate::peer::PeerId;
+use crate::resource::{Change, Key, Selector, Version};
+use crate::Time;
+use serde::{Deserialize, Serialize};
+
+/// Something to be done. Outputs are done in their order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// A frame for a peer; it may be lost.
+    Send {
+        /// Whom to.
+        to: PeerId,
+        /// The bytes.
+        frame: Vec<u8>,
+    },
+    /// A change to put in force (a subscriber's alone). Its `key.slot` says nothing here: it is what the resource is
+    /// now at this node. The driver answers with `accepted` or `rejected` and its version.
+    Apply(Change),
+    /// To be stored, before any later [`Output::Send`] leaves.
+    Persist(Record),
+    /// For logs and figures.
+    Event(Event),
+}
+
+/// What is stored; the records that were stored, in their order, start a machine anew.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    /// A change; it replaces earlier ones with its key.
+    Put(Change),
+    /// A removal that is no longer kept, and a snapshot's word that a key is no more.
+    Forget(Key),
+    /// All changes up to here in what the selector holds, but for removals up to `floor`, have been stored.
+    Covered {
+        /// Of what.
+        selector: Selector,
+        /// Which versions.
+        coverage: Coverage,
+        /// Removals up to this version are not kept.
+        floor: Version,
+    },
+    /// The selector is no longer subscribed; its resources are gone.
+    Unsubscribed(Selector),
+}
+
+/// Something worth telling.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// An upstream is followed.
+    Following(PeerId),
+    /// An upstream was left.
+    Left {
+        /// Which.
+        upstream: PeerId,
+        /// Why.
+        why: Reason,
+    },
+    /// A child's session was ended.
+    ChildLost {
+        /// Which.
+        child: PeerId,
+        /// Why.
+        why: Reason,
+    },
+    /// A change of ours that the present author does not have: it was taken back.
+    Orphaned {
+        /// Of which key.
+        key: Key,
+        /// Which change.
+        version: Version,
+    },
+    /// A change was not taken, for lack of room.
+    Full {
+        /// Of which key.
+        key: Key,
+        /// Which change.
+        version: Version,
+    },
+    /// An author with a later token has been heard: this one writes no more.
+    Fenced {
+        /// The later token.
+        token: u64,
+    },
+    /// All that was asked for is there; this was its age.
+    Current {
+        /// In seconds.
+        age: Time,
+    },
+}
+
+/// Why a session ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reason {
+    /// Nothing was heard for too long.
+    Silent,
+    /// Its own knowledge is too old.
+    Stale,
+    /// It sent what was not asked for, a wrong hash, more than a body's length, or what can't be read.
+    Misbehaved,
+    /// It sent more than its budget.
+    Flooded,
+    /// It does not know the session.
+    Unknown,
+    /// It has no room.
+    Busy,
+    /// It is an author without the lease, or with an earlier token.
+    Fenced,
+    /// A new session has taken its place.
+    Replaced,
+}
