--- /dev/null
+++ b/crates/distribution/src/chance.rs
@@ -0,0 +1,45 @@
+//! Chance from a seed, so that the same seed brings the same run.
+
+use crate::Time;
+
+/// A hash of one number (splitmix64's finalizer).
+pub fn mix(number: u64) -> u64 {
+    let mut z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// A stream of numbers.
+#[derive(Clone, Debug)]
+pub struct Chance {
+    state: u64,
+}
+
+impl Chance {
+    /// By a seed.
+    pub fn new(seed: u64) -> Chance {
+        Chance { state: mix(seed) }
+    }
+
+    /// The next number.
+    pub fn next(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.state)
+    }
+
+    /// Between 0 and 1.
+    pub fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Between two moments or lengths of time.
+    pub fn between(&mut self, least: Time, most: Time) -> Time {
+        least + (most - least).max(0.0) * self.unit()
+    }
+
+    /// One of so many; 0 if there are none.
+    pub fn below(&mut self, count: usize) -> usize {
+        (self.next() % (count.max(1) as u64)) as usize
+    }
+}
--- /dev/null
+++ b/crates/distribution/src/coverage.rs
@@ -0,0 +1,123 @@
+//! Which versions a holder has been told of.
+//!
+//! A holder covers a version if, were this version the latest of its key, the holder would have it. Changes may come
+//! urgent ones first and newest first, so this is a set of spans. To forget a span is safe: its changes come again.
+
+use crate::message::Span;
+use crate::resource::Version;
+use serde::{Deserialize, Serialize};
+
+/// Most spans that are kept; of more, the smallest is forgotten.
+pub const SPANS_MOST: usize = 64;
+/// From so many spans on nothing is sent out of its turn, so that the count does not come to the most.
+pub const SPANS_MANY: usize = 48;
+
+/// A set of versions: spans that neither meet nor overlap, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Coverage {
+    spans: Vec<Span>,
+}
+
+impl Coverage {
+    /// Without versions.
+    pub const EMPTY: Coverage = Coverage { spans: Vec::new() };
+
+    /// All versions up to this one.
+    pub fn upto(version: Version) -> Coverage {
+        let mut coverage = Coverage::default();
+        coverage.add(Span { after: Version::ZERO, upto: version });
+        coverage
+    }
+
+    /// Whether there is nothing in it.
+    pub fn is_empty(&self) -> bool {
+        self.spans.is_empty()
+    }
+
+    /// Its spans.
+    pub fn spans(&self) -> &[Span] {
+        &self.spans
+    }
+
+    /// Whether its spans are in order, and not too many: what comes from elsewhere may be anything.
+    pub fn sound(&self) -> bool {
+        let each = self.spans.iter().all(|s| s.after < s.upto);
+        let order = self.spans.windows(2).all(|pair| pair[0].upto < pair[1].after);
+        each && order && self.spans.len() <= SPANS_MOST
+    }
+
+    /// Whether a version is in it.
+    pub fn holds(&self, version: Version) -> bool {
+        self.spans.iter().any(|s| s.after < version && version <= s.upto)
+    }
+
+    /// All versions up to this one are in it.
+    pub fn floor(&self) -> Version {
+        match self.spans.first() {
+            Some(span) if span.after == Version::ZERO => span.upto,
+            _ => Version::ZERO,
+        }
+    }
+
+    /// The greatest version in it.
+    pub fn top(&self) -> Version {
+        self.spans.last().map_or(Version::ZERO, |s| s.upto)
+    }
+
+    /// The lower end of the first span above a version.
+    pub fn next_above(&self, version: Version) -> Option<Version> {
+        self.spans.iter().find(|s| s.after >= version).map(|s| s.after)
+    }
+
+    /// The upper end of the last span below a version.
+    pub fn next_below(&self, version: Version) -> Version {
+        self.spans.iter().rev().map(|s| s.upto).find(|upto| *upto < version).unwrap_or(Version::ZERO)
+    }
+
+    /// Whether it is all versions up to its top.
+    pub fn is_whole(&self) -> bool {
+        self.spans.len() == 1 && self.floor() == self.top()
+    }
+
+    /// The span that a version is in.
+    pub fn span_of(&self, version: Version) -> Option<Span> {
+        self.spans.iter().copied().find(|s| s.after < version && version <= s.upto)
+    }
+
+    /// The same, of its first span and the latest others so many spans at most.
+    pub fn cut(&self, most: usize) -> Coverage {
+        let skip = self.spans.len().saturating_sub(most.max(1));
+        let first = self.spans.iter().take(usize::from(skip > 0));
+        let rest = self.spans.iter().skip(if skip > 0 { skip + 1 } else { 0 });
+        Coverage { spans: first.chain(rest).copied().collect() }
+    }
+
+    /// Adds a span.
+    pub fn add(&mut self, new: Span) {
+        if new.after >= new.upto {
+            return;
+        }
+        let (mut after, mut upto) = (new.after, new.upto);
+        let mut kept = Vec::with_capacity(self.spans.len() + 1);
+        for span in self.spans.drain(..) {
+            if span.upto < after || upto < span.after {
+                kept.push(span);
+            } else {
+                after = after.min(span.after);
+                upto = upto.max(span.upto);
+            }
+        }
+        let place = kept.partition_point(|s| s.upto < after);
+        kept.insert(place, Span { after, upto });
+        self.spans = kept;
+        self.trim();
+    }
+
+    fn trim(&mut self) {
+        while self.spans.len() > SPANS_MOST {
+            let width = |s: &Span| (s.upto.token - s.after.token, s.upto.sequence.wrapping_sub(s.after.sequence));
+            let least = (0..self.spans.len()).min_by_key(|&n| width(&self.spans[n])).unwrap_or(0);
+            self.spans.remove(least);
+        }
+    }
+}
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -15,8 +15,10 @@
 //! | [`bucket`], [`chance`] | the budget of a link, spreads of time |
 //! | [`chunks`] | bodies that take several frames |
 //! | [`child`], [`downstream`] | what a relay sends its children, and in which order |
-//! | [`upstream`] | whom a process follows, when it leaves, when it returns |
+//! | [`follow`], [`session`], [`upstream`] | whom a process follows, when it leaves, when it returns |
 //! | [`report`] | what is told upwards: standings, refusals, orphans |
+//! | [`restore`] | what was persisted, read back |
+//! | [`publish`], [`history`], [`status`] | what an author writes, takes back, and hears of it |
 //! | [`author`], [`relay`], [`subscriber`] | the three machines |
 //!
 //! # Use
@@ -38,14 +40,21 @@
 pub mod chunks;
 pub mod coverage;
 pub mod downstream;
+pub mod follow;
+pub mod history;
 pub mod link;
 pub mod log;
 pub mod message;
 pub mod output;
 pub mod peer;
+pub mod publish;
 pub mod relay;
+mod replica;
 pub mod report;
 pub mod resource;
+pub mod restore;
+pub mod session;
+pub mod status;
 pub mod subscriber;
 pub mod upstream;
 
--- a/crates/distribution/src/message.rs
+++ b/crates/distribution/src/message.rs
@@ -68,8 +68,12 @@
     pub version: Version,
     /// The change's urgency.
     pub urgency: Urgency,
+    /// Sent before other changes. One body of this kind and one of the other may be under way.
+    pub express: bool,
     /// The change's part of the nodes.
     pub part: Part,
+    /// The version that the change replaces.
+    pub replaces: Version,
     /// The body's length.
     pub total: u32,
     /// The body's hash.
@@ -163,6 +167,8 @@
     Current {
         /// The latest version that the writer has.
         head: Version,
+        /// Removals up to this version may not be told any more.
+        floor: Version,
         /// The age of the writer's own knowledge at most, in microseconds; none if it can't tell.
         age_us: Option<u64>,
     },
@@ -191,7 +197,7 @@
     postcard::from_bytes(body).ok()
 }
 
-/// How many bytes a payload takes in a frame, without its head.
-pub fn size(payload: &Payload) -> usize {
-    postcard::to_allocvec(payload).map_or(FRAME_MOST, |bytes| bytes.len())
+/// How many bytes something takes in a frame.
+pub fn written<T: Serialize>(value: &T) -> usize {
+    postcard::to_allocvec(value).map_or(FRAME_MOST, |bytes| bytes.len())
 }
--- a/crates/distribution/src/output.rs
+++ b/crates/distribution/src/output.rs
@@ -3,7 +3,6 @@
 use crate::coverage::Coverage;
 use crate::peer::PeerId;
 use crate::resource::{Change, Key, Selector, Version};
-use crate::Time;
 use serde::{Deserialize, Serialize};
 
 /// Something to be done. Outputs are done in their order.
@@ -30,15 +29,19 @@
 pub enum Record {
     /// A change; it replaces earlier ones with its key.
     Put(Change),
+    /// What is now in force at a node; `key.slot` says nothing. A removal: the resource is no longer in force.
+    InForce(Change),
     /// A removal that is no longer kept, and a snapshot's word that a key is no more.
     Forget(Key),
-    /// All changes up to here in what the selector holds, but for removals up to `floor`, have been stored.
+    /// Removals up to this version may have been forgotten.
+    Floor(Version),
+    /// So much of what a selector holds has been stored.
     Covered {
         /// Of what.
         selector: Selector,
         /// Which versions.
         coverage: Coverage,
-        /// Removals up to this version are not kept.
+        /// All removals up to this version are known.
         floor: Version,
     },
     /// The selector is no longer subscribed; its resources are gone.
@@ -83,11 +86,6 @@
         /// The later token.
         token: u64,
     },
-    /// All that was asked for is there; this was its age.
-    Current {
-        /// In seconds.
-        age: Time,
-    },
 }
 
 /// Why a session ended.
--- a/crates/distribution/src/report.rs
+++ b/crates/distribution/src/report.rs
@@ -1,15 +1,17 @@
 //! What is told upwards.
 
+use crate::message;
 use crate::peer::PeerId;
 use crate::resource::{Key, Version};
 use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Longest reason of a refusal, in bytes; the rest is cut.
 pub const REASON_MOST: usize = 200;
-/// Most reports in one frame.
-pub const REPORTS_IN_FRAME: usize = 16;
-/// Most reports that wait for the way up; of more, the oldest refusals go.
-pub const REPORTS_WAITING: usize = 8192;
+/// Most refusals and orphans that wait for the way up; of more, the oldest go.
+pub const WAITING_MOST: usize = 4096;
+/// Most nodes whose standing waits for the way up; of more, others wait at the nodes' next report.
+pub const STANDINGS_MOST: usize = 16_384;
 
 /// Something that the author has to hear.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,44 +46,86 @@
 /// Reports that wait for the way up: one standing of each node, each refusal and orphan once.
 #[derive(Debug, Default)]
 pub struct Waiting {
-    reports: std::collections::VecDeque<Report>,
+    first: VecDeque<Report>,
+    standings: BTreeMap<PeerId, Version>,
 }
 
 impl Waiting {
     /// Adds one; it replaces what it outdates.
     pub fn add(&mut self, report: Report) {
-        let place = self.reports.iter_mut().find(|other| outdates(&report, other));
-        if let Some(place) = place {
-            *place = report;
+        if let Report::Standing { node, upto } = report {
+            if self.standings.len() < STANDINGS_MOST || self.standings.contains_key(&node) {
+                self.standings.insert(node, upto);
+            }
             return;
         }
-        if self.reports.len() >= REPORTS_WAITING {
-            self.reports.pop_front();
+        if self.first.contains(&report) {
+            return;
+        }
+        if self.first.len() >= WAITING_MOST {
+            self.first.pop_front();
+        }
+        self.first.push_back(report);
+    }
+
+    /// Takes as many as fit into so many bytes, and at least one if any waits.
+    pub fn take(&mut self, room: usize) -> Vec<Report> {
+        let mut taken = Vec::new();
+        let mut bytes = 0;
+        while let Some(report) = self.next() {
+            bytes += report.size();
+            if bytes > room && !taken.is_empty() {
+                self.put_back(report);
+                break;
+            }
+            taken.push(report);
         }
-        self.reports.push_back(report);
+        taken
     }
 
-    /// Takes so many at most.
-    pub fn take(&mut self, most: usize) -> Vec<Report> {
-        let count = most.min(self.reports.len());
-        self.reports.drain(..count).collect()
+    /// Puts reports back whose way up was cut.
+    pub fn restore(&mut self, reports: Vec<Report>) {
+        for report in reports.into_iter().rev() {
+            self.put_back(report);
+        }
+    }
+
+    fn next(&mut self) -> Option<Report> {
+        if let Some(report) = self.first.pop_front() {
+            return Some(report);
+        }
+        let (node, upto) = self.standings.pop_first()?;
+        Some(Report::Standing { node, upto })
+    }
+
+    fn put_back(&mut self, report: Report) {
+        match report {
+            Report::Standing { node, upto } => {
+                self.standings.entry(node).or_insert(upto);
+            }
+            other => self.first.push_front(other),
+        }
     }
 
     /// Whether none waits.
     pub fn is_empty(&self) -> bool {
-        self.reports.is_empty()
+        self.first.is_empty() && self.standings.is_empty()
     }
+}
 
-    /// Forgets all.
-    pub fn clear(&mut self) {
-        self.reports.clear();
+impl Report {
+    /// How many bytes it takes in a frame.
+    pub fn size(&self) -> usize {
+        message::written(self)
     }
-}
 
-fn outdates(new: &Report, old: &Report) -> bool {
-    match (new, old) {
-        (Report::Standing { node: a, .. }, Report::Standing { node: b, .. }) => a == b,
-        (a, b) => a == b,
+    /// Whether its parts keep to their bounds.
+    pub fn sound(&self) -> bool {
+        match self {
+            Report::Standing { .. } => true,
+            Report::Refused { key, reason, .. } => key.name.check().is_ok() && reason.len() <= REASON_MOST,
+            Report::Orphan { key, .. } => key.name.check().is_ok(),
+        }
     }
 }
 
--- a/crates/distribution/src/resource.rs
+++ b/crates/distribution/src/resource.rs
@@ -85,6 +85,8 @@
 pub enum Selector {
     /// All resources: relays and authors.
     Everything,
+    /// What every node needs and all services, without tenants: nodes that serve all.
+    Services,
     /// The resources of one group.
     Group(Group),
 }
@@ -105,10 +107,20 @@
         Selector::Group(Group::Tenant(tenant.into()))
     }
 
+    /// All selectors that hold a group.
+    pub fn all_of(group: &Group) -> Vec<Selector> {
+        let mut all = vec![Selector::Everything, Selector::Group(group.clone())];
+        if Selector::Services.holds(group) {
+            all.push(Selector::Services);
+        }
+        all
+    }
+
     /// Whether it asks for resources of this group.
     pub fn holds(&self, group: &Group) -> bool {
         match self {
             Selector::Everything => true,
+            Selector::Services => !matches!(group, Group::Tenant(_)),
             Selector::Group(own) => own == group,
         }
     }
@@ -271,6 +283,8 @@
     pub urgency: Urgency,
     /// Which nodes it is for.
     pub part: Part,
+    /// The version of the change whose place it took at its author; [`Version::ZERO`] if there was none.
+    pub replaces: Version,
     /// What the resource is by it.
     pub content: Content,
 }
--- /dev/null
+++ b/crates/distribution/src/subscriber.rs
@@ -0,0 +1,424 @@
+//! A node: subscribes to what it needs, and puts changes in force.
+//!
+//! Of each resource the log has what is for all nodes and what is on trial; the later of the two is what is wanted. The driver
+//! is asked to apply it and accepts or rejects it. What it rejects is told to the author, and the last good one stays.
+
+use crate::coverage::Coverage;
+use crate::follow::FollowRules;
+use crate::log::{Log, Put, Room};
+use crate::message;
+use crate::output::{Event, Output, Record};
+use crate::peer::PeerId;
+use crate::replica::{orphans, unlisted};
+use crate::report::{self, Report};
+use crate::resource::{Change, Content, Key, Name, Part, Selector, Slot, Urgency, Version};
+use crate::restore::Restored;
+use crate::upstream::{Heard, Upstream};
+use crate::{Time, DRIFT};
+use reelfall_lease::token::Name as LeaseName;
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+
+/// What a subscriber is given.
+#[derive(Clone, Debug)]
+pub struct SubscriberConfig {
+    /// Which node this is.
+    pub node: PeerId,
+    /// The lease of those who write.
+    pub lease: LeaseName,
+    /// Whom it follows.
+    pub follow: FollowRules,
+    /// How much it holds.
+    pub room: Room,
+    /// It says up to which version it has all, so often at most, in seconds.
+    pub standing_every: Time,
+    /// For what is drawn.
+    pub seed: u64,
+}
+
+/// Its standing is said again after so long without news, in seconds: the author may be another one.
+pub const STANDING_AGAIN: Time = 60.0;
+/// What has come of each subscription is stored so often at most, in seconds.
+pub const STORED_EVERY: Time = 60.0;
+
+/// There are too many subscriptions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[error("{most} subscriptions at most", most = crate::child::SUBSCRIPTIONS_MOST)]
+pub struct TooMany;
+
+/// What is known of one resource here.
+#[derive(Debug, Default)]
+struct Held {
+    in_force: Option<Change>,
+    /// The version that was accepted or rejected last.
+    decided: Version,
+    /// What the driver was asked to apply and has not answered.
+    asked: Option<Version>,
+}
+
+/// See the module.
+#[derive(Debug)]
+pub struct Subscriber {
+    config: SubscriberConfig,
+    upstream: Upstream,
+    log: Log,
+    names: BTreeMap<Name, Held>,
+    /// What the driver was asked to apply and has not answered, by version: where a list of keys ends several resources,
+    /// they have one version.
+    asked: BTreeMap<Version, Vec<Change>>,
+    /// Resources that were stored and have not been compared with what is in force.
+    unchecked: Vec<Name>,
+    /// When all was last known to be there, and how old that was.
+    current: Option<(Time, Time)>,
+    head: Version,
+    said: Option<(Time, Version)>,
+    stored_at: Time,
+    stored: BTreeSet<Selector>,
+    epoch: u64,
+    clock: Time,
+}
+
+impl Subscriber {
+    /// One that begins without records.
+    pub fn new(config: SubscriberConfig, now: Time) -> Subscriber {
+        let restored = Restored::empty(config.room);
+        Subscriber::from_restored(config, restored, None, now)
+    }
+
+    /// One that goes on from what was stored, with its subscriptions. `age`: how old the records are, in seconds, if the
+    /// driver knows. What was stored and not accepted is asked to be applied again with the next poll.
+    pub fn restore(
+        config: SubscriberConfig, records: impl IntoIterator<Item = Record>, age: Option<Time>, now: Time,
+    ) -> Subscriber {
+        let restored = Restored::read(config.room, records);
+        Subscriber::from_restored(config, restored, age, now)
+    }
+
+    fn from_restored(
+        config: SubscriberConfig, restored: Restored, age: Option<Time>, now: Time,
+    ) -> Subscriber {
+        let mut upstream =
+            Upstream::new(config.follow.clone(), config.lease.clone(), config.seed, now);
+        let stored = restored.covered.keys().cloned().collect();
+        for (selector, (coverage, floor)) in restored.covered {
+            upstream.subscribe(selector, coverage, floor);
+        }
+        let mut names = BTreeMap::new();
+        for (name, change) in restored.in_force {
+            let decided = change.version;
+            names.insert(name, Held { in_force: Some(change), decided, asked: None });
+        }
+        let unchecked = restored.log.changes().map(|change| change.key.name.clone()).collect();
+        Subscriber {
+            config,
+            upstream,
+            unchecked,
+            log: restored.log,
+            names,
+            asked: BTreeMap::new(),
+            current: age.map(|age| (now, age)),
+            head: Version::ZERO,
+            said: None,
+            stored_at: f64::NEG_INFINITY,
+            stored,
+            epoch: 0,
+            clock: now,
+        }
+    }
+
+    /// Asks for more.
+    ///
+    /// # Errors
+    /// If there are too many subscriptions.
+    pub fn subscribe(&mut self, selector: Selector) -> Result<(), TooMany> {
+        if self.upstream.held().count() >= crate::child::SUBSCRIPTIONS_MOST {
+            return Err(TooMany);
+        }
+        self.upstream.subscribe(selector, Coverage::EMPTY, Version::ZERO);
+        Ok(())
+    }
+
+    /// Asks for less. The resources are no longer in force here; the driver is not asked to apply that.
+    pub fn unsubscribe(&mut self, selector: &Selector, outputs: &mut Vec<Output>) {
+        if !self.upstream.unsubscribe(selector) {
+            return;
+        }
+        self.stored.remove(selector);
+        outputs.push(Output::Persist(Record::Unsubscribed(selector.clone())));
+        let keys: Vec<Key> = self.log.keys_after(selector, Version::ZERO).map(|(_, key)| key.clone()).collect();
+        for key in keys.iter().filter(|key| !self.is_wanted(&key.name)) {
+            self.log.take_out(key);
+        }
+        let upstream = &self.upstream;
+        let gone = |name: &Name| {
+            selector.holds(&name.group) && !upstream.held().any(|(other, _)| other.holds(&name.group))
+        };
+        self.names.retain(|name, _| !gone(name));
+        for changes in self.asked.values_mut() {
+            changes.retain(|change| !gone(&change.key.name));
+        }
+        self.asked.retain(|_, changes| !changes.is_empty());
+    }
+
+    fn is_wanted(&self, name: &Name) -> bool {
+        self.upstream.held().any(|(selector, _)| selector.holds(&name.group))
+    }
+
+    /// What is in force of a resource.
+    pub fn in_force(&self, name: &Name) -> Option<&Change> {
+        self.names.get(name)?.in_force.as_ref()
+    }
+
+    /// All that is in force.
+    pub fn all_in_force(&self) -> impl Iterator<Item = &Change> {
+        self.names.values().filter_map(|held| held.in_force.as_ref())
+    }
+
+    /// Whether all of a subscription had come at some time: what is not in force then is not there.
+    pub fn is_complete(&self, selector: &Selector) -> bool {
+        self.upstream.held_of(selector).is_some_and(|held| held.complete)
+    }
+
+    /// How old at most is what is known here of the subscriptions that are complete, in seconds; without bound if that
+    /// can't be told.
+    pub fn staleness(&self, now: Time) -> Time {
+        match self.current {
+            Some((at, age)) => age + (now - at).max(0.0) * (1.0 + 2.0 * DRIFT),
+            None => f64::INFINITY,
+        }
+    }
+
+    /// Up to which version all is known here.
+    pub fn head(&self) -> Version {
+        self.head
+    }
+
+    /// Whom it follows.
+    pub fn following(&self) -> Option<PeerId> {
+        self.upstream.following()
+    }
+
+    /// The driver has put the change of this version in force.
+    pub fn accepted(&mut self, version: Version, outputs: &mut Vec<Output>) {
+        for change in self.answered(version) {
+            let name = change.key.name.clone();
+            outputs.push(Output::Persist(Record::InForce(change.clone())));
+            if let Some(held) = self.names.get_mut(&name) {
+                held.in_force = (!change.removes()).then_some(change);
+            }
+            self.evaluate(&name, outputs);
+        }
+    }
+
+    /// The driver can't use the change of this version: the last good one stays in force, and the author hears of it.
+    pub fn rejected(&mut self, version: Version, reason: &str, outputs: &mut Vec<Output>) {
+        for change in self.answered(version) {
+            let name = change.key.name.clone();
+            let slot = self.slot_of(&name, version);
+            let key = Key { name: name.clone(), slot };
+            let reason = report::cut(reason);
+            self.upstream.report(Report::Refused { node: self.config.node, key, version, reason });
+            self.evaluate(&name, outputs);
+        }
+    }
+
+    fn slot_of(&self, name: &Name, version: Version) -> Slot {
+        let trial = Key { name: name.clone(), slot: Slot::Trial };
+        let on_trial = self.log.get(&trial).is_some_and(|trial| trial.version == version);
+        if on_trial { Slot::Trial } else { Slot::Whole }
+    }
+
+    fn answered(&mut self, version: Version) -> Vec<Change> {
+        let changes = self.asked.remove(&version).unwrap_or_default();
+        for change in &changes {
+            if let Some(held) = self.names.get_mut(&change.key.name) {
+                held.asked = None;
+                held.decided = held.decided.max(version);
+            }
+        }
+        changes
+    }
+
+    /// What a resource is to be here by the log.
+    fn wanted(&self, name: &Name) -> Option<Change> {
+        let get = |slot| self.log.get(&Key { name: name.clone(), slot });
+        let (whole, trial) = (get(Slot::Whole), get(Slot::Trial));
+        let on_trial = trial.filter(|trial| !trial.removes());
+        let on_trial = on_trial.filter(|trial| whole.is_none_or(|whole| whole.version < trial.version));
+        let version = whole.map(|c| c.version).max(trial.map(|c| c.version))?;
+        let content = match on_trial.or(whole) {
+            Some(change) => change.content.clone(),
+            None => Content::Removed,
+        };
+        let urgency = Urgency::Normal;
+        Some(effective(name, version, content, urgency))
+    }
+
+    /// Asks the driver for what a resource is to be, if it is another than what is in force.
+    fn evaluate(&mut self, name: &Name, outputs: &mut Vec<Output>) {
+        if let Some(wanted) = self.wanted(name) {
+            self.want(wanted, outputs);
+        }
+    }
+
+    fn want(&mut self, wanted: Change, outputs: &mut Vec<Output>) {
+        let held = self.names.entry(wanted.key.name.clone()).or_default();
+        if held.asked.is_some() || wanted.version <= held.decided {
+            return;
+        }
+        let same = match &held.in_force {
+            Some(now) => now.content == wanted.content,
+            None => wanted.removes(),
+        };
+        if same {
+            held.decided = wanted.version;
+            if let Some(now) = &mut held.in_force {
+                now.version = wanted.version;
+            }
+            return;
+        }
+        held.asked = Some(wanted.version);
+        self.asked.entry(wanted.version).or_default().push(wanted.clone());
+        outputs.push(Output::Apply(wanted));
+    }
+
+    /// Takes a frame in; any bytes.
+    pub fn receive(&mut self, now: Time, from: PeerId, frame: &[u8], outputs: &mut Vec<Output>) {
+        self.clock = self.clock.max(now);
+        let Some((head, payload)) = message::decode(frame) else { return };
+        if head.up {
+            return;
+        }
+        let heard = self.upstream.receive(now, from, frame.len(), &head, payload, outputs);
+        match heard {
+            None => {}
+            Some(Heard::Epoch(epoch)) => {
+                if epoch.claim.token > self.epoch {
+                    self.epoch = epoch.claim.token;
+                    for (key, version) in orphans(&self.log, &epoch) {
+                        self.upstream.report(Report::Orphan { key, version });
+                    }
+                }
+            }
+            Some(Heard::Changes { selector, span, changes }) => {
+                for change in changes {
+                    self.take_change(change, outputs);
+                }
+                self.upstream.cover(&selector, span);
+            }
+            Some(Heard::Listed { selector, floor, digests }) => {
+                self.take_listed(&selector, floor, &digests, outputs);
+            }
+            Some(Heard::Current { head, age, .. }) => self.take_current(now, head, age, outputs),
+        }
+    }
+
+    fn take_change(&mut self, change: Change, outputs: &mut Vec<Output>) {
+        let (key, version) = (change.key.clone(), change.version);
+        match self.log.put(change.clone()) {
+            Put::Old => {}
+            Put::Taken => {
+                outputs.push(Output::Persist(Record::Put(change)));
+                self.evaluate(&key.name, outputs);
+            }
+            Put::Full => {
+                let reason = "no room".to_owned();
+                let report =
+                    Report::Refused { node: self.config.node, key: key.clone(), version, reason };
+                self.upstream.report(report);
+                outputs.push(Output::Event(Event::Full { key, version }));
+            }
+        }
+        for key in self.log.forget_removals() {
+            self.forget(&key, outputs);
+        }
+    }
+
+    /// A key is no more; where nothing is in force, nothing is known of the resource any longer.
+    fn forget(&mut self, key: &Key, outputs: &mut Vec<Output>) {
+        outputs.push(Output::Persist(Record::Forget(key.clone())));
+        let other = |slot| self.log.get(&Key { name: key.name.clone(), slot }).is_some();
+        if other(Slot::Whole) || other(Slot::Trial) {
+            return;
+        }
+        let idle = |held: &Held| held.in_force.is_none() && held.asked.is_none();
+        if self.names.get(&key.name).is_some_and(idle) {
+            self.names.remove(&key.name);
+        }
+    }
+
+    fn take_listed(
+        &mut self, selector: &Selector, floor: Version, digests: &BTreeSet<u64>,
+        outputs: &mut Vec<Output>,
+    ) {
+        for key in unlisted(&self.log, selector, floor, digests) {
+            self.log.take_out(&key);
+            outputs.push(Output::Persist(Record::Forget(key.clone())));
+            let name = &key.name;
+            let left = self.wanted(name).map_or(Content::Removed, |wanted| wanted.content);
+            self.want(effective(name, floor, left, Urgency::Normal), outputs);
+        }
+        self.upstream.removals_known(selector, floor);
+    }
+
+    fn take_current(&mut self, now: Time, head: Version, age: Option<Time>, outputs: &mut Vec<Output>) {
+        if let Some(age) = age {
+            self.current = Some((now, age));
+            self.head = self.head.max(head);
+        }
+        let all = now >= self.stored_at + STORED_EVERY;
+        if all {
+            self.stored_at = now;
+        }
+        for (selector, held) in self.upstream.held() {
+            if held.complete && (all || !self.stored.contains(selector)) {
+                let (coverage, floor) = (held.coverage.clone(), held.floor);
+                let selector = selector.clone();
+                self.stored.insert(selector.clone());
+                outputs.push(Output::Persist(Record::Covered { selector, coverage, floor }));
+            }
+        }
+    }
+
+    /// Sends what is due.
+    pub fn poll(&mut self, now: Time, outputs: &mut Vec<Output>) {
+        self.clock = self.clock.max(now);
+        for name in std::mem::take(&mut self.unchecked) {
+            self.evaluate(&name, outputs);
+        }
+        self.say_standing(now);
+        self.upstream.poll(now, outputs);
+    }
+
+    fn say_standing(&mut self, now: Time) {
+        if now < self.standing_at() {
+            return;
+        }
+        self.said = Some((now, self.head));
+        self.upstream.report(Report::Standing { node: self.config.node, upto: self.head });
+    }
+
+    fn standing_at(&self) -> Time {
+        if self.head == Version::ZERO || !self.asked.is_empty() {
+            return f64::INFINITY;
+        }
+        match self.said {
+            None => self.clock,
+            Some((at, version)) if version < self.head => at + self.config.standing_every,
+            Some((at, _)) => at + STANDING_AGAIN,
+        }
+    }
+
+    /// When [`Subscriber::poll`] is to be called.
+    pub fn next_wakeup(&self) -> Time {
+        if !self.unchecked.is_empty() {
+            return self.clock;
+        }
+        self.upstream.next_wakeup(self.clock).min(self.standing_at())
+    }
+}
+
+fn effective(name: &Name, version: Version, content: Content, urgency: Urgency) -> Change {
+    let key = Key { name: name.clone(), slot: Slot::Whole };
+    Change { key, version, urgency, part: Part::ALL, replaces: Version::ZERO, content }
+}
--- /dev/null
+++ b/crates/distribution/src/upstream.rs
@@ -0,0 +1,420 @@
+//! Whom a process follows: an author for the first relays, a relay for the others and for nodes.
+//!
+//! | state | ends |
+//! | --- | --- |
+//! | idle | when [`Upstream::resume`] is called |
+//! | resting | after a drawn time, longer after each failure |
+//! | following | when nothing was heard for [`FollowRules::silence`]; when nothing new came for [`FollowRules::stale`] and there is somebody else; when the upstream says so or breaks the rules |
+
+use crate::bucket::Bucket;
+use crate::chance::Chance;
+use crate::chunks::Part;
+use crate::coverage::Coverage;
+use crate::follow::FollowRules;
+use crate::link::{Arrival, Link};
+use crate::message::{Epoch, Head, Payload, Span};
+use crate::output::{Event, Output, Reason};
+use crate::peer::PeerId;
+use crate::report::{Report, Waiting};
+use crate::resource::{Change, Selector, Version};
+use crate::session::{Held, Session, Subscriptions};
+use crate::Time;
+use reelfall_lease::token::{Fence, Name as LeaseName};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What an upstream has said.
+#[derive(Debug, PartialEq)]
+pub enum Heard {
+    /// Who the author is.
+    Epoch(Epoch),
+    /// Changes; once they are stored, [`Upstream::cover`] is to be called.
+    Changes {
+        /// Of which subscription.
+        selector: Selector,
+        /// What is covered by them.
+        span: Span,
+        /// The changes.
+        changes: Vec<Change>,
+    },
+    /// All keys of a selector: others with this version or an earlier one are no more.
+    Listed {
+        /// Of what.
+        selector: Selector,
+        /// The version.
+        floor: Version,
+        /// The digests of the keys.
+        digests: BTreeSet<u64>,
+    },
+    /// All that the upstream was asked for when it wrote this has come.
+    Current {
+        /// The latest version that the upstream has.
+        head: Version,
+        /// Removals up to this version may have been forgotten there.
+        floor: Version,
+        /// How old that is at most, in seconds, if it holds for everything that was complete before.
+        age: Option<Time>,
+    },
+}
+
+#[derive(Debug)]
+enum State {
+    Resting { until: Time },
+    Following(Box<Session>),
+}
+
+/// An upstream is left alone after it broke the rules, in seconds.
+const BROKE_RULES_REST: Time = 120.0;
+/// An upstream is left alone after it was silent or stale, in seconds.
+const FAILED_REST: Time = 30.0;
+/// Doublings of the rest at most.
+const DOUBLINGS_MOST: i32 = 5;
+
+/// See the module.
+#[derive(Debug)]
+pub struct Upstream {
+    rules: FollowRules,
+    lease: LeaseName,
+    chance: Chance,
+    state: State,
+    subscriptions: Subscriptions,
+    avoid: BTreeMap<PeerId, Time>,
+    failures: i32,
+    fence: Fence,
+    bucket: Option<Bucket>,
+    reports: Waiting,
+}
+
+impl Upstream {
+    /// Follows nobody yet; the first is drawn within [`FollowRules::spread`].
+    pub fn new(rules: FollowRules, lease: LeaseName, seed: u64, now: Time) -> Upstream {
+        let mut chance = Chance::new(seed);
+        let until = now + chance.between(0.0, rules.spread);
+        Upstream {
+            rules,
+            lease,
+            chance,
+            state: State::Resting { until },
+            subscriptions: Subscriptions::default(),
+            avoid: BTreeMap::new(),
+            failures: 0,
+            fence: Fence::new(1),
+            bucket: None,
+            reports: Waiting::default(),
+        }
+    }
+
+    /// Asks for more, of which so much is known already.
+    pub fn subscribe(&mut self, selector: Selector, coverage: Coverage, floor: Version) {
+        if self.subscriptions.held.contains_key(&selector) {
+            return;
+        }
+        let complete = coverage.is_whole();
+        let held = Held { coverage, floor, complete, ..Held::default() };
+        self.subscriptions.unasked.insert(selector.clone());
+        self.subscriptions.held.insert(selector, held);
+    }
+
+    /// Asks for less; whether it was asked for.
+    pub fn unsubscribe(&mut self, selector: &Selector) -> bool {
+        let Some(held) = self.subscriptions.held.remove(selector) else { return false };
+        self.subscriptions.unasked.remove(selector);
+        if let (State::Following(session), Some(id)) = (&mut self.state, held.id) {
+            session.end(id);
+        }
+        true
+    }
+
+    /// What is asked for.
+    pub fn held(&self) -> impl Iterator<Item = (&Selector, &Held)> {
+        self.subscriptions.held.iter()
+    }
+
+    /// What is known of a subscription.
+    pub fn held_of(&self, selector: &Selector) -> Option<&Held> {
+        self.subscriptions.held.get(selector)
+    }
+
+    /// Whom it follows.
+    pub fn following(&self) -> Option<PeerId> {
+        match &self.state {
+            State::Following(session) => Some(session.link.peer()),
+            State::Resting { .. } => None,
+        }
+    }
+
+    /// A change has been stored: this span is covered.
+    pub fn cover(&mut self, selector: &Selector, span: Span) {
+        if let Some(held) = self.subscriptions.held.get_mut(selector) {
+            held.coverage.add(span);
+        }
+    }
+
+    /// All removals of a selector up to a version are known.
+    pub fn removals_known(&mut self, selector: &Selector, floor: Version) {
+        if let Some(held) = self.subscriptions.held.get_mut(selector) {
+            held.floor = held.floor.max(floor);
+        }
+    }
+
+    /// Something to tell upwards.
+    pub fn report(&mut self, report: Report) {
+        self.reports.add(report);
+    }
+
+    /// Takes an author's claim in.
+    ///
+    /// # Errors
+    /// If it is of another lease, or if a later token has been seen.
+    pub fn admit(&mut self, epoch: &Epoch) -> Result<(), Reason> {
+        if epoch.claim.lease != self.lease {
+            return Err(Reason::Misbehaved);
+        }
+        self.fence.admit(&epoch.claim).map_err(|_| Reason::Fenced)
+    }
+
+    /// The highest token that was seen.
+    pub fn token_seen(&self) -> u64 {
+        self.fence.seen(&self.lease).unwrap_or(0)
+    }
+
+    /// Follows nobody until [`Upstream::resume`].
+    pub fn suspend(&mut self, now: Time, outputs: &mut Vec<Output>) {
+        self.leave(now, Reason::Replaced, outputs);
+        self.state = State::Resting { until: f64::INFINITY };
+    }
+
+    /// Follows again.
+    pub fn resume(&mut self, now: Time) {
+        if let State::Resting { until } = &mut self.state {
+            *until = until.min(now + self.chance.between(0.0, self.rules.spread));
+        }
+    }
+
+    /// Leaves the upstream; another one is drawn after a rest.
+    pub fn leave(&mut self, now: Time, why: Reason, outputs: &mut Vec<Output>) {
+        let rest = match why {
+            Reason::Misbehaved | Reason::Flooded => BROKE_RULES_REST,
+            Reason::Unknown | Reason::Replaced => 0.0,
+            _ => FAILED_REST,
+        };
+        if let State::Following(session) = &mut self.state {
+            session.link.say(now, &Payload::Close { why, rest_ms: 0 }, outputs);
+        }
+        self.leave_for(now, why, rest, outputs);
+    }
+
+    /// Guards against all children of a relay that died coming to the next at once: each rests for a time of its own.
+    /// Harm: a child alone waits for it, too.
+    fn leave_for(&mut self, now: Time, why: Reason, rest: Time, outputs: &mut Vec<Output>) {
+        let longest = self.rules.spread * 2f64.powi(self.failures);
+        let until = now + self.chance.between(0.0, longest.min(self.rules.rest_most));
+        if matches!(self.state, State::Resting { .. }) {
+            return;
+        }
+        let old = std::mem::replace(&mut self.state, State::Resting { until });
+        let State::Following(session) = old else { return };
+        let upstream = session.link.peer();
+        self.failures = (self.failures + 1).min(DOUBLINGS_MOST);
+        self.avoid.insert(upstream, now + rest);
+        self.bucket = Some(session.link.bucket().clone());
+        self.reports.restore(session.reports);
+        self.subscriptions.ask_again();
+        outputs.push(Output::Event(Event::Left { upstream, why }));
+    }
+
+    /// Takes an upstream's frame of so many bytes in. Frames of others are left.
+    pub fn receive(
+        &mut self, now: Time, from: PeerId, bytes: usize, head: &Head, payload: Payload,
+        outputs: &mut Vec<Output>,
+    ) -> Option<Heard> {
+        let State::Following(session) = &mut self.state else { return None };
+        if session.link.peer() != from || session.link.session() != head.session {
+            return None;
+        }
+        // Guards against an upstream that sends without end. Harm: none; a relay's own bucket is a quarter of it.
+        if !session.inflow.take(now, bytes) {
+            self.leave(now, Reason::Flooded, outputs);
+            return None;
+        }
+        self.take(now, head, payload, outputs).unwrap_or_else(|why| {
+            self.leave(now, why, outputs);
+            None
+        })
+    }
+
+    fn take(
+        &mut self, now: Time, head: &Head, payload: Payload, outputs: &mut Vec<Output>,
+    ) -> Result<Option<Heard>, Reason> {
+        let State::Following(session) = &mut self.state else { return Ok(None) };
+        let arrival = session.link.take(now, head)?;
+        if !arrival.fresh {
+            return Ok(None);
+        }
+        if session.link.is_free() {
+            session.reports.clear();
+        }
+        match payload {
+            Payload::Acknowledge => Ok(None),
+            Payload::Close { why, rest_ms } => {
+                let rest = f64::from(rest_ms) / 1e3;
+                self.leave_for(now, why, rest.min(self.rules.rest_most), outputs);
+                Ok(None)
+            }
+            Payload::Epoch(epoch) => self.epoch(epoch),
+            Payload::Changes { id, span, changes } => self.changes(now, arrival, id, span, changes),
+            Payload::Chunk { id, span, chunk } => {
+                if session.asked_for(id, arrival)?.is_none() {
+                    return Ok(None);
+                }
+                session.progress_at = now;
+                match session.assemblies.take(id, chunk) {
+                    Part::More => Ok(None),
+                    Part::Whole(change) => self.changes(now, arrival, id, span, vec![*change]),
+                    Part::Wrong => Err(Reason::Misbehaved),
+                }
+            }
+            Payload::Manifest { id, first, last, floor, digests } => {
+                let listed = session.list(arrival, id, first, last, digests)?;
+                session.progress_at = now;
+                Ok(listed.map(|(selector, digests)| Heard::Listed { selector, floor, digests }))
+            }
+            Payload::Current { head, floor, age_us } => {
+                Ok(Some(self.current(now, arrival, head, floor, age_us)))
+            }
+            _ => Err(Reason::Misbehaved),
+        }
+    }
+
+    fn epoch(&mut self, epoch: Epoch) -> Result<Option<Heard>, Reason> {
+        if !epoch.known.sound() {
+            return Err(Reason::Misbehaved);
+        }
+        self.admit(&epoch)?;
+        Ok(Some(Heard::Epoch(epoch)))
+    }
+
+    /// Guards against changes that nobody asked for, and against spans that their changes are not in. Harm: none.
+    fn changes(
+        &mut self, now: Time, arrival: Arrival, id: u32, span: Span, changes: Vec<Change>,
+    ) -> Result<Option<Heard>, Reason> {
+        let State::Following(session) = &mut self.state else { return Ok(None) };
+        let Some(selector) = session.asked_for(id, arrival)? else { return Ok(None) };
+        let fits = |change: &Change| {
+            let inside = span.after < change.version && change.version <= span.upto;
+            change.sound() && inside && selector.holds(&change.key.name.group)
+        };
+        if span.after >= span.upto || !changes.iter().all(fits) {
+            return Err(Reason::Misbehaved);
+        }
+        session.progress_at = now;
+        Ok(Some(Heard::Changes { selector, span, changes }))
+    }
+
+    /// What was asked for after the upstream wrote this is not in its word.
+    fn current(
+        &mut self, now: Time, arrival: Arrival, head: Version, floor: Version, age_us: Option<u64>,
+    ) -> Heard {
+        let mut all = true;
+        for held in self.subscriptions.held.values_mut() {
+            if held.asked.is_some_and(|asked| asked <= arrival.acknowledged) {
+                held.coverage.add(Span { after: Version::ZERO, upto: head });
+                held.floor = held.floor.max(head);
+                held.complete = true;
+            } else {
+                all &= !held.complete;
+            }
+        }
+        let age = age_us.zip(arrival.transit).map(|(age_us, transit)| age_us as f64 / 1e6 + transit);
+        if let State::Following(session) = &mut self.state {
+            if age.is_some_and(|age| age <= self.rules.stale) {
+                session.progress_at = now;
+                self.failures = 0;
+            }
+        }
+        Heard::Current { head, floor, age: age.filter(|_| all) }
+    }
+
+    /// Sends what is due; draws an upstream after a rest, and leaves one that is of no use.
+    pub fn poll(&mut self, now: Time, outputs: &mut Vec<Output>) {
+        let fault = match &self.state {
+            State::Resting { until } if now >= *until => {
+                self.begin(now, outputs);
+                None
+            }
+            State::Resting { .. } => None,
+            State::Following(session) => self.fault(now, session),
+        };
+        if let Some(why) = fault {
+            self.leave(now, why, outputs);
+        }
+        let State::Following(session) = &mut self.state else { return };
+        session.link.flush_repeats(now, outputs);
+        session.send_next(now, self.rules.relay, &mut self.subscriptions, &mut self.reports, outputs);
+        session.link.flush(now, outputs);
+        if now >= session.link.wrote_at() + self.rules.keepalive {
+            session.link.say(now, &Payload::Acknowledge, outputs);
+        }
+    }
+
+    /// Guards against an upstream that died, stands still, or is itself cut off. Harm: a child of a relay that is silent for
+    /// a moment longer comes back elsewhere, with what it has.
+    fn fault(&self, now: Time, session: &Session) -> Option<Reason> {
+        if now >= session.link.heard_at() + self.rules.silence {
+            return Some(Reason::Silent);
+        }
+        if self.has_others() && now >= session.progress_at + self.rules.stale {
+            return Some(Reason::Stale);
+        }
+        session.is_worn().then_some(Reason::Replaced)
+    }
+
+    fn has_others(&self) -> bool {
+        self.rules.upstreams.len() + self.rules.fallbacks.len() > 1
+    }
+
+    fn begin(&mut self, now: Time, outputs: &mut Vec<Output>) {
+        let Some(peer) = self.draw(now) else {
+            let all = self.rules.upstreams.iter().chain(&self.rules.fallbacks);
+            let avoided = all.filter_map(|peer| self.avoid.get(peer));
+            let first = avoided.fold(f64::INFINITY, |a, b| a.min(*b));
+            let until = first.max(now) + self.chance.between(0.0, self.rules.spread);
+            self.state = State::Resting { until };
+            return;
+        };
+        let mut link = Link::new(peer, self.chance.next(), true, self.rules.budget, now);
+        if let Some(bucket) = self.bucket.take() {
+            link = link.with_bucket(bucket);
+        }
+        let inflow = Bucket::new(self.rules.inflow, now);
+        self.state = State::Following(Box::new(Session::new(link, inflow, now)));
+        outputs.push(Output::Event(Event::Following(peer)));
+    }
+
+    fn draw(&mut self, now: Time) -> Option<PeerId> {
+        for list in [&self.rules.upstreams, &self.rules.fallbacks] {
+            let free = |peer: &&PeerId| self.avoid.get(*peer).is_none_or(|until| now >= *until);
+            let free: Vec<PeerId> = list.iter().filter(free).copied().collect();
+            if !free.is_empty() {
+                return Some(free[self.chance.below(free.len())]);
+            }
+        }
+        None
+    }
+
+    /// When something is due.
+    pub fn next_wakeup(&self, now: Time) -> Time {
+        let session = match &self.state {
+            State::Resting { until } => return *until,
+            State::Following(session) => session,
+        };
+        let silent = session.link.heard_at() + self.rules.silence;
+        let stale = session.progress_at + self.rules.stale;
+        let fault = if self.has_others() { silent.min(stale) } else { silent };
+        let keepalive = session.link.wrote_at() + self.rules.keepalive;
+        let keepalive = keepalive.max(session.link.ready(now, 0));
+        let work = session.link.is_free() && session.has_work(&self.subscriptions, &self.reports);
+        let payload =
+            if work { session.link.ready(now, session.link.room_most()) } else { f64::INFINITY };
+        fault.min(keepalive).min(payload).min(session.link.next_wakeup(now))
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/world/judge.rs
@@ -0,0 +1,87 @@
+//! What must never be, whatever happens: looked at after each step of a process.
+
+use super::{Machine, Seat, BAD_FOR_ODD};
+use reelfall_distribution::bucket::TRANSPORT_OVERHEAD;
+use reelfall_distribution::output::Event;
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::resource::{Name, Version};
+use reelfall_distribution::Time;
+use std::collections::{BTreeMap, VecDeque};
+
+/// What passes between a relay and a node over any [`WINDOW`], in bytes.
+pub const BUDGET: usize = 80_000;
+/// See [`BUDGET`], in seconds.
+pub const WINDOW: Time = 10.0;
+/// Nodes have numbers from this one on.
+pub const FIRST_NODE: u32 = 100;
+
+type Life = (PeerId, u64);
+
+#[derive(Default)]
+pub struct Judge {
+    in_force: BTreeMap<(PeerId, Name), Version>,
+    windows: BTreeMap<(Life, Life), (VecDeque<(Time, usize)>, usize)>,
+    /// What the author with the lease has published, and when.
+    published: Vec<(Time, Version)>,
+    pub broken: Vec<String>,
+    pub events: Vec<(Time, PeerId, Event)>,
+    /// The most that passed between a relay and a node over any window.
+    pub busiest: usize,
+}
+
+impl Judge {
+    pub fn started(&mut self, _id: PeerId) {}
+
+    pub fn published(&mut self, t: Time, version: Version) {
+        self.published.push((t, version));
+    }
+
+    pub fn event(&mut self, t: Time, id: PeerId, event: Event) {
+        self.events.push((t, id, event));
+    }
+
+    /// A frame was sent.
+    pub fn sent(&mut self, t: Time, from: Life, to: Life, bytes: usize) {
+        if from.0 .0 < FIRST_NODE && to.0 .0 < FIRST_NODE {
+            return;
+        }
+        let (window, sum) = self.windows.entry((from.min(to), from.max(to))).or_default();
+        let bytes = bytes + TRANSPORT_OVERHEAD;
+        window.push_back((t, bytes));
+        *sum += bytes;
+        while window.front().is_some_and(|(at, _)| *at <= t - WINDOW) {
+            *sum -= window.pop_front().map_or(0, |(_, bytes)| bytes);
+        }
+        self.busiest = self.busiest.max(*sum);
+        if *sum > BUDGET {
+            self.broken.push(format!("{t}: {sum} bytes between {from:?} and {to:?} in {WINDOW} s"));
+        }
+    }
+
+    /// A process has done something.
+    pub fn look(&mut self, t: Time, id: PeerId, seat: &Seat) {
+        let Some(Machine::Node(node)) = &seat.machine else { return };
+        for change in node.all_in_force() {
+            let known = self.in_force.entry((id, change.key.name.clone())).or_default();
+            if change.version < *known {
+                self.broken.push(format!("{t}: {id:?} went back from {known:?} to {:?}", change.version));
+            }
+            *known = change.version;
+            if id.0 % 2 == 1 && change.content.bytes().starts_with(BAD_FOR_ODD) {
+                self.broken.push(format!("{t}: {id:?} has in force what it refused"));
+            }
+        }
+        let staleness = node.staleness(seat.clock(t));
+        let at = t - staleness;
+        let before = self.published.partition_point(|(published, _)| *published < at);
+        let must = self.published[..before].iter().map(|(_, version)| *version).max();
+        if must.is_some_and(|must| node.head() < must) {
+            let head = node.head();
+            self.broken.push(format!("{t}: {id:?} says {staleness} s, and has {head:?}, not {must:?}"));
+        }
+    }
+
+    pub fn verdict(&self) {
+        assert!(self.broken.is_empty(), "{:#?}", &self.broken[..self.broken.len().min(5)]);
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/world/mod.rs
@@ -0,0 +1,431 @@
+//! Authors, relays and nodes in virtual time, over links that lose, repeat, delay and are cut; processes that are killed
+//! in the middle of what they do, stand still, and begin anew from their disks. Judged by the world's one clock.
+
+#![allow(dead_code)]
+
+pub mod judge;
+
+use judge::Judge;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use reelfall_distribution::author::{Author, AuthorConfig};
+use reelfall_distribution::downstream::ServeRules;
+use reelfall_distribution::follow::FollowRules;
+use reelfall_distribution::log::Room;
+use reelfall_distribution::output::{Output, Record};
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::relay::{Relay, RelayConfig};
+use reelfall_distribution::resource::{Change, Content, Name, Selector};
+use reelfall_distribution::subscriber::{Subscriber, SubscriberConfig};
+use reelfall_distribution::Time;
+use reelfall_lease::token::{Claim, Name as LeaseName};
+use std::collections::{BTreeMap, BTreeSet};
+
+pub fn lease() -> LeaseName {
+    LeaseName::try_from("settings".to_owned()).unwrap()
+}
+
+pub fn claim(token: u64) -> Claim {
+    Claim { lease: lease(), token }
+}
+
+/// A body that begins so is refused by nodes with an odd number.
+pub const BAD_FOR_ODD: &[u8] = b"bad for odd";
+
+pub enum Machine {
+    Author(Box<Author>),
+    Relay(Box<Relay>),
+    Node(Box<Subscriber>),
+}
+
+#[derive(Clone)]
+pub enum Config {
+    Author(AuthorConfig),
+    Relay(RelayConfig),
+    Node(SubscriberConfig, Vec<Selector>),
+}
+
+pub struct Seat {
+    pub config: Config,
+    pub machine: Option<Machine>,
+    pub disk: Vec<Record>,
+    pub life: u64,
+    frozen_until: Time,
+    offset: Time,
+    rate: f64,
+    /// It ends after so many more outputs.
+    ends_after: Option<usize>,
+    /// Answers to [`Output::Apply`] take so long.
+    pub applies_in: Time,
+}
+
+impl Seat {
+    pub fn clock(&self, t: Time) -> Time {
+        self.offset + t * self.rate
+    }
+
+    fn true_time(&self, clock: Time) -> Time {
+        (clock - self.offset) / self.rate
+    }
+}
+
+enum Event {
+    Frame { to: PeerId, from: PeerId, frame: Vec<u8> },
+    Wake(PeerId, u64),
+    Answer(PeerId, u64, Change),
+}
+
+#[derive(Clone, Copy)]
+pub struct Network {
+    pub loss: f64,
+    pub twice: f64,
+    pub delay: (Time, Time),
+}
+
+pub const CALM: Network = Network { loss: 0.0, twice: 0.0, delay: (0.01, 0.02) };
+
+pub struct World {
+    pub t: Time,
+    pub draw: Pcg64Mcg,
+    events: BTreeMap<(u64, u64), Event>,
+    next: u64,
+    pub seats: BTreeMap<PeerId, Seat>,
+    cuts: BTreeMap<(PeerId, PeerId), Time>,
+    pub network: Network,
+    pub judge: Judge,
+    /// Frames between two processes, for cases that look at them.
+    pub sent: Vec<(Time, PeerId, PeerId, usize)>,
+}
+
+fn order(t: Time) -> u64 {
+    t.max(0.0).to_bits()
+}
+
+impl World {
+    pub fn new(seed: u64, network: Network) -> World {
+        World {
+            t: 0.0,
+            draw: Pcg64Mcg::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            next: 0,
+            seats: BTreeMap::new(),
+            cuts: BTreeMap::new(),
+            network,
+            judge: Judge::default(),
+            sent: Vec::new(),
+        }
+    }
+
+    pub fn author(&mut self, id: u32, relays: &[u32]) {
+        let config = AuthorConfig {
+            lease: lease(),
+            follow: FollowRules::relay(peers(relays)),
+            serve: ServeRules::default(),
+            room: Room { keys: 10_000, bytes: 64 << 20, removals: 50 },
+            history: 1 << 20,
+            takeover: 5.0,
+            seed: self.draw.random(),
+        };
+        self.seat(PeerId(id), Config::Author(config));
+    }
+
+    pub fn relay(&mut self, id: u32, upstreams: &[u32]) {
+        let config = RelayConfig {
+            lease: lease(),
+            follow: FollowRules::relay(peers(upstreams)),
+            serve: ServeRules::default(),
+            room: Room { keys: 10_000, bytes: 64 << 20, removals: 50 },
+            seed: self.draw.random(),
+        };
+        self.seat(PeerId(id), Config::Relay(config));
+    }
+
+    pub fn node(&mut self, id: u32, relays: &[u32], selectors: &[Selector]) {
+        let config = SubscriberConfig {
+            node: PeerId(id),
+            lease: lease(),
+            follow: FollowRules::node(peers(relays)),
+            room: Room { keys: 10_000, bytes: 8 << 20, removals: 50 },
+            standing_every: 2.0,
+            seed: self.draw.random(),
+        };
+        self.seat(PeerId(id), Config::Node(config, selectors.to_vec()));
+    }
+
+    pub fn seat(&mut self, id: PeerId, config: Config) {
+        let seat = Seat {
+            config,
+            machine: None,
+            disk: Vec::new(),
+            life: 0,
+            frozen_until: 0.0,
+            offset: self.draw.random_range(0.0..1000.0),
+            rate: 1.0 + self.draw.random_range(-0.0004..0.0004),
+            ends_after: None,
+            applies_in: 0.0,
+        };
+        self.seats.insert(id, seat);
+        self.start(id);
+    }
+
+    /// Begins a process from its disk.
+    pub fn start(&mut self, id: PeerId) {
+        let t = self.t;
+        let seat = self.seats.get_mut(&id).unwrap();
+        if seat.machine.is_some() {
+            return;
+        }
+        seat.life += 1;
+        let now = seat.clock(t);
+        let disk = seat.disk.clone();
+        let machine = match seat.config.clone() {
+            Config::Author(config) => Machine::Author(Box::new(Author::restore(config, disk, now))),
+            Config::Relay(config) => Machine::Relay(Box::new(Relay::restore(config, disk, now))),
+            Config::Node(config, selectors) => {
+                let mut node = Subscriber::restore(config, disk, None, now);
+                for selector in selectors {
+                    node.subscribe(selector).unwrap();
+                }
+                Machine::Node(Box::new(node))
+            }
+        };
+        seat.machine = Some(machine);
+        self.judge.started(id);
+        self.wake(id);
+    }
+
+    pub fn kill(&mut self, id: PeerId) {
+        let seat = self.seats.get_mut(&id).unwrap();
+        seat.machine = None;
+        seat.ends_after = None;
+    }
+
+    /// Ends a process in the middle of what it asks for next.
+    pub fn kill_after(&mut self, id: PeerId, outputs: usize) {
+        self.seats.get_mut(&id).unwrap().ends_after = Some(outputs);
+    }
+
+    pub fn freeze(&mut self, id: PeerId, lasts: Time) {
+        let until = self.t + lasts;
+        let seat = self.seats.get_mut(&id).unwrap();
+        seat.frozen_until = seat.frozen_until.max(until);
+    }
+
+    pub fn cut(&mut self, a: PeerId, b: PeerId, lasts: Time) {
+        self.cuts.insert((a.min(b), a.max(b)), self.t + lasts);
+    }
+
+    /// All links work and all processes run.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.network = CALM;
+        let ids: Vec<PeerId> = self.seats.keys().copied().collect();
+        for id in ids {
+            let seat = self.seats.get_mut(&id).unwrap();
+            seat.frozen_until = 0.0;
+            seat.ends_after = None;
+            self.start(id);
+            self.wake(id);
+        }
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.events.insert((order(at), self.next), event);
+        self.next += 1;
+    }
+
+    pub fn wake(&mut self, id: PeerId) {
+        let life = self.seats[&id].life;
+        self.push(self.t, Event::Wake(id, life));
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, lasts: Time) {
+        let end = self.t + lasts;
+        while let Some(((bits, _), _)) = self.events.first_key_value() {
+            let at = f64::from_bits(*bits);
+            if at > end {
+                break;
+            }
+            let (_, event) = self.events.pop_first().unwrap();
+            self.t = self.t.max(at);
+            self.happen(event);
+        }
+        self.t = end;
+    }
+
+    fn happen(&mut self, event: Event) {
+        let id = match &event {
+            Event::Frame { to, .. } => *to,
+            Event::Wake(id, _) | Event::Answer(id, _, _) => *id,
+        };
+        let Some(seat) = self.seats.get(&id) else { return };
+        if self.t < seat.frozen_until {
+            let at = seat.frozen_until;
+            self.push(at, event);
+            return;
+        }
+        match event {
+            Event::Frame { to, from, frame } => {
+                self.act(to, |machine, now, outputs| match machine {
+                    Machine::Author(author) => author.receive(now, from, &frame, outputs),
+                    Machine::Relay(relay) => relay.receive(now, from, &frame, outputs),
+                    Machine::Node(node) => node.receive(now, from, &frame, outputs),
+                });
+            }
+            Event::Wake(id, life) if self.seats[&id].life == life => self.act(id, |_, _, _| {}),
+            Event::Answer(id, life, change) if self.seats[&id].life == life => self.answer(id, &change),
+            Event::Wake(..) | Event::Answer(..) => {}
+        }
+    }
+
+    fn answer(&mut self, id: PeerId, change: &Change) {
+        let bad = change.content.bytes().starts_with(BAD_FOR_ODD) && id.0 % 2 == 1;
+        self.act(id, |machine, _, outputs| {
+            let Machine::Node(node) = machine else { return };
+            if bad {
+                node.rejected(change.version, "odd numbers can't", outputs);
+            } else {
+                node.accepted(change.version, outputs);
+            }
+        });
+    }
+
+    /// Calls a machine, lets it do what is due, and does what it asks for.
+    pub fn act<T>(
+        &mut self, id: PeerId, call: impl FnOnce(&mut Machine, Time, &mut Vec<Output>) -> T,
+    ) -> Option<T> {
+        let t = self.t;
+        let seat = self.seats.get_mut(&id)?;
+        let now = seat.clock(t);
+        let machine = seat.machine.as_mut()?;
+        let mut outputs = Vec::new();
+        let result = call(machine, now, &mut outputs);
+        let next = match machine {
+            Machine::Author(author) => {
+                author.poll(now, &mut outputs);
+                author.next_wakeup()
+            }
+            Machine::Relay(relay) => {
+                relay.poll(now, &mut outputs);
+                relay.next_wakeup()
+            }
+            Machine::Node(node) => {
+                node.poll(now, &mut outputs);
+                node.next_wakeup()
+            }
+        };
+        let life = seat.life;
+        if next.is_finite() {
+            let at = seat.true_time(next).max(t + 1e-4);
+            self.push(at, Event::Wake(id, life));
+        }
+        self.perform(id, outputs);
+        self.judge.look(t, id, &self.seats[&id]);
+        Some(result)
+    }
+
+    fn perform(&mut self, id: PeerId, outputs: Vec<Output>) {
+        for output in outputs {
+            let seat = self.seats.get_mut(&id).unwrap();
+            if let Some(left) = &mut seat.ends_after {
+                if *left == 0 {
+                    self.kill(id);
+                    return;
+                }
+                *left -= 1;
+            }
+            match output {
+                Output::Send { to, frame } => self.send(id, to, frame),
+                Output::Persist(record) => seat.disk.push(record),
+                Output::Apply(change) => {
+                    let (at, life) = (self.t + seat.applies_in, seat.life);
+                    self.push(at, Event::Answer(id, life, change));
+                }
+                Output::Event(event) => self.judge.event(self.t, id, event),
+            }
+        }
+    }
+
+    pub fn send(&mut self, from: PeerId, to: PeerId, frame: Vec<u8>) {
+        let lives = (self.seats[&from].life, self.seats.get(&to).map_or(0, |seat| seat.life));
+        self.judge.sent(self.t, (from, lives.0), (to, lives.1), frame.len());
+        self.sent.push((self.t, from, to, frame.len()));
+        let pair = (from.min(to), from.max(to));
+        if self.cuts.get(&pair).is_some_and(|until| self.t < *until) {
+            return;
+        }
+        if self.draw.random_bool(self.network.loss) {
+            return;
+        }
+        let copies = if self.draw.random_bool(self.network.twice) { 2 } else { 1 };
+        for _ in 0..copies {
+            let (least, most) = self.network.delay;
+            let at = self.t + self.draw.random_range(least..most);
+            self.push(at, Event::Frame { to, from, frame: frame.clone() });
+        }
+    }
+
+    pub fn node_of(&self, id: u32) -> &Subscriber {
+        match self.seats[&PeerId(id)].machine.as_ref() {
+            Some(Machine::Node(node)) => node,
+            _ => panic!("{id} is no running node"),
+        }
+    }
+
+    pub fn relay_of(&self, id: u32) -> &Relay {
+        match self.seats[&PeerId(id)].machine.as_ref() {
+            Some(Machine::Relay(relay)) => relay,
+            _ => panic!("{id} is no running relay"),
+        }
+    }
+
+    pub fn author_of(&self, id: u32) -> &Author {
+        match self.seats[&PeerId(id)].machine.as_ref() {
+            Some(Machine::Author(author)) => author,
+            _ => panic!("{id} is no running author"),
+        }
+    }
+
+    /// Calls an author, if it runs and does not stand still.
+    pub fn with_author<T>(
+        &mut self, id: u32, call: impl FnOnce(&mut Author, Time, &mut Vec<Output>) -> T,
+    ) -> Option<T> {
+        if self.t < self.seats[&PeerId(id)].frozen_until {
+            return None;
+        }
+        self.act(PeerId(id), |machine, now, outputs| match machine {
+            Machine::Author(author) => Some(call(author, now, outputs)),
+            _ => None,
+        })
+        .flatten()
+    }
+
+    /// Calls a node.
+    pub fn with_node<T>(
+        &mut self, id: u32, call: impl FnOnce(&mut Subscriber, Time, &mut Vec<Output>) -> T,
+    ) -> Option<T> {
+        self.act(PeerId(id), |machine, now, outputs| match machine {
+            Machine::Node(node) => Some(call(node, now, outputs)),
+            _ => None,
+        })
+        .flatten()
+    }
+
+    /// The bytes that are in force of a resource at a node.
+    pub fn bytes_at(&self, node: u32, name: &Name) -> Option<Vec<u8>> {
+        self.node_of(node).in_force(name).map(|change| change.content.bytes().to_vec())
+    }
+
+    pub fn ids(&self, kind: fn(&Config) -> bool) -> BTreeSet<PeerId> {
+        self.seats.iter().filter(|(_, seat)| kind(&seat.config)).map(|(id, _)| *id).collect()
+    }
+}
+
+pub fn peers(ids: &[u32]) -> Vec<PeerId> {
+    ids.iter().map(|id| PeerId(*id)).collect()
+}
+
+pub fn body(bytes: &[u8]) -> Content {
+    Content::body(bytes)
+}
