--- a/crates/distribution/src/author.rs
+++ b/crates/distribution/src/author.rs
@@ -3,14 +3,14 @@
 //! | state | ends |
 //! | --- | --- |
 //! | standing by: follows a relay, to have what others write | when the lease is held |
-//! | taking over: goes on until all that the relay has is here | by that; after [`AuthorConfig::takeover`] |
+//! | taking over: takes in what each first relay has, one after the other | when all have been heard; after [`AuthorConfig::takeover`] |
 //! | writing: serves relays, follows nobody | at the lease's end; when it is given back; when a later token is heard of |
 //!
 //! A later author may lack what an earlier one wrote just before it was cut off. What relays and nodes have of that are
 //! orphans: they report them, and the present author writes its own content anew over them. So all come to the same
 //! content, and versions go up everywhere.
 
-use crate::child::Source;
+use crate::feed::Source;
 use crate::coverage::Coverage;
 use crate::downstream::{Downstream, ServeRules};
 use crate::follow::FollowRules;
@@ -28,6 +28,7 @@
 use crate::upstream::Upstream;
 use crate::Time;
 use reelfall_lease::token::{Claim, Name as LeaseName};
+use std::collections::BTreeSet;
 
 /// Spans of what was known at the takeover that are told.
 const KNOWN_SPANS: usize = 16;
@@ -56,7 +57,7 @@
 #[derive(Debug)]
 enum State {
     StandingBy,
-    TakingOver { claim: Claim, until: Time, deadline: Time },
+    TakingOver { claim: Claim, until: Time, deadline: Time, heard: BTreeSet<PeerId> },
     Writing { epoch: Epoch, until: Time, orphans: usize },
 }
 
@@ -148,7 +149,8 @@
             _ => {
                 self.stand_down(now, outputs);
                 let deadline = now + self.config.takeover;
-                self.state = State::TakingOver { claim: claim.clone(), until, deadline };
+                let (claim, heard) = (claim.clone(), BTreeSet::new());
+                self.state = State::TakingOver { claim, until, deadline, heard };
                 if self.config.follow.upstreams.is_empty() {
                     self.begin(now, outputs);
                 }
@@ -322,7 +324,20 @@
             outputs.push(Output::Event(Event::Orphaned { key, version }));
         }
         if update.current {
+            self.relay_heard(now, outputs);
+        }
+    }
+
+    /// Guards against the loss of what an earlier author has told one relay alone. Harm: the others' answers are waited
+    /// for, up to [`AuthorConfig::takeover`].
+    fn relay_heard(&mut self, now: Time, outputs: &mut Vec<Output>) {
+        let State::TakingOver { heard, .. } = &mut self.state else { return };
+        let Some(relay) = self.replica.upstream.following() else { return };
+        heard.insert(relay);
+        if self.config.follow.upstreams.iter().all(|relay| heard.contains(relay)) {
             self.begin(now, outputs);
+        } else {
+            self.replica.upstream.move_on(now, self.config.takeover, outputs);
         }
     }
 
--- a/crates/distribution/src/chance.rs
+++ b/crates/distribution/src/chance.rs
@@ -23,14 +23,14 @@
     }
 
     /// The next number.
-    pub fn next(&mut self) -> u64 {
+    pub fn number(&mut self) -> u64 {
         self.state = self.state.wrapping_add(0x9e37_79b9_7f4a_7c15);
         mix(self.state)
     }
 
     /// Between 0 and 1.
     pub fn unit(&mut self) -> f64 {
-        (self.next() >> 11) as f64 / (1u64 << 53) as f64
+        (self.number() >> 11) as f64 / (1u64 << 53) as f64
     }
 
     /// Between two moments or lengths of time.
@@ -40,6 +40,6 @@
 
     /// One of so many; 0 if there are none.
     pub fn below(&mut self, count: usize) -> usize {
-        (self.next() % (count.max(1) as u64)) as usize
+        (self.number() % (count.max(1) as u64)) as usize
     }
 }
--- a/crates/distribution/src/child.rs
+++ b/crates/distribution/src/child.rs
@@ -11,12 +11,10 @@
 //! A change that a later one has replaced is in no log, so it is never sent.
 
 use crate::bucket::{Bucket, Budget};
-use crate::coverage::{Coverage, SPANS_MANY};
+use crate::feed::{Partial, Pass, Source, Subscription, Told, CHANGES_OVERHEAD};
 use crate::link::Link;
-use crate::log::Log;
-use crate::message::{Chunk, Epoch, Payload, Span, Subscribe, MANIFEST_KEYS};
+use crate::message::{Payload, Span, Subscribe};
 use crate::output::{Output, Reason};
-use crate::peer::PeerId;
 use crate::resource::{Change, Content, Selector, Slot, Version};
 use crate::{Time, DRIFT};
 use std::collections::{BTreeMap, BTreeSet};
@@ -25,70 +23,6 @@
 pub const SUBSCRIPTIONS_MOST: usize = 16_384;
 /// An urgent change is sent as soon as the budget allows so many bytes.
 const URGENT_ROOM: usize = 600;
-/// What a frame of changes takes beside the changes.
-const CHANGES_OVERHEAD: usize = 64;
-/// What a frame with a part of a body takes beside the part.
-const CHUNK_OVERHEAD: usize = 288;
-
-/// What a relay or an author has to send.
-#[derive(Clone, Copy, Debug)]
-pub struct Source<'a> {
-    /// The changes.
-    pub log: &'a Log,
-    /// Which versions they cover.
-    pub coverage: &'a Coverage,
-    /// Whether they cover all versions up to the greatest.
-    pub whole: bool,
-    /// How old that is, in seconds, if it is known.
-    pub age: Option<Time>,
-    /// Who the author is.
-    pub epoch: Option<&'a Epoch>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Pass {
-    /// Keys up to this version have been listed.
-    after: Version,
-    /// The log's floor when it began.
-    floor: Version,
-    first: bool,
-}
-
-#[derive(Debug)]
-struct Subscription {
-    selector: Selector,
-    coverage: Coverage,
-    /// All removals up to here are known to the child.
-    known: Version,
-    pass: Option<Pass>,
-    queued: Option<(bool, Version)>,
-    /// The last [`Payload::Current`] that is taken into account in `coverage` and `known`.
-    settled: u64,
-}
-
-/// The last [`Payload::Current`] that the child was sent.
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    count: u64,
-    head: Version,
-}
-
-impl Subscription {
-    fn settle(&mut self, told: Told) {
-        if self.settled < told.count {
-            self.settled = told.count;
-            self.coverage.add(Span { after: Version::ZERO, upto: told.head });
-            self.known = self.known.max(told.head);
-        }
-    }
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Partial {
-    id: u32,
-    version: Version,
-    offset: usize,
-}
 
 /// What changes here once a payload was sent.
 enum Effect {
@@ -175,20 +109,12 @@
         if self.subscriptions.len() >= SUBSCRIPTIONS_MOST {
             return Err(Reason::Busy);
         }
-        // Who has nothing has no removals to hear of.
-        let known = if new.coverage.is_empty() { source.log.floor() } else { new.floor };
-        let subscription = Subscription {
-            selector: new.selector,
-            coverage: new.coverage,
-            known,
-            pass: None,
-            queued: None,
-            settled: self.told.count,
-        };
+        let id = new.id;
+        let subscription = Subscription::new(new, self.told, source);
         self.floor_known = Version::ZERO;
-        self.subscriptions.insert(new.id, subscription);
+        self.subscriptions.insert(id, subscription);
         self.changed_since = true;
-        self.requeue(new.id, source);
+        self.requeue(id, source);
         Ok(())
     }
 
@@ -211,13 +137,7 @@
         if let Some((urgent, version)) = subscription.queued.take() {
             self.queue.remove(&(urgent, version, id));
         }
-        let (selector, coverage) = (&subscription.selector, &subscription.coverage);
-        let scattered = coverage.spans().len() >= SPANS_MANY;
-        let urgent = (!scattered).then(|| source.log.newest_urgent(selector, coverage)).flatten();
-        let next = match urgent {
-            Some(version) => Some((true, version)),
-            None => source.log.newest(selector, coverage).map(|version| (false, version)),
-        };
+        let next = subscription.next(source.log);
         subscription.queued = next;
         if let Some((urgent, version)) = next {
             self.queue.insert((urgent, version, id));
@@ -290,82 +210,34 @@
             return self.part(partial, urgent, source, room);
         }
         let (_, version, id) = *self.queue.last()?;
-        let change = self.view(source.log.at(version)?);
-        if change.size() + CHANGES_OVERHEAD > room {
+        let view = |change: &Change| self.view(change);
+        if view(source.log.at(version)?).size() + CHANGES_OVERHEAD > room {
             return self.part(Partial { id, version, offset: 0 }, urgent, source, room);
         }
-        self.batch(id, version, urgent, source, room)
-    }
-
-    /// A change as this child is to have it: of a trial that is not for it, it hears that there is none.
-    fn view(&self, change: &Change) -> Change {
-        let outside =
-            !self.relay && change.key.slot == Slot::Trial && !change.part.holds(self.link.peer());
-        let content = if outside { Content::Removed } else { change.content.clone() };
-        Change { content, ..change.clone() }
-    }
-
-    /// Whole changes from a version downwards.
-    fn batch(
-        &self, id: u32, newest: Version, urgent: bool, source: Source, room: usize,
-    ) -> Option<(Payload, Effect)> {
         let subscription = self.subscriptions.get(&id)?;
-        let mut span = reach(newest, subscription, source);
-        let least = span.after;
-        let mut changes = Vec::new();
-        let mut bytes = CHANGES_OVERHEAD;
-        let mut next = Some(newest);
-        while let Some(version) = next {
-            let change = self.view(source.log.at(version)?);
-            bytes += change.size();
-            if bytes > room {
-                break;
-            }
-            changes.push(change);
-            let earlier = source.log.earlier(&subscription.selector, version);
-            span.after = earlier.map_or(least, |earlier| earlier.max(least));
-            next = earlier.filter(|earlier| *earlier > least && !urgent);
-        }
-        if urgent {
-            span = Span { after: newest.before(), upto: newest };
-        }
-        let effect = Effect::Covered { id, span, urgent };
-        Some((Payload::Changes { id, span, changes }, effect))
+        let (payload, span) = subscription.batch(id, version, urgent, source, room, view)?;
+        Some((payload, Effect::Covered { id, span, urgent }))
     }
 
-    /// The next part of a long body.
     fn part(
         &self, partial: Partial, urgent: bool, source: Source, room: usize,
     ) -> Option<(Payload, Effect)> {
-        let Partial { id, version, offset } = partial;
+        let id = partial.id;
         let subscription = self.subscriptions.get(&id)?;
-        let change = source.log.at(version)?;
-        let body = change.content.bytes();
-        let end = body.len().min(offset + room.saturating_sub(CHUNK_OVERHEAD));
-        let mut span = reach(version, subscription, source);
-        let earlier = source.log.earlier(&subscription.selector, version);
-        span.after = earlier.map_or(span.after, |earlier| earlier.max(span.after));
-        if urgent {
-            span = Span { after: version.before(), upto: version };
-        }
-        let chunk = Chunk {
-            key: change.key.clone(),
-            version,
-            urgency: change.urgency,
-            express: urgent,
-            part: change.part,
-            replaces: change.replaces,
-            total: u32::try_from(body.len()).ok()?,
-            hash: change.hash(),
-            offset: u32::try_from(offset).ok()?,
-            bytes: body.get(offset..end)?.to_vec(),
+        let (payload, rest) = subscription.part(partial, urgent, source, room)?;
+        let effect = match rest {
+            Ok(span) => Effect::Covered { id, span, urgent },
+            Err(partial) => Effect::Part { urgent, partial },
         };
-        let effect = if end == body.len() {
-            Effect::Covered { id, span, urgent }
-        } else {
-            Effect::Part { urgent, partial: Partial { offset: end, ..partial } }
-        };
-        Some((Payload::Chunk { id, span, chunk }, effect))
+        Some((payload, effect))
+    }
+
+    /// A change as this child is to have it: of a trial that is not for it, it hears that there is none.
+    fn view(&self, change: &Change) -> Change {
+        let outside =
+            !self.relay && change.key.slot == Slot::Trial && !change.part.holds(self.link.peer());
+        let content = if outside { Content::Removed } else { change.content.clone() };
+        Change { content, ..change.clone() }
     }
 
     fn lacks_removals(&self, source: Source) -> Option<u32> {
@@ -373,11 +245,7 @@
         if self.floor_known >= floor {
             return None;
         }
-        let lacks = |subscription: &Subscription| {
-            let settled = subscription.settled == self.told.count;
-            let known = if settled { subscription.known } else { subscription.known.max(self.told.head) };
-            known < floor
-        };
+        let lacks = |subscription: &Subscription| subscription.known(self.told) < floor;
         // A pass that was begun is brought to its end before another one.
         let mut under_way = self.subscriptions.iter().filter(|(_, subscription)| subscription.pass.is_some());
         let first = under_way.next();
@@ -386,17 +254,8 @@
     }
 
     fn manifest(&self, id: u32, source: Source, room: usize) -> Option<(Payload, Effect)> {
-        let subscription = self.subscriptions.get(&id)?;
-        let fresh = Pass { after: Version::ZERO, floor: source.log.floor(), first: true };
-        let pass = subscription.pass.unwrap_or(fresh);
-        let count = MANIFEST_KEYS.min(room.saturating_sub(CHANGES_OVERHEAD) / DIGEST_BYTES).max(1);
-        let keys: Vec<_> = source.log.keys_after(&subscription.selector, pass.after).take(count).collect();
-        let last = keys.len() < count;
-        let digests = keys.iter().map(|(_, key)| key.digest()).collect();
-        let after = keys.last().map_or(pass.after, |(version, _)| *version);
-        let next = (!last).then_some(Pass { after, first: false, ..pass });
-        let payload = Payload::Manifest { id, first: pass.first, last, floor: pass.floor, digests };
-        Some((payload, Effect::Listed { id, pass: next, floor: pass.floor }))
+        let (payload, pass, floor) = self.subscriptions.get(&id)?.list(id, source, room);
+        Some((payload, Effect::Listed { id, pass, floor }))
     }
 
     fn sent(&mut self, now: Time, effect: Effect, source: Source) {
@@ -405,7 +264,7 @@
             Effect::Covered { id, span, urgent } => {
                 self.partials[usize::from(urgent)] = None;
                 if let Some(subscription) = self.subscriptions.get_mut(&id) {
-                    subscription.coverage.add(span);
+                    subscription.span_sent(span);
                 }
                 self.changed_since = true;
                 self.requeue(id, source);
@@ -426,7 +285,7 @@
         subscription.settle(self.told);
         subscription.pass = pass;
         if pass.is_none() {
-            subscription.known = subscription.known.max(floor);
+            subscription.list_sent(floor);
         }
         self.changed_since = true;
     }
@@ -461,21 +320,9 @@
     }
 }
 
-/// What one digest takes in a frame at most.
-const DIGEST_BYTES: usize = 10;
-
 fn current(source: Source) -> (Payload, Effect) {
     let head = source.coverage.top();
     let age_us = source.age.map(|age| (age * (1.0 + 2.0 * DRIFT) * 1e6) as u64 + 1);
     let payload = Payload::Current { head, floor: source.log.floor(), age_us };
     (payload, Effect::Current { head })
 }
-
-/// The widest span around an uncovered version in which the source itself lacks nothing and the child has nothing.
-fn reach(version: Version, subscription: &Subscription, source: Source) -> Span {
-    let point = Span { after: version.before(), upto: version };
-    let own = source.coverage.span_of(version).unwrap_or(point);
-    let above = subscription.coverage.next_above(version).unwrap_or(own.upto);
-    let below = subscription.coverage.next_below(version);
-    Span { after: own.after.max(below), upto: own.upto.min(above).max(version) }
-}
--- a/crates/distribution/src/downstream.rs
+++ b/crates/distribution/src/downstream.rs
@@ -2,7 +2,8 @@
 
 use crate::bucket::{Bucket, Budget, TRANSPORT_OVERHEAD};
 use crate::chance::Chance;
-use crate::child::{Child, Source};
+use crate::child::Child;
+use crate::feed::Source;
 use crate::link::Link;
 use crate::message::{self, Head, Payload};
 use crate::output::{Event, Output, Reason};
@@ -111,7 +112,9 @@
             return Vec::new();
         }
         if let (Payload::Open { relay }, 1) = (&payload, head.number) {
-            self.open(now, from, head, *relay, outputs);
+            if !self.open(now, from, head, *relay, outputs) {
+                return Vec::new();
+            }
         }
         let Some(child) = self.children.get_mut(&from) else {
             self.refuse(now, from, head.session, Reason::Unknown, outputs);
@@ -173,18 +176,18 @@
         std::mem::take(&mut self.fenced)
     }
 
-    /// Begins a session, unless there are too many or too many begin at once.
+    /// Begins a session, unless there are too many or too many begin at once; whether it is there.
     ///
     /// Guards against all children of a relay that died coming at once. Harm: some come some seconds later.
-    fn open(&mut self, now: Time, from: PeerId, head: &Head, relay: bool, outputs: &mut Vec<Output>) {
+    fn open(&mut self, now: Time, from: PeerId, head: &Head, relay: bool, outputs: &mut Vec<Output>) -> bool {
         let old = self.children.get_mut(&from);
         if old.is_some_and(|child| child.link().session() == head.session) {
-            return;
+            return true;
         }
         let full = !self.children.contains_key(&from) && self.children.len() >= self.rules.children;
         if full || !self.opens.take(now, OPEN_COST as usize - TRANSPORT_OVERHEAD) {
             self.refuse(now, from, head.session, Reason::Busy, outputs);
-            return;
+            return false;
         }
         if self.children.contains_key(&from) {
             self.drop_child(from);
@@ -199,6 +202,7 @@
         let own = if relay { Budget::CONTROL } else { Budget::UP };
         let inflow = Budget { rate: self.rules.inflow * own.rate, burst: self.rules.inflow * own.burst };
         self.children.insert(from, Child::new(link, relay, self.rules.keepalive, inflow, now));
+        true
     }
 
     /// Ends a child's session and tells it so.
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -14,7 +14,7 @@
 //! | [`link`] | one session with one peer: order, loss, repetition, proofs of age |
 //! | [`bucket`], [`chance`] | the budget of a link, spreads of time |
 //! | [`chunks`] | bodies that take several frames |
-//! | [`child`], [`downstream`] | what a relay sends its children, and in which order |
+//! | [`feed`], [`child`], [`downstream`] | what a relay sends its children, and in which order |
 //! | [`follow`], [`session`], [`upstream`] | whom a process follows, when it leaves, when it returns |
 //! | [`report`] | what is told upwards: standings, refusals, orphans |
 //! | [`restore`] | what was persisted, read back |
@@ -40,7 +40,9 @@
 pub mod chunks;
 pub mod coverage;
 pub mod downstream;
+pub mod feed;
 pub mod follow;
+mod force;
 pub mod history;
 pub mod link;
 pub mod log;
--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -1,6 +1,6 @@
 //! A copy of all resources that follows an upstream: what relays and authors have in common.
 
-use crate::child::Source;
+use crate::feed::Source;
 use crate::coverage::Coverage;
 use crate::log::{Log, Put};
 use crate::message::{Epoch, Span};
@@ -8,7 +8,8 @@
 use crate::report::Report;
 use crate::resource::{Change, Key, Selector, Version};
 use crate::restore::Restored;
-use crate::upstream::{Heard, Upstream};
+use crate::session::Heard;
+use crate::upstream::Upstream;
 use crate::{Time, DRIFT};
 use std::collections::BTreeSet;
 
--- a/crates/distribution/src/session.rs
+++ b/crates/distribution/src/session.rs
@@ -4,10 +4,10 @@
 use crate::chunks::Assemblies;
 use crate::coverage::Coverage;
 use crate::link::{Arrival, Link};
-use crate::message::{self, Payload, Subscribe};
+use crate::message::{self, Epoch, Payload, Span, Subscribe};
 use crate::output::{Output, Reason};
 use crate::report::{Report, Waiting};
-use crate::resource::{Selector, Version};
+use crate::resource::{Change, Selector, Version};
 use crate::Time;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -22,6 +22,40 @@
 /// What one number of a subscription takes in a frame at most.
 const ID_BYTES: usize = 8;
 
+/// What an upstream has said.
+#[derive(Debug, PartialEq)]
+pub enum Heard {
+    /// Who the author is.
+    Epoch(Epoch),
+    /// Changes; once they are stored, [`crate::upstream::Upstream::cover`] is to be called.
+    Changes {
+        /// Of which subscription.
+        selector: Selector,
+        /// What is covered by them.
+        span: Span,
+        /// The changes.
+        changes: Vec<Change>,
+    },
+    /// All keys of a selector: others with this version or an earlier one are no more.
+    Listed {
+        /// Of what.
+        selector: Selector,
+        /// The version.
+        floor: Version,
+        /// The digests of the keys.
+        digests: BTreeSet<u64>,
+    },
+    /// All that the upstream was asked for when it wrote this has come.
+    Current {
+        /// The latest version that the upstream has.
+        head: Version,
+        /// Removals up to this version may have been forgotten there.
+        floor: Version,
+        /// How old that is at most, in seconds, if it holds for everything that was complete before.
+        age: Option<Time>,
+    },
+}
+
 /// What is known of a subscription, in whatever session.
 #[derive(Clone, Debug, Default)]
 pub struct Held {
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -5,18 +5,20 @@
 
 use crate::coverage::Coverage;
 use crate::follow::FollowRules;
+use crate::force::Force;
 use crate::log::{Log, Put, Room};
-use crate::message;
+use crate::message::{self, Epoch};
 use crate::output::{Event, Output, Record};
 use crate::peer::PeerId;
 use crate::replica::{orphans, unlisted};
 use crate::report::{self, Report};
 use crate::resource::{Change, Content, Key, Name, Part, Selector, Slot, Urgency, Version};
 use crate::restore::Restored;
-use crate::upstream::{Heard, Upstream};
+use crate::session::Heard;
+use crate::upstream::Upstream;
 use crate::{Time, DRIFT};
 use reelfall_lease::token::Name as LeaseName;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use thiserror::Error;
 
 /// What a subscriber is given.
@@ -46,26 +48,13 @@
 #[error("{most} subscriptions at most", most = crate::child::SUBSCRIPTIONS_MOST)]
 pub struct TooMany;
 
-/// What is known of one resource here.
-#[derive(Debug, Default)]
-struct Held {
-    in_force: Option<Change>,
-    /// The version that was accepted or rejected last.
-    decided: Version,
-    /// What the driver was asked to apply and has not answered.
-    asked: Option<Version>,
-}
-
 /// See the module.
 #[derive(Debug)]
 pub struct Subscriber {
     config: SubscriberConfig,
     upstream: Upstream,
     log: Log,
-    names: BTreeMap<Name, Held>,
-    /// What the driver was asked to apply and has not answered, by version: where a list of keys ends several resources,
-    /// they have one version.
-    asked: BTreeMap<Version, Vec<Change>>,
+    force: Force,
     /// Resources that were stored and have not been compared with what is in force.
     unchecked: Vec<Name>,
     /// When all was last known to be there, and how old that was.
@@ -103,19 +92,13 @@
         for (selector, (coverage, floor)) in restored.covered {
             upstream.subscribe(selector, coverage, floor);
         }
-        let mut names = BTreeMap::new();
-        for (name, change) in restored.in_force {
-            let decided = change.version;
-            names.insert(name, Held { in_force: Some(change), decided, asked: None });
-        }
         let unchecked = restored.log.changes().map(|change| change.key.name.clone()).collect();
         Subscriber {
             config,
             upstream,
             unchecked,
             log: restored.log,
-            names,
-            asked: BTreeMap::new(),
+            force: Force::restore(restored.in_force),
             current: age.map(|age| (now, age)),
             head: Version::ZERO,
             said: None,
@@ -145,33 +128,26 @@
         }
         self.stored.remove(selector);
         outputs.push(Output::Persist(Record::Unsubscribed(selector.clone())));
-        let keys: Vec<Key> = self.log.keys_after(selector, Version::ZERO).map(|(_, key)| key.clone()).collect();
-        for key in keys.iter().filter(|key| !self.is_wanted(&key.name)) {
-            self.log.take_out(key);
-        }
         let upstream = &self.upstream;
         let gone = |name: &Name| {
             selector.holds(&name.group) && !upstream.held().any(|(other, _)| other.holds(&name.group))
         };
-        self.names.retain(|name, _| !gone(name));
-        for changes in self.asked.values_mut() {
-            changes.retain(|change| !gone(&change.key.name));
+        let keys = self.log.keys_after(selector, Version::ZERO).map(|(_, key)| key);
+        let keys: Vec<Key> = keys.filter(|key| gone(&key.name)).cloned().collect();
+        for key in &keys {
+            self.log.take_out(key);
         }
-        self.asked.retain(|_, changes| !changes.is_empty());
-    }
-
-    fn is_wanted(&self, name: &Name) -> bool {
-        self.upstream.held().any(|(selector, _)| selector.holds(&name.group))
+        self.force.drop_where(gone);
     }
 
     /// What is in force of a resource.
     pub fn in_force(&self, name: &Name) -> Option<&Change> {
-        self.names.get(name)?.in_force.as_ref()
+        self.force.get(name)
     }
 
     /// All that is in force.
     pub fn all_in_force(&self) -> impl Iterator<Item = &Change> {
-        self.names.values().filter_map(|held| held.in_force.as_ref())
+        self.force.all()
     }
 
     /// Whether all of a subscription had come at some time: what is not in force then is not there.
@@ -200,19 +176,16 @@
 
     /// The driver has put the change of this version in force.
     pub fn accepted(&mut self, version: Version, outputs: &mut Vec<Output>) {
-        for change in self.answered(version) {
+        for change in self.force.answered(version) {
             let name = change.key.name.clone();
-            outputs.push(Output::Persist(Record::InForce(change.clone())));
-            if let Some(held) = self.names.get_mut(&name) {
-                held.in_force = (!change.removes()).then_some(change);
-            }
+            self.force.accept(change, outputs);
             self.evaluate(&name, outputs);
         }
     }
 
     /// The driver can't use the change of this version: the last good one stays in force, and the author hears of it.
     pub fn rejected(&mut self, version: Version, reason: &str, outputs: &mut Vec<Output>) {
-        for change in self.answered(version) {
+        for change in self.force.answered(version) {
             let name = change.key.name.clone();
             let slot = self.slot_of(&name, version);
             let key = Key { name: name.clone(), slot };
@@ -228,17 +201,6 @@
         if on_trial { Slot::Trial } else { Slot::Whole }
     }
 
-    fn answered(&mut self, version: Version) -> Vec<Change> {
-        let changes = self.asked.remove(&version).unwrap_or_default();
-        for change in &changes {
-            if let Some(held) = self.names.get_mut(&change.key.name) {
-                held.asked = None;
-                held.decided = held.decided.max(version);
-            }
-        }
-        changes
-    }
-
     /// What a resource is to be here by the log.
     fn wanted(&self, name: &Name) -> Option<Change> {
         let get = |slot| self.log.get(&Key { name: name.clone(), slot });
@@ -250,38 +212,16 @@
             Some(change) => change.content.clone(),
             None => Content::Removed,
         };
-        let urgency = Urgency::Normal;
-        Some(effective(name, version, content, urgency))
+        Some(effective(name, version, content))
     }
 
     /// Asks the driver for what a resource is to be, if it is another than what is in force.
     fn evaluate(&mut self, name: &Name, outputs: &mut Vec<Output>) {
         if let Some(wanted) = self.wanted(name) {
-            self.want(wanted, outputs);
+            self.force.want(wanted, outputs);
         }
     }
 
-    fn want(&mut self, wanted: Change, outputs: &mut Vec<Output>) {
-        let held = self.names.entry(wanted.key.name.clone()).or_default();
-        if held.asked.is_some() || wanted.version <= held.decided {
-            return;
-        }
-        let same = match &held.in_force {
-            Some(now) => now.content == wanted.content,
-            None => wanted.removes(),
-        };
-        if same {
-            held.decided = wanted.version;
-            if let Some(now) = &mut held.in_force {
-                now.version = wanted.version;
-            }
-            return;
-        }
-        held.asked = Some(wanted.version);
-        self.asked.entry(wanted.version).or_default().push(wanted.clone());
-        outputs.push(Output::Apply(wanted));
-    }
-
     /// Takes a frame in; any bytes.
     pub fn receive(&mut self, now: Time, from: PeerId, frame: &[u8], outputs: &mut Vec<Output>) {
         self.clock = self.clock.max(now);
@@ -292,14 +232,7 @@
         let heard = self.upstream.receive(now, from, frame.len(), &head, payload, outputs);
         match heard {
             None => {}
-            Some(Heard::Epoch(epoch)) => {
-                if epoch.claim.token > self.epoch {
-                    self.epoch = epoch.claim.token;
-                    for (key, version) in orphans(&self.log, &epoch) {
-                        self.upstream.report(Report::Orphan { key, version });
-                    }
-                }
-            }
+            Some(Heard::Epoch(epoch)) => self.take_epoch(&epoch),
             Some(Heard::Changes { selector, span, changes }) => {
                 for change in changes {
                     self.take_change(change, outputs);
@@ -313,6 +246,16 @@
         }
     }
 
+    fn take_epoch(&mut self, epoch: &Epoch) {
+        if epoch.claim.token <= self.epoch {
+            return;
+        }
+        self.epoch = epoch.claim.token;
+        for (key, version) in orphans(&self.log, epoch) {
+            self.upstream.report(Report::Orphan { key, version });
+        }
+    }
+
     fn take_change(&mut self, change: Change, outputs: &mut Vec<Output>) {
         let (key, version) = (change.key.clone(), change.version);
         match self.log.put(change.clone()) {
@@ -341,10 +284,7 @@
         if other(Slot::Whole) || other(Slot::Trial) {
             return;
         }
-        let idle = |held: &Held| held.in_force.is_none() && held.asked.is_none();
-        if self.names.get(&key.name).is_some_and(idle) {
-            self.names.remove(&key.name);
-        }
+        self.force.forget_idle(&key.name);
     }
 
     fn take_listed(
@@ -356,7 +296,7 @@
             outputs.push(Output::Persist(Record::Forget(key.clone())));
             let name = &key.name;
             let left = self.wanted(name).map_or(Content::Removed, |wanted| wanted.content);
-            self.want(effective(name, floor, left, Urgency::Normal), outputs);
+            self.force.want(effective(name, floor, left), outputs);
         }
         self.upstream.removals_known(selector, floor);
     }
@@ -399,7 +339,7 @@
     }
 
     fn standing_at(&self) -> Time {
-        if self.head == Version::ZERO || !self.asked.is_empty() {
+        if self.head == Version::ZERO || !self.force.is_settled() {
             return f64::INFINITY;
         }
         match self.said {
@@ -418,7 +358,9 @@
     }
 }
 
-fn effective(name: &Name, version: Version, content: Content, urgency: Urgency) -> Change {
+/// What a resource is to be, as the driver is told.
+fn effective(name: &Name, version: Version, content: Content) -> Change {
     let key = Key { name: name.clone(), slot: Slot::Whole };
-    Change { key, version, urgency, part: Part::ALL, replaces: Version::ZERO, content }
+    let (urgency, replaces) = (Urgency::Normal, Version::ZERO);
+    Change { key, version, urgency, part: Part::ALL, replaces, content }
 }
--- a/crates/distribution/src/upstream.rs
+++ b/crates/distribution/src/upstream.rs
@@ -17,44 +17,10 @@
 use crate::peer::PeerId;
 use crate::report::{Report, Waiting};
 use crate::resource::{Change, Selector, Version};
-use crate::session::{Held, Session, Subscriptions};
+use crate::session::{Heard, Held, Session, Subscriptions};
 use crate::Time;
 use reelfall_lease::token::{Fence, Name as LeaseName};
-use std::collections::{BTreeMap, BTreeSet};
-
-/// What an upstream has said.
-#[derive(Debug, PartialEq)]
-pub enum Heard {
-    /// Who the author is.
-    Epoch(Epoch),
-    /// Changes; once they are stored, [`Upstream::cover`] is to be called.
-    Changes {
-        /// Of which subscription.
-        selector: Selector,
-        /// What is covered by them.
-        span: Span,
-        /// The changes.
-        changes: Vec<Change>,
-    },
-    /// All keys of a selector: others with this version or an earlier one are no more.
-    Listed {
-        /// Of what.
-        selector: Selector,
-        /// The version.
-        floor: Version,
-        /// The digests of the keys.
-        digests: BTreeSet<u64>,
-    },
-    /// All that the upstream was asked for when it wrote this has come.
-    Current {
-        /// The latest version that the upstream has.
-        head: Version,
-        /// Removals up to this version may have been forgotten there.
-        floor: Version,
-        /// How old that is at most, in seconds, if it holds for everything that was complete before.
-        age: Option<Time>,
-    },
-}
+use std::collections::BTreeMap;
 
 #[derive(Debug)]
 enum State {
@@ -190,6 +156,14 @@
         }
     }
 
+    /// Leaves the upstream, which has nothing more to say, and follows another one at once.
+    pub fn move_on(&mut self, now: Time, rest: Time, outputs: &mut Vec<Output>) {
+        let Some(peer) = self.following() else { return };
+        self.leave(now, Reason::Replaced, outputs);
+        self.avoid.insert(peer, now + rest);
+        self.state = State::Resting { until: now };
+    }
+
     /// Leaves the upstream; another one is drawn after a rest.
     pub fn leave(&mut self, now: Time, why: Reason, outputs: &mut Vec<Output>) {
         let rest = match why {
@@ -381,7 +355,7 @@
             self.state = State::Resting { until };
             return;
         };
-        let mut link = Link::new(peer, self.chance.next(), true, self.rules.budget, now);
+        let mut link = Link::new(peer, self.chance.number(), true, self.rules.budget, now);
         if let Some(bucket) = self.bucket.take() {
             link = link.with_bucket(bucket);
         }
--- /dev/null
+++ b/crates/distribution/tests/any_bytes.rs
@@ -0,0 +1,164 @@
+//! Bytes of any kind and payloads in any order: no machine panics.
+
+mod world;
+
+use proptest::prelude::*;
+use reelfall_distribution::author::{Author, AuthorConfig};
+use reelfall_distribution::coverage::Coverage;
+use reelfall_distribution::downstream::ServeRules;
+use reelfall_distribution::follow::FollowRules;
+use reelfall_distribution::log::Room;
+use reelfall_distribution::message::{decode, encode, Chunk, Epoch, Head, Payload, Span, Subscribe};
+use reelfall_distribution::output::{Output, Reason};
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::relay::{Relay, RelayConfig};
+use reelfall_distribution::resource::{
+    Change, Content, ContentHash, Key, Name, Part, Selector, Slot, Urgency, Version,
+};
+use reelfall_distribution::subscriber::{Subscriber, SubscriberConfig};
+use world::{claim, lease};
+
+const RELAY: PeerId = PeerId(20);
+const ROOM: Room = Room { keys: 1000, bytes: 1 << 20, removals: 10 };
+
+fn node() -> Subscriber {
+    let follow = FollowRules::node(vec![RELAY]);
+    let lease = lease();
+    let node = PeerId(100);
+    let config = SubscriberConfig { node, lease, follow, room: ROOM, standing_every: 2.0, seed: 1 };
+    let mut node = Subscriber::new(config, 0.0);
+    node.subscribe(Selector::service("a")).unwrap();
+    node
+}
+
+fn relay() -> Relay {
+    let follow = FollowRules::relay(vec![PeerId(1)]);
+    let serve = ServeRules::default();
+    Relay::new(RelayConfig { lease: lease(), follow, serve, room: ROOM, seed: 1 }, 0.0)
+}
+
+fn version(sequence: u64) -> Version {
+    Version { token: 1, sequence }
+}
+
+fn span(upto: u64) -> Span {
+    Span { after: Version::ZERO, upto: version(upto) }
+}
+
+fn key() -> Key {
+    Key { name: Name::service("a", "x"), slot: Slot::Whole }
+}
+
+fn change(sequence: u64) -> Change {
+    Change {
+        key: key(),
+        version: version(sequence),
+        urgency: Urgency::Normal,
+        part: Part::ALL,
+        replaces: Version::ZERO,
+        content: Content::body(b"one"),
+    }
+}
+
+fn chunk(offset: u32, total: u32, bytes: &[u8]) -> Payload {
+    let chunk = Chunk {
+        key: key(),
+        version: version(3),
+        urgency: Urgency::Normal,
+        express: false,
+        part: Part::ALL,
+        replaces: Version::ZERO,
+        total,
+        hash: ContentHash::of(b"123456789"),
+        offset,
+        bytes: bytes.to_vec(),
+    };
+    Payload::Chunk { id: 0, span: span(3), chunk }
+}
+
+fn subscribe(id: u32, coverage: Coverage) -> Payload {
+    let selector = Selector::Everything;
+    Payload::Subscribe(vec![Subscribe { id, selector, coverage, floor: Version::ZERO }])
+}
+
+fn payloads() -> impl Strategy<Value = Payload> {
+    let numbers = (0..3u32, 0..9u64, any::<u64>());
+    prop_oneof![
+        Just(Payload::Acknowledge),
+        any::<bool>().prop_map(|relay| Payload::Open { relay }),
+        numbers.prop_map(|(id, upto, _)| subscribe(id, Coverage::upto(version(upto)))),
+        prop::collection::vec(0..3u32, 0..3).prop_map(Payload::Unsubscribe),
+        (0..3u32, 0..9u64, 0..9u64).prop_map(|(id, upto, at)| {
+            let changes = vec![change(at)];
+            Payload::Changes { id, span: span(upto), changes }
+        }),
+        (0..9u32, 0..9u32, 0..9usize).prop_map(|(offset, total, length)| {
+            chunk(offset, total, &b"123456789"[..length])
+        }),
+        (0..3u32, any::<bool>(), any::<bool>(), 0..9u64).prop_map(|(id, first, last, floor)| {
+            Payload::Manifest { id, first, last, floor: version(floor), digests: vec![1] }
+        }),
+        (0..9u64, any::<u64>()).prop_map(|(head, age)| Payload::Current {
+            head: version(head),
+            floor: Version::ZERO,
+            age_us: Some(age),
+        }),
+        (0..9u64, 0..9u64).prop_map(|(token, known)| {
+            Payload::Epoch(Epoch { claim: claim(token), known: Coverage::upto(version(known)) })
+        }),
+        any::<u32>().prop_map(|rest_ms| Payload::Close { why: Reason::Busy, rest_ms }),
+    ]
+}
+
+fn author() -> Author {
+    let follow = FollowRules::relay(vec![PeerId(10)]);
+    let serve = ServeRules::default();
+    let lease = lease();
+    let mut author = Author::new(
+        AuthorConfig { lease, follow, serve, room: ROOM, history: 1000, takeover: 0.0, seed: 1 },
+        0.0,
+    );
+    author.hold(0.0, &claim(1), 1e9, &mut Vec::new()).unwrap();
+    author.poll(0.0, &mut Vec::new());
+    author
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_make_a_machine_panic(frames in prop::collection::vec(prop::collection::vec(any::<u8>(), 0..300), 0..20)) {
+        let (mut node, mut relay, mut author) = (node(), relay(), author());
+        let mut outputs = Vec::new();
+        for (n, frame) in frames.iter().enumerate() {
+            let now = n as f64;
+            node.receive(now, RELAY, frame, &mut outputs);
+            relay.receive(now, PeerId(1), frame, &mut outputs);
+            author.receive(now, PeerId(10), frame, &mut outputs);
+        }
+    }
+
+    #[test]
+    fn no_order_of_payloads_makes_a_machine_panic(
+        script in prop::collection::vec((payloads(), 0..4u64, 0..4u64, any::<u64>(), any::<bool>()), 0..40),
+    ) {
+        let (mut node, mut relay, mut author) = (node(), relay(), author());
+        let mut outputs = Vec::new();
+        for (n, (payload, number, acknowledged, stamp_us, up)) in script.into_iter().enumerate() {
+            let now = n as f64 / 2.0;
+            let sessions: Vec<u64> = outputs.iter().filter_map(|output| match output {
+                Output::Send { frame, .. } => decode(frame).map(|(head, _)| head.session),
+                _ => None,
+            }).collect();
+            let session = sessions.last().copied().unwrap_or(7);
+            let head = Head { session, up, number, acknowledged, stamp_us, echo: None };
+            let frame = encode(&head, &payload);
+            for peer in [PeerId(1), PeerId(10), RELAY] {
+                node.receive(now, peer, &frame, &mut outputs);
+                relay.receive(now, peer, &frame, &mut outputs);
+                author.receive(now, peer, &frame, &mut outputs);
+            }
+            node.poll(now, &mut outputs);
+            relay.poll(now, &mut outputs);
+            author.poll(now, &mut outputs);
+        }
+    }
+}
--- /dev/null
+++ b/crates/distribution/tests/cases_tree.rs
@@ -0,0 +1,285 @@
+//! Hard cases of the tree: relays that die, regions that are cut off, nodes that stand still or begin all at once.
+
+mod world;
+
+use reelfall_distribution::output::{Event, Reason};
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::resource::{Draft, Name, Selector, Version};
+use reelfall_distribution::Time;
+use world::{claim, World, CALM};
+
+const NODES: std::ops::Range<u32> = 100..106;
+
+/// One author, two first relays, two relays of a region, six nodes; the author writes with token 1.
+fn tree(seed: u64) -> World {
+    let mut world = World::new(seed, CALM);
+    world.author(1, &[10, 11]);
+    world.relay(10, &[1]);
+    world.relay(11, &[1]);
+    world.relay(20, &[10, 11]);
+    world.relay(21, &[10, 11]);
+    for id in NODES {
+        world.node(id, &[20, 21], &[Selector::Services]);
+    }
+    hold(&mut world, 1, 1, 1e6);
+    world.run(20.0);
+    world
+}
+
+fn hold(world: &mut World, author: u32, token: u64, lasts: Time) {
+    let until = world.seats[&PeerId(author)].clock(world.t + lasts);
+    let held = world.with_author(author, |author, now, outputs| {
+        author.hold(now, &claim(token), until, outputs)
+    });
+    assert_eq!(held, Some(Ok(())));
+}
+
+fn publish(world: &mut World, token: u64, drafts: Vec<Draft>) -> Version {
+    let t = world.t;
+    let version = world.with_author(1, |author, now, outputs| {
+        author.publish(now, &claim(token), drafts, outputs)
+    });
+    let version = version.unwrap().unwrap();
+    world.judge.published(t, version);
+    version
+}
+
+fn put(item: &str, bytes: &[u8]) -> Draft {
+    Draft::put(Name::service("a", item), bytes)
+}
+
+/// When all of these nodes have a version; fails after `most` seconds.
+fn until_all_have(world: &mut World, nodes: &[u32], version: Version, most: Time) -> Time {
+    let began = world.t;
+    while nodes.iter().any(|id| world.node_of(*id).head() < version) {
+        assert!(world.t - began < most, "not within {most} s");
+        world.run(0.1);
+    }
+    world.t - began
+}
+
+fn all() -> Vec<u32> {
+    NODES.collect()
+}
+
+#[test]
+fn a_change_is_everywhere_within_two_seconds_of_a_calm_tree() {
+    let mut world = tree(1);
+    let version = publish(&mut world, 1, vec![put("x", b"one")]);
+    until_all_have(&mut world, &all(), version, 2.0);
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &Name::service("a", "x")).unwrap(), b"one");
+        assert!(world.node_of(id).staleness(world.seats[&PeerId(id)].clock(world.t)) < 8.0);
+    }
+    world.run(10.0);
+    let status = world.author_of(1).status(version);
+    assert_eq!(status.have.len(), NODES.len());
+    world.judge.verdict();
+}
+
+#[test]
+fn a_relay_killed_in_a_snapshot_is_left_and_what_came_is_not_sent_again() {
+    let mut world = tree(2);
+    let drafts = (0..100).map(|n| put(&format!("r{n}"), &[n; 1000])).collect();
+    let version = publish(&mut world, 1, drafts);
+    world.run(8.0);
+    let had: Vec<usize> = NODES.map(|id| world.node_of(id).all_in_force().count()).collect();
+    assert!(had.iter().all(|n| (10..90).contains(n)), "{had:?}");
+    let killed = world.node_of(100).following().unwrap();
+    world.kill(killed);
+    let at = world.t;
+    let before = world.sent.len();
+    until_all_have(&mut world, &all(), version, 40.0);
+    let left: Vec<Time> = lefts(&world, at, Reason::Silent);
+    assert!(!left.is_empty() && left.iter().all(|t| t - at < 8.5), "{left:?}");
+    let to_node: usize = world.sent[before..].iter().filter(|s| s.2 == PeerId(100)).map(|s| s.3).sum();
+    let lacked = (100 - had[0]) * 1100;
+    assert!(to_node < lacked + 20_000, "{to_node} bytes for {lacked}");
+    world.judge.verdict();
+}
+
+fn lefts(world: &World, since: Time, reason: Reason) -> Vec<Time> {
+    let of_node = |event: &&(Time, PeerId, Event)| {
+        event.0 > since && event.1 .0 >= 100 && matches!(event.2, Event::Left { why, .. } if why == reason)
+    };
+    world.judge.events.iter().filter(of_node).map(|event| event.0).collect()
+}
+
+#[test]
+fn children_of_a_dead_relay_do_not_return_all_at_once() {
+    let mut world = World::new(3, CALM);
+    world.author(1, &[10]);
+    world.relay(10, &[1]);
+    world.relay(20, &[10]);
+    world.relay(21, &[10]);
+    for id in 100..160 {
+        world.node(id, &[20, 21], &[Selector::common()]);
+    }
+    hold(&mut world, 1, 1, 1e6);
+    world.run(30.0);
+    world.kill(PeerId(20));
+    let at = world.t;
+    world.run(30.0);
+    let follows = |event: &&(Time, PeerId, Event)| {
+        event.0 > at && matches!(event.2, Event::Following(peer) if peer == PeerId(21))
+    };
+    let mut back: Vec<Time> = world.judge.events.iter().filter(follows).map(|e| e.0 - at).collect();
+    back.sort_by(f64::total_cmp);
+    assert!(back.len() > 15, "{}", back.len());
+    assert!(*back.last().unwrap() < 14.0, "{back:?}");
+    let within = |from: Time| back.iter().filter(|t| (from..from + 0.5).contains(*t)).count();
+    let most = (0..60).map(|n| within(f64::from(n) * 0.25)).max().unwrap();
+    assert!(most * 2 < back.len(), "{most} of {} within half a second", back.len());
+}
+
+#[test]
+fn all_relays_of_a_region_die_and_come_back() {
+    let mut world = tree(4);
+    world.kill(PeerId(20));
+    world.kill(PeerId(21));
+    world.run(60.0);
+    let version = publish(&mut world, 1, vec![put("x", b"two")]);
+    let stale = world.node_of(100).staleness(world.seats[&PeerId(100)].clock(world.t));
+    assert!((58.0..72.0).contains(&stale), "{stale}");
+    world.start(PeerId(20));
+    world.start(PeerId(21));
+    until_all_have(&mut world, &all(), version, 60.0);
+    world.judge.verdict();
+}
+
+#[test]
+fn a_node_frozen_for_a_minute_catches_up() {
+    let mut world = tree(5);
+    world.freeze(PeerId(100), 60.0);
+    for n in 0..20u8 {
+        publish(&mut world, 1, vec![put("x", &[n])]);
+        world.run(3.0);
+    }
+    let version = publish(&mut world, 1, vec![put("y", b"last")]);
+    until_all_have(&mut world, &[100], version, 20.0);
+    assert_eq!(world.bytes_at(100, &Name::service("a", "x")).unwrap(), [19]);
+    world.judge.verdict();
+}
+
+#[test]
+fn a_region_that_was_cut_off_for_an_hour_catches_up_by_its_budget() {
+    let mut world = tree(6);
+    let lasts = 3600.0;
+    for far in [10, 11] {
+        for near in [20, 21] {
+            world.cut(PeerId(far), PeerId(near), lasts);
+        }
+    }
+    // 540 changes an hour are 13,000 a day; a third of them to resources that change again.
+    let mut version = Version::ZERO;
+    for n in 0..540u32 {
+        let item = format!("r{}", if n % 3 == 0 { 0 } else { n });
+        version = publish(&mut world, 1, vec![put(&item, &[n as u8; 300])]);
+        world.run(lasts / 540.0);
+    }
+    let changed = 361.0;
+    // What one change takes, by what the budget brings in a second, and the rests before a relay and a node return.
+    let most = changed * 400.0 / 6000.0 + 64.0 + 64.0;
+    let took = until_all_have(&mut world, &all(), version, most);
+    println!("caught up in {took:.1} s, of {most:.1} s");
+    world.judge.verdict();
+}
+
+#[test]
+fn the_newest_change_comes_first_after_a_cut() {
+    let mut world = tree(7);
+    world.freeze(PeerId(100), 10.0);
+    world.run(1.0);
+    let drafts = (0..80).map(|n| put(&format!("r{n}"), &[n; 1000])).collect();
+    publish(&mut world, 1, drafts);
+    world.run(12.0);
+    let node = world.node_of(100);
+    assert!(node.in_force(&Name::service("a", "r79")).is_some());
+    assert!(node.in_force(&Name::service("a", "r0")).is_none());
+}
+
+#[test]
+fn many_nodes_begin_at_once_without_a_snapshot() {
+    let mut world = World::new(8, CALM);
+    world.author(1, &[10]);
+    world.relay(10, &[1]);
+    world.relay(20, &[10]);
+    world.relay(21, &[10]);
+    hold(&mut world, 1, 1, 1e6);
+    world.run(10.0);
+    let drafts = (0..50).map(|n| put(&format!("r{n}"), &[n; 500])).collect();
+    let version = publish(&mut world, 1, drafts);
+    world.run(5.0);
+    for id in 100..180 {
+        world.node(id, &[20, 21], &[Selector::Services]);
+    }
+    let nodes: Vec<u32> = (100..180).collect();
+    // 33 kB at 6 kB/s, and up to 4 s before each begins.
+    until_all_have(&mut world, &nodes, version, 20.0);
+    world.judge.verdict();
+}
+
+#[test]
+fn a_node_begins_with_an_old_snapshot_and_nobody_to_ask() {
+    let mut world = tree(9);
+    publish(&mut world, 1, vec![put("x", b"old")]);
+    world.run(30.0);
+    world.kill(PeerId(100));
+    for relay in [20, 21] {
+        world.kill(PeerId(relay));
+    }
+    let month = 30.0 * 86_400.0;
+    let disk = world.seats[&PeerId(100)].disk.clone();
+    let world::Config::Node(config, _) = world.seats[&PeerId(100)].config.clone() else { panic!() };
+    let mut node =
+        reelfall_distribution::subscriber::Subscriber::restore(config, disk, Some(month), 5.0);
+    let mut outputs = Vec::new();
+    node.poll(5.0, &mut outputs);
+    let x = node.in_force(&Name::service("a", "x")).unwrap();
+    assert_eq!(x.content.bytes(), b"old");
+    assert!(node.staleness(5.0) >= month);
+    assert!(node.staleness(65.0) >= month + 60.0);
+    // It goes on asking, seldom.
+    let mut asked = 0;
+    let mut now = 5.0;
+    while now < 605.0 {
+        now = node.next_wakeup().max(now + 1e-3);
+        outputs.clear();
+        node.poll(now, &mut outputs);
+        let followed = |output: &&reelfall_distribution::output::Output| {
+            matches!(output, reelfall_distribution::output::Output::Event(Event::Following(_)))
+        };
+        asked += outputs.iter().filter(followed).count();
+    }
+    assert!((5..60).contains(&asked), "{asked} sessions in ten minutes");
+    assert!(node.in_force(&Name::service("a", "x")).is_some());
+}
+
+#[test]
+fn a_node_gets_a_snapshot_only_where_the_log_no_longer_reaches() {
+    let mut world = tree(10);
+    let drafts = (0..30).map(|n| put(&format!("r{n}"), &[n; 800])).collect();
+    publish(&mut world, 1, drafts);
+    world.run(30.0);
+    world.kill(PeerId(100));
+    // 70 removals where 50 are kept: the first 20 are forgotten.
+    for n in 0..70 {
+        publish(&mut world, 1, vec![put(&format!("s{n}"), b"short")]);
+    }
+    publish(&mut world, 1, vec![Draft::remove(Name::service("a", "r3"))]);
+    for n in 0..70 {
+        publish(&mut world, 1, vec![Draft::remove(Name::service("a", &format!("s{n}")))]);
+    }
+    let version = publish(&mut world, 1, vec![put("r4", b"new")]);
+    world.run(20.0);
+    let before = world.sent.len();
+    world.start(PeerId(100));
+    until_all_have(&mut world, &[100], version, 20.0);
+    world.run(1.0);
+    assert!(world.node_of(100).in_force(&Name::service("a", "r3")).is_none(), "a removal was missed");
+    assert_eq!(world.bytes_at(100, &Name::service("a", "r4")).unwrap(), b"new");
+    assert_eq!(world.node_of(100).all_in_force().count(), 29);
+    let bytes: usize = world.sent[before..].iter().filter(|s| s.2 == PeerId(100)).map(|s| s.3).sum();
+    assert!(bytes < 15_000, "{bytes} bytes: 29 bodies of 800 bytes were there already");
+    world.judge.verdict();
+}
--- /dev/null
+++ b/crates/distribution/tests/parts.rs
@@ -0,0 +1,275 @@
+//! The parts by themselves: coverage against a set, the log, budgets, links, chunks, what was stored.
+
+use proptest::prelude::*;
+use reelfall_distribution::bucket::{Bucket, Budget, TRANSPORT_OVERHEAD};
+use reelfall_distribution::coverage::{Coverage, SPANS_MOST};
+use reelfall_distribution::history::History;
+use reelfall_distribution::link::{transit, Link};
+use reelfall_distribution::log::{Log, Put, Room};
+use reelfall_distribution::message::{decode, Echo, Payload, Span};
+use reelfall_distribution::output::{Output, Record};
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::report::{Report, Waiting};
+use reelfall_distribution::resource::{
+    Change, Content, Key, Name, Part, Selector, Slot, Urgency, Version,
+};
+use reelfall_distribution::restore::Restored;
+use reelfall_distribution::status::{Board, Refused};
+use std::collections::BTreeSet;
+
+const ROOM: Room = Room { keys: 10, bytes: 10_000, removals: 2 };
+
+fn version(sequence: u64) -> Version {
+    Version { token: 1, sequence }
+}
+
+fn change(item: &str, sequence: u64, content: Content) -> Change {
+    Change {
+        key: Key { name: Name::service("a", item), slot: Slot::Whole },
+        version: version(sequence),
+        urgency: Urgency::Normal,
+        part: Part::ALL,
+        replaces: Version::ZERO,
+        content,
+    }
+}
+
+fn put(item: &str, sequence: u64) -> Change {
+    change(item, sequence, Content::body(b"body"))
+}
+
+fn span(after: u64, upto: u64) -> Span {
+    let lower = if after == 0 { Version::ZERO } else { version(after) };
+    Span { after: lower, upto: version(upto) }
+}
+
+proptest! {
+    #[test]
+    fn coverage_is_a_set_of_versions(spans in prop::collection::vec((0..60u64, 1..20u64), 0..30)) {
+        let mut coverage = Coverage::default();
+        let mut model = BTreeSet::new();
+        for (after, length) in spans {
+            coverage.add(span(after, after + length));
+            model.extend(after + 1..=after + length);
+            prop_assert!(coverage.sound());
+            for n in 1..90 {
+                prop_assert_eq!(coverage.holds(version(n)), model.contains(&n), "{}", n);
+            }
+            let floor = (1..90).take_while(|n| model.contains(n)).last();
+            let floor = if model.contains(&1) { floor } else { None };
+            prop_assert_eq!(coverage.floor(), floor.map_or(Version::ZERO, version));
+        }
+    }
+
+    #[test]
+    fn coverage_has_a_bound_and_never_holds_what_was_not_added(points in prop::collection::vec(1..10_000u64, 0..200)) {
+        let mut coverage = Coverage::default();
+        for point in &points {
+            coverage.add(span(point - 1, *point));
+            prop_assert!(coverage.sound() && coverage.spans().len() <= SPANS_MOST);
+            prop_assert!(coverage.cut(8).sound() && coverage.cut(8).spans().len() <= 8);
+        }
+        for n in 1..10_000 {
+            prop_assert!(!coverage.holds(version(n)) || points.contains(&n));
+        }
+    }
+
+    #[test]
+    fn a_bucket_keeps_to_its_budget(steps in prop::collection::vec((0.0..0.5f64, 0..4000usize), 0..300)) {
+        let budget = Budget { rate: 6000.0, burst: 8000.0 };
+        let mut bucket = Bucket::new(budget, 0.0);
+        let mut now = 0.0;
+        let mut taken: Vec<(f64, usize)> = Vec::new();
+        for (passes, bytes) in steps {
+            now += passes;
+            let ready = bucket.ready(now, bytes);
+            let goes = bucket.take(now, bytes);
+            prop_assert_eq!(goes, ready <= now);
+            if goes {
+                taken.push((now, bytes + TRANSPORT_OVERHEAD));
+            } else {
+                prop_assert!(bucket.clone().take(ready, bytes));
+            }
+            let window: usize = taken.iter().filter(|(at, _)| *at > now - 10.0).map(|(_, n)| n).sum();
+            prop_assert!(window <= 68_000);
+        }
+    }
+
+    #[test]
+    fn transit_is_never_less_than_the_truth(
+        clocks in (0.9995..1.0005f64, 0.9995..1.0005f64), said in 0.0..1e5f64,
+        way in 0.0..50f64, held in 0.0..100f64, back in 0.0..50f64,
+    ) {
+        let (reader, writer) = clocks;
+        let stamp_us = (said * reader * 1e6) as u64;
+        let held_us = (held * writer * 1e6) as u64;
+        let now = (said + way + held + back) * reader;
+        let most = transit(now, Echo { stamp_us, held_us }).unwrap();
+        prop_assert!(most >= back - 1e-5, "{} for {}", most, back);
+        prop_assert!(most <= way + back + 0.5);
+    }
+}
+
+#[test]
+fn a_log_keeps_the_latest_of_each_key() {
+    let mut log = Log::new(ROOM);
+    assert_eq!(log.put(put("x", 2)), Put::Taken);
+    assert_eq!(log.put(put("x", 1)), Put::Old);
+    assert_eq!(log.put(put("x", 2)), Put::Old);
+    assert_eq!(log.put(put("x", 5)), Put::Taken);
+    assert_eq!(log.put(put("y", 4)), Put::Taken);
+    assert_eq!(log.len(), 2);
+    assert_eq!(log.at(version(2)), None);
+    let everything = Selector::Everything;
+    assert_eq!(log.newest(&everything, &Coverage::EMPTY), Some(version(5)));
+    let mut coverage = Coverage::default();
+    coverage.add(span(4, 9));
+    assert_eq!(log.newest(&everything, &coverage), Some(version(4)));
+    assert_eq!(log.newest(&Selector::service("a"), &coverage), Some(version(4)));
+    assert_eq!(log.newest(&Selector::service("b"), &coverage), None);
+    coverage.add(span(3, 4));
+    assert_eq!(log.newest(&everything, &coverage), None);
+}
+
+#[test]
+fn a_log_has_bounds() {
+    let mut log = Log::new(ROOM);
+    for n in 1..=10 {
+        assert_eq!(log.put(put(&n.to_string(), n)), Put::Taken);
+    }
+    assert_eq!(log.put(put("more", 11)), Put::Full);
+    assert_eq!(log.put(change("1", 12, Content::body(&[0; 10_000]))), Put::Full);
+    assert_eq!(log.get(&put("1", 1).key).unwrap().version, version(1), "what was there stays");
+    for n in 1..=4 {
+        log.put(change(&n.to_string(), 20 + n, Content::Removed));
+    }
+    assert_eq!(log.forget_removals().len(), 2);
+    assert_eq!(log.floor(), version(22));
+    assert_eq!(log.len(), 8);
+}
+
+#[test]
+fn links_take_each_payload_once_and_in_order() {
+    let budget = Budget::CONTROL;
+    let (a, b) = (PeerId(1), PeerId(2));
+    let mut up = Link::new(b, 9, true, budget, 0.0);
+    let mut down = Link::new(a, 9, false, budget, 0.0);
+    let mut outputs = Vec::new();
+    assert!(up.send(0.0, &Payload::Open { relay: true }, &mut outputs));
+    assert!(!up.send(0.0, &Payload::Acknowledge, &mut outputs), "one at a time");
+    assert_eq!(up.next_wakeup(0.0), 1.0);
+    up.flush_repeats(1.0, &mut outputs);
+    let heads: Vec<_> = outputs.iter().map(|output| match output {
+        Output::Send { frame, .. } => decode(frame).unwrap().0,
+        other => panic!("{other:?}"),
+    }).collect();
+    assert_eq!(heads.len(), 2);
+    assert!(down.take(1.1, &heads[0]).unwrap().fresh);
+    assert!(!down.take(1.1, &heads[1]).unwrap().fresh);
+    outputs.clear();
+    down.flush(1.2, &mut outputs);
+    let Some(Output::Send { frame, .. }) = outputs.pop() else { panic!() };
+    let arrival = up.take(1.3, &decode(&frame).unwrap().0).unwrap();
+    assert_eq!(arrival.acknowledged, 1);
+    assert!(arrival.transit.unwrap() >= 0.1);
+    assert!(up.is_free());
+}
+
+#[test]
+fn history_brings_what_was_there() {
+    let mut history = History::new(500);
+    let first = put("x", 1);
+    assert_eq!(history.before(&first), Some(Content::Removed));
+    let second = Change { replaces: version(1), ..change("x", 2, Content::body(b"two")) };
+    history.replaced(&first, &second);
+    assert_eq!(history.before(&second), Some(Content::body(b"body")));
+    let skipped = Change { replaces: version(3), ..put("x", 4) };
+    assert_eq!(history.before(&skipped), None, "what came between was not seen here");
+    for n in 10..20 {
+        let (old, new) = (put(&n.to_string(), n), put(&n.to_string(), 100 + n));
+        history.replaced(&old, &new);
+    }
+    assert_eq!(history.before(&second), None, "the oldest is forgotten for room");
+}
+
+#[test]
+fn reports_that_wait_are_bounded_and_replaced() {
+    let mut waiting = Waiting::default();
+    for n in 1..=3 {
+        waiting.add(Report::Standing { node: PeerId(7), upto: version(n) });
+    }
+    let orphan = Report::Orphan { key: put("x", 1).key, version: version(1) };
+    for _ in 0..3 {
+        waiting.add(orphan.clone());
+    }
+    let taken = waiting.take(1000);
+    assert_eq!(taken, [orphan.clone(), Report::Standing { node: PeerId(7), upto: version(3) }]);
+    assert!(waiting.is_empty());
+    waiting.restore(taken);
+    assert_eq!(waiting.take(1), [orphan], "at least one");
+    for n in 0..10_000 {
+        let reason = String::new();
+        let (key, node) = (put("x", 1).key, PeerId(n));
+        waiting.add(Report::Refused { node, key, version: version(1), reason });
+    }
+    assert_eq!(waiting.take(usize::MAX).len(), 4097);
+}
+
+#[test]
+fn a_board_counts_who_has_what() {
+    let mut board = Board::default();
+    board.standing(PeerId(1), version(5));
+    board.standing(PeerId(1), version(3));
+    board.standing(PeerId(2), version(4));
+    let refused = Refused { node: PeerId(2), key: put("x", 4).key, reason: "no".into() };
+    board.refused(version(4), refused.clone());
+    let status = board.status(version(5));
+    assert_eq!((status.have.len(), status.lack.len()), (1, 1));
+    assert!(status.refused.is_empty());
+    assert_eq!(board.status(version(4)).refused, [refused]);
+}
+
+#[test]
+fn records_bring_back_what_was_stored() {
+    let selector = Selector::service("a");
+    let covered = |upto| Record::Covered {
+        selector: selector.clone(),
+        coverage: Coverage::upto(version(upto)),
+        floor: version(upto),
+    };
+    let records = [
+        Record::Put(put("x", 1)),
+        Record::InForce(put("x", 1)),
+        covered(1),
+        Record::Put(put("y", 2)),
+        Record::Put(put("x", 3)),
+        Record::Put(change("long", 4, Content::body(&[0; 300_000]))),
+        Record::Forget(put("y", 2).key),
+        Record::Floor(version(2)),
+    ];
+    let restored = Restored::read(ROOM, records.clone());
+    assert_eq!(restored.log.len(), 1);
+    assert_eq!(restored.log.top(), version(3));
+    assert_eq!(restored.log.floor(), version(2));
+    assert_eq!(restored.in_force[&Name::service("a", "x")].version, version(1));
+    assert_eq!(restored.covered[&selector].0, Coverage::upto(version(1)));
+    let ended = records.into_iter().chain([Record::Unsubscribed(selector)]);
+    let restored = Restored::read(ROOM, ended);
+    assert!(restored.log.is_empty() && restored.in_force.is_empty() && restored.covered.is_empty());
+}
+
+#[test]
+fn greater_parts_hold_smaller_ones() {
+    let part = |thousandths| Part { thousandths, seed: 11 };
+    let mut counts = [0; 3];
+    for node in (0..6000).map(PeerId) {
+        let held = [part(10), part(100), part(500)].map(|part| part.holds(node));
+        assert!(held.windows(2).all(|pair| !pair[0] || pair[1]));
+        assert!(part(1000).holds(node) && !part(0).holds(node));
+        for (count, held) in counts.iter_mut().zip(held) {
+            *count += usize::from(held);
+        }
+    }
+    assert!((30..100).contains(&counts[0]) && (500..700).contains(&counts[1]), "{counts:?}");
+    assert!((2800..3200).contains(&counts[2]), "{counts:?}");
+}
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod judge;
+mod view;
 
 use judge::Judge;
 use rand::{Rng, SeedableRng};
@@ -15,7 +16,7 @@
 use reelfall_distribution::output::{Output, Record};
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::relay::{Relay, RelayConfig};
-use reelfall_distribution::resource::{Change, Content, Name, Selector};
+use reelfall_distribution::resource::{Change, Selector};
 use reelfall_distribution::subscriber::{Subscriber, SubscriberConfig};
 use reelfall_distribution::Time;
 use reelfall_lease::token::{Claim, Name as LeaseName};
@@ -50,7 +51,7 @@
     pub machine: Option<Machine>,
     pub disk: Vec<Record>,
     pub life: u64,
-    frozen_until: Time,
+    pub frozen_until: Time,
     offset: Time,
     rate: f64,
     /// It ends after so many more outputs.
@@ -366,57 +367,6 @@
         }
     }
 
-    pub fn node_of(&self, id: u32) -> &Subscriber {
-        match self.seats[&PeerId(id)].machine.as_ref() {
-            Some(Machine::Node(node)) => node,
-            _ => panic!("{id} is no running node"),
-        }
-    }
-
-    pub fn relay_of(&self, id: u32) -> &Relay {
-        match self.seats[&PeerId(id)].machine.as_ref() {
-            Some(Machine::Relay(relay)) => relay,
-            _ => panic!("{id} is no running relay"),
-        }
-    }
-
-    pub fn author_of(&self, id: u32) -> &Author {
-        match self.seats[&PeerId(id)].machine.as_ref() {
-            Some(Machine::Author(author)) => author,
-            _ => panic!("{id} is no running author"),
-        }
-    }
-
-    /// Calls an author, if it runs and does not stand still.
-    pub fn with_author<T>(
-        &mut self, id: u32, call: impl FnOnce(&mut Author, Time, &mut Vec<Output>) -> T,
-    ) -> Option<T> {
-        if self.t < self.seats[&PeerId(id)].frozen_until {
-            return None;
-        }
-        self.act(PeerId(id), |machine, now, outputs| match machine {
-            Machine::Author(author) => Some(call(author, now, outputs)),
-            _ => None,
-        })
-        .flatten()
-    }
-
-    /// Calls a node.
-    pub fn with_node<T>(
-        &mut self, id: u32, call: impl FnOnce(&mut Subscriber, Time, &mut Vec<Output>) -> T,
-    ) -> Option<T> {
-        self.act(PeerId(id), |machine, now, outputs| match machine {
-            Machine::Node(node) => Some(call(node, now, outputs)),
-            _ => None,
-        })
-        .flatten()
-    }
-
-    /// The bytes that are in force of a resource at a node.
-    pub fn bytes_at(&self, node: u32, name: &Name) -> Option<Vec<u8>> {
-        self.node_of(node).in_force(name).map(|change| change.content.bytes().to_vec())
-    }
-
     pub fn ids(&self, kind: fn(&Config) -> bool) -> BTreeSet<PeerId> {
         self.seats.iter().filter(|(_, seat)| kind(&seat.config)).map(|(id, _)| *id).collect()
     }
@@ -425,7 +375,3 @@
 pub fn peers(ids: &[u32]) -> Vec<PeerId> {
     ids.iter().map(|id| PeerId(*id)).collect()
 }
-
-pub fn body(bytes: &[u8]) -> Content {
-    Content::body(bytes)
-}
--- /dev/null
+++ b/crates/distribution/tests/world/view.rs
@@ -0,0 +1,63 @@
+//! Looks at processes, and calls to them.
+
+use super::{Machine, World};
+use reelfall_distribution::author::Author;
+use reelfall_distribution::output::Output;
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::relay::Relay;
+use reelfall_distribution::resource::Name;
+use reelfall_distribution::subscriber::Subscriber;
+use reelfall_distribution::Time;
+
+impl World {
+    pub fn node_of(&self, id: u32) -> &Subscriber {
+        match self.seats[&PeerId(id)].machine.as_ref() {
+            Some(Machine::Node(node)) => node,
+            _ => panic!("{id} is no running node"),
+        }
+    }
+
+    pub fn relay_of(&self, id: u32) -> &Relay {
+        match self.seats[&PeerId(id)].machine.as_ref() {
+            Some(Machine::Relay(relay)) => relay,
+            _ => panic!("{id} is no running relay"),
+        }
+    }
+
+    pub fn author_of(&self, id: u32) -> &Author {
+        match self.seats[&PeerId(id)].machine.as_ref() {
+            Some(Machine::Author(author)) => author,
+            _ => panic!("{id} is no running author"),
+        }
+    }
+
+    /// Calls an author, if it runs and does not stand still.
+    pub fn with_author<T>(
+        &mut self, id: u32, call: impl FnOnce(&mut Author, Time, &mut Vec<Output>) -> T,
+    ) -> Option<T> {
+        if self.t < self.seats[&PeerId(id)].frozen_until {
+            return None;
+        }
+        self.act(PeerId(id), |machine, now, outputs| match machine {
+            Machine::Author(author) => Some(call(author, now, outputs)),
+            _ => None,
+        })
+        .flatten()
+    }
+
+    /// Calls a node.
+    pub fn with_node<T>(
+        &mut self, id: u32, call: impl FnOnce(&mut Subscriber, Time, &mut Vec<Output>) -> T,
+    ) -> Option<T> {
+        self.act(PeerId(id), |machine, now, outputs| match machine {
+            Machine::Node(node) => Some(call(node, now, outputs)),
+            _ => None,
+        })
+        .flatten()
+    }
+
+    /// The bytes that are in force of a resource at a node.
+    pub fn bytes_at(&self, node: u32, name: &Name) -> Option<Vec<u8>> {
+        self.node_of(node).in_force(name).map(|change| change.content.bytes().to_vec())
+    }
+}
