--- a/crates/distribution/src/author.rs
+++ b/crates/distribution/src/author.rs
@@ -27,7 +27,7 @@
 use crate::status::{Board, Refused, Status};
 use crate::upstream::Upstream;
 use crate::Time;
-use reelfall_lease::token::{Claim, Name as LeaseName};
+use reelfall_lease::token::{Claim, LeaseName};
 use std::collections::BTreeSet;
 
 /// Orphans that are written over by one holding of the lease at most; more are not believed.
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -11,7 +11,7 @@
 use crate::restore::Restored;
 use crate::upstream::Upstream;
 use crate::Time;
-use reelfall_lease::token::Name as LeaseName;
+use reelfall_lease::token::LeaseName;
 
 /// What a relay is given.
 #[derive(Clone, Debug)]
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -17,7 +17,7 @@
 use crate::session::Heard;
 use crate::upstream::Upstream;
 use crate::{Time, DRIFT};
-use reelfall_lease::token::Name as LeaseName;
+use reelfall_lease::token::LeaseName;
 use std::collections::BTreeSet;
 use thiserror::Error;
 
--- a/crates/distribution/src/upstream.rs
+++ b/crates/distribution/src/upstream.rs
@@ -19,7 +19,7 @@
 use crate::resource::{Change, Selector, Version};
 use crate::session::{Heard, Held, Session, Subscriptions};
 use crate::Time;
-use reelfall_lease::token::{Fence, Name as LeaseName};
+use reelfall_lease::token::{Fence, LeaseName};
 use std::collections::BTreeMap;
 
 #[derive(Debug)]
@@ -140,7 +140,7 @@
 
     /// The highest token that was seen.
     pub fn token_seen(&self) -> u64 {
-        self.fence.seen(&self.lease).unwrap_or(0)
+        self.fence.highest(&self.lease).unwrap_or(0)
     }
 
     /// Follows nobody until [`Upstream::resume`].
