Distribution: ages of copies that were not whole, one argument for a frame, orphans apart

Now a copy of everything takes an age only where the word holds for it. Frames come as one value, and the author's handling of orphans has its own file.

--- a/crates/distribution/src/author.rs
+++ b/crates/distribution/src/author.rs
@@ -10,6 +10,8 @@
 //! orphans: they report them, and the present author writes its own content anew over them. So all come to the same
 //! content, and versions go up everywhere.
 
+mod orphans;
+
 use crate::coverage::Coverage;
 use crate::downstream::{Downstream, ServeRules};
 use crate::feed::Source;
@@ -30,9 +32,6 @@
 use reelfall_lease::token::{Claim, Name as LeaseName};
 use std::collections::BTreeSet;
 
-/// Orphans that are written over by one holding of the lease at most; more are not believed.
-const ORPHANS_MOST: usize = 100_000;
-
 /// What an author is given.
 #[derive(Clone, Debug)]
 pub struct AuthorConfig {
@@ -191,23 +190,6 @@
         self.write_own_again(now, own, outputs);
     }
 
-    /// What others take for known without having it gets a version that they do not know.
-    fn write_own_again(&mut self, now: Time, own: Vec<(Key, Version)>, outputs: &mut Vec<Output>) {
-        for (key, _) in own {
-            let Some(change) = self.log().get(&key) else { continue };
-            let (content, part) = (change.content.clone(), change.part);
-            let write = Write { key, content, urgency: Urgency::Normal, part };
-            self.write_or_tell(now, write, outputs);
-        }
-    }
-
-    fn write_or_tell(&mut self, now: Time, write: Write, outputs: &mut Vec<Output>) {
-        let (key, version) = (write.key.clone(), self.head());
-        if self.write(now, vec![write], outputs).is_err() {
-            outputs.push(Output::Event(Event::Full { key, version }));
-        }
-    }
-
     fn may_write(&self, now: Time, claim: &Claim) -> Result<(), Refusal> {
         let seen = self.token_seen();
         match &self.state {
@@ -309,10 +291,10 @@
     /// Takes a frame in; any bytes.
     pub fn receive(&mut self, now: Time, from: PeerId, frame: &[u8], outputs: &mut Vec<Output>) {
         self.clock = self.clock.max(now);
-        let Some((head, payload)) = message::decode(frame) else { return };
-        if !head.up {
+        let Some(received) = message::read(from, frame) else { return };
+        if !received.head.up {
             let upstream = &mut self.replica.upstream;
-            let heard = upstream.receive(now, from, frame.len(), &head, payload, outputs);
+            let heard = upstream.receive(now, received, outputs);
             if let Some(heard) = heard {
                 let update = self.replica.take(now, heard, outputs);
                 self.followed(now, &update, outputs);
@@ -320,13 +302,13 @@
             return;
         }
         if !self.is_writing() {
-            if !matches!(payload, Payload::Close { .. }) {
-                self.downstream.refuse(now, from, head.session, Reason::Fenced, outputs);
+            if !matches!(received.payload, Payload::Close { .. }) {
+                self.downstream.refuse(now, from, received.head.session, Reason::Fenced, outputs);
             }
             return;
         }
         let source = as_author(self.replica.source(now));
-        let reports = self.downstream.receive(now, from, frame.len(), &head, payload, source, outputs);
+        let reports = self.downstream.receive(now, received, source, outputs);
         for report in reports {
             self.take_report(now, report, outputs);
         }
@@ -375,21 +357,6 @@
         }
     }
 
-    /// Writes what is here over a change of an earlier author that is not here.
-    fn write_over(&mut self, now: Time, key: Key, version: Version, outputs: &mut Vec<Output>) {
-        let own = self.replica.log.get(&key);
-        let there = own.is_some_and(|own| own.version >= version);
-        let State::Writing { epoch, orphans, .. } = &mut self.state else { return };
-        if there || version.token >= epoch.claim.token || *orphans >= ORPHANS_MOST {
-            return;
-        }
-        *orphans += 1;
-        let content = own.map_or(Content::Removed, |own| own.content.clone());
-        let part = own.map_or(Part::ALL, |own| own.part);
-        let write = Write { key, content, urgency: Urgency::Urgent, part };
-        self.write_or_tell(now, write, outputs);
-    }
-
     /// Sends what is due; ends what the lease's end ends.
     pub fn poll(&mut self, now: Time, outputs: &mut Vec<Output>) {
         self.clock = self.clock.max(now);
--- a/crates/distribution/src/downstream.rs
+++ b/crates/distribution/src/downstream.rs
@@ -5,7 +5,7 @@
 use crate::child::Child;
 use crate::feed::Source;
 use crate::link::Link;
-use crate::message::{self, Head, Payload};
+use crate::message::{self, Head, Payload, Received};
 use crate::output::{Event, Output, Reason};
 use crate::peer::PeerId;
 use crate::report::Report;
@@ -108,14 +108,14 @@
 
     /// Takes a child's frame in; gives back what it reports.
     pub fn receive(
-        &mut self, now: Time, from: PeerId, bytes: usize, head: &Head, payload: Payload, source: Source,
-        outputs: &mut Vec<Output>,
+        &mut self, now: Time, received: Received, source: Source, outputs: &mut Vec<Output>,
     ) -> Vec<Report> {
+        let Received { from, bytes, head, payload } = received;
         if self.barred.get(&from).is_some_and(|until| now < *until) {
             return Vec::new();
         }
         if let (Payload::Open { relay }, 1) = (&payload, head.number) {
-            if !self.open(now, from, head, *relay, outputs) {
+            if !self.open(now, from, &head, *relay, outputs) {
                 return Vec::new();
             }
         }
@@ -131,7 +131,7 @@
             self.close(now, from, Reason::Flooded, outputs);
             return Vec::new();
         }
-        let told = match child.link().take(now, head) {
+        let told = match child.link().take(now, &head) {
             Ok(arrival) if arrival.fresh => self.handle(from, payload, source),
             Ok(_) => Ok(Vec::new()),
             Err(why) => Err(why),
--- a/crates/distribution/src/message.rs
+++ b/crates/distribution/src/message.rs
@@ -9,6 +9,7 @@
 
 use crate::coverage::Coverage;
 use crate::output::Reason;
+use crate::peer::PeerId;
 use crate::report::Report;
 use crate::resource::{Change, ContentHash, Key, Part, Selector, Urgency, Version};
 use reelfall_lease::token::Claim;
@@ -184,6 +185,25 @@
     frame
 }
 
+/// A frame that has come.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Received {
+    /// From whom.
+    pub from: PeerId,
+    /// Its length.
+    pub bytes: usize,
+    /// What it begins with.
+    pub head: Head,
+    /// What it says.
+    pub payload: Payload,
+}
+
+/// Reads a frame that has come; none if it is not one.
+pub fn read(from: PeerId, frame: &[u8]) -> Option<Received> {
+    let (head, payload) = decode(frame)?;
+    Some(Received { from, bytes: frame.len(), head, payload })
+}
+
 /// Reads a frame; none if it is not one.
 pub fn decode(frame: &[u8]) -> Option<(Head, Payload)> {
     if frame.len() > FRAME_MOST {
--- a/crates/distribution/src/relay.rs
+++ b/crates/distribution/src/relay.rs
@@ -86,16 +86,16 @@
     /// Takes a frame in; any bytes.
     pub fn receive(&mut self, now: Time, from: PeerId, frame: &[u8], outputs: &mut Vec<Output>) {
         self.clock = self.clock.max(now);
-        let Some((head, payload)) = message::decode(frame) else { return };
-        if head.up {
+        let Some(received) = message::read(from, frame) else { return };
+        if received.head.up {
             let source = self.replica.source(now);
-            let reports = self.downstream.receive(now, from, frame.len(), &head, payload, source, outputs);
+            let reports = self.downstream.receive(now, received, source, outputs);
             for report in reports {
                 self.replica.upstream.report(report);
             }
             return;
         }
-        let heard = self.replica.upstream.receive(now, from, frame.len(), &head, payload, outputs);
+        let heard = self.replica.upstream.receive(now, received, outputs);
         let Some(heard) = heard else { return };
         let update = self.replica.take(now, heard, outputs);
         let source = self.replica.source(now);
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -234,11 +234,11 @@
     /// Takes a frame in; any bytes.
     pub fn receive(&mut self, now: Time, from: PeerId, frame: &[u8], outputs: &mut Vec<Output>) {
         self.clock = self.clock.max(now);
-        let Some((head, payload)) = message::decode(frame) else { return };
-        if head.up {
+        let Some(received) = message::read(from, frame) else { return };
+        if received.head.up {
             return;
         }
-        let heard = self.upstream.receive(now, from, frame.len(), &head, payload, outputs);
+        let heard = self.upstream.receive(now, received, outputs);
         match heard {
             None => {}
             Some(Heard::Epoch(epoch)) => self.take_epoch(&epoch),
--- a/crates/distribution/src/upstream.rs
+++ b/crates/distribution/src/upstream.rs
@@ -12,7 +12,7 @@
 use crate::coverage::Coverage;
 use crate::follow::FollowRules;
 use crate::link::{Arrival, Link};
-use crate::message::{Epoch, Head, Payload, Span};
+use crate::message::{Epoch, Head, Payload, Received, Span};
 use crate::output::{Event, Output, Reason};
 use crate::peer::PeerId;
 use crate::report::{Report, Waiting};
@@ -197,10 +197,8 @@
     }
 
     /// Takes an upstream's frame in. Frames of others are left.
-    pub fn receive(
-        &mut self, now: Time, from: PeerId, bytes: usize, head: &Head, payload: Payload,
-        outputs: &mut Vec<Output>,
-    ) -> Option<Heard> {
+    pub fn receive(&mut self, now: Time, received: Received, outputs: &mut Vec<Output>) -> Option<Heard> {
+        let Received { from, bytes, head, payload } = received;
         let State::Following(session) = &mut self.state else { return None };
         if session.link.peer() != from || session.link.session() != head.session {
             return None;
@@ -210,7 +208,7 @@
             self.leave(now, Reason::Flooded, outputs);
             return None;
         }
-        self.take(now, head, payload, outputs).unwrap_or_else(|why| {
+        self.take(now, &head, payload, outputs).unwrap_or_else(|why| {
             self.leave(now, why, outputs);
             None
         })
@@ -295,7 +293,8 @@
                 held.floor = held.floor.max(head);
                 held.complete = true;
             } else {
-                all &= !held.complete;
+                // A copy of everything is whole or it is not; a node may wait for one subscription of many.
+                all &= !held.complete && !self.rules.relay;
             }
         }
         let age = age_us.zip(arrival.transit).map(|(age_us, transit)| age_us as f64 / 1e6 + transit);
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -20,7 +20,7 @@
 use reelfall_distribution::subscriber::{Subscriber, SubscriberConfig};
 use reelfall_distribution::Time;
 use reelfall_lease::token::{Claim, Name as LeaseName};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 pub fn lease() -> LeaseName {
     LeaseName::try_from("settings".to_owned()).unwrap()
@@ -390,10 +390,6 @@
             self.push(at, Event::Frame { to, from, frame: frame.clone() });
         }
     }
-
-    pub fn ids(&self, kind: fn(&Config) -> bool) -> BTreeSet<PeerId> {
-        self.seats.iter().filter(|(_, seat)| kind(&seat.config)).map(|(id, _)| *id).collect()
-    }
 }
 
 pub fn peers(ids: &[u32]) -> Vec<PeerId> {
--- a/crates/distribution/tests/world/view.rs
+++ b/crates/distribution/tests/world/view.rs
@@ -1,6 +1,6 @@
 //! Looks at processes, and calls to them.
 
-use super::{Machine, World};
+use super::{Config, Machine, World};
 use reelfall_distribution::author::Author;
 use reelfall_distribution::output::Output;
 use reelfall_distribution::peer::PeerId;
@@ -8,6 +8,7 @@
 use reelfall_distribution::resource::Name;
 use reelfall_distribution::subscriber::Subscriber;
 use reelfall_distribution::Time;
+use std::collections::BTreeSet;
 
 impl World {
     pub fn node_of(&self, id: u32) -> &Subscriber {
@@ -60,4 +61,8 @@
     pub fn bytes_at(&self, node: u32, name: &Name) -> Option<Vec<u8>> {
         self.node_of(node).in_force(name).map(|change| change.content.bytes().to_vec())
     }
+
+    pub fn ids(&self, kind: fn(&Config) -> bool) -> BTreeSet<PeerId> {
+        self.seats.iter().filter(|(_, seat)| kind(&seat.config)).map(|(id, _)| *id).collect()
+    }
 }
