Emulator: distribution of configuration over relays in virtual time, checked and timed

What reelfall_distribution promises has to be seen at the size of the target, not read off its rules. Authors, relays and nodes over the network, with disks that outlive their processes; the lease is granted here, not played. Plays: even rates, a burst, a region that starts at once, control machines lost, a region and the author apart, a change taken back, a zone lost.

--- a/crates/emulator/examples/scale/main.rs
+++ b/crates/emulator/examples/scale/main.rs
@@ -3,6 +3,7 @@
 //!
 //! `cargo run --release -p reelfall-emulator --example scale -- members --nodes 1500 --out docs/measurements/scale/virtual.json`
 
+mod control;
 mod members;
 mod report;
 mod tables;
@@ -22,6 +23,8 @@
 enum Play {
     /// A fleet of nodes that know each other: at rest, and while servers are banned.
     Members(members::Arguments),
+    /// Distribution of configuration by authors and relays, and beside it what whole copies would cost.
+    Control(control::Arguments),
     /// One node's memory, and what it takes for new of what it has heard before, for numbers of peers.
     Tables(tables::Arguments),
 }
@@ -43,6 +46,7 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().play {
         Play::Members(arguments) => members::play(&arguments),
+        Play::Control(arguments) => control::play(&arguments),
         Play::Tables(arguments) => tables::play(&arguments),
     };
     match done {
--- /dev/null
+++ b/crates/emulator/src/control/check.rs
@@ -0,0 +1,80 @@
+//! Promises of the distribution, checked by what nodes do and not by what they say.
+
+use super::account::LONG_SPAN;
+use super::machine::{Applied, Machine, Node};
+use super::world::World;
+use reelfall_distribution::author::Author;
+use reelfall_distribution::resource::{Key, Name, Slot, Version};
+use std::collections::HashMap;
+
+/// What a node's link has for control, in bytes a second, over any [`LONG_SPAN`].
+pub const BUDGET: f64 = 8_192.0;
+/// Faults that are kept; further ones are counted alone.
+const FAULTS_MOST: usize = 20;
+
+/// See the module.
+#[derive(Default)]
+pub struct Checker {
+    /// The last version of each resource at each node.
+    versions: HashMap<(u32, Name), Version>,
+    /// What was seen, the first ones.
+    pub faults: Vec<String>,
+    /// How many there were.
+    pub faults_seen: usize,
+}
+
+impl Checker {
+    /// A promise was not kept.
+    pub fn fault(&mut self, now: f64, what: String) {
+        self.faults_seen += 1;
+        if self.faults.len() < FAULTS_MOST {
+            self.faults.push(format!("{now:.3}: {what}"));
+        }
+    }
+
+    /// A node has put a change in force: its version is greater than the one before.
+    pub fn applied(&mut self, node: u32, applied: &Applied) {
+        let last = self.versions.insert((node, applied.name.clone()), applied.version);
+        if last.is_some_and(|last| last >= applied.version) {
+            let what = format!("node {node}: {:?} went from {last:?} to {:?}", applied.name, applied.version);
+            self.fault(applied.at, what);
+        }
+    }
+
+    /// A node has lost its disk: it begins with nothing.
+    pub fn forget_node(&mut self, node: u32) {
+        self.versions.retain(|(other, _), _| *other != node);
+    }
+}
+
+/// Whether a node has of a resource what an author has.
+pub fn agrees(author: &Author, node: &Node, name: &Name) -> bool {
+    let key = Key { name: name.clone(), slot: Slot::Whole };
+    let there = author.log().get(&key).filter(|change| !change.removes());
+    let here = node.subscriber.in_force(name);
+    there.map(|change| &change.content) == here.map(|change| &change.content)
+}
+
+/// All nodes that run and can hear have what the author has; those that don't are faults.
+pub fn check_agreement(world: &mut World, nodes: &[u32]) {
+    let behind: Vec<u32> = nodes.iter().copied().filter(|node| !world.is_up_to_date(*node)).collect();
+    let now = world.network.now();
+    for node in behind {
+        let following = world.network.endpoint(node).and_then(Machine::as_node);
+        let following = following.and_then(|node| node.subscriber.following());
+        let what = format!("node {node}, which follows {following:?}, has other resources than the author");
+        world.checker.fault(now, what);
+    }
+}
+
+/// No node used more than its budget since accounts began.
+pub fn check_budget(world: &mut World) {
+    let most = BUDGET * LONG_SPAN;
+    let now = world.network.now();
+    for node in world.layout.nodes() {
+        let used = world.network.account(node).map_or(0, |account| account.long.most());
+        if used as f64 > most {
+            world.checker.fault(now, format!("node {node} used {used} bytes within {LONG_SPAN} s"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/control/layout.rs
@@ -0,0 +1,209 @@
+//! Which endpoint is what: nodes, authors and relays, what each subscribes to and whom it follows.
+
+use super::topology::{Scope, Topology};
+use reelfall_distribution::author::AuthorConfig;
+use reelfall_distribution::downstream::ServeRules;
+use reelfall_distribution::follow::FollowRules;
+use reelfall_distribution::log::Room;
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::relay::RelayConfig;
+use reelfall_distribution::resource::{Name, Selector};
+use reelfall_distribution::subscriber::SubscriberConfig;
+use reelfall_lease::token::Name as LeaseName;
+
+/// What an author keeps for taking changes back, in bytes.
+const HISTORY: usize = 64 << 20;
+/// How long an author waits at most for what others wrote, in seconds.
+const TAKEOVER: f64 = 5.0;
+/// A node tells its standing so often at most, in seconds.
+const STANDING_EVERY: f64 = 10.0;
+
+/// How large a system is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Sizes {
+    /// Zones of each region.
+    pub zones: &'static [u16],
+    /// Nodes, spread evenly over the zones.
+    pub nodes: u32,
+    /// Control machines that can write; one of each of the first regions.
+    pub authors: u32,
+    /// Control machines that serve nodes; spread evenly over the regions.
+    pub relays: u32,
+    /// Services.
+    pub services: u32,
+    /// Groups of nodes that serve the same services: each service is served by the nodes of one group.
+    pub groups: u32,
+}
+
+impl Sizes {
+    /// The target system: 18 control machines; each node serves 20 services, each service has 46 nodes.
+    pub const TARGET: Sizes = Sizes {
+        zones: &super::topology::TARGET_ZONES,
+        nodes: 6_000,
+        authors: 3,
+        relays: 15,
+        services: 2_600,
+        groups: 130,
+    };
+
+    /// A small system for tests.
+    pub const SMALL: Sizes =
+        Sizes { zones: &[2, 2], nodes: 24, authors: 2, relays: 4, services: 12, groups: 4 };
+}
+
+/// Resources of each service: its settings with its routes, and its servers.
+pub const ITEMS: [&str; 2] = ["settings", "servers"];
+
+/// See the module.
+pub struct Layout {
+    /// How large it is.
+    pub sizes: Sizes,
+    lease: LeaseName,
+    authors: Vec<u32>,
+    relays: Vec<u32>,
+    /// The relays of each region.
+    relays_of: Vec<Vec<PeerId>>,
+    seed: u64,
+}
+
+impl Layout {
+    /// Places nodes first, then authors, then relays; gives back where they are, too.
+    ///
+    /// # Errors
+    /// If the lease's name is none, or there is nobody to write, to serve or to be served.
+    pub fn new(sizes: Sizes, lease: &str, seed: u64) -> Result<(Layout, Topology), String> {
+        if sizes.nodes == 0 || sizes.authors == 0 || sizes.relays == 0 || sizes.groups == 0 {
+            return Err("nodes, authors, relays and groups: at least one of each".to_owned());
+        }
+        let lease = LeaseName::try_from(lease.to_owned()).map_err(|error| error.to_string())?;
+        let mut topology = Topology::even(sizes.zones, sizes.nodes as usize);
+        let regions = sizes.zones.len();
+        let authors = (0..sizes.authors).map(|n| topology.add(zone_in(sizes.zones, n as usize % regions, 0)));
+        let authors: Vec<u32> = authors.collect();
+        let mut relays = Vec::new();
+        let mut relays_of = vec![Vec::new(); regions];
+        for n in 0..sizes.relays as usize {
+            let region = n % regions;
+            let relay = topology.add(zone_in(sizes.zones, region, n / regions));
+            relays.push(relay);
+            relays_of[region].push(PeerId(relay));
+        }
+        Ok((Layout { sizes, lease, authors, relays, relays_of, seed }, topology))
+    }
+
+    /// The lease of those who write.
+    pub fn lease(&self) -> &LeaseName {
+        &self.lease
+    }
+
+    /// All nodes.
+    pub fn nodes(&self) -> std::ops::Range<u32> {
+        0..self.sizes.nodes
+    }
+
+    /// Those that can write.
+    pub fn authors(&self) -> &[u32] {
+        &self.authors
+    }
+
+    /// Those that serve nodes.
+    pub fn relays(&self) -> &[u32] {
+        &self.relays
+    }
+
+    /// All control machines.
+    pub fn control(&self) -> impl Iterator<Item = u32> + '_ {
+        self.authors.iter().chain(&self.relays).copied()
+    }
+
+    /// The nodes of a set.
+    pub fn nodes_in(&self, topology: &Topology, scope: Scope) -> Vec<u32> {
+        let all = topology.endpoints(scope);
+        all.into_iter().filter(|endpoint| self.nodes().contains(endpoint)).collect()
+    }
+
+    /// The services of a node.
+    pub fn services_of(&self, node: u32) -> impl Iterator<Item = u32> {
+        let Sizes { services, groups, .. } = self.sizes;
+        (node % groups..services).step_by(groups as usize)
+    }
+
+    /// The nodes of a service.
+    pub fn nodes_of(&self, service: u32) -> impl Iterator<Item = u32> {
+        let Sizes { nodes, groups, .. } = self.sizes;
+        (service % groups..nodes).step_by(groups as usize)
+    }
+
+    /// What a node subscribes to.
+    pub fn selectors_of(&self, node: u32) -> Vec<Selector> {
+        let services = self.services_of(node).map(|service| Selector::service(&service_name(service)));
+        std::iter::once(Selector::common()).chain(services).collect()
+    }
+
+    /// The resources that a node has once all are published.
+    pub fn resources_of(&self, node: u32) -> Vec<Name> {
+        let of = |service| ITEMS.map(|item| Name::service(&service_name(service), item));
+        self.services_of(node).flat_map(of).collect()
+    }
+
+    /// How an author begins.
+    pub fn author_config(&self, endpoint: u32, now: f64) -> AuthorConfig {
+        AuthorConfig {
+            lease: self.lease.clone(),
+            follow: FollowRules::relay(peers(&self.relays)),
+            serve: ServeRules::default(),
+            room: Room::CONTROL,
+            history: HISTORY,
+            takeover: TAKEOVER,
+            seed: self.seed_of(endpoint, now),
+        }
+    }
+
+    /// How a relay begins.
+    pub fn relay_config(&self, endpoint: u32, now: f64) -> RelayConfig {
+        RelayConfig {
+            lease: self.lease.clone(),
+            follow: FollowRules::relay(peers(&self.authors)),
+            serve: ServeRules::default(),
+            room: Room::CONTROL,
+            seed: self.seed_of(endpoint, now),
+        }
+    }
+
+    /// How a node of a region begins: it follows the relays of its region, and others where there is none.
+    pub fn node_config(&self, endpoint: u32, region: u16, now: f64) -> SubscriberConfig {
+        let near = self.relays_of.get(usize::from(region)).cloned().unwrap_or_default();
+        let far = self.relays.iter().map(|relay| PeerId(*relay)).filter(|relay| !near.contains(relay));
+        let fallbacks = far.collect();
+        SubscriberConfig {
+            node: PeerId(endpoint),
+            lease: self.lease.clone(),
+            follow: FollowRules { fallbacks, ..FollowRules::node(near) },
+            room: Room::NODE,
+            standing_every: STANDING_EVERY,
+            seed: self.seed_of(endpoint, now),
+        }
+    }
+
+    /// Another one at each start, as machines ask for it.
+    fn seed_of(&self, endpoint: u32, now: f64) -> u64 {
+        let start = now.to_bits().rotate_left(32) ^ (u64::from(endpoint) + 1);
+        self.seed ^ start.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    }
+}
+
+fn peers(endpoints: &[u32]) -> Vec<PeerId> {
+    endpoints.iter().map(|endpoint| PeerId(*endpoint)).collect()
+}
+
+/// A service's name.
+pub fn service_name(service: u32) -> String {
+    format!("service-{service}")
+}
+
+/// The number of a zone of a region; zones are taken in turn.
+fn zone_in(zones: &[u16], region: usize, turn: usize) -> u16 {
+    let before: u16 = zones.iter().take(region).sum();
+    let count = zones.get(region).copied().unwrap_or(1).max(1);
+    before + (turn % usize::from(count)) as u16
+}
--- a/crates/emulator/src/control/mod.rs
+++ b/crates/emulator/src/control/mod.rs
@@ -13,15 +13,25 @@
 //! | [`account`] | what each endpoint sent, received and computed |
 //! | [`times`] | percentiles of times |
 //! | [`membership`] | nodes of [`reelfall_fleet`] as endpoints |
+//! | [`layout`] | authors, relays and nodes of a system: where they are, what they subscribe to |
+//! | [`machine`] | machines of [`reelfall_distribution`] as endpoints, with their disks |
+//! | [`world`] | authors, relays and nodes over a network; what is published and when it is in force |
+//! | [`plays`] | what is played with them |
+//! | [`check`] | promises, checked by what nodes do |
 //! | [`baseline`] | what distribution without deltas costs: whole files and whole lists |
 //! | [`whole_copies`] | the same, played at sizes that can be |
 
 pub mod account;
 pub mod baseline;
+pub mod check;
 pub mod endpoint;
+pub mod layout;
 pub mod links;
+pub mod machine;
 pub mod membership;
 pub mod network;
+pub mod plays;
 pub mod times;
 pub mod topology;
 pub mod whole_copies;
+pub mod world;
