--- a/crates/rig/src/scale/sweep.rs
+++ b/crates/rig/src/scale/sweep.rs
@@ -63,13 +63,15 @@
 type Figure = (&'static str, fn(&Run) -> Option<f64>);
 
 /// The figures of runs with hollow nodes.
-const NETWORK_FIGURES: [Figure; 5] = [
+///
+/// Memory is none of them: fleets of a sweep follow one another in one process, and a later one takes what an earlier
+/// one left.
+const NETWORK_FIGURES: [Figure; 4] = [
     ("control traffic of a node, in and out, B/s", |run| {
         Some(run.per_node.traffic.iter().map(|t: &Traffic| t.bytes_in + t.bytes_out).sum())
     }),
     ("most control traffic of a node in 1 s, B", |run| Some(run.per_node.peak_bytes)),
     ("control processor time of a node, % of a core", |run| Some(run.per_node.cpu * 100.0)),
-    ("control memory of a node, bytes", |run| Some(run.per_node.memory)),
     ("time until a ban is in force, p99, s", |run| run.in_force.map(|times| times.p99)),
 ];
 /// The figures of computations.
