--- a/crates/rig/src/scale/sweep.rs
+++ b/crates/rig/src/scale/sweep.rs
@@ -229,9 +229,9 @@
 
 /// A line with its error and residuals, and what it says of the target unless the points bend.
 pub fn text(slope: &Slope) -> String {
-    let residuals: Vec<String> = fit::residuals(slope).iter().map(|r| format!("{r:.4}")).collect();
+    let residuals: Vec<String> = fit::residuals(slope).iter().map(|r| format!("{r:.2e}")).collect();
     let mut text = format!(
-        "{:?}, {}: {:.6} + {:.6} (standard error {:.6}) for one more; residuals {}",
+        "{:?}, {}: {:.4e} + {:.4e} (standard error {:.1e}) for one more; residuals {}",
         slope.axis,
         slope.figure,
         slope.intercept,
--- a/crates/rig/tests/scale_fit.rs
+++ b/crates/rig/tests/scale_fit.rs
@@ -109,6 +109,9 @@
     assert!(bent.contains("no projection") && !bent.contains("at 6000"), "{bent}");
     assert!(bent.contains("bound 2.31"), "{bent}");
     assert!(bent.contains("residuals"), "{bent}");
+    // A slope of millionths is told as well.
+    let small: Vec<(f64, f64)> = (1..6).map(|n| (f64::from(n), 2e-8 * f64::from(n))).collect();
+    assert!(sweep::text(&line(&small)).contains("2.0000e-8"), "{}", sweep::text(&line(&small)));
 }
 
 #[test]
