Settings: the tests of route places and of nested lists were green without their mends

Need: trials without the mends: a look-up of a route's place skips whole services, so one service hid its cost; no list over several lines began a line as a header of a service does. Change: a route for each of 500 and 4,000 services; a list in a list as a mistake.

--- a/crates/conf/tests/growth.rs
+++ b/crates/conf/tests/growth.rs
@@ -136,15 +136,12 @@
 
 #[test]
 fn with_the_routes_whose_places_are_asked_for() {
-    let plan = |n| {
-        let head = LISTENER.to_owned() + &service("a") + CLASS;
-        check(read(&(head + &times(n, |n| route(n, ""))))).unwrap()
-    };
+    let plan = |n| check(read(&(LISTENER.to_owned() + &times(n, whole_service)))).unwrap();
     let places = |plan: &reelfall_conf::Plan| {
         let lines = (0..plan.matches.len()).filter_map(|route| plan.origin(route)).map(|o| u64::from(o.line));
         lines.sum::<u64>()
     };
-    let plans = [plan(1_000), plan(1_000 * LARGER)];
+    let plans = [plan(500), plan(500 * LARGER)];
     let [first, second] = plans.each_ref().map(|plan| cost(|| plan, places));
     straight("the places of all routes", first, second);
 }
--- a/crates/conf/tests/sections.rs
+++ b/crates/conf/tests/sections.rs
@@ -75,6 +75,7 @@
     for mistake in [
         "colour = 1\n",
         "methods = [\"GET\"\n",
+        "methods = [\n[[\"service\"]]\n]\n",
         "methods = \"GET\n",
         "methods = [\"GET\"]]\n",
         "methods = { a = 1\n",
