Rig: clippy's word on settings files

Need: clippy refused a remainder against zero under -D warnings. Change: is_multiple_of. Measured: clippy of the rig clean, settings_file 3 passed.

--- a/crates/rig/src/scale/settings.rs
+++ b/crates/rig/src/scale/settings.rs
@@ -67,7 +67,7 @@
 }
 
 fn route(service: usize, n: usize) -> String {
-    let (method, class) = if n % WRITES_EVERY == 0 { ("POST", "write") } else { ("GET", "read") };
+    let (method, class) = if n.is_multiple_of(WRITES_EVERY) { ("POST", "write") } else { ("GET", "read") };
     format!(
         "\n[[service.route]]\nhost = \"service-{service}.example.org\"\npath = \"/v1/route-{n}\"\n\
          methods = [\"{method}\"]\nassign = \"{class}\"\n"
