--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -19,7 +19,7 @@
 use reelfall_distribution::resource::{Change, Selector};
 use reelfall_distribution::subscriber::{Subscriber, SubscriberConfig};
 use reelfall_distribution::Time;
-use reelfall_lease::token::{Claim, Name as LeaseName};
+use reelfall_lease::token::{Claim, LeaseName};
 use std::collections::BTreeMap;
 
 pub fn lease() -> LeaseName {
--- a/crates/emulator/src/control/layout.rs
+++ b/crates/emulator/src/control/layout.rs
@@ -9,7 +9,7 @@
 use reelfall_distribution::relay::RelayConfig;
 use reelfall_distribution::resource::{Name, Selector};
 use reelfall_distribution::subscriber::SubscriberConfig;
-use reelfall_lease::token::Name as LeaseName;
+use reelfall_lease::token::LeaseName;
 
 /// What an author keeps for taking changes back, in bytes.
 const HISTORY: usize = 64 << 20;
