--- a/crates/distribution/tests/world/judge.rs
+++ b/crates/distribution/tests/world/judge.rs
@@ -49,8 +49,6 @@
 }
 
 impl Judge {
-    pub fn started(&mut self, _id: PeerId) {}
-
     pub fn published(&mut self, t: Time, version: Version) {
         self.published.push((t, version));
     }
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -200,7 +200,6 @@
             }
         };
         seat.machine = Some(machine);
-        self.judge.started(id);
         self.wake(id);
     }
 
--- a/crates/emulator/src/control/network.rs
+++ b/crates/emulator/src/control/network.rs
@@ -93,11 +93,6 @@
         &self.topology
     }
 
-    /// What links do.
-    pub fn links_mut(&mut self) -> &mut Links {
-        &mut self.links
-    }
-
     /// Frames that were not delivered so far.
     pub fn undelivered(&self) -> Undelivered {
         self.undelivered
