Session test: a preferred server comes back warm, where equal shares were chance

Cause, in the test: of two equal servers the automaton's share wanders. Measured by batches of 300 after the return: 30 to 281 for the warm server, 5 to 35 for one entered as cold, so that the two overlap. Ruled out: the share after long toggles (frozen for 0, 1.5 and 6 s: 66, 251 and 106 of 300). The second cause, seen in three of eight copies on two cores: the toggles under way ended with 504, since 200 requests beside them took longer than their deadline of 2 s.

The other server is ten times slower now, so that the one that goes is preferred (nine of ten) before; after its return it has to get over half, where a fifteenth was asked for. Toggles have a deadline that outlasts the test.

--- a/crates/rig/tests/membership.rs
+++ b/crates/rig/tests/membership.rs
@@ -18,6 +18,9 @@
     Program::in_rig(env!("CARGO_BIN_EXE_reelfall-rig"))
 }
 
+/// What a request takes at a server that is much slower than the others.
+const SLOWER: Duration = Duration::from_millis(10);
+
 async fn server(name: &str) -> Server {
     Server::start(name, 64, Manner::good(Duration::from_millis(1)), 1).await.unwrap()
 }
@@ -58,6 +61,19 @@
     }
 }
 
+/// Waits until a server gets nine of ten requests.
+async fn until_preferred(client: &Client, server: &Server, run: &str) {
+    const BATCH: usize = 50;
+    let mut batch = 0;
+    until("a preference for the server", async || {
+        let before = server.seen();
+        batch += 1;
+        served(client, &format!("{run}-{batch}"), BATCH).await;
+        (server.seen() - before) as usize * 10 >= BATCH * 9
+    })
+    .await;
+}
+
 /// Waits until a server gets requests.
 async fn until_sent_to(client: &Client, server: &Server, run: &str) {
     let (seen, mut n) = (server.seen(), 0);
@@ -81,9 +97,14 @@
     let (one, two) = (server("one").await, server("two").await);
     let entered = Announced::enter(&registry, &one, "one", 0);
     let _two = Announced::enter(&registry, &two, "two", 0);
-    let node = start(&registry, "", "").await;
+    // Toggles have to outlast all that is served beside them, however slow the machine.
+    let patient = settings(&registry, "", "").replace("deadline = \"2s\"", "deadline = \"60s\"");
+    let node = Node::start(&program(), &patient).await.unwrap();
+    node.until_health("/_health", true).await.unwrap();
     let client = Client::new(node.address());
-    until_sent_to(&client, &one, "before").await;
+    // The share of equal servers wanders; that of one which is faster stays high.
+    two.behave(|m| m.service = SLOWER);
+    until_preferred(&client, &one, "before").await;
     // A toggle is under way at the server as its session ends.
     one.behave(|m| m.frozen = true);
     two.behave(|m| m.frozen = true);
@@ -115,10 +136,10 @@
     let _back = Announced::enter(&registry, &one, "one", 0);
     until_sent_to(&client, &one, "back").await;
     let (ones, twos) = (one.seen(), two.seen());
-    assert_eq!(served(&client, "warm", 300).await, 300);
+    assert_eq!(served(&client, "warm", 200).await, 200);
     let (ones, twos) = (one.seen() - ones, two.seen() - twos);
-    // A cold one is sent a few at most in so short a time.
-    assert!(ones > 20, "{ones} of {} go to it: it is taken for a cold one", ones + twos);
+    // A cold one is sent a few at most in so short a time, however fast it is.
+    assert!(ones > twos, "{ones} of {} go to it: it is taken for a cold one", ones + twos);
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
