Distribution: failed upstreams are tried by turns, in place of rests doubled to 60 s

An author that only stands by refuses at once, and that counted like an upstream that is dead. - a silent upstream was left alone for 30 s. After a cut all of them were; with four dead relays the first was free again before a fallback was ever drawn. - a beginning that nobody answered was waited for as long as a session that falls silent, 6 s. - children of stale relays went from one to the next each 60 s, with a doubled rest between.

Change: `candidates` remembers who failed since something fresh came last, and draws those that did not, then fallbacks and upstreams by turns, the one that failed longest ago first. A beginning has to be answered within 3 s (sent twice, the third would be due). After an upstream that was heard the rest is `spread`; after one that did not answer there is none while another may run, else between half of `rest_most` and all of it. `rest_most` of a node is 10 s, by children / opens (1,024 / 100), of a relay 4 s, the longest that an author asks of whom it refuses. A child bears with a stale relay for twice as long after each one in a row that was stale from the beginning, up to 8 times, so that it does not wander in vain.

Two bounds of `cases_tree` are tighter: 60 to 14 s, and 128 s of rests to 20 s.

--- a/crates/distribution/src/follow.rs
+++ b/crates/distribution/src/follow.rs
@@ -1,6 +1,7 @@
 //! Whom a process may follow, and for how long it bears with an upstream that is of no use.
 
 use crate::bucket::Budget;
+use crate::link::REPEAT_AFTER;
 use crate::peer::PeerId;
 use crate::Time;
 
@@ -17,18 +18,37 @@
     pub budget: Budget,
     /// What is taken in; who sends more is left.
     pub inflow: Budget,
+    /// An upstream that has not answered the beginning of a session for so long is left, in seconds.
+    pub answer: Time,
     /// An upstream that was not heard for so long is left, in seconds.
     pub silence: Time,
-    /// An upstream that has brought nothing new for so long is left if there is another one, in seconds.
+    /// An upstream that has brought nothing new for so long is left if there is another one, in seconds; after each one
+    /// in a row that brought nothing new at all, the next is borne with for twice as long, up to [`PATIENCE_MOST`] times.
     pub stale: Time,
     /// An upstream hears something at least so often, in seconds.
     pub keepalive: Time,
-    /// The first rest is drawn up to this, in seconds; after each failure, up to twice as much.
+    /// The rest after an upstream that was heard is drawn up to this, in seconds: all its children may leave it at once.
     pub spread: Time,
-    /// The longest rest, in seconds.
+    /// The longest rest, in seconds. Between half of it and all of it is rested after each attempt while all candidates
+    /// have been tried and none was heard.
     pub rest_most: Time,
 }
 
+/// How many times [`FollowRules::stale`] an upstream is borne with at most.
+pub const PATIENCE_MOST: f64 = 8.0;
+
+/// A beginning is sent at once and again after [`REPEAT_AFTER`], and the second is waited for twice as long: it is left
+/// when the third would be due. Only if both or both answers are lost is an upstream that runs taken for one that doesn't.
+const ANSWER_WITHIN: Time = 3.0 * REPEAT_AFTER;
+
+/// A relay has up to 1,024 children and takes 100 new sessions a second. If all of them look for it in vain, each begins
+/// a session every `ANSWER_WITHIN + 0.75 * NODE_REST_MOST = 10.5` s at the mean, which is no less than `1024 / 100`.
+const NODE_REST_MOST: Time = 10.0;
+
+/// The longest rest that a relay or an author asks of whom it refuses ([`crate::downstream::ServeRules::rest`], twice).
+/// Relays and authors are few; their sessions come nowhere near what an author takes in a second.
+const RELAY_REST_MOST: Time = 4.0;
+
 impl FollowRules {
     /// For a node.
     pub fn node(upstreams: Vec<PeerId>) -> FollowRules {
@@ -38,11 +58,12 @@
             relay: false,
             budget: Budget::UP,
             inflow: Budget { rate: 4.0 * Budget::DOWN.rate, burst: 100_000.0 },
+            answer: ANSWER_WITHIN,
             silence: 6.0,
             stale: 60.0,
             keepalive: 5.0,
             spread: 4.0,
-            rest_most: 60.0,
+            rest_most: NODE_REST_MOST,
         }
     }
 
@@ -50,6 +71,7 @@
     pub fn relay(upstreams: Vec<PeerId>) -> FollowRules {
         let inflow = Budget { rate: 4.0 * Budget::CONTROL.rate, burst: 4.0 * Budget::CONTROL.burst };
         let rules = FollowRules::node(upstreams);
-        FollowRules { relay: true, budget: Budget::CONTROL, inflow, spread: 1.0, ..rules }
+        let (spread, rest_most) = (1.0, RELAY_REST_MOST);
+        FollowRules { relay: true, budget: Budget::CONTROL, inflow, spread, rest_most, ..rules }
     }
 }
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -35,6 +35,7 @@
 
 pub mod author;
 pub mod bucket;
+mod candidates;
 pub mod chance;
 pub mod child;
 pub mod chunks;
--- a/crates/distribution/src/link.rs
+++ b/crates/distribution/src/link.rs
@@ -110,6 +110,11 @@
         self.heard_at
     }
 
+    /// Whether a frame of this session has come.
+    pub fn is_answered(&self) -> bool {
+        self.heard_clock.is_some()
+    }
+
     /// When a frame was written last.
     pub fn wrote_at(&self) -> Time {
         self.wrote_at
--- a/crates/distribution/src/session.rs
+++ b/crates/distribution/src/session.rs
@@ -100,6 +100,8 @@
     /// Reports that are under way.
     pub reports: Vec<Report>,
     pub progress_at: Time,
+    /// It was told something fresh.
+    pub brought_news: bool,
     pub inflow: Bucket,
 }
 
@@ -115,6 +117,7 @@
             listing: None,
             reports: Vec::new(),
             progress_at: now,
+            brought_news: false,
             inflow,
         }
     }
--- a/crates/distribution/src/upstream.rs
+++ b/crates/distribution/src/upstream.rs
@@ -3,14 +3,15 @@
 //! | state | ends |
 //! | --- | --- |
 //! | idle | when [`Upstream::resume`] is called |
-//! | resting | after a drawn time, longer after each failure |
-//! | following | when nothing was heard for [`FollowRules::silence`]; when nothing new came for [`FollowRules::stale`] and there is somebody else; when the upstream says so or breaks the rules |
+//! | resting | after a drawn time, see [`Upstream::rest`] |
+//! | following | when it does not answer within [`FollowRules::answer`]; when nothing was heard for [`FollowRules::silence`]; when nothing new came for [`FollowRules::stale`] and there is somebody else; when the upstream says so or breaks the rules |
 
 use crate::bucket::Bucket;
+use crate::candidates::Candidates;
 use crate::chance::Chance;
 use crate::chunks::Part;
 use crate::coverage::Coverage;
-use crate::follow::FollowRules;
+use crate::follow::{FollowRules, PATIENCE_MOST};
 use crate::link::{Arrival, Link};
 use crate::message::{Epoch, Head, Payload, Received, Span};
 use crate::output::{Event, Output, Reason};
@@ -20,7 +21,6 @@
 use crate::session::{Heard, Held, Session, Subscriptions};
 use crate::Time;
 use reelfall_lease::token::{Fence, LeaseName};
-use std::collections::BTreeMap;
 
 #[derive(Debug)]
 enum State {
@@ -30,10 +30,8 @@
 
 /// An upstream is left alone after it broke the rules, in seconds.
 const BROKE_RULES_REST: Time = 120.0;
-/// An upstream is left alone after it was silent or stale, in seconds.
-const FAILED_REST: Time = 30.0;
-/// Doublings of the rest at most.
-const DOUBLINGS_MOST: i32 = 5;
+/// Any upstream would send what there is no room for again, so it is left alone for longer, in seconds.
+const NO_ROOM_REST: Time = 30.0;
 
 /// See the module.
 #[derive(Debug)]
@@ -43,8 +41,9 @@
     chance: Chance,
     state: State,
     subscriptions: Subscriptions,
-    avoid: BTreeMap<PeerId, Time>,
-    failures: i32,
+    candidates: Candidates,
+    /// How many times [`FollowRules::stale`] the upstream is borne with.
+    patience: f64,
     fence: Fence,
     bucket: Option<Bucket>,
     reports: Waiting,
@@ -56,13 +55,13 @@
         let mut chance = Chance::new(seed);
         let until = now + chance.between(0.0, rules.spread);
         Upstream {
+            candidates: Candidates::new(&rules),
             rules,
             lease,
             chance,
             state: State::Resting { until },
             subscriptions: Subscriptions::default(),
-            avoid: BTreeMap::new(),
-            failures: 0,
+            patience: 1.0,
             fence: Fence::new(1),
             bucket: None,
             reports: Waiting::default(),
@@ -160,42 +159,68 @@
     pub fn move_on(&mut self, now: Time, rest: Time, outputs: &mut Vec<Output>) {
         let Some(peer) = self.following() else { return };
         self.leave(now, Reason::Replaced, outputs);
-        self.avoid.insert(peer, now + rest);
+        self.candidates.bar(peer, now + rest);
         self.state = State::Resting { until: now };
     }
 
     /// Leaves the upstream; another one is drawn after a rest.
     pub fn leave(&mut self, now: Time, why: Reason, outputs: &mut Vec<Output>) {
-        let rest = match why {
+        let alone_for = match why {
             Reason::Misbehaved | Reason::Flooded => BROKE_RULES_REST,
-            Reason::Unknown | Reason::Replaced => 0.0,
-            _ => FAILED_REST,
+            Reason::Busy => NO_ROOM_REST,
+            Reason::Fenced => self.rules.rest_most,
+            Reason::Unknown | Reason::Replaced | Reason::Silent | Reason::Stale => 0.0,
         };
         if let State::Following(session) = &mut self.state {
             session.link.say(now, &Payload::Close { why, rest_ms: 0 }, outputs);
         }
-        self.leave_for(now, why, rest, outputs);
+        self.leave_for(now, why, alone_for, outputs);
     }
 
-    /// Guards against all children of a relay that died coming to the next at once: each rests for a time of its own.
-    /// Harm: a child alone waits for it, too.
-    fn leave_for(&mut self, now: Time, why: Reason, rest: Time, outputs: &mut Vec<Output>) {
-        let longest = self.rules.spread * 2f64.powi(self.failures);
-        let until = now + self.chance.between(0.0, longest.min(self.rules.rest_most));
+    fn leave_for(&mut self, now: Time, why: Reason, alone_for: Time, outputs: &mut Vec<Output>) {
         if matches!(self.state, State::Resting { .. }) {
             return;
         }
-        let old = std::mem::replace(&mut self.state, State::Resting { until });
+        let old = std::mem::replace(&mut self.state, State::Resting { until: now });
         let State::Following(session) = old else { return };
         let upstream = session.link.peer();
-        self.failures = (self.failures + 1).min(DOUBLINGS_MOST);
-        self.avoid.insert(upstream, now + rest);
+        self.candidates.bar(upstream, now + alone_for);
+        if why != Reason::Replaced {
+            let broke_rules = matches!(why, Reason::Misbehaved | Reason::Flooded);
+            let unusable = broke_rules || now >= self.silent_at(&session);
+            self.candidates.failed(upstream, now, unusable);
+        }
+        if why == Reason::Stale && !session.brought_news {
+            self.patience = (2.0 * self.patience).min(PATIENCE_MOST);
+        }
+        let until = now + self.rest(session.link.is_answered());
+        self.state = State::Resting { until };
         self.bucket = Some(session.link.bucket().clone());
         self.reports.restore(session.reports);
         self.subscriptions.ask_again();
         outputs.push(Output::Event(Event::Left { upstream, why }));
     }
 
+    /// How long to rest before the next attempt.
+    ///
+    /// | the upstream that was left | rest |
+    /// | --- | --- |
+    /// | was heard: all its children may leave it now | up to [`FollowRules::spread`] |
+    /// | did not answer, and there is one left that may | none: the first rest has spread the children already |
+    /// | did not answer, as all others did not, or broke the rules | between half of [`FollowRules::rest_most`] and all of it |
+    ///
+    /// Guards against all children of a relay that died coming to the next at once. Harm: a child alone waits, too.
+    fn rest(&mut self, was_heard: bool) -> Time {
+        let longest = self.rules.rest_most;
+        if was_heard {
+            self.chance.between(0.0, self.rules.spread.min(longest))
+        } else if self.candidates.all_unusable() {
+            self.chance.between(longest / 2.0, longest)
+        } else {
+            0.0
+        }
+    }
+
     /// Takes an upstream's frame in. Frames of others are left.
     pub fn receive(&mut self, now: Time, received: Received, outputs: &mut Vec<Output>) -> Option<Heard> {
         let Received { from, bytes, head, payload } = received;
@@ -301,7 +326,9 @@
         if let State::Following(session) = &mut self.state {
             if age.is_some_and(|age| age <= self.rules.stale) {
                 session.progress_at = now;
-                self.failures = 0;
+                session.brought_news = true;
+                self.patience = 1.0;
+                self.candidates.succeeded();
             }
         }
         Heard::Current { head, floor, age: age.filter(|_| all) }
@@ -332,25 +359,33 @@
     /// Guards against an upstream that died, stands still, or is itself cut off. Harm: a child of a relay that is silent for
     /// a moment longer comes back elsewhere, with what it has.
     fn fault(&self, now: Time, session: &Session) -> Option<Reason> {
-        if now >= session.link.heard_at() + self.rules.silence {
+        if now >= self.silent_at(session) {
             return Some(Reason::Silent);
         }
-        if self.has_others() && now >= session.progress_at + self.rules.stale {
+        if now >= self.stale_at(session) {
             return Some(Reason::Stale);
         }
         session.is_worn().then_some(Reason::Replaced)
     }
 
-    fn has_others(&self) -> bool {
-        self.rules.upstreams.len() + self.rules.fallbacks.len() > 1
+    fn silent_at(&self, session: &Session) -> Time {
+        let answered = session.link.is_answered();
+        session.link.heard_at() + if answered { self.rules.silence } else { self.rules.answer }
+    }
+
+    /// Guards against children that go from one relay to the next while all are cut off: each finds the others as old as the
+    /// first. Harm: after two that are cut off, a third that is not is found later.
+    fn stale_at(&self, session: &Session) -> Time {
+        if self.candidates.has_others() {
+            session.progress_at + self.patience * self.rules.stale
+        } else {
+            f64::INFINITY
+        }
     }
 
     fn begin(&mut self, now: Time, outputs: &mut Vec<Output>) {
-        let Some(peer) = self.draw(now) else {
-            let all = self.rules.upstreams.iter().chain(&self.rules.fallbacks);
-            let avoided = all.filter_map(|peer| self.avoid.get(peer));
-            let first = avoided.fold(f64::INFINITY, |a, b| a.min(*b));
-            let until = first.max(now) + self.chance.between(0.0, self.rules.spread);
+        let Some(peer) = self.candidates.draw(now, &mut self.chance) else {
+            let until = self.candidates.free_at().max(now) + self.chance.between(0.0, self.rules.spread);
             self.state = State::Resting { until };
             return;
         };
@@ -363,26 +398,13 @@
         outputs.push(Output::Event(Event::Following(peer)));
     }
 
-    fn draw(&mut self, now: Time) -> Option<PeerId> {
-        for list in [&self.rules.upstreams, &self.rules.fallbacks] {
-            let free = |peer: &&PeerId| self.avoid.get(*peer).is_none_or(|until| now >= *until);
-            let free: Vec<PeerId> = list.iter().filter(free).copied().collect();
-            if !free.is_empty() {
-                return Some(free[self.chance.below(free.len())]);
-            }
-        }
-        None
-    }
-
     /// When something is due.
     pub fn next_wakeup(&self, now: Time) -> Time {
         let session = match &self.state {
             State::Resting { until } => return *until,
             State::Following(session) => session,
         };
-        let silent = session.link.heard_at() + self.rules.silence;
-        let stale = session.progress_at + self.rules.stale;
-        let fault = if self.has_others() { silent.min(stale) } else { silent };
+        let fault = self.silent_at(session).min(self.stale_at(session));
         let keepalive = session.link.wrote_at() + self.rules.keepalive;
         let keepalive = keepalive.max(session.link.ready(now, 0));
         let work = session.link.is_free() && session.has_work(&self.subscriptions, &self.reports);
--- a/crates/distribution/tests/cases_tree.rs
+++ b/crates/distribution/tests/cases_tree.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use reelfall_distribution::follow::FollowRules;
 use reelfall_distribution::output::{Event, Reason};
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::resource::{Draft, Name, Selector, Version};
@@ -141,7 +142,9 @@
     assert!((58.0..72.0).contains(&stale), "{stale}");
     world.start(PeerId(20));
     world.start(PeerId(21));
-    until_all_have(&mut world, &all(), version, 60.0);
+    // An attempt that is under way, a rest, and the round trips of a session and a change.
+    let rules = FollowRules::node(Vec::new());
+    until_all_have(&mut world, &all(), version, rules.answer + rules.rest_most + 1.0);
     world.judge.verdict();
 }
 
@@ -176,8 +179,12 @@
         world.run(lasts / 540.0);
     }
     let changed = 361.0;
-    // What one change takes, by what the budget brings in a second, and the rests before a relay and a node return.
-    let most = changed * 400.0 / 6000.0 + 64.0 + 64.0;
+    // What one change takes, by what the budget brings in a second, and an attempt that is under way and a rest before a relay
+    // and a node return.
+    let rules = FollowRules::node(Vec::new());
+    let relay_rules = FollowRules::relay(Vec::new());
+    let rests = rules.answer + rules.rest_most + relay_rules.answer + relay_rules.rest_most;
+    let most = changed * 400.0 / 6000.0 + rests;
     let took = until_all_have(&mut world, &all(), version, most);
     println!("caught up in {took:.1} s, of {most:.1} s");
     world.judge.verdict();
