--- /dev/null
+++ b/crates/distribution/tests/defences.rs
@@ -0,0 +1,150 @@
+//! Defences by themselves: each case forces the failure that one of them is there for.
+
+mod world;
+
+use reelfall_distribution::author::{Author, AuthorConfig};
+use reelfall_distribution::downstream::ServeRules;
+use reelfall_distribution::follow::FollowRules;
+use reelfall_distribution::log::Room;
+use reelfall_distribution::output::{Event, Reason};
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::publish::Refusal;
+use reelfall_distribution::resource::{Draft, Name, Part, Selector, Version};
+use reelfall_distribution::Time;
+use world::{claim, lease, World, CALM};
+
+const NODES: std::ops::Range<u32> = 100..104;
+
+/// An author without relays: it writes as soon as it holds the lease.
+fn author_alone() -> Author {
+    let config = AuthorConfig {
+        lease: lease(),
+        follow: FollowRules::relay(Vec::new()),
+        serve: ServeRules::default(),
+        room: Room { keys: 100, bytes: 1 << 20, removals: 10 },
+        history: 1 << 20,
+        takeover: 5.0,
+        seed: 1,
+    };
+    Author::new(config, 0.0)
+}
+
+/// Two authors, of whom the first may write for so long; two relays, four nodes.
+fn tree(seed: u64, lasts: Time) -> World {
+    let mut world = World::new(seed, CALM);
+    world.author(1, &[10, 11]);
+    world.author(2, &[10, 11]);
+    world.relay(10, &[1, 2]);
+    world.relay(11, &[1, 2]);
+    for id in NODES {
+        world.node(id, &[10, 11], &[Selector::service("a")]);
+    }
+    hold(&mut world, 1, 1, lasts);
+    world
+}
+
+fn hold(world: &mut World, author: u32, token: u64, lasts: Time) {
+    let until = world.seats[&PeerId(author)].clock(world.t + lasts);
+    let held =
+        world.with_author(author, |author, now, outputs| author.hold(now, &claim(token), until, outputs));
+    assert_eq!(held, Some(Ok(())));
+}
+
+fn publish(world: &mut World, author: u32, token: u64, drafts: Vec<Draft>) -> Version {
+    let t = world.t;
+    let version = world
+        .with_author(author, |author, now, outputs| author.publish(now, &claim(token), drafts, outputs))
+        .unwrap()
+        .unwrap();
+    world.judge.published(t, version);
+    version
+}
+
+fn name(item: &str) -> Name {
+    Name::service("a", item)
+}
+
+fn put(item: &str, bytes: &[u8]) -> Draft {
+    Draft::put(name(item), bytes)
+}
+
+/// A process that stood still is asked to write before it is polled: the call itself has to look at the time.
+#[test]
+fn an_author_that_was_not_polled_writes_nothing_once_its_lease_is_over() {
+    let mut author = author_alone();
+    let mut outputs = Vec::new();
+    let part = Part { thousandths: 500, seed: 1 };
+    author.hold(1.0, &claim(1), 5.0, &mut outputs).unwrap();
+    let in_time = author.publish(4.9, &claim(1), vec![put("x", b"in time")], &mut outputs).unwrap();
+    author.stage(4.9, &claim(1), put("y", b"in time"), part, &mut outputs).unwrap();
+    outputs.clear();
+    let late = [
+        author.publish(5.0, &claim(1), vec![put("x", b"late")], &mut outputs),
+        author.stage(5.0, &claim(1), put("y", b"late"), Part::ALL, &mut outputs),
+        author.release(5.0, &claim(1), &name("y"), &mut outputs),
+        author.revert(5.0, &claim(1), in_time, &mut outputs),
+    ];
+    assert_eq!(late, [const { Err(Refusal::NotHeld) }; 4]);
+    assert!(outputs.is_empty(), "{outputs:?}");
+}
+
+/// Without a call of its driver an author ends with its lease: its followers leave it for who may come after it, and what
+/// it has is no longer shown as the latest.
+#[test]
+fn an_author_ends_its_sessions_with_its_lease() {
+    let mut world = tree(1, 60.0);
+    world.run(59.0);
+    assert!(world.author_of(1).is_writing());
+    assert_eq!(world.author_of(1).children().count(), 2);
+    world.run(1.5);
+    assert!(!world.author_of(1).is_writing());
+    assert_eq!(world.author_of(1).children().count(), 0);
+    let sent_away = |event: &&(Time, PeerId, Event)| {
+        event.1 == PeerId(1) && matches!(event.2, Event::ChildLost { why: Reason::Fenced, .. })
+    };
+    assert_eq!(world.judge.events.iter().filter(sent_away).count(), 2);
+    world.run(20.0);
+    for id in NODES {
+        let age = world.node_of(id).staleness(world.seats[&PeerId(id)].clock(world.t));
+        assert!(age >= 20.0, "{id} shows an age of {age} s, 20 s after the last author");
+    }
+}
+
+/// The relays that still follow an author whose lease is over go over to the next one, and none says meanwhile that what
+/// it has is the latest.
+#[test]
+fn relays_of_an_author_without_its_lease_go_over_to_the_next() {
+    let mut world = tree(2, 60.0);
+    world.run(60.5);
+    hold(&mut world, 2, 2, 1e6);
+    world.run(10.0);
+    publish(&mut world, 2, 2, vec![put("x", b"two")]);
+    world.run(60.0);
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &name("x")).as_deref(), Some(&b"two"[..]), "{id}");
+    }
+    world.judge.verdict();
+}
+
+/// The next author hears all first relays, not the first of them alone: the last one told one relay, and died.
+#[test]
+fn what_one_first_relay_alone_was_told_is_not_lost() {
+    let mut world = tree(3, 1e6);
+    world.run(60.0);
+    let followed = |world: &World, relay: u32| world.relay_of(relay).children().any(|id| id == PeerId(2));
+    let (far, near) = if followed(&world, 10) { (10, 11) } else { (11, 10) };
+    assert!(followed(&world, far) && !followed(&world, near));
+    world.cut(PeerId(1), PeerId(far), 60.0);
+    let version = publish(&mut world, 1, 1, vec![put("x", b"one")]);
+    world.run(2.0);
+    assert_eq!(world.relay_of(near).log().top(), version);
+    assert!(world.relay_of(far).log().top() < version);
+    world.kill(PeerId(1));
+    hold(&mut world, 2, 2, 1e6);
+    world.run(60.0);
+    assert!(world.author_of(2).is_writing());
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &name("x")).as_deref(), Some(&b"one"[..]), "{id}");
+    }
+    world.judge.verdict();
+}
--- a/crates/distribution/tests/false_peers.rs
+++ b/crates/distribution/tests/false_peers.rs
@@ -3,10 +3,11 @@
 
 mod world;
 
+use reelfall_distribution::coverage::Coverage;
 use reelfall_distribution::downstream::ServeRules;
 use reelfall_distribution::follow::FollowRules;
 use reelfall_distribution::log::Room;
-use reelfall_distribution::message::{decode, encode, Chunk, Head, Payload, Span};
+use reelfall_distribution::message::{decode, encode, Chunk, Head, Payload, Span, Subscribe};
 use reelfall_distribution::output::{Event, Output, Reason};
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::relay::{Relay, RelayConfig};
@@ -252,6 +253,55 @@
     assert!(second.iter().any(|o| matches!(o, Output::Send { .. })), "it is acknowledged again");
 }
 
+/// The last part of a body twice would be one out of place, and end the session.
+#[test]
+fn the_same_part_of_a_body_twice_is_taken_once() {
+    let mut relay = False::new();
+    let hash = ContentHash::of(b"onetwo");
+    relay.next(chunk(0, 6, b"one", hash));
+    let last = chunk(3, 6, b"two", hash);
+    relay.next(last.clone());
+    let number = relay.number;
+    let outputs = relay.say(last, number);
+    assert!(!relay.is_left(&outputs), "{outputs:?}");
+    assert!(relay.node.following().is_some());
+}
+
+/// A subscription twice would be one with a number that is taken, and end the session.
+#[test]
+fn the_same_subscription_twice_is_taken_once() {
+    let mut relay = relay();
+    open(&mut relay, 100, 1.0, 7);
+    let head = Head { session: 7, up: true, number: 2, acknowledged: 0, stamp_us: 1, echo: None };
+    let selector = Selector::service("a");
+    let subscribe = Subscribe { id: 0, selector, coverage: Coverage::EMPTY, floor: Version::ZERO };
+    let frame = encode(&head, &Payload::Subscribe(vec![subscribe]));
+    let mut outputs = Vec::new();
+    for now in [1.1, 1.2] {
+        relay.receive(now, PeerId(100), &frame, &mut outputs);
+    }
+    assert_eq!(relay.children().collect::<Vec<_>>(), [PeerId(100)], "{outputs:?}");
+}
+
+/// The relay's word that all was sent crosses a new subscription: it was written before the relay heard of that one.
+#[test]
+fn what_was_asked_for_after_the_word_that_all_was_sent_is_not_in_it() {
+    let mut relay = False::new();
+    let (before, after) = (Selector::service("a"), Selector::service("b"));
+    relay.node.subscribe(after.clone()).unwrap();
+    let heard = relay.acknowledged;
+    relay.say(Payload::Acknowledge, 0);
+    assert_eq!(relay.acknowledged, heard + 1, "the subscription is on its way");
+    let all_sent = Payload::Current { head: version(5), floor: Version::ZERO, age_us: Some(0) };
+    relay.acknowledged = heard;
+    relay.next(all_sent.clone());
+    assert!(relay.node.is_complete(&before));
+    assert!(!relay.node.is_complete(&after), "none of it has come");
+    relay.acknowledged = heard + 1;
+    relay.next(all_sent);
+    assert!(relay.node.is_complete(&after));
+}
+
 #[test]
 fn a_frame_that_was_changed_or_cut_is_left() {
     let head = Head { session: 1, up: true, number: 1, acknowledged: 0, stamp_us: 1, echo: None };
