Distribution: what an author between did not know comes to all

The relays had no orphan of that, and did not ask, since they covered it.

Who has heard both authors now reports the spans that the present one knows and that it covers by the earlier one's word alone (Report::Lacking); the author writes its changes in them anew, bounded as orphans are. Nodes keep the last author on disk for that. Versions still go up alone.

--- a/crates/distribution/src/coverage.rs
+++ b/crates/distribution/src/coverage.rs
@@ -103,6 +103,20 @@
         both
     }
 
+    /// What is in this one alone.
+    pub fn without(&self, other: &Coverage) -> Coverage {
+        let mut rest = Coverage::EMPTY;
+        for span in &self.spans {
+            let mut after = span.after;
+            for taken in &other.spans {
+                rest.add(Span { after, upto: span.upto.min(taken.after) });
+                after = after.max(taken.upto);
+            }
+            rest.add(Span { after, upto: span.upto });
+        }
+        rest
+    }
+
     /// Adds a span.
     pub fn add(&mut self, new: Span) {
         if new.after >= new.upto {
--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -101,6 +101,11 @@
         for (key, version) in orphans.iter().cloned() {
             self.upstream.report(Report::Orphan { key, version });
         }
+        if let Some(known) = &self.epoch {
+            for span in lacking(known, &epoch, self.coverage()) {
+                self.upstream.report(Report::Lacking(span));
+            }
+        }
         self.set_epoch(epoch, outputs);
         Update { orphans, epoch: true, ..Update::default() }
     }
@@ -115,10 +120,7 @@
     /// less than what is covered, where an earlier author wrote what its successor never heard.
     pub fn known(&self) -> Coverage {
         let Some(epoch) = &self.epoch else { return self.coverage().clone() };
-        let mut known = epoch.known.clone();
-        let after = Version { token: epoch.claim.token, sequence: 0 };
-        known.add(Span { after, upto: self.head() });
-        known.both(self.coverage())
+        known_since(epoch, self.head()).both(self.coverage())
     }
 
     fn take_changes(
@@ -219,6 +221,21 @@
     orphans.map(|change| (change.key.clone(), change.version)).collect()
 }
 
+/// What an author knew when it took over, and what it has written since.
+fn known_since(epoch: &Epoch, head: Version) -> Coverage {
+    let mut known = epoch.known.clone();
+    let after = Version { token: epoch.claim.token, sequence: 0 };
+    known.add(Span { after, upto: head });
+    known
+}
+
+/// Versions that the present author knows, and that are covered here by the word of an earlier one alone, which did not know
+/// them: a change among them has never come.
+pub(crate) fn lacking(earlier: &Epoch, present: &Epoch, covered: &Coverage) -> Vec<Span> {
+    let known = known_since(earlier, covered.top());
+    present.known.both(covered).without(&known).spans().to_vec()
+}
+
 /// The keys of a selector with a version up to a floor that a list does not hold.
 pub(crate) fn unlisted(log: &Log, selector: &Selector, floor: Version, digests: &BTreeSet<u64>) -> Vec<Key> {
     let keys = log.keys_after(selector, Version::ZERO);
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -10,7 +10,7 @@
 use crate::message::{self, Epoch};
 use crate::output::{Event, Output, Record};
 use crate::peer::PeerId;
-use crate::replica::{orphans, unlisted};
+use crate::replica::{lacking, orphans, unlisted};
 use crate::report::{self, Report};
 use crate::resource::{Change, Content, Key, Name, Part, Selector, Slot, Urgency, Version};
 use crate::restore::Restored;
@@ -64,7 +64,10 @@
     stored_at: Time,
     /// Subscriptions of which something was stored, and nothing has come since.
     stored: BTreeSet<Selector>,
-    epoch: u64,
+    /// The author that was heard last, in whatever run of the process.
+    epoch: Option<Epoch>,
+    /// The token of the author that was heard last in this run.
+    token_heard: u64,
     clock: Time,
 }
 
@@ -105,7 +108,8 @@
             said: None,
             stored_at: f64::NEG_INFINITY,
             stored,
-            epoch: 0,
+            epoch: restored.epoch,
+            token_heard: 0,
             clock: now,
         }
     }
@@ -241,7 +245,7 @@
         let heard = self.upstream.receive(now, received, outputs);
         match heard {
             None => {}
-            Some(Heard::Epoch(epoch)) => self.take_epoch(&epoch),
+            Some(Heard::Epoch(epoch)) => self.take_epoch(epoch, outputs),
             Some(Heard::Changes { selector, span, changes }) => {
                 for change in changes {
                     self.take_change(change, outputs);
@@ -256,14 +260,33 @@
         }
     }
 
-    fn take_epoch(&mut self, epoch: &Epoch) {
-        if epoch.claim.token <= self.epoch {
+    fn take_epoch(&mut self, epoch: Epoch, outputs: &mut Vec<Output>) {
+        if epoch.claim.token <= self.token_heard {
             return;
         }
-        self.epoch = epoch.claim.token;
-        for (key, version) in orphans(&self.log, epoch) {
+        self.token_heard = epoch.claim.token;
+        for (key, version) in orphans(&self.log, &epoch) {
             self.upstream.report(Report::Orphan { key, version });
         }
+        let known = self.epoch.as_ref();
+        if known.is_some_and(|known| known.claim.token >= epoch.claim.token) {
+            return;
+        }
+        let lacking = known.map_or_else(Vec::new, |known| lacking(known, &epoch, &self.covered()));
+        for span in lacking {
+            self.upstream.report(Report::Lacking(span));
+        }
+        outputs.push(Output::Persist(Record::Epoch(epoch.clone())));
+        self.epoch = Some(epoch);
+    }
+
+    /// What is covered by one subscription at least.
+    fn covered(&self) -> Coverage {
+        let mut covered = Coverage::EMPTY;
+        for span in self.upstream.held().flat_map(|(_, held)| held.coverage.spans()) {
+            covered.add(*span);
+        }
+        covered
     }
 
     fn take_change(&mut self, change: Change, outputs: &mut Vec<Output>) {
--- a/crates/distribution/tests/defences.rs
+++ b/crates/distribution/tests/defences.rs
@@ -148,3 +148,33 @@
     }
     world.judge.verdict();
 }
+
+/// An author that was cut off writes again, without having heard of the one that wrote meanwhile and did not know its last
+/// change. The relays cover that change by the other one's word, so they do not ask for it.
+#[test]
+fn what_an_author_between_did_not_know_comes_to_all() {
+    let mut world = tree(4, 1e6);
+    world.run(60.0);
+    publish(&mut world, 1, 1, vec![put("x", b"one")]);
+    world.run(10.0);
+    for relay in [10, 11] {
+        world.cut(PeerId(1), PeerId(relay), 120.0);
+    }
+    publish(&mut world, 1, 1, vec![put("x", b"apart")]);
+    world.with_author(1, |author, now, outputs| author.stand_down(now, outputs));
+    hold(&mut world, 2, 2, 1e6);
+    world.run(80.0);
+    publish(&mut world, 2, 2, vec![put("y", b"between")]);
+    world.run(10.0);
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &name("x")).as_deref(), Some(&b"one"[..]), "{id}");
+        assert_eq!(world.bytes_at(id, &name("y")).as_deref(), Some(&b"between"[..]), "{id}");
+    }
+    world.with_author(2, |author, now, outputs| author.stand_down(now, outputs));
+    hold(&mut world, 1, 3, 1e6);
+    world.run(200.0);
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &name("x")).as_deref(), Some(&b"apart"[..]), "{id}");
+        assert_eq!(world.bytes_at(id, &name("y")), None, "{id}: the author does not have it");
+    }
+}
--- a/crates/distribution/tests/parts.rs
+++ b/crates/distribution/tests/parts.rs
@@ -59,6 +59,25 @@
         }
     }
 
+    #[test]
+    fn what_is_in_one_coverage_alone_is_a_set_difference(
+        spans in prop::collection::vec((0..60u64, 1..20u64), 0..10),
+        others in prop::collection::vec((0..60u64, 1..20u64), 0..10),
+    ) {
+        let coverage = |spans: Vec<(u64, u64)>| {
+            let mut coverage = Coverage::default();
+            spans.into_iter().for_each(|(after, length)| coverage.add(span(after, after + length)));
+            coverage
+        };
+        let (one, other) = (coverage(spans), coverage(others));
+        let rest = one.without(&other);
+        prop_assert!(rest.sound());
+        for n in 1..90 {
+            let alone = one.holds(version(n)) && !other.holds(version(n));
+            prop_assert_eq!(rest.holds(version(n)), alone, "{}", n);
+        }
+    }
+
     #[test]
     fn coverage_has_a_bound_and_never_holds_what_was_not_added(points in prop::collection::vec(1..10_000u64, 0..200)) {
         let mut coverage = Coverage::default();
