Distribution: orphans are reported in each run of a relay, not in the first alone

A relay and a standby author store who the author is before their reports of orphans leave. One that ended between the two began again with that author known, took its word as old news and reported nothing: its orphan stayed in force at its nodes, since it covers all by that word.

Orphans are now reported once in each run, as nodes do; the author takes a report of what it has written over already as none. defences::orphans_are_reported_after_a_crash fails on the code before (the node has the orphan) and passes now, with all others and 1,000 drawn schedules.

--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -37,6 +37,8 @@
     pub upstream: Upstream,
     pub log: Log,
     pub epoch: Option<Epoch>,
+    /// The token of the author that was heard last in this run.
+    token_heard: u64,
     /// When the upstream said last that all had been sent, and how old that was.
     current: Option<(Time, Time)>,
     stored: Coverage,
@@ -50,7 +52,7 @@
         upstream.subscribe(Selector::Everything, coverage.clone(), floor);
         let log = std::mem::replace(&mut restored.log, Log::new(crate::log::Room::NODE));
         let epoch = restored.epoch.take().filter(|epoch| upstream.admit(epoch).is_ok());
-        Replica { upstream, log, epoch, current: None, stored: coverage, frames_unstored: 0 }
+        Replica { upstream, log, epoch, token_heard: 0, current: None, stored: coverage, frames_unstored: 0 }
     }
 
     /// Which versions are covered.
@@ -94,13 +96,18 @@
     }
 
     fn take_epoch(&mut self, epoch: Epoch, outputs: &mut Vec<Output>) -> Update {
-        if self.epoch.as_ref().is_some_and(|known| known.claim.token >= epoch.claim.token) {
+        if epoch.claim.token <= self.token_heard {
             return Update::default();
         }
+        self.token_heard = epoch.claim.token;
+        // Once in each run: the last one may have ended before it could report.
         let orphans = orphans(&self.log, &epoch);
         for (key, version) in orphans.iter().cloned() {
             self.upstream.report(Report::Orphan { key, version });
         }
+        if self.epoch.as_ref().is_some_and(|known| known.claim.token >= epoch.claim.token) {
+            return Update { orphans, ..Update::default() };
+        }
         if let Some(known) = &self.epoch {
             for span in lacking(known, &epoch, self.coverage()) {
                 self.upstream.report(Report::Lacking(span));
--- a/crates/distribution/tests/defences.rs
+++ b/crates/distribution/tests/defences.rs
@@ -3,13 +3,15 @@
 mod world;
 
 use reelfall_distribution::author::{Author, AuthorConfig};
+use reelfall_distribution::coverage::Coverage;
 use reelfall_distribution::downstream::ServeRules;
 use reelfall_distribution::follow::FollowRules;
 use reelfall_distribution::log::Room;
-use reelfall_distribution::output::{Event, Reason};
+use reelfall_distribution::message::Epoch;
+use reelfall_distribution::output::{Event, Reason, Record};
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::publish::Refusal;
-use reelfall_distribution::resource::{Draft, Name, Part, Selector, Version};
+use reelfall_distribution::resource::{Change, Content, Draft, Name, Part, Selector, Version};
 use reelfall_distribution::Time;
 use world::{claim, lease, World, CALM};
 
@@ -178,3 +180,37 @@
         assert_eq!(world.bytes_at(id, &name("y")), None, "{id}: the author does not have it");
     }
 }
+
+/// A relay that has stored who the author is and ended before it could report its orphans reports them after its start.
+#[test]
+fn orphans_are_reported_after_a_crash() {
+    let mut world = World::new(5, CALM);
+    world.author(1, &[10]);
+    world.relay(10, &[1]);
+    world.node(100, &[10], &[Selector::service("a")]);
+    hold(&mut world, 1, 1, 1e6);
+    world.run(30.0);
+    let known = publish(&mut world, 1, 1, vec![put("x", b"one")]);
+    world.run(10.0);
+    let x = world.relay_of(10).log().at(known).unwrap().clone();
+    world.kill(PeerId(10));
+    world.with_author(1, |author, now, outputs| author.stand_down(now, outputs));
+    hold(&mut world, 1, 2, 1e6);
+    world.run(10.0);
+    assert!(world.author_of(1).is_writing());
+    let version = Version { sequence: known.sequence + 5, ..known };
+    let covered = Record::Covered {
+        selector: Selector::Everything,
+        coverage: Coverage::upto(version),
+        floor: Version::ZERO,
+    };
+    let epoch = Epoch { claim: claim(2), known: Coverage::upto(known) };
+    let orphan = Change { version, content: Content::body(b"orphan"), ..x };
+    let stored = [Record::Put(orphan), covered, Record::Epoch(epoch)];
+    world.seats.get_mut(&PeerId(10)).unwrap().disk.extend(stored);
+    world.start(PeerId(10));
+    world.run(60.0);
+    assert_eq!(world.bytes_at(100, &name("x")).as_deref(), Some(&b"one"[..]));
+    assert!(world.node_of(100).in_force(&name("x")).unwrap().version.token == 2, "it was written anew");
+    world.judge.verdict();
+}
