Distribution: what was covered by a wrong word is asked for again, not reported

A standby author heard of such versions 28 ms before it took over; it lacked them, yet said that it knows them, so that nobody reported the change as an orphan.

A holder now takes those versions out of what it covers, stores that before it stores the later author, lowers its floor of known removals, and asks for them in a new session. Report::Lacking and what authors did on it are gone: nothing is written anew, and no child can ask for that.

--- a/crates/distribution/src/author.rs
+++ b/crates/distribution/src/author.rs
@@ -354,7 +354,6 @@
                 self.board.refused(version, Refused { node, key, reason });
             }
             Report::Orphan { key, version } => self.write_over(now, key, version, outputs),
-            Report::Lacking(span) => self.write_lacking_again(now, span, outputs),
         }
     }
 
--- a/crates/distribution/src/author/orphans.rs
+++ b/crates/distribution/src/author/orphans.rs
@@ -1,13 +1,12 @@
 //! What an author does about changes of earlier authors that did not reach everybody.
 
 use super::{Author, State};
-use crate::message::Span;
 use crate::output::{Event, Output};
 use crate::publish::Write;
-use crate::resource::{Content, Key, Part, Selector, Urgency, Version};
+use crate::resource::{Content, Key, Part, Urgency, Version};
 use crate::Time;
 
-/// Changes that are written anew on others' word by one holding of the lease at most; more are not believed.
+/// Orphans that are written over by one holding of the lease at most; more are not believed.
 const ORPHANS_MOST: usize = 100_000;
 
 impl Author {
@@ -21,18 +20,6 @@
         }
     }
 
-    /// Writes anew what others lack and take for known, by the word of an author between the one that wrote it and this one.
-    pub(super) fn write_lacking_again(&mut self, now: Time, span: Span, outputs: &mut Vec<Output>) {
-        let State::Writing { epoch, orphans, .. } = &mut self.state else { return };
-        let lacking = self.replica.log.keys_after(&Selector::Everything, span.after);
-        let lacking = lacking.take_while(|(version, _)| *version <= span.upto);
-        let earlier = lacking.filter(|(version, _)| version.token < epoch.claim.token);
-        let earlier = earlier.take(ORPHANS_MOST.saturating_sub(*orphans));
-        let own: Vec<(Key, Version)> = earlier.map(|(version, key)| (key.clone(), version)).collect();
-        *orphans += own.len();
-        self.write_own_again(now, own, outputs);
-    }
-
     fn write_or_tell(&mut self, now: Time, write: Write, outputs: &mut Vec<Output>) {
         let (key, version) = (write.key.clone(), self.head());
         if self.write(now, vec![write], outputs).is_err() {
--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -81,7 +81,7 @@
     /// Takes in what the upstream has said.
     pub fn take(&mut self, now: Time, heard: Heard, outputs: &mut Vec<Output>) -> Update {
         match heard {
-            Heard::Epoch(epoch) => self.take_epoch(epoch, outputs),
+            Heard::Epoch(epoch) => self.take_epoch(now, epoch, outputs),
             Heard::Changes { span, changes, .. } => self.take_changes(now, span, changes, outputs),
             Heard::Listed { floor, digests, .. } => self.take_listed(floor, &digests, outputs),
             Heard::Current { floor, age, .. } => {
@@ -95,7 +95,7 @@
         }
     }
 
-    fn take_epoch(&mut self, epoch: Epoch, outputs: &mut Vec<Output>) -> Update {
+    fn take_epoch(&mut self, now: Time, epoch: Epoch, outputs: &mut Vec<Output>) -> Update {
         if epoch.claim.token <= self.token_heard {
             return Update::default();
         }
@@ -108,11 +108,10 @@
         if self.epoch.as_ref().is_some_and(|known| known.claim.token >= epoch.claim.token) {
             return Update { orphans, ..Update::default() };
         }
-        if let Some(known) = &self.epoch {
-            for span in lacking(known, &epoch, self.coverage()) {
-                self.upstream.report(Report::Lacking(span));
-            }
-        }
+        let known = self.epoch.as_ref();
+        let lacking = known.map_or(Coverage::EMPTY, |known| lacking(known, &epoch, self.coverage()));
+        self.upstream.ask_anew(now, &lacking, outputs);
+        self.store_coverage(outputs);
         self.set_epoch(epoch, outputs);
         Update { orphans, epoch: true, ..Update::default() }
     }
@@ -238,9 +237,9 @@
 
 /// Versions that the present author knows, and that are covered here by the word of an earlier one alone, which did not know
 /// them: a change among them has never come.
-pub(crate) fn lacking(earlier: &Epoch, present: &Epoch, covered: &Coverage) -> Vec<Span> {
+pub(crate) fn lacking(earlier: &Epoch, present: &Epoch, covered: &Coverage) -> Coverage {
     let known = known_since(earlier, covered.top());
-    present.known.both(covered).without(&known).spans().to_vec()
+    present.known.both(covered).without(&known)
 }
 
 /// The keys of a selector with a version up to a floor that a list does not hold.
--- a/crates/distribution/src/report.rs
+++ b/crates/distribution/src/report.rs
@@ -1,6 +1,6 @@
 //! What is told upwards.
 
-use crate::message::{self, Span};
+use crate::message;
 use crate::peer::PeerId;
 use crate::resource::{Key, Version};
 use serde::{Deserialize, Serialize};
@@ -41,8 +41,6 @@
         /// Which change.
         version: Version,
     },
-    /// Versions that the present author has, and that this holder took for known from an author in between, which had not.
-    Lacking(Span),
 }
 
 /// Reports that wait for the way up: one standing of each node, each refusal and orphan once.
@@ -127,7 +125,6 @@
             Report::Standing { .. } => true,
             Report::Refused { key, reason, .. } => key.name.check().is_ok() && reason.len() <= REASON_MOST,
             Report::Orphan { key, .. } => key.name.check().is_ok(),
-            Report::Lacking(span) => span.after < span.upto,
         }
     }
 }
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -245,7 +245,7 @@
         let heard = self.upstream.receive(now, received, outputs);
         match heard {
             None => {}
-            Some(Heard::Epoch(epoch)) => self.take_epoch(epoch, outputs),
+            Some(Heard::Epoch(epoch)) => self.take_epoch(now, epoch, outputs),
             Some(Heard::Changes { selector, span, changes }) => {
                 for change in changes {
                     self.take_change(change, outputs);
@@ -260,7 +260,7 @@
         }
     }
 
-    fn take_epoch(&mut self, epoch: Epoch, outputs: &mut Vec<Output>) {
+    fn take_epoch(&mut self, now: Time, epoch: Epoch, outputs: &mut Vec<Output>) {
         if epoch.claim.token <= self.token_heard {
             return;
         }
@@ -272,9 +272,11 @@
         if known.is_some_and(|known| known.claim.token >= epoch.claim.token) {
             return;
         }
-        let lacking = known.map_or_else(Vec::new, |known| lacking(known, &epoch, &self.covered()));
-        for span in lacking {
-            self.upstream.report(Report::Lacking(span));
+        let covered = self.covered();
+        let lacking = known.map_or(Coverage::EMPTY, |known| lacking(known, &epoch, &covered));
+        self.upstream.ask_anew(now, &lacking, outputs);
+        if !lacking.is_empty() {
+            self.store_covered(true, outputs);
         }
         outputs.push(Output::Persist(Record::Epoch(epoch.clone())));
         self.epoch = Some(epoch);
@@ -336,6 +338,11 @@
         if all {
             self.stored_at = now;
         }
+        self.store_covered(all, outputs);
+    }
+
+    /// Stores what is covered: of all subscriptions, or of those of which something has come since the last time.
+    fn store_covered(&mut self, all: bool, outputs: &mut Vec<Output>) {
         for (selector, held) in self.upstream.held() {
             if held.complete && (all || !self.stored.contains(selector)) {
                 let (coverage, floor) = (held.coverage.clone(), held.floor);
--- a/crates/distribution/src/upstream.rs
+++ b/crates/distribution/src/upstream.rs
@@ -115,6 +115,16 @@
         }
     }
 
+    /// What was taken for covered has never come: it is asked for again in a new session.
+    pub(crate) fn ask_anew(&mut self, now: Time, lacking: &Coverage, outputs: &mut Vec<Output>) {
+        let Some(first) = lacking.spans().first() else { return };
+        for held in self.subscriptions.held.values_mut() {
+            held.coverage = held.coverage.without(lacking);
+            held.floor = held.floor.min(first.after);
+        }
+        self.leave(now, Reason::Replaced, outputs);
+    }
+
     /// All removals of a selector up to a version are known.
     pub fn removals_known(&mut self, selector: &Selector, floor: Version) {
         if let Some(held) = self.subscriptions.held.get_mut(selector) {
