--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -37,6 +37,8 @@
     pub upstream: Upstream,
     pub log: Log,
     pub epoch: Option<Epoch>,
+    /// The token of the author that was heard last in this run.
+    token_heard: u64,
     /// When the upstream said last that all had been sent, and how old that was.
     current: Option<(Time, Time)>,
     stored: Coverage,
@@ -50,7 +52,7 @@
         upstream.subscribe(Selector::Everything, coverage.clone(), floor);
         let log = std::mem::replace(&mut restored.log, Log::new(crate::log::Room::NODE));
         let epoch = restored.epoch.take().filter(|epoch| upstream.admit(epoch).is_ok());
-        Replica { upstream, log, epoch, current: None, stored: coverage, frames_unstored: 0 }
+        Replica { upstream, log, epoch, token_heard: 0, current: None, stored: coverage, frames_unstored: 0 }
     }
 
     /// Which versions are covered.
@@ -79,7 +81,7 @@
     /// Takes in what the upstream has said.
     pub fn take(&mut self, now: Time, heard: Heard, outputs: &mut Vec<Output>) -> Update {
         match heard {
-            Heard::Epoch(epoch) => self.take_epoch(epoch, outputs),
+            Heard::Epoch(epoch) => self.take_epoch(now, epoch, outputs),
             Heard::Changes { span, changes, .. } => self.take_changes(now, span, changes, outputs),
             Heard::Listed { floor, digests, .. } => self.take_listed(floor, &digests, outputs),
             Heard::Current { floor, age, .. } => {
@@ -93,14 +95,23 @@
         }
     }
 
-    fn take_epoch(&mut self, epoch: Epoch, outputs: &mut Vec<Output>) -> Update {
-        if self.epoch.as_ref().is_some_and(|known| known.claim.token >= epoch.claim.token) {
+    fn take_epoch(&mut self, now: Time, epoch: Epoch, outputs: &mut Vec<Output>) -> Update {
+        if epoch.claim.token <= self.token_heard {
             return Update::default();
         }
+        self.token_heard = epoch.claim.token;
+        // Once in each run: the last one may have ended before it could report.
         let orphans = orphans(&self.log, &epoch);
         for (key, version) in orphans.iter().cloned() {
             self.upstream.report(Report::Orphan { key, version });
         }
+        if self.epoch.as_ref().is_some_and(|known| known.claim.token >= epoch.claim.token) {
+            return Update { orphans, ..Update::default() };
+        }
+        let known = self.epoch.as_ref();
+        let lacking = known.map_or(Coverage::EMPTY, |known| lacking(known, &epoch, self.coverage()));
+        self.upstream.ask_anew(now, &lacking, outputs);
+        self.store_coverage(outputs);
         self.set_epoch(epoch, outputs);
         Update { orphans, epoch: true, ..Update::default() }
     }
@@ -115,10 +126,7 @@
     /// less than what is covered, where an earlier author wrote what its successor never heard.
     pub fn known(&self) -> Coverage {
         let Some(epoch) = &self.epoch else { return self.coverage().clone() };
-        let mut known = epoch.known.clone();
-        let after = Version { token: epoch.claim.token, sequence: 0 };
-        known.add(Span { after, upto: self.head() });
-        known.both(self.coverage())
+        known_since(epoch, self.head()).both(self.coverage())
     }
 
     fn take_changes(
@@ -219,6 +227,21 @@
     orphans.map(|change| (change.key.clone(), change.version)).collect()
 }
 
+/// What an author knew when it took over, and what it has written since.
+fn known_since(epoch: &Epoch, head: Version) -> Coverage {
+    let mut known = epoch.known.clone();
+    let after = Version { token: epoch.claim.token, sequence: 0 };
+    known.add(Span { after, upto: head });
+    known
+}
+
+/// Versions that the present author knows, and that are covered here by the word of an earlier one alone, which did not know
+/// them: a change among them has never come.
+pub(crate) fn lacking(earlier: &Epoch, present: &Epoch, covered: &Coverage) -> Coverage {
+    let known = known_since(earlier, covered.top());
+    present.known.both(covered).without(&known)
+}
+
 /// The keys of a selector with a version up to a floor that a list does not hold.
 pub(crate) fn unlisted(log: &Log, selector: &Selector, floor: Version, digests: &BTreeSet<u64>) -> Vec<Key> {
     let keys = log.keys_after(selector, Version::ZERO);
--- /dev/null
+++ b/crates/distribution/tests/defences.rs
@@ -0,0 +1,216 @@
+//! Defences by themselves: each case forces the failure that one of them is there for.
+
+mod world;
+
+use reelfall_distribution::author::{Author, AuthorConfig};
+use reelfall_distribution::coverage::Coverage;
+use reelfall_distribution::downstream::ServeRules;
+use reelfall_distribution::follow::FollowRules;
+use reelfall_distribution::log::Room;
+use reelfall_distribution::message::Epoch;
+use reelfall_distribution::output::{Event, Reason, Record};
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::publish::Refusal;
+use reelfall_distribution::resource::{Change, Content, Draft, Name, Part, Selector, Version};
+use reelfall_distribution::Time;
+use world::{claim, lease, World, CALM};
+
+const NODES: std::ops::Range<u32> = 100..104;
+
+/// An author without relays: it writes as soon as it holds the lease.
+fn author_alone() -> Author {
+    let config = AuthorConfig {
+        lease: lease(),
+        follow: FollowRules::relay(Vec::new()),
+        serve: ServeRules::default(),
+        room: Room { keys: 100, bytes: 1 << 20, removals: 10 },
+        history: 1 << 20,
+        takeover: 5.0,
+        seed: 1,
+    };
+    Author::new(config, 0.0)
+}
+
+/// Two authors, of whom the first may write for so long; two relays, four nodes.
+fn tree(seed: u64, lasts: Time) -> World {
+    let mut world = World::new(seed, CALM);
+    world.author(1, &[10, 11]);
+    world.author(2, &[10, 11]);
+    world.relay(10, &[1, 2]);
+    world.relay(11, &[1, 2]);
+    for id in NODES {
+        world.node(id, &[10, 11], &[Selector::service("a")]);
+    }
+    hold(&mut world, 1, 1, lasts);
+    world
+}
+
+fn hold(world: &mut World, author: u32, token: u64, lasts: Time) {
+    let until = world.seats[&PeerId(author)].clock(world.t + lasts);
+    let held =
+        world.with_author(author, |author, now, outputs| author.hold(now, &claim(token), until, outputs));
+    assert_eq!(held, Some(Ok(())));
+}
+
+fn publish(world: &mut World, author: u32, token: u64, drafts: Vec<Draft>) -> Version {
+    let t = world.t;
+    let version = world
+        .with_author(author, |author, now, outputs| author.publish(now, &claim(token), drafts, outputs))
+        .unwrap()
+        .unwrap();
+    world.judge.published(t, version);
+    version
+}
+
+fn name(item: &str) -> Name {
+    Name::service("a", item)
+}
+
+fn put(item: &str, bytes: &[u8]) -> Draft {
+    Draft::put(name(item), bytes)
+}
+
+/// A process that stood still is asked to write before it is polled: the call itself has to look at the time.
+#[test]
+fn an_author_that_was_not_polled_writes_nothing_once_its_lease_is_over() {
+    let mut author = author_alone();
+    let mut outputs = Vec::new();
+    let part = Part { thousandths: 500, seed: 1 };
+    author.hold(1.0, &claim(1), 5.0, &mut outputs).unwrap();
+    let in_time = author.publish(4.9, &claim(1), vec![put("x", b"in time")], &mut outputs).unwrap();
+    author.stage(4.9, &claim(1), put("y", b"in time"), part, &mut outputs).unwrap();
+    outputs.clear();
+    let late = [
+        author.publish(5.0, &claim(1), vec![put("x", b"late")], &mut outputs),
+        author.stage(5.0, &claim(1), put("y", b"late"), Part::ALL, &mut outputs),
+        author.release(5.0, &claim(1), &name("y"), &mut outputs),
+        author.revert(5.0, &claim(1), in_time, &mut outputs),
+    ];
+    assert_eq!(late, [const { Err(Refusal::NotHeld) }; 4]);
+    assert!(outputs.is_empty(), "{outputs:?}");
+}
+
+/// Without a call of its driver an author ends with its lease: its followers leave it for who may come after it, and what
+/// it has is no longer shown as the latest.
+#[test]
+fn an_author_ends_its_sessions_with_its_lease() {
+    let mut world = tree(1, 60.0);
+    world.run(59.0);
+    assert!(world.author_of(1).is_writing());
+    assert_eq!(world.author_of(1).children().count(), 2);
+    world.run(1.5);
+    assert!(!world.author_of(1).is_writing());
+    assert_eq!(world.author_of(1).children().count(), 0);
+    let sent_away = |event: &&(Time, PeerId, Event)| {
+        event.1 == PeerId(1) && matches!(event.2, Event::ChildLost { why: Reason::Fenced, .. })
+    };
+    assert_eq!(world.judge.events.iter().filter(sent_away).count(), 2);
+    world.run(20.0);
+    for id in NODES {
+        let age = world.node_of(id).staleness(world.seats[&PeerId(id)].clock(world.t));
+        assert!(age >= 20.0, "{id} shows an age of {age} s, 20 s after the last author");
+    }
+}
+
+/// The relays that still follow an author whose lease is over go over to the next one, and none says meanwhile that what
+/// it has is the latest.
+#[test]
+fn relays_of_an_author_without_its_lease_go_over_to_the_next() {
+    let mut world = tree(2, 60.0);
+    world.run(60.5);
+    hold(&mut world, 2, 2, 1e6);
+    world.run(10.0);
+    publish(&mut world, 2, 2, vec![put("x", b"two")]);
+    world.run(60.0);
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &name("x")).as_deref(), Some(&b"two"[..]), "{id}");
+    }
+    world.judge.verdict();
+}
+
+/// The next author hears all first relays, not the first of them alone: the last one told one relay, and died.
+#[test]
+fn what_one_first_relay_alone_was_told_is_not_lost() {
+    let mut world = tree(3, 1e6);
+    world.run(60.0);
+    let followed = |world: &World, relay: u32| world.relay_of(relay).children().any(|id| id == PeerId(2));
+    let (far, near) = if followed(&world, 10) { (10, 11) } else { (11, 10) };
+    assert!(followed(&world, far) && !followed(&world, near));
+    world.cut(PeerId(1), PeerId(far), 60.0);
+    let version = publish(&mut world, 1, 1, vec![put("x", b"one")]);
+    world.run(2.0);
+    assert_eq!(world.relay_of(near).log().top(), version);
+    assert!(world.relay_of(far).log().top() < version);
+    world.kill(PeerId(1));
+    hold(&mut world, 2, 2, 1e6);
+    world.run(60.0);
+    assert!(world.author_of(2).is_writing());
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &name("x")).as_deref(), Some(&b"one"[..]), "{id}");
+    }
+    world.judge.verdict();
+}
+
+/// An author that was cut off writes again, without having heard of the one that wrote meanwhile and did not know its last
+/// change. The relays cover that change by the other one's word, so they do not ask for it.
+#[test]
+fn what_an_author_between_did_not_know_comes_to_all() {
+    let mut world = tree(4, 1e6);
+    world.run(60.0);
+    publish(&mut world, 1, 1, vec![put("x", b"one")]);
+    world.run(10.0);
+    for relay in [10, 11] {
+        world.cut(PeerId(1), PeerId(relay), 120.0);
+    }
+    publish(&mut world, 1, 1, vec![put("x", b"apart")]);
+    world.with_author(1, |author, now, outputs| author.stand_down(now, outputs));
+    hold(&mut world, 2, 2, 1e6);
+    world.run(80.0);
+    publish(&mut world, 2, 2, vec![put("y", b"between")]);
+    world.run(10.0);
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &name("x")).as_deref(), Some(&b"one"[..]), "{id}");
+        assert_eq!(world.bytes_at(id, &name("y")).as_deref(), Some(&b"between"[..]), "{id}");
+    }
+    world.with_author(2, |author, now, outputs| author.stand_down(now, outputs));
+    hold(&mut world, 1, 3, 1e6);
+    world.run(200.0);
+    for id in NODES {
+        assert_eq!(world.bytes_at(id, &name("x")).as_deref(), Some(&b"apart"[..]), "{id}");
+        assert_eq!(world.bytes_at(id, &name("y")), None, "{id}: the author does not have it");
+    }
+}
+
+/// A relay that has stored who the author is and ended before it could report its orphans reports them after its start.
+#[test]
+fn orphans_are_reported_after_a_crash() {
+    let mut world = World::new(5, CALM);
+    world.author(1, &[10]);
+    world.relay(10, &[1]);
+    world.node(100, &[10], &[Selector::service("a")]);
+    hold(&mut world, 1, 1, 1e6);
+    world.run(30.0);
+    let known = publish(&mut world, 1, 1, vec![put("x", b"one")]);
+    world.run(10.0);
+    let x = world.relay_of(10).log().at(known).unwrap().clone();
+    world.kill(PeerId(10));
+    world.with_author(1, |author, now, outputs| author.stand_down(now, outputs));
+    hold(&mut world, 1, 2, 1e6);
+    world.run(10.0);
+    assert!(world.author_of(1).is_writing());
+    let version = Version { sequence: known.sequence + 5, ..known };
+    let covered = Record::Covered {
+        selector: Selector::Everything,
+        coverage: Coverage::upto(version),
+        floor: Version::ZERO,
+    };
+    let epoch = Epoch { claim: claim(2), known: Coverage::upto(known) };
+    let orphan = Change { version, content: Content::body(b"orphan"), ..x };
+    let stored = [Record::Put(orphan), covered, Record::Epoch(epoch)];
+    world.seats.get_mut(&PeerId(10)).unwrap().disk.extend(stored);
+    world.start(PeerId(10));
+    world.run(60.0);
+    assert_eq!(world.bytes_at(100, &name("x")).as_deref(), Some(&b"one"[..]));
+    assert!(world.node_of(100).in_force(&name("x")).unwrap().version.token == 2, "it was written anew");
+    world.judge.verdict();
+}
