--- a/crates/distribution/tests/cases_return.rs
+++ b/crates/distribution/tests/cases_return.rs
@@ -179,10 +179,9 @@
         let rules = FollowRules::node(Vec::new());
         let others = (NEAR.len() - 1) as f64;
         let most = rules.silence + rules.spread + others * rules.answer + ROUND_TRIPS;
-        let elsewhere = |id: u32| FAR.map(|id| Some(PeerId(id))).contains(&id_followed(&world, id));
-        assert!(!NODES.into_iter().any(elsewhere));
+        assert!(!NODES.into_iter().any(|id| follows_one_of(&world, id, &FAR)));
         let moved = until(&mut world, most, "nodes at other relays", |world| {
-            NODES.into_iter().all(|id| FAR.map(PeerId).map(Some).contains(&id_followed(world, id)))
+            NODES.into_iter().all(|id| follows_one_of(world, id, &FAR))
         });
         world.run(LEASE - moved);
         hold(&mut world, 2, 2);
@@ -198,8 +197,8 @@
     }
 }
 
-fn id_followed(world: &World, node: u32) -> Option<PeerId> {
-    world.node_of(node).following()
+fn follows_one_of(world: &World, node: u32, relays: &[u32]) -> bool {
+    world.node_of(node).following().is_some_and(|relay| relays.contains(&relay.0))
 }
 
 #[test]
@@ -211,7 +210,7 @@
     cut_between(&mut world, &near, &others, lasts);
     let began = world.t;
     world.run(lasts);
-    // Twice the first time, then 2, 4 and at last 8 times as long at each.
+    // The first two relays are borne with for `stale` each, the next ones for 2, 4 and then 8 times as long.
     let stale = FollowRules::node(Vec::new()).stale;
     let most = 4.0 + (lasts / stale - 1.0 - 1.0 - 2.0 - 4.0) / PATIENCE_MOST;
     for id in NODES {
