Distribution: an author stores whose word it is before what it covers by it

Cause: an author that began stored that it covers all up to its token, and ended before it stored the epoch. It came back with the earlier epoch and that coverage, took versions for known that it never had, and no holder of one reported an orphan.

The epoch is stored first now; ending between leaves a coverage that is less than it might be.

--- a/crates/distribution/src/author.rs
+++ b/crates/distribution/src/author.rs
@@ -183,9 +183,10 @@
         self.replica.upstream.suspend(now, outputs);
         let start = Version { token: epoch.claim.token, sequence: 0 };
         let head = self.head().max(start);
-        self.replica.cover_all(head, outputs);
         let own = orphans(self.log(), &epoch);
+        // Stored the other way round, a crash between the two would leave what is covered by this word alone as known.
         self.replica.set_epoch(epoch.clone(), outputs);
+        self.replica.cover_all(head, outputs);
         self.state = State::Writing { epoch, until, orphans: 0 };
         self.write_own_again(now, own, outputs);
     }
