The flapping entry's test counts returns that are let in, and waits for events

It sent 300 requests a second and let an entry come and go every 50 ms, whatever the machine could do. On a busy machine the generator and the node fell behind, and 10 % of the requests came late: with 8 copies on one core all 8 failed with 16 to 28 % served. That is the test's time, not the node's fault. It also took "sent fewer than 30" for few returns, which depends on how long each 50 ms became.

Now each end and return is followed by the event that shows that the node has it (its connections closed, the entry read), requests are asked one after the other, and the returns that got any are counted against what the rule allows in the time that has passed. All requests have to be answered 200, in place of 90 in 100, those that a server that stands still held as its entry went included; after an end that the node is known to have heard not one may go there. The first return has to be let in at its word.

--- a/crates/rig/tests/membership.rs
+++ b/crates/rig/tests/membership.rs
@@ -4,8 +4,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use reelfall_rig::client::Client;
-use reelfall_rig::load;
-use reelfall_rig::membership::{data, kind, settings, Announced, PATH};
+use reelfall_rig::membership::{data, settings, Announced, PATH};
 use reelfall_rig::node::Node;
 use reelfall_rig::pool::{Manner, Server};
 use reelfall_rig::registry::{digest_id, Registry};
@@ -50,10 +49,15 @@
 }
 
 /// Waits until something holds.
-async fn until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+async fn until(what: &str, holds: impl AsyncFnMut() -> bool) {
+    until_within(Duration::from_secs(30), what, holds).await;
+}
+
+/// The same, for what may take longer.
+async fn until_within(patience: Duration, what: &str, mut holds: impl AsyncFnMut() -> bool) {
     let begun = Instant::now();
     while !holds().await {
-        assert!(begun.elapsed() < Duration::from_secs(30), "{what} does not come");
+        assert!(begun.elapsed() < patience, "{what} does not come");
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
 }
@@ -121,6 +125,25 @@
     assert!(ones > 20, "{ones} of {} go to it: it is taken for a cold one", ones + twos);
 }
 
+/// How often an entry goes and returns.
+const RETURNS: usize = 30;
+/// Requests after each return: a server that was let in would hardly get none of them.
+const AFTER_RETURN: usize = 10;
+/// The second return waits this long, in seconds, each further one twice as long, up to the longest.
+const FIRST_HOLD: f64 = 1.0;
+const LONGEST_HOLD: f64 = 30.0;
+
+/// How many returns may be let in over a time that begins before the first end: one at its word, then one after each wait.
+fn most_let_in(elapsed: Duration) -> usize {
+    let (mut let_in, mut hold, mut at) = (1, FIRST_HOLD, FIRST_HOLD);
+    while at <= elapsed.as_secs_f64() {
+        let_in += 1;
+        hold = (2.0 * hold).min(LONGEST_HOLD);
+        at += hold;
+    }
+    let_in
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_entry_that_flaps_is_let_go_at_once_and_let_in_with_care() {
     let registry = Registry::start(1).await.unwrap();
@@ -130,30 +153,50 @@
     let node = start(&registry, "", "").await;
     let client = Client::new(node.address());
     until_sent_to(&client, &flappy, "before").await;
-    // It stands still, and its entry comes and goes ten times a second.
+    // It stands still with requests, and its entry goes.
     flappy.behave(|m| m.frozen = true);
-    let address = node.address();
-    let loading = tokio::spawn(async move {
-        load::run(address, &[kind("flap", "evaluate", 300.0)], Duration::from_secs(4), 2).await
-    });
-    let seen = flappy.seen();
-    for _ in 0..30 {
-        entered.kill(&registry);
-        tokio::time::sleep(Duration::from_millis(50)).await;
-        entered = Announced::enter(&registry, &flappy, "flappy", 0);
-        tokio::time::sleep(Duration::from_millis(50)).await;
-    }
+    let (address, seen) = (node.address(), flappy.seen());
+    let mut flying = tokio::task::JoinSet::new();
+    until("a request that it holds", async || {
+        let id = format!("held-{}", flying.len());
+        flying.spawn(async move { Client::new(address).ask(request("GET", "evaluate", &id)).await });
+        flappy.seen() > seen
+    })
+    .await;
+    let begun = Instant::now();
     entered.kill(&registry);
+    while let Some(got) = flying.join_next().await {
+        assert_eq!(got.unwrap().expect("an answer").status, 200, "a request that it held");
+    }
     flappy.behave(|m| m.frozen = false);
-    let came = loading.await.unwrap();
-    assert_eq!(came[0].lost, 0);
-    assert!(came[0].served() > 90.0, "{:.1} % served", came[0].served());
-    // Thirty returns taken at their word would have sent it some hundred requests.
-    let sent = flappy.seen() - seen;
-    assert!(sent < 30, "{sent} requests to a server that comes and goes");
-    // In the end it is there, and so is its work: the wait is a few seconds, with this many returns.
+    until("the first end of its connections", async || flappy.connections() == 0).await;
+    let mut let_in = 0;
+    for n in 0..RETURNS {
+        let (seen, asked) = (flappy.seen(), registry.counts().requests);
+        entered = Announced::enter(&registry, &flappy, "flappy", 0);
+        // Both services read it, and have heard of its last end before.
+        until("the reading of its entry", async || registry.counts().requests >= asked + 2).await;
+        if n == 0 {
+            until_sent_to(&client, &flappy, "first-return").await;
+        }
+        assert_eq!(served(&client, &format!("return-{n}"), AFTER_RETURN).await, AFTER_RETURN);
+        let was_sent_to = flappy.seen() > seen;
+        let_in += usize::from(was_sent_to);
+        entered.kill(&registry);
+        // Whoever has the news closes what is idle. Without a connection nothing tells that the news is there.
+        until("the end of its connections", async || flappy.connections() == 0).await;
+        if was_sent_to {
+            let seen = flappy.seen();
+            assert_eq!(served(&client, &format!("end-{n}"), AFTER_RETURN).await, AFTER_RETURN);
+            assert_eq!(flappy.seen(), seen, "requests to a server whose entry has gone");
+        }
+    }
+    let most = most_let_in(begun.elapsed());
+    assert!(let_in <= most, "{let_in} of {RETURNS} returns were let in, {most} may be");
+    // In the end it is there, and so is its work: the wait is about as long as all of this took.
     let _last = Announced::enter(&registry, &flappy, "flappy", 0);
-    until("its return", async || {
+    let patience = Duration::from_secs_f64(2.0 * LONGEST_HOLD);
+    until_within(patience, "its return", async || {
         let before = flappy.seen();
         served(&client, &format!("last-{before}-{}", steady.seen()), 10).await;
         flappy.seen() > before
