Listed servers are counted as lists change, not by a walk each second

A node in a fleet counted the distinct servers of all lists once a second by collecting every name into a set, on the thread that serves: docs/CAPACITY.md has 32 ms for it at 50,000 servers. Each pool now adds and takes back what its list names as the list changes; a pool that ends takes back all. The count is exact at any time, in place of up to a second old. Held for it are a hash for each server in its pool and one for each distinct server.

--- a/crates/node/src/fleet/admin.rs
+++ b/crates/node/src/fleet/admin.rs
@@ -94,7 +94,7 @@
         }
         let instances: Vec<ServerInstance> =
             fleet.votes(now).keys().filter(|s| s.name == server).map(|s| (*s).clone()).collect();
-        let condemned = fleet.condemned_servers(now, self.listed(now));
+        let condemned = fleet.condemned_servers(now, self.shared.listed());
         for instance in &instances {
             let since = instance.since;
             match condemned.iter().find(|c| c.server == *instance) {
--- a/crates/node/src/fleet/events.rs
+++ b/crates/node/src/fleet/events.rs
@@ -81,7 +81,7 @@
     }
 
     fn condemnations(&self, now: Time, pool_clock: Time) -> BTreeMap<ServerInstance, Condemnation> {
-        let condemned = self.fleet.borrow().condemned_servers(now, self.listed(now));
+        let condemned = self.fleet.borrow().condemned_servers(now, self.shared.listed());
         let to_condemnation = |c: CondemnedServer| {
             let until = pool_clock + c.left;
             let condemnation = Condemnation { server: c.server.clone(), until, is_prober: c.is_prober };
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -35,8 +35,6 @@
 /// Guards the others' requests: each node that has not heard sends what it would have to a server that hangs. Harm: a look
 /// at what is open, forty times in a second.
 const OVERDUE_INTERVAL: Time = 0.025;
-/// Interval at which the servers in the lists are counted, in seconds.
-const COUNT_INTERVAL: Time = 1.0;
 /// The shortest and the longest rest of the event loop, in seconds.
 const REST: (Time, Time) = (0.001, 60.0);
 
@@ -76,8 +74,6 @@
     lists: RefCell<BTreeMap<String, FollowedList>>,
     next_condemn: Cell<Time>,
     next_overdue: Cell<Time>,
-    /// Number of servers in the lists, and until when that is valid.
-    listed: Cell<(usize, Time)>,
     message_handler: RefCell<Option<MessageHandler>>,
     /// Datagrams that the system did not accept.
     unsent: Cell<u64>,
@@ -114,7 +110,6 @@
             lists: RefCell::default(),
             next_condemn: Cell::new(0.0),
             next_overdue: Cell::new(0.0),
-            listed: Cell::new((0, 0.0)),
             message_handler: RefCell::default(),
             unsent: Cell::new(0),
             logged_dropped: Cell::new((0.0, 0)),
@@ -218,7 +213,7 @@
             self.next_overdue.set(now + OVERDUE_INTERVAL);
             self.report_overdue(now);
         }
-        let listed = self.listed(now);
+        let listed = self.shared.listed();
         let events = {
             let mut fleet = self.fleet.borrow_mut();
             fleet.tick(now, listed);
@@ -234,17 +229,6 @@
         }
     }
 
-    /// Number of servers in the lists.
-    fn listed(&self, now: Time) -> usize {
-        let (listed, valid_until) = self.listed.get();
-        if now < valid_until {
-            return listed;
-        }
-        let listed = self.shared.listed();
-        self.listed.set((listed, now + COUNT_INTERVAL));
-        listed
-    }
-
     /// Sends the outgoing datagrams. What the system refuses (no buffer, no permission, no route) is lost, as a datagram
     /// may be, and ends nothing.
     fn send_datagrams(&self) {
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -2,7 +2,7 @@
 //! engine wants done. No choice is made here.
 
 use super::message::{Answer, Arrival, Message, Reply};
-use super::shared::{Condemnation, OverdueRequest, Peer, PoolId, Shared};
+use super::shared::{Condemnation, ListedByPool, OverdueRequest, Peer, PoolId, Shared};
 use super::upstream::{self, Times, Upstream};
 use super::Chance;
 use reelfall_core::engine::{self, Command, Engine, Place};
@@ -15,7 +15,7 @@
 use reelfall_routes::limits::Member;
 use serde::Deserialize;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -71,16 +71,26 @@
 }
 
 /// A list as its source has it, before other lists add anything.
-#[derive(Default)]
 struct Own {
     places: HashMap<ServerId, Place<SocketAddr>>,
     /// The servers at each address.
     at: HashMap<SocketAddr, Vec<ServerId>>,
+    /// The same servers, as they are counted with those of all pools.
+    listed: ListedByPool,
 }
 
 impl Own {
-    fn insert(&mut self, place: &Place<SocketAddr>) -> Option<Place<SocketAddr>> {
+    fn new(listed: ListedByPool) -> Own {
+        Own { places: HashMap::new(), at: HashMap::new(), listed }
+    }
+
+    fn insert(
+        &mut self, place: &Place<SocketAddr>, instance: Option<&ServerInstance>,
+    ) -> Option<Place<SocketAddr>> {
         let old = self.remove(place.entry.server);
+        if let Some(instance) = instance {
+            self.listed.insert(place.entry.server, instance);
+        }
         self.at.entry(place.address).or_default().push(place.entry.server);
         self.places.insert(place.entry.server, place.clone());
         old
@@ -88,6 +98,7 @@
 
     fn remove(&mut self, server: ServerId) -> Option<Place<SocketAddr>> {
         let old = self.places.remove(&server)?;
+        self.listed.remove(server);
         if let Some(at) = self.at.get_mut(&old.address) {
             at.retain(|s| *s != server);
             if at.is_empty() {
@@ -129,6 +140,7 @@
         let (max_attempts, discovery) = (settings.limits.max_attempts, settings.discovery);
         let warm_after = settings.rules.warm_after;
         let module = Balancer::new(settings, seed, shared.clock.now())?;
+        let listed = shared.listed_by_pool();
         let upstream = Upstream::new(shared.clone(), member, conn_idle, figures.connect_timeout);
         let pool = Rc::new(Pool {
             id: shared.number(),
@@ -136,7 +148,7 @@
             commands: Cell::default(),
             names: RefCell::new(names),
             shared,
-            own: RefCell::default(),
+            own: RefCell::new(Own::new(listed)),
             missing,
             warm_after,
             withheld: RefCell::default(),
@@ -244,7 +256,10 @@
             let word = word(place.entry.state);
             let old = match place.entry.state {
                 ServerState::Gone => own.remove(place.entry.server),
-                _ => own.insert(place),
+                _ => {
+                    let instance = self.instance(place.entry.server, place.entry.ready_at);
+                    own.insert(place, instance.as_ref())
+                }
             };
             if let Some(old) = old.filter(|old| old.address != place.address && !own.has(&old.address)) {
                 say(old.address, None);
@@ -294,13 +309,22 @@
         }
     }
 
-    /// The instance of a server as the whole fleet knows it. A list that is written by hand tells of no start: when its
-    /// file was read is different on each node.
+    /// The instance of a server that the list names, as the whole fleet knows it.
     fn instance_of(&self, server: ServerId) -> Option<ServerInstance> {
-        let since = match self.missing {
+        let ready_at = match self.missing {
             Missing::Ended => self.own.borrow().places.get(&server)?.entry.ready_at,
             Missing::Unused => 0.0,
         };
+        self.instance(server, ready_at)
+    }
+
+    /// The same for one that started then. A list that is written by hand tells of no start: when its file was read is
+    /// different on each node.
+    fn instance(&self, server: ServerId, ready_at: Time) -> Option<ServerInstance> {
+        let since = match self.missing {
+            Missing::Ended => ready_at,
+            Missing::Unused => 0.0,
+        };
         let name = self.names.borrow().servers.name(server)?.to_owned();
         Some(ServerInstance { name, since: (since.max(0.0) * 1e3).round() as u64 })
     }
@@ -433,11 +457,6 @@
         self.names.borrow().servers.get(name).is_some()
     }
 
-    fn listed(&self, to: &mut BTreeSet<ServerInstance>) {
-        let servers: Vec<ServerId> = self.own.borrow().places.keys().copied().collect();
-        to.extend(servers.into_iter().filter_map(|server| self.instance_of(server)));
-    }
-
     fn overdue(&self, now: Time, to: &mut Vec<OverdueRequest>) {
         let engine = self.engine.borrow();
         for (server, class, since) in engine.waits() {
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -3,21 +3,22 @@
 
 mod clock;
 mod fleet;
+mod listed;
 mod permits;
 
 pub use clock::Clock;
 pub use fleet::{Condemnation, FleetObserver, OverdueRequest};
+pub use listed::{ListedByPool, ListedServers};
 pub use permits::{Held, Open, OpenId, Permit};
 
 use super::{Bounds, Log};
 use reelfall_core::interface::Time;
-use reelfall_fleet::entry::ServerInstance;
 use reelfall_operations::ban::{Bans, View as Banned};
 use reelfall_operations::ledger::Ledger;
 use reelfall_routes::common::{Common, Line, View};
 use reelfall_routes::limits::{Limits, Totals};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
@@ -45,8 +46,6 @@
     fn review(self: Rc<Self>);
     /// Whether its list has named a server, now or lately.
     fn knows(&self, name: &str) -> bool;
-    /// Adds the servers that its list names, as the fleet knows them.
-    fn listed(&self, to: &mut BTreeSet<ServerInstance>);
     /// Adds the attempts that have waited past their target.
     fn overdue(&self, now: Time, to: &mut Vec<OverdueRequest>);
     /// Applies, or ends, the condemnation of a server by the fleet.
@@ -72,6 +71,7 @@
     waiting: Cell<usize>,
     limits: Option<RefCell<Limits>>,
     common: RefCell<Common<SocketAddr, PoolId>>,
+    listed: Rc<ListedServers>,
     pools: RefCell<HashMap<PoolId, Weak<dyn Peer>>>,
     next_pool: Cell<PoolId>,
     /// What operators have said.
@@ -114,6 +114,7 @@
             waiting: Cell::new(0),
             limits,
             common: RefCell::default(),
+            listed: Rc::default(),
             pools: RefCell::default(),
             next_pool: Cell::new(0),
             operations: RefCell::default(),
--- a/crates/node/src/net/shared/fleet.rs
+++ b/crates/node/src/net/shared/fleet.rs
@@ -1,6 +1,6 @@
 //! What the fleet and the pools tell each other.
 
-use super::{PoolId, Shared};
+use super::{ListedByPool, PoolId, Shared};
 use reelfall_core::interface::Time;
 use reelfall_fleet::entry::ServerInstance;
 use reelfall_fleet::observer::AttemptOutcome;
@@ -67,9 +67,12 @@
 
     /// How many servers the lists name; one that several name is one.
     pub fn listed(&self) -> usize {
-        let mut all = BTreeSet::new();
-        self.peers().iter().for_each(|p| p.listed(&mut all));
-        all.len()
+        self.listed.count()
+    }
+
+    /// What the list of a new pool adds to that.
+    pub fn listed_by_pool(&self) -> ListedByPool {
+        ListedByPool::new(self.listed.clone())
     }
 
     /// The attempts of all pools that have waited past their target.
