Emulator: plays of tenants, restarts, one resource, racks, drifting clocks

Docs/CAPACITY.md named plays that were not played: clocks that drift, routes and tenants as resources, tenants asked for on demand, a rack, restarts as changes, 500 changes of one resource. World takes clocks of machines, compares the ages that nodes state with the truth, and knows routes and tenants; holdings are measured without a network. The budget that is checked is 8,000 B/s, as the page has it, in place of 8,192. Datagrams of a fleet can be looked into (quiet).

--- a/crates/emulator/examples/scale/main.rs
+++ b/crates/emulator/examples/scale/main.rs
@@ -4,6 +4,7 @@
 //! `cargo run --release -p reelfall-emulator --example scale -- members --nodes 1500 --out docs/measurements/scale/virtual.json`
 
 mod control;
+mod holdings;
 mod members;
 mod report;
 mod tables;
@@ -25,6 +26,8 @@
     Members(members::Arguments),
     /// Distribution of configuration by authors and relays, and beside it what whole copies would cost.
     Control(control::Arguments),
+    /// What an author, a relay and a node hold in memory of all that the target has.
+    Holdings(holdings::Arguments),
     /// One node's memory, and what it takes for new of what it has heard before, for numbers of peers.
     Tables(tables::Arguments),
 }
@@ -47,6 +50,7 @@
     let done = match Arguments::parse().play {
         Play::Members(arguments) => members::play(&arguments),
         Play::Control(arguments) => control::play(&arguments),
+        Play::Holdings(arguments) => holdings::play(&arguments),
         Play::Tables(arguments) => tables::play(&arguments),
     };
     match done {
--- a/crates/emulator/examples/scale/members.rs
+++ b/crates/emulator/examples/scale/members.rs
@@ -142,5 +142,6 @@
         usage: network.usage(running),
         memory,
         in_force,
+        played: None,
     }
 }
--- a/crates/emulator/examples/scale/tables.rs
+++ b/crates/emulator/examples/scale/tables.rs
@@ -50,6 +50,7 @@
             usage: Usage { cpu: at_rest, ..Usage::default() },
             memory,
             in_force: None,
+            played: None,
         };
         runs.push(run.to_json());
     }
--- a/crates/emulator/src/control/check.rs
+++ b/crates/emulator/src/control/check.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 
 /// What a node's link has for control, in bytes a second, over any [`LONG_SPAN`].
-pub const BUDGET: f64 = 8_192.0;
+pub const BUDGET: f64 = 8_000.0;
 /// Faults that are kept; further ones are counted alone.
 const FAULTS_MOST: usize = 20;
 
--- /dev/null
+++ b/crates/emulator/src/control/contents.rs
@@ -0,0 +1,92 @@
+//! Which resources a system has, and how long their bodies are.
+
+use super::layout::{service_name, Sizes};
+use reelfall_distribution::resource::Name;
+
+/// Bytes of a service's settings.
+const SETTINGS_BYTES: usize = 2_000;
+/// Bytes of a service's list of servers.
+const SERVERS_BYTES: usize = 1_000;
+/// Bytes of a route, as operators write it in a settings file.
+const ROUTE_BYTES: usize = 90;
+/// Bytes of a tenant and its quota, as the platform's configuration has it.
+const TENANT_BYTES: usize = 42;
+/// The item of a tenant that holds its quota.
+const TENANT_ITEM: &str = "quota";
+
+/// One resource of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Resource {
+    /// A service's settings.
+    Settings(u32),
+    /// A service's servers.
+    Servers(u32),
+    /// A service's route, by its number within the service.
+    Route(u32, u32),
+    /// A tenant, which nodes ask for when they first meet it.
+    Tenant(u32),
+}
+
+impl Resource {
+    /// Its name.
+    pub fn name(self) -> Name {
+        match self {
+            Resource::Settings(service) => Name::service(&service_name(service), "settings"),
+            Resource::Servers(service) => Name::service(&service_name(service), "servers"),
+            Resource::Route(service, number) => {
+                Name::service(&service_name(service), &format!("route-{number}"))
+            }
+            Resource::Tenant(tenant) => Name::tenant(&tenant_name(tenant), TENANT_ITEM),
+        }
+    }
+
+    /// How long its body is.
+    pub fn body_bytes(self) -> usize {
+        match self {
+            Resource::Settings(_) => SETTINGS_BYTES,
+            Resource::Servers(_) => SERVERS_BYTES,
+            Resource::Route(..) => ROUTE_BYTES,
+            Resource::Tenant(_) => TENANT_BYTES,
+        }
+    }
+}
+
+/// A tenant's name.
+pub fn tenant_name(tenant: u32) -> String {
+    format!("tenant-{tenant}")
+}
+
+impl Sizes {
+    /// How many resources a service has.
+    pub fn resources_of_service(&self, service: u32) -> u32 {
+        2 + self.routes_of(service)
+    }
+
+    /// A service's resource, by its number among those of the service.
+    pub fn resource(&self, service: u32, number: u32) -> Resource {
+        match number {
+            0 => Resource::Settings(service),
+            1 => Resource::Servers(service),
+            route => Resource::Route(service, route - 2),
+        }
+    }
+
+    /// The resources of a service.
+    pub fn service_resources(&self, service: u32) -> impl Iterator<Item = Resource> + use<> {
+        let sizes = *self;
+        (0..self.resources_of_service(service)).map(move |number| sizes.resource(service, number))
+    }
+
+    /// All resources.
+    pub fn resources(&self) -> impl Iterator<Item = Resource> + use<> {
+        let sizes = *self;
+        let services = (0..self.services).flat_map(move |service| sizes.service_resources(service));
+        services.chain((0..self.tenants).map(Resource::Tenant))
+    }
+
+    /// Routes are spread evenly over services.
+    fn routes_of(&self, service: u32) -> u32 {
+        let services = self.services.max(1);
+        self.routes / services + u32::from(service < self.routes % services)
+    }
+}
--- a/crates/emulator/src/control/layout.rs
+++ b/crates/emulator/src/control/layout.rs
@@ -1,5 +1,6 @@
 //! Which endpoint is what: nodes, authors and relays, what each subscribes to and whom it follows.
 
+use super::contents::Resource;
 use super::topology::{Scope, Topology};
 use reelfall_distribution::author::AuthorConfig;
 use reelfall_distribution::downstream::ServeRules;
@@ -33,10 +34,15 @@
     pub services: u32,
     /// Groups of nodes that serve the same services: each service is served by the nodes of one group.
     pub groups: u32,
+    /// Routes that are resources of their own, over all services.
+    pub routes: u32,
+    /// Tenants that are resources.
+    pub tenants: u32,
 }
 
 impl Sizes {
-    /// The target system: 18 control machines; each node serves 20 services, each service has 46 nodes.
+    /// The target system: 18 control machines; each node serves 20 services, each service has 46 nodes. Its routes are in the
+    /// services' settings, its tenants are left out.
     pub const TARGET: Sizes = Sizes {
         zones: &super::topology::TARGET_ZONES,
         nodes: 6_000,
@@ -44,16 +50,28 @@
         relays: 15,
         services: 2_600,
         groups: 130,
+        routes: 0,
+        tenants: 0,
     };
 
+    /// Routes of the target system.
+    pub const TARGET_ROUTES: u32 = 74_000;
+    /// Tenants of the target system.
+    pub const TARGET_TENANTS: u32 = 560_000;
+
     /// A small system for tests.
-    pub const SMALL: Sizes =
-        Sizes { zones: &[2, 2], nodes: 24, authors: 2, relays: 4, services: 12, groups: 4 };
+    pub const SMALL: Sizes = Sizes {
+        zones: &[2, 2],
+        nodes: 24,
+        authors: 2,
+        relays: 4,
+        services: 12,
+        groups: 4,
+        routes: 0,
+        tenants: 0,
+    };
 }
 
-/// Resources of each service: its settings with its routes, and its servers.
-pub const ITEMS: [&str; 2] = ["settings", "servers"];
-
 /// See the module.
 pub struct Layout {
     /// How large it is.
@@ -140,9 +158,9 @@
         std::iter::once(Selector::common()).chain(services).collect()
     }
 
-    /// The resources that a node has once all are published.
+    /// The resources that a node has once all are published, without tenants.
     pub fn resources_of(&self, node: u32) -> Vec<Name> {
-        let of = |service| ITEMS.map(|item| Name::service(&service_name(service), item));
+        let of = |service| self.sizes.service_resources(service).map(Resource::name);
         self.services_of(node).flat_map(of).collect()
     }
 
--- a/crates/emulator/src/control/machine.rs
+++ b/crates/emulator/src/control/machine.rs
@@ -2,13 +2,14 @@
 //!
 //! Disks survive the processes that write them: a [`Disk`] is kept by whoever ends a machine, and given to its successor.
 
+use super::clock::Clock;
 use super::endpoint::Endpoint;
 use reelfall_distribution::author::{Author, AuthorConfig};
 use reelfall_distribution::output::{Event, Output, Record};
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::relay::{Relay, RelayConfig};
 use reelfall_distribution::resource::{Change, Key, Name, Selector, Version};
-use reelfall_distribution::subscriber::{Subscriber, SubscriberConfig};
+use reelfall_distribution::subscriber::{Subscriber, SubscriberConfig, TooMany};
 use std::collections::BTreeMap;
 
 /// What a machine has stored, without what was replaced since.
@@ -55,7 +56,7 @@
     pub name: Name,
     /// Its version.
     pub version: Version,
-    /// When.
+    /// When, by the world's clock.
     pub at: f64,
 }
 
@@ -73,40 +74,43 @@
     Node(Box<Node>),
 }
 
-/// A machine and its disk.
+/// A machine with its clock and its disk. All moments that it is told are the world's.
 pub struct Machine {
     kind: Kind,
+    clock: Clock,
     disk: Disk,
     /// Sessions that ended, as upstream or as child.
     pub sessions_ended: u64,
 }
 
 impl Machine {
-    fn new(kind: Kind, disk: Disk) -> Machine {
-        Machine { kind, disk, sessions_ended: 0 }
+    fn new(kind: Kind, clock: Clock, disk: Disk) -> Machine {
+        Machine { kind, clock, disk, sessions_ended: 0 }
     }
 
     /// An author with what an earlier process stored.
-    pub fn author(config: AuthorConfig, disk: Disk, now: f64) -> Machine {
-        let author = Author::restore(config, disk.records(), now);
-        Machine::new(Kind::Author(Box::new(author)), disk)
+    pub fn author(config: AuthorConfig, clock: Clock, disk: Disk, now: f64) -> Machine {
+        let author = Author::restore(config, disk.records(), clock.local(now));
+        Machine::new(Kind::Author(Box::new(author)), clock, disk)
     }
 
     /// A relay with what an earlier process stored.
-    pub fn relay(config: RelayConfig, disk: Disk, now: f64) -> Machine {
-        let relay = Relay::restore(config, disk.records(), now);
-        Machine::new(Kind::Relay(Box::new(relay)), disk)
+    pub fn relay(config: RelayConfig, clock: Clock, disk: Disk, now: f64) -> Machine {
+        let relay = Relay::restore(config, disk.records(), clock.local(now));
+        Machine::new(Kind::Relay(Box::new(relay)), clock, disk)
     }
 
     /// A node with what an earlier process stored, and what it subscribes to.
-    pub fn node(config: SubscriberConfig, selectors: &[Selector], disk: Disk, now: f64) -> Machine {
-        let mut subscriber = Subscriber::restore(config, disk.records(), None, now);
+    pub fn node(
+        config: SubscriberConfig, selectors: &[Selector], clock: Clock, disk: Disk, now: f64,
+    ) -> Machine {
+        let mut subscriber = Subscriber::restore(config, disk.records(), None, clock.local(now));
         for selector in selectors.iter().filter(|selector| !disk.covered.contains_key(*selector)) {
             // Past the bound it goes without; the check of what is in force finds it.
             let _ = subscriber.subscribe(selector.clone());
         }
         let node = Node { subscriber, applied: Vec::new() };
-        Machine::new(Kind::Node(Box::new(node)), disk)
+        Machine::new(Kind::Node(Box::new(node)), clock, disk)
     }
 
     /// What it has stored.
@@ -146,19 +150,46 @@
         }
     }
 
-    /// Does something at an author, if this is one, and what that asks for.
+    /// Its own clock.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    /// Does something at an author, if this is one, by its own clock, and what that asks for.
     pub fn with_author<R>(
         &mut self, now: f64, sends: &mut Vec<(u32, Vec<u8>)>,
-        act: impl FnOnce(&mut Author, &mut Vec<Output>) -> R,
+        act: impl FnOnce(&mut Author, f64, &mut Vec<Output>) -> R,
     ) -> Option<R> {
+        let local = self.clock.local(now);
         let Kind::Author(author) = &mut self.kind else { return None };
         let mut outputs = Vec::new();
-        let result = act(author, &mut outputs);
-        author.poll(now, &mut outputs);
+        let result = act(author, local, &mut outputs);
+        author.poll(local, &mut outputs);
         self.perform(now, outputs, sends);
         Some(result)
     }
 
+    /// A node asks for more; nothing happens at others.
+    ///
+    /// # Errors
+    /// If it asks for too much already.
+    pub fn subscribe(
+        &mut self, now: f64, selector: Selector, sends: &mut Vec<(u32, Vec<u8>)>,
+    ) -> Result<(), TooMany> {
+        let local = self.clock.local(now);
+        let Kind::Node(node) = &mut self.kind else { return Ok(()) };
+        let mut outputs = Vec::new();
+        node.subscriber.subscribe(selector)?;
+        node.subscriber.poll(local, &mut outputs);
+        self.perform(now, outputs, sends);
+        Ok(())
+    }
+
+    /// How old at most is what a node knows, by its own word; none if this is no node.
+    pub fn staleness(&self, now: f64) -> Option<f64> {
+        Some(self.as_node()?.subscriber.staleness(self.clock.local(now)))
+    }
+
     /// Performs outputs in their order; what a node's answers ask for comes after them.
     fn perform(&mut self, now: f64, outputs: Vec<Output>, sends: &mut Vec<(u32, Vec<u8>)>) {
         let mut outputs = outputs;
@@ -178,8 +209,9 @@
             Output::Send { to, frame } => sends.push((to.0, frame)),
             Output::Persist(record) => self.disk.store(record),
             Output::Apply(change) => {
+                let local = self.clock.local(now);
                 if let Kind::Node(node) = &mut self.kind {
-                    node.apply(now, &change, further);
+                    node.apply(now, local, &change, further);
                 }
             }
             Output::Event(event) => self.note(&event),
@@ -192,48 +224,49 @@
         }
     }
 
-    fn poll_kind(&mut self, now: f64, outputs: &mut Vec<Output>) {
+    fn poll_kind(&mut self, local: f64, outputs: &mut Vec<Output>) {
         match &mut self.kind {
-            Kind::Author(author) => author.poll(now, outputs),
-            Kind::Relay(relay) => relay.poll(now, outputs),
-            Kind::Node(node) => node.subscriber.poll(now, outputs),
+            Kind::Author(author) => author.poll(local, outputs),
+            Kind::Relay(relay) => relay.poll(local, outputs),
+            Kind::Node(node) => node.subscriber.poll(local, outputs),
         }
     }
 }
 
 impl Node {
-    fn apply(&mut self, now: f64, change: &Change, further: &mut Vec<Output>) {
+    fn apply(&mut self, now: f64, local: f64, change: &Change, further: &mut Vec<Output>) {
         let (name, version) = (change.key.name.clone(), change.version);
         self.applied.push(Applied { name, version, at: now });
         self.subscriber.accepted(version, further);
-        self.subscriber.poll(now, further);
+        self.subscriber.poll(local, further);
     }
 }
 
 impl Endpoint for Machine {
     fn receive(&mut self, now: f64, from: u32, frame: &[u8], sends: &mut Vec<(u32, Vec<u8>)>) {
         let mut outputs = Vec::new();
-        let from = PeerId(from);
+        let (from, local) = (PeerId(from), self.clock.local(now));
         match &mut self.kind {
-            Kind::Author(author) => author.receive(now, from, frame, &mut outputs),
-            Kind::Relay(relay) => relay.receive(now, from, frame, &mut outputs),
-            Kind::Node(node) => node.subscriber.receive(now, from, frame, &mut outputs),
+            Kind::Author(author) => author.receive(local, from, frame, &mut outputs),
+            Kind::Relay(relay) => relay.receive(local, from, frame, &mut outputs),
+            Kind::Node(node) => node.subscriber.receive(local, from, frame, &mut outputs),
         }
-        self.poll_kind(now, &mut outputs);
+        self.poll_kind(local, &mut outputs);
         self.perform(now, outputs, sends);
     }
 
     fn poll(&mut self, now: f64, sends: &mut Vec<(u32, Vec<u8>)>) {
         let mut outputs = Vec::new();
-        self.poll_kind(now, &mut outputs);
+        self.poll_kind(self.clock.local(now), &mut outputs);
         self.perform(now, outputs, sends);
     }
 
     fn next_wakeup(&self) -> f64 {
-        match &self.kind {
+        let local = match &self.kind {
             Kind::Author(author) => author.next_wakeup(),
             Kind::Relay(relay) => relay.next_wakeup(),
             Kind::Node(node) => node.subscriber.next_wakeup(),
-        }
+        };
+        self.clock.world(local)
     }
 }
--- a/crates/emulator/src/control/mod.rs
+++ b/crates/emulator/src/control/mod.rs
@@ -9,12 +9,16 @@
 //! | [`topology`] | regions, zones and racks, and which endpoint is in which |
 //! | [`links`] | what links do to frames |
 //! | [`endpoint`] | what runs at the ends of links |
+//! | [`clock`] | machines' own clocks |
 //! | [`network`] | the event queue, frames between endpoints, partitions, crashes and pauses |
 //! | [`account`] | what each endpoint sent, received and computed |
 //! | [`times`] | percentiles of times |
 //! | [`membership`] | nodes of [`reelfall_fleet`] as endpoints |
 //! | [`layout`] | authors, relays and nodes of a system: where they are, what they subscribe to |
+//! | [`contents`] | which resources there are, and how long their bodies are |
+//! | [`holdings`] | machines by themselves, for what they hold in memory |
 //! | [`machine`] | machines of [`reelfall_distribution`] as endpoints, with their disks |
+//! | [`demand`] | tenants that nodes ask for when they first meet them |
 //! | [`world`] | authors, relays and nodes over a network; what is published and when it is in force |
 //! | [`plays`] | what is played with them |
 //! | [`check`] | promises, checked by what nodes do |
@@ -24,7 +28,11 @@
 pub mod account;
 pub mod baseline;
 pub mod check;
+pub mod clock;
+pub mod contents;
+pub mod demand;
 pub mod endpoint;
+pub mod holdings;
 pub mod layout;
 pub mod links;
 pub mod machine;
--- a/crates/emulator/src/together.rs
+++ b/crates/emulator/src/together.rs
@@ -3,6 +3,7 @@
 //!
 //! What is checked is checked against the world's one clock, never against a node's own.
 
+use crate::inspect::Inspector;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use reelfall_fleet::entry::{Key, Value, Version};
@@ -85,6 +86,8 @@
     pub sent: u64,
     /// Their bytes.
     pub bytes: u64,
+    /// Looks into each datagram that is sent, if there is one.
+    pub inspector: Option<Inspector>,
     /// How often somebody who was there was taken for gone.
     pub wrongly_gone: u64,
     /// Nodes below this one are sound: they never stand still, whatever the others do.
@@ -138,6 +141,7 @@
             born: BTreeMap::new(),
             sent: 0,
             bytes: 0,
+            inspector: None,
             wrongly_gone: 0,
             sound: None,
             sound_gone: (0, 0),
@@ -272,6 +276,9 @@
         for (to, datagram) in out {
             self.sent += 1;
             self.bytes += datagram.len() as u64;
+            if let Some(inspector) = &mut self.inspector {
+                inspector.add(&datagram);
+            }
             let to = usize::from(to.port()).wrapping_sub(10_000);
             if to >= self.nodes.len() || self.cut.contains(&(n, to)) {
                 continue;
