--- a/crates/emulator/examples/scale/control.rs
+++ b/crates/emulator/examples/scale/control.rs
@@ -150,6 +150,7 @@
         "back" => plays::taken_back(world, 10.0),
         "rack" => plays::nodes_lost(world, "a rack", Scope::Rack(ZONE, 0), rate, seconds),
         "zone" => plays::nodes_lost(world, "a zone", Scope::Zone(ZONE), rate, seconds),
+        "import" => plays::import(world, 500, 4.0),
         "tenants-1" => plays::tenants_met(world, &meeting(world), 1.0, MEETING_SECONDS),
         "tenants-10" => plays::tenants_met(world, &meeting(world), 10.0, MEETING_SECONDS),
         "tenants-all" => plays::tenants_met(world, &meeting(world), REQUESTS, MEETING_SECONDS),
--- a/crates/emulator/examples/scale/main.rs
+++ b/crates/emulator/examples/scale/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod holdings;
 mod members;
+mod quiet;
 mod report;
 mod tables;
 
@@ -24,6 +25,8 @@
 enum Play {
     /// A fleet of nodes that know each other: at rest, and while servers are banned.
     Members(members::Arguments),
+    /// A fleet whose nodes have found each other by themselves: at rest, by how long it has been left alone.
+    Quiet(quiet::Arguments),
     /// Distribution of configuration by authors and relays, and beside it what whole copies would cost.
     Control(control::Arguments),
     /// What an author, a relay and a node hold in memory of all that the target has.
@@ -49,6 +52,7 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().play {
         Play::Members(arguments) => members::play(&arguments),
+        Play::Quiet(arguments) => quiet::play(&arguments),
         Play::Control(arguments) => control::play(&arguments),
         Play::Holdings(arguments) => holdings::play(&arguments),
         Play::Tables(arguments) => tables::play(&arguments),
--- /dev/null
+++ b/crates/emulator/examples/scale/quiet.rs
@@ -0,0 +1,120 @@
+//! What a fleet costs once its nodes have found each other by themselves and nothing happens, by how long it has been left
+//! alone, and what its datagrams contain.
+
+use super::report::{resident, Run, Size};
+use super::Output;
+use clap::Args;
+use reelfall_emulator::control::account::Usage;
+use reelfall_emulator::inspect::{Contents, Inspector};
+use reelfall_emulator::together::{rules, secret, World};
+use reelfall_fleet::fleet::Config;
+use reelfall_fleet::members::MembershipConfig;
+
+/// Joining is waited for so long at most, in seconds.
+const JOIN_WAIT: f64 = 60.0;
+
+#[derive(Args)]
+pub struct Arguments {
+    #[command(flatten)]
+    output: Output,
+    /// Nodes of the fleet.
+    #[arg(long, default_value_t = 1_500)]
+    nodes: usize,
+    /// When windows begin, in seconds after all know each other.
+    #[arg(long, value_delimiter = ',', default_values_t = [10.0, 30.0, 60.0, 120.0])]
+    settle: Vec<f64>,
+    /// Length of each window, in seconds.
+    #[arg(long, default_value_t = 20.0)]
+    window: f64,
+}
+
+pub fn play(arguments: &Arguments) -> Result<(), String> {
+    let before = resident();
+    let mut world = join(arguments);
+    let joined = world.t;
+    println!("{} nodes: {} after {joined:.1} s", arguments.nodes, knowledge(&world));
+    let memory = (resident() - before) / arguments.nodes as f64;
+    let mut runs = Vec::new();
+    for settle in &arguments.settle {
+        let begin = joined + settle;
+        if begin > world.t {
+            world.run(begin - world.t);
+        }
+        let (before, gone) = (seen(&world), world.wrongly_gone);
+        world.run(arguments.window);
+        let contents = seen(&world).since(&before);
+        print_window(arguments, *settle, contents);
+        println!(
+            "    {}; {} times one was wrongly taken for gone",
+            knowledge(&world),
+            world.wrongly_gone - gone
+        );
+        runs.push(run(arguments, *settle, contents, memory));
+    }
+    arguments.output.write(runs.iter().map(Run::to_json).collect())
+}
+
+/// A fleet whose nodes all begin at once and have found each other.
+fn join(arguments: &Arguments) -> World {
+    let size = arguments.nodes as u32;
+    let config =
+        move |_| Config { membership: MembershipConfig { size, ..MembershipConfig::default() }, ..rules() };
+    let mut world = World::new(arguments.nodes, arguments.output.seed, config);
+    world.inspector = Some(Inspector::new(secret()));
+    while !world.gathered() && world.t < JOIN_WAIT {
+        world.run(0.1);
+    }
+    world
+}
+
+fn seen(world: &World) -> Contents {
+    world.inspector.as_ref().map_or_else(Contents::default, |inspector| inspector.seen)
+}
+
+/// How many pairs of nodes know each other.
+fn knowledge(world: &World) -> String {
+    let nodes = world.nodes.len();
+    let known: usize = (0..nodes).map(|node| world.members(node)).sum();
+    format!("{known} of {} pairs know each other", nodes * (nodes - 1))
+}
+
+/// So many, for each node and second of a window.
+fn rate(arguments: &Arguments, count: u64) -> f64 {
+    count as f64 / (arguments.nodes as f64 * arguments.window)
+}
+
+fn print_window(arguments: &Arguments, settle: f64, contents: Contents) {
+    println!(
+        "{settle:>6.0} to {:.0} s: {:.2} datagrams/s, {:.0} B/s out, of them {:.0} B/s of the membership protocol; \
+         {:.2} members/s in answers, {:.2} entries/s",
+        settle + arguments.window,
+        rate(arguments, contents.datagrams),
+        rate(arguments, contents.bytes),
+        rate(arguments, contents.swim_bytes),
+        rate(arguments, contents.members),
+        rate(arguments, contents.entries),
+    );
+}
+
+/// Nothing is lost, so as much comes in as goes out.
+fn run(arguments: &Arguments, settle: f64, contents: Contents, memory: f64) -> Run<'static> {
+    let (bytes, datagrams) = (rate(arguments, contents.bytes), rate(arguments, contents.datagrams));
+    let usage = Usage {
+        bytes_in: bytes,
+        bytes_out: bytes,
+        messages_in: datagrams,
+        messages_out: datagrams,
+        ..Usage::default()
+    };
+    Run {
+        name: format!("fleet at rest, from {settle:.0} s after joining on"),
+        source: "virtual-time",
+        size: Size { nodes: arguments.nodes, ..Size::default() },
+        seconds: arguments.window,
+        kind: "gossip",
+        usage,
+        memory,
+        in_force: None,
+        played: None,
+    }
+}
--- a/crates/emulator/src/control/plays.rs
+++ b/crates/emulator/src/control/plays.rs
@@ -11,6 +11,8 @@
 /// How long nodes are waited for that can hear again, in seconds: a relay and then its nodes may each rest twice for as long
 /// as they ever do.
 const SETTLE: f64 = 300.0;
+/// How long relays are waited for that take in tenants published anew, in seconds.
+const IMPORT_WAIT: f64 = 1_800.0;
 /// How often nodes are looked at while they catch up, in seconds.
 const LOOK_EVERY: f64 = 0.25;
 
@@ -195,6 +197,28 @@
     begun.end(world)
 }
 
+/// Tenants are published anew, so many at once and so many batches a second, faster than relays of other regions take them.
+pub fn import(world: &mut World, batch: u32, batches_a_second: f64) -> Outcome {
+    let tenants = world.layout.sizes.tenants;
+    let rate = f64::from(batch) * batches_a_second;
+    let name = format!("{tenants} tenants published anew, {rate:.0} a second in batches of {batch}");
+    let mut begun = Begun::new(world, name, JudgedBy::Bytes);
+    for first in (0..tenants).step_by(batch.max(1) as usize) {
+        let resources: Vec<Resource> = (first..tenants.min(first + batch)).map(Resource::Tenant).collect();
+        if let Err(error) = world.publish(&resources) {
+            world.checker.fault(world.network.now(), format!("not published: {error}"));
+        }
+        world.run(1.0 / batches_a_second);
+    }
+    let took = world.run_until(IMPORT_WAIT, World::relays_have_all);
+    begun.caught_up = took.map(|took| Times { p50: took, p99: took, last: took });
+    if took.is_none() {
+        let what = world.describe_relays();
+        world.checker.fault(world.network.now(), what);
+    }
+    begun.end(world)
+}
+
 /// All nodes of a region lose their disks and start at one instant.
 pub fn region_starts(world: &mut World, region: u16) -> Outcome {
     let nodes = world.layout.nodes_in(world.network.topology(), Scope::Region(region));
