Capacity: the mechanism's table is made from the plays, its verdicts from the budgets

It was written by hand, so a play done anew changed nothing on the page.

Seen red: the table's test with one figure of one play changed (in the test), and with an empty marker on the page.

--- a/crates/rig/src/capacity/mod.rs
+++ b/crates/rig/src/capacity/mod.rs
@@ -3,6 +3,7 @@
 //! | module | what belongs there |
 //! | --- | --- |
 //! | [`inputs`] | figures that were measured, worked out or assumed elsewhere, read from JSON |
+//! | [`mechanism`] | how the mechanism for changes of settings fares, as the emulator plays it |
 //! | [`model`] | the formulas |
 //! | [`moments`] | the worst moments |
 //! | [`page`] | the tables between the markers of a page |
@@ -13,6 +14,7 @@
 //! `docs/CAPACITY.md` is made of these; `cargo run -p reelfall-rig --example capacity -- --write` writes its tables.
 
 pub mod inputs;
+pub mod mechanism;
 pub mod model;
 pub mod moments;
 pub mod page;
@@ -92,6 +94,7 @@
     tables.insert("moments", moments::table(&costs, &runs));
     tables.insert("scale", inputs::runs_table(&runs));
     tables.insert("slopes", inputs::slopes_table(&slopes));
+    tables.insert("mechanism", mechanism::Plays::read(&root.join(mechanism::PLAYS))?.table());
     tables.insert("inputs", inputs.table());
     Ok(tables)
 }
