--- a/crates/rig/src/capacity/mechanism.rs
+++ b/crates/rig/src/capacity/mechanism.rs
@@ -105,8 +105,10 @@
 /// By how far a play is over a budget.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Excess {
-    /// Promises were not kept, or nodes ended without changes; so many.
+    /// Promises were not kept; so many.
     Broken(u64),
+    /// Nodes ended without changes or tenants; so many times.
+    Missing(u64),
     /// A change took too long.
     InForce(f64),
     /// Catching up took too long.
@@ -122,7 +124,8 @@
 impl Excess {
     fn words(self) -> String {
         match self {
-            Excess::Broken(count) => format!("{count} promises not kept"),
+            Excess::Broken(count) => format!("{} promises not kept", plain(count as f64)),
+            Excess::Missing(count) => format!("{} never came", plain(count as f64)),
             Excess::InForce(factor) => format!("{} times over {} s", times(factor), plain(budget::IN_FORCE)),
             Excess::CaughtUp(factor) => {
                 format!("{} times over {} s after it", times(factor), plain(budget::IN_FORCE))
@@ -148,9 +151,9 @@
 
     /// What is over its budget; nothing where the play fits.
     pub fn excesses(&self, played: &Played) -> Vec<Excess> {
-        let broken = played.faults + played.missing;
         let mut excesses = Vec::new();
-        excesses.extend((broken > 0).then_some(Excess::Broken(broken)));
+        excesses.extend((played.faults > 0).then_some(Excess::Broken(played.faults)));
+        excesses.extend((played.missing > 0).then_some(Excess::Missing(played.missing)));
         excesses.extend(self.late(played));
         excesses.extend(over(self.mean_bytes(), budget::TRAFFIC).map(Excess::Mean));
         excesses.extend(over(played.peak_bytes_10s, BURST).map(Excess::Burst));
@@ -169,10 +172,11 @@
 
     fn verdict(&self, played: &Played) -> String {
         let excesses: Vec<String> = self.excesses(played).into_iter().map(Excess::words).collect();
+        let partial = if self.size.nodes < Size::TARGET.nodes { "; partial" } else { "" };
         if excesses.is_empty() {
-            return "fits".to_owned();
+            return format!("fits{partial}");
         }
-        format!("**does not fit**: {}", excesses.join(", "))
+        format!("**does not fit**: {}{partial}", excesses.join(", "))
     }
 
     fn cells(&self, played: &Played) -> Vec<String> {
@@ -260,10 +264,10 @@
         let greatest = |of: &dyn Fn(&Play, &Played) -> f64| {
             self.plays().map(|(play, played)| of(play, played)).fold(0.0, f64::max)
         };
-        let broken: u64 = self.plays().map(|(_, played)| played.faults + played.missing).sum();
+        let broken: u64 = self.plays().map(|(_, played)| played.faults).sum();
         let mut lines = format!(
-            "Commit {}, seed {}. Promises not kept in all of these plays: {broken}. At most: {} % of a core and {} MB for a \
-             node, {} %, {} KB/s in and out and {} MB for a control machine.\n",
+            "Commit {}, seed {}. Promises not kept in all of these plays: {broken}.\nAt most: {} % of a core and {} MB for a node, {} \
+             % of a core, {} KB/s in and out and {} MB for a control machine.\n",
             self.commit,
             self.seed,
             plain(greatest(&|play, _| play.per_node.cpu * 100.0)),
@@ -275,7 +279,7 @@
         for (_, played) in self.plays() {
             let Some(ages) = played.ages.filter(|ages| ages.compared > 0) else { continue };
             lines += &format!(
-                "Ages in \"{}\": {} that nodes stated while they lacked a change, up to {} s in truth; the least was {} s above \
+                "\nAges in \"{}\":\n{} that nodes stated while they lacked a change, up to {} s in truth; the least was {} s above \
                  it.\n",
                 played.title,
                 plain(ages.compared as f64),
--- a/crates/rig/tests/mechanism.rs
+++ b/crates/rig/tests/mechanism.rs
@@ -60,7 +60,7 @@
     let burst = Played { peak_bytes_10s: 3.0 * BURST, ..played(JudgedBy::InForce) };
     assert_eq!(play(None, 100.0).excesses(&burst), [Excess::Burst(3.0)]);
     let broken = Played { faults: 2, missing: 3, ..played(JudgedBy::InForce) };
-    assert_eq!(play(None, 100.0).excesses(&broken), [Excess::Broken(5)]);
+    assert_eq!(play(None, 100.0).excesses(&broken), [Excess::Broken(2), Excess::Missing(3)]);
 }
 
 #[test]
@@ -76,6 +76,10 @@
     let rows: Vec<&str> = table.lines().filter(|line| line.starts_with("| a play")).collect();
     assert_eq!(rows, [row]);
     assert_eq!(table.lines().filter(|line| line.starts_with('|')).count(), 3);
+    let few = Size { nodes: 600, ..Size::TARGET };
+    let partial = Play { size: few, played: Some(played(JudgedBy::InForce)), ..play(None, 100.0) };
+    let partial = Plays { commit: "abc".to_owned(), seed: 1, runs: vec![partial] }.table();
+    assert!(partial.contains("| fits; partial |"), "{partial}");
     assert!(table.contains("Commit abc, seed 1. Promises not kept in all of these plays: 0."), "{table}");
     assert!(table.contains("1,200 that nodes stated") && table.contains("0.25 s above"), "{table}");
 }
