--- a/crates/emulator/examples/scale/main.rs
+++ b/crates/emulator/examples/scale/main.rs
@@ -4,7 +4,9 @@
 //! `cargo run --release -p reelfall-emulator --example scale -- members --nodes 1500 --out docs/measurements/scale/virtual.json`
 
 mod control;
+mod holdings;
 mod members;
+mod quiet;
 mod report;
 mod tables;
 
@@ -23,8 +25,12 @@
 enum Play {
     /// A fleet of nodes that know each other: at rest, and while servers are banned.
     Members(members::Arguments),
+    /// A fleet whose nodes have found each other by themselves: at rest, by how long it has been left alone.
+    Quiet(quiet::Arguments),
     /// Distribution of configuration by authors and relays, and beside it what whole copies would cost.
     Control(control::Arguments),
+    /// What an author, a relay and a node hold in memory of all that the target has.
+    Holdings(holdings::Arguments),
     /// One node's memory, and what it takes for new of what it has heard before, for numbers of peers.
     Tables(tables::Arguments),
 }
@@ -46,7 +52,9 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().play {
         Play::Members(arguments) => members::play(&arguments),
+        Play::Quiet(arguments) => quiet::play(&arguments),
         Play::Control(arguments) => control::play(&arguments),
+        Play::Holdings(arguments) => holdings::play(&arguments),
         Play::Tables(arguments) => tables::play(&arguments),
     };
     match done {
