Import circles of registry and service, body and message, node and scripted opened

Three pairs of modules imported each other, so that neither could be read first. The trait of sources and the wait for the first list are now `net/source.rs`, below the registry and the services; tasks that end with their owner are `net/task.rs`; answers of servers are `net/answer.rs`, above the requests in `message.rs` and their bodies in `body.rs`. The rig's `Program` is part of `node.rs`, and `scripted.rs` names it on. Moves alone, no function changed.

--- a/crates/node/src/lease/call.rs
+++ b/crates/node/src/lease/call.rs
@@ -4,7 +4,7 @@
 //! 409 or 412 (RFC 9110, sections 15.5.10 and 15.5.13): the holder was paused, and another node has the lease.
 
 use super::Leases;
-use crate::net::service::AbortOnDrop;
+use crate::net::task::AbortOnDrop;
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper::client::conn::http1::Builder;
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -22,8 +22,9 @@
 pub(super) use translate::{strip, time_left, Waiting, ID_OPEN};
 
 use super::client::{Client, Phase};
-use super::service::{AbortOnDrop, Routing};
+use super::service::Routing;
 use super::shared::Shared;
+use super::task::AbortOnDrop;
 use super::Chance;
 use reelfall_routes::table::ListenerId;
 use std::cell::{Cell, RefCell};
--- a/crates/node/src/net/front/reply.rs
+++ b/crates/node/src/net/front/reply.rs
@@ -1,8 +1,7 @@
 //! Answers to clients: those of servers, and those of the node itself.
 
 use super::translate::strip;
-use crate::net::body::Outgoing;
-use crate::net::message::{Answer, Reply};
+use crate::net::answer::{Answer, Outgoing, Reply};
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 use reelfall_core::interface::Outcome;
--- a/crates/node/src/net/front/request.rs
+++ b/crates/node/src/net/front/request.rs
@@ -3,7 +3,8 @@
 use super::reply::{plain, respond, told};
 use super::translate::{Waiting, SERVICE_CLASS};
 use super::Front;
-use crate::net::body::{Flow, Outgoing, Payload};
+use crate::net::answer::Outgoing;
+use crate::net::body::{Flow, Payload};
 use crate::net::client::{Client, Phase};
 use crate::net::message::Waiter;
 use crate::net::pool::Pool;
--- a/crates/node/src/net/graphql.rs
+++ b/crates/node/src/net/graphql.rs
@@ -4,10 +4,11 @@
 //! What a request is, of which class, what may run when, and what an answer is, is told by [`reelfall_graphql`]; which
 //! server and whether again, by the module. Here they meet the sockets.
 
-use super::body::{Outgoing, Payload};
+use super::answer::{Answer, Outgoing, Reply};
+use super::body::Payload;
 use super::client::{Client, Phase};
 use super::front::{Chosen, Front, Waiting};
-use super::message::{Answer, Arrival, Judge, Message, Reply, Waiter};
+use super::message::{Arrival, Judge, Message, Waiter};
 use super::operations::{GraphQl, Head, Ready};
 use super::pool::Pool;
 use super::shared::{Held, Permit};
--- a/crates/node/src/net/management.rs
+++ b/crates/node/src/net/management.rs
@@ -2,8 +2,8 @@
 //! force in every pool.
 
 use super::ledger::Written;
-use super::service::AbortOnDrop;
 use super::shared::Shared;
+use super::task::AbortOnDrop;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
--- a/crates/node/src/net/message.rs
+++ b/crates/node/src/net/message.rs
@@ -1,11 +1,9 @@
-//! What passes between clients, pools and servers.
+//! Requests on their way from clients through pools to servers.
 
-use super::body::{Payload, Rest};
+use super::body::Payload;
 use super::shared::{Held, OpenId, Permit};
-use bytes::Bytes;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, StatusCode};
-use reelfall_core::engine::Final;
 use reelfall_core::interface::{ClassId, TenantId};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -53,17 +51,3 @@
     /// How long after its last byte the answer is due, of a request whose body flows.
     pub flows: Option<Duration>,
 }
-
-/// The one final answer of a request.
-pub type Reply = Final<Box<Answer>>;
-
-/// A server's answer.
-pub struct Answer {
-    pub headers: HeaderMap,
-    /// All of it, or what has come of one that flows.
-    pub body: Bytes,
-    /// What is to come; never of an answer that has a judge.
-    pub rest: Option<Rest>,
-    /// What the body holds of the memory for answers.
-    pub _leave: Option<Held>,
-}
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The node's side of the sockets. It translates and enforces; every choice is the module's.
 
+pub mod answer;
 pub mod body;
 mod client;
 pub mod discovery;
@@ -14,7 +15,9 @@
 pub mod registry;
 pub mod service;
 pub mod shared;
+pub mod source;
 pub mod takeover;
+pub mod task;
 #[cfg(test)]
 mod tests;
 pub mod upstream;
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -1,7 +1,8 @@
 //! One pool of servers at work: feeds its [`Engine`] with what happens on the sockets and carries out what the
 //! engine wants done. No choice is made here.
 
-use super::message::{Answer, Arrival, Message, Reply};
+use super::answer::{Answer, Reply};
+use super::message::{Arrival, Message};
 use super::shared::{Condemnation, OverdueRequest, Peer, PoolId, Shared};
 use super::upstream::{self, Times, Upstream};
 use super::Chance;
--- a/crates/node/src/net/registry.rs
+++ b/crates/node/src/net/registry.rs
@@ -4,8 +4,8 @@
 //! [`reelfall_membership`]; here it is done: connect, send, read, wait.
 
 use super::pool::Pool;
-use super::service::Source;
 use super::shared::{Clock, Shared};
+use super::source::Source;
 use bytes::{Buf, Bytes, BytesMut};
 use reelfall_conf::model;
 use reelfall_core::engine::Place;
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -6,6 +6,8 @@
 use super::pool::{Missing, Pool};
 use super::registry::Registry;
 use super::shared::Shared;
+use super::source::{follow, Source};
+use super::task::AbortOnDrop;
 use reelfall_conf::model;
 use reelfall_core::engine::Place;
 use reelfall_core::interface::{ClassId, ListKind, Time};
@@ -21,21 +23,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::task::AbortHandle;
 
 pub mod prepared;
 
 use prepared::{same, Parts, PoolKey, Prepared, Terms, Written};
 
-/// A node that knows servers from before waits this long for newer news before it serves.
-const NEWS_WITHIN: Duration = Duration::from_secs(1);
-
-/// Where a pool hears of its servers. Each source is a task that tells the pool through [`Pool::members`].
-pub trait Source {
-    /// Tells the pool of its servers for as long as it is polled.
-    fn follow(self, pool: Rc<Pool>) -> impl Future<Output = ()> + 'static;
-}
-
 /// The platform's discovery, at the address that is named last.
 pub struct Discovery {
     pub address: watch::Receiver<SocketAddr>,
@@ -87,45 +79,6 @@
     pool.members(ListKind::Full, places);
 }
 
-/// Ends a task when it is dropped.
-pub struct AbortOnDrop(pub AbortHandle);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-/// Starts to follow a source; the pool is ready when the first list has come. An old one serves too, if no newer
-/// comes.
-pub fn follow(pool: &Rc<Pool>, source: impl Source) -> AbortOnDrop {
-    let ready = pool.clone();
-    let follow = source.follow(pool.clone());
-    let task = tokio::task::spawn_local(async move {
-        let mut follow = std::pin::pin!(follow);
-        let wait = async {
-            if ready.ready.get() {
-                return std::future::pending().await;
-            }
-            let news = ready.listed.notified();
-            if ready.has_servers() {
-                let _ = tokio::time::timeout(NEWS_WITHIN, news).await;
-            } else {
-                news.await;
-            }
-            ready.ready.set(true);
-            std::future::pending::<()>().await;
-        };
-        // The wait is polled first, so that no list is missed.
-        tokio::select! {
-            biased;
-            () = wait => {}
-            () = follow.as_mut() => {}
-        }
-    });
-    AbortOnDrop(task.abort_handle())
-}
-
 /// One service.
 pub struct Service {
     pub name: String,
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -3,8 +3,8 @@
 //! Who does what when is decided in [`reelfall_operations::takeover`].
 
 use super::front::{Front, Passing, Succession};
-use super::service::AbortOnDrop;
 use super::shared::Shared;
+use super::task::AbortOnDrop;
 use bytes::{Buf, BytesMut};
 use reelfall_operations::takeover::{Elder, Frame, Heir, DESCRIPTORS_MOST, VERSION};
 use rustix::net::{
--- a/crates/node/src/net/tests.rs
+++ b/crates/node/src/net/tests.rs
@@ -2,8 +2,9 @@
 
 use super::front::{Front, Listening};
 use super::pool::{Missing, Pool};
-use super::service::{AbortOnDrop, Routing, Service};
+use super::service::{Routing, Service};
 use super::shared::Shared;
+use super::task::AbortOnDrop;
 use super::Bounds;
 use reelfall_core::settings;
 use std::io;
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -5,8 +5,8 @@
 
 pub use attempt::{attempt, Times};
 
+use super::answer::Answer;
 use super::body::Sending;
-use super::message::Answer;
 use super::shared::{Open, Shared};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::HeaderName;
--- a/crates/node/src/net/upstream/attempt.rs
+++ b/crates/node/src/net/upstream/attempt.rs
@@ -2,8 +2,9 @@
 
 use super::socket::{Socket, Tap};
 use super::{Connection, Host, Upstream, TIME_LEFT};
-use crate::net::body::{Payload, Rest, Sending, FLOW_MOST};
-use crate::net::message::{Answer, Message};
+use crate::net::answer::{Answer, Rest};
+use crate::net::body::{Payload, Sending, FLOW_MOST};
+use crate::net::message::Message;
 use crate::net::shared::Open;
 use crate::net::{hurry, kib, ANSWER_HELD, ANSWER_MOST, ANSWER_SMALL, BUFFER};
 use bytes::{Bytes, BytesMut};
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -3,10 +3,10 @@
 use crate::net::front::{Front, Listening};
 use crate::net::management::Management;
 use crate::net::pool::{Missing, Pool};
-use crate::net::service::{self, Discovery, Routing, Service};
+use crate::net::service::{Discovery, Routing, Service};
 use crate::net::shared::Shared;
 use crate::net::takeover::{Place, Takeover};
-use crate::net::{discovery, Bounds};
+use crate::net::{discovery, source, Bounds};
 use reelfall_core::settings;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -114,7 +114,7 @@
     let listening = listening.or_else(|_| Listening::bind(LISTENER, config.listen, bounds.clients, true))?;
     let held = if given.is_some() { bounds.halved() } else { bounds };
     shared.shrink(bounds, held);
-    let follow = service::follow(&pool, Discovery { address: named, known, list: String::new() });
+    let follow = source::follow(&pool, Discovery { address: named, known, list: String::new() });
     tokio::task::spawn_local(reload(shared.clone(), hangup, address));
     let ticking = shared.clone();
     tokio::task::spawn_local(async move {
--- a/crates/rig/src/node.rs
+++ b/crates/rig/src/node.rs
@@ -1,6 +1,5 @@
 //! The program under test, as a process of its own.
 
-use crate::scripted::Program;
 use crate::Result;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -8,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncBufReadExt, BufReader, Lines};
@@ -17,6 +16,34 @@
 /// No wait for a node is longer; a passing one needs a small part of it.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// How a node is started.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// Its file.
+    pub path: PathBuf,
+    /// What it is called with before anything else.
+    pub args: Vec<String>,
+}
+
+impl Program {
+    /// The node that is part of the rig's own program at `path`.
+    pub fn in_rig(path: impl Into<PathBuf>) -> Program {
+        Program { path: path.into(), args: vec!["node".to_owned()] }
+    }
+
+    /// A program that is a node.
+    pub fn alone(path: impl Into<PathBuf>) -> Program {
+        Program { path: path.into(), args: Vec::new() }
+    }
+
+    /// A call of it, not made yet.
+    pub fn command(&self) -> Command {
+        let mut command = Command::new(&self.path);
+        command.args(&self.args);
+        command
+    }
+}
+
 /// A folder of its own for each run, gone when this is dropped.
 pub struct Folder(PathBuf);
 
@@ -163,8 +190,7 @@
     /// # Errors
     /// If the process is gone.
     pub fn signal(&self, name: &str) -> Result<()> {
-        let status =
-            std::process::Command::new("kill").args(["-s", name, &self.pid().to_string()]).status()?;
+        let status = Command::new("kill").args(["-s", name, &self.pid().to_string()]).status()?;
         status.success().then_some(()).ok_or_else(|| "the node is gone".into())
     }
 
--- a/crates/rig/src/scripted.rs
+++ b/crates/rig/src/scripted.rs
@@ -4,6 +4,7 @@
 #![allow(missing_docs)]
 
 use crate::node::Folder;
+pub use crate::node::Program;
 use crate::ports::Port;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -267,31 +268,6 @@
     format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{id}", id.len()).into_bytes()
 }
 
-/// How a node is started.
-#[derive(Clone, Debug)]
-pub struct Program {
-    pub path: PathBuf,
-    pub args: Vec<String>,
-}
-
-impl Program {
-    /// The node that is part of the rig's own program at `path`.
-    pub fn in_rig(path: impl Into<PathBuf>) -> Program {
-        Program { path: path.into(), args: vec!["node".to_owned()] }
-    }
-
-    /// A program that is a node.
-    pub fn alone(path: impl Into<PathBuf>) -> Program {
-        Program { path: path.into(), args: Vec::new() }
-    }
-
-    pub fn command(&self) -> Command {
-        let mut command = Command::new(&self.path);
-        command.args(&self.args);
-        command
-    }
-}
-
 /// The program under test. It is killed when this is dropped.
 pub struct Node {
     pub address: SocketAddr,
