--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -18,8 +18,7 @@
 
 pub use handover::{Passing, Succession};
 pub use listening::Listening;
-pub(super) use request::Chosen;
-pub(super) use translate::{strip, time_left, Waiting, ID_OPEN};
+pub(super) use translate::{strip, time_left, Chosen, Waiting, ID_OPEN};
 
 use super::client::{Client, Phase};
 use super::service::Routing;
--- a/crates/node/src/net/front/request.rs
+++ b/crates/node/src/net/front/request.rs
@@ -1,15 +1,15 @@
 //! One request of a client: its service, its body, its way through the engine, its answer.
 
 use super::reply::{plain, respond, told};
-use super::translate::{Waiting, SERVICE_CLASS};
+use super::translate::{Chosen, Waiting, SERVICE_CLASS};
 use super::Front;
 use crate::net::answer::Outgoing;
 use crate::net::body::{Flow, Payload};
 use crate::net::client::{Client, Phase};
 use crate::net::message::Waiter;
 use crate::net::pool::Pool;
-use crate::net::service::{Found, Routing, Service, Table};
-use crate::net::shared::{Held, Permit};
+use crate::net::service::{Found, Routing, Table};
+use crate::net::shared::Held;
 use crate::net::{kib, BODY_MOST, BODY_SMALL};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -17,7 +17,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Request, Response, StatusCode};
-use reelfall_core::interface::{ClassId, Time};
+use reelfall_core::interface::Time;
 use reelfall_routes::limits::{Denial, Member};
 use reelfall_routes::table::{ListenerId, Query};
 use reelfall_routes::target;
@@ -31,16 +31,6 @@
 /// What nobody reads.
 const LEFT: &str = "the client has left\n";
 
-/// A request's service, class and place among the open requests.
-pub(in crate::net) struct Chosen {
-    pub service: Rc<Service>,
-    /// The class that the route assigns.
-    pub assign: Option<ClassId>,
-    /// It came by a route; on the platform, the one service has all.
-    pub routed: bool,
-    pub admitted: Option<Permit>,
-}
-
 impl Front {
     pub(super) async fn request(
         self: Rc<Self>, request: Request<Incoming>, client: Rc<Client>,
--- a/crates/node/src/net/front/translate.rs
+++ b/crates/node/src/net/front/translate.rs
@@ -1,12 +1,12 @@
 //! Translation between the heads of requests and the terms of the engine.
 
-use super::request::Chosen;
 use super::Front;
 use crate::net::body::Payload;
 use crate::net::client::Client;
 use crate::net::message::{Arrival, Message};
 use crate::net::pool::Pool;
-use crate::net::shared::{Held, OpenId};
+use crate::net::service::Service;
+use crate::net::shared::{Held, OpenId, Permit};
 use crate::net::upstream::TIME_LEFT;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -39,6 +39,16 @@
 /// What is said of an id that is taken.
 pub(in crate::net) const ID_OPEN: &str = "a request with this id is open\n";
 
+/// A request's service, class and place among the open requests.
+pub(in crate::net) struct Chosen {
+    pub service: Rc<Service>,
+    /// The class that the route assigns.
+    pub assign: Option<ClassId>,
+    /// It came by a route; on the platform, the one service has all.
+    pub routed: bool,
+    pub admitted: Option<Permit>,
+}
+
 impl Front {
     /// Puts a request's head into the module's terms.
     pub(super) fn translate(
--- /dev/null
+++ b/crates/node/src/net/pool/list.rs
@@ -0,0 +1,148 @@
+//! A pool's list of servers, put beside the lists of other pools and the words of operators.
+
+use super::Pool;
+use reelfall_core::engine::Place;
+use reelfall_core::interface::{ListKind, ServerId, ServerState, Time};
+use reelfall_routes::common::{Line, Word};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A list as its source has it, before other lists add anything.
+#[derive(Default)]
+pub(super) struct Own {
+    pub(super) places: HashMap<ServerId, Place<SocketAddr>>,
+    /// The servers at each address.
+    pub(super) at: HashMap<SocketAddr, Vec<ServerId>>,
+}
+
+impl Own {
+    pub(super) fn insert(&mut self, place: &Place<SocketAddr>) -> Option<Place<SocketAddr>> {
+        let old = self.remove(place.entry.server);
+        self.at.entry(place.address).or_default().push(place.entry.server);
+        self.places.insert(place.entry.server, place.clone());
+        old
+    }
+
+    pub(super) fn remove(&mut self, server: ServerId) -> Option<Place<SocketAddr>> {
+        let old = self.places.remove(&server)?;
+        if let Some(at) = self.at.get_mut(&old.address) {
+            at.retain(|s| *s != server);
+            if at.is_empty() {
+                self.at.remove(&old.address);
+            }
+        }
+        Some(old)
+    }
+
+    /// The servers that the list has at an address.
+    pub(super) fn at(&self, address: &SocketAddr) -> impl Iterator<Item = &Place<SocketAddr>> {
+        self.at.get(address).into_iter().flatten().filter_map(|s| self.places.get(s))
+    }
+
+    pub(super) fn has(&self, address: &SocketAddr) -> bool {
+        self.at.contains_key(address)
+    }
+}
+
+/// What it means that a list no longer names a server.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Missing {
+    /// The server has ended: the list follows servers.
+    Ended,
+    /// This pool has no use for it any more: the list is somebody's settings.
+    Unused,
+}
+
+impl Pool {
+    /// News of the list.
+    pub fn members(self: &Rc<Self>, list: ListKind, mut places: Vec<Place<SocketAddr>>) {
+        let told = self.compare(list, &mut places);
+        self.tell(|engine, now, out| engine.members(now, list, places, out));
+        self.listed.notify_waiters();
+        told.into_iter().for_each(|address| self.shared.retell(address, Some(self.id)));
+    }
+
+    /// Puts this list beside those of other pools, and gives the servers of which others have to be told.
+    fn compare(&self, list: ListKind, places: &mut [Place<SocketAddr>]) -> Vec<SocketAddr> {
+        let mut own = self.own.borrow_mut();
+        let mut told = Vec::new();
+        let parts = self.shared.parts();
+        let mut say = |address, line| {
+            if parts && self.shared.say(self.id, address, line) {
+                told.push(address);
+            }
+        };
+        if matches!(list, ListKind::Full | ListKind::Cached) {
+            let named: HashSet<ServerId> = places.iter().map(|p| p.entry.server).collect();
+            let missing: Vec<ServerId> =
+                own.places.keys().filter(|id| !named.contains(id)).copied().collect();
+            let missing: Vec<_> = missing.into_iter().filter_map(|id| own.remove(id)).collect();
+            for p in missing.iter().filter(|p| !own.has(&p.address)) {
+                let gone = self.line(Word::Gone, p.entry.ready_at);
+                say(p.address, (self.missing == Missing::Ended).then_some(gone));
+                self.withheld.borrow_mut().remove(&p.address);
+            }
+        }
+        for place in places.iter_mut() {
+            let word = word(place.entry.state);
+            let old = match place.entry.state {
+                ServerState::Gone => own.remove(place.entry.server),
+                _ => own.insert(place),
+            };
+            if let Some(old) = old.filter(|old| old.address != place.address && !own.has(&old.address)) {
+                say(old.address, None);
+                self.withheld.borrow_mut().remove(&old.address);
+            }
+            // A server that took the place of another at its address is not gone with that one's name.
+            if word != Word::Gone || !own.has(&place.address) {
+                say(place.address, Some(self.line(word, place.entry.ready_at)));
+            }
+            self.adjust(place);
+        }
+        told
+    }
+
+    fn line(&self, word: Word, ready_at: Time) -> Line {
+        Line { word, ready_at, known: self.missing == Missing::Ended }
+    }
+
+    /// What holds of a server: what this list says, what other lists add, and what operators say before all.
+    pub(super) fn adjust(&self, place: &mut Place<SocketAddr>) {
+        if self.shared.parts() {
+            self.adjust_to_lists(place);
+        }
+        let entry = &mut place.entry;
+        let names = self.names.borrow();
+        let Some(name) = names.servers.name(entry.server) else { return };
+        entry.sharers *= self.shared.processes();
+        let view = self.shared.banned(name, entry.ready_at);
+        entry.ready_at = view.ready_at;
+        if view.out && entry.state == ServerState::Up {
+            entry.state = ServerState::Draining;
+        }
+    }
+
+    fn adjust_to_lists(&self, place: &mut Place<SocketAddr>) {
+        let Place { entry, address } = place;
+        let own = self.line(word(entry.state), entry.ready_at);
+        let view = self.shared.view(self.id, *address, own, self.warm_after);
+        (entry.sharers, entry.ready_at) = (view.sharers, view.ready_at);
+        let mut withheld = self.withheld.borrow_mut();
+        match view.withheld.filter(|_| entry.state == ServerState::Up) {
+            Some(until) => drop(withheld.insert(*address, until)),
+            None => drop(withheld.remove(address)),
+        }
+        if entry.state == ServerState::Up && (view.drained || view.withheld.is_some()) {
+            entry.state = ServerState::Draining;
+        }
+    }
+}
+
+fn word(state: ServerState) -> Word {
+    match state {
+        ServerState::Up => Word::Up,
+        ServerState::Draining => Word::Draining,
+        ServerState::Gone => Word::Gone,
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/pool/outcome.rs
@@ -0,0 +1,45 @@
+//! What the fleet is told of attempts at this pool's servers.
+
+use super::{Missing, Pool};
+use reelfall_core::interface::{Outcome, RequestId, ServerId, Time};
+use reelfall_fleet::entry::ServerInstance;
+use reelfall_fleet::observer::AttemptOutcome;
+
+impl Pool {
+    /// The instance of a server as the whole fleet knows it. A list that is written by hand tells of no start: when its
+    /// file was read is different on each node.
+    pub(super) fn instance_of(&self, server: ServerId) -> Option<ServerInstance> {
+        let since = match self.missing {
+            Missing::Ended => self.own.borrow().places.get(&server)?.entry.ready_at,
+            Missing::Unused => 0.0,
+        };
+        let name = self.names.borrow().servers.name(server)?.to_owned();
+        Some(ServerInstance { name, since: (since.max(0.0) * 1e3).round() as u64 })
+    }
+
+    /// Tells the fleet's observer how an attempt ended.
+    pub(super) fn report_outcome(&self, request: RequestId, attempt: u32, outcome: Outcome) {
+        let Some(observer) = self.shared.fleet_observer() else { return };
+        let Some((server, class, sent)) = self.engine.borrow().attempt_of(request, attempt) else { return };
+        let Some(aim) = self.classes.get(usize::from(class)).map(|c| c.aim) else { return };
+        let waited = self.shared.clock.now() - sent;
+        let Some(attempt) = attempt_outcome(outcome, waited, aim) else { return };
+        if let Some(instance) = self.instance_of(server) {
+            observer.attempt_ended(instance, attempt);
+        }
+    }
+}
+
+/// What the outcome of an attempt tells others about its server. A client with a short deadline tells nothing.
+fn attempt_outcome(outcome: Outcome, waited: Time, aim: Time) -> Option<AttemptOutcome> {
+    match outcome {
+        Outcome::Delivered if waited <= aim => Some(AttemptOutcome::Answered),
+        Outcome::Delivered => Some(AttemptOutcome::AnsweredLate),
+        Outcome::Error => Some(AttemptOutcome::ServerError),
+        Outcome::Dropped => Some(AttemptOutcome::ConnectionBroken),
+        Outcome::Shed => Some(AttemptOutcome::Shed),
+        Outcome::Expired if waited >= aim => Some(AttemptOutcome::TimedOut),
+        Outcome::DialFailed => Some(AttemptOutcome::Unreachable),
+        Outcome::Expired | Outcome::Revoked | Outcome::Unused => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/pool/peer.rs
@@ -0,0 +1,91 @@
+//! What other pools, operators and the fleet ask of a pool.
+
+use super::Pool;
+use crate::net::shared::{Condemnation, OverdueRequest, Peer};
+use reelfall_core::engine::Place;
+use reelfall_core::interface::{ListKind, ServerId, Time};
+use reelfall_fleet::entry::ServerInstance;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Instant;
+
+impl Peer for Pool {
+    fn idle_since(&self, to: Option<SocketAddr>) -> Option<Instant> {
+        self.upstream.oldest_idle(to)
+    }
+
+    fn close_idle(&self, to: Option<SocketAddr>) -> bool {
+        self.upstream.drop_oldest_idle(to)
+    }
+
+    fn freed(&self) {
+        self.upstream.freed();
+    }
+
+    fn tick(self: Rc<Self>) {
+        self.upstream.retire();
+        let now = self.shared.clock.now();
+        let warm = |(address, until): (&SocketAddr, &Time)| (*until <= now).then_some(*address);
+        let warm: Vec<SocketAddr> = self.withheld.borrow().iter().filter_map(warm).collect();
+        warm.into_iter().for_each(|address| self.clone().retold(address));
+    }
+
+    fn reseen(self: Rc<Self>, name: &str) {
+        let server = self.names.borrow().servers.get(name);
+        let address = server.and_then(|server| self.address_of(server));
+        if let Some(address) = address {
+            self.retold(address);
+        }
+    }
+
+    fn review(self: Rc<Self>) {
+        let mut places: Vec<Place<SocketAddr>> = self.own.borrow().places.values().cloned().collect();
+        // The order in which they were named tells which of two at one address holds.
+        places.sort_unstable_by_key(|p| p.entry.server);
+        places.iter_mut().for_each(|p| self.adjust(p));
+        places.retain(|p| self.engine.borrow().lists(p.entry.server));
+        if !places.is_empty() {
+            self.tell(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
+        }
+    }
+
+    fn knows(&self, name: &str) -> bool {
+        self.names.borrow().servers.get(name).is_some()
+    }
+
+    fn listed(&self, to: &mut BTreeSet<ServerInstance>) {
+        let servers: Vec<ServerId> = self.own.borrow().places.keys().copied().collect();
+        to.extend(servers.into_iter().filter_map(|server| self.instance_of(server)));
+    }
+
+    fn overdue(&self, now: Time, to: &mut Vec<OverdueRequest>) {
+        let engine = self.engine.borrow();
+        for (server, class, since) in engine.waits() {
+            let Some(aim) = self.classes.get(usize::from(class)).map(|c| c.aim) else { continue };
+            let waited = now - since;
+            if waited > aim {
+                to.extend(self.instance_of(server).map(|server| OverdueRequest { server, waited, aim }));
+            }
+        }
+    }
+
+    fn apply_condemnation(self: Rc<Self>, condemnation: &Condemnation) {
+        let server = self.names.borrow().servers.get(&condemnation.server.name);
+        // The condemnation of one instance says nothing about another.
+        let Some(server) = server.filter(|s| self.instance_of(*s).as_ref() == Some(&condemnation.server))
+        else {
+            return;
+        };
+        let Condemnation { until, is_prober, .. } = *condemnation;
+        self.tell(|engine, now, out| engine.told(now, server, until, is_prober, out));
+    }
+
+    fn retold(self: Rc<Self>, address: SocketAddr) {
+        let mut places: Vec<Place<SocketAddr>> = self.own.borrow().at(&address).cloned().collect();
+        places.iter_mut().for_each(|p| self.adjust(p));
+        if !places.is_empty() {
+            self.tell(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/registry/driver.rs
@@ -0,0 +1,187 @@
+//! A session with a registry over its socket: connects, sends, reads and waits as the session wants.
+
+use super::Way;
+use crate::net::shared::Clock;
+use bytes::{Buf, BytesMut};
+use reelfall_core::interface::Time;
+use reelfall_membership::session::{Do, Event, Session, PENDING_MOST};
+use reelfall_membership::wire::Op;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// Bytes that one read brings.
+const READ: usize = 64 << 10;
+
+/// What a session serves.
+pub(super) trait Part {
+    /// Something has happened on the session.
+    fn event(&mut self, now: Time, session: &Session, event: &Event);
+    /// What is to be asked next.
+    fn op(&mut self) -> Option<(u64, Op)>;
+    /// Time has passed, and the session may have been heard.
+    fn tick(&mut self, now: Time, session: &Session);
+    /// When `tick` has something to do.
+    fn deadline(&self) -> Time;
+    /// All that has come has been taken in.
+    fn settled(&mut self, now: Time);
+    /// The session ends here, by its own wish.
+    fn is_done(&self) -> bool;
+}
+
+type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
+
+/// The socket under a session.
+enum Line {
+    None,
+    Connecting(Connecting),
+    Up(TcpStream),
+}
+
+/// What woke the driver.
+enum Woken {
+    Connected(io::Result<TcpStream>),
+    Read(io::Result<usize>),
+    Writable,
+    Otherwise,
+}
+
+pub(super) struct Driver<P> {
+    session: Session,
+    part: P,
+    clock: Clock,
+    line: Line,
+    out: BytesMut,
+    read: BytesMut,
+}
+
+impl<P: Part> Driver<P> {
+    pub(super) fn new(way: &Way, part: P, clock: Clock) -> Self {
+        let session = way.session(clock.now());
+        Driver {
+            session,
+            part,
+            clock,
+            line: Line::None,
+            out: BytesMut::new(),
+            read: BytesMut::with_capacity(READ),
+        }
+    }
+
+    /// Runs until the part is done; `told` is for whoever has changed what the part wants.
+    pub(super) async fn run(mut self, told: &Notify) {
+        loop {
+            self.turn();
+            if self.part.is_done() {
+                self.session.close(self.clock.now());
+                self.turn();
+                // The registry drops what ends with the session when this is read; a moment, and no more.
+                let _ = tokio::time::timeout(Duration::from_millis(200), self.flush()).await;
+                return;
+            }
+            let woken = self.wait(told).await;
+            let now = self.clock.now();
+            match woken {
+                Woken::Connected(Ok(stream)) => {
+                    let _ = stream.set_nodelay(true);
+                    self.line = Line::Up(stream);
+                    self.session.connected(now);
+                }
+                Woken::Connected(Err(_)) | Woken::Read(Ok(0) | Err(_)) => {
+                    self.line = Line::None;
+                    self.session.ended(now);
+                }
+                Woken::Read(Ok(_)) => {
+                    let bytes = self.read.split();
+                    self.session.received(now, &bytes);
+                }
+                Woken::Writable => self.write(),
+                Woken::Otherwise => {}
+            }
+        }
+    }
+
+    /// Takes in all that has happened and starts all that is to be done.
+    fn turn(&mut self) {
+        let now = self.clock.now();
+        self.session.tick(now);
+        self.part.tick(now, &self.session);
+        loop {
+            while let Some(event) = self.session.event() {
+                self.part.event(now, &self.session, &event);
+            }
+            while self.session.is_up() && self.session.pending() < PENDING_MOST {
+                let Some((token, op)) = self.part.op() else { break };
+                self.session.ask(now, token, op);
+            }
+            let Some(to) = self.session.todo() else { break };
+            match to {
+                Do::Connect(address) => self.line = Line::Connecting(Box::pin(TcpStream::connect(address))),
+                Do::Send(bytes) => self.out.extend_from_slice(&bytes),
+                Do::Close => {
+                    self.line = Line::None;
+                    self.out.clear();
+                    self.read.clear();
+                }
+            }
+        }
+        self.write();
+        self.part.settled(now);
+    }
+
+    fn write(&mut self) {
+        let Line::Up(stream) = &self.line else { return };
+        while !self.out.is_empty() {
+            match stream.try_write(&self.out) {
+                Ok(n) => self.out.advance(n),
+                // What broke shows when it is read.
+                Err(_) => return,
+            }
+        }
+    }
+
+    async fn flush(&mut self) {
+        while !self.out.is_empty() {
+            let Line::Up(stream) = &self.line else { return };
+            if stream.writable().await.is_err() {
+                return;
+            }
+            self.write();
+        }
+    }
+
+    async fn wait(&mut self, told: &Notify) -> Woken {
+        let until = self.session.deadline().unwrap_or(f64::MAX).min(self.part.deadline());
+        // Without anything due, an hour is as good as any time.
+        let rest = Duration::from_secs_f64((until - self.clock.now()).clamp(0.0, 3600.0));
+        let sleep = tokio::time::sleep_until((Instant::now() + rest).into());
+        match &mut self.line {
+            Line::None => tokio::select! {
+                () = sleep => Woken::Otherwise,
+                () = told.notified() => Woken::Otherwise,
+            },
+            Line::Connecting(connecting) => tokio::select! {
+                connected = connecting.as_mut() => Woken::Connected(connected),
+                () = sleep => Woken::Otherwise,
+                () = told.notified() => Woken::Otherwise,
+            },
+            Line::Up(stream) => {
+                self.read.reserve(READ);
+                let (mut from, to) = stream.split();
+                let writes = !self.out.is_empty();
+                // News first: what a timer would do can wait for it.
+                tokio::select! {
+                    biased;
+                    read = from.read_buf(&mut self.read) => Woken::Read(read),
+                    _ = to.writable(), if writes => Woken::Writable,
+                    () = told.notified() => Woken::Otherwise,
+                    () = sleep => Woken::Otherwise,
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/registry/following.rs
@@ -0,0 +1,186 @@
+//! A pool that follows the entries under a path of a registry.
+
+use super::driver::{Driver, Part};
+use super::Way;
+use crate::net::pool::Pool;
+use crate::net::source::Source;
+use reelfall_conf::model;
+use reelfall_core::engine::Place;
+use reelfall_core::interface::{ListKind, ServerState, Time};
+use reelfall_core::settings::Listed;
+use reelfall_membership::entry::Entry;
+use reelfall_membership::follow::{Follower, Limits, Report};
+use reelfall_membership::roster::Change;
+use reelfall_membership::session::{Event, Session, Why};
+use reelfall_membership::wire::Op;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// Entries under a path of a registry.
+pub struct Registry {
+    pub way: Way,
+    pub path: String,
+    pub limits: Limits,
+    /// Servers that are taken to be there until the registry has been heard.
+    pub known: Vec<model::At<model::Server>>,
+}
+
+impl Source for Registry {
+    fn follow(self, pool: Rc<Pool>) -> impl Future<Output = ()> + 'static {
+        if !self.known.is_empty() {
+            let place = |server: &model::At<model::Server>| {
+                let listed = Listed {
+                    name: &server.name,
+                    zone: server.zone.as_deref(),
+                    kind: server.kind.as_deref(),
+                    cell: 0,
+                    state: server.state,
+                    weight: server.weight,
+                    // Nobody knows when they began: whoever wrote them down knew them for some time.
+                    ready_at: Some(0.0),
+                };
+                Place { entry: pool.names.borrow_mut().entry(&listed), address: server.address }
+            };
+            let places = self.known.iter().map(place).collect();
+            pool.members(ListKind::Cached, places);
+        }
+        let clock = pool.shared.clock;
+        let follower = Follower::new(&self.path, self.limits, clock.now());
+        let part = Following { pool, path: self.path, follower, told: false, refused: false };
+        let driver = Driver::new(&self.way, part, clock);
+        async move { driver.run(&Notify::new()).await }
+    }
+}
+
+struct Following {
+    pool: Rc<Pool>,
+    path: String,
+    follower: Follower,
+    /// The pool has had a whole list.
+    told: bool,
+    /// It has been told that nothing counts, since the list is stale.
+    refused: bool,
+}
+
+impl Following {
+    fn place(&self, entry: &Entry, state: ServerState) -> Place<SocketAddr> {
+        let listed = Listed {
+            name: &entry.name,
+            zone: entry.zone.as_deref(),
+            kind: entry.kind.as_deref(),
+            cell: 0,
+            state,
+            weight: Some(entry.weight),
+            ready_at: Some(entry.started),
+        };
+        Place { entry: self.pool.names.borrow_mut().entry(&listed), address: entry.address }
+    }
+
+    /// A server as its entry has it, unless nothing counts.
+    fn there(&self, entry: &Entry) -> Place<SocketAddr> {
+        let drains = entry.draining || self.refused;
+        self.place(entry, if drains { ServerState::Draining } else { ServerState::Up })
+    }
+
+    fn whole(&self) -> Vec<Place<SocketAddr>> {
+        self.follower.roster().there().map(|entry| self.there(entry)).collect()
+    }
+
+    /// News of one server. Who has gone and was never told of needs no word.
+    fn news(&self, change: &Change) -> Option<Place<SocketAddr>> {
+        match change {
+            Change::There(entry) => Some(self.there(entry)),
+            Change::Gone(name) => {
+                self.pool.names.borrow().servers.get(name)?;
+                let gone = Listed {
+                    name,
+                    zone: None,
+                    kind: None,
+                    cell: 0,
+                    state: ServerState::Gone,
+                    weight: None,
+                    ready_at: None,
+                };
+                let entry = self.pool.names.borrow_mut().entry(&gone);
+                // Where it was is known to the pool.
+                let address = self.pool.address_of(entry.server)?;
+                Some(Place { entry, address })
+            }
+        }
+    }
+
+    fn heard(&mut self, session: &Session) {
+        if session.is_up() {
+            self.follower.heard(session.heard());
+            self.pool.heard.set(Some(session.heard()));
+        }
+    }
+
+    fn say(&self, report: &Report) {
+        let (log, path) = (&self.pool.shared.log, &self.path);
+        match report {
+            Report::Entry(child, fault) => log.say(format_args!("registry {path}/{child}: {fault}")),
+            Report::TooMany(most) => log.say(format_args!("registry {path}: more than {most} entries")),
+            Report::NoPath => log.say(format_args!("registry {path}: there is no such path")),
+            Report::NotAllowed => log.say(format_args!("registry {path}: not to be read by this session")),
+            Report::Stale(age) => log.say(format_args!("registry {path}: nothing heard for {age} s")),
+            Report::Fresh => log.say(format_args!("registry {path}: heard again")),
+        }
+    }
+}
+
+impl Part for Following {
+    fn event(&mut self, now: Time, session: &Session, event: &Event) {
+        match event {
+            Event::Lost(why @ (Why::Wire(_) | Why::Credentials)) => {
+                self.pool.shared.log.say(format_args!("registry {}: {why}", self.path));
+            }
+            Event::Reset => {
+                self.pool.shared.log.say(format_args!("registry {}: begins anew", self.path));
+            }
+            _ => {}
+        }
+        self.heard(session);
+        self.follower.event(now, event);
+    }
+
+    fn op(&mut self) -> Option<(u64, Op)> {
+        self.follower.op()
+    }
+
+    fn tick(&mut self, now: Time, session: &Session) {
+        self.heard(session);
+        self.follower.tick(now);
+    }
+
+    fn deadline(&self) -> Time {
+        self.follower.deadline()
+    }
+
+    fn settled(&mut self, _now: Time) {
+        while let Some(report) = self.follower.report() {
+            self.say(&report);
+        }
+        let refuses = self.follower.refuses();
+        let flips = std::mem::replace(&mut self.refused, refuses) != refuses;
+        let changes = self.follower.changes();
+        if !self.told || flips {
+            // Nothing is told before all of it is known: half a list would draw all work to half of the servers.
+            if self.follower.is_known() {
+                self.told = true;
+                self.pool.members(ListKind::Full, self.whole());
+            }
+            return;
+        }
+        if !changes.is_empty() {
+            let places = changes.iter().filter_map(|c| self.news(c)).collect();
+            self.pool.members(ListKind::Delta, places);
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/registry/own_entry.rs
@@ -0,0 +1,117 @@
+//! The entry that this node has in a registry, from when it is wanted until the node ends.
+
+use super::driver::{Driver, Part};
+use super::Way;
+use crate::net::shared::Shared;
+use reelfall_core::interface::Time;
+use reelfall_membership::own::{self, Own};
+use reelfall_membership::session::{Event, Session};
+use reelfall_membership::wire::{Acl, Op};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// This node's entry in one registry.
+pub struct Entered {
+    wanted: Cell<Wanted>,
+    told: Notify,
+    gone: Notify,
+    done: Cell<bool>,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum Wanted {
+    NotYet,
+    Stands,
+    Gone,
+}
+
+impl Entered {
+    /// Keeps an entry from when it is wanted until it is not.
+    pub fn keep(shared: &Rc<Shared>, way: Way, path: String, data: own::Data, guarded: bool) -> Rc<Entered> {
+        let entered = Rc::new(Entered {
+            wanted: Cell::new(Wanted::NotYet),
+            told: Notify::new(),
+            gone: Notify::new(),
+            done: Cell::new(false),
+        });
+        let acl = if guarded { vec![Acl::creator(), Acl::read_only()] } else { vec![Acl::open()] };
+        let own = Own::new(path.clone(), data, acl);
+        let part = Keeping { entered: entered.clone(), shared: shared.clone(), path, own: RefCell::new(own) };
+        let driver = Driver::new(&way, part, shared.clock);
+        let keeping = entered.clone();
+        tokio::task::spawn_local(async move {
+            driver.run(&keeping.told).await;
+            keeping.done.set(true);
+            keeping.gone.notify_one();
+        });
+        entered
+    }
+
+    /// The node is ready: the entry may stand.
+    pub fn want(&self) {
+        if self.wanted.get() == Wanted::NotYet {
+            self.wanted.set(Wanted::Stands);
+            self.told.notify_one();
+        }
+    }
+
+    /// The node is on its way out: the entry goes. Waits until it has, but not for long.
+    pub async fn withdraw(&self, within: Duration) {
+        self.wanted.set(Wanted::Gone);
+        self.told.notify_one();
+        if !self.done.get() {
+            let _ = tokio::time::timeout(within, self.gone.notified()).await;
+        }
+    }
+}
+
+struct Keeping {
+    entered: Rc<Entered>,
+    shared: Rc<Shared>,
+    path: String,
+    own: RefCell<Own>,
+}
+
+impl Part for Keeping {
+    fn event(&mut self, now: Time, session: &Session, event: &Event) {
+        self.own.get_mut().event(now, session.id(), event);
+    }
+
+    fn op(&mut self) -> Option<(u64, Op)> {
+        self.own.get_mut().op()
+    }
+
+    fn tick(&mut self, now: Time, _session: &Session) {
+        let own = self.own.get_mut();
+        match self.entered.wanted.get() {
+            Wanted::NotYet => {}
+            Wanted::Stands => own.want(),
+            Wanted::Gone => own.withdraw(),
+        }
+        own.tick(now);
+    }
+
+    fn deadline(&self) -> Time {
+        self.own.borrow().deadline()
+    }
+
+    fn settled(&mut self, _now: Time) {
+        let own = self.own.get_mut();
+        let Some(report) = own.report() else { return };
+        let (log, path) = (&self.shared.log, &self.path);
+        match report {
+            own::Report::Stands => log.say(format_args!("own entry {path}: stands")),
+            own::Report::Taken(_) => log.say(format_args!("own entry {path}: somebody else's is there")),
+            own::Report::Superseded => {
+                log.say(format_args!("own entry {path}: a later life of this node has it"))
+            }
+            own::Report::Refused(why) => log.say(format_args!("own entry {path}: {why}")),
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.entered.wanted.get() == Wanted::Gone && self.own.borrow().is_withdrawn()
+    }
+}
--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -9,6 +9,8 @@
 //! | [`schedule`] | faults and words, drawn from a seed, written down and played |
 //! | [`shorten`] | a schedule that breaks something, made short |
 //! | [`resource`] | what holders of leases act on |
+//! | `load` | clients at the nodes |
+//! | `node_settings` | the settings files of the nodes |
 //! | [`plays`] | one schedule over one fleet, and what came of it |
 //!
 //! Each node is a process of the program with a settings file; what it sends to another goes to an address of the rig's,
@@ -17,12 +19,16 @@
 pub mod check;
 pub mod history;
 pub mod links;
+mod load;
+mod node_settings;
 pub mod plays;
 pub mod resource;
 pub mod schedule;
 pub mod shorten;
 pub mod verdicts;
 
+pub use load::{Load, AIM, DEADLINE};
+
 use crate::client::Client;
 use crate::discovery::{Discovery, Listed};
 use crate::link::Link;
@@ -35,8 +41,10 @@
 use http_body_util::Full;
 use hyper::Request;
 use links::Links;
+use load::{clients, Addresses};
+use node_settings::{part, settings, written};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -101,9 +109,6 @@
     _task: Task,
 }
 
-/// Where clients reach each node now; a process that begins again has another port.
-type Addresses = Arc<Mutex<Vec<Option<SocketAddr>>>>;
-
 /// A fleet. It ends when this is dropped.
 pub struct Rig {
     program: Program,
@@ -392,135 +397,6 @@
             let draw = Draw(seed.wrapping_mul(0x9e37).wrapping_add(n as u64));
             tokio::spawn(clients(n, addresses, rate, risky, draw, history, stop))
         });
-        Load { clients: clients.collect(), stop }
+        Load::new(clients.collect(), stop)
     }
 }
-
-/// Clients at work.
-pub struct Load {
-    clients: Vec<tokio::task::JoinHandle<()>>,
-    stop: Arc<AtomicBool>,
-}
-
-impl Load {
-    /// No more is asked; waits for what is under way.
-    pub async fn end(mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        for client in self.clients.drain(..) {
-            let _ = client.await;
-        }
-    }
-}
-
-impl Drop for Load {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-    }
-}
-
-/// In what time an answer is worth all.
-pub const AIM: Duration = Duration::from_millis(200);
-/// What clients wait for an answer.
-pub const DEADLINE: Duration = Duration::from_secs(2);
-
-async fn clients(
-    node: usize, addresses: Addresses, rate: f64, risky: f64, mut draw: Draw, history: Arc<History>,
-    stop: Arc<AtomicBool>,
-) {
-    let mut to: Option<(SocketAddr, Arc<Client>)> = None;
-    let mut running = tokio::task::JoinSet::new();
-    let tag = draw.number() & 0xffff;
-    let mut due = Instant::now();
-    for n in 0u64.. {
-        due += Duration::from_secs_f64(draw.gap(rate));
-        tokio::time::sleep_until(due.into()).await;
-        if stop.load(Ordering::Relaxed) {
-            break;
-        }
-        while running.try_join_next().is_some() {}
-        let now = addresses.lock().unwrap_or_else(PoisonError::into_inner).get(node).copied().flatten();
-        // Where nobody is, nobody is asked.
-        let Some(address) = now else { continue };
-        let client = match &to {
-            Some((at, client)) if *at == address => client.clone(),
-            _ => to.insert((address, Arc::new(Client::new(address)))).1.clone(),
-        };
-        let risky = draw.fraction() < risky;
-        let id = format!("{}-{}{tag:x}-{n}", name(node), if risky { "w" } else { "r" });
-        let history = history.clone();
-        running.spawn(async move { ask(node, &client, &history, id, risky).await });
-    }
-    while running.join_next().await.is_some() {}
-}
-
-async fn ask(node: usize, client: &Client, history: &History, id: String, risky: bool) {
-    let request = Request::builder()
-        .method(if risky { "POST" } else { "GET" })
-        .uri("/api/flags")
-        .header("host", if risky { "toggle.example.org" } else { "evaluate.example.org" })
-        .header("x-correlation-id", &id)
-        .body(Full::new(if risky { Bytes::from_static(b"{}") } else { Bytes::new() }));
-    let Ok(request) = request else { return };
-    history.add(Event::Asked { node, id: id.clone(), risky });
-    let got = tokio::time::timeout(DEADLINE + Duration::from_secs(40), client.ask(request)).await;
-    let status = match got {
-        Ok(Ok(got)) => Some(got.status.as_u16()),
-        Ok(Err(_)) | Err(_) => None,
-    };
-    history.add(Event::Answered { node, id, status });
-}
-
-fn part(n: usize, made: &Made, links: &Links, key: &std::path::Path, more: &str) -> String {
-    let places = (0..links.count().min(3)).map(|s| links.address(s));
-    let seeds: Vec<String> = places.chain(made.seeds.iter().copied()).map(|s| format!("\"{s}\"")).collect();
-    let named = made.named.iter().find(|(of, _)| *of == n).map_or_else(|| name(n), |(_, name)| name.clone());
-    let own = key.with_file_name(format!("folder-{n}"));
-    let more = more.replace("{folder}", &own.display().to_string());
-    format!(
-        "[management]\naddress = \"127.0.0.1:0\"\n\n[fleet]\nname = \"rig\"\nnode = \"{}\"\nlisten = \"127.0.0.1:0\"\n\
-         advertise = \"{}\"\nkey_file = \"{}\"\nseeds = [{}]\n{more}\n",
-        named,
-        links.address(n),
-        key.display(),
-        seeds.join(", ")
-    )
-}
-
-fn zone(of: usize, made: &Made) -> String {
-    format!("z{}", of % made.zones.max(1))
-}
-
-/// The servers as a node's file names them, each by the node's own link to it.
-fn written(made: &Made, links: &[Link]) -> String {
-    let zoned = |s: usize| match made.zones {
-        0 | 1 => String::new(),
-        _ => format!("zone = \"{}\"\n", zone(s, made)),
-    };
-    let server = |(s, link): (usize, &Link)| {
-        let name = server_name(s);
-        format!("[[service.server]]\nname = \"{name}\"\naddress = \"{}\"\n{}", link.address, zoned(s))
-    };
-    links.iter().enumerate().map(server).collect()
-}
-
-fn settings(n: usize, made: &Made, source: &str, fleet: &str) -> String {
-    let process = match made.zones {
-        0 | 1 => format!("[process]\nnodes = {}\n", made.nodes),
-        _ => format!("[process]\nnodes = {}\nzone = \"{}\"\n", made.nodes, zone(n, made)),
-    };
-    let service = |name: &str, repeat: &str| {
-        let (before, after) = if made.lists > 0 { (source, "") } else { ("", source) };
-        format!(
-            "[[service]]\nname = \"{name}\"\n{before}tries = {{ most = 3, retry_share = 0.5 }}\n{}\n[[service.class]]\n\
-             name = \"{name}\"\nrepeat = \"{repeat}\"\naim = \"{}ms\"\ndeadline = \"2s\"\n[[service.route]]\n\
-             host = \"{name}.example.org\"\npath = \"/api\"\n{after}\n",
-            made.service,
-            AIM.as_millis()
-        )
-    };
-    format!(
-        "{process}\n{fleet}\n[[listener]]\nname = \"client\"\naddress = \"127.0.0.1:0\"\n\n{}{}",
-        service("evaluate", "safe"),
-        service("toggle", "unsafe")
-    )
-}
