--- a/crates/node/src/net/answer.rs
+++ b/crates/node/src/net/answer.rs
@@ -2,7 +2,7 @@
 
 use super::body::{fault, FLOW_MOST};
 use super::message::Message;
-use super::shared::Held;
+use super::shared::MemoryPermit;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::HeaderMap;
@@ -28,35 +28,35 @@
     /// All of it, or what has come of one that flows.
     pub body: Bytes,
     /// What is to come; never of an answer that has a judge.
-    pub rest: Option<Rest>,
+    pub rest: Option<StreamedAnswer>,
     /// What the body holds of the memory for answers.
-    pub _leave: Option<Held>,
+    pub _memory: Option<MemoryPermit>,
 }
 
 /// What is to come of an answer that flows.
-pub struct Rest {
+pub struct StreamedAnswer {
     incoming: Incoming,
     passed: u64,
     /// When it counts as stalled; set while nothing is here.
-    stalled: Option<Pin<Box<Sleep>>>,
+    stall_timer: Option<Pin<Box<Sleep>>>,
     /// Has the connection used again when the answer came whole; dropped, it closes the connection.
-    whole: Option<Box<dyn FnOnce()>>,
+    on_complete: Option<Box<dyn FnOnce()>>,
     /// More may come.
     open: Rc<Cell<bool>>,
     /// The request's id and place are held as long as its answer comes.
     _message: Rc<Message>,
 }
 
-impl Rest {
+impl StreamedAnswer {
     /// What is to come after `passed` bytes; `whole` is called when all has come.
     pub fn new(
-        incoming: Incoming, passed: u64, message: Rc<Message>, whole: impl FnOnce() + 'static,
+        incoming: Incoming, passed: u64, message: Rc<Message>, on_complete: impl FnOnce() + 'static,
     ) -> Self {
-        Rest {
+        StreamedAnswer {
             incoming,
             passed,
-            stalled: None,
-            whole: Some(Box::new(whole)),
+            stall_timer: None,
+            on_complete: Some(Box::new(on_complete)),
             open: Rc::new(Cell::new(true)),
             _message: message,
         }
@@ -64,8 +64,8 @@
 
     fn end(&mut self) {
         self.open.set(false);
-        if let Some(whole) = self.whole.take() {
-            whole();
+        if let Some(on_complete) = self.on_complete.take() {
+            on_complete();
         }
     }
 
@@ -75,7 +75,7 @@
         loop {
             match Pin::new(&mut self.incoming).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => {
-                    self.stalled = None;
+                    self.stall_timer = None;
                     let Ok(data) = frame.into_data() else { continue };
                     self.passed += data.len() as u64;
                     if self.passed > FLOW_MOST {
@@ -94,8 +94,8 @@
                 }
                 Poll::Pending => {
                     let due = || Box::pin(tokio::time::sleep_until(Instant::now() + STALLED));
-                    let stalled = self.stalled.get_or_insert_with(due);
-                    return match stalled.as_mut().poll(cx) {
+                    let stall_timer = self.stall_timer.get_or_insert_with(due);
+                    return match stall_timer.as_mut().poll(cx) {
                         Poll::Pending => Poll::Pending,
                         Poll::Ready(()) => Poll::Ready(Some(Err(fault("the answer has stalled")))),
                     };
@@ -107,30 +107,30 @@
 
 /// The body of what a client is sent.
 #[derive(Default)]
-pub struct Outgoing {
+pub struct ResponseBody {
     held: Bytes,
-    rest: Option<Rest>,
+    rest: Option<StreamedAnswer>,
 }
 
-impl Outgoing {
+impl ResponseBody {
     /// What is here, and what is to come.
-    pub fn new(held: Bytes, rest: Option<Rest>) -> Self {
-        Outgoing { held, rest }
+    pub fn new(held: Bytes, rest: Option<StreamedAnswer>) -> Self {
+        ResponseBody { held, rest }
     }
 
     /// Tells, now and later, whether more of it may come; `None` if it is all here.
-    pub fn flows(&self) -> Option<Rc<Cell<bool>>> {
+    pub fn open_flag(&self) -> Option<Rc<Cell<bool>>> {
         self.rest.as_ref().map(|r| r.open.clone())
     }
 }
 
-impl<T: Into<Bytes>> From<T> for Outgoing {
+impl<T: Into<Bytes>> From<T> for ResponseBody {
     fn from(held: T) -> Self {
-        Outgoing { held: held.into(), rest: None }
+        ResponseBody { held: held.into(), rest: None }
     }
 }
 
-impl Body for Outgoing {
+impl Body for ResponseBody {
     type Data = Bytes;
     type Error = io::Error;
 
--- a/crates/node/src/net/body.rs
+++ b/crates/node/src/net/body.rs
@@ -20,7 +20,7 @@
 }
 
 /// The body of a request on its way from its client to one server.
-pub struct Flow {
+pub struct StreamedBody {
     /// What was read before it was known that the body would flow.
     first: RefCell<Option<Bytes>>,
     rest: RefCell<Incoming>,
@@ -36,10 +36,10 @@
     fault: Cell<Option<&'static str>>,
 }
 
-impl Flow {
+impl StreamedBody {
     /// A body of which `first` has been read.
     pub fn new(first: Bytes, rest: Incoming, size: Option<u64>) -> Rc<Self> {
-        Rc::new(Flow {
+        Rc::new(StreamedBody {
             first: RefCell::new(Some(first).filter(|f| !f.is_empty())),
             rest: RefCell::new(rest),
             size,
@@ -122,32 +122,32 @@
 #[derive(Clone)]
 pub enum Payload {
     /// It is held, and can be sent again.
-    Held(Bytes),
+    Buffered(Bytes),
     /// It flows, once.
-    Flow(Rc<Flow>),
+    Streamed(Rc<StreamedBody>),
 }
 
 impl Payload {
     /// The flow, if it is one.
-    pub fn flow(&self) -> Option<&Rc<Flow>> {
+    pub fn streamed(&self) -> Option<&Rc<StreamedBody>> {
         match self {
-            Payload::Held(_) => None,
-            Payload::Flow(flow) => Some(flow),
+            Payload::Buffered(_) => None,
+            Payload::Streamed(flow) => Some(flow),
         }
     }
 }
 
 /// A payload on its way to a server.
-pub struct Sending(Payload);
+pub struct PayloadBody(Payload);
 
-impl Sending {
+impl PayloadBody {
     /// For one attempt.
     pub fn new(payload: &Payload) -> Self {
-        Sending(payload.clone())
+        PayloadBody(payload.clone())
     }
 }
 
-impl Body for Sending {
+impl Body for PayloadBody {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -155,23 +155,23 @@
         mut self: Pin<&mut Self>, cx: &mut Context,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match &mut self.0 {
-            Payload::Held(held) if held.is_empty() => Poll::Ready(None),
-            Payload::Held(held) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(held))))),
-            Payload::Flow(flow) => flow.poll(cx),
+            Payload::Buffered(held) if held.is_empty() => Poll::Ready(None),
+            Payload::Buffered(held) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(held))))),
+            Payload::Streamed(flow) => flow.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match &self.0 {
-            Payload::Held(held) => held.is_empty(),
-            Payload::Flow(flow) => flow.is_done(),
+            Payload::Buffered(held) => held.is_empty(),
+            Payload::Streamed(flow) => flow.is_done(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match &self.0 {
-            Payload::Held(held) => SizeHint::with_exact(held.len() as u64),
-            Payload::Flow(flow) => flow.size.map_or_else(SizeHint::new, |size| {
+            Payload::Buffered(held) => SizeHint::with_exact(held.len() as u64),
+            Payload::Streamed(flow) => flow.size.map_or_else(SizeHint::new, |size| {
                 SizeHint::with_exact(size.saturating_sub(flow.passed.get()))
             }),
         }
--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -28,15 +28,15 @@
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum Phase {
     /// Nothing has come yet.
-    Silent,
+    New,
     /// A request has begun to come.
-    Coming,
+    Receiving,
     /// A request's body flows on to a server as it comes.
-    Flowing,
+    Streaming,
     /// A request is whole and has no answer yet.
-    Open,
+    AwaitingAnswer,
     /// The answer is on its way.
-    Answered,
+    Answering,
     /// The answer is out, and nothing has come since.
     Idle,
 }
@@ -49,91 +49,91 @@
     /// When the phase began; a first request begins with its connection.
     pub since: Cell<Instant>,
     /// It is closed as soon as no request is here.
-    pub leave: Cell<bool>,
+    pub close_when_idle: Cell<bool>,
     /// What the client is told when its connection can't go on.
     pub fault: Cell<Option<StatusCode>>,
     /// Something was written since the last request began.
     wrote: Cell<bool>,
     /// Bytes of the request that is coming, and when the last of them came.
-    came: Cell<u64>,
-    last: Cell<Instant>,
+    request_bytes: Cell<u64>,
+    last_byte_at: Cell<Instant>,
     /// How long more of a body that flows has been waited for, all rests together.
-    rested: Cell<Duration>,
+    time_stalled: Cell<Duration>,
     /// Its answer flows.
-    pub streams: Cell<bool>,
+    pub is_streaming: Cell<bool>,
     /// Whether more of it may come.
-    pub comes: RefCell<Option<Rc<Cell<bool>>>>,
+    pub answer_open: RefCell<Option<Rc<Cell<bool>>>>,
     /// It was answered before its body was here: it is read on for a while, or the answer might be lost.
-    pub early: Cell<bool>,
+    pub answered_early: Cell<bool>,
     /// It goes to another process as soon as no request is here.
-    pub passing: Cell<bool>,
+    pub handing_over: Cell<bool>,
     /// Where it came in.
-    pub came_by: Rc<Mark>,
+    pub listener_tag: Rc<ListenerTag>,
     /// It has closed its connection, or its sending on it, or has reset it. A half-close counts as leaving: a client that
     /// waits for an answer keeps its sending open.
-    left: Cell<bool>,
+    disconnected: Cell<bool>,
     /// The socket, and when all that had come on it was last read.
     stream: RefCell<Weak<TcpStream>>,
-    looked: Cell<Instant>,
+    last_checked: Cell<Instant>,
 }
 
 impl Client {
-    pub fn new(came_by: Rc<Mark>) -> Self {
+    pub fn new(listener_tag: Rc<ListenerTag>) -> Self {
         Client {
             wake: Notify::new(),
-            phase: Cell::new(Phase::Silent),
+            phase: Cell::new(Phase::New),
             since: Cell::new(Instant::now()),
-            leave: Cell::new(false),
+            close_when_idle: Cell::new(false),
             fault: Cell::new(None),
             wrote: Cell::new(false),
-            came: Cell::new(0),
-            last: Cell::new(Instant::now()),
-            rested: Cell::default(),
-            streams: Cell::new(false),
-            comes: RefCell::default(),
-            early: Cell::new(false),
-            passing: Cell::new(false),
-            came_by,
-            left: Cell::new(false),
+            request_bytes: Cell::new(0),
+            last_byte_at: Cell::new(Instant::now()),
+            time_stalled: Cell::default(),
+            is_streaming: Cell::new(false),
+            answer_open: RefCell::default(),
+            answered_early: Cell::new(false),
+            handing_over: Cell::new(false),
+            listener_tag,
+            disconnected: Cell::new(false),
             stream: RefCell::default(),
-            looked: Cell::new(Instant::now()),
+            last_checked: Cell::new(Instant::now()),
         }
     }
 
     /// The socket that it is on.
-    pub fn on(&self, stream: &Rc<TcpStream>) {
+    pub fn set_socket(&self, stream: &Rc<TcpStream>) {
         self.stream.replace(Rc::downgrade(stream));
     }
 
     /// Looks whether an end has come that the connection's own task has not read yet.
-    fn look(&self) {
-        self.looked.set(Instant::now());
-        let Some(stream) = self.stream.borrow().upgrade() else { return self.left.set(true) };
+    fn check_disconnect(&self) {
+        self.last_checked.set(Instant::now());
+        let Some(stream) = self.stream.borrow().upgrade() else { return self.disconnected.set(true) };
         match socket2::SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
             Ok(n) if n > 0 => {}
             Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
-            _ => self.left.set(true),
+            _ => self.disconnected.set(true),
         }
     }
 
-    pub fn turn(&self, phase: Phase) {
+    pub fn set_phase(&self, phase: Phase) {
         self.phase.set(phase);
         self.since.set(Instant::now());
     }
 
     /// How long what has come of a request may have taken.
-    fn patience(&self) -> Duration {
-        REQUEST_WITHIN + Duration::from_secs_f64(self.came.get() as f64 / BODY_RATE)
+    fn time_allowed(&self) -> Duration {
+        REQUEST_WITHIN + Duration::from_secs_f64(self.request_bytes.get() as f64 / BODY_RATE)
     }
 
     /// Bytes of a request are here.
-    fn begun(&self) {
+    fn begin_request(&self) {
         match self.phase.get() {
-            Phase::Silent | Phase::Idle => {
-                self.turn(Phase::Coming);
+            Phase::New | Phase::Idle => {
+                self.set_phase(Phase::Receiving);
                 self.wrote.set(false);
-                self.came.set(0);
-                self.rested.set(Duration::ZERO);
+                self.request_bytes.set(0);
+                self.time_stalled.set(Duration::ZERO);
             }
             _ => {}
         }
@@ -144,16 +144,16 @@
     /// Guards against attempts for clients that have gone, which nobody waits for: while the processor is short, an end
     /// that has come may wait long to be read. Harm: one look at the socket for what has waited for `LOOK_AGAIN`.
     fn has_left(&self) -> bool {
-        if !self.left.get() && self.looked.get().elapsed() >= LOOK_AGAIN {
-            self.look();
+        if !self.disconnected.get() && self.last_checked.get().elapsed() >= LOOK_AGAIN {
+            self.check_disconnect();
         }
-        self.left.get()
+        self.disconnected.get()
     }
 }
 
 /// What clients keep of the listener that they came by. They must not keep the listener itself: its socket would stay
 /// open as long as they stay, and whoever connects then would wait in a backlog that nobody empties.
-pub(super) struct Mark {
+pub(super) struct ListenerTag {
     /// Its place in the plan in force; none once it was removed.
     pub id: Cell<Option<ListenerId>>,
     /// What the listener is called.
--- a/crates/node/src/net/client/close.rs
+++ b/crates/node/src/net/client/close.rs
@@ -23,20 +23,20 @@
 /// `CLOSE_WITHIN` longer.
 pub(in crate::net) async fn close(stream: &TcpStream, client: &Client) {
     if let Some(status) = client.fault.get() {
-        return turn_away(stream, status, client.wrote.get()).await;
+        return reject(stream, status, client.wrote.get()).await;
     }
-    if client.comes.borrow().as_ref().is_some_and(|comes| comes.get()) {
+    if client.answer_open.borrow().as_ref().is_some_and(|answer_open| answer_open.get()) {
         // An answer was cut off. One of no stated length would look whole after an orderly end: a reset never does.
         let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
-    } else if client.early.get() {
+    } else if client.answered_early.get() {
         linger(stream, FLOW_MOST as usize, EARLY_WITHIN).await;
-    } else if !client.left.get() && client.phase.get() != Phase::Silent {
+    } else if !client.disconnected.get() && client.phase.get() != Phase::New {
         linger(stream, CLOSE_READ, CLOSE_WITHIN).await;
     }
 }
 
 /// Tells a client, if nothing was told yet, why its connection ends, and ends it.
-async fn turn_away(stream: &TcpStream, status: StatusCode, wrote: bool) {
+async fn reject(stream: &TcpStream, status: StatusCode, wrote: bool) {
     if !wrote {
         let text = format!("HTTP/1.1 {status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n");
         // A socket on which nothing was written takes so little at once, or its client is gone.
--- a/crates/node/src/net/client/io.rs
+++ b/crates/node/src/net/client/io.rs
@@ -36,7 +36,7 @@
     client: Rc<Client>,
     gate: Gate,
     /// A whole request was handed over, and its answer is not out yet.
-    handed: bool,
+    request_delivered: bool,
     /// More came behind it than is kept: what follows can't be told apart any more.
     overrun: bool,
     timer: Option<Pin<Box<Sleep>>>,
@@ -44,42 +44,45 @@
     /// Until when nothing of a flood is read.
     pause: Option<Pin<Box<Sleep>>>,
     /// Since when more of a body that flows is waited for.
-    waits: Option<Instant>,
+    waiting_since: Option<Instant>,
     /// The system holds little of what is written.
-    bounded: bool,
+    send_buffer_limited: bool,
 }
 
 impl ClientIo {
     pub fn new(stream: Rc<TcpStream>, client: Rc<Client>, gate: Gate) -> Self {
-        client.on(&stream);
+        client.set_socket(&stream);
         ClientIo {
             stream,
             client,
             gate,
-            handed: false,
+            request_delivered: false,
             overrun: false,
             timer: None,
             stalled: None,
             pause: None,
-            waits: None,
-            bounded: false,
+            waiting_since: None,
+            send_buffer_limited: false,
         }
     }
 
     fn fill(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
-            match self.stream.try_read_buf(self.gate.room()) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.client.looked.set(Instant::now()),
+            match self.stream.try_read_buf(self.gate.read_buffer()) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.client.last_checked.set(Instant::now())
+                }
                 read => {
                     if !matches!(read, Ok(n) if n > 0) {
-                        self.client.left.set(true);
+                        self.client.disconnected.set(true);
                     }
-                    let rested = self.waits.take().map_or(Duration::ZERO, |since| since.elapsed());
-                    self.client.rested.set(self.client.rested.get() + rested);
+                    let time_stalled =
+                        self.waiting_since.take().map_or(Duration::ZERO, |since| since.elapsed());
+                    self.client.time_stalled.set(self.client.time_stalled.get() + time_stalled);
                     if let Ok(n) = read {
-                        self.client.came.set(self.client.came.get() + n as u64);
-                        self.client.last.set(Instant::now());
+                        self.client.request_bytes.set(self.client.request_bytes.get() + n as u64);
+                        self.client.last_byte_at.set(Instant::now());
                     }
                     return Poll::Ready(read);
                 }
@@ -93,15 +96,15 @@
     ///
     /// Guards against clients that send much at once and go. Harm: one that sends more than `AHEAD_MOST` ahead of its
     /// answers has to send it again on another connection.
-    fn watch(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
+    fn poll_disconnect(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
         loop {
-            if self.gate.ahead() > AHEAD_MOST {
+            if self.gate.buffered() > AHEAD_MOST {
                 self.overrun = true;
-                self.client.leave.set(true);
+                self.client.close_when_idle.set(true);
             }
             let read = if self.overrun {
-                self.gate.forget();
-                self.drop_flood(cx)
+                self.gate.clear();
+                self.discard_excess(cx)
             } else {
                 self.fill(cx)
             };
@@ -114,7 +117,7 @@
     }
 
     /// A flood is read by the piece, with rests: it must not take the processor from others.
-    fn drop_flood(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
+    fn discard_excess(&mut self, cx: &mut Context) -> Poll<io::Result<usize>> {
         let due = || Box::pin(tokio::time::sleep(FLOOD_EVERY));
         let pause = self.pause.get_or_insert_with(due);
         ready!(pause.as_mut().poll(cx));
@@ -123,10 +126,12 @@
         loop {
             ready!(self.stream.poll_read_ready(cx))?;
             match self.stream.try_read(&mut scratch) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => self.client.looked.set(Instant::now()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.client.last_checked.set(Instant::now())
+                }
                 read => {
                     if !matches!(read, Ok(n) if n > 0) {
-                        self.client.left.set(true);
+                        self.client.disconnected.set(true);
                     }
                     return Poll::Ready(read);
                 }
@@ -135,8 +140,8 @@
     }
 
     /// Reads what has come behind a whole request before that goes on: its client may have left already.
-    fn look_ahead(&mut self, cx: &mut Context) {
-        while self.gate.ahead() <= AHEAD_MOST && !self.client.left.get() {
+    fn read_ahead(&mut self, cx: &mut Context) {
+        while self.gate.buffered() <= AHEAD_MOST && !self.client.disconnected.get() {
             if self.fill(cx).is_pending() {
                 return;
             }
@@ -144,11 +149,11 @@
     }
 
     /// An answer that flows is held by as little as will do.
-    fn bound(&mut self) {
-        if self.client.streams.get() && !self.bounded {
+    fn limit_send_buffer(&mut self) {
+        if self.client.is_streaming.get() && !self.send_buffer_limited {
             // Without the bound the client is only judged later.
             let _ = socket2::SockRef::from(&*self.stream).set_send_buffer_size(FLOW_BUFFER);
-            self.bounded = true;
+            self.send_buffer_limited = true;
         }
     }
 
@@ -163,23 +168,25 @@
     /// Guards against silent connections, heads and bodies that never end, and clients that ask once and stay;
     /// it ought to catch whatever holds a connection without a whole request. Harm: a request that takes longer
     /// than `REQUEST_WITHIN` to come is turned away, however honest its client.
-    fn wait(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
+    fn poll_timeouts(&mut self, cx: &mut Context) -> Poll<io::Result<()>> {
         let client = self.client.clone();
         if let Some(status) = client.fault.get() {
             return self.fault(status);
         }
         let due = match client.phase.get() {
-            Phase::Silent | Phase::Idle if client.leave.get() => return Poll::Ready(Ok(())),
-            Phase::Silent => client.since.get() + ASKS_WITHIN,
+            Phase::New | Phase::Idle if client.close_when_idle.get() => return Poll::Ready(Ok(())),
+            Phase::New => client.since.get() + ASKS_WITHIN,
             Phase::Idle => client.since.get() + IDLE_WITHIN,
             // As slowly as a body may come, but never at rest for long.
-            Phase::Coming => (client.since.get() + client.patience()).min(client.last.get() + REQUEST_WITHIN),
+            Phase::Receiving => {
+                (client.since.get() + client.time_allowed()).min(client.last_byte_at.get() + REQUEST_WITHIN)
+            }
             // Here it is the server that may have kept the client waiting: only rests count.
-            Phase::Flowing if self.gate.amid() => {
-                let left = client.patience().saturating_sub(client.rested.get());
-                *self.waits.get_or_insert_with(Instant::now) + left.min(REQUEST_WITHIN)
+            Phase::Streaming if self.gate.is_mid_request() => {
+                let left = client.time_allowed().saturating_sub(client.time_stalled.get());
+                *self.waiting_since.get_or_insert_with(Instant::now) + left.min(REQUEST_WITHIN)
             }
-            Phase::Flowing | Phase::Open | Phase::Answered => return Poll::Pending,
+            Phase::Streaming | Phase::AwaitingAnswer | Phase::Answering => return Poll::Pending,
         };
         let due = due.into();
         let timer = self.timer.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(due)));
@@ -188,18 +195,18 @@
         }
         ready!(timer.as_mut().poll(cx));
         match client.phase.get() {
-            Phase::Coming | Phase::Flowing => self.fault(StatusCode::REQUEST_TIMEOUT),
+            Phase::Receiving | Phase::Streaming => self.fault(StatusCode::REQUEST_TIMEOUT),
             _ => Poll::Ready(Ok(())),
         }
     }
 
-    fn wrote(&mut self, cx: &mut Context, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+    fn track_write(&mut self, cx: &mut Context, wrote: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if wrote.is_ready() {
             self.client.wrote.set(true);
             self.stalled = None;
             return wrote;
         }
-        let within = if self.client.streams.get() { FLOW_TAKEN_WITHIN } else { WRITE_WITHIN };
+        let within = if self.client.is_streaming.get() { FLOW_TAKEN_WITHIN } else { WRITE_WITHIN };
         let stalled = self.stalled.get_or_insert_with(|| Box::pin(tokio::time::sleep(within)));
         ready!(stalled.as_mut().poll(cx));
         Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
@@ -212,28 +219,28 @@
         if buf.remaining() == 0 {
             return Poll::Ready(Ok(()));
         }
-        if this.handed || this.client.phase.get() == Phase::Open {
-            return this.watch(cx);
+        if this.request_delivered || this.client.phase.get() == Phase::AwaitingAnswer {
+            return this.poll_disconnect(cx);
         }
         if this.overrun {
             return Poll::Ready(Ok(()));
         }
         loop {
-            let passed = match this.gate.pass(buf) {
+            let passed = match this.gate.forward(buf) {
                 Ok(passed) => passed,
                 Err(status) => return this.fault(status),
             };
-            if passed.is_break() || this.gate.amid() {
-                this.client.begun();
+            if passed.is_break() || this.gate.is_mid_request() {
+                this.client.begin_request();
             }
             if passed.is_break() {
-                if this.gate.between() {
-                    this.handed = true;
-                    this.look_ahead(cx);
+                if this.gate.is_between_requests() {
+                    this.request_delivered = true;
+                    this.read_ahead(cx);
                 }
                 return Poll::Ready(Ok(()));
             }
-            if this.client.left.get() {
+            if this.client.disconnected.get() {
                 // Its end was read ahead.
                 return Poll::Ready(Ok(()));
             }
@@ -241,7 +248,7 @@
                 Poll::Ready(Ok(0)) => return Poll::Ready(Ok(())),
                 Poll::Ready(Ok(_)) => {}
                 Poll::Ready(Err(e)) => return Poll::Ready(Err(e)),
-                Poll::Pending => return this.wait(cx),
+                Poll::Pending => return this.poll_timeouts(cx),
             }
         }
     }
@@ -250,18 +257,18 @@
 impl AsyncWrite for ClientIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, data: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.bound();
+        this.limit_send_buffer();
         let wrote = write_when_ready(&this.stream, cx, |stream| stream.try_write(data));
-        this.wrote(cx, wrote)
+        this.track_write(cx, wrote)
     }
 
     fn poll_write_vectored(
         self: Pin<&mut Self>, cx: &mut Context, data: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.bound();
+        this.limit_send_buffer();
         let wrote = write_when_ready(&this.stream, cx, |stream| stream.try_write_vectored(data));
-        this.wrote(cx, wrote)
+        this.track_write(cx, wrote)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -270,18 +277,19 @@
 
     /// The library flushes when all that is here of an answer is written.
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        let comes = self.client.comes.borrow().as_ref().is_some_and(|comes| comes.get());
-        if self.client.phase.get() == Phase::Answered && self.client.wrote.get() && !comes {
-            self.handed = false;
+        let answer_open =
+            self.client.answer_open.borrow().as_ref().is_some_and(|answer_open| answer_open.get());
+        if self.client.phase.get() == Phase::Answering && self.client.wrote.get() && !answer_open {
+            self.request_delivered = false;
             // What came meanwhile is here already: nobody else says that it is to be read.
             cx.waker().wake_by_ref();
-            if self.gate.amid() {
+            if self.gate.is_mid_request() {
                 // The next request is here already, in part or whole.
-                self.client.turn(Phase::Coming);
+                self.client.set_phase(Phase::Receiving);
                 self.client.wrote.set(false);
             } else {
-                self.client.turn(Phase::Idle);
-                if self.client.passing.get() {
+                self.client.set_phase(Phase::Idle);
+                if self.client.handing_over.get() {
                     self.client.wake.notify_one();
                 }
             }
@@ -291,7 +299,7 @@
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
         if self.client.fault.get().is_some() {
-            // The library ends what it can't read; the client is still to be told why (`turn_away`).
+            // The library ends what it can't read; the client is still to be told why (`reject`).
             return Poll::Ready(Ok(()));
         }
         Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -53,11 +53,11 @@
 /// Longest change of a watch, and the longest whole list, in bytes.
 const LIST_MOST: usize = 4 << 20;
 
-/// Takes in a list or a change of it and returns its index.
+/// Applies a list or a change of it and returns its index.
 ///
 /// # Errors
 /// Says why it is not one. An entry that cannot be used is passed over: the others still count.
-pub fn take_in(pool: &Rc<Pool>, list: &Value, cached: bool) -> Result<u64, String> {
+pub fn apply_list(pool: &Rc<Pool>, list: &Value, cached: bool) -> Result<u64, String> {
     let lines = list.get("endpoints").and_then(Value::as_array).ok_or("a list without `endpoints`")?;
     let index = list.get("index").and_then(Value::as_u64).ok_or("a list without `index`")?;
     let whole = list.get("snapshot").and_then(Value::as_bool).unwrap_or(false);
@@ -158,7 +158,7 @@
         let refused = index.get() == before && !matches!(ended, Err(Fault::Silent));
         backoff = if refused { (backoff * 2).min(BACKOFF_MOST) } else { BACKOFF };
         // Watches end for many nodes at once: they must not come back in step.
-        let rest = tokio::time::sleep_until(began + backoff.mul_f64(0.5 + pool.chance.fraction()));
+        let rest = tokio::time::sleep_until(began + backoff.mul_f64(0.5 + pool.rng.next_fraction()));
         tokio::select! {
             () = rest => {}
             Ok(()) = address.changed() => {
@@ -195,9 +195,9 @@
 async fn watch(
     pool: &Rc<Pool>, address: SocketAddr, index: &Cell<Option<u64>>, name: &str,
 ) -> Result<(), Fault> {
-    let take_in = |list: &Value| {
+    let apply_list = |list: &Value| {
         // What can't be used is not asked for again in the same way, for ever: the whole list heals it.
-        let new = take_in(pool, list, false).inspect_err(|_| index.set(None))?;
+        let new = apply_list(pool, list, false).inspect_err(|_| index.set(None))?;
         index.set(Some(new));
         if let Some(observer) = pool.shared.fleet_observer() {
             observer.list_updated(name, pool.id, new);
@@ -223,7 +223,7 @@
             while let Some(data) = next(&mut body, opens).await? {
                 lists.push(&data)?;
             }
-            let after = take_in(&lists.next()?.ok_or_else(|| "a list that is none".to_owned())?)?;
+            let after = apply_list(&lists.next()?.ok_or_else(|| "a list that is none".to_owned())?)?;
             by(opens, send.ready()).await?;
             after
         }
@@ -235,7 +235,7 @@
     while let Some(data) = next(&mut body, until).await? {
         lists.push(&data).inspect_err(|_| index.set(None))?;
         while let Some(list) = lists.next().inspect_err(|_| index.set(None))? {
-            take_in(&list)?;
+            apply_list(&list)?;
             until = Instant::now() + SILENT;
         }
         // An empty line tells that nothing has changed; half a change, however often more of it comes, tells nothing.
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -16,15 +16,15 @@
 mod request;
 mod translate;
 
-pub use handover::{Passing, Succession};
+pub use handover::{Handover, HandoverState};
 pub use listening::Listening;
-pub(super) use translate::{strip, time_left, Chosen, Waiting, ID_OPEN};
+pub(super) use translate::{strip_hop_by_hop, time_left, AdmittedRequest, PendingRequest, ID_OPEN};
 
 use super::client::{Client, Phase};
 use super::service::Routing;
 use super::shared::Shared;
 use super::task::AbortOnDrop;
-use super::Chance;
+use super::SeededRng;
 use reelfall_routes::table::ListenerId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -50,18 +50,18 @@
     listening: RefCell<Vec<(Rc<Listening>, AbortOnDrop)>>,
     clients: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
-    most: Cell<usize>,
+    max_clients: Cell<usize>,
     /// A client's connection has ended.
     freed: Notify,
     stopping: Cell<bool>,
     /// Who accepts, where several processes of this node may.
-    takeover: RefCell<Option<Rc<dyn Succession>>>,
+    handover: RefCell<Option<Rc<dyn HandoverState>>>,
     /// That may have changed.
-    turned: Notify,
+    handover_changed: Notify,
     /// The way of clients to the process that takes over.
-    passes: RefCell<Option<mpsc::UnboundedSender<Passing>>>,
+    handover_sender: RefCell<Option<mpsc::UnboundedSender<Handover>>>,
     /// For ids of requests that came without one, and for advice on when to come back.
-    chance: Chance,
+    rng: SeededRng,
 }
 
 impl Front {
@@ -73,20 +73,20 @@
             listening: RefCell::default(),
             clients: RefCell::default(),
             next: Cell::new(0),
-            most: Cell::new(clients),
+            max_clients: Cell::new(clients),
             freed: Notify::new(),
             stopping: Cell::new(false),
-            takeover: RefCell::default(),
-            turned: Notify::new(),
-            passes: RefCell::default(),
-            chance: Chance::new(seed),
+            handover: RefCell::default(),
+            handover_changed: Notify::new(),
+            handover_sender: RefCell::default(),
+            rng: SeededRng::new(seed),
         })
     }
 
     /// Puts another routing in force. What has been routed stays where it is.
     pub fn route(&self, routing: Routing, clients: usize) {
         self.routing.replace(Rc::new(routing));
-        self.most.set(clients);
+        self.max_clients.set(clients);
     }
 
     /// Accepts clients on these listeners, and on no others from here on. Whoever has connected stays until its
@@ -96,13 +96,13 @@
         now.retain(|(old, _)| {
             let stays = listening.iter().any(|new| Rc::ptr_eq(new, old));
             if !stays {
-                old.mark.id.set(None);
-                self.empty(old);
+                old.tag.id.set(None);
+                self.drain_backlog(old);
             }
             stays
         });
         for (id, new) in listening.into_iter().enumerate() {
-            new.mark.id.set(ListenerId::try_from(id).ok());
+            new.tag.id.set(ListenerId::try_from(id).ok());
             if now.iter().any(|(old, _)| Rc::ptr_eq(old, &new)) {
                 continue;
             }
@@ -113,23 +113,23 @@
     }
 
     /// Changes how many clients there may be.
-    pub fn most(&self, clients: usize) {
-        self.most.set(clients);
+    pub fn set_max_clients(&self, clients: usize) {
+        self.max_clients.set(clients);
     }
 
-    /// Has a succession say who accepts.
-    pub fn succeed<S: Succession + 'static>(&self, takeover: &Rc<S>) {
-        self.takeover.replace(Some(takeover.clone()));
-        self.turn();
+    /// Has the state of the handover say who accepts.
+    pub fn set_handover_state<S: HandoverState + 'static>(&self, handover: &Rc<S>) {
+        self.handover.replace(Some(handover.clone()));
+        self.notify_handover_changed();
     }
 
     /// Who accepts may have changed.
-    pub fn turn(&self) {
-        self.turned.notify_waiters();
+    pub fn notify_handover_changed(&self) {
+        self.handover_changed.notify_waiters();
     }
 
     fn accepts(&self) -> bool {
-        self.takeover.borrow().as_ref().is_none_or(|t| t.accepts())
+        self.handover.borrow().as_ref().is_none_or(|t| t.accepts())
     }
 
     /// The listeners there are.
@@ -157,17 +157,17 @@
         let told = Instant::now();
         let longest = self.routing.borrow().longest_deadline();
         let end = told + longest + KILL_AFTER - Duration::from_millis(100);
-        let takeover = self.takeover.borrow().clone();
-        if let Some(takeover) = &takeover {
-            takeover.terminate();
+        let handover = self.handover.borrow().clone();
+        if let Some(handover) = &handover {
+            handover.terminate();
         }
         loop {
             let now = Instant::now();
-            let shares = takeover.as_ref().is_some_and(|t| t.shares());
-            let (until, sends_away) = if takeover.as_ref().is_some_and(|t| t.passes()) {
+            let shares = handover.as_ref().is_some_and(|t| t.shares_listeners());
+            let (until, drains) = if handover.as_ref().is_some_and(|t| t.hands_over()) {
                 (end, false)
             } else if shares && now < end - LAST_WORDS {
-                // An heir that gets ready has what is left of the time to do so.
+                // A successor that gets ready has what is left of the time to do so.
                 (end - LAST_WORDS, false)
             } else if !shares && now < told + ACCEPT_ON {
                 (told + ACCEPT_ON, false)
@@ -175,9 +175,9 @@
                 (end, true)
             };
             // Clients that go to another process need not be told to connect anew.
-            self.stopping.set(!shares || sends_away);
-            if sends_away {
-                self.send_away(takeover.as_deref(), shares);
+            self.stopping.set(!shares || drains);
+            if drains {
+                self.drain_clients(handover.as_deref(), shares);
             }
             if now >= end || (until == end && self.clients.borrow().is_empty()) {
                 return;
@@ -185,38 +185,38 @@
             tokio::select! {
                 () = tokio::time::sleep_until(until.into()) => {}
                 () = self.freed.notified() => {}
-                () = self.turned.notified() => {}
+                () = self.handover_changed.notified() => {}
             }
         }
     }
 
     /// Accepts nobody any more and ends every connection as soon as no request is on it.
-    fn send_away(self: &Rc<Self>, takeover: Option<&dyn Succession>, shares: bool) {
-        if let Some(takeover) = takeover {
-            takeover.late();
+    fn drain_clients(self: &Rc<Self>, handover: Option<&dyn HandoverState>, shares: bool) {
+        if let Some(handover) = handover {
+            handover.end_accept_grace();
         }
         if !shares {
             self.listen(Vec::new());
         }
         for client in self.clients.borrow().values() {
-            if !client.leave.replace(true) {
+            if !client.close_when_idle.replace(true) {
                 client.wake.notify_one();
             }
         }
     }
 
     /// Lets idle connections go while the node is being emptied, each at its time, for as long as it is polled.
-    pub async fn empty_by_hand(self: Rc<Self>) {
+    pub async fn close_idle_while_draining(self: Rc<Self>) {
         loop {
             if !self.shared.draining() {
                 self.shared.drained.notified().await;
                 continue;
             }
             for client in self.clients.borrow().values() {
-                let idle = matches!(client.phase.get(), Phase::Silent | Phase::Idle);
+                let idle = matches!(client.phase.get(), Phase::New | Phase::Idle);
                 let until = self.shared.idle_until(client.since.get());
                 if idle && until.is_some_and(|until| until <= Instant::now()) {
-                    client.leave.set(true);
+                    client.close_when_idle.set(true);
                     client.wake.notify_one();
                 }
             }
--- a/crates/node/src/net/front/accept.rs
+++ b/crates/node/src/net/front/accept.rs
@@ -4,7 +4,7 @@
 use crate::net::client::{close, Client, ClientIo, Phase};
 use crate::net::gate::{self, Gate};
 use crate::net::service::Routing;
-use crate::net::{hurry, HEAD_MOST};
+use crate::net::{set_nodelay, HEAD_MOST};
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper::StatusCode;
@@ -25,32 +25,32 @@
 
 impl Front {
     /// What the machine has accepted counts as taken: the backlog is emptied before a listener closes.
-    pub(super) fn empty(self: &Rc<Self>, listening: &Rc<Listening>) {
+    pub(super) fn drain_backlog(self: &Rc<Self>, listening: &Rc<Listening>) {
         let mut waker = Context::from_waker(Waker::noop());
         while let Poll::Ready(Ok((stream, _))) = listening.listener.poll_accept(&mut waker) {
-            self.clone().client(stream, listening);
+            self.clone().spawn_client(stream, listening);
         }
     }
 
     pub(super) async fn accept(self: &Rc<Self>, listening: &Rc<Listening>) {
         loop {
-            if self.clients.borrow().len() >= self.most.get() {
+            if self.clients.borrow().len() >= self.max_clients.get() {
                 self.make_room();
                 // Without an idle one to close, clients wait in the backlog.
                 let _ = timeout(DESCRIPTORS_OUT, self.freed.notified()).await;
                 continue;
             }
             if !self.accepts() {
-                self.turned.notified().await;
+                self.handover_changed.notified().await;
                 continue;
             }
             let accepted = tokio::select! {
                 biased;
-                () = self.turned.notified() => continue,
+                () = self.handover_changed.notified() => continue,
                 accepted = listening.listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, _)) => self.clone().client(stream, listening),
+                Ok((stream, _)) => self.clone().spawn_client(stream, listening),
                 Err(e) => {
                     // Out of descriptors, as a rule: the error stays until one is free, so don't spin on it.
                     self.shared.log.say(format_args!("accept: {e}"));
@@ -70,26 +70,26 @@
     fn make_room(&self) {
         let clients = self.clients.borrow();
         let spare = |c: &Client| match c.phase.get() {
-            _ if c.leave.get() || c.fault.get().is_some() => None,
-            Phase::Silent => Some((0, c.since.get())),
+            _ if c.close_when_idle.get() || c.fault.get().is_some() => None,
+            Phase::New => Some((0, c.since.get())),
             Phase::Idle => Some((1, c.since.get())),
-            Phase::Coming if c.since.get().elapsed() > COMING_LONG => Some((2, c.since.get())),
+            Phase::Receiving if c.since.get().elapsed() > COMING_LONG => Some((2, c.since.get())),
             _ => None,
         };
         let least = clients.values().filter_map(|c| Some((spare(c)?, c))).min_by_key(|(key, _)| *key);
         if let Some((_, client)) = least {
             match client.phase.get() {
-                Phase::Coming => client.fault.set(Some(StatusCode::REQUEST_TIMEOUT)),
-                _ => client.leave.set(true),
+                Phase::Receiving => client.fault.set(Some(StatusCode::REQUEST_TIMEOUT)),
+                _ => client.close_when_idle.set(true),
             }
             client.wake.notify_one();
         }
     }
 
-    pub(super) fn client(self: Rc<Self>, stream: TcpStream, listening: &Rc<Listening>) {
+    pub(super) fn spawn_client(self: Rc<Self>, stream: TcpStream, listening: &Rc<Listening>) {
         let id = self.next.get();
         self.next.set(id + 1);
-        let client = Rc::new(Client::new(listening.mark.clone()));
+        let client = Rc::new(Client::new(listening.tag.clone()));
         self.clients.borrow_mut().insert(id, client.clone());
         tokio::task::spawn_local(async move {
             self.connection(stream, &client).await;
@@ -99,10 +99,10 @@
     }
 
     async fn connection(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
-        hurry(&stream);
+        set_nodelay(&stream);
         let mut stream = Rc::new(stream);
-        while self.converse(&stream, client).await {
-            match self.pass_on(stream, client).await {
+        while self.serve_requests(&stream, client).await {
+            match self.hand_over(stream, client).await {
                 Some(back) => stream = back,
                 None => return,
             }
@@ -112,7 +112,7 @@
 
     /// Answers what a client asks; true if it goes to another process now, of which nothing has been read yet that was not
     /// answered.
-    async fn converse(self: &Rc<Self>, stream: &Rc<TcpStream>, client: &Rc<Client>) -> bool {
+    async fn serve_requests(self: &Rc<Self>, stream: &Rc<TcpStream>, client: &Rc<Client>) -> bool {
         let methods: &[&[u8]] = match &**self.routing.borrow() {
             Routing::Alone(_) => &gate::METHODS,
             Routing::Table(_) => &gate::METHODS_ROUTED,
@@ -130,8 +130,8 @@
                 // How it ended concerns the client alone.
                 _ = connection.as_mut() => return false,
                 () = client.wake.notified() => {
-                    let idle = matches!(client.phase.get(), Phase::Silent | Phase::Idle);
-                    if idle && client.passing.get() && client.fault.get().is_none() {
+                    let idle = matches!(client.phase.get(), Phase::New | Phase::Idle);
+                    if idle && client.handing_over.get() && client.fault.get().is_none() {
                         return true;
                     }
                 }
--- a/crates/node/src/net/front/listening.rs
+++ b/crates/node/src/net/front/listening.rs
@@ -1,6 +1,6 @@
 //! The addresses where clients connect.
 
-use crate::net::client::Mark;
+use crate::net::client::ListenerTag;
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -13,12 +13,12 @@
 ///
 /// # Errors
 /// Says why it can't be had.
-pub fn bind(listen: SocketAddr, backlog: usize, beside: bool) -> Result<TcpListener, String> {
+pub fn bind(listen: SocketAddr, backlog: usize, reuse_port: bool) -> Result<TcpListener, String> {
     let bound = || -> io::Result<TcpListener> {
         let domain = socket2::Domain::for_address(listen);
         let socket = socket2::Socket::new(domain, socket2::Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
-        socket.set_reuse_port(beside)?;
+        socket.set_reuse_port(reuse_port)?;
         socket.set_nonblocking(true)?;
         socket.bind(&listen.into())?;
         socket.listen(i32::try_from(backlog).unwrap_or(i32::MAX))?;
@@ -30,7 +30,7 @@
 /// An address where clients connect.
 pub struct Listening {
     pub(super) address: SocketAddr,
-    pub(super) mark: Rc<Mark>,
+    pub(super) tag: Rc<ListenerTag>,
     pub(super) listener: TcpListener,
 }
 
@@ -39,20 +39,22 @@
     ///
     /// # Errors
     /// Says why the address can't be had.
-    pub fn bind(name: &str, address: SocketAddr, backlog: usize, beside: bool) -> Result<Rc<Self>, String> {
-        Ok(Self::of(name, address, bind(address, backlog, beside)?))
+    pub fn bind(
+        name: &str, address: SocketAddr, backlog: usize, reuse_port: bool,
+    ) -> Result<Rc<Self>, String> {
+        Ok(Self::of(name, address, bind(address, backlog, reuse_port)?))
     }
 
     fn of(name: &str, address: SocketAddr, listener: TcpListener) -> Rc<Self> {
-        let mark = Rc::new(Mark { id: Cell::new(Some(0)), name: name.to_owned() });
-        Rc::new(Listening { address, mark, listener })
+        let tag = Rc::new(ListenerTag { id: Cell::new(Some(0)), name: name.to_owned() });
+        Rc::new(Listening { address, tag, listener })
     }
 
     /// A listener whose socket another process gave.
     ///
     /// # Errors
     /// If it is none, or listens elsewhere.
-    pub fn given(name: &str, address: SocketAddr, descriptor: OwnedFd) -> Result<Rc<Self>, String> {
+    pub fn from_descriptor(name: &str, address: SocketAddr, descriptor: OwnedFd) -> Result<Rc<Self>, String> {
         let socket = socket2::Socket::from(descriptor);
         let listens = socket.is_listener().map_err(|e| e.to_string())?;
         let at = socket.local_addr().ok().and_then(|a| a.as_socket());
@@ -66,7 +68,7 @@
 
     /// Its name.
     pub fn name(&self) -> &str {
-        &self.mark.name
+        &self.tag.name
     }
 }
 
--- a/crates/node/src/net/front/reply.rs
+++ b/crates/node/src/net/front/reply.rs
@@ -1,30 +1,30 @@
 //! Answers to clients: those of servers, and those of the node itself.
 
-use super::translate::strip;
-use crate::net::answer::{Answer, Outgoing, Reply};
+use super::translate::strip_hop_by_hop;
+use crate::net::answer::{Answer, Reply, ResponseBody};
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 use reelfall_core::interface::Outcome;
 
-pub(super) fn told(status: StatusCode, why: &dyn std::fmt::Display) -> Response<Outgoing> {
-    let mut response = Response::new(Outgoing::from(format!("{why}\n")));
+pub(super) fn with_reason(status: StatusCode, why: &dyn std::fmt::Display) -> Response<ResponseBody> {
+    let mut response = Response::new(ResponseBody::from(format!("{why}\n")));
     *response.status_mut() = status;
     response
 }
 
-pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<Outgoing> {
-    let mut response = Response::new(Outgoing::from(text));
+pub(super) fn plain(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
+    let mut response = Response::new(ResponseBody::from(text));
     *response.status_mut() = status;
     response
 }
 
-pub(super) fn respond(reply: Reply) -> Response<Outgoing> {
+pub(super) fn respond(reply: Reply) -> Response<ResponseBody> {
     match reply {
         Reply::Served(answer) => {
             let Answer { headers, body, rest, .. } = *answer;
-            let mut response = Response::new(Outgoing::new(body, rest));
+            let mut response = Response::new(ResponseBody::new(body, rest));
             *response.headers_mut() = headers;
-            strip(response.headers_mut());
+            strip_hop_by_hop(response.headers_mut());
             response
         }
         Reply::Refused { retry_after } => {
--- a/crates/node/src/net/front/request.rs
+++ b/crates/node/src/net/front/request.rs
@@ -1,16 +1,16 @@
 //! One request of a client: its service, its body, its way through the engine, its answer.
 
-use super::reply::{plain, respond, told};
-use super::translate::{Chosen, Waiting, SERVICE_CLASS};
+use super::reply::{plain, respond, with_reason};
+use super::translate::{AdmittedRequest, PendingRequest, SERVICE_CLASS};
 use super::Front;
-use crate::net::answer::Outgoing;
-use crate::net::body::{Flow, Payload};
+use crate::net::answer::ResponseBody;
+use crate::net::body::{Payload, StreamedBody};
 use crate::net::client::{Client, Phase};
 use crate::net::message::Waiter;
 use crate::net::pool::Pool;
-use crate::net::service::{Found, Routing, Table};
-use crate::net::shared::Held;
-use crate::net::{kib, BODY_MOST, BODY_SMALL};
+use crate::net::service::{RouteMatch, Routing, Table};
+use crate::net::shared::MemoryPermit;
+use crate::net::{permits_for, BODY_MOST, BODY_SMALL};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -34,7 +34,7 @@
 impl Front {
     pub(super) async fn request(
         self: Rc<Self>, request: Request<Incoming>, client: Rc<Client>,
-    ) -> Result<Response<Outgoing>, Infallible> {
+    ) -> Result<Response<ResponseBody>, Infallible> {
         let (head, body) = request.into_parts();
         let routing = self.routing.borrow().clone();
         let mut response = match &*routing {
@@ -44,9 +44,9 @@
                 "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE, "no server list yet\n"),
                 path if path == "/api" || path.starts_with("/api/") => {
                     let service = service.clone();
-                    let chosen = Chosen { service, assign: None, routed: false, admitted: None };
+                    let chosen = AdmittedRequest { service, assign: None, routed: false, admitted: None };
                     drop(routing);
-                    self.pass(chosen, head, body, &client).await
+                    self.forward(chosen, head, body, &client).await
                 }
                 _ => plain(StatusCode::NOT_FOUND, "no such path\n"),
             },
@@ -58,10 +58,10 @@
                         health(table, name)
                     }
                 }
-                _ => match self.choose(table, &head, &client) {
+                _ => match self.admit(table, &head, &client) {
                     Ok(chosen) => {
                         drop(routing);
-                        self.pass(chosen, head, body, &client).await
+                        self.forward(chosen, head, body, &client).await
                     }
                     Err(response) => {
                         drop(routing);
@@ -78,20 +78,20 @@
         // By routes, one connection can be for several services, of which one may be gone or over its rate.
         let elsewhere = matches!(response.status(), StatusCode::NOT_FOUND | StatusCode::TOO_MANY_REQUESTS);
         let unusable = response.status().is_client_error() && !(routed && elsewhere);
-        if self.stopping.get() || self.shared.draining() || unusable || client.leave.get() {
+        if self.stopping.get() || self.shared.draining() || unusable || client.close_when_idle.get() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
-        let flows = response.body().flows();
-        client.streams.set(flows.is_some());
-        client.comes.replace(flows);
-        client.turn(Phase::Answered);
+        let flows = response.body().open_flag();
+        client.is_streaming.set(flows.is_some());
+        client.answer_open.replace(flows);
+        client.set_phase(Phase::Answering);
         Ok(response)
     }
 
     /// Finds the service of a request and its place among the open ones.
-    fn choose(
+    fn admit(
         self: &Rc<Self>, table: &Table, head: &Parts, client: &Client,
-    ) -> Result<Chosen, Box<Response<Outgoing>>> {
+    ) -> Result<AdmittedRequest, Box<Response<ResponseBody>>> {
         let mut hosts = head.headers.get_all(header::HOST).iter();
         let said = target::Said {
             scheme: head.uri.scheme_str(),
@@ -100,10 +100,11 @@
             host: hosts.next().map(HeaderValue::as_bytes),
             more_hosts: hosts.next().is_some(),
         };
-        let target = target::read(said).map_err(|fault| Box::new(told(StatusCode::BAD_REQUEST, &fault)))?;
+        let target =
+            target::read(said).map_err(|fault| Box::new(with_reason(StatusCode::BAD_REQUEST, &fault)))?;
         let class = head.headers.get(&SERVICE_CLASS).and_then(|v| v.to_str().ok());
         let query = Query {
-            listener: client.came_by.id.get().unwrap_or(ListenerId::MAX),
+            listener: client.listener_tag.id.get().unwrap_or(ListenerId::MAX),
             host: &target.host,
             path: target.path,
             method: head.method.as_str(),
@@ -111,7 +112,7 @@
         };
         let found =
             table.find(&query).ok_or_else(|| Box::new(plain(StatusCode::NOT_FOUND, "no such route\n")))?;
-        let Found { service, assign } = found;
+        let RouteMatch { service, assign } = found;
         if service.draining.get() {
             let most = service.retry_after.get();
             return Err(Box::new(self.refusal(StatusCode::SERVICE_UNAVAILABLE, "draining\n", most, most)));
@@ -136,15 +137,17 @@
                 }));
             }
         };
-        Ok(Chosen { service, assign, routed: true, admitted })
+        Ok(AdmittedRequest { service, assign, routed: true, admitted })
     }
 
     /// A refusal with advice on when to come back: about `wait`, spread so that not all come back together, and no
     /// longer than `most`; none if that is 0.
-    fn refusal(&self, status: StatusCode, text: &'static str, wait: Time, most: Time) -> Response<Outgoing> {
+    fn refusal(
+        &self, status: StatusCode, text: &'static str, wait: Time, most: Time,
+    ) -> Response<ResponseBody> {
         let mut response = plain(status, text);
         if most > 0.0 {
-            let spread = 1.0 + self.chance.fraction();
+            let spread = 1.0 + self.rng.next_fraction();
             let after = (wait * spread).clamp(0.001, most);
             if let Ok(after) = HeaderValue::try_from(format!("{after:.3}")) {
                 response.headers_mut().insert(header::RETRY_AFTER, after);
@@ -153,9 +156,9 @@
         response
     }
 
-    async fn pass(
-        self: &Rc<Self>, chosen: Chosen, head: Parts, body: Incoming, client: &Rc<Client>,
-    ) -> Response<Outgoing> {
+    async fn forward(
+        self: &Rc<Self>, chosen: AdmittedRequest, head: Parts, body: Incoming, client: &Rc<Client>,
+    ) -> Response<ResponseBody> {
         let pool = chosen.service.pool.clone();
         let chunked = head.headers.contains_key(header::TRANSFER_ENCODING);
         let graphql = chosen.service.graphql.borrow().clone();
@@ -167,17 +170,17 @@
             return response;
         }
         // A fault in the head is told only when the body is in: an answer beside unread data may be lost.
-        let (body, held) = match self.intake(body, chosen.service.member).await {
+        let (body, held) = match self.buffer_or_stream(body, chosen.service.member).await {
             Ok(body) => body,
             Err(response) => return response,
         };
-        let flow = body.flow().cloned();
-        client.turn(if flow.is_some() { Phase::Flowing } else { Phase::Open });
-        let mut response = self.ask(&pool, chosen, head, body, held, client).await;
+        let flow = body.streamed().cloned();
+        client.set_phase(if flow.is_some() { Phase::Streaming } else { Phase::AwaitingAnswer });
+        let mut response = self.submit(&pool, chosen, head, body, held, client).await;
         let unread = flow.is_some_and(|flow| !flow.is_done());
         if unread {
             // The rest of the body is for nobody; what follows it can't be told apart.
-            client.early.set(true);
+            client.answered_early.set(true);
         }
         if chunked || unread {
             // Nothing behind a body of no stated length was looked at by the gate.
@@ -187,10 +190,10 @@
     }
 
     /// Hands a request to the module and waits for its one answer.
-    async fn ask(
-        self: &Rc<Self>, pool: &Rc<Pool>, chosen: Chosen, head: Parts, body: Payload, held: Option<Held>,
-        client: &Rc<Client>,
-    ) -> Response<Outgoing> {
+    async fn submit(
+        self: &Rc<Self>, pool: &Rc<Pool>, chosen: AdmittedRequest, head: Parts, body: Payload,
+        held: Option<MemoryPermit>, client: &Rc<Client>,
+    ) -> Response<ResponseBody> {
         let (message, arrival) = match self.translate(chosen, head, body, held, client.clone()) {
             Ok(request) => request,
             Err((status, text)) => return plain(status, text),
@@ -200,7 +203,7 @@
         }
         let deadline = arrival.deadline;
         let (id, answer) = pool.submit(message, arrival);
-        let mut waiting = Waiting::new(pool, id);
+        let mut waiting = PendingRequest::new(pool, id);
         // The guard: attempts end at the deadline and bring an answer; if nothing has, this is it.
         let guard =
             deadline + Duration::try_from_secs_f64(pool.figures.answer_slack / 2.0).unwrap_or_default();
@@ -214,12 +217,12 @@
     }
 
     /// Reads a body whole if it is small enough and finds room; else it flows, with what has been read of it.
-    async fn intake(
+    async fn buffer_or_stream(
         &self, mut body: Incoming, member: Option<Member>,
-    ) -> Result<(Payload, Option<Held>), Response<Outgoing>> {
+    ) -> Result<(Payload, Option<MemoryPermit>), Response<ResponseBody>> {
         let size = body.size_hint().exact();
         if size.is_some_and(|size| size > BODY_MOST as u64) {
-            return Ok((Payload::Flow(Flow::new(Bytes::new(), body, size)), None));
+            return Ok((Payload::Streamed(StreamedBody::new(Bytes::new(), body, size)), None));
         }
         let stated = size.map_or(BODY_MOST, |n| n as usize);
         let (mut data, mut held) = (BytesMut::new(), None);
@@ -229,21 +232,21 @@
             data.extend_from_slice(&part);
             if data.len() > BODY_SMALL && held.is_none() {
                 // The largest that it can be, taken once: bodies that grow must not wait for each other.
-                held = self.shared.body(member, kib(stated));
+                held = self.shared.reserve_body(member, permits_for(stated));
             }
             if data.len() > BODY_MOST || (data.len() > BODY_SMALL && held.is_none()) {
-                return Ok((Payload::Flow(Flow::new(data.freeze(), body, size)), held));
+                return Ok((Payload::Streamed(StreamedBody::new(data.freeze(), body, size)), held));
             }
         }
-        Ok((Payload::Held(data.freeze()), held))
+        Ok((Payload::Buffered(data.freeze()), held))
     }
 
     /// Reads a body whole. What finds no room is still read to its end before it is answered.
-    pub(in crate::net) async fn body(
+    pub(in crate::net) async fn buffer_body(
         &self, mut body: Incoming, member: Option<Member>,
-    ) -> Result<(Bytes, Option<Held>), Response<Outgoing>> {
+    ) -> Result<(Bytes, Option<MemoryPermit>), Response<ResponseBody>> {
         let stated = body.size_hint().exact().map_or(BODY_MOST, |n| n as usize);
-        let mut held: Option<Held> = None;
+        let mut held: Option<MemoryPermit> = None;
         let (mut data, mut size, mut granted, mut room) = (BytesMut::new(), 0, BODY_SMALL, true);
         while let Some(frame) = body.frame().await {
             let Ok(frame) = frame else { return Err(plain(StatusCode::BAD_REQUEST, "half a body\n")) };
@@ -254,7 +257,7 @@
             }
             if room && size > granted {
                 // The largest that it can be, taken once: bodies that grow must not wait for each other.
-                match self.shared.body(member, kib(stated)) {
+                match self.shared.reserve_body(member, permits_for(stated)) {
                     Some(leave) => (held, granted) = (Some(leave), BODY_MOST),
                     None => (data, room) = (BytesMut::new(), false),
                 }
@@ -272,7 +275,7 @@
 }
 
 /// How the process, or the service that the path names, stands.
-fn health(table: &Table, path: &str) -> Response<Outgoing> {
+fn health(table: &Table, path: &str) -> Response<ResponseBody> {
     let services = table.services();
     let unready = match path.strip_prefix('/') {
         // One that drains on purpose does not make the process unready.
@@ -288,13 +291,13 @@
     let named = path.strip_prefix('/').and_then(|name| services.iter().find(|s| s.name == name));
     let mut response = plain(StatusCode::OK, "");
     if let Some(age) = named.and_then(|s| s.pool.list_age()) {
-        *response.body_mut() = Outgoing::from(Bytes::from(format!("registry heard {age:.1} s ago\n")));
+        *response.body_mut() = ResponseBody::from(Bytes::from(format!("registry heard {age:.1} s ago\n")));
     }
     response
 }
 
 /// Reads a body to its end without keeping it: an answer beside unread data may be lost.
-async fn discard(mut body: Incoming) -> Result<(), Response<Outgoing>> {
+async fn discard(mut body: Incoming) -> Result<(), Response<ResponseBody>> {
     let mut size = 0;
     while let Some(frame) = body.frame().await {
         let Ok(frame) = frame else { return Err(plain(StatusCode::BAD_REQUEST, "half a body\n")) };
--- a/crates/node/src/net/front/translate.rs
+++ b/crates/node/src/net/front/translate.rs
@@ -6,7 +6,7 @@
 use crate::net::message::{Arrival, Message};
 use crate::net::pool::Pool;
 use crate::net::service::Service;
-use crate::net::shared::{Held, OpenId, Permit};
+use crate::net::shared::{MemoryPermit, OpenId, Permit};
 use crate::net::upstream::TIME_LEFT;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
@@ -25,7 +25,7 @@
 const WEIGHT_HINT: HeaderName = HeaderName::from_static("x-weight-hint");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Headers that concern one connection or one message's framing; they end here, either way.
-const HOP: [HeaderName; 9] = [
+const HOP_BY_HOP_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
     header::CONTENT_LENGTH,
     header::EXPECT,
@@ -40,7 +40,7 @@
 pub(in crate::net) const ID_OPEN: &str = "a request with this id is open\n";
 
 /// A request's service, class and place among the open requests.
-pub(in crate::net) struct Chosen {
+pub(in crate::net) struct AdmittedRequest {
     pub service: Rc<Service>,
     /// The class that the route assigns.
     pub assign: Option<ClassId>,
@@ -52,14 +52,15 @@
 impl Front {
     /// Puts a request's head into the module's terms.
     pub(super) fn translate(
-        &self, chosen: Chosen, head: Parts, body: Payload, held: Option<Held>, waiter: Rc<Client>,
+        &self, chosen: AdmittedRequest, head: Parts, body: Payload, held: Option<MemoryPermit>,
+        waiter: Rc<Client>,
     ) -> Result<(Message, Arrival), (StatusCode, &'static str)> {
         let bad = |text| (StatusCode::BAD_REQUEST, text);
-        let Chosen { service, assign, routed, admitted } = chosen;
+        let AdmittedRequest { service, assign, routed, admitted } = chosen;
         let pool = &service.pool;
         let Parts { method, uri, mut headers, .. } = head;
         if routed {
-            self.name_it(&mut headers);
+            self.ensure_correlation_id(&mut headers);
         }
         let text = |name: &HeaderName| headers.get(name).and_then(|v| v.to_str().ok());
         let names = pool.names.borrow();
@@ -68,10 +69,10 @@
         let stated = || text(&SERVICE_CLASS).and_then(|name| names.classes.get(name)).map(|c| c as ClassId);
         let class = assign.or(only).or_else(stated).ok_or(bad("unknown class\n"))?;
         let rules = pool.classes.get(usize::from(class)).ok_or(bad("unknown class\n"))?;
-        if !fits(&method, rules.effect, routed) {
+        if !method_fits(&method, rules.effect, routed) {
             return Err((StatusCode::METHOD_NOT_ALLOWED, "the class wants another method\n"));
         }
-        if method == Method::GET && !matches!(&body, Payload::Held(held) if held.is_empty()) {
+        if method == Method::GET && !matches!(&body, Payload::Buffered(held) if held.is_empty()) {
             return Err(bad("a GET with a body\n"));
         }
         correlation_id(&headers).map_err(bad)?;
@@ -83,13 +84,13 @@
         // is what the way back and a late wake-up may take.
         let left = Duration::try_from_secs_f64(left - pool.figures.answer_slack).unwrap_or_default();
         drop(names);
-        let flows = body.flow().map(|_| left);
+        let flows = body.streamed().map(|_| left);
         let due = Instant::now() + flows.map_or(left, |_| FLOW_WITHIN);
         let arrival = Arrival { class, flows, ..self.arrival(pool, &headers, due) };
         let path = uri.into_parts().path_and_query.ok_or(bad("no path\n"))?;
         let id = correlation_id(&headers).map_err(bad)?;
         let id = self.shared.claim(id).ok_or((StatusCode::CONFLICT, ID_OPEN))?;
-        strip(&mut headers);
+        strip_hop_by_hop(&mut headers);
         let message = Message {
             method,
             path,
@@ -98,7 +99,7 @@
             _held: held.map(Rc::new),
             _id: id,
             _admitted: admitted,
-            judge: None,
+            validator: None,
             waiter,
         };
         Ok((message, arrival))
@@ -111,26 +112,26 @@
             class: ClassId::MAX,
             tenant: text(&ACCOUNT).and_then(|name| pool.names.borrow().tenant(name)),
             hint: text(&WEIGHT_HINT).and_then(|t| t.trim().parse::<f64>().ok()).map(|us| us / 1e6),
-            key: headers.get_all(header::COOKIE).iter().find_map(key).map(stable_hash),
+            key: headers.get_all(header::COOKIE).iter().find_map(routing_key).map(stable_hash),
             deadline,
             flows: None,
         }
     }
 
     /// Gives a request an id if it came without.
-    fn name_it(&self, headers: &mut HeaderMap) {
+    fn ensure_correlation_id(&self, headers: &mut HeaderMap) {
         if !headers.contains_key(&CORRELATION_ID) {
-            if let Ok(id) = HeaderValue::try_from(format!("{:016x}", self.chance.draw())) {
+            if let Ok(id) = HeaderValue::try_from(format!("{:016x}", self.rng.next_u64())) {
                 headers.insert(CORRELATION_ID, id);
             }
         }
     }
 
     /// Takes the id of a request, or of one entry of several, which has one made from it.
-    pub(in crate::net) fn correlate(
+    pub(in crate::net) fn claim_correlation_id(
         &self, headers: &mut HeaderMap, place: Option<usize>,
     ) -> Result<OpenId, &'static str> {
-        self.name_it(headers);
+        self.ensure_correlation_id(headers);
         if let Some(place) = place {
             let id = correlation_id(headers)?;
             let id = [id, format!(".{place}").as_bytes()].concat();
@@ -161,7 +162,7 @@
 
 /// Whether a method goes with what a second run would do. On the platform the method follows from the class; by a
 /// route it is the operators', but for a GET: whoever stands between may repeat it, so it must be harmless.
-fn fits(method: &Method, effect: Effect, routed: bool) -> bool {
+fn method_fits(method: &Method, effect: Effect, routed: bool) -> bool {
     match (effect, routed) {
         (Effect::Idempotent, true) => true,
         (_, true) => method != Method::GET,
@@ -171,12 +172,12 @@
 }
 
 /// The cookie that says what a request is about.
-fn key(cookies: &HeaderValue) -> Option<&str> {
+fn routing_key(cookies: &HeaderValue) -> Option<&str> {
     let mut pairs = cookies.to_str().ok()?.split(';').filter_map(|pair| pair.trim().split_once('='));
     pairs.find(|(name, _)| *name == "key").map(|(_, value)| value)
 }
 
-pub(in crate::net) fn strip(headers: &mut HeaderMap) {
+pub(in crate::net) fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
@@ -185,20 +186,20 @@
         .filter_map(|name| name.trim().parse().ok())
         .filter(|name| *name != CORRELATION_ID && *name != IDEMPOTENCY_KEY)
         .collect();
-    for name in named.iter().chain(&HOP) {
+    for name in named.iter().chain(&HOP_BY_HOP_HEADERS) {
         headers.remove(name);
     }
 }
 
 /// A request whose answer is awaited; the client has left if this is dropped before.
-pub(in crate::net) struct Waiting<'a> {
+pub(in crate::net) struct PendingRequest<'a> {
     pool: &'a Rc<Pool>,
     id: Option<u32>,
 }
 
-impl<'a> Waiting<'a> {
+impl<'a> PendingRequest<'a> {
     pub fn new(pool: &'a Rc<Pool>, id: u32) -> Self {
-        Waiting { pool, id: Some(id) }
+        PendingRequest { pool, id: Some(id) }
     }
 
     /// The answer has come.
@@ -207,10 +208,10 @@
     }
 }
 
-impl Drop for Waiting<'_> {
+impl Drop for PendingRequest<'_> {
     fn drop(&mut self) {
         if let Some(id) = self.id {
-            self.pool.gone(id);
+            self.pool.cancel(id);
         }
     }
 }
--- a/crates/node/src/net/gate.rs
+++ b/crates/node/src/net/gate.rs
@@ -20,9 +20,9 @@
     /// A head is awaited or coming.
     Head,
     /// So many bytes of a request go through.
-    Pass(u64),
+    Forward(u64),
     /// All goes through: a chunked body, whose end only the library knows. Such a connection ends after it.
-    Open,
+    Chunked,
 }
 
 /// Guards against requests whose end two readers could see in different places, and against what is no request
@@ -37,46 +37,46 @@
     stage: Stage,
     held: BytesMut,
     /// Bytes in `held` that hold no whole head.
-    looked: usize,
+    scanned: usize,
 }
 
 impl Gate {
     pub fn new(methods: &'static [&'static [u8]]) -> Self {
-        Gate { methods, stage: Stage::Head, held: BytesMut::new(), looked: 0 }
+        Gate { methods, stage: Stage::Head, held: BytesMut::new(), scanned: 0 }
     }
 
     /// Room for what comes from the socket next; bounded, for what is held is let through or refused first.
-    pub fn room(&mut self) -> &mut BytesMut {
+    pub fn read_buffer(&mut self) -> &mut BytesMut {
         self.held.reserve(4096);
         &mut self.held
     }
 
     /// A request has begun and is not yet all here.
-    pub fn amid(&self) -> bool {
+    pub fn is_mid_request(&self) -> bool {
         match self.stage {
             Stage::Head => !self.held.is_empty(),
-            Stage::Pass(left) => left > 0,
-            Stage::Open => true,
+            Stage::Forward(left) => left > 0,
+            Stage::Chunked => true,
         }
     }
 
     /// All of the requests before is handed over.
-    pub fn between(&self) -> bool {
+    pub fn is_between_requests(&self) -> bool {
         matches!(self.stage, Stage::Head)
     }
 
     /// Bytes that wait here.
-    pub fn ahead(&self) -> usize {
+    pub fn buffered(&self) -> usize {
         self.held.len()
     }
 
     /// Drops what waits here: nothing more can go through.
-    pub fn forget(&mut self) {
+    pub fn clear(&mut self) {
         self.held = BytesMut::new();
     }
 
     /// Hands over what may go through; `Continue` if more has to come first.
-    pub fn pass(&mut self, to: &mut ReadBuf) -> Result<ControlFlow<()>, StatusCode> {
+    pub fn forward(&mut self, to: &mut ReadBuf) -> Result<ControlFlow<()>, StatusCode> {
         if let Stage::Head = self.stage {
             self.stage = match self.head()? {
                 Some(stage) => stage,
@@ -84,7 +84,7 @@
             };
         }
         let left = match self.stage {
-            Stage::Pass(left) => usize::try_from(left).unwrap_or(usize::MAX),
+            Stage::Forward(left) => usize::try_from(left).unwrap_or(usize::MAX),
             _ => usize::MAX,
         };
         let n = left.min(self.held.len()).min(to.remaining());
@@ -92,11 +92,11 @@
             return Ok(ControlFlow::Continue(()));
         }
         to.put_slice(&self.held.split_to(n));
-        if let Stage::Pass(left) = &mut self.stage {
+        if let Stage::Forward(left) = &mut self.stage {
             *left -= n as u64;
             if *left == 0 {
                 self.stage = Stage::Head;
-                self.looked = 0;
+                self.scanned = 0;
             }
         }
         if self.held.is_empty() {
@@ -108,10 +108,10 @@
 
     /// How far the head at the front reaches, if it is whole.
     fn head(&mut self) -> Result<Option<Stage>, StatusCode> {
-        let new = self.held.get(self.looked..).unwrap_or_default();
+        let new = self.held.get(self.scanned..).unwrap_or_default();
         // Only a line's end can complete a head; until one comes, looking at the first word is enough.
         let complete = new.contains(&b'\n');
-        self.looked = self.held.len();
+        self.scanned = self.held.len();
         self.begins(&self.held)?;
         let parsed = if complete { parse(&self.held)? } else { None };
         let Some((head, framing)) = parsed else {
@@ -121,11 +121,11 @@
                 Ok(None)
             };
         };
-        let Framing::Length(body) = framing else { return Ok(Some(Stage::Open)) };
+        let Framing::Length(body) = framing else { return Ok(Some(Stage::Chunked)) };
         if let Some(behind) = head.checked_add(body).and_then(|end| self.held.get(end..)) {
             self.begins(behind)?;
         }
-        Ok(Some(Stage::Pass((head + body) as u64)))
+        Ok(Some(Stage::Forward((head + body) as u64)))
     }
 
     /// Whether a request can begin like this.
--- a/crates/node/src/net/ledger.rs
+++ b/crates/node/src/net/ledger.rs
@@ -13,24 +13,24 @@
 const LOCK_AGAIN: std::time::Duration = std::time::Duration::from_millis(1);
 
 /// What tells one writing of the file from another: each is a new file that takes the old one's place.
-type Mark = (u64, i64, i64, u64);
+type FileVersion = (u64, i64, i64, u64);
 
 /// A ledger's file and its lock.
-pub struct Written {
+pub struct LedgerFile {
     file: PathBuf,
     lock: PathBuf,
     fresh: PathBuf,
-    seen: Option<Mark>,
+    seen: Option<FileVersion>,
 }
 
-impl Written {
+impl LedgerFile {
     /// The ledger in a folder; `name` tells the node from others that may share the folder.
     pub fn new(folder: &Path, name: &str) -> Self {
         let at = |end: &str| folder.join(format!("reelfall-{name}.{end}"));
-        Written { file: at("ledger"), lock: at("lock"), fresh: at("ledger.new"), seen: None }
+        LedgerFile { file: at("ledger"), lock: at("lock"), fresh: at("ledger.new"), seen: None }
     }
 
-    fn mark(&self) -> Option<Mark> {
+    fn version(&self) -> Option<FileVersion> {
         fs::metadata(&self.file).ok().map(|m| (m.ino(), m.mtime(), m.mtime_nsec(), m.size()))
     }
 
@@ -38,12 +38,12 @@
     ///
     /// # Errors
     /// If what was written can't be used.
-    pub fn news(&mut self) -> io::Result<Option<Ledger>> {
-        let mark = self.mark();
-        if mark == self.seen {
+    pub fn read_if_changed(&mut self) -> io::Result<Option<Ledger>> {
+        let version = self.version();
+        if version == self.seen {
             return Ok(None);
         }
-        self.seen = mark;
+        self.seen = version;
         self.read()
     }
 
@@ -80,7 +80,7 @@
             OpenOptions::new().create(true).truncate(true).write(true).mode(0o600).open(&self.fresh)?;
         fresh.write_all(ledger.text().as_bytes())?;
         fs::rename(&self.fresh, &self.file)?;
-        self.seen = self.mark();
+        self.seen = self.version();
         Ok(ledger)
     }
 }
--- a/crates/node/src/net/management.rs
+++ b/crates/node/src/net/management.rs
@@ -1,7 +1,7 @@
 //! The operators' address: one call a connection, answered at once whatever the load, and the operators' word put in
 //! force in every pool.
 
-use super::ledger::Written;
+use super::ledger::LedgerFile;
 use super::shared::Shared;
 use super::task::AbortOnDrop;
 use bytes::Bytes;
@@ -44,34 +44,34 @@
 /// The operators' word, and what it is put in force on.
 pub struct Management {
     shared: Rc<Shared>,
-    written: RefCell<Option<Written>>,
+    ledger_file: RefCell<Option<LedgerFile>>,
     /// Whether this process can serve.
     ready: Box<dyn Fn() -> bool>,
     /// Who answers calls that concern the fleet, if the node is part of one.
-    fleet: Option<Desk>,
+    fleet: Option<FleetHandler>,
 }
 
 /// Answers calls that concern the fleet.
-pub type Desk = Box<dyn Fn(&FleetCall) -> (StatusCode, String)>;
+pub type FleetHandler = Box<dyn Fn(&FleetCall) -> (StatusCode, String)>;
 
 impl Management {
     /// Takes over what was written in `folder` for the node of this name; without a folder, the operators' word lasts as
     /// long as the process.
     pub fn new(
         shared: Rc<Shared>, folder: Option<&Path>, name: &str, ready: Box<dyn Fn() -> bool>,
-        fleet: Option<Desk>,
+        fleet: Option<FleetHandler>,
     ) -> Rc<Self> {
-        let written = folder.map(|folder| Written::new(folder, name));
-        let management = Management { shared, written: RefCell::new(written), ready, fleet };
-        management.look();
+        let ledger_file = folder.map(|folder| LedgerFile::new(folder, name));
+        let management = Management { shared, ledger_file: RefCell::new(ledger_file), ready, fleet };
+        management.reload_ledger();
         Rc::new(management)
     }
 
-    /// Takes in what other processes of this node were told.
-    fn look(&self) {
-        let Some(written) = &mut *self.written.borrow_mut() else { return };
-        match written.news() {
-            Ok(Some(ledger)) => self.shared.operate(ledger),
+    /// Applies what other processes of this node were told.
+    fn reload_ledger(&self) {
+        let Some(ledger_file) = &mut *self.ledger_file.borrow_mut() else { return };
+        match ledger_file.read_if_changed() {
+            Ok(Some(ledger)) => self.shared.apply_operations(ledger),
             Ok(None) => {}
             Err(e) => self.shared.log.say(format_args!("the ledger: {e}")),
         }
@@ -81,7 +81,7 @@
     pub async fn follow(self: Rc<Self>) {
         loop {
             sleep(NEWS_EVERY).await;
-            self.look();
+            self.reload_ledger();
         }
     }
 
@@ -116,12 +116,12 @@
                 callers.pop_front();
             }
             let management = self.clone();
-            let task = tokio::task::spawn_local(async move { management.caller(stream).await });
+            let task = tokio::task::spawn_local(async move { management.serve_caller(stream).await });
             callers.push_back(AbortOnDrop(task.abort_handle()));
         }
     }
 
-    async fn caller(self: Rc<Self>, stream: TcpStream) {
+    async fn serve_caller(self: Rc<Self>, stream: TcpStream) {
         let service = service_fn(|request| {
             let response = self.answer(&request);
             async { Ok::<_, Infallible>(response) }
@@ -141,7 +141,7 @@
             Ok(_) if request.body().size_hint().lower() > 0 => {
                 (StatusCode::BAD_REQUEST, "calls have no body\n".to_owned())
             }
-            Ok(call) => self.obey(&call),
+            Ok(call) => self.execute(&call),
         };
         let mut response = Response::new(Full::new(Bytes::from(said.1)));
         *response.status_mut() = said.0;
@@ -153,14 +153,14 @@
         response
     }
 
-    fn obey(&self, call: &Call) -> (StatusCode, String) {
+    fn execute(&self, call: &Call) -> (StatusCode, String) {
         let now = self.shared.clock.now();
         let ok = |text: String| (StatusCode::OK, text);
         match call {
             Call::Ready if (self.ready)() => ok("ready\n".to_owned()),
             Call::Ready => (StatusCode::SERVICE_UNAVAILABLE, "not ready yet\n".to_owned()),
             Call::Fleet(call) => match &self.fleet {
-                Some(desk) => desk(call),
+                Some(handler) => handler(call),
                 None => (StatusCode::NOT_FOUND, "this node is part of no fleet\n".to_owned()),
             },
             Call::Drain => self.write(|l| l.drain.begin(now), "draining\n"),
@@ -190,8 +190,8 @@
     /// and the caller is told no.
     fn write(&self, mut change: impl FnMut(&mut Ledger), done: &str) -> (StatusCode, String) {
         let mut ledger = self.shared.operations();
-        let result = match &mut *self.written.borrow_mut() {
-            Some(written) => written.change(&ledger, &mut change),
+        let result = match &mut *self.ledger_file.borrow_mut() {
+            Some(ledger_file) => ledger_file.change(&ledger, &mut change),
             None => {
                 change(&mut ledger);
                 Ok(ledger.clone())
@@ -199,12 +199,12 @@
         };
         match result {
             Ok(ledger) => {
-                self.shared.operate(ledger);
+                self.shared.apply_operations(ledger);
                 (StatusCode::OK, done.to_owned())
             }
             Err(e) => {
                 change(&mut ledger);
-                self.shared.operate(ledger);
+                self.shared.apply_operations(ledger);
                 let text =
                     format!("in force in this process, but not written down, so it ends with it: {e}\n");
                 (StatusCode::INTERNAL_SERVER_ERROR, text)
--- a/crates/node/src/net/message.rs
+++ b/crates/node/src/net/message.rs
@@ -1,7 +1,7 @@
 //! Requests on their way from clients through pools to servers.
 
 use super::body::Payload;
-use super::shared::{Held, OpenId, Permit};
+use super::shared::{MemoryPermit, OpenId, Permit};
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, StatusCode};
 use reelfall_core::interface::{ClassId, TenantId};
@@ -15,13 +15,13 @@
     pub headers: HeaderMap,
     pub body: Payload,
     /// What the body holds of the budget for bodies; requests that came in one body share it.
-    pub _held: Option<Rc<Held>>,
+    pub _held: Option<Rc<MemoryPermit>>,
     /// Its id, taken for as long as an attempt may be out.
     pub _id: OpenId,
     /// Its place among the open requests of its service, as long.
     pub _admitted: Option<Permit>,
     /// What an answer has to be, beyond being whole; plain requests take any 200.
-    pub judge: Option<Box<dyn Judge>>,
+    pub validator: Option<Box<dyn AnswerValidator>>,
     /// Who waits for its answer.
     pub waiter: Rc<dyn Waiter>,
 }
@@ -33,7 +33,7 @@
 }
 
 /// Tells answers from what is none, for requests whose protocol says more than a status.
-pub trait Judge {
+pub trait AnswerValidator {
     /// Whether a status comes with an answer at all.
     fn may_answer(&self, status: StatusCode) -> bool;
     /// Whether a whole body is an answer to this request. What is none may have run.
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -69,23 +69,23 @@
 pub const ANSWER_SMALL: usize = 64 << 10;
 
 /// Permits for so many bytes.
-pub fn kib(bytes: usize) -> u32 {
+pub fn permits_for(bytes: usize) -> u32 {
     u32::try_from(bytes / 1024 + 1).unwrap_or(u32::MAX)
 }
 /// Read buffer of one connection.
 pub const BUFFER: usize = 64 << 10;
 
 /// Numbers of chance from a node's own seed, the same when a run is played again: SplitMix64.
-pub struct Chance(Cell<u64>);
+pub struct SeededRng(Cell<u64>);
 
-impl Chance {
+impl SeededRng {
     /// From this seed.
     pub fn new(seed: u64) -> Self {
-        Chance(Cell::new(seed))
+        SeededRng(Cell::new(seed))
     }
 
     /// The next number.
-    pub fn draw(&self) -> u64 {
+    pub fn next_u64(&self) -> u64 {
         let x = self.0.get().wrapping_add(0x9e37_79b9_7f4a_7c15);
         self.0.set(x);
         let x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
@@ -94,8 +94,8 @@
     }
 
     /// The next one as a fraction of [0, 1).
-    pub fn fraction(&self) -> f64 {
-        (self.draw() >> 11) as f64 / (1u64 << 53) as f64
+    pub fn next_fraction(&self) -> f64 {
+        (self.next_u64() >> 11) as f64 / (1u64 << 53) as f64
     }
 }
 
@@ -105,7 +105,7 @@
 /// connection it had accepted: whoever came was let in and closed on, and no node ever got ready. What is written may
 /// be a little late then, which is better than nothing. It ought to bear any socket that knows no such option. Harm: on
 /// such a system the last piece of an answer may wait for an acknowledgement.
-pub fn hurry(stream: &tokio::net::TcpStream) {
+pub fn set_nodelay(stream: &tokio::net::TcpStream) {
     let _ = stream.set_nodelay(true);
 }
 
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -1,4 +1,4 @@
-//! One pool of servers at work: feeds its [`Engine`] with what happens on the sockets and carries out what the
+//! One pool of servers at work: feeds its [`Engine`] with what happens on the sockets and applies what the
 //! engine wants done. No choice is made here.
 //!
 //! | module | responsibility |
@@ -17,8 +17,8 @@
 use super::message::{Arrival, Message};
 use super::shared::{Peer, PoolId, Shared};
 use super::upstream::{self, Times, Upstream};
-use super::Chance;
-use list::Own;
+use super::SeededRng;
+use list::ServerList;
 use reelfall_core::engine::{self, Command, Engine};
 use reelfall_core::interface::*;
 use reelfall_core::settings::{Figures, Vocabulary};
@@ -58,7 +58,7 @@
     pub names: RefCell<Vocabulary>,
     pub shared: Rc<Shared>,
     /// What this pool's list says, where other lists may say something of the same servers.
-    own: RefCell<Own>,
+    own: RefCell<ServerList>,
     /// Whether a server that the list no longer names has ended, or may serve others still.
     missing: Missing,
     /// A server is warm so long after its start, in seconds.
@@ -78,7 +78,7 @@
     pub heard: Cell<Option<Time>>,
     discovery: Discovery,
     /// For rests that must not come in step with other nodes'.
-    pub chance: Chance,
+    pub rng: SeededRng,
 }
 
 impl Pool {
@@ -113,7 +113,7 @@
             ready: Cell::new(false),
             heard: Cell::new(None),
             discovery,
-            chance: Chance::new(seed),
+            rng: SeededRng::new(seed),
         });
         pool.shared.enter(pool.id, &(pool.clone() as Rc<dyn Peer>));
         Ok(pool)
@@ -146,8 +146,8 @@
         serde_json::to_value(learned).unwrap_or_default()
     }
 
-    /// Takes in what another process has learned; what can't be read is left.
-    pub fn adopt(&self, learned: &serde_json::Value) {
+    /// Restores what another process has learned; what can't be read is left.
+    pub fn restore_learned(&self, learned: &serde_json::Value) {
         match Learned::deserialize(learned) {
             Ok(learned) => self.engine.borrow_mut().adopt(self.shared.clock.now(), &learned),
             Err(e) => self.shared.log.say(format_args!("what was learned can't be read: {e}")),
@@ -159,7 +159,7 @@
         self.engine.borrow().open()
     }
 
-    /// Takes a request in. Its final answer comes over the channel.
+    /// Accepts a request. Its final answer comes over the channel.
     pub fn submit(self: &Rc<Self>, message: Message, a: Arrival) -> (RequestId, oneshot::Receiver<Reply>) {
         let (reply, answer) = oneshot::channel();
         let Arrival { class, tenant, hint, key, deadline, flows } = a;
@@ -167,29 +167,29 @@
         let flows = flows.map(|flows| flows.as_secs_f64());
         let arrival = engine::Arrival { class, tenant, hint, key, deadline, flows };
         let ticket = Ticket { message: Rc::new(message), task: None };
-        let id = self.tell(|engine, now, out| engine.submit(now, ticket, reply, arrival, out));
+        let id = self.dispatch(|engine, now, out| engine.submit(now, ticket, reply, arrival, out));
         (id, answer)
     }
 
     /// The client has left, or has its answer from elsewhere: nothing new is sent.
-    pub fn gone(self: &Rc<Self>, id: RequestId) {
-        self.tell(|engine, now, out| engine.gone(now, id, out));
+    pub fn cancel(self: &Rc<Self>, id: RequestId) {
+        self.dispatch(|engine, now, out| engine.gone(now, id, out));
     }
 
-    /// Tells the engine something and carries out what it wants done.
-    fn tell<R>(
+    /// Tells the engine something and applies what it wants done.
+    fn dispatch<R>(
         self: &Rc<Self>, what: impl FnOnce(&mut Engine<Wire>, Time, &mut Vec<Command<Wire>>) -> R,
     ) -> R {
         let mut commands = self.commands.take();
         let result = what(&mut self.engine.borrow_mut(), self.shared.clock.now(), &mut commands);
         for command in commands.drain(..) {
-            self.carry_out(command);
+            self.apply(command);
         }
         self.commands.set(commands);
         result
     }
 
-    fn carry_out(self: &Rc<Self>, command: Command<Wire>) {
+    fn apply(self: &Rc<Self>, command: Command<Wire>) {
         match command {
             Command::Send { request, attempt, server, starts_by, expires } => {
                 let mut engine = self.engine.borrow_mut();
@@ -216,7 +216,7 @@
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(after).await;
                     if let Some(pool) = pool.upgrade() {
-                        pool.tell(|engine, now, out| engine.timer(now, tag, out));
+                        pool.dispatch(|engine, now, out| engine.timer(now, tag, out));
                     }
                 });
             }
@@ -249,13 +249,13 @@
     }
 
     fn written(&self, request: RequestId) -> Option<Instant> {
-        let deadline = self.tell(|engine, now, out| engine.written(now, request, out));
+        let deadline = self.dispatch(|engine, now, out| engine.written(now, request, out));
         deadline.map(|deadline| self.shared.clock.instant(deadline))
     }
 
     fn ended(&self, request: RequestId, attempt: u32, outcome: Outcome, answer: Option<Answer>) {
         let answer = answer.map(Box::new);
         self.report_outcome(request, attempt, outcome);
-        self.tell(|engine, now, out| engine.ended(now, request, attempt, outcome, answer, out));
+        self.dispatch(|engine, now, out| engine.ended(now, request, attempt, outcome, answer, out));
     }
 }
--- a/crates/node/src/net/pool/list.rs
+++ b/crates/node/src/net/pool/list.rs
@@ -10,13 +10,13 @@
 
 /// A list as its source has it, before other lists add anything.
 #[derive(Default)]
-pub(super) struct Own {
+pub(super) struct ServerList {
     pub(super) places: HashMap<ServerId, Place<SocketAddr>>,
     /// The servers at each address.
     pub(super) at: HashMap<SocketAddr, Vec<ServerId>>,
 }
 
-impl Own {
+impl ServerList {
     pub(super) fn insert(&mut self, place: &Place<SocketAddr>) -> Option<Place<SocketAddr>> {
         let old = self.remove(place.entry.server);
         self.at.entry(place.address).or_default().push(place.entry.server);
@@ -57,14 +57,14 @@
 impl Pool {
     /// News of the list.
     pub fn members(self: &Rc<Self>, list: ListKind, mut places: Vec<Place<SocketAddr>>) {
-        let told = self.compare(list, &mut places);
-        self.tell(|engine, now, out| engine.members(now, list, places, out));
+        let told = self.merge_lists(list, &mut places);
+        self.dispatch(|engine, now, out| engine.members(now, list, places, out));
         self.listed.notify_waiters();
-        told.into_iter().for_each(|address| self.shared.retell(address, Some(self.id)));
+        told.into_iter().for_each(|address| self.shared.notify_listing_changed(address, Some(self.id)));
     }
 
     /// Puts this list beside those of other pools, and gives the servers of which others have to be told.
-    fn compare(&self, list: ListKind, places: &mut [Place<SocketAddr>]) -> Vec<SocketAddr> {
+    fn merge_lists(&self, list: ListKind, places: &mut [Place<SocketAddr>]) -> Vec<SocketAddr> {
         let mut own = self.own.borrow_mut();
         let mut told = Vec::new();
         let parts = self.shared.parts();
--- a/crates/node/src/net/pool/peer.rs
+++ b/crates/node/src/net/pool/peer.rs
@@ -28,25 +28,25 @@
         let now = self.shared.clock.now();
         let warm = |(address, until): (&SocketAddr, &Time)| (*until <= now).then_some(*address);
         let warm: Vec<SocketAddr> = self.withheld.borrow().iter().filter_map(warm).collect();
-        warm.into_iter().for_each(|address| self.clone().retold(address));
+        warm.into_iter().for_each(|address| self.clone().listing_changed(address));
     }
 
-    fn reseen(self: Rc<Self>, name: &str) {
+    fn operators_changed(self: Rc<Self>, name: &str) {
         let server = self.names.borrow().servers.get(name);
         let address = server.and_then(|server| self.address_of(server));
         if let Some(address) = address {
-            self.retold(address);
+            self.listing_changed(address);
         }
     }
 
-    fn review(self: Rc<Self>) {
+    fn refresh(self: Rc<Self>) {
         let mut places: Vec<Place<SocketAddr>> = self.own.borrow().places.values().cloned().collect();
         // The order in which they were named tells which of two at one address holds.
         places.sort_unstable_by_key(|p| p.entry.server);
         places.iter_mut().for_each(|p| self.adjust(p));
         places.retain(|p| self.engine.borrow().lists(p.entry.server));
         if !places.is_empty() {
-            self.tell(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
+            self.dispatch(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
         }
     }
 
@@ -78,14 +78,14 @@
             return;
         };
         let Condemnation { until, is_prober, .. } = *condemnation;
-        self.tell(|engine, now, out| engine.told(now, server, until, is_prober, out));
+        self.dispatch(|engine, now, out| engine.told(now, server, until, is_prober, out));
     }
 
-    fn retold(self: Rc<Self>, address: SocketAddr) {
+    fn listing_changed(self: Rc<Self>, address: SocketAddr) {
         let mut places: Vec<Place<SocketAddr>> = self.own.borrow().at(&address).cloned().collect();
         places.iter_mut().for_each(|p| self.adjust(p));
         if !places.is_empty() {
-            self.tell(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
+            self.dispatch(|engine, now, out| engine.members(now, ListKind::Delta, places, out));
         }
     }
 }
--- a/crates/node/src/net/registry.rs
+++ b/crates/node/src/net/registry.rs
@@ -14,7 +14,7 @@
 mod own_entry;
 
 pub use following::Registry;
-pub use own_entry::Entered;
+pub use own_entry::OwnEntry;
 
 use bytes::Bytes;
 use reelfall_conf::model;
@@ -27,7 +27,7 @@
 
 /// A session's way to a registry.
 #[derive(Clone, PartialEq)]
-pub struct Way {
+pub struct RegistryAccess {
     members: Vec<SocketAddr>,
     timeout: Time,
     connect_within: Time,
@@ -35,12 +35,12 @@
     auth: Option<(String, Bytes)>,
 }
 
-impl Way {
+impl RegistryAccess {
     /// What the settings say; the proof is read from its file.
     ///
     /// # Errors
     /// If the file can't be read.
-    pub fn of(registry: &model::Registry) -> Result<Way, String> {
+    pub fn of(registry: &model::Registry) -> Result<RegistryAccess, String> {
         let proof = |path: &Path| {
             let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
             match text.trim() {
@@ -50,7 +50,7 @@
                 _ => Err(format!("{}: write `name:password`", path.display())),
             }
         };
-        Ok(Way {
+        Ok(RegistryAccess {
             members: registry.members.clone(),
             timeout: registry.session,
             connect_within: registry.connect,
--- a/crates/node/src/net/registry/driver.rs
+++ b/crates/node/src/net/registry/driver.rs
@@ -1,6 +1,6 @@
 //! A session with a registry over its socket: connects, sends, reads and waits as the session wants.
 
-use super::Way;
+use super::RegistryAccess;
 use crate::net::shared::Clock;
 use bytes::{Buf, BytesMut};
 use reelfall_core::interface::Time;
@@ -18,7 +18,7 @@
 const READ: usize = 64 << 10;
 
 /// What a session serves.
-pub(super) trait Part {
+pub(super) trait SessionUser {
     /// Something has happened on the session.
     fn event(&mut self, now: Time, session: &Session, event: &Event);
     /// What is to be asked next.
@@ -27,8 +27,8 @@
     fn tick(&mut self, now: Time, session: &Session);
     /// When `tick` has something to do.
     fn deadline(&self) -> Time;
-    /// All that has come has been taken in.
-    fn settled(&mut self, now: Time);
+    /// All events so far have been handled.
+    fn events_handled(&mut self, now: Time);
     /// The session ends here, by its own wish.
     fn is_done(&self) -> bool;
 }
@@ -36,105 +36,107 @@
 type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
 
 /// The socket under a session.
-enum Line {
-    None,
+enum Connection {
+    Closed,
     Connecting(Connecting),
     Up(TcpStream),
 }
 
 /// What woke the driver.
-enum Woken {
+enum Wakeup {
     Connected(io::Result<TcpStream>),
     Read(io::Result<usize>),
     Writable,
-    Otherwise,
+    Other,
 }
 
 pub(super) struct Driver<P> {
     session: Session,
-    part: P,
+    user: P,
     clock: Clock,
-    line: Line,
+    connection: Connection,
     out: BytesMut,
     read: BytesMut,
 }
 
-impl<P: Part> Driver<P> {
-    pub(super) fn new(way: &Way, part: P, clock: Clock) -> Self {
-        let session = way.session(clock.now());
+impl<P: SessionUser> Driver<P> {
+    pub(super) fn new(access: &RegistryAccess, user: P, clock: Clock) -> Self {
+        let session = access.session(clock.now());
         Driver {
             session,
-            part,
+            user,
             clock,
-            line: Line::None,
+            connection: Connection::Closed,
             out: BytesMut::new(),
             read: BytesMut::with_capacity(READ),
         }
     }
 
     /// Runs until the part is done; `told` is for whoever has changed what the part wants.
-    pub(super) async fn run(mut self, told: &Notify) {
+    pub(super) async fn run(mut self, changed: &Notify) {
         loop {
-            self.turn();
-            if self.part.is_done() {
+            self.step();
+            if self.user.is_done() {
                 self.session.close(self.clock.now());
-                self.turn();
+                self.step();
                 // The registry drops what ends with the session when this is read; a moment, and no more.
                 let _ = tokio::time::timeout(Duration::from_millis(200), self.flush()).await;
                 return;
             }
-            let woken = self.wait(told).await;
+            let woken = self.wait(changed).await;
             let now = self.clock.now();
             match woken {
-                Woken::Connected(Ok(stream)) => {
+                Wakeup::Connected(Ok(stream)) => {
                     let _ = stream.set_nodelay(true);
-                    self.line = Line::Up(stream);
+                    self.connection = Connection::Up(stream);
                     self.session.connected(now);
                 }
-                Woken::Connected(Err(_)) | Woken::Read(Ok(0) | Err(_)) => {
-                    self.line = Line::None;
+                Wakeup::Connected(Err(_)) | Wakeup::Read(Ok(0) | Err(_)) => {
+                    self.connection = Connection::Closed;
                     self.session.ended(now);
                 }
-                Woken::Read(Ok(_)) => {
+                Wakeup::Read(Ok(_)) => {
                     let bytes = self.read.split();
                     self.session.received(now, &bytes);
                 }
-                Woken::Writable => self.write(),
-                Woken::Otherwise => {}
+                Wakeup::Writable => self.write(),
+                Wakeup::Other => {}
             }
         }
     }
 
-    /// Takes in all that has happened and starts all that is to be done.
-    fn turn(&mut self) {
+    /// Handles all that has happened and starts all that is to be done.
+    fn step(&mut self) {
         let now = self.clock.now();
         self.session.tick(now);
-        self.part.tick(now, &self.session);
+        self.user.tick(now, &self.session);
         loop {
             while let Some(event) = self.session.event() {
-                self.part.event(now, &self.session, &event);
+                self.user.event(now, &self.session, &event);
             }
             while self.session.is_up() && self.session.pending() < PENDING_MOST {
-                let Some((token, op)) = self.part.op() else { break };
+                let Some((token, op)) = self.user.op() else { break };
                 self.session.ask(now, token, op);
             }
             let Some(to) = self.session.todo() else { break };
             match to {
-                Do::Connect(address) => self.line = Line::Connecting(Box::pin(TcpStream::connect(address))),
+                Do::Connect(address) => {
+                    self.connection = Connection::Connecting(Box::pin(TcpStream::connect(address)))
+                }
                 Do::Send(bytes) => self.out.extend_from_slice(&bytes),
                 Do::Close => {
-                    self.line = Line::None;
+                    self.connection = Connection::Closed;
                     self.out.clear();
                     self.read.clear();
                 }
             }
         }
         self.write();
-        self.part.settled(now);
+        self.user.events_handled(now);
     }
 
     fn write(&mut self) {
-        let Line::Up(stream) = &self.line else { return };
+        let Connection::Up(stream) = &self.connection else { return };
         while !self.out.is_empty() {
             match stream.try_write(&self.out) {
                 Ok(n) => self.out.advance(n),
@@ -146,7 +148,7 @@
 
     async fn flush(&mut self) {
         while !self.out.is_empty() {
-            let Line::Up(stream) = &self.line else { return };
+            let Connection::Up(stream) = &self.connection else { return };
             if stream.writable().await.is_err() {
                 return;
             }
@@ -154,32 +156,32 @@
         }
     }
 
-    async fn wait(&mut self, told: &Notify) -> Woken {
-        let until = self.session.deadline().unwrap_or(f64::MAX).min(self.part.deadline());
+    async fn wait(&mut self, changed: &Notify) -> Wakeup {
+        let until = self.session.deadline().unwrap_or(f64::MAX).min(self.user.deadline());
         // Without anything due, an hour is as good as any time.
         let rest = Duration::from_secs_f64((until - self.clock.now()).clamp(0.0, 3600.0));
         let sleep = tokio::time::sleep_until((Instant::now() + rest).into());
-        match &mut self.line {
-            Line::None => tokio::select! {
-                () = sleep => Woken::Otherwise,
-                () = told.notified() => Woken::Otherwise,
+        match &mut self.connection {
+            Connection::Closed => tokio::select! {
+                () = sleep => Wakeup::Other,
+                () = changed.notified() => Wakeup::Other,
             },
-            Line::Connecting(connecting) => tokio::select! {
-                connected = connecting.as_mut() => Woken::Connected(connected),
-                () = sleep => Woken::Otherwise,
-                () = told.notified() => Woken::Otherwise,
+            Connection::Connecting(connecting) => tokio::select! {
+                connected = connecting.as_mut() => Wakeup::Connected(connected),
+                () = sleep => Wakeup::Other,
+                () = changed.notified() => Wakeup::Other,
             },
-            Line::Up(stream) => {
+            Connection::Up(stream) => {
                 self.read.reserve(READ);
                 let (mut from, to) = stream.split();
                 let writes = !self.out.is_empty();
                 // News first: what a timer would do can wait for it.
                 tokio::select! {
                     biased;
-                    read = from.read_buf(&mut self.read) => Woken::Read(read),
-                    _ = to.writable(), if writes => Woken::Writable,
-                    () = told.notified() => Woken::Otherwise,
-                    () = sleep => Woken::Otherwise,
+                    read = from.read_buf(&mut self.read) => Wakeup::Read(read),
+                    _ = to.writable(), if writes => Wakeup::Writable,
+                    () = changed.notified() => Wakeup::Other,
+                    () = sleep => Wakeup::Other,
                 }
             }
         }
--- a/crates/node/src/net/registry/following.rs
+++ b/crates/node/src/net/registry/following.rs
@@ -1,7 +1,7 @@
 //! A pool that follows the entries under a path of a registry.
 
-use super::driver::{Driver, Part};
-use super::Way;
+use super::driver::{Driver, SessionUser};
+use super::RegistryAccess;
 use crate::net::pool::Pool;
 use crate::net::source::Source;
 use reelfall_conf::model;
@@ -20,7 +20,7 @@
 
 /// Entries under a path of a registry.
 pub struct Registry {
-    pub way: Way,
+    pub access: RegistryAccess,
     pub path: String,
     pub limits: Limits,
     /// Servers that are taken to be there until the registry has been heard.
@@ -48,8 +48,8 @@
         }
         let clock = pool.shared.clock;
         let follower = Follower::new(&self.path, self.limits, clock.now());
-        let part = Following { pool, path: self.path, follower, told: false, refused: false };
-        let driver = Driver::new(&self.way, part, clock);
+        let user = Following { pool, path: self.path, follower, has_listed: false, refused: false };
+        let driver = Driver::new(&self.access, user, clock);
         async move { driver.run(&Notify::new()).await }
     }
 }
@@ -59,7 +59,7 @@
     path: String,
     follower: Follower,
     /// The pool has had a whole list.
-    told: bool,
+    has_listed: bool,
     /// It has been told that nothing counts, since the list is stale.
     refused: bool,
 }
@@ -79,19 +79,19 @@
     }
 
     /// A server as its entry has it, unless nothing counts.
-    fn there(&self, entry: &Entry) -> Place<SocketAddr> {
+    fn listed(&self, entry: &Entry) -> Place<SocketAddr> {
         let drains = entry.draining || self.refused;
         self.place(entry, if drains { ServerState::Draining } else { ServerState::Up })
     }
 
-    fn whole(&self) -> Vec<Place<SocketAddr>> {
-        self.follower.roster().there().map(|entry| self.there(entry)).collect()
+    fn full_list(&self) -> Vec<Place<SocketAddr>> {
+        self.follower.roster().there().map(|entry| self.listed(entry)).collect()
     }
 
     /// News of one server. Who has gone and was never told of needs no word.
-    fn news(&self, change: &Change) -> Option<Place<SocketAddr>> {
+    fn changed_server(&self, change: &Change) -> Option<Place<SocketAddr>> {
         match change {
-            Change::There(entry) => Some(self.there(entry)),
+            Change::There(entry) => Some(self.listed(entry)),
             Change::Gone(name) => {
                 self.pool.names.borrow().servers.get(name)?;
                 let gone = Listed {
@@ -118,7 +118,7 @@
         }
     }
 
-    fn say(&self, report: &Report) {
+    fn log_report(&self, report: &Report) {
         let (log, path) = (&self.pool.shared.log, &self.path);
         match report {
             Report::Entry(child, fault) => log.say(format_args!("registry {path}/{child}: {fault}")),
@@ -131,7 +131,7 @@
     }
 }
 
-impl Part for Following {
+impl SessionUser for Following {
     fn event(&mut self, now: Time, session: &Session, event: &Event) {
         match event {
             Event::Lost(why @ (Why::Wire(_) | Why::Credentials)) => {
@@ -159,23 +159,23 @@
         self.follower.deadline()
     }
 
-    fn settled(&mut self, _now: Time) {
+    fn events_handled(&mut self, _now: Time) {
         while let Some(report) = self.follower.report() {
-            self.say(&report);
+            self.log_report(&report);
         }
         let refuses = self.follower.refuses();
         let flips = std::mem::replace(&mut self.refused, refuses) != refuses;
         let changes = self.follower.changes();
-        if !self.told || flips {
+        if !self.has_listed || flips {
             // Nothing is told before all of it is known: half a list would draw all work to half of the servers.
             if self.follower.is_known() {
-                self.told = true;
-                self.pool.members(ListKind::Full, self.whole());
+                self.has_listed = true;
+                self.pool.members(ListKind::Full, self.full_list());
             }
             return;
         }
         if !changes.is_empty() {
-            let places = changes.iter().filter_map(|c| self.news(c)).collect();
+            let places = changes.iter().filter_map(|c| self.changed_server(c)).collect();
             self.pool.members(ListKind::Delta, places);
         }
     }
--- a/crates/node/src/net/registry/own_entry.rs
+++ b/crates/node/src/net/registry/own_entry.rs
@@ -1,7 +1,7 @@
 //! The entry that this node has in a registry, from when it is wanted until the node ends.
 
-use super::driver::{Driver, Part};
-use super::Way;
+use super::driver::{Driver, SessionUser};
+use super::RegistryAccess;
 use crate::net::shared::Shared;
 use reelfall_core::interface::Time;
 use reelfall_membership::own::{self, Own};
@@ -13,68 +13,71 @@
 use tokio::sync::Notify;
 
 /// This node's entry in one registry.
-pub struct Entered {
+pub struct OwnEntry {
     wanted: Cell<Wanted>,
-    told: Notify,
-    gone: Notify,
+    changed: Notify,
+    withdrawn: Notify,
     done: Cell<bool>,
 }
 
 #[derive(Clone, Copy, PartialEq)]
 enum Wanted {
-    NotYet,
-    Stands,
-    Gone,
+    Pending,
+    Published,
+    Withdrawn,
 }
 
-impl Entered {
+impl OwnEntry {
     /// Keeps an entry from when it is wanted until it is not.
-    pub fn keep(shared: &Rc<Shared>, way: Way, path: String, data: own::Data, guarded: bool) -> Rc<Entered> {
-        let entered = Rc::new(Entered {
-            wanted: Cell::new(Wanted::NotYet),
-            told: Notify::new(),
-            gone: Notify::new(),
+    pub fn keep(
+        shared: &Rc<Shared>, access: RegistryAccess, path: String, data: own::Data, guarded: bool,
+    ) -> Rc<OwnEntry> {
+        let entered = Rc::new(OwnEntry {
+            wanted: Cell::new(Wanted::Pending),
+            changed: Notify::new(),
+            withdrawn: Notify::new(),
             done: Cell::new(false),
         });
         let acl = if guarded { vec![Acl::creator(), Acl::read_only()] } else { vec![Acl::open()] };
         let own = Own::new(path.clone(), data, acl);
-        let part = Keeping { entered: entered.clone(), shared: shared.clone(), path, own: RefCell::new(own) };
-        let driver = Driver::new(&way, part, shared.clock);
+        let user =
+            EntryKeeper { entered: entered.clone(), shared: shared.clone(), path, own: RefCell::new(own) };
+        let driver = Driver::new(&access, user, shared.clock);
         let keeping = entered.clone();
         tokio::task::spawn_local(async move {
-            driver.run(&keeping.told).await;
+            driver.run(&keeping.changed).await;
             keeping.done.set(true);
-            keeping.gone.notify_one();
+            keeping.withdrawn.notify_one();
         });
         entered
     }
 
     /// The node is ready: the entry may stand.
-    pub fn want(&self) {
-        if self.wanted.get() == Wanted::NotYet {
-            self.wanted.set(Wanted::Stands);
-            self.told.notify_one();
+    pub fn publish(&self) {
+        if self.wanted.get() == Wanted::Pending {
+            self.wanted.set(Wanted::Published);
+            self.changed.notify_one();
         }
     }
 
     /// The node is on its way out: the entry goes. Waits until it has, but not for long.
     pub async fn withdraw(&self, within: Duration) {
-        self.wanted.set(Wanted::Gone);
-        self.told.notify_one();
+        self.wanted.set(Wanted::Withdrawn);
+        self.changed.notify_one();
         if !self.done.get() {
-            let _ = tokio::time::timeout(within, self.gone.notified()).await;
+            let _ = tokio::time::timeout(within, self.withdrawn.notified()).await;
         }
     }
 }
 
-struct Keeping {
-    entered: Rc<Entered>,
+struct EntryKeeper {
+    entered: Rc<OwnEntry>,
     shared: Rc<Shared>,
     path: String,
     own: RefCell<Own>,
 }
 
-impl Part for Keeping {
+impl SessionUser for EntryKeeper {
     fn event(&mut self, now: Time, session: &Session, event: &Event) {
         self.own.get_mut().event(now, session.id(), event);
     }
@@ -86,9 +89,9 @@
     fn tick(&mut self, now: Time, _session: &Session) {
         let own = self.own.get_mut();
         match self.entered.wanted.get() {
-            Wanted::NotYet => {}
-            Wanted::Stands => own.want(),
-            Wanted::Gone => own.withdraw(),
+            Wanted::Pending => {}
+            Wanted::Published => own.want(),
+            Wanted::Withdrawn => own.withdraw(),
         }
         own.tick(now);
     }
@@ -97,7 +100,7 @@
         self.own.borrow().deadline()
     }
 
-    fn settled(&mut self, _now: Time) {
+    fn events_handled(&mut self, _now: Time) {
         let own = self.own.get_mut();
         let Some(report) = own.report() else { return };
         let (log, path) = (&self.shared.log, &self.path);
@@ -112,6 +115,6 @@
     }
 
     fn is_done(&self) -> bool {
-        self.entered.wanted.get() == Wanted::Gone && self.own.borrow().is_withdrawn()
+        self.entered.wanted.get() == Wanted::Withdrawn && self.own.borrow().is_withdrawn()
     }
 }
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -26,7 +26,7 @@
 
 pub mod prepared;
 
-use prepared::{same, Parts, PoolKey, Prepared, Terms, Written};
+use prepared::{same, ListedServer, Parts, PoolKey, Prepared, Terms};
 
 /// The platform's discovery, at the address that is named last.
 pub struct Discovery {
@@ -45,25 +45,25 @@
 
 /// A list that somebody wrote, in the form that was written last.
 pub struct Static {
-    pub list: watch::Receiver<Arc<Vec<Written>>>,
+    pub list: watch::Receiver<Arc<Vec<ListedServer>>>,
 }
 
 impl Source for Static {
     fn follow(mut self, pool: Rc<Pool>) -> impl Future<Output = ()> + 'static {
         // At once, so that nothing finds a pool that has not heard of its servers.
-        tell_written(&pool, &self.list.borrow_and_update());
+        apply_list(&pool, &self.list.borrow_and_update());
         pool.ready.set(true);
         async move {
             while self.list.changed().await.is_ok() {
-                tell_written(&pool, &self.list.borrow_and_update());
+                apply_list(&pool, &self.list.borrow_and_update());
             }
             std::future::pending().await
         }
     }
 }
 
-fn tell_written(pool: &Rc<Pool>, list: &[Written]) {
-    let place = |Written { server, since }: &Written| {
+fn apply_list(pool: &Rc<Pool>, list: &[ListedServer]) {
+    let place = |ListedServer { server, since }: &ListedServer| {
         let listed = Listed {
             name: &server.name,
             zone: server.zone.as_deref(),
@@ -91,7 +91,7 @@
     pub retry_after: Cell<Time>,
     /// What its requests are, if they are not plain ones.
     pub graphql: RefCell<Option<Rc<GraphQl>>>,
-    told: Told,
+    list_updates: ListUpdates,
     /// What the pool was made from, if that is a settings file.
     key: Option<Arc<PoolKey>>,
     /// What is in force of all that can change under the pool.
@@ -100,11 +100,11 @@
 }
 
 /// How a source is told of changes in the settings.
-enum Told {
+enum ListUpdates {
     /// The list of a static source.
-    Static(watch::Sender<Arc<Vec<Written>>>),
+    Channel(watch::Sender<Arc<Vec<ListedServer>>>),
     /// Nothing, or somebody else does.
-    Nothing,
+    None,
 }
 
 impl Service {
@@ -117,7 +117,7 @@
             draining: Cell::new(false),
             retry_after: Cell::new(0.0),
             graphql: RefCell::default(),
-            told: Told::Nothing,
+            list_updates: ListUpdates::None,
             key: None,
             terms: RefCell::default(),
             _follow: follow,
@@ -133,26 +133,26 @@
             model::Source::Static(_) => Missing::Unused,
             model::Source::Discovery(_) | model::Source::Registry(_) => Missing::Ended,
         };
-        let way = match &service.source {
-            model::Source::Registry(followed) => Some(prepared.way(&followed.registry)?.clone()),
+        let access = match &service.source {
+            model::Source::Registry(followed) => Some(prepared.access(&followed.registry)?.clone()),
             _ => None,
         };
         let pool = Pool::new(settings, names, figures, seed, missing, shared.clone(), member)?;
-        let (follow, told) = match &service.source {
+        let (follow, list_updates) = match &service.source {
             model::Source::Static(_) => {
                 let (sender, list) = watch::channel(parts.list.clone().unwrap_or_default());
-                (follow(&pool, Static { list }), Told::Static(sender))
+                (follow(&pool, Static { list }), ListUpdates::Channel(sender))
             }
             model::Source::Discovery(address) => {
                 // The address is part of the key: with another, there is another pool.
                 let (_, address) = watch::channel(*address);
                 let list = service.name.clone();
-                (follow(&pool, Discovery { address, known: 0, list }), Told::Nothing)
+                (follow(&pool, Discovery { address, known: 0, list }), ListUpdates::None)
             }
             model::Source::Registry(followed) => {
                 let model::Followed { path, limits, known, .. } = followed.clone();
-                let way = way.ok_or("no such registry")?;
-                (follow(&pool, Registry { way, path, limits, known }), Told::Nothing)
+                let access = access.ok_or("no such registry")?;
+                (follow(&pool, Registry { access, path, limits, known }), ListUpdates::None)
             }
         };
         Ok(Rc::new(Service {
@@ -162,7 +162,7 @@
             draining: Cell::new(service.state == model::ServiceState::Draining),
             retry_after: Cell::new(service.tries.retry_after),
             graphql: RefCell::new(graphql(service, None)?),
-            told,
+            list_updates,
             key: Some(parts.key.clone()),
             terms: RefCell::default(),
             _follow: follow,
@@ -186,9 +186,9 @@
     }
 
     /// Tells the pool its list, if that has changed.
-    fn tell(&self, list: Option<&Arc<Vec<Written>>>) {
-        if let (Told::Static(told), Some(list)) = (&self.told, list) {
-            told.send_if_modified(|old| {
+    fn update_list(&self, list: Option<&Arc<Vec<ListedServer>>>) {
+        if let (ListUpdates::Channel(list_updates), Some(list)) = (&self.list_updates, list) {
+            list_updates.send_if_modified(|old| {
                 let changed = !same(old, list);
                 *old = list.clone();
                 changed
@@ -208,7 +208,7 @@
         self.draining.set(service.state == model::ServiceState::Draining);
         self.retry_after.set(service.tries.retry_after);
         if let Some(member) = self.member {
-            shared.allow(member, &service.allowed);
+            shared.set_allowed(member, &service.allowed);
         }
     }
 }
@@ -228,7 +228,7 @@
 }
 
 /// Where a request goes.
-pub struct Found {
+pub struct RouteMatch {
     pub service: Rc<Service>,
     /// The class that the route assigns.
     pub assign: Option<ClassId>,
@@ -254,10 +254,10 @@
 }
 
 impl Table {
-    pub fn find(&self, q: &Query) -> Option<Found> {
+    pub fn find(&self, q: &Query) -> Option<RouteMatch> {
         let plan = &self.prepared.as_ref()?.plan;
         let goal = plan.goals.get(plan.table.get(q)?)?;
-        Some(Found { service: self.services.get(goal.service)?.clone(), assign: goal.assign })
+        Some(RouteMatch { service: self.services.get(goal.service)?.clone(), assign: goal.assign })
     }
 
     pub fn services(&self) -> &[Rc<Service>] {
@@ -291,7 +291,7 @@
     current: RefCell<Rc<Table>>,
     /// Pools that are replaced or removed and have requests in hand still. Their sources are followed to the end, so
     /// that a drain is kept by what is left of them too.
-    leaving: RefCell<Vec<Rc<Service>>>,
+    draining_services: RefCell<Vec<Rc<Service>>>,
     seeds: Cell<u64>,
     retire: Retire,
 }
@@ -303,7 +303,7 @@
         Services {
             shared,
             current: RefCell::new(Rc::new(none)),
-            leaving: RefCell::default(),
+            draining_services: RefCell::default(),
             seeds: Cell::new(seed),
             retire,
         }
@@ -325,12 +325,12 @@
         self.shared.set_totals(prepared.plan.totals, model.process.server_connections);
         for ((service, new), parts) in services.iter().zip(&model.services).zip(&prepared.services) {
             service.set_terms(&self.shared, new, &parts.terms);
-            service.tell(parts.list.as_ref());
+            service.update_list(parts.list.as_ref());
         }
         let retire = self.retire.clone();
         let table = Rc::new(Table { prepared: Some(prepared), services, retire });
         let old = self.current.replace(table.clone());
-        self.let_go(&old, &table);
+        self.release(&old, &table);
         self.tick();
         Ok(Routing::Table(table))
     }
@@ -350,7 +350,7 @@
             }
             // What is replaced and what replaces it have one place in the books: together they hold no more.
             let member = old.and_then(|old| old.member).or_else(|| {
-                let member = self.shared.join(&service.allowed);
+                let member = self.shared.add_member(&service.allowed);
                 joined.extend(member);
                 member
             });
@@ -359,7 +359,7 @@
             match Service::start(&self.shared, prepared, service, parts, seed, member) {
                 Ok(new) => services.push(new),
                 Err(fault) => {
-                    joined.into_iter().for_each(|member| self.shared.leave(member));
+                    joined.into_iter().for_each(|member| self.shared.remove_member(member));
                     return Err(format!("service `{}`: {fault}", service.name));
                 }
             }
@@ -368,16 +368,18 @@
     }
 
     /// Services that are replaced or removed finish what they have.
-    fn let_go(&self, old: &Table, new: &Table) {
+    fn release(&self, old: &Table, new: &Table) {
         let stay: HashSet<*const Service> = new.services.iter().map(Rc::as_ptr).collect();
         let parts = new.prepared.as_ref().map(|new| new.by_name()).unwrap_or_default();
         for old in old.services.iter().filter(|s| !stay.contains(&Rc::as_ptr(s))) {
             match parts.get(old.name.as_str()) {
-                Some(parts) => old.tell(parts.list.as_ref()),
+                Some(parts) => old.update_list(parts.list.as_ref()),
                 // It keeps its place, but no reservations, until what it has taken is done.
-                None => old.member.into_iter().for_each(|member| self.shared.allow(member, &Allowed::OPEN)),
+                None => {
+                    old.member.into_iter().for_each(|member| self.shared.set_allowed(member, &Allowed::OPEN))
+                }
             }
-            self.leaving.borrow_mut().push(old.clone());
+            self.draining_services.borrow_mut().push(old.clone());
         }
     }
 
@@ -391,16 +393,16 @@
     /// Lets pools go that have nothing in hand any more.
     pub fn tick(&self) {
         let done: Vec<Rc<Service>> = {
-            let mut leaving = self.leaving.borrow_mut();
-            let (done, left) = leaving.drain(..).partition(|s| s.pool.open() == 0);
-            *leaving = left;
+            let mut draining_services = self.draining_services.borrow_mut();
+            let (done, left) = draining_services.drain(..).partition(|s| s.pool.open() == 0);
+            *draining_services = left;
             done
         };
         for service in done {
             let kept = |s: &Rc<Service>| s.member == service.member;
-            let used =
-                self.current.borrow().services.iter().any(kept) || self.leaving.borrow().iter().any(kept);
-            service.member.into_iter().filter(|_| !used).for_each(|member| self.shared.leave(member));
+            let used = self.current.borrow().services.iter().any(kept)
+                || self.draining_services.borrow().iter().any(kept);
+            service.member.into_iter().filter(|_| !used).for_each(|member| self.shared.remove_member(member));
         }
     }
 }
--- a/crates/node/src/net/service/prepared.rs
+++ b/crates/node/src/net/service/prepared.rs
@@ -3,7 +3,7 @@
 //! What is the same as in the plan before is shared with it: the thread that serves compares pointers, and touches
 //! only the services that have changed.
 
-use crate::net::registry::Way;
+use crate::net::registry::RegistryAccess;
 use reelfall_conf::{model, Plan};
 use reelfall_core::interface::{ServerState, Time};
 use reelfall_routes::limits::Allowed;
@@ -21,7 +21,7 @@
     /// The parts of its services, in the same order.
     pub services: Vec<Parts>,
     /// The ways to its registries, or why there is none, by their names.
-    ways: HashMap<String, Result<Way, String>>,
+    accesses: HashMap<String, Result<RegistryAccess, String>>,
     pub(super) since: Since,
 }
 
@@ -32,7 +32,7 @@
     /// What can change under a pool.
     pub terms: Arc<Terms>,
     /// Its servers, if the file lists them.
-    pub list: Option<Arc<Vec<Written>>>,
+    pub list: Option<Arc<Vec<ListedServer>>>,
 }
 
 /// All that a pool is made from: as long as this stays, the pool stays, with all that it has learned.
@@ -65,7 +65,7 @@
 
 /// A server of a list that somebody wrote, and since when it has been taking requests: 0 for long ago.
 #[derive(Clone, PartialEq)]
-pub struct Written {
+pub struct ListedServer {
     pub server: model::Server,
     pub since: Time,
 }
@@ -90,8 +90,8 @@
             Parts::of(model, service, &since, old)
         };
         let services = model.services.iter().map(parts).collect();
-        let ways = model.registries.iter().map(|r| (r.name.clone(), Way::of(r))).collect();
-        Arc::new(Prepared { plan, services, ways, since })
+        let accesses = model.registries.iter().map(|r| (r.name.clone(), RegistryAccess::of(r))).collect();
+        Arc::new(Prepared { plan, services, accesses, since })
     }
 
     /// The parts of the services by the services' names.
@@ -104,16 +104,16 @@
     ///
     /// # Errors
     /// If there is no such registry, or its proof can't be read.
-    pub fn way(&self, registry: &str) -> Result<&Way, String> {
-        let way = self.ways.get(registry).ok_or("no such registry")?;
-        way.as_ref().map_err(Clone::clone)
+    pub fn access(&self, registry: &str) -> Result<&RegistryAccess, String> {
+        let access = self.accesses.get(registry).ok_or("no such registry")?;
+        access.as_ref().map_err(Clone::clone)
     }
 }
 
 impl Parts {
     fn of(model: &model::Model, service: &model::Service, since: &Since, old: Option<&Parts>) -> Parts {
         let list = match &service.source {
-            model::Source::Static(list) => Some(written(list, since)),
+            model::Source::Static(list) => Some(listed_servers(list, since)),
             model::Source::Discovery(_) | model::Source::Registry(_) => None,
         };
         let old_list = old.and_then(|old| old.list.as_ref());
@@ -195,7 +195,7 @@
     up.map(|s| (s.address, since(&s.address))).collect()
 }
 
-fn written(list: &[model::At<model::Server>], since: &Since) -> Vec<Written> {
+fn listed_servers(list: &[model::At<model::Server>], since: &Since) -> Vec<ListedServer> {
     let since = |s: &model::Server| since.get(&s.address).copied().unwrap_or(0.0);
-    list.iter().map(|s| Written { server: s.value.clone(), since: since(s) }).collect()
+    list.iter().map(|s| ListedServer { server: s.value.clone(), since: since(s) }).collect()
 }
--- a/crates/node/src/net/service/tests.rs
+++ b/crates/node/src/net/service/tests.rs
@@ -103,7 +103,7 @@
         }
         shared.tick();
         assert!(pool.upgrade().is_none(), "a removed pool is kept");
-        assert!(services.leaving.borrow().is_empty());
+        assert!(services.draining_services.borrow().is_empty());
         assert_eq!(shared.pools(), 1, "something is kept of pools that are gone");
     })
     .await;
@@ -154,10 +154,10 @@
 }
 
 /// A service's list, as its pool will hear of it.
-fn heard(service: &Service) -> watch::Receiver<Arc<Vec<Written>>> {
-    match &service.told {
-        Told::Static(told) => told.subscribe(),
-        Told::Nothing => panic!("the list does not come from the file"),
+fn heard(service: &Service) -> watch::Receiver<Arc<Vec<ListedServer>>> {
+    match &service.list_updates {
+        ListUpdates::Channel(list_updates) => list_updates.subscribe(),
+        ListUpdates::None => panic!("the list does not come from the file"),
     }
 }
 
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -7,7 +7,7 @@
 
 pub use clock::Clock;
 pub use fleet::{Condemnation, FleetObserver, OverdueRequest};
-pub use permits::{Held, Open, OpenId, Permit};
+pub use permits::{ConnectionPermit, MemoryPermit, OpenId, Permit};
 
 use super::{Bounds, Log};
 use reelfall_core::interface::Time;
@@ -37,12 +37,12 @@
     fn freed(&self);
     /// Looks at what time alone changes: connections that have been idle for too long, servers that have become warm.
     fn tick(self: Rc<Self>);
-    /// Another list has said something of a server that this one may name.
-    fn retold(self: Rc<Self>, address: SocketAddr);
+    /// What another list says of a server has changed, one that this one may name.
+    fn listing_changed(self: Rc<Self>, address: SocketAddr);
     /// Operators have said something of a server that this pool may know.
-    fn reseen(self: Rc<Self>, name: &str);
+    fn operators_changed(self: Rc<Self>, name: &str);
     /// What holds of every server may have changed.
-    fn review(self: Rc<Self>);
+    fn refresh(self: Rc<Self>);
     /// Whether its list has named a server, now or lately.
     fn knows(&self, name: &str) -> bool;
     /// Adds the servers that its list names, as the fleet knows them.
@@ -152,11 +152,11 @@
     }
 
     /// Puts the operators' word in force in all pools.
-    pub fn operate(&self, new: Ledger) {
+    pub fn apply_operations(&self, new: Ledger) {
         let old = self.operations.replace(new.clone());
         let pools = self.peers();
         for name in old.bans.differ(&new.bans) {
-            pools.iter().for_each(|p| p.clone().reseen(&name));
+            pools.iter().for_each(|p| p.clone().operators_changed(&name));
         }
         if old.drain != new.drain {
             self.drained.notify_waiters();
@@ -189,7 +189,7 @@
     /// Changes how many do. Each has its part of what a cold server may be sent.
     pub fn set_processes(&self, processes: u32) {
         if self.processes.replace(processes) != processes {
-            self.peers().into_iter().for_each(Peer::review);
+            self.peers().into_iter().for_each(Peer::refresh);
         }
     }
 
@@ -249,12 +249,12 @@
     }
 
     /// Tells the pools that list a server, but for the one that brought the news.
-    pub fn retell(&self, address: SocketAddr, but: Option<PoolId>) {
+    pub fn notify_listing_changed(&self, address: SocketAddr, but: Option<PoolId>) {
         let ids: Vec<PoolId> = self.common.borrow().pools(&address).filter(|p| Some(*p) != but).collect();
         for id in ids {
             let pool = self.pools.borrow().get(&id).and_then(Weak::upgrade);
             if let Some(pool) = pool {
-                pool.retold(address);
+                pool.listing_changed(address);
             }
         }
     }
@@ -266,10 +266,10 @@
         for id in gone {
             self.pools.borrow_mut().remove(&id);
             let left = self.common.borrow_mut().leave(id);
-            left.into_iter().for_each(|address| self.retell(address, None));
+            left.into_iter().for_each(|address| self.notify_listing_changed(address, None));
         }
         let lapsed = self.common.borrow_mut().lapse(self.clock.now());
-        lapsed.into_iter().for_each(|address| self.retell(address, None));
+        lapsed.into_iter().for_each(|address| self.notify_listing_changed(address, None));
         self.peers().into_iter().for_each(Peer::tick);
     }
 }
--- a/crates/node/src/net/shared/fleet.rs
+++ b/crates/node/src/net/shared/fleet.rs
@@ -56,7 +56,7 @@
         self.fleet_bans.replace(new);
         let pools = self.peers();
         for name in differ {
-            pools.iter().for_each(|p| p.clone().reseen(&name));
+            pools.iter().for_each(|p| p.clone().operators_changed(&name));
         }
     }
 
--- a/crates/node/src/net/shared/permits.rs
+++ b/crates/node/src/net/shared/permits.rs
@@ -44,7 +44,7 @@
 }
 
 /// Memory for a body, as long as it is held.
-pub enum Held {
+pub enum MemoryPermit {
     /// Of the process, where there is one service alone.
     Process(#[allow(dead_code)] OwnedSemaphorePermit),
     /// Of a service.
@@ -52,14 +52,14 @@
 }
 
 /// One of the connections to servers that may be open.
-pub struct Open {
+pub struct ConnectionPermit {
     shared: Rc<Shared>,
     /// The server, where connections are counted by server.
     counted: Option<SocketAddr>,
     _permit: Option<Permit>,
 }
 
-impl Drop for Open {
+impl Drop for ConnectionPermit {
     fn drop(&mut self) {
         let shared = &self.shared;
         shared.open.set(shared.open.get().saturating_sub(1));
@@ -77,9 +77,9 @@
 }
 
 /// An attempt that waits for a connection.
-pub struct Waiting<'a>(&'a Cell<usize>);
+pub struct WaitingAttempt<'a>(&'a Cell<usize>);
 
-impl Drop for Waiting<'_> {
+impl Drop for WaitingAttempt<'_> {
     fn drop(&mut self) {
         self.0.set(self.0.get().saturating_sub(1));
     }
@@ -97,19 +97,19 @@
     }
 
     /// A new service's place in the books; `None` where there is one service alone.
-    pub fn join(&self, allowed: &Allowed) -> Option<Member> {
+    pub fn add_member(&self, allowed: &Allowed) -> Option<Member> {
         self.limits.as_ref().map(|l| l.borrow_mut().add(self.clock.now(), allowed))
     }
 
     /// Changes what a service is allowed.
-    pub fn allow(&self, member: Member, allowed: &Allowed) {
+    pub fn set_allowed(&self, member: Member, allowed: &Allowed) {
         if let Some(limits) = &self.limits {
             limits.borrow_mut().set(self.clock.now(), member, allowed);
         }
     }
 
     /// A service leaves the books.
-    pub fn leave(&self, member: Member) {
+    pub fn remove_member(&self, member: Member) {
         if let Some(limits) = &self.limits {
             limits.borrow_mut().remove(member);
         }
@@ -132,32 +132,36 @@
     }
 
     /// Memory for the body of a request, if it is to be had now.
-    pub fn body(self: &Rc<Self>, member: Option<Member>, kib: u32) -> Option<Held> {
+    pub fn reserve_body(self: &Rc<Self>, member: Option<Member>, kib: u32) -> Option<MemoryPermit> {
         match member {
-            Some(member) => self.take(member, Kind::Memory, kib.into()).ok().map(Held::Service),
-            None => self.bodies.clone().try_acquire_many_owned(kib).ok().map(Held::Process),
+            Some(member) => self.take(member, Kind::Memory, kib.into()).ok().map(MemoryPermit::Service),
+            None => self.bodies.clone().try_acquire_many_owned(kib).ok().map(MemoryPermit::Process),
         }
     }
 
     /// Memory for an answer, if it is to be had now.
-    pub fn answer(self: &Rc<Self>, member: Option<Member>, kib: u32) -> Option<Held> {
+    pub fn reserve_answer(self: &Rc<Self>, member: Option<Member>, kib: u32) -> Option<MemoryPermit> {
         match member {
-            Some(member) => self.take(member, Kind::Memory, kib.into()).ok().map(Held::Service),
-            None => self.answers.clone().try_acquire_many_owned(kib).ok().map(Held::Process),
+            Some(member) => self.take(member, Kind::Memory, kib.into()).ok().map(MemoryPermit::Service),
+            None => self.answers.clone().try_acquire_many_owned(kib).ok().map(MemoryPermit::Process),
         }
     }
 
     /// Memory for an answer, waited for.
-    pub async fn answer_by(
+    pub async fn reserve_answer_by(
         self: &Rc<Self>, member: Option<Member>, kib: u32, until: Instant,
-    ) -> Option<Held> {
+    ) -> Option<MemoryPermit> {
         if member.is_none() {
             let share = self.answers.clone().acquire_many_owned(kib);
-            return timeout_at(until.into(), share).await.ok().and_then(Result::ok).map(Held::Process);
+            return timeout_at(until.into(), share)
+                .await
+                .ok()
+                .and_then(Result::ok)
+                .map(MemoryPermit::Process);
         }
         loop {
             let freed = self.memory_freed.notified();
-            if let Some(held) = self.answer(member, kib) {
+            if let Some(held) = self.reserve_answer(member, kib) {
                 return Some(held);
             }
             timeout_at(until.into(), freed).await.ok()?;
@@ -169,14 +173,16 @@
     ///
     /// # Errors
     /// `Most` if the service has all that it may: then no other's connection goes for it. `Total` if nothing can go.
-    pub fn room(self: &Rc<Self>, address: SocketAddr, member: Option<Member>) -> Result<Open, Denied> {
+    pub fn reserve_connection(
+        self: &Rc<Self>, address: SocketAddr, member: Option<Member>,
+    ) -> Result<ConnectionPermit, Denied> {
         if let Some(most) = self.most_by_server.get() {
             if self.by_server.borrow().get(&address).is_some_and(|n| *n >= most) {
-                self.spare(Some(address)).ok_or(Denied::Total)?;
+                self.evict_idle(Some(address)).ok_or(Denied::Total)?;
             }
         }
         if self.open.get() >= self.most.get() {
-            self.spare(None).ok_or(Denied::Total)?;
+            self.evict_idle(None).ok_or(Denied::Total)?;
         }
         let permit = match member {
             None => None,
@@ -184,7 +190,7 @@
                 Ok(permit) => Some(permit),
                 Err(Denied::Most) => return Err(Denied::Most),
                 Err(denied) => {
-                    self.spare(None).ok_or(denied)?;
+                    self.evict_idle(None).ok_or(denied)?;
                     Some(self.take(member, Kind::Connections, 1)?)
                 }
             },
@@ -194,17 +200,17 @@
         if counted.is_some() {
             *self.by_server.borrow_mut().entry(address).or_default() += 1;
         }
-        Ok(Open { shared: self.clone(), counted, _permit: permit })
+        Ok(ConnectionPermit { shared: self.clone(), counted, _permit: permit })
     }
 
     /// Counts an attempt that waits for a connection, until the guard is dropped.
-    pub fn wait(&self) -> Waiting<'_> {
+    pub fn wait(&self) -> WaitingAttempt<'_> {
         self.waiting.set(self.waiting.get() + 1);
-        Waiting(&self.waiting)
+        WaitingAttempt(&self.waiting)
     }
 
     /// Closes the idle connection that has been idle longest.
-    fn spare(&self, to: Option<SocketAddr>) -> Option<()> {
+    fn evict_idle(&self, to: Option<SocketAddr>) -> Option<()> {
         let pools = self.peers();
         let oldest = pools.iter().filter_map(|p| Some((p.idle_since(to)?, p)));
         let (_, pool) = oldest.min_by_key(|(since, _)| *since)?;
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -2,11 +2,13 @@
 //!
 //! Who does what when is decided in [`reelfall_operations::takeover`].
 
-use super::front::{Front, Passing, Succession};
+use super::front::{Front, Handover, HandoverState};
 use super::shared::Shared;
 use super::task::AbortOnDrop;
 use bytes::{Buf, BytesMut};
-use reelfall_operations::takeover::{Elder, Frame, Heir, DESCRIPTORS_MOST, VERSION};
+use reelfall_operations::takeover::{
+    Elder as Predecessor, Frame, Heir as Successor, DESCRIPTORS_MOST, VERSION,
+};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -26,26 +28,26 @@
 
 /// How long a new process waits for what the old one gives, before it binds the address itself.
 const GIVEN_WITHIN: Duration = Duration::from_millis(800);
-/// How long the other side of a talk may take for one frame that is on its way.
+/// How long the other side of an exchange may take for one frame that is on its way.
 const FRAME_WITHIN: Duration = Duration::from_secs(2);
 /// Bytes that one read brings.
 const READ: usize = 16 << 10;
 
-/// The talk between two processes of one node.
-struct Talk {
+/// The exchange between two processes of one node.
+struct Exchange {
     stream: UnixStream,
     held: BytesMut,
     descriptors: VecDeque<OwnedFd>,
 }
 
-impl Talk {
+impl Exchange {
     /// Guards against processes of other users, who could take the sockets over or hand in some of their own. Harm: none
     /// where a node is started by one user.
-    fn with(stream: UnixStream) -> io::Result<Talk> {
+    fn new(stream: UnixStream) -> io::Result<Exchange> {
         if stream.peer_cred()?.uid() != rustix::process::geteuid().as_raw() {
             return Err(io::Error::other("the process on the other side has another user"));
         }
-        Ok(Talk { stream, held: BytesMut::new(), descriptors: VecDeque::new() })
+        Ok(Exchange { stream, held: BytesMut::new(), descriptors: VecDeque::new() })
     }
 
     async fn send(&self, frame: &Frame, descriptors: &[BorrowedFd<'_>]) -> io::Result<()> {
@@ -110,15 +112,15 @@
 }
 
 /// Where the processes of a node meet.
-pub struct Place {
+pub struct HandoverSocket {
     folder: PathBuf,
     name: String,
 }
 
-impl Place {
+impl HandoverSocket {
     /// The node of this name; `folder` is what its processes share.
     pub fn new(folder: &Path, name: &str) -> Self {
-        Place { folder: folder.to_owned(), name: name.to_owned() }
+        HandoverSocket { folder: folder.to_owned(), name: name.to_owned() }
     }
 
     /// The path to use, and the folder that has to be held open for it. A path that is too long for a socket is gone
@@ -144,21 +146,21 @@
     }
 
     /// Asks the process that serves for what it has. `None` if there is none, or nothing comes of it.
-    pub async fn seek(&self, shared: &Shared) -> Option<Given> {
+    pub async fn request_snapshot(&self, shared: &Shared) -> Option<Snapshot> {
         let (path, _folder) = self.path("takeover").ok()?;
         let asked = timeout(GIVEN_WITHIN, async {
-            let mut talk = Talk::with(UnixStream::connect(path).await?)?;
-            talk.send(&Frame::Hello { version: VERSION }, &[]).await?;
-            match talk.receive().await? {
+            let mut exchange = Exchange::new(UnixStream::connect(path).await?)?;
+            exchange.send(&Frame::Hello { version: VERSION }, &[]).await?;
+            match exchange.receive().await? {
                 (Frame::Give { listeners, learned }, descriptors) => {
                     let listeners = listeners.into_iter().zip(descriptors).collect();
-                    Ok(Given { listeners, learned, talk })
+                    Ok(Snapshot { listeners, learned, exchange })
                 }
                 _ => Err(io::Error::other("it gives nothing")),
             }
         });
         match asked.await {
-            Ok(Ok(given)) => Some(given),
+            Ok(Ok(snapshot)) => Some(snapshot),
             Ok(Err(e)) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => {
                 None
             }
@@ -177,13 +179,13 @@
 }
 
 /// What the old process gave.
-pub struct Given {
+pub struct Snapshot {
     listeners: Vec<(String, OwnedFd)>,
     learned: Vec<(String, serde_json::Value)>,
-    talk: Talk,
+    exchange: Exchange,
 }
 
-impl Given {
+impl Snapshot {
     /// The listening socket of a name, if it was given.
     pub fn listener(&mut self, name: &str) -> Option<OwnedFd> {
         let at = self.listeners.iter().position(|(n, _)| n == name)?;
@@ -197,37 +199,40 @@
 }
 
 /// What the modules of a process have learned, by their pools' names.
-pub type Learn = Box<dyn Fn() -> Vec<(String, serde_json::Value)>>;
+pub type CollectLearned = Box<dyn Fn() -> Vec<(String, serde_json::Value)>>;
 
 /// This process in the succession of the node's processes.
 pub struct Takeover {
-    place: Option<Place>,
+    socket: Option<HandoverSocket>,
     shared: Rc<Shared>,
-    elder: RefCell<Elder>,
-    heir: Cell<Heir>,
-    learn: Learn,
+    predecessor: RefCell<Predecessor>,
+    successor: Cell<Successor>,
+    collect_learned: CollectLearned,
     serving: Cell<bool>,
     /// The old process is gone.
-    pub alone: Notify,
+    pub predecessor_gone: Notify,
 }
 
 impl Takeover {
     /// The succession in force on a front; `place` is where the processes of the node meet, if they can.
-    pub fn new(shared: Rc<Shared>, place: Option<Place>, beside: bool, learn: Learn) -> Rc<Self> {
-        let mut heir = Heir::default();
-        if beside {
-            heir.given();
+    pub fn new(
+        shared: Rc<Shared>, socket: Option<HandoverSocket>, has_predecessor: bool,
+        collect_learned: CollectLearned,
+    ) -> Rc<Self> {
+        let mut successor = Successor::default();
+        if has_predecessor {
+            successor.given();
         }
-        shared.set_processes(heir.processes());
-        let (elder, heir) = (RefCell::default(), Cell::new(heir));
+        shared.set_processes(successor.processes());
+        let (predecessor, successor) = (RefCell::default(), Cell::new(successor));
         Rc::new(Takeover {
-            place,
+            socket,
             shared,
-            elder,
-            heir,
-            learn,
+            predecessor,
+            successor,
+            collect_learned,
             serving: Cell::new(false),
-            alone: Notify::new(),
+            predecessor_gone: Notify::new(),
         })
     }
 
@@ -236,43 +241,43 @@
         self.serving.get()
     }
 
-    fn elder(&self, front: &Front, change: impl FnOnce(&mut Elder)) {
-        change(&mut self.elder.borrow_mut());
-        front.turn();
+    fn update_predecessor(&self, front: &Front, change: impl FnOnce(&mut Predecessor)) {
+        change(&mut self.predecessor.borrow_mut());
+        front.notify_handover_changed();
     }
 
-    /// This process can serve: it accepts, tells the old one, takes in its clients, and stands ready for its own heir.
-    pub async fn serve(self: Rc<Self>, front: Rc<Front>, given: Option<Given>) {
-        let mut heir = self.heir.get();
-        heir.ready();
-        self.heir.set(heir);
-        front.turn();
-        let _place = self.stand(&front);
-        let mut talk = given.map(|given| given.talk);
-        let told = match &talk {
-            Some(talk) => talk.send(&Frame::Serving, &[]).await.is_ok(),
+    /// This process can serve: it accepts, tells the old one, accepts its clients, and listens for its own successor.
+    pub async fn serve(self: Rc<Self>, front: Rc<Front>, snapshot: Option<Snapshot>) {
+        let mut successor = self.successor.get();
+        successor.ready();
+        self.successor.set(successor);
+        front.notify_handover_changed();
+        let _listening = self.listen_for_successor(&front);
+        let mut exchange = snapshot.map(|snapshot| snapshot.exchange);
+        let told = match &exchange {
+            Some(exchange) => exchange.send(&Frame::Serving, &[]).await.is_ok(),
             None => false,
         };
         // Whoever is told yes ends the old process: it has to have heard before.
         self.serving.set(true);
-        if let Some(talk) = &mut talk {
+        if let Some(exchange) = &mut exchange {
             if told {
-                while let Ok((frame, descriptors)) = talk.receive().await {
+                while let Ok((frame, descriptors)) = exchange.receive().await {
                     let Frame::Client { listener } = frame else { break };
-                    descriptors.into_iter().for_each(|d| front.take_in(d.into(), &listener));
+                    descriptors.into_iter().for_each(|d| front.accept_handover(d.into(), &listener));
                 }
             }
-            let mut heir = self.heir.get();
-            heir.alone();
-            self.heir.set(heir);
-            self.shared.set_processes(heir.processes());
-            self.alone.notify_one();
+            let mut successor = self.successor.get();
+            successor.alone();
+            self.successor.set(successor);
+            self.shared.set_processes(successor.processes());
+            self.predecessor_gone.notify_one();
         }
         std::future::pending().await
     }
 
-    fn stand(self: &Rc<Self>, front: &Rc<Front>) -> Option<AbortOnDrop> {
-        let listener = match self.place.as_ref()?.listen() {
+    fn listen_for_successor(self: &Rc<Self>, front: &Rc<Front>) -> Option<AbortOnDrop> {
+        let listener = match self.socket.as_ref()?.listen() {
             Ok(listener) => listener,
             Err(e) => {
                 self.shared.log.say(format_args!("no process will be able to take over: {e}"));
@@ -285,7 +290,9 @@
                 match listener.accept().await {
                     Ok((stream, _)) => {
                         let (takeover, front) = (takeover.clone(), front.clone());
-                        tokio::task::spawn_local(async move { takeover.heir(stream, &front).await });
+                        tokio::task::spawn_local(
+                            async move { takeover.serve_successor(stream, &front).await },
+                        );
                     }
                     Err(_) => tokio::time::sleep(Duration::from_millis(50)).await,
                 }
@@ -294,84 +301,84 @@
         Some(AbortOnDrop(task.abort_handle()))
     }
 
-    /// Talks to a process that wants to take over, to the end of either.
-    async fn heir(&self, stream: UnixStream, front: &Rc<Front>) {
-        let Ok(mut talk) = Talk::with(stream) else { return };
-        let Ok(Ok((Frame::Hello { version }, _))) = timeout(FRAME_WITHIN, talk.receive()).await else {
+    /// Serves a process that wants to take over, to the end of either.
+    async fn serve_successor(&self, stream: UnixStream, front: &Rc<Front>) {
+        let Ok(mut exchange) = Exchange::new(stream) else { return };
+        let Ok(Ok((Frame::Hello { version }, _))) = timeout(FRAME_WITHIN, exchange.receive()).await else {
             return;
         };
-        if !self.elder.borrow_mut().hello(version) {
-            let _ = talk.send(&Frame::Busy, &[]).await;
+        if !self.predecessor.borrow_mut().hello(version) {
+            let _ = exchange.send(&Frame::Busy, &[]).await;
             return;
         }
-        let ended = self.yield_to(&mut talk, front).await;
+        let ended = self.hand_over(&mut exchange, front).await;
         self.shared.log.say(format_args!("the process that takes over: {ended}"));
-        front.pass_to(None);
-        self.elder(front, Elder::lost);
-        self.shared.set_processes(self.heir.get().processes());
+        front.hand_over_to(None);
+        self.update_predecessor(front, Predecessor::lost);
+        self.shared.set_processes(self.successor.get().processes());
     }
 
-    /// Gives all there is; comes back only when the heir is lost.
-    async fn yield_to(&self, talk: &mut Talk, front: &Rc<Front>) -> io::Error {
+    /// Hands over all there is; comes back only when the successor is lost.
+    async fn hand_over(&self, exchange: &mut Exchange, front: &Rc<Front>) -> io::Error {
         let listening = front.listening();
         let (names, listeners): (Vec<String>, Vec<_>) =
             listening.iter().map(|l| (l.name().to_owned(), l.as_fd())).unzip();
         self.shared.set_processes(2);
-        let give = Frame::Give { listeners: names, learned: (self.learn)() };
-        if let Err(e) = talk.send(&give, &listeners).await {
+        let give = Frame::Give { listeners: names, learned: (self.collect_learned)() };
+        if let Err(e) = exchange.send(&give, &listeners).await {
             return e;
         }
-        match talk.receive().await {
+        match exchange.receive().await {
             Ok((Frame::Serving, _)) => {}
             Ok(_) => return io::Error::other("it talks nonsense"),
             Err(e) => return e,
         }
-        let (passes, mut passing) = mpsc::unbounded_channel::<Passing>();
-        front.pass_to(Some(passes));
-        self.elder(front, Elder::serving);
+        let (sender, mut handovers) = mpsc::unbounded_channel::<Handover>();
+        front.hand_over_to(Some(sender));
+        self.update_predecessor(front, Predecessor::serving);
         let ended = loop {
             let next = tokio::select! {
-                ended = talk.receive() => break ended.err().unwrap_or(io::Error::other("it talks nonsense")),
-                Some(next) = passing.recv() => next,
+                ended = exchange.receive() => break ended.err().unwrap_or(io::Error::other("it talks nonsense")),
+                Some(next) = handovers.recv() => next,
             };
-            if let Err(e) = pass(talk, next).await {
+            if let Err(e) = send_client(exchange, next).await {
                 break e;
             }
         };
         // Whoever is on its way still comes back: this process serves on.
-        passing.close();
-        while let Ok(Passing { stream, done, .. }) = passing.try_recv() {
+        handovers.close();
+        while let Ok(Handover { stream, done, .. }) = handovers.try_recv() {
             let _ = done.send(Err(stream));
         }
         ended
     }
 }
 
-impl Succession for Takeover {
+impl HandoverState for Takeover {
     fn accepts(&self) -> bool {
-        self.elder.borrow().accepts() && self.heir.get().accepts()
+        self.predecessor.borrow().accepts() && self.successor.get().accepts()
     }
 
-    fn shares(&self) -> bool {
-        self.elder.borrow().shares()
+    fn shares_listeners(&self) -> bool {
+        self.predecessor.borrow().shares()
     }
 
-    fn passes(&self) -> bool {
-        self.elder.borrow().passes()
+    fn hands_over(&self) -> bool {
+        self.predecessor.borrow().passes()
     }
 
     fn terminate(&self) {
-        self.elder.borrow_mut().terminate();
+        self.predecessor.borrow_mut().terminate();
     }
 
-    fn late(&self) {
-        self.elder.borrow_mut().late();
+    fn end_accept_grace(&self) {
+        self.predecessor.borrow_mut().late();
     }
 }
 
-async fn pass(talk: &Talk, passing: Passing) -> io::Result<()> {
-    let Passing { stream, listener, done } = passing;
-    let sent = talk.send(&Frame::Client { listener }, &[stream.as_fd()]).await;
+async fn send_client(exchange: &Exchange, handovers: Handover) -> io::Result<()> {
+    let Handover { stream, listener, done } = handovers;
+    let sent = exchange.send(&Frame::Client { listener }, &[stream.as_fd()]).await;
     // Whoever waits for the word may have ended meanwhile.
     let _ = done.send(if sent.is_ok() { Ok(()) } else { Err(stream) });
     sent
--- a/crates/node/src/net/tests.rs
+++ b/crates/node/src/net/tests.rs
@@ -25,7 +25,7 @@
 }
 
 async fn asked(client: OwnedFd, front: &Rc<Front>, mut far: tokio::net::UnixStream) -> io::Result<String> {
-    front.take_in(client.into(), "client");
+    front.accept_handover(client.into(), "client");
     far.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\nconnection: close\r\n\r\n").await?;
     let mut answer = String::new();
     far.read_to_string(&mut answer).await?;
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -6,8 +6,8 @@
 pub use attempt::{attempt, Times};
 
 use super::answer::Answer;
-use super::body::Sending;
-use super::shared::{Open, Shared};
+use super::body::PayloadBody;
+use super::shared::{ConnectionPermit, Shared};
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::HeaderName;
 use reelfall_core::interface::{Outcome, RequestId, ServerId, Time};
@@ -50,7 +50,7 @@
 
 /// A connection to a server. It is closed when this is dropped.
 pub struct Connection {
-    send: SendRequest<Sending>,
+    send: SendRequest<PayloadBody>,
     socket: Rc<Socket>,
     since: Instant,
     /// It has brought an answer.
@@ -59,7 +59,7 @@
     address: SocketAddr,
     generation: u64,
     task: AbortHandle,
-    _open: Open,
+    _open: ConnectionPermit,
 }
 
 impl Drop for Connection {
@@ -90,7 +90,7 @@
     freed: Notify,
     keep_alive: Cell<KeepAlive>,
     /// When idle connections were looked through last.
-    looked: Cell<Instant>,
+    last_retired: Cell<Instant>,
     connect_within: Duration,
 }
 
@@ -104,7 +104,7 @@
             member,
             freed: Notify::new(),
             keep_alive: Cell::new(KeepAlive::new(conn_idle * IDLE_PART)),
-            looked: Cell::new(Instant::now()),
+            last_retired: Cell::new(Instant::now()),
             connect_within: Duration::try_from_secs_f64(connect_timeout).unwrap_or_default(),
         }
     }
@@ -118,11 +118,11 @@
     pub fn retire(&self) {
         let now = Instant::now();
         let mut keep_alive = self.keep_alive.get();
-        keep_alive.tick((now - self.looked.replace(now)).as_secs_f64());
+        keep_alive.tick((now - self.last_retired.replace(now)).as_secs_f64());
         self.keep_alive.set(keep_alive);
         let idle = self.idle();
         for pool in self.pools.borrow_mut().values_mut() {
-            pool.idle.retain(|c| now - c.since < idle && !c.send.is_closed() && c.socket.quiet());
+            pool.idle.retain(|c| now - c.since < idle && !c.send.is_closed() && c.socket.is_quiet());
         }
     }
 
@@ -132,7 +132,7 @@
     }
 
     /// A server has turned a new connection away.
-    fn turned_away(&self) {
+    fn note_refused_connection(&self) {
         let mut keep_alive = self.keep_alive.get();
         keep_alive.turned_away();
         self.keep_alive.set(keep_alive);
@@ -145,7 +145,7 @@
         while at > 0 {
             at -= 1;
             let c = pool.idle.get(at)?;
-            if c.send.is_closed() || c.since.elapsed() >= idle || !c.socket.quiet() {
+            if c.send.is_closed() || c.since.elapsed() >= idle || !c.socket.is_quiet() {
                 pool.idle.remove(at);
             } else if c.send.is_ready() {
                 return Some(pool.idle.remove(at));
@@ -168,10 +168,12 @@
     }
 
     /// Room for one more connection. A service that has all that it may lets one of its own go.
-    fn room(&self, address: SocketAddr) -> Option<Open> {
-        match self.shared.room(address, self.member) {
-            Err(Denied::Most) if self.drop_oldest_idle(None) => self.shared.room(address, self.member).ok(),
-            room => room.ok(),
+    fn reserve_connection(&self, address: SocketAddr) -> Option<ConnectionPermit> {
+        match self.shared.reserve_connection(address, self.member) {
+            Err(Denied::Most) if self.drop_oldest_idle(None) => {
+                self.shared.reserve_connection(address, self.member).ok()
+            }
+            reserved => reserved.ok(),
         }
     }
 
--- a/crates/node/src/net/upstream/attempt.rs
+++ b/crates/node/src/net/upstream/attempt.rs
@@ -1,12 +1,12 @@
 //! One attempt at a server: the request on a connection, and the answer from it.
 
-use super::socket::{Socket, Tap};
+use super::socket::{Socket, SocketIo};
 use super::{Connection, Host, Upstream, TIME_LEFT};
-use crate::net::answer::{Answer, Rest};
-use crate::net::body::{Payload, Sending, FLOW_MOST};
+use crate::net::answer::{Answer, StreamedAnswer};
+use crate::net::body::{Payload, PayloadBody, FLOW_MOST};
 use crate::net::message::Message;
-use crate::net::shared::Open;
-use crate::net::{hurry, kib, ANSWER_HELD, ANSWER_MOST, ANSWER_SMALL, BUFFER};
+use crate::net::shared::ConnectionPermit;
+use crate::net::{permits_for, set_nodelay, ANSWER_HELD, ANSWER_MOST, ANSWER_SMALL, BUFFER};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -24,7 +24,7 @@
 
 /// How long an attempt whose request is over may hold its connection for the answer that may yet come.
 const LINGER: Duration = Duration::from_secs(1);
-/// How long an answer that is too large to be held for sure is awaited whole before it is passed on as it comes.
+/// How long an answer that is too large to be held for sure is awaited whole before it is forwarded as it comes.
 const HELD_FOR: Duration = Duration::from_millis(25);
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
@@ -53,7 +53,7 @@
             return Ok((connection, false));
         }
         let Some(address) = host.address(server) else { return Err(Outcome::DialFailed) };
-        if let Some(open) = upstream.room(address) {
+        if let Some(open) = upstream.reserve_connection(address) {
             let until = expires.min(Instant::now() + most);
             let new = connect(host, server, address, open, until).await;
             return new.map(|c| (c, true)).ok_or(Outcome::DialFailed);
@@ -67,13 +67,13 @@
 }
 
 async fn connect(
-    host: &impl Host, server: ServerId, address: SocketAddr, open: Open, until: Instant,
+    host: &impl Host, server: ServerId, address: SocketAddr, open: ConnectionPermit, until: Instant,
 ) -> Option<Connection> {
     let generation = host.upstream().generation(server);
     let stream = timeout_at(until.into(), TcpStream::connect(address)).await.ok()?.ok()?;
-    hurry(&stream);
+    set_nodelay(&stream);
     let socket = Rc::new(Socket { stream, written: Cell::new(0) });
-    let io = TokioIo::new(Tap(socket.clone()));
+    let io = TokioIo::new(SocketIo(socket.clone()));
     let (send, connection) = Builder::new().max_buf_size(BUFFER).handshake(io).await.ok()?;
     let task = tokio::task::spawn_local(async move {
         // How it ended shows in the attempt that was on it.
@@ -116,17 +116,17 @@
         let before = connection.socket.written.get();
         // Whether the last byte may have been written: told by what the socket took, and of a flow by what was taken of it.
         let unwritten = |c: &Connection| match &message.body {
-            Payload::Held(held) => c.socket.written.get() - before <= held.len() as u64,
-            Payload::Flow(flow) => !flow.is_done(),
+            Payload::Buffered(held) => c.socket.written.get() - before <= held.len() as u64,
+            Payload::Streamed(flow) => !flow.is_done(),
         };
         let spent = || {
-            if message.body.flow().is_some_and(|flow| flow.is_taken()) {
+            if message.body.streamed().is_some_and(|flow| flow.is_taken()) {
                 host.spend(id);
             }
         };
         let mut expires = expires;
         let mut answer = std::pin::pin!(connection.send.try_send_request(request(&message, expires)));
-        if let Some(flow) = message.body.flow() {
+        if let Some(flow) = message.body.streamed() {
             tokio::select! {
                 biased;
                 () = flow.ended() => {}
@@ -137,7 +137,7 @@
                     }
                     spent();
                     match early {
-                        Ok(response) => return take_in(&host, id, number, connection, response, expires, &message).await,
+                        Ok(response) => return receive_answer(&host, id, number, connection, response, expires, &message).await,
                         Err(mut e) => {
                             if e.take_message().is_some() && !fresh && !flow.is_taken() {
                                 continue;
@@ -156,7 +156,7 @@
             Ok(Ok(response)) => response,
             Ok(Err(mut e)) => {
                 // Nothing was written: a stale connection is no outcome, a fresh one is.
-                let taken = message.body.flow().is_some_and(|flow| flow.is_taken());
+                let taken = message.body.streamed().is_some_and(|flow| flow.is_taken());
                 if e.take_message().is_some() && !fresh && !taken {
                     continue;
                 }
@@ -181,13 +181,13 @@
             }
         };
         spent();
-        return take_in(&host, id, number, connection, answer, expires, &message).await;
+        return receive_answer(&host, id, number, connection, answer, expires, &message).await;
     }
 }
 
 /// What an attempt has come to whose connection broke.
 fn broken(message: &Message, unwritten: bool) -> Outcome {
-    match message.body.flow() {
+    match message.body.streamed() {
         // Its client broke off: that says nothing of the server.
         Some(flow) if flow.fault().is_some() => Outcome::Unused,
         _ if unwritten => Outcome::DialFailed,
@@ -195,13 +195,13 @@
     }
 }
 
-fn request(message: &Message, expires: Instant) -> Request<Sending> {
-    let mut request = Request::new(Sending::new(&message.body));
+fn request(message: &Message, expires: Instant) -> Request<PayloadBody> {
+    let mut request = Request::new(PayloadBody::new(&message.body));
     *request.method_mut() = message.method.clone();
     *request.uri_mut() = Uri::from(message.path.clone());
     let mut headers = message.headers.clone();
     // How long the last byte of a flow takes is not known; its client has said how long it waits after that.
-    if message.body.flow().is_none() {
+    if message.body.streamed().is_none() {
         let left = expires.saturating_duration_since(Instant::now()).as_secs_f64();
         if let Ok(left) = HeaderValue::try_from(format!("{left:.3}")) {
             headers.insert(TIME_LEFT, left);
@@ -212,24 +212,24 @@
 }
 
 /// Reads an answer whose head has come.
-async fn take_in(
+async fn receive_answer(
     host: &impl Host, id: RequestId, number: u32, connection: Connection, response: Response<Incoming>,
     expires: Instant, message: &Rc<Message>,
 ) {
     let (head, mut body) = response.into_parts();
-    let judge = message.judge.as_deref();
+    let validator = message.validator.as_deref();
     let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
     let outcome = match head.status {
         StatusCode::OK => Outcome::Delivered,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Outcome::Shed,
-        status if judge.is_some_and(|j| j.may_answer(status)) => Outcome::Delivered,
+        status if validator.is_some_and(|v| v.may_answer(status)) => Outcome::Delivered,
         _ => Outcome::Error,
     };
     let closes =
         head.headers.get(header::CONNECTION).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     if outcome == Outcome::Shed && closes && !connection.used {
         // The server has all the connections that it takes, and ends this one.
-        host.upstream().turned_away();
+        host.upstream().note_refused_connection();
     }
     if outcome != Outcome::Delivered {
         host.ended(id, number, outcome, None);
@@ -243,24 +243,24 @@
         || head.headers.contains_key(header::TRANSFER_ENCODING)
         || closes
         || head.version == Version::HTTP_10;
-    let most = if judge.is_some() { ANSWER_MOST as u64 } else { FLOW_MOST };
+    let most = if validator.is_some() { ANSWER_MOST as u64 } else { FLOW_MOST };
     if !framed || body.size_hint().lower() > most {
         return host.ended(id, number, Outcome::Dropped, None);
     }
     let stated = body.size_hint().exact().map_or(0, |n| n as usize);
     let Upstream { shared, member, .. } = host.upstream();
-    let mut leave = match (stated > ANSWER_SMALL, judge.is_some()) {
+    let mut memory = match (stated > ANSWER_SMALL, validator.is_some()) {
         // Without a share in time, the answer is not read, and the next wait tells that time is up.
-        (true, true) => shared.answer_by(*member, kib(stated), expires).await,
-        (true, false) => shared.answer(*member, kib(stated.min(ANSWER_HELD))),
+        (true, true) => shared.reserve_answer_by(*member, permits_for(stated), expires).await,
+        (true, false) => shared.reserve_answer(*member, permits_for(stated.min(ANSWER_HELD))),
         (false, _) => None,
     };
     let mut held = BytesMut::new();
-    // From when on an answer that is too large to be held for sure is passed on as it comes.
+    // From when on an answer that is too large to be held for sure is forwarded as it comes.
     let flows = Instant::now() + HELD_FOR;
     loop {
         let large = stated > ANSWER_SMALL || held.len() > ANSWER_SMALL;
-        let patience = large && judge.is_none() && !held.is_empty();
+        let patience = large && validator.is_none() && !held.is_empty();
         let until = if patience { expires.min(flows) } else { expires };
         match timeout_at(until.into(), body.frame()).await {
             Ok(Some(Ok(frame))) => {
@@ -268,29 +268,30 @@
                 if held.len() <= ANSWER_SMALL && stated <= ANSWER_SMALL {
                     continue;
                 }
-                if leave.is_none() && stated == 0 {
-                    // Chunked, and growing: it gets a share at once, or is passed on as it comes.
-                    let most = if judge.is_some() { ANSWER_MOST } else { ANSWER_HELD };
-                    leave = shared.answer(*member, kib(most));
+                if memory.is_none() && stated == 0 {
+                    // Chunked, and growing: it gets a share at once, or is forwarded as it comes.
+                    let most = if validator.is_some() { ANSWER_MOST } else { ANSWER_HELD };
+                    memory = shared.reserve_answer(*member, permits_for(most));
                 }
-                if judge.is_some() {
-                    if held.len() > ANSWER_MOST || leave.is_none() {
+                if validator.is_some() {
+                    if held.len() > ANSWER_MOST || memory.is_none() {
                         return host.ended(id, number, Outcome::Dropped, None);
                     }
                 } else if !held.is_empty()
-                    && (leave.is_none() || held.len() > ANSWER_HELD || flows <= Instant::now())
+                    && (memory.is_none() || held.len() > ANSWER_HELD || flows <= Instant::now())
                 {
                     break;
                 }
             }
             Ok(Some(Err(_))) => return host.ended(id, number, Outcome::Dropped, None),
             Ok(None) => {
-                if !judge.is_none_or(|j| j.is_answer(&held)) {
+                if !validator.is_none_or(|v| v.is_answer(&held)) {
                     // Nobody knows what went on behind it: the connection goes, and the request may have run.
                     return host.ended(id, number, Outcome::Dropped, None);
                 }
                 host.upstream().put(connection);
-                let answer = Answer { headers: head.headers, body: held.freeze(), rest: None, _leave: leave };
+                let answer =
+                    Answer { headers: head.headers, body: held.freeze(), rest: None, _memory: memory };
                 return host.ended(id, number, outcome, Some(answer));
             }
             Err(_) if patience => break,
@@ -305,8 +306,10 @@
     }
     // It goes to its client while it still comes. The attempt has ended with that.
     let back = host.clone();
-    let rest = Rest::new(body, held.len() as u64, message.clone(), move || back.upstream().put(connection));
-    let answer = Answer { headers: head.headers, body: held.freeze(), rest: Some(rest), _leave: None };
+    let rest = StreamedAnswer::new(body, held.len() as u64, message.clone(), move || {
+        back.upstream().put(connection)
+    });
+    let answer = Answer { headers: head.headers, body: held.freeze(), rest: Some(rest), _memory: None };
     host.ended(id, number, Outcome::Delivered, Some(answer));
 }
 
--- a/crates/node/src/net/upstream/socket.rs
+++ b/crates/node/src/net/upstream/socket.rs
@@ -18,16 +18,16 @@
 impl Socket {
     /// Whether the other side has said nothing. An end that has come is seen here before the connection's own
     /// task has run, so that no request is written to a socket that is known to be closed.
-    pub(super) fn quiet(&self) -> bool {
+    pub(super) fn is_quiet(&self) -> bool {
         let peeked = socket2::SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
         peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
 /// Reads and writes on a [`Socket`] for the HTTP library.
-pub(super) struct Tap(pub(super) Rc<Socket>);
+pub(super) struct SocketIo(pub(super) Rc<Socket>);
 
-impl Tap {
+impl SocketIo {
     fn wrote(&self, n: io::Result<usize>) -> Poll<io::Result<usize>> {
         if let Ok(n) = n {
             self.0.written.set(self.0.written.get() + n as u64);
@@ -40,7 +40,7 @@
     result.as_ref().is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
 }
 
-impl AsyncRead for Tap {
+impl AsyncRead for SocketIo {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
@@ -52,7 +52,7 @@
     }
 }
 
-impl AsyncWrite for Tap {
+impl AsyncWrite for SocketIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, data: &[u8]) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -5,7 +5,7 @@
 use crate::net::pool::{Missing, Pool};
 use crate::net::service::{Discovery, Routing, Service};
 use crate::net::shared::Shared;
-use crate::net::takeover::{Place, Takeover};
+use crate::net::takeover::{HandoverSocket, Takeover};
 use crate::net::{discovery, source, Bounds};
 use reelfall_core::settings;
 use serde::Deserialize;
@@ -86,10 +86,10 @@
     let seed = u64::from_str_radix(&config.seed, 16).unwrap_or_else(|_| settings::stable_hash(&config.seed));
     let folder = std::env::var_os("TMPDIR").map(PathBuf::from);
     let name = plain(&config.name);
-    let place = || folder.as_deref().map(|folder| Place::new(folder, &name));
+    let handover_socket = || folder.as_deref().map(|folder| HandoverSocket::new(folder, &name));
     let shared = Shared::alone(bounds);
-    let mut given = match place() {
-        Some(place) => place.seek(&shared).await,
+    let mut snapshot = match handover_socket() {
+        Some(handover_socket) => handover_socket.request_snapshot(&shared).await,
         None => None,
     };
     let pool = Pool::new(settings, names, figures, seed, Missing::Ended, shared.clone(), None);
@@ -97,22 +97,22 @@
     let known = if config.known.is_null() {
         0
     } else {
-        discovery::take_in(&pool, &config.known, true).map_err(|e| format!("known: {e}"))?
+        discovery::apply_list(&pool, &config.known, true).map_err(|e| format!("known: {e}"))?
     };
-    if let Some(learned) = given.as_ref().and_then(|g| g.learned("")) {
-        pool.adopt(learned);
+    if let Some(learned) = snapshot.as_ref().and_then(|g| g.learned("")) {
+        pool.restore_learned(learned);
     }
     let (address, named) = watch::channel(config.discovery);
-    let listening = match given.as_mut().and_then(|g| g.listener(LISTENER)) {
-        Some(socket) => Listening::given(LISTENER, config.listen, socket),
+    let listening = match snapshot.as_mut().and_then(|g| g.listener(LISTENER)) {
+        Some(socket) => Listening::from_descriptor(LISTENER, config.listen, socket),
         None => Err("nothing given".to_owned()),
     };
     if listening.is_err() {
         // Whoever is there has other sockets: it goes on with its clients, and this process has its own.
-        given = None;
+        snapshot = None;
     }
     let listening = listening.or_else(|_| Listening::bind(LISTENER, config.listen, bounds.clients, true))?;
-    let held = if given.is_some() { bounds.halved() } else { bounds };
+    let held = if snapshot.is_some() { bounds.halved() } else { bounds };
     shared.shrink(bounds, held);
     let follow = source::follow(&pool, Discovery { address: named, known, list: String::new() });
     tokio::task::spawn_local(reload(shared.clone(), hangup, address));
@@ -124,8 +124,8 @@
         }
     });
     let learning = pool.clone();
-    let learn = Box::new(move || vec![(String::new(), learning.learned())]);
-    let takeover = Takeover::new(shared.clone(), place(), given.is_some(), learn);
+    let collect_learned = Box::new(move || vec![(String::new(), learning.learned())]);
+    let takeover = Takeover::new(shared.clone(), handover_socket(), snapshot.is_some(), collect_learned);
     let serving = takeover.clone();
     let ready = Box::new(move || serving.is_serving());
     let management = Management::new(shared.clone(), folder.as_deref(), &name, ready, None);
@@ -135,15 +135,15 @@
     tokio::task::spawn_local(management.follow());
     let routing = Routing::Alone(Service::alone(pool.clone(), follow));
     let front = Front::new(shared.clone(), routing, held.clients, seed);
-    tokio::task::spawn_local(front.clone().empty_by_hand());
-    front.succeed(&takeover);
+    tokio::task::spawn_local(front.clone().close_idle_while_draining());
+    front.set_handover_state(&takeover);
     front.listen(vec![listening]);
-    if given.is_some() {
+    if snapshot.is_some() {
         let (takeover, front) = (takeover.clone(), front.clone());
         tokio::task::spawn_local(async move {
-            takeover.alone.notified().await;
+            takeover.predecessor_gone.notified().await;
             shared.grow(held, bounds);
-            front.most(bounds.clients);
+            front.set_max_clients(bounds.clients);
         });
     }
     let taking = front.clone();
@@ -151,7 +151,7 @@
         while !pool.ready.get() {
             tokio::time::sleep(READY_EVERY).await;
         }
-        takeover.serve(taking, given).await;
+        takeover.serve(taking, snapshot).await;
     });
     let stop = async {
         terminate.recv().await;
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -3,8 +3,8 @@
 use crate::fleet::FleetRuntime;
 use crate::lease::Leases;
 use crate::net::front::{Front, Listening};
-use crate::net::management::{Desk, Management};
-use crate::net::registry::{Entered, Way};
+use crate::net::management::{FleetHandler, Management};
+use crate::net::registry::{OwnEntry, RegistryAccess};
 use crate::net::service::prepared::Prepared;
 use crate::net::service::Services;
 use crate::net::shared::Shared;
@@ -51,7 +51,7 @@
 /// What an entry of this node is made from: as long as this stays, the entry stays.
 #[derive(Clone, PartialEq)]
 struct Wanted {
-    way: Way,
+    access: RegistryAccess,
     entry: NodeEntry,
     zone: Option<String>,
 }
@@ -60,7 +60,7 @@
     shared: Rc<Shared>,
     services: Services,
     /// This node's own entries, by their registries.
-    entries: RefCell<HashMap<String, (Wanted, Rc<Entered>)>>,
+    entries: RefCell<HashMap<String, (Wanted, Rc<OwnEntry>)>>,
     /// The node is on its way out: no entry is made any more.
     leaving: Cell<bool>,
     /// When this life of the node began, in milliseconds of Unix time.
@@ -106,7 +106,7 @@
             ticking.shared.tick();
             ticking.services.tick();
             if ticking.services.are_ready() {
-                ticking.entries.borrow().values().for_each(|(_, entered)| entered.want());
+                ticking.entries.borrow().values().for_each(|(_, entered)| entered.publish());
             }
         }
     });
@@ -146,15 +146,15 @@
     let name = fleet.map_or("node", |fleet| &fleet.node);
     let serving = node.clone();
     let ready = Box::new(move || serving.services.are_ready());
-    let desk = together
+    let handler = together
         .cloned()
-        .map(|t| Box::new(move |call: &_| handle_fleet_call(&t, leases.as_deref(), call)) as Desk);
+        .map(|t| Box::new(move |call: &_| handle_fleet_call(&t, leases.as_deref(), call)) as FleetHandler);
     let folder = settings.folder.as_deref();
-    let answering = Management::new(node.shared.clone(), folder, &plain(name), ready, desk);
+    let answering = Management::new(node.shared.clone(), folder, &plain(name), ready, handler);
     tokio::task::spawn_local(answering.clone().accept(listener));
     tokio::task::spawn_local(answering.follow());
     if let Some(front) = node.front.borrow().clone() {
-        tokio::task::spawn_local(front.empty_by_hand());
+        tokio::task::spawn_local(front.close_idle_while_draining());
     }
     Ok(())
 }
@@ -225,7 +225,7 @@
         let listens = front.addresses().into_iter().map(|(_, address)| address.to_string()).next();
         for (registry, wanted) in wanted {
             entries.entry(registry).or_insert_with(|| {
-                let Wanted { way, entry, zone } = wanted.clone();
+                let Wanted { access, entry, zone } = wanted.clone();
                 let data = own::Data {
                     name: entry.name,
                     address: entry.address.or_else(|| listens.clone()).unwrap_or_default(),
@@ -234,7 +234,7 @@
                     incarnation: self.began,
                     started: self.began,
                 };
-                (wanted, Entered::keep(&self.shared, way, entry.path, data, entry.guarded))
+                (wanted, OwnEntry::keep(&self.shared, access, entry.path, data, entry.guarded))
             });
         }
     }
@@ -267,9 +267,10 @@
     let model = &prepared.plan.model;
     let wanted = model.registries.iter().filter_map(|r| Some((r, r.entry.as_ref()?)));
     let wanted = wanted.map(|(registry, entry)| {
-        let way = prepared.way(&registry.name).map_err(|e| format!("{}: {e}", registry.origin))?.clone();
+        let access =
+            prepared.access(&registry.name).map_err(|e| format!("{}: {e}", registry.origin))?.clone();
         let (entry, zone) = (entry.value.clone(), model.process.zone.clone());
-        Ok((registry.name.clone(), Wanted { way, entry, zone }))
+        Ok((registry.name.clone(), Wanted { access, entry, zone }))
     });
     wanted.collect()
 }
