--- a/crates/node/src/net/pool/list.rs
+++ b/crates/node/src/net/pool/list.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 
 /// A list as its source has it, before other lists add anything.
-pub(super) struct Own {
+pub(super) struct ServerList {
     pub(super) places: HashMap<ServerId, Place<SocketAddr>>,
     /// The servers at each address.
     pub(super) at: HashMap<SocketAddr, Vec<ServerId>>,
@@ -19,9 +19,9 @@
     listed: ListedByPool,
 }
 
-impl Own {
-    pub(super) fn new(listed: ListedByPool) -> Own {
-        Own { places: HashMap::new(), at: HashMap::new(), listed }
+impl ServerList {
+    pub(super) fn new(listed: ListedByPool) -> ServerList {
+        ServerList { places: HashMap::new(), at: HashMap::new(), listed }
     }
 
     pub(super) fn insert(
@@ -70,14 +70,14 @@
 impl Pool {
     /// News of the list.
     pub fn members(self: &Rc<Self>, list: ListKind, mut places: Vec<Place<SocketAddr>>) {
-        let told = self.compare(list, &mut places);
-        self.tell(|engine, now, out| engine.members(now, list, places, out));
+        let told = self.merge_lists(list, &mut places);
+        self.dispatch(|engine, now, out| engine.members(now, list, places, out));
         self.listed.notify_waiters();
-        told.into_iter().for_each(|address| self.shared.retell(address, Some(self.id)));
+        told.into_iter().for_each(|address| self.shared.notify_listing_changed(address, Some(self.id)));
     }
 
     /// Puts this list beside those of other pools, and gives the servers of which others have to be told.
-    fn compare(&self, list: ListKind, places: &mut [Place<SocketAddr>]) -> Vec<SocketAddr> {
+    fn merge_lists(&self, list: ListKind, places: &mut [Place<SocketAddr>]) -> Vec<SocketAddr> {
         let mut own = self.own.borrow_mut();
         let mut told = Vec::new();
         let parts = self.shared.parts();
