--- a/crates/distribution/src/candidates.rs
+++ b/crates/distribution/src/candidates.rs
@@ -1,7 +1,8 @@
 //! Which upstream is tried next.
 //!
 //! A candidate that fails is tried again after all others. What is remembered of failures ends as soon as an upstream
-//! brings something fresh.
+//! brings something fresh. Fallbacks are tried early: once [`UPSTREAMS_IN_VAIN`] upstreams did not answer, all of a region
+//! may be lost, and trying each of them takes longer than a change may.
 
 use crate::chance::Chance;
 use crate::follow::FollowRules;
@@ -9,6 +10,10 @@
 use crate::Time;
 use std::collections::BTreeMap;
 
+/// After so many upstreams that did not answer, fallbacks and upstreams are tried by turns: one that is lost is an ordinary
+/// failure, for which the others of its region are there.
+const UPSTREAMS_IN_VAIN: usize = 2;
+
 #[derive(Clone, Copy, Debug)]
 struct Failure {
     at: Time,
@@ -75,12 +80,12 @@
         barred.copied().fold(f64::INFINITY, f64::min)
     }
 
-    /// Draws the next one: an upstream that has not failed; else fallbacks and upstreams by turns, those that have not
-    /// failed first, then the one that failed longest ago.
+    /// Draws the next one: an upstream that has not failed, unless too many have not answered; else fallbacks and upstreams
+    /// by turns, those that have not failed first, then the one that failed longest ago.
     pub fn draw(&self, now: Time, chance: &mut Chance) -> Option<PeerId> {
         let upstreams = self.free(&self.upstreams, now);
         let untried = self.untried(&upstreams);
-        if !untried.is_empty() {
+        if !untried.is_empty() && self.upstreams_in_vain() < UPSTREAMS_IN_VAIN {
             return any(&untried, chance);
         }
         let fallbacks = self.free(&self.fallbacks, now);
@@ -89,6 +94,12 @@
         self.least_tried(&first, chance).or_else(|| self.least_tried(&second, chance))
     }
 
+    /// Upstreams that did not answer or broke the rules since something fresh came last.
+    fn upstreams_in_vain(&self) -> usize {
+        let failures = self.upstreams.iter().filter_map(|peer| self.failures.get(peer));
+        failures.filter(|failure| failure.unusable).count()
+    }
+
     fn free(&self, list: &[PeerId], now: Time) -> Vec<PeerId> {
         let is_free = |peer: &&PeerId| self.barred.get(*peer).is_none_or(|until| now >= *until);
         list.iter().filter(is_free).copied().collect()
--- a/crates/distribution/src/follow.rs
+++ b/crates/distribution/src/follow.rs
@@ -37,13 +37,19 @@
 /// How many times [`FollowRules::stale`] an upstream is borne with at most.
 pub const PATIENCE_MOST: f64 = 8.0;
 
-/// A beginning is sent at once and again after [`REPEAT_AFTER`], and the second is waited for twice as long: it is left
-/// when the third would be due. Only if both or both answers are lost is an upstream that runs taken for one that doesn't.
-const ANSWER_WITHIN: Time = 3.0 * REPEAT_AFTER;
+/// A beginning is sent at once and again after [`REPEAT_AFTER`], and each is waited for that long, several round trips
+/// between regions. Only if both or both answers are lost is an upstream that runs taken for one that doesn't.
+const ANSWER_WITHIN: Time = 2.0 * REPEAT_AFTER;
+
+/// An upstream says something every 2 s ([`crate::downstream::ServeRules::keepalive`]) and once more after
+/// [`REPEAT_AFTER`] if it was not heard. After two of these that did not come it is left, so that a node whose relay was
+/// lost has a session elsewhere within the 15 s in which a change is in force, with one more relay that is dead:
+/// `SILENCE + spread + ANSWER_WITHIN = 11` s.
+const SILENCE: Time = 5.0;
 
 /// A relay has up to 1,024 children and takes 100 new sessions a second. If all of them look for it in vain, each begins
-/// a session every `ANSWER_WITHIN + 0.75 * NODE_REST_MOST = 10.5` s at the mean, which is no less than `1024 / 100`.
-const NODE_REST_MOST: Time = 10.0;
+/// a session every `ANSWER_WITHIN + 0.75 * NODE_REST_MOST = 10.25` s at the mean, which is no less than `1024 / 100`.
+const NODE_REST_MOST: Time = 11.0;
 
 /// The longest rest that a relay or an author asks of whom it refuses ([`crate::downstream::ServeRules::rest`], twice).
 /// Relays and authors are few; their sessions come nowhere near what an author takes in a second.
@@ -59,7 +65,7 @@
             budget: Budget::UP,
             inflow: Budget { rate: 4.0 * Budget::DOWN.rate, burst: 100_000.0 },
             answer: ANSWER_WITHIN,
-            silence: 6.0,
+            silence: SILENCE,
             stale: 60.0,
             keepalive: 5.0,
             spread: 4.0,
