Distribution: a relay far behind fills gaps before it opens new spans

With the latest first, each batch that comes while a relay is behind opens a span. At 64 the coverage forgot the smallest, which was the one just sent, so it was sent again without end: in virtual time a relay stood at sequence 75 of 9,750 after 600 s of calm and had been sent 82 MB for 6 MB.

From 48 spans on changes that are not urgent go with the earliest first, in frames that lengthen a span and open none. Urgent ones still go first, up to 62 spans in place of 48. The first span is never forgotten.

cases_behind: the two cases of batches were red before, with the relay at 75 of 9,750 and the urgent change waiting behind a batch; all three pass, and all was there within 25 s of calm. The whole crate passes with 1,000 drawn schedules.

--- a/crates/distribution/src/child.rs
+++ b/crates/distribution/src/child.rs
@@ -4,7 +4,7 @@
 //! | --- | --- |
 //! | 1 | who the author is |
 //! | 2 | urgent changes, the latest first |
-//! | 3 | other changes, the latest first |
+//! | 3 | other changes, the latest first; the earliest first while what the child covers is in many spans |
 //! | 4 | where removals were forgotten since the child knew all: the digests of all keys |
 //! | 5 | that all was sent, and how old that is |
 //!
@@ -137,7 +137,7 @@
         if let Some((urgent, version)) = subscription.queued.take() {
             self.queue.remove(&(urgent, version, id));
         }
-        let next = subscription.next(source.log);
+        let next = subscription.next(source);
         subscription.queued = next;
         if let Some((urgent, version)) = next {
             self.queue.insert((urgent, version, id));
--- a/crates/distribution/src/coverage.rs
+++ b/crates/distribution/src/coverage.rs
@@ -7,10 +7,13 @@
 use crate::resource::Version;
 use serde::{Deserialize, Serialize};
 
-/// Most spans that are kept; of more, the smallest is forgotten.
+/// Most spans that are kept; of more, the smallest but the first is forgotten.
 pub const SPANS_MOST: usize = 64;
-/// From so many spans on nothing is sent out of its turn, so that the count does not come to the most.
+/// From so many spans on changes that are not urgent are sent with the earliest first, which opens no new spans.
 pub const SPANS_MANY: usize = 48;
+/// From so many spans on urgent changes wait, too: one span is left for a body in parts that is under way, and one for the
+/// versions from zero on.
+pub const SPANS_URGENT_MOST: usize = SPANS_MOST - 2;
 
 /// A set of versions: spans that neither meet nor overlap, in their order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -138,11 +141,13 @@
         self.trim();
     }
 
+    /// Forgets the smallest spans of which there are too many, never the first: it is what is filled up from the earliest
+    /// version on, so it only grows.
     fn trim(&mut self) {
         while self.spans.len() > SPANS_MOST {
             let width =
                 |s: &Span| (s.upto.token - s.after.token, s.upto.sequence.wrapping_sub(s.after.sequence));
-            let least = (0..self.spans.len()).min_by_key(|&n| width(&self.spans[n])).unwrap_or(0);
+            let least = (1..self.spans.len()).min_by_key(|&n| width(&self.spans[n])).unwrap_or(0);
             self.spans.remove(least);
         }
     }
--- a/crates/distribution/src/feed.rs
+++ b/crates/distribution/src/feed.rs
@@ -1,6 +1,6 @@
 //! What one subscription of a child is sent.
 
-use crate::coverage::{Coverage, SPANS_MANY};
+use crate::coverage::{Coverage, SPANS_MANY, SPANS_URGENT_MOST};
 use crate::log::Log;
 use crate::message::{Chunk, Epoch, Payload, Span, Subscribe, MANIFEST_KEYS};
 use crate::resource::{Change, Selector, Version};
@@ -109,13 +109,32 @@
         self.coverage.add(span);
     }
 
-    /// What is to be sent next, and whether that is urgent. Where urgent changes have scattered what is covered, all go in
-    /// their order until it is whole again.
-    pub fn next(&self, log: &Log) -> Option<(bool, Version)> {
-        let scattered = self.coverage.spans().len() >= SPANS_MANY;
-        let urgent = log.newest_urgent(&self.selector, &self.coverage).filter(|_| !scattered);
-        let normal = || log.newest(&self.selector, &self.coverage).map(|version| (false, version));
-        urgent.map(|version| (true, version)).or_else(normal)
+    /// What is to be sent next, and whether that is urgent. Where what is covered has come to many spans, gaps are filled
+    /// before new spans are opened.
+    pub fn next(&self, source: Source) -> Option<(bool, Version)> {
+        let urgent_fits = self.coverage.spans().len() < SPANS_URGENT_MOST;
+        let urgent = || source.log.newest_urgent(&self.selector, &self.coverage).filter(|_| urgent_fits);
+        let gap = || self.earliest_gap(source).filter(|_| self.is_scattered());
+        let newest = || source.log.newest(&self.selector, &self.coverage);
+        let normal = || gap().or_else(newest).map(|version| (false, version));
+        urgent().map(|version| (true, version)).or_else(normal)
+    }
+
+    /// Whether what is covered has come to so many spans that gaps are filled first.
+    fn is_scattered(&self) -> bool {
+        self.coverage.spans().len() >= SPANS_MANY
+    }
+
+    /// The earliest uncovered change before which all is covered from the end of a span on, or from zero on: a frame that
+    /// begins with it makes that span longer and opens none.
+    fn earliest_gap(&self, source: Source) -> Option<Version> {
+        let ends = self.coverage.spans().iter().map(|span| span.upto);
+        let mut starts = std::iter::once(Version::ZERO).chain(ends);
+        starts.find_map(|start| {
+            let version = source.log.oldest_after(&self.selector, &self.coverage, start)?;
+            let own = source.coverage.span_of(version)?;
+            (own.after <= start).then_some(version)
+        })
     }
 
     /// The widest span around an uncovered version in which the source itself lacks nothing, the child has nothing, and
@@ -131,8 +150,45 @@
         Span { after: own.after.max(below), upto: if later.is_some() { version } else { upto } }
     }
 
-    /// Whole changes from a version downwards, as the child is to see them.
+    /// Whole changes that begin with a version, as the child is to see them.
     pub fn batch(
+        &self, id: u32, first: Version, urgent: bool, source: Source, room: usize,
+        view: impl Fn(&Change) -> Change,
+    ) -> Option<(Payload, Span)> {
+        if !urgent && self.is_scattered() {
+            self.batch_upwards(id, first, source, room, view)
+        } else {
+            self.batch_downwards(id, first, urgent, source, room, view)
+        }
+    }
+
+    /// Uncovered changes from a version upwards. The span reaches over all around them that the source covers and that the
+    /// child has got already.
+    fn batch_upwards(
+        &self, id: u32, oldest: Version, source: Source, room: usize, view: impl Fn(&Change) -> Change,
+    ) -> Option<(Payload, Span)> {
+        let own = source.coverage.span_of(oldest).unwrap_or(point(oldest));
+        let lacked_before = source.log.newest_before(&self.selector, &self.coverage, oldest);
+        let after = lacked_before.map_or(own.after, |lacked| lacked.max(own.after));
+        let mut span = Span { after, upto: own.upto };
+        let mut changes = Vec::new();
+        let mut bytes = CHANGES_OVERHEAD;
+        let mut next = Some(oldest);
+        while let Some(version) = next.filter(|version| *version <= own.upto) {
+            let change = view(source.log.at(version)?);
+            bytes += change.size();
+            if bytes > room {
+                span.upto = version.before();
+                break;
+            }
+            changes.push(change);
+            next = source.log.oldest_after(&self.selector, &self.coverage, version);
+        }
+        Some((Payload::Changes { id, span, changes }, span))
+    }
+
+    /// Whole changes from a version downwards; of urgent ones, that one alone.
+    fn batch_downwards(
         &self, id: u32, newest: Version, urgent: bool, source: Source, room: usize,
         view: impl Fn(&Change) -> Change,
     ) -> Option<(Payload, Span)> {
--- a/crates/distribution/src/log.rs
+++ b/crates/distribution/src/log.rs
@@ -209,6 +209,26 @@
         newest_uncovered(coverage, index.all.last_key_value().map(|(version, _)| *version), below)
     }
 
+    /// The latest change of a selector before a version that is not covered.
+    pub fn newest_before(
+        &self, selector: &Selector, coverage: &Coverage, version: Version,
+    ) -> Option<Version> {
+        let index = self.index(selector)?;
+        let below = |bound: Version| index.all.range(..=bound).next_back().map(|(version, _)| *version);
+        newest_uncovered(coverage, self.earlier(selector, version), below)
+    }
+
+    /// The earliest change of a selector after a version that is not covered.
+    pub fn oldest_after(
+        &self, selector: &Selector, coverage: &Coverage, version: Version,
+    ) -> Option<Version> {
+        let mut version = self.later(selector, version)?;
+        while let Some(span) = coverage.span_of(version) {
+            version = self.later(selector, span.upto)?;
+        }
+        Some(version)
+    }
+
     /// The latest change of a selector before a version.
     pub fn earlier(&self, selector: &Selector, version: Version) -> Option<Version> {
         let (earlier, _) = self.index(selector)?.all.range(..version).next_back()?;
--- /dev/null
+++ b/crates/distribution/tests/cases_behind.rs
@@ -0,0 +1,115 @@
+//! Relays that are behind: batches that come faster than a link carries, then calm.
+
+mod world;
+
+use reelfall_distribution::peer::PeerId;
+use reelfall_distribution::resource::{Draft, Name, Version};
+use reelfall_distribution::Time;
+use world::{claim, Network, World};
+
+const AUTHOR: u32 = 1;
+const FIRST_RELAY: u32 = 10;
+const REGION_RELAY: u32 = 20;
+/// One frame of 16 KB in a round trip: about 125,000 bytes a second.
+const FAR: Network = Network { loss: 0.0, twice: 0.0, delay: (0.05, 0.055) };
+/// More than a coverage has spans.
+const BATCHES: usize = 130;
+const BATCH_CHANGES: usize = 75;
+/// With what is written beside it, a batch has 45,000 bytes.
+const BODY: [u8; 500] = [7; 500];
+/// Each in a span of its own, with other changes between them.
+const URGENT_CHANGES: usize = 200;
+const BATCH_EVERY: Time = 0.25;
+/// What is left after the last batch, a third of all, takes 16 s.
+const CALM_SECONDS: Time = 25.0;
+
+/// An author that writes, a relay that follows it, and one that follows that relay.
+fn chain(seed: u64) -> World {
+    let mut world = World::new(seed, FAR);
+    world.author(AUTHOR, &[FIRST_RELAY]);
+    world.relay(FIRST_RELAY, &[AUTHOR]);
+    world.relay(REGION_RELAY, &[FIRST_RELAY]);
+    let until = world.seats[&PeerId(AUTHOR)].clock(1e6);
+    let held = world.with_author(AUTHOR, |author, now, outputs| author.hold(now, &claim(1), until, outputs));
+    assert_eq!(held, Some(Ok(())));
+    world.run(30.0);
+    world
+}
+
+fn publish(world: &mut World, drafts: Vec<Draft>) -> Version {
+    let published =
+        world.with_author(AUTHOR, |author, now, outputs| author.publish(now, &claim(1), drafts, outputs));
+    published.unwrap().unwrap()
+}
+
+fn batch(number: usize) -> Vec<Draft> {
+    let name = |item| Name::service("a", &format!("b{number}-{item}"));
+    (0..BATCH_CHANGES).map(|item| Draft::put(name(item), &BODY)).collect()
+}
+
+fn publish_batches(world: &mut World, numbers: std::ops::Range<usize>) -> Version {
+    let mut last = Version::ZERO;
+    for number in numbers {
+        last = publish(world, batch(number));
+        world.run(BATCH_EVERY);
+    }
+    last
+}
+
+fn bytes_between(world: &World, from: u32, to: u32) -> usize {
+    let pair = |sent: &&(Time, PeerId, PeerId, usize)| sent.1 == PeerId(from) && sent.2 == PeerId(to);
+    world.sent.iter().filter(pair).map(|sent| sent.3).sum()
+}
+
+#[test]
+fn relays_that_were_behind_get_all_and_nothing_twice() {
+    let mut world = chain(1);
+    let last = publish_batches(&mut world, 0..BATCHES);
+    assert!(!world.relay_of(FIRST_RELAY).coverage().is_whole(), "the link was not too slow");
+    world.run(CALM_SECONDS);
+    let published: usize = world.author_of(AUTHOR).log().bytes();
+    for (upstream, relay) in [(AUTHOR, FIRST_RELAY), (FIRST_RELAY, REGION_RELAY)] {
+        let machine = world.relay_of(relay);
+        assert_eq!(machine.coverage().floor(), last, "relay {relay}: {:?}", machine.coverage().spans().len());
+        assert_eq!(machine.log().len(), BATCHES * BATCH_CHANGES);
+        let sent = bytes_between(&world, upstream, relay);
+        assert!(sent < published * 11 / 10, "{sent} bytes to {relay} for {published}");
+    }
+}
+
+#[test]
+fn an_urgent_change_goes_before_all_batches_at_relays_that_are_behind() {
+    let mut world = chain(2);
+    publish_batches(&mut world, 0..BATCHES);
+    let ban = Draft::put(Name::common("ban"), b"ban").urgent();
+    let version = publish(&mut world, vec![ban]);
+    publish(&mut world, batch(BATCHES));
+    // On each link the frame under way with its answer, then its own way.
+    world.run(0.4);
+    for relay in [FIRST_RELAY, REGION_RELAY] {
+        assert!(!world.relay_of(relay).coverage().is_whole(), "the link was not too slow");
+        assert!(world.relay_of(relay).log().at(version).is_some(), "relay {relay} has not got the ban");
+    }
+}
+
+#[test]
+fn more_urgent_changes_than_a_coverage_has_spans_come_once_each() {
+    let mut world = chain(3);
+    let mut last = Version::ZERO;
+    let mut drafts = Vec::new();
+    for number in 0..URGENT_CHANGES {
+        drafts.push(Draft::put(Name::common(&format!("ban{number}")), b"ban").urgent());
+        drafts.extend((0..4).map(|item| Draft::put(Name::service("a", &format!("r{number}-{item}")), &BODY)));
+    }
+    for some in drafts.chunks(BATCH_CHANGES) {
+        last = publish(&mut world, some.to_vec());
+        world.run(0.05);
+    }
+    world.run(CALM_SECONDS);
+    let published = world.author_of(AUTHOR).log().bytes();
+    for (upstream, relay) in [(AUTHOR, FIRST_RELAY), (FIRST_RELAY, REGION_RELAY)] {
+        assert_eq!(world.relay_of(relay).coverage().floor(), last, "relay {relay}");
+        let sent = bytes_between(&world, upstream, relay);
+        assert!(sent < published * 11 / 10, "{sent} bytes to {relay} for {published}");
+    }
+}
--- a/crates/distribution/tests/parts.rs
+++ b/crates/distribution/tests/parts.rs
@@ -91,6 +91,16 @@
         }
     }
 
+    #[test]
+    fn coverage_never_forgets_its_first_span(points in prop::collection::vec(2..5_000u64, 0..200)) {
+        let mut coverage = Coverage::default();
+        coverage.add(span(0, 1));
+        for point in points {
+            coverage.add(span(2 * point - 1, 2 * point + 8));
+            prop_assert_eq!(coverage.floor(), version(1));
+        }
+    }
+
     #[test]
     fn a_bucket_keeps_to_its_budget(steps in prop::collection::vec((0.0..0.5f64, 0..4000usize), 0..300)) {
         let budget = Budget { rate: 6000.0, burst: 8000.0 };
