Distribution: who has all changes does not say that it knows all removals

A relay has all changes a moment before its upstream tells it which keys are no more, where the removals themselves were forgotten.

The word that all was sent says now up to where removals are known (Payload::Current, removals), and only that is taken over. false_peers and any_bytes name the new field, drawn in any_bytes; they judge as before.

Both cases were red before.

--- a/crates/distribution/src/child.rs
+++ b/crates/distribution/src/child.rs
@@ -30,7 +30,7 @@
     Covered { id: u32, span: Span, urgent: bool },
     Part { urgent: bool, partial: Partial },
     Listed { id: u32, pass: Option<Pass>, floor: Version },
-    Current { head: Version },
+    Current { head: Version, removals: Version },
 }
 
 /// See the module.
@@ -62,7 +62,7 @@
             queue: BTreeSet::new(),
             partials: [None, None],
             epoch_told: 0,
-            told: Told { count: 0, head: Version::ZERO },
+            told: Told { count: 0, head: Version::ZERO, removals: Version::ZERO },
             told_at: now,
             floor_known: Version::ZERO,
             changed_since: true,
@@ -268,10 +268,10 @@
             }
             Effect::Part { urgent, partial } => self.partials[usize::from(urgent)] = Some(partial),
             Effect::Listed { id, pass, floor } => self.listed(id, pass, floor),
-            Effect::Current { head } => {
+            Effect::Current { head, removals } => {
                 self.changed_since = false;
                 self.told_at = now;
-                self.told = Told { count: self.told.count + 1, head };
+                self.told = Told { count: self.told.count + 1, head, removals };
                 self.floor_known = source.log.floor();
             }
         }
@@ -320,6 +320,7 @@
 fn current(source: Source) -> (Payload, Effect) {
     let head = source.coverage.top();
     let age_us = source.age.map(|age| (age * (1.0 + 2.0 * DRIFT) * 1e6) as u64 + 1);
-    let payload = Payload::Current { head, floor: source.log.floor(), age_us };
-    (payload, Effect::Current { head })
+    let removals = source.removals_known.min(head);
+    let payload = Payload::Current { head, removals, floor: source.log.floor(), age_us };
+    (payload, Effect::Current { head, removals })
 }
--- a/crates/distribution/src/feed.rs
+++ b/crates/distribution/src/feed.rs
@@ -22,6 +22,8 @@
     pub coverage: &'a Coverage,
     /// Whether they cover all versions up to the greatest.
     pub whole: bool,
+    /// All removals up to this version are known.
+    pub removals_known: Version,
     /// How old that is, in seconds, if it is known.
     pub age: Option<Time>,
     /// Who the author is.
@@ -43,6 +45,7 @@
 pub(crate) struct Told {
     pub count: u64,
     pub head: Version,
+    pub removals: Version,
 }
 
 /// How far a body in parts has come.
@@ -86,7 +89,7 @@
         if self.settled < told.count {
             self.settled = told.count;
             self.coverage.add(Span { after: Version::ZERO, upto: told.head });
-            self.known = self.known.max(told.head);
+            self.known = self.known.max(told.removals);
         }
     }
 
@@ -95,7 +98,7 @@
         if self.settled == told.count {
             self.known
         } else {
-            self.known.max(told.head)
+            self.known.max(told.removals)
         }
     }
 
--- a/crates/distribution/src/message.rs
+++ b/crates/distribution/src/message.rs
@@ -168,6 +168,8 @@
     Current {
         /// The latest version that the writer has.
         head: Version,
+        /// The writer knows all removals up to this version, and has told them.
+        removals: Version,
         /// Removals up to this version may not be told any more.
         floor: Version,
         /// The age of the writer's own knowledge at most, in microseconds; none if it can't tell.
--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -75,7 +75,9 @@
     pub fn source(&self, now: Time) -> Source<'_> {
         let coverage = self.coverage();
         let (whole, age) = (coverage.is_whole(), self.age(now));
-        Source { log: &self.log, coverage, whole, age, epoch: self.epoch.as_ref() }
+        let held = self.upstream.held_of(&Selector::Everything);
+        let removals_known = held.map_or(Version::ZERO, |held| held.floor);
+        Source { log: &self.log, coverage, whole, removals_known, age, epoch: self.epoch.as_ref() }
     }
 
     /// Takes in what the upstream has said.
--- a/crates/distribution/src/upstream.rs
+++ b/crates/distribution/src/upstream.rs
@@ -285,8 +285,9 @@
                 session.progress_at = now;
                 Ok(listed.map(|(selector, digests)| Heard::Listed { selector, floor, digests }))
             }
-            Payload::Current { head, floor, age_us } => {
-                Ok(Some(self.current(now, arrival, head, floor, age_us)))
+            Payload::Current { head, removals, floor, age_us } => {
+                let age = self.current(now, arrival, head, removals, age_us);
+                Ok(Some(Heard::Current { head, floor, age }))
             }
             _ => Err(Reason::Misbehaved),
         }
@@ -317,15 +318,17 @@
         Ok(Some(Heard::Changes { selector, span, changes }))
     }
 
-    /// What was asked for after the upstream wrote this is not in its word.
+    /// How old what is here is at most, by the word that all was sent. What was asked for after the upstream wrote it is not
+    /// in it. Removals are known as far as the upstream knew them: it may have all changes before it is told which keys are
+    /// no more.
     fn current(
-        &mut self, now: Time, arrival: Arrival, head: Version, floor: Version, age_us: Option<u64>,
-    ) -> Heard {
+        &mut self, now: Time, arrival: Arrival, head: Version, removals: Version, age_us: Option<u64>,
+    ) -> Option<Time> {
         let mut all = true;
         for held in self.subscriptions.held.values_mut() {
             if held.asked.is_some_and(|asked| asked <= arrival.acknowledged) {
                 held.coverage.add(Span { after: Version::ZERO, upto: head });
-                held.floor = held.floor.max(head);
+                held.floor = held.floor.max(removals);
                 held.complete = true;
             } else {
                 // A copy of everything is whole or it is not; a node may wait for one subscription of many.
@@ -341,7 +344,7 @@
                 self.candidates.succeeded();
             }
         }
-        Heard::Current { head, floor, age: age.filter(|_| all) }
+        age.filter(|_| all)
     }
 
     /// Sends what is due; draws an upstream after a rest, and leaves one that is of no use.
--- a/crates/distribution/tests/any_bytes.rs
+++ b/crates/distribution/tests/any_bytes.rs
@@ -97,8 +97,9 @@
         (0..3u32, any::<bool>(), any::<bool>(), 0..9u64).prop_map(|(id, first, last, floor)| {
             Payload::Manifest { id, first, last, floor: version(floor), digests: vec![1] }
         }),
-        (0..9u64, any::<u64>()).prop_map(|(head, age)| Payload::Current {
+        (0..9u64, 0..9u64, any::<u64>()).prop_map(|(head, removals, age)| Payload::Current {
             head: version(head),
+            removals: version(removals),
             floor: Version::ZERO,
             age_us: Some(age),
         }),
--- a/crates/distribution/tests/cases_behind.rs
+++ b/crates/distribution/tests/cases_behind.rs
@@ -2,9 +2,13 @@
 
 mod world;
 
+use rand::Rng;
+use reelfall_distribution::coverage::SPANS_MANY;
+use reelfall_distribution::log::Log;
 use reelfall_distribution::peer::PeerId;
-use reelfall_distribution::resource::{Draft, Name, Version};
+use reelfall_distribution::resource::{Draft, Key, Name, Version};
 use reelfall_distribution::Time;
+use std::collections::BTreeMap;
 use world::{claim, Network, World};
 
 const AUTHOR: u32 = 1;
@@ -113,3 +117,100 @@
         assert!(sent < published * 11 / 10, "{sent} bytes to {relay} for {published}");
     }
 }
+
+/// A list of so many keys takes several frames.
+const LISTED_KEYS: u32 = 9_000;
+
+#[test]
+fn a_relay_that_is_told_of_removals_late_lets_others_know() {
+    let mut world = chain(4);
+    let name = |item: u32| Name::service("a", &format!("r{item}"));
+    publish(&mut world, (0..LISTED_KEYS).map(|item| Draft::put(name(item), b"old")).collect());
+    world.run(30.0);
+    assert_eq!(world.relay_of(REGION_RELAY).log().len(), LISTED_KEYS as usize);
+    world.cut(PeerId(AUTHOR), PeerId(FIRST_RELAY), 5.0);
+    // More than the author keeps.
+    publish(&mut world, (0..200).map(|item| Draft::remove(name(item))).collect());
+    let last = publish(&mut world, vec![Draft::put(name(200), b"new")]);
+    world.run(60.0);
+    let published = contents(world.author_of(AUTHOR).log());
+    for relay in [FIRST_RELAY, REGION_RELAY] {
+        let machine = world.relay_of(relay);
+        assert_eq!(machine.coverage().floor(), last, "relay {relay}");
+        let removed = contents(machine.log()).len() - published.len();
+        assert_eq!(removed, 0, "relay {relay} has keys that were removed");
+    }
+}
+
+/// Bodies that take several frames.
+const LONG_BODY: usize = 40_000;
+/// Names that drawn changes are of, so that later ones replace earlier ones.
+const DRAWN_NAMES: u32 = 3_000;
+
+fn drawn_change(world: &mut World) -> Draft {
+    let draw = &mut world.draw;
+    let name = Name::service("a", &format!("r{}", draw.random_range(0..DRAWN_NAMES)));
+    let content: u64 = draw.random();
+    let mut body = content.to_le_bytes().to_vec();
+    body.resize(if draw.random_bool(0.003) { LONG_BODY } else { 500 }, 7);
+    let draft = if draw.random_bool(0.02) { Draft::remove(name) } else { Draft::put(name, &body) };
+    if draw.random_bool(0.02) {
+        draft.urgent()
+    } else {
+        draft
+    }
+}
+
+/// What is there, without what was removed.
+fn contents(log: &Log) -> BTreeMap<Key, (Version, Vec<u8>)> {
+    let present = log.changes().filter(|change| !change.removes());
+    let entry = |bytes: &[u8], version| (version, bytes.to_vec());
+    present.map(|change| (change.key.clone(), entry(change.content.bytes(), change.version))).collect()
+}
+
+/// Two relays that follow an author, and one that follows either; frames are lost, relays end and begin again.
+fn play_drawn_batches(seed: u64) {
+    const RELAYS: [u32; 3] = [FIRST_RELAY, FIRST_RELAY + 1, REGION_RELAY];
+    let mut world = chain(seed);
+    world.relay(RELAYS[1], &[AUTHOR]);
+    world.relay(RELAYS[2], &RELAYS[..2]);
+    world.run(10.0);
+    world.network.loss = 0.02;
+    let mut last = Version::ZERO;
+    let mut most_spans = 0;
+    for _ in 0..2 * BATCHES {
+        let count = world.draw.random_range(1..2 * BATCH_CHANGES);
+        let drafts = (0..count).map(|_| drawn_change(&mut world)).collect();
+        last = publish(&mut world, drafts);
+        world.run(BATCH_EVERY);
+        let running = RELAYS.iter().filter(|relay| world.seats[&PeerId(**relay)].machine.is_some());
+        let spans = running.map(|relay| world.relay_of(*relay).coverage().spans().len());
+        most_spans = spans.max().unwrap_or(0).max(most_spans);
+        let relay = PeerId(RELAYS[world.draw.random_range(0..RELAYS.len())]);
+        if world.draw.random_bool(0.01) {
+            world.kill(relay);
+        }
+        if world.draw.random_bool(0.1) {
+            world.start(relay);
+        }
+    }
+    assert!(most_spans >= SPANS_MANY, "seed {seed}: {most_spans} spans");
+    world.heal();
+    world.run(60.0);
+    let published = contents(world.author_of(AUTHOR).log());
+    for relay in RELAYS {
+        let machine = world.relay_of(relay);
+        assert_eq!(machine.coverage().floor(), last, "seed {seed}, relay {relay}");
+        assert!(contents(machine.log()) == published, "seed {seed}: relay {relay} has other contents");
+    }
+}
+
+/// How many are played; 10 unless `BEHIND` says more.
+fn plays() -> u64 {
+    std::env::var("BEHIND").ok().and_then(|count| count.parse().ok()).unwrap_or(10)
+}
+
+#[test]
+fn drawn_batches_come_whole_to_relays_that_are_behind() {
+    (0..plays()).for_each(play_drawn_batches);
+}
--- a/crates/distribution/tests/false_peers.rs
+++ b/crates/distribution/tests/false_peers.rs
@@ -292,7 +292,8 @@
     let heard = relay.acknowledged;
     relay.say(Payload::Acknowledge, 0);
     assert_eq!(relay.acknowledged, heard + 1, "the subscription is on its way");
-    let all_sent = Payload::Current { head: version(5), floor: Version::ZERO, age_us: Some(0) };
+    let all_sent =
+        Payload::Current { head: version(5), removals: version(5), floor: Version::ZERO, age_us: Some(0) };
     relay.acknowledged = heard;
     relay.next(all_sent.clone());
     assert!(relay.node.is_complete(&before));
@@ -347,7 +348,8 @@
     open(&mut relay, 100, 1.0, 7);
     open(&mut relay, 101, 1.0, 7);
     let head = Head { session: 7, up: true, number: 2, acknowledged: 0, stamp_us: 1, echo: None };
-    let wrong = Payload::Current { head: Version::ZERO, floor: Version::ZERO, age_us: None };
+    let wrong =
+        Payload::Current { head: Version::ZERO, removals: Version::ZERO, floor: Version::ZERO, age_us: None };
     let mut outputs = Vec::new();
     relay.receive(1.1, PeerId(100), &encode(&head, &wrong), &mut outputs);
     assert_eq!(relay.children().collect::<Vec<_>>(), [PeerId(101)]);
