--- a/crates/distribution/tests/parts.rs
+++ b/crates/distribution/tests/parts.rs
@@ -91,6 +91,19 @@
         }
     }
 
+    /// The others reach over more tokens than the first, and so are wider.
+    #[test]
+    fn coverage_never_forgets_its_first_span(tokens in prop::collection::vec(1..1_000u64, 65..200)) {
+        let mut coverage = Coverage::default();
+        coverage.add(span(0, 1));
+        for token in tokens {
+            let after = Version { token: 4 * token, sequence: 1 };
+            let upto = Version { token: 4 * token + 3, sequence: 1 };
+            coverage.add(Span { after, upto });
+            prop_assert_eq!(coverage.floor(), version(1));
+        }
+    }
+
     #[test]
     fn a_bucket_keeps_to_its_budget(steps in prop::collection::vec((0.0..0.5f64, 0..4000usize), 0..300)) {
         let budget = Budget { rate: 6000.0, burst: 8000.0 };
