--- /dev/null
+++ b/crates/rig/src/capacity/roles/node_processor.rs
@@ -0,0 +1,124 @@
+//! Processor time that a node takes for control.
+
+use super::super::inputs::Kind::{Measured, WorkedOut};
+use super::super::model::{self, budget, Costs};
+use super::super::table::{Row, Unit};
+use super::row::{at, with, Of};
+use crate::scale::report::Size;
+
+pub fn node_processor(costs: &Costs) -> Vec<Row> {
+    let processor = Some(budget::PROCESSOR);
+    let restarts = |size: &Size| size.restarts as f64 / model::DAY;
+    let updates = |size: &Size| {
+        let nodes = size.nodes as f64;
+        3.0 * model::node_restarts(size, restarts(size))
+            * model::tellings(nodes)
+            * model::update(costs, nodes)
+    };
+    vec![
+        Of(
+            "reading the whole file at each change",
+            "`read_seconds` by length, changes a day",
+            WorkedOut,
+            Unit::Cores,
+        )
+        .row(
+            at(|size| model::read_time(costs, model::settings(costs, size)) * model::changes(size)),
+            processor,
+            "`crates/conf/src/reader.rs`",
+        ),
+        with(
+            Of(
+                "at rest, nobody asking: timers of pools, looks at pools",
+                "`rest_cores`, `service_rest_cores`; measured to 256 services",
+                WorkedOut,
+                Unit::Cores,
+            )
+            .row(
+                at(|size| model::at_rest(costs, size)),
+                processor,
+                "`crates/core/src/decide/mod.rs` (`sweep`), `crates/node/src/net/pool.rs`, \
+                `crates/node/src/net/shared.rs`",
+            ),
+            "pools that rest without a timer: as one service",
+            costs.rest_cores,
+        ),
+        with(
+            Of(
+                "counting the servers of all lists, once a second",
+                "`count_seconds` for each",
+                WorkedOut,
+                Unit::Cores,
+            )
+            .row(
+                at(|size| model::count(costs, size)),
+                processor,
+                "`crates/node/src/net/shared.rs`, `crates/node/src/fleet/mod.rs`",
+            ),
+            "a count that lists keep as they change",
+            0.0,
+        ),
+        Of("pause of all requests by that", "the same, in one piece", WorkedOut, Unit::Seconds).row(
+            at(|size| model::count(costs, size)),
+            Some(budget::ADDED),
+            "the same: a pause each second is felt by more than 1 in 100 from 10 ms \
+                on",
+        ),
+        Of(
+            "entries of a registry read again",
+            "all of them each `reread_every`, `entry_read_seconds` each",
+            WorkedOut,
+            Unit::Cores,
+        )
+        .row(
+            at(|size| model::rereads(costs, size).1),
+            processor,
+            "`crates/membership/src/follow.rs` (`tick`)",
+        ),
+        Of(
+            "words of lists looked through, four times a second",
+            "`lapse_seconds` for each server",
+            WorkedOut,
+            Unit::Cores,
+        )
+        .row(
+            at(|size| model::lapses(costs, size)),
+            processor,
+            "`crates/routes/src/common.rs` (`lapse`)",
+        ),
+        Of(
+            "each pool told of each server held for sick, at the worst moment",
+            "a full table of verdicts, ten times a second",
+            WorkedOut,
+            Unit::Cores,
+        )
+        .row(
+            at(|size| model::judging(costs, size)),
+            processor,
+            "`crates/node/src/fleet/mod.rs` (`judge`), \
+                `crates/node/src/net/shared.rs`",
+        ),
+        Of("sorting members while there is news", "ten draws a second", WorkedOut, Unit::Cores).row(
+            at(|size| model::draws(costs, size.nodes as f64)),
+            processor,
+            "`crates/fleet/src/fleet` (`draw`)",
+        ),
+        Of(
+            "words about members, the day's mean",
+            "members are looked through for each",
+            WorkedOut,
+            Unit::Cores,
+        )
+        .row(at(updates), processor, "the library `foca` below `crates/fleet/src/members.rs`"),
+        Of("a choice among 1,000 servers", "one core", Measured, Unit::Seconds).row(
+            [costs.choice_seconds_1000; 3],
+            Some(budget::ADDED),
+            "`crates/core/src/decide/draw.rs`",
+        ),
+        Of("a list of 5,000 servers taken in", "one core; requests wait", Measured, Unit::Seconds).row(
+            [costs.join_seconds_5000; 3],
+            Some(budget::ADDED),
+            "`crates/core/src/decide/list.rs`, `crates/core/src/floored.rs`",
+        ),
+    ]
+}
