--- a/crates/rig/examples/capacity.rs
+++ b/crates/rig/examples/capacity.rs
@@ -1,7 +1,8 @@
-//! Writes the tables of docs/CAPACITY.md from their inputs, or says which are not what the inputs make of them.
+//! Writes the tables of docs/CAPACITY.md and docs/measurements/scale.md from their inputs, or says which are not what the
+//! inputs make of them.
 //! `cargo run -p reelfall-rig --example capacity -- --write`, or `--check`, from the root of the repository.
 
-use reelfall_rig::capacity::{page, tables, PAGE};
+use reelfall_rig::capacity::{page, pages, Page};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -20,21 +21,26 @@
     }
 }
 
-fn held() -> Result<String, String> {
-    std::fs::read_to_string(PAGE).map_err(|e| format!("{PAGE}: {e}"))
+fn held(name: &str) -> Result<String, String> {
+    std::fs::read_to_string(name).map_err(|e| format!("{name}: {e}"))
 }
 
 fn check() -> Result<(), String> {
-    let tables = tables(Path::new(".")).map_err(|e| e.to_string())?;
-    let stale = page::stale(&held()?, &tables).map_err(|e| e.to_string())?;
-    if stale.is_empty() {
+    let mut differ = Vec::new();
+    for Page { file: name, tables } in pages(Path::new(".")).map_err(|e| e.to_string())? {
+        let stale = page::stale(&held(name)?, &tables).map_err(|e| format!("{name}: {e}"))?;
+        differ.extend(stale.iter().map(|table| format!("{name}: {table}")));
+    }
+    if differ.is_empty() {
         return Ok(());
     }
-    Err(format!("{PAGE}: these tables differ from their inputs: {}; write them anew", stale.join(", ")))
+    Err(format!("these tables differ from their inputs; write them anew: {}", differ.join(", ")))
 }
 
 fn write() -> Result<(), String> {
-    let tables = tables(Path::new(".")).map_err(|e| e.to_string())?;
-    let page = page::with_tables(&held()?, &tables).map_err(|e| e.to_string())?;
-    std::fs::write(PAGE, page).map_err(|e| format!("{PAGE}: {e}"))
+    for Page { file: name, tables } in pages(Path::new(".")).map_err(|e| e.to_string())? {
+        let page = page::with_tables(&held(name)?, &tables).map_err(|e| format!("{name}: {e}"))?;
+        std::fs::write(name, page).map_err(|e| format!("{name}: {e}"))?;
+    }
+    Ok(())
 }
--- a/crates/rig/src/capacity/inputs.rs
+++ b/crates/rig/src/capacity/inputs.rs
@@ -2,9 +2,9 @@
 
 use super::table::{self, amount, Unit};
 use super::Fault;
-use crate::scale::report::{Report, Run, Size, Slope, Source, SCHEMA as REPORT_SCHEMA};
+use crate::scale::report::{Report, Run, Slope, Source, SCHEMA as REPORT_SCHEMA};
 use serde::Deserialize;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 /// Format of the inputs' JSON; others are refused.
 pub const SCHEMA: u32 = 1;
@@ -114,12 +114,8 @@
     /// # Errors
     /// If a report can't be read or is of another format.
     pub fn read(folder: &Path) -> Result<Measured, Fault> {
-        let Ok(entries) = std::fs::read_dir(folder) else { return Ok(Measured::default()) };
-        let mut files: Vec<_> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
-        files.retain(|path| path.extension().is_some_and(|e| e == "json"));
-        files.sort();
         let mut measured = Measured::default();
-        for path in files {
+        for path in report_files(folder) {
             let report: Report = json(&path)?;
             known(&path, report.schema, REPORT_SCHEMA)?;
             let Report { commit, runs, slopes, .. } = report;
@@ -136,17 +132,13 @@
         return "Not measured yet.\n".to_owned();
     }
     let row = |(commit, slope): &(String, Slope)| {
-        let target = Size::TARGET.get(slope.axis) as f64;
         let from_to = |of: fn(f64, f64) -> f64, from| slope.points.iter().map(|p| p.0).fold(from, of);
-        let at_target = match slope.bent {
-            true => "not extended: it bends".to_owned(),
-            false => {
-                let error = slope.standard_error * target;
-                format!(
-                    "{}, standard error {}",
-                    table::plain(slope.intercept + slope.slope * target),
-                    table::plain(error)
-                )
+        let at_target = match slope.projection {
+            None if slope.bent => "not extended: it bends".to_owned(),
+            None => "not extended".to_owned(),
+            Some(there) => {
+                let (figure, error) = (table::plain(there.figure), table::plain(there.standard_error));
+                format!("{figure}, standard error {error}")
             }
         };
         vec![
@@ -166,6 +158,14 @@
     table::markdown(&["figure", "over", "measured from", "grows by", "at the target", "commit"], &rows)
 }
 
+/// Names of runs that are points of sweeps: the page of scale runs has them, and the lines through them stand here.
+const POINTS: [&str; 4] = ["sweep", "settings", "server-list", "server-change"];
+
+/// Runs that are no points of sweeps.
+pub fn without_points(runs: &[(String, Run)]) -> Vec<(String, Run)> {
+    runs.iter().filter(|(_, run)| !POINTS.contains(&run.name.as_str())).cloned().collect()
+}
+
 /// Scale runs as a table.
 pub fn runs_table(runs: &[(String, Run)]) -> String {
     if runs.is_empty() {
@@ -187,7 +187,7 @@
             amount(messages, Unit::CountPerSecond),
             amount(each.peak_bytes, Unit::Bytes),
             amount(each.cpu, Unit::Cores),
-            amount(each.memory, Unit::Bytes),
+            each.memory.map_or("not measured".to_owned(), |memory| amount(memory, Unit::Bytes)),
             in_force,
             commit.chars().take(7).collect(),
         ]
@@ -218,7 +218,16 @@
     }
 }
 
-fn json<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, Fault> {
+/// The reports of a folder in the order of their names; none if there is no such folder.
+pub(super) fn report_files(folder: &Path) -> Vec<PathBuf> {
+    let Ok(entries) = std::fs::read_dir(folder) else { return Vec::new() };
+    let mut files: Vec<_> = entries.filter_map(|e| Some(e.ok()?.path())).collect();
+    files.retain(|path| path.extension().is_some_and(|e| e == "json"));
+    files.sort();
+    files
+}
+
+pub(super) fn json<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, Fault> {
     let text = std::fs::read(path).map_err(|e| Fault::File(path.to_owned(), e))?;
     serde_json::from_slice(&text).map_err(|e| Fault::Form(path.to_owned(), e))
 }
--- a/crates/rig/src/capacity/mod.rs
+++ b/crates/rig/src/capacity/mod.rs
@@ -8,9 +8,11 @@
 //! | [`page`] | the tables between the markers of a page |
 //! | [`ranking`] | what does not fit, by how far |
 //! | [`roles`] | what each role needs at three sizes |
+//! | [`scale_page`] | the tables of the page of scale runs |
 //! | [`table`] | rows, units and verdicts as Markdown |
 //!
-//! `docs/CAPACITY.md` is made of these; `cargo run -p reelfall-rig --example capacity -- --write` writes its tables.
+//! `docs/CAPACITY.md` and `docs/measurements/scale.md` are made of these; `cargo run -p reelfall-rig --example capacity --
+//! --write` writes their tables.
 
 pub mod inputs;
 pub mod model;
@@ -18,6 +20,7 @@
 pub mod page;
 pub mod ranking;
 pub mod roles;
+pub mod scale_page;
 pub mod table;
 
 use inputs::{Inputs, Measured};
@@ -28,6 +31,8 @@
 
 /// The page, from the root of the repository.
 pub const PAGE: &str = "docs/CAPACITY.md";
+/// The page of scale runs, from the root of the repository.
+pub const SCALE_PAGE: &str = "docs/measurements/scale.md";
 /// The inputs, from the root of the repository.
 pub const INPUTS: &str = "docs/measurements/capacity.json";
 /// The folder of scale runs, from the root of the repository.
@@ -79,6 +84,24 @@
     }
 }
 
+/// A page and what its tables have to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Page {
+    /// The page, from the root of the repository.
+    pub file: &'static str,
+    /// Its tables by their names.
+    pub tables: BTreeMap<&'static str, String>,
+}
+
+/// All pages.
+///
+/// # Errors
+/// If an input can't be read or is missing.
+pub fn pages(root: &Path) -> Result<[Page; 2], Fault> {
+    let scale = scale_page::tables(&root.join(SCALE_RUNS))?;
+    Ok([Page { file: PAGE, tables: tables(root)? }, Page { file: SCALE_PAGE, tables: scale }])
+}
+
 /// All tables of the page, by their names.
 ///
 /// # Errors
@@ -90,7 +113,7 @@
     let mut tables = roles::tables(&costs, &runs);
     tables.insert("ranking", ranking::table(&costs));
     tables.insert("moments", moments::table(&costs, &runs));
-    tables.insert("scale", inputs::runs_table(&runs));
+    tables.insert("scale", inputs::runs_table(&inputs::without_points(&runs)));
     tables.insert("slopes", inputs::slopes_table(&slopes));
     tables.insert("inputs", inputs.table());
     Ok(tables)
--- a/crates/rig/src/capacity/moments.rs
+++ b/crates/rig/src/capacity/moments.rs
@@ -222,7 +222,7 @@
             amount(run.size.nodes as f64, Unit::Count),
             commit.chars().take(7).collect::<String>(),
             amount(run.per_node.peak_bytes, Unit::Bytes),
-            amount(run.per_node.memory, Unit::Bytes)
+            run.per_node.memory.map_or("not measured".to_owned(), |memory| amount(memory, Unit::Bytes))
         )
     };
     let all: Vec<String> = runs.iter().filter(|(_, run)| run.name == name).map(of).collect();
--- a/crates/rig/src/scale/command.rs
+++ b/crates/rig/src/scale/command.rs
@@ -3,7 +3,7 @@
 use super::computation::{self, Computation};
 use super::limits::{Deadline, RUN_MOST};
 use super::report::Size;
-use super::{plot, single, smoke, sweep};
+use super::{fleet, machine, plot, single, smoke, sweep};
 use crate::scripted::Program;
 use crate::Result;
 use std::path::PathBuf;
@@ -32,12 +32,38 @@
     /// One computation, once, in this process
     #[command(hide = true)]
     Computation {
+        /// Which one
+        #[arg(value_enum)]
+        computation: Computation,
+        /// What it reads
+        #[arg(long)]
+        file: PathBuf,
+    },
+    /// Writes what a computation reads
+    #[command(hide = true)]
+    ComputationInput {
         /// Which one
         #[arg(value_enum)]
         computation: Computation,
         /// The size, as JSON
         #[arg(long)]
         size: String,
+        /// Where to write it
+        #[arg(long)]
+        file: PathBuf,
+    },
+    /// The windows of one fleet of a sweep, in this process
+    #[command(hide = true)]
+    Fleet {
+        /// What is played, as JSON
+        #[arg(long)]
+        plan: String,
+        /// Where to write the figures
+        #[arg(long)]
+        json: PathBuf,
+        /// Seconds after which the run ends with what it has
+        #[arg(long)]
+        deadline: f64,
     },
 }
 
@@ -98,6 +124,9 @@
     /// Real nodes beside them
     #[arg(long, default_value_t = 5)]
     real: usize,
+    /// Threads that drive the hollow nodes, no more than there are cores; half of them if not said
+    #[arg(long)]
+    threads: Option<usize>,
     /// A small fleet in virtual time, and the statistics on fixed inputs
     #[arg(long)]
     smoke: bool,
@@ -128,9 +157,19 @@
         None if args.single.smoke => run_smoke(&args.single.common),
         None => run_single(program, &args.single).await,
         Some(What::Sweep { common, plots }) => run_sweep(common, plots.as_deref()).await,
-        Some(What::Computation { computation, size }) => {
+        Some(What::Computation { computation, file }) => {
+            println!("{}", serde_json::to_string(&computation::of_file(*computation, file)?)?);
+            Ok(true)
+        }
+        Some(What::ComputationInput { computation, size, file }) => {
             let size: Size = serde_json::from_str(size)?;
-            println!("{}", serde_json::to_string(&computation::once(*computation, &size)?)?);
+            std::fs::write(file, computation::input(*computation, &size))?;
+            Ok(true)
+        }
+        Some(What::Fleet { plan, json, deadline }) => {
+            let plan: fleet::Plan = serde_json::from_str(plan)?;
+            let record = fleet::play(&plan, Deadline::within(seconds(*deadline))).await?;
+            std::fs::write(json, record.to_json()?)?;
             Ok(true)
         }
     }
@@ -150,6 +189,7 @@
         rig: std::env::current_exe()?,
         size: args.size(),
         real: args.real,
+        threads: args.threads.map_or_else(single::threads, |threads| threads.clamp(1, machine::cores())),
         seconds: args.common.window(),
         seed: args.common.seed,
         deadline: args.common.deadline(),
--- a/crates/rig/src/scale/computation.rs
+++ b/crates/rig/src/scale/computation.rs
@@ -1,17 +1,20 @@
 //! What single computations of a node cost: reading a settings file, and taking a list of servers into the decision
 //! module.
 //!
-//! Each is done in a process of its own, so that the memory it keeps is the process's growth and nothing that an
-//! earlier one left in the allocator.
+//! Each is done in a process of its own that reads its input from a file which another process has written. The most
+//! memory of that process is then of the computation, and nothing that an earlier one or the generator left in the
+//! allocator.
 
 use super::machine;
 use super::report::{PerNode, Run, Size, Source};
 use super::settings::settings_file;
+use crate::node::Folder;
 use crate::Result;
 use reelfall_core::interface::{Action, Entry, Event, ListKind, ServerState};
 use reelfall_core::settings::{Listed, Vocabulary};
 use reelfall_core::Balancer;
 use serde::{Deserialize, Serialize};
+use std::ffi::OsStr;
 use std::path::Path;
 use std::time::Duration;
 use tokio::process::Command;
@@ -51,21 +54,51 @@
 pub struct Cost {
     /// Processor time, in seconds.
     pub cpu: f64,
-    /// Memory that its result holds, in bytes.
-    pub memory: f64,
+    /// Most memory that the process has held, in bytes.
+    pub peak: f64,
     /// Bytes that were read.
     pub bytes: usize,
 }
 
+/// What a computation reads: a settings file, or a list of servers with its changes on further lines.
+pub fn input(computation: Computation, size: &Size) -> String {
+    let servers = size.servers;
+    let list = || list_text(servers, 0..servers, 0);
+    let change = |n: usize| {
+        let server = n % servers.max(1);
+        list_text(servers, server..server + 1, n as u64 + 1)
+    };
+    match computation {
+        Computation::Settings => settings_file(size),
+        Computation::ServerList => list(),
+        Computation::ServerChange => {
+            let lines: Vec<String> = std::iter::once(list()).chain((0..CHANGES).map(change)).collect();
+            lines.join("\n")
+        }
+    }
+}
+
 /// Does a computation once, in this process.
 ///
 /// # Errors
 /// If what is to be read is refused.
 pub fn once(computation: Computation, size: &Size) -> Result<Cost> {
+    of_text(computation, input(computation, size))
+}
+
+/// Does a computation once, in this process, on an input that was written to a file.
+///
+/// # Errors
+/// If there is no such file, or what is to be read is refused.
+pub fn of_file(computation: Computation, file: &Path) -> Result<Cost> {
+    of_text(computation, std::fs::read_to_string(file)?)
+}
+
+fn of_text(computation: Computation, text: String) -> Result<Cost> {
     match computation {
-        Computation::Settings => read_settings(&settings_file(size)),
-        Computation::ServerList => server_list(size.servers, false),
-        Computation::ServerChange => server_list(size.servers, true),
+        Computation::Settings => read_settings(text),
+        Computation::ServerList => server_list(&text),
+        Computation::ServerChange => server_changes(&text),
     }
 }
 
@@ -73,15 +106,18 @@
 ///
 /// # Errors
 /// If there is none or it is refused.
-pub fn read_settings(text: &str) -> Result<Cost> {
+pub fn read_settings(text: impl Into<String>) -> Result<Cost> {
+    let text = text.into();
     if text.is_empty() {
         return Err("there is no generator of settings files of this size".into());
     }
-    let (resident, begun) = (machine::resident()?, machine::thread_cpu()?);
-    let read = reelfall_conf::reader::toml("scale.toml", text).and_then(reelfall_conf::check);
+    let (bytes, begun) = (text.len(), machine::thread_cpu()?);
+    let model = reelfall_conf::reader::toml("scale.toml", &text).map_err(|faults| refused(&faults))?;
+    // As the program does: a check takes memory of its own.
+    drop(text);
+    let plan = reelfall_conf::check(model).map_err(|faults| refused(&faults))?;
     let cpu = machine::thread_cpu()?.saturating_sub(begun);
-    let plan = read.map_err(|faults| refused(&faults))?;
-    let cost = cost(cpu, resident, text.len());
+    let cost = cost(cpu, bytes);
     drop(plan);
     cost
 }
@@ -92,29 +128,31 @@
     format!("the settings file is refused, {} mistakes: {}", faults.0.len(), first.join("; "))
 }
 
-fn cost(cpu: Duration, resident_before: u64, bytes: usize) -> Result<Cost> {
-    let memory = machine::resident()?.saturating_sub(resident_before) as f64;
-    Ok(Cost { cpu: cpu.as_secs_f64(), memory, bytes })
+fn cost(cpu: Duration, bytes: usize) -> Result<Cost> {
+    Ok(Cost { cpu: cpu.as_secs_f64(), peak: machine::peak()? as f64, bytes })
 }
 
-/// Takes a list of so many servers into the decision module, and some changes of it if those are what is measured.
-fn server_list(servers: usize, changes: bool) -> Result<Cost> {
-    let text = list_text(servers, 0..servers, 0);
+/// Takes a whole list of servers into the decision module.
+fn server_list(text: &str) -> Result<Cost> {
     let mut module = Module::new()?;
-    let (resident, begun) = (machine::resident()?, machine::thread_cpu()?);
-    module.take_in(&text, ListKind::Full)?;
-    if !changes {
-        let cpu = machine::thread_cpu()?.saturating_sub(begun);
-        return cost(cpu, resident, text.len());
-    }
-    let of = |n: usize| list_text(servers, n % servers.max(1)..n % servers.max(1) + 1, n as u64 + 1);
-    let texts: Vec<String> = (0..CHANGES).map(of).collect();
-    let (resident, begun) = (machine::resident()?, machine::thread_cpu()?);
-    for text in &texts {
-        module.take_in(text, ListKind::Delta)?;
+    let begun = machine::thread_cpu()?;
+    module.take_in(text, ListKind::Full)?;
+    cost(machine::thread_cpu()?.saturating_sub(begun), text.len())
+}
+
+/// Takes a whole list of servers into the decision module and then some changes of it: the cost of one change.
+fn server_changes(text: &str) -> Result<Cost> {
+    let mut lines = text.lines();
+    let mut module = Module::new()?;
+    module.take_in(lines.next().ok_or("no list")?, ListKind::Full)?;
+    let changes: Vec<&str> = lines.collect();
+    let begun = machine::thread_cpu()?;
+    for change in &changes {
+        module.take_in(change, ListKind::Delta)?;
     }
-    let cpu = machine::thread_cpu()?.saturating_sub(begun) / CHANGES as u32;
-    cost(cpu, resident, texts.first().map_or(0, String::len))
+    let count = u32::try_from(changes.len()).unwrap_or(u32::MAX).max(1);
+    let cpu = machine::thread_cpu()?.saturating_sub(begun) / count;
+    cost(cpu, changes.first().map_or(0, |change| change.len()))
 }
 
 /// A list as list services write it.
@@ -177,10 +215,13 @@
 /// # Errors
 /// If the program can't be started, the computation refuses what it is to read, or it takes too long.
 pub async fn measured(program: &Path, computation: Computation, size: &Size, most: Duration) -> Result<Run> {
+    let folder = Folder::new()?;
+    let file = folder.path().join("input");
     let mut costs = Vec::with_capacity(REPEATS);
     let all = async {
+        write_input(program, computation, size, &file).await?;
         for _ in 0..REPEATS {
-            costs.push(in_process(program, computation, size).await?);
+            costs.push(in_process(program, computation, &file).await?);
         }
         Result::Ok(())
     };
@@ -191,7 +232,12 @@
         all.sort_by(f64::total_cmp);
         all[all.len() / 2]
     };
-    let per_node = PerNode { cpu: median(|c| c.cpu), memory: median(|c| c.memory), ..PerNode::default() };
+    let memory = match computation {
+        Computation::Settings | Computation::ServerList => Some(median(|c| c.peak)),
+        // The most was held by the whole list before the changes.
+        Computation::ServerChange => None,
+    };
+    let per_node = PerNode { cpu: median(|c| c.cpu), memory, ..PerNode::default() };
     Ok(Run {
         name: computation.name().to_owned(),
         source: Source::Computation,
@@ -201,16 +247,31 @@
         per_node,
         in_force: None,
         requests: None,
+        read_bytes: costs.first().map(|cost| cost.bytes as u64),
     })
 }
 
-async fn in_process(program: &Path, computation: Computation, size: &Size) -> Result<Cost> {
+/// Writes what a computation reads, by a process of the rig's program.
+async fn write_input(program: &Path, computation: Computation, size: &Size, file: &Path) -> Result<()> {
     let size = serde_json::to_string(size)?;
+    output(program, "computation-input", computation, ["--size".as_ref(), size.as_ref()], file).await?;
+    Ok(())
+}
+
+async fn in_process(program: &Path, computation: Computation, file: &Path) -> Result<Cost> {
+    let printed = output(program, "computation", computation, [], file).await?;
+    Ok(serde_json::from_slice(&printed)?)
+}
+
+/// What a subcommand of the rig's program prints.
+async fn output<const N: usize>(
+    program: &Path, subcommand: &str, computation: Computation, more: [&OsStr; N], file: &Path,
+) -> Result<Vec<u8>> {
     let mut command = Command::new(program);
-    command.args(["scale", "computation", computation.name(), "--size", &size]).kill_on_drop(true);
-    let output = command.output().await?;
+    command.args(["scale", subcommand, computation.name(), "--file"]).arg(file).args(more);
+    let output = command.kill_on_drop(true).output().await?;
     if !output.status.success() {
         return Err(String::from_utf8_lossy(&output.stderr).trim().to_owned().into());
     }
-    Ok(serde_json::from_slice(&output.stdout)?)
+    Ok(output.stdout)
 }
--- a/crates/rig/src/scale/faults.rs
+++ b/crates/rig/src/scale/faults.rs
@@ -2,7 +2,7 @@
 
 use super::limits::Deadline;
 use super::network::{Doing, Network, REGION_ZONES, ZONES};
-use super::record::{ListsInForce, Record};
+use super::record::{Busy, Gathered, ListsInForce, Record};
 use super::report::Size;
 use super::window::{measure, until_gathered, Measured, Rates};
 use crate::Result;
@@ -33,6 +33,7 @@
             "{name}: the threads that drive the nodes were {percent:.0} % busy, so that times are longer than alone"
         ));
     }
+    record.busy.push(Busy { run: name.clone(), share: measured.busy });
     if let Some(times) = measured.lists_in_force {
         record.lists_in_force.push(ListsInForce { run: name, times });
     }
@@ -165,6 +166,7 @@
     }
 
     fn note(&self, record: &mut Record, name: &str, gathered: Option<f64>) {
+        record.gathered.push(Gathered { after: name.to_owned(), seconds: gathered });
         match gathered {
             Some(took) => record.note(format!("{name}: all that run know all of them after {took:.1} s")),
             None => record.note(format!("{name}: not all that run know all of them in time")),
--- a/crates/rig/src/scale/fit.rs
+++ b/crates/rig/src/scale/fit.rs
@@ -5,7 +5,7 @@
 //! that is 4.30, so that a slight bend may go unseen; an unseen bend is no proof of a line. Points that lie on a
 //! curve exactly have no error to compare with, and bend if the term moves the figure by more than [`EXACT`] of it.
 
-use super::report::{Axis, Slope};
+use super::report::{Axis, Bend, Projection, Size, Slope};
 
 /// Two-sided 5 % points of Student's t, by degrees of freedom from 1.
 const T_BOUNDS: [f64; 30] = [
@@ -16,6 +16,8 @@
 const T_BOUND_MANY: f64 = 1.96;
 /// Relative size below which a difference is taken for rounding.
 pub const EXACT: f64 = 1e-9;
+/// A greater t is told as this: JSON knows no infinity.
+pub const T_LARGEST: f64 = 1e12;
 /// Fewest points by which a bend can be told: a quadratic through three leaves none over.
 pub const POINTS_LEAST: usize = 4;
 
@@ -112,18 +114,7 @@
     }
 }
 
-/// Whether points bend away from a line, and the t statistic that says so. Too few points can't tell.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Bend {
-    /// The quadratic term over its standard error.
-    pub t: f64,
-    /// The bound that it is held against.
-    pub bound: f64,
-    /// Whether it is a bend.
-    pub bent: bool,
-}
-
-/// Looks for a bend; see the module.
+/// Looks for a bend; see the module. Too few points can't tell.
 pub fn bend(points: &[(f64, f64)]) -> Option<Bend> {
     if points.len() < POINTS_LEAST {
         return None;
@@ -144,7 +135,8 @@
     if term.abs() <= EXACT * largest {
         return Some(Bend { t: 0.0, bound, bent: false });
     }
-    let t = if error <= EXACT * largest { f64::INFINITY.copysign(term) } else { term / error };
+    let t = if error <= EXACT * largest { T_LARGEST.copysign(term) } else { term / error };
+    let t = t.clamp(-T_LARGEST, T_LARGEST);
     Some(Bend { t, bound, bent: t.abs() > bound })
 }
 
@@ -159,7 +151,7 @@
     let figures: Vec<f64> = points.iter().map(|(_, y)| *y).collect();
     let fit = least_squares(&rows, &figures)?;
     let bend = bend(points)?;
-    Some(Slope {
+    let line = Slope {
         axis,
         figure: figure.to_owned(),
         points: points.to_vec(),
@@ -167,7 +159,14 @@
         slope: fit.factors[1],
         standard_error: fit.errors[1],
         bent: bend.bent,
-    })
+        residuals: Vec::new(),
+        bend: Some(bend),
+        projection: None,
+    };
+    let at = Size::TARGET.get(axis) as f64;
+    let projection = projection(&line, at);
+    let projection = projection.map(|(figure, standard_error)| Projection { at, figure, standard_error });
+    Some(Slope { residuals: residuals(&line), projection, ..line })
 }
 
 /// What the line says elsewhere, with the error that its slope brings; `None` where the points bend.
--- a/crates/rig/src/scale/machine.rs
+++ b/crates/rig/src/scale/machine.rs
@@ -46,6 +46,15 @@
     Ok(field_kib(&status, "VmRSS:").ok_or("no VmRSS in /proc/self/status")? << 10)
 }
 
+/// Most memory that this process has held so far, in bytes.
+///
+/// # Errors
+/// If the system does not tell.
+pub fn peak() -> Result<u64> {
+    let status = std::fs::read_to_string("/proc/self/status")?;
+    Ok(field_kib(&status, "VmHWM:").ok_or("no VmHWM in /proc/self/status")? << 10)
+}
+
 /// Processor time that the calling thread has used.
 ///
 /// # Errors
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -17,6 +17,7 @@
 //! | [`limits`] | what fits on a machine, and when a run ends |
 //! | [`machine`] | what the system tells of processor time and memory |
 //! | [`single`] | one run at one size |
+//! | [`fleet`] | one fleet of a sweep, in a process of its own |
 //! | [`sweep`] | runs along the axes, and lines through them |
 //! | [`fit`] | least squares, errors and bends |
 //! | [`plot`] | plots of sweeps |
@@ -29,6 +30,7 @@
 pub mod drive;
 pub mod faults;
 pub mod fit;
+pub mod fleet;
 pub mod hollow;
 pub mod limits;
 pub mod lists;
--- a/crates/rig/src/scale/real.rs
+++ b/crates/rig/src/scale/real.rs
@@ -129,9 +129,10 @@
             source: Source::RealNodes,
             size: *size,
             seconds,
-            per_node: PerNode { cpu, memory: memory / count, ..PerNode::default() },
+            per_node: PerNode { cpu, memory: Some(memory / count), ..PerNode::default() },
             in_force: None,
             requests: None,
+            read_bytes: None,
         })
     }
 
--- a/crates/rig/src/scale/record.rs
+++ b/crates/rig/src/scale/record.rs
@@ -31,6 +31,33 @@
     pub times: Times,
 }
 
+/// How long it took until all nodes that run knew all of them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Gathered {
+    /// After what: the start, or one of the worst moments.
+    pub after: String,
+    /// Seconds; `None` if it was not so in time.
+    pub seconds: Option<f64>,
+}
+
+/// What changes added to times of requests in one round.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Added {
+    /// Difference of the medians, in seconds.
+    pub p50: f64,
+    /// Difference of the 99th percentiles, in seconds.
+    pub p99: f64,
+}
+
+/// How busy the threads were that drive hollow nodes, in one run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Busy {
+    /// The run.
+    pub run: String,
+    /// As a share of their time.
+    pub share: f64,
+}
+
 /// All that is written.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -43,6 +70,15 @@
     /// Times of lists.
     #[serde(default)]
     pub lists_in_force: Vec<ListsInForce>,
+    /// Times until all knew all.
+    #[serde(default)]
+    pub gathered: Vec<Gathered>,
+    /// What changes added to times of requests, by rounds.
+    #[serde(default)]
+    pub added: Vec<Added>,
+    /// How busy the threads were.
+    #[serde(default)]
+    pub busy: Vec<Busy>,
     /// The run was ended before its end, or left something out.
     #[serde(default)]
     pub partial: bool,
@@ -62,7 +98,29 @@
             runs: Vec::new(),
             slopes: Vec::new(),
         };
-        Record { report, products: Vec::new(), lists_in_force: Vec::new(), partial: false, notes: Vec::new() }
+        Record {
+            report,
+            products: Vec::new(),
+            lists_in_force: Vec::new(),
+            gathered: Vec::new(),
+            added: Vec::new(),
+            busy: Vec::new(),
+            partial: false,
+            notes: Vec::new(),
+        }
+    }
+
+    /// Takes in what another process has recorded, and printed, for this one.
+    pub fn take_in(&mut self, other: Record) {
+        self.report.runs.extend(other.report.runs);
+        self.report.slopes.extend(other.report.slopes);
+        self.products.extend(other.products);
+        self.lists_in_force.extend(other.lists_in_force);
+        self.gathered.extend(other.gathered);
+        self.added.extend(other.added);
+        self.busy.extend(other.busy);
+        self.partial |= other.partial;
+        self.notes.extend(other.notes);
     }
 
     /// Says something that bears on the figures.
@@ -131,14 +189,19 @@
 fn line(run: &Run) -> String {
     let (size, per_node) = (&run.size, &run.per_node);
     let mut line = format!(
-        "{} [{:?}] nodes {} servers {}: {:.4} % of a core, {:.2} MiB",
+        "{} [{:?}] nodes {} servers {}: {:.4} % of a core",
         run.name,
         run.source,
         size.nodes,
         size.servers,
         per_node.cpu * 100.0,
-        per_node.memory / f64::from(1 << 20),
     );
+    if let Some(memory) = per_node.memory {
+        line += &format!(", {:.2} MiB", memory / f64::from(1 << 20));
+    }
+    if let Some(bytes) = run.read_bytes {
+        line += &format!(", {bytes} B read");
+    }
     if !per_node.traffic.is_empty() {
         let total = |of: fn(&Traffic) -> f64| per_node.traffic.iter().map(of).sum::<f64>();
         line += &format!(
--- a/crates/rig/src/scale/report.rs
+++ b/crates/rig/src/scale/report.rs
@@ -118,8 +118,9 @@
     pub peak_bytes: f64,
     /// Processor time, in seconds a second.
     pub cpu: f64,
-    /// Memory, in bytes.
-    pub memory: f64,
+    /// Memory, in bytes, of a process that did nothing else; `None` where there was none of its own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory: Option<f64>,
 }
 
 /// A distribution of times, in seconds.
@@ -159,6 +160,31 @@
     pub in_force: Option<Times>,
     /// What requests felt of it.
     pub requests: Option<RequestTimes>,
+    /// Length of what a computation read, in bytes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub read_bytes: Option<u64>,
+}
+
+/// Whether points bend away from a line: the t statistic of a quadratic term.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Bend {
+    /// The quadratic term over its standard error.
+    pub t: f64,
+    /// The bound that it is held against.
+    pub bound: f64,
+    /// Whether it is a bend.
+    pub bent: bool,
+}
+
+/// What a line says of a size that was not measured.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Projection {
+    /// The size on the line's axis.
+    pub at: f64,
+    /// The figure there.
+    pub figure: f64,
+    /// The error that the slope's standard error makes at this distance from the points.
+    pub standard_error: f64,
 }
 
 /// A straight line through the figures of a sweep.
@@ -178,6 +204,15 @@
     pub standard_error: f64,
     /// The residuals show a bend: the line must not be extended.
     pub bent: bool,
+    /// The figure less the line, point by point.
+    #[serde(default)]
+    pub residuals: Vec<f64>,
+    /// By what a bend is told.
+    #[serde(default)]
+    pub bend: Option<Bend>,
+    /// The line at the target; `None` if it is not extended.
+    #[serde(default)]
+    pub projection: Option<Projection>,
 }
 
 /// All figures of one invocation.
--- a/crates/rig/src/scale/single.rs
+++ b/crates/rig/src/scale/single.rs
@@ -7,7 +7,7 @@
 use super::machine;
 use super::network::Network;
 use super::real::{request_times, RealNodes, LISTED_MOST};
-use super::record::Record;
+use super::record::{Added, Gathered, Record};
 use super::report::Size;
 use super::window::{measure, measure_with, until_gathered, Rates, DRAIN};
 use crate::scripted::Program;
@@ -35,6 +35,8 @@
     pub size: Size,
     /// Real nodes.
     pub real: usize,
+    /// Threads that drive the hollow ones.
+    pub threads: usize,
     /// Seconds of each window.
     pub seconds: f64,
     /// For all draws.
@@ -57,14 +59,14 @@
     let mut record = Record::new(plan.seed);
     computations(plan, &mut record).await;
     let lists = Arc::new(Lists::new(plan.size.servers, plan.size.services));
-    let network = Network::start(plan.size.nodes, lists, plan.seed, threads())?;
+    let network = Network::start(plan.size.nodes, lists, plan.seed, plan.threads)?;
     let real = RealNodes::start(&plan.program, plan.real, &network, plan.size.servers).await?;
     record.note(format!(
         "{} hollow nodes on {} threads of one process and {} real nodes; a change is a ban by hand; a list's line \
          reaches hollow nodes over a channel of the process; memory of a hollow node is the growth of the process over \
          all of them; kinds by one datagram of {}",
         plan.size.nodes,
-        threads(),
+        network.threads(),
         real.count(),
         super::counters::SAMPLED
     ));
@@ -74,7 +76,9 @@
         ));
     }
     let starts_in = STARTS_IN.min(plan.deadline.left());
-    match until_gathered(&network, real.count(), starts_in).await {
+    let gathered = until_gathered(&network, real.count(), starts_in).await;
+    record.gathered.push(Gathered { after: "start".to_owned(), seconds: gathered });
+    match gathered {
         Some(took) => record.note(format!("start: all know all after {took:.1} s")),
         None => {
             record.left_out(format!("all: not all nodes know each other after {starts_in:?}"));
@@ -145,10 +149,10 @@
         let us = |all: &[hdrhistogram::Histogram<u64>], share: f64| {
             all.last().map_or(0.0, |h| h.value_at_quantile(share) as f64)
         };
+        let (p50, p99) = (us(&under, 0.5) - us(&rest, 0.5), us(&under, 0.99) - us(&rest, 0.99));
+        record.added.push(Added { p50: p50 / 1e6, p99: p99 / 1e6 });
         record.note(format!(
-            "requests, round {n}: under changes less at rest p50 {:+.0} us, p99 {:+.0} us",
-            us(&under, 0.5) - us(&rest, 0.5),
-            us(&under, 0.99) - us(&rest, 0.99)
+            "requests, round {n}: under changes less at rest p50 {p50:+.0} us, p99 {p99:+.0} us"
         ));
     }
     if let Some(mut run) = last {
--- a/crates/rig/src/scale/smoke.rs
+++ b/crates/rig/src/scale/smoke.rs
@@ -122,6 +122,7 @@
         per_node: PerNode { traffic: vec![traffic], ..PerNode::default() },
         in_force: times(&in_force),
         requests: None,
+        read_bytes: None,
     })
 }
 
--- a/crates/rig/src/scale/sweep.rs
+++ b/crates/rig/src/scale/sweep.rs
@@ -1,20 +1,13 @@
 //! Sweeps: one axis at a time, then two together, and lines through what was measured.
 
 use super::computation::{self, Computation};
-use super::faults::{keep, GATHERS_IN};
-use super::fit;
 use super::limits::Deadline;
-use super::lists::Lists;
-use super::machine;
-use super::network::Network;
 use super::record::{Product, Record};
 use super::report::{Axis, Run, Size, Slope, Traffic};
-use super::single::threads;
-use super::window::{measure, until_gathered, Rates, DRAIN};
+use super::window::Rates;
+use super::{fit, fleet, machine};
 use crate::Result;
 use std::path::PathBuf;
-use std::sync::Arc;
-use std::time::Duration;
 
 /// What stays as it is while another axis is swept.
 pub const BASE: Size = Size {
@@ -36,16 +29,52 @@
 const RESTARTS_TOGETHER: [usize; 2] = [90_000, 162_000];
 /// Changes a day; the day of the target has 13,000.
 pub const CHANGES: [usize; 5] = [13_000, 39_000, 65_000, 91_000, 117_000];
-/// Sizes of what is computed.
-const COMPUTED: [(Computation, Axis, [usize; 6]); 5] = [
-    (Computation::ServerList, Axis::Servers, [1_000, 2_000, 3_000, 4_000, 5_000, 6_000]),
-    (Computation::ServerChange, Axis::Servers, [1_000, 2_000, 3_000, 4_000, 5_000, 6_000]),
-    (Computation::Settings, Axis::Services, [40, 80, 120, 160, 200, 240]),
-    (Computation::Settings, Axis::Routes, [2_000, 4_000, 6_000, 8_000, 10_000, 12_000]),
-    (Computation::Settings, Axis::Tenants, [2_000, 4_000, 6_000, 8_000, 10_000, 12_000]),
+/// What stays as it is while services, routes or tenants are swept. Each service has a route at least: there are as
+/// many routes as the most services.
+pub const SETTINGS_BASE: Size = Size { services: 100, routes: 2_600, ..BASE };
+
+/// A computation over sizes of one axis.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ComputedSweep {
+    /// Which one.
+    pub computation: Computation,
+    /// What is swept.
+    pub axis: Axis,
+    /// What stays as it is.
+    pub base: Size,
+    /// The sizes.
+    pub sizes: [usize; 6],
+}
+
+/// Sizes of lists.
+const LISTED: [usize; 6] = [1_000, 2_000, 3_000, 4_000, 5_000, 6_000];
+/// What is computed.
+pub const COMPUTED: [ComputedSweep; 5] = [
+    ComputedSweep { computation: Computation::ServerList, axis: Axis::Servers, base: BASE, sizes: LISTED },
+    ComputedSweep { computation: Computation::ServerChange, axis: Axis::Servers, base: BASE, sizes: LISTED },
+    ComputedSweep {
+        computation: Computation::Settings,
+        axis: Axis::Services,
+        base: SETTINGS_BASE,
+        sizes: [100, 600, 1_100, 1_600, 2_100, 2_600],
+    },
+    ComputedSweep {
+        computation: Computation::Settings,
+        axis: Axis::Routes,
+        base: SETTINGS_BASE,
+        sizes: [2_600, 9_250, 18_500, 37_000, 55_500, 74_000],
+    },
+    ComputedSweep {
+        computation: Computation::Settings,
+        axis: Axis::Tenants,
+        base: SETTINGS_BASE,
+        sizes: [1_000, 70_000, 140_000, 280_000, 420_000, 560_000],
+    },
 ];
-/// How long a fleet rests after all know all.
-const SETTLES: Duration = Duration::from_secs(6);
+/// Settings by services and routes together: each of the former with each of the latter.
+pub const SERVICES_TOGETHER: [usize; 3] = [100, 1_300, 2_600];
+/// See [`SERVICES_TOGETHER`].
+pub const ROUTES_TOGETHER: [usize; 3] = [2_600, 37_000, 74_000];
 
 /// What a sweep is made of.
 pub struct Plan {
@@ -63,9 +92,6 @@
 type Figure = (&'static str, fn(&Run) -> Option<f64>);
 
 /// The figures of runs with hollow nodes.
-///
-/// Memory is none of them: fleets of a sweep follow one another in one process, and a later one takes what an earlier
-/// one left.
 const NETWORK_FIGURES: [Figure; 4] = [
     ("control traffic of a node, in and out, B/s", |run| {
         Some(run.per_node.traffic.iter().map(|t: &Traffic| t.bytes_in + t.bytes_out).sum())
@@ -74,11 +100,18 @@
     ("control processor time of a node, % of a core", |run| Some(run.per_node.cpu * 100.0)),
     ("time until a ban is in force, p99, s", |run| run.in_force.map(|times| times.p99)),
 ];
-/// The figures of computations.
-const COMPUTED_FIGURES: [Figure; 2] = [
+/// Of the first window of each fleet: later ones follow it in the same process.
+const NETWORK_MEMORY: Figure = ("memory of a node, B", |run| run.per_node.memory);
+/// The figures of computations. Where one is not measured, no line is drawn.
+const COMPUTED_FIGURES: [Figure; 3] = [
     ("processor time, s", |run| Some(run.per_node.cpu)),
-    ("memory kept, bytes", |run| Some(run.per_node.memory)),
+    ("most memory of the process, B", |run| run.per_node.memory),
+    ("length, B", |run| run.read_bytes.map(|bytes| bytes as f64)),
 ];
+/// Why memory is not told of all windows.
+const MEMORY_TOLD: &str =
+    "memory of a node is told of the first window of each fleet alone, as its process has done \
+    nothing else by then; the windows of further rates follow it in the same process";
 
 /// Plays all sweeps. What did not fit into its time is said in the record.
 ///
@@ -88,108 +121,99 @@
     let largest = Size { nodes: NODES[NODES.len() - 1], ..BASE };
     machine::machine()?.check(&largest, 0)?;
     let mut record = Record::new(plan.seed);
-    for (computation, axis, sizes) in COMPUTED {
-        computed(plan, computation, axis, &sizes, &mut record).await;
+    for sweep in COMPUTED {
+        let sizes = sweep.sizes.map(|value| sweep.base.with(sweep.axis, value));
+        let runs = computed(plan, sweep.computation, &sizes, &mut record).await;
+        let of = format!("{}: ", sweep.computation.name());
+        lines(sweep.axis, &runs, &COMPUTED_FIGURES, &of, &mut record);
     }
-    let mut swept = Swept::default();
+    settings_together(plan, &mut record).await;
+    let mut runs = Vec::new();
     for nodes in NODES {
         let size = Size { nodes, ..BASE };
-        network(plan, &size, &mut swept, &mut record).await?;
-    }
-    lines(Axis::Nodes, &swept.nodes, &NETWORK_FIGURES, "", &mut record);
-    lines(Axis::Restarts, &swept.restarts, &NETWORK_FIGURES, "", &mut record);
-    lines(Axis::Changes, &swept.changes, &NETWORK_FIGURES, "", &mut record);
-    for figure in NETWORK_FIGURES.iter().take(3) {
-        match product(figure, &swept.together) {
-            Some(product) => {
-                print_product(&product);
-                record.products.push(product);
-            }
-            None => record.left_out(format!("nodes and restarts together: {}", figure.0)),
-        }
+        runs.extend(network(plan, &size, &mut record).await?);
     }
+    record.note(MEMORY_TOLD);
+    network_lines(&runs, &mut record);
     Ok(record)
 }
 
-/// Runs with hollow nodes, by what was swept.
-#[derive(Default)]
-struct Swept {
-    nodes: Vec<Run>,
-    restarts: Vec<Run>,
-    changes: Vec<Run>,
-    together: Vec<Run>,
-}
-
-async fn computed(plan: &Plan, computation: Computation, axis: Axis, sizes: &[usize], record: &mut Record) {
+/// A computation at some sizes, one after another.
+async fn computed(plan: &Plan, computation: Computation, sizes: &[Size], record: &mut Record) -> Vec<Run> {
     let mut runs = Vec::new();
-    for value in sizes {
+    for size in sizes {
         if plan.deadline.left().is_zero() {
-            record.left_out(format!("{} at {value} {axis:?}: the time is over", computation.name()));
+            record.left_out(format!("{} at {size:?}: the time is over", computation.name()));
             break;
         }
-        let size = BASE.with(axis, *value);
-        match computation::measured(&plan.rig, computation, &size, plan.deadline.left()).await {
+        match computation::measured(&plan.rig, computation, size, plan.deadline.left()).await {
             Ok(run) => {
                 record.add(run.clone());
                 runs.push(run);
             }
             Err(fault) => {
-                record.left_out(format!("{} at {value} {axis:?}: {fault}", computation.name()));
+                record.left_out(format!("{} at {size:?}: {fault}", computation.name()));
                 break;
             }
         }
     }
-    let of = format!("{}: ", computation.name());
-    lines(axis, &runs, &COMPUTED_FIGURES, &of, record);
+    runs
+}
+
+/// Settings by services and routes, and by their product.
+async fn settings_together(plan: &Plan, record: &mut Record) {
+    let of = |services| ROUTES_TOGETHER.map(|routes| Size { services, routes, ..SETTINGS_BASE });
+    let sizes: Vec<Size> = SERVICES_TOGETHER.into_iter().flat_map(of).collect();
+    let runs = computed(plan, Computation::Settings, &sizes, record).await;
+    products((Axis::Services, Axis::Routes), &COMPUTED_FIGURES, "settings: ", &runs, record);
 }
 
-/// One fleet: a window at the base's rates, and others where it is swept by rates too.
-async fn network(plan: &Plan, size: &Size, swept: &mut Swept, record: &mut Record) -> Result<()> {
-    let window = Duration::from_secs_f64(plan.seconds) + DRAIN;
-    if !plan.deadline.allows(SETTLES + 2 * window) {
+/// One fleet, in a process of its own: a window at the base's rates, and others where it is swept by rates too.
+async fn network(plan: &Plan, size: &Size, record: &mut Record) -> Result<Vec<Run>> {
+    let fleet = fleet::Plan { size: *size, windows: windows(size), seconds: plan.seconds, seed: plan.seed };
+    if !plan.deadline.allows(fleet::SETTLES + 2 * fleet.window()) {
         record.left_out(format!("{} nodes: the time is over", size.nodes));
-        return Ok(());
-    }
-    let lists = Arc::new(Lists::new(size.servers, size.services));
-    let network = Network::start(size.nodes, lists, plan.seed, threads())?;
-    if until_gathered(&network, 0, GATHERS_IN.min(plan.deadline.left())).await.is_none() {
-        record.left_out(format!("{} nodes: not all know each other in {GATHERS_IN:?}", size.nodes));
-        return Ok(());
+        return Ok(Vec::new());
     }
-    tokio::time::sleep(SETTLES).await;
-    let base = window_at(plan, &network, size, record).await?;
-    swept.nodes.extend(base.clone());
+    let played = fleet::in_process(&plan.rig, &fleet, plan.deadline).await?;
+    let runs = played.report.runs.clone();
+    record.take_in(played);
+    Ok(runs)
+}
+
+/// The rates of a fleet's windows; the base's are the first.
+pub fn windows(size: &Size) -> Vec<Rates> {
+    let mut sizes = vec![*size];
     if NODES_TOGETHER.contains(&size.nodes) {
-        swept.together.extend(base.clone());
-        for restarts in RESTARTS_TOGETHER {
-            let run = window_at(plan, &network, &Size { restarts, ..*size }, record).await?;
-            swept.together.extend(run);
-        }
+        sizes.extend(RESTARTS_TOGETHER.map(|restarts| Size { restarts, ..*size }));
     }
     if size.nodes == BASE.nodes {
-        swept.restarts.extend(base.clone());
-        for restarts in RESTARTS.into_iter().skip(1) {
-            swept.restarts.extend(window_at(plan, &network, &Size { restarts, ..*size }, record).await?);
-        }
-        swept.changes.extend(base);
-        for changes in CHANGES.into_iter().skip(1) {
-            swept.changes.extend(window_at(plan, &network, &Size { changes, ..*size }, record).await?);
+        sizes.extend(RESTARTS.map(|restarts| Size { restarts, ..*size }));
+        sizes.extend(CHANGES.map(|changes| Size { changes, ..*size }));
+    }
+    let mut windows: Vec<Rates> = Vec::with_capacity(sizes.len());
+    for rates in sizes.iter().map(Rates::of) {
+        if !windows.contains(&rates) {
+            windows.push(rates);
         }
     }
-    Ok(())
+    windows
 }
 
-/// One window, if there is time for it.
-async fn window_at(plan: &Plan, network: &Network, size: &Size, record: &mut Record) -> Result<Option<Run>> {
-    let window = Duration::from_secs_f64(plan.seconds) + DRAIN;
-    if !plan.deadline.allows(window) {
-        record.left_out(format!("a window at {size:?}: the time is over"));
-        return Ok(None);
-    }
-    let measured = measure(network, "sweep", size, Rates::of(size), plan.seconds, plan.seed).await?;
-    let run = measured.run.clone();
-    keep(record, measured);
-    Ok(Some(run))
+/// Lines along nodes, restarts and changes, and nodes with restarts together.
+fn network_lines(runs: &[Run], record: &mut Record) {
+    let of = |holds: &dyn Fn(&Size) -> bool| -> Vec<Run> {
+        runs.iter().filter(|run| holds(&run.size)).cloned().collect()
+    };
+    let by_nodes = of(&|size| Rates::of(size) == Rates::of(&BASE));
+    let figures: Vec<Figure> = NETWORK_FIGURES.into_iter().chain([NETWORK_MEMORY]).collect();
+    lines(Axis::Nodes, &by_nodes, &figures, "", record);
+    let by_restarts = of(&|size| size.nodes == BASE.nodes && size.changes == BASE.changes);
+    lines(Axis::Restarts, &by_restarts, &NETWORK_FIGURES, "", record);
+    let by_changes = of(&|size| size.nodes == BASE.nodes && size.restarts == BASE.restarts);
+    lines(Axis::Changes, &by_changes, &NETWORK_FIGURES, "", record);
+    let together = of(&|size| NODES_TOGETHER.contains(&size.nodes));
+    products((Axis::Nodes, Axis::Restarts), &NETWORK_FIGURES[..3], "", &together, record);
 }
 
 /// Lines through the figures of runs along an axis.
@@ -197,6 +221,10 @@
     for (name, figure) in figures {
         let point = |run: &Run| Some((run.size.get(axis) as f64, figure(run)?));
         let points: Vec<(f64, f64)> = runs.iter().filter_map(point).collect();
+        if points.is_empty() && !runs.is_empty() {
+            // Not measured here by design.
+            continue;
+        }
         match fit::slope(axis, &format!("{of}{name}"), &points) {
             Some(slope) => record.add_slope(slope),
             None => {
@@ -206,20 +234,31 @@
     }
 }
 
-/// A figure by nodes, restarts and their product.
-pub fn product((name, figure): &Figure, runs: &[Run]) -> Option<Product> {
-    let point = |run: &Run| Some((run.size.nodes as f64, run.size.restarts as f64, figure(run)?));
+/// Fits of the figures of runs by two axes and their product.
+fn products(axes: (Axis, Axis), figures: &[Figure], of: &str, runs: &[Run], record: &mut Record) {
+    for (name, figure) in figures {
+        let named = format!("{of}{name}");
+        match product(axes, &named, *figure, runs) {
+            Some(product) => {
+                print_product(&product);
+                record.products.push(product);
+            }
+            None => record.left_out(format!("{:?} and {:?} together: {named}", axes.0, axes.1)),
+        }
+    }
+}
+
+/// A figure by two axes and their product.
+pub fn product(
+    axes: (Axis, Axis), name: &str, figure: fn(&Run) -> Option<f64>, runs: &[Run],
+) -> Option<Product> {
+    let at = |run: &Run, axis: Axis| run.size.get(axis) as f64;
+    let point = |run: &Run| Some((at(run, axes.0), at(run, axes.1), figure(run)?));
     let points: Vec<(f64, f64, f64)> = runs.iter().filter_map(point).collect();
     let rows: Vec<Vec<f64>> = points.iter().map(|(x, y, _)| vec![1.0, *x, *y, x * y]).collect();
     let figures: Vec<f64> = points.iter().map(|(_, _, figure)| *figure).collect();
     let fit = fit::least_squares(&rows, &figures).filter(|fit| fit.errors.iter().all(|e| e.is_finite()))?;
-    Some(Product {
-        axes: (Axis::Nodes, Axis::Restarts),
-        figure: (*name).to_owned(),
-        points,
-        factors: fit.factors,
-        standard_errors: fit.errors,
-    })
+    Some(Product { axes, figure: name.to_owned(), points, factors: fit.factors, standard_errors: fit.errors })
 }
 
 /// Prints a line with its error and residuals, and what it says of the target unless the points bend.
@@ -229,7 +268,7 @@
 
 /// A line with its error and residuals, and what it says of the target unless the points bend.
 pub fn text(slope: &Slope) -> String {
-    let residuals: Vec<String> = fit::residuals(slope).iter().map(|r| format!("{r:.2e}")).collect();
+    let residuals: Vec<String> = slope.residuals.iter().map(|r| format!("{r:.2e}")).collect();
     let mut text = format!(
         "{:?}, {}: {:.4e} + {:.4e} (standard error {:.1e}) for one more; residuals {}",
         slope.axis,
@@ -239,11 +278,12 @@
         slope.standard_error,
         residuals.join(" ")
     );
-    let target = Size::TARGET.get(slope.axis) as f64;
-    let bend = fit::bend(&slope.points);
-    match (fit::projection(slope, target), bend) {
-        (Some((figure, error)), _) => {
-            text += &format!("; at {target}: {figure:.4} (standard error {error:.4})")
+    match (slope.projection, slope.bend) {
+        (Some(there), _) => {
+            text += &format!(
+                "; at {}: {:.4} (standard error {:.4})",
+                there.at, there.figure, there.standard_error
+            );
         }
         (None, Some(bend)) => {
             text += &format!("; bent (t {:.2}, bound {:.2}): no projection", bend.t, bend.bound);
@@ -254,11 +294,13 @@
 }
 
 fn print_product(product: &Product) {
-    let terms = ["constant", "nodes", "restarts", "nodes x restarts"];
+    let (one, other) = product.axes;
+    let terms =
+        ["constant".to_owned(), format!("{one:?}"), format!("{other:?}"), format!("{one:?} x {other:?}")];
     let parts: Vec<String> = terms
         .iter()
         .zip(product.factors.iter().zip(&product.standard_errors))
         .map(|(term, (factor, error))| format!("{term} {factor:.3e} (standard error {error:.1e})"))
         .collect();
-    println!("Nodes and Restarts together, {}: {}", product.figure, parts.join(", "));
+    println!("{one:?} and {other:?} together, {}: {}", product.figure, parts.join(", "));
 }
--- a/crates/rig/src/scale/window.rs
+++ b/crates/rig/src/scale/window.rs
@@ -5,6 +5,7 @@
 use super::network::Network;
 use super::report::{Run, Size, Source, Times};
 use crate::{Draw, Result};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Seconds of a day.
@@ -17,7 +18,7 @@
 pub const DRAIN: Duration = Duration::from_secs(3);
 
 /// How often something changes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rates {
     /// Changes a day; each is played as a ban by hand at a node that is drawn.
     pub changes: usize,
@@ -154,7 +155,7 @@
     let busy = (after.cpu - before.cpu) / took / network.threads() as f64;
     let mut per_node = per_node(&before, &after, &sample, network.nodes(), took);
     per_node.peak_bytes = peak;
-    per_node.memory = network.memory()?;
+    per_node.memory = Some(network.memory()?);
     let expected = played.changes * network.running().len();
     let run = Run {
         name: name.to_owned(),
@@ -164,6 +165,7 @@
         per_node,
         in_force: times(&forces.bans),
         requests: None,
+        read_bytes: None,
     };
     let missing = expected.saturating_sub(forces.bans.len());
     Ok(Measured { run, lists_in_force: times(&forces.lines), played, busy, missing })
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -3,8 +3,11 @@
 use reelfall_rig::capacity::inputs::{self, Input, Inputs, Kind, Measured, SCHEMA};
 use reelfall_rig::capacity::model::{self, bound, Costs};
 use reelfall_rig::capacity::table::{amount, plain, Row, Unit, Verdict};
-use reelfall_rig::capacity::{moments, page, ranking, tables, Fault, INPUTS, PAGE};
-use reelfall_rig::scale::report::{self, Axis, PerNode, Report, Run, Size, Slope, Source, Times, Traffic};
+use reelfall_rig::capacity::{moments, page, pages, ranking, scale_page, tables, Fault, Page, INPUTS, PAGE};
+use reelfall_rig::scale::record::{Busy, Gathered, Product, Record};
+use reelfall_rig::scale::report::{
+    self, Axis, Bend, PerNode, Projection, Report, Run, Size, Slope, Source, Times, Traffic,
+};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
@@ -33,6 +36,21 @@
     assert!(stale.is_empty(), "{stale:?}: cargo run -p reelfall-rig --example capacity -- --write");
 }
 
+#[test]
+fn the_tables_of_all_pages_are_what_their_inputs_make_of_them() {
+    for Page { file: name, tables } in pages(&root()).unwrap() {
+        let held = std::fs::read_to_string(root().join(name)).unwrap();
+        let stale = page::stale(&held, &tables).unwrap();
+        assert!(
+            stale.is_empty(),
+            "{name}, {stale:?}: cargo run -p reelfall-rig --example capacity -- --write"
+        );
+        let markers: Vec<&str> = held.lines().filter_map(|l| l.strip_prefix("<!-- table: ")).collect();
+        assert_eq!(markers.len(), tables.len(), "{name}: {markers:?}");
+        assert!(markers.iter().all(|marker| tables.contains_key(marker.trim_end_matches(" -->"))));
+    }
+}
+
 #[test]
 fn a_page_with_another_figure_is_told() {
     let mut tables = tables(&root()).unwrap();
@@ -377,9 +395,10 @@
         source: Source::HollowNodes,
         size: Size::TARGET,
         seconds: 60.0,
-        per_node: PerNode { traffic: vec![traffic], peak_bytes: 5000.0, cpu: 0.001, memory: 9e6 },
+        per_node: PerNode { traffic: vec![traffic], peak_bytes: 5000.0, cpu: 0.001, memory: Some(9e6) },
         in_force: Some(Times { p50: 1.0, p99: 2.5, last: 4.0 }),
         requests: None,
+        read_bytes: None,
     };
     let slope = Slope {
         axis: Axis::Nodes,
@@ -389,6 +408,9 @@
         slope: 2.0,
         standard_error: 0.01,
         bent,
+        residuals: vec![0.0, 0.0],
+        bend: Some(Bend { t: 3.0, bound: 12.706, bent }),
+        projection: (!bent).then_some(Projection { at: 6_000.0, figure: 12_100.0, standard_error: 51.0 }),
     };
     let commit = "0123456789abcdef".to_owned();
     Report { schema: report::SCHEMA, commit, seed: 1, cores: 4, runs: vec![run], slopes: vec![slope] }
@@ -410,7 +432,7 @@
         "{runs}"
     );
     let lines = inputs::slopes_table(&measured.slopes);
-    assert!(lines.contains("| 12,100, standard error 60 |"), "{lines}");
+    assert!(lines.contains("| 12,100, standard error 51 |"), "{lines}");
     let moments = moments::table(&costs(), &measured.runs);
     assert!(moments.contains("6,000 nodes at 0123456: 5 KB; 2.5 s, 4 s; 9 MB"), "{moments}");
     write(&report(true));
@@ -420,6 +442,69 @@
     assert!(matches!(Measured::read(folder.path()), Err(Fault::Schema { found: 9, .. })));
 }
 
+#[test]
+fn the_page_of_scale_runs_has_each_run_and_each_line_of_their_reports() {
+    let folder = reelfall_rig::node::Folder::new().unwrap();
+    let write = |name: &str, record: &Record| {
+        std::fs::write(folder.path().join(name), record.to_json().unwrap()).unwrap();
+    };
+    let mut single = Record::new(1);
+    single.report = report(false);
+    single.report.slopes.clear();
+    single.report.runs[0].name = "quiet".to_owned();
+    single.gathered.push(Gathered { after: "start".to_owned(), seconds: Some(4.7) });
+    single.busy.push(Busy { run: "quiet".to_owned(), share: 0.625 });
+    write("single.json", &single);
+    let mut sweep = Record::new(1);
+    sweep.report = report(false);
+    sweep.report.runs[0].name = "sweep".to_owned();
+    let mut settings = sweep.report.runs[0].clone();
+    settings.name = "settings".to_owned();
+    settings.source = Source::Computation;
+    settings.read_bytes = Some(45_500_000);
+    sweep.report.runs.push(settings);
+    sweep.products.push(Product {
+        axes: (Axis::Services, Axis::Routes),
+        figure: "length, B".to_owned(),
+        points: Vec::new(),
+        factors: vec![1.0, 2.0, 3.0, 4.0],
+        standard_errors: vec![0.1, 0.2, 0.3, 0.4],
+    });
+    sweep.left_out("a window");
+    write("sweep.json", &sweep);
+    let tables = scale_page::tables(folder.path()).unwrap();
+    let has = |table: &str, text: &str| assert!(tables[table].contains(text), "{table}: {}", tables[table]);
+    has("one-node", "|  | 6,000 nodes | a node may use |");
+    has("one-node", "| at rest, received | 1 KB/s | 8 KB/s |");
+    has("one-node", "| memory of a hollow node, at rest | 9 MB | 32 MB |");
+    has("in-force", "| all know all after the start of all | 4.7 s |  |");
+    has("in-force", "at rest | 63 % |");
+    has("moments", "| a zone's nodes back at once | not played |");
+    has("requests", "not measured");
+    has("lines", "| nodes, 300 to 1,500 | bytes a second | 2.000e0 (1.0e-2) | 0.0e0 | 3.00, bound 12.71 |");
+    has("lines", "| 12,100 (51) at 6,000 |");
+    has("products", "| services, routes | length, B | 1.000e0 (1.0e-1) |");
+    has(
+        "settings",
+        "| settings | 50,000 | 2,600 | 74,000 | 560,000 | 45.5 MB | 1 ms | 9 MB | `sweep.json` |",
+    );
+    has("reports", "| `sweep.json` | 0123456789abcdef | 4 | 1 | a window |");
+    has("reports", "| `single.json` | 0123456789abcdef | 4 | 1 | nothing |");
+    let none = scale_page::tables(&folder.path().join("none")).unwrap();
+    assert!(none["one-node"].contains("Not measured yet"));
+}
+
+#[test]
+fn points_of_sweeps_are_not_told_one_by_one() {
+    let mut runs: Vec<(String, Run)> =
+        report(false).runs.into_iter().map(|run| ("0".to_owned(), run)).collect();
+    let mut point = runs[0].clone();
+    point.1.name = "sweep".to_owned();
+    runs.push(point);
+    let kept = inputs::without_points(&runs);
+    assert_eq!(kept.iter().map(|(_, run)| run.name.as_str()).collect::<Vec<_>>(), ["region-start"]);
+}
+
 fn row(target: Option<f64>, budget: Option<f64>, with: Option<(&'static str, f64)>) -> Row {
     Row {
         what: "a thing",
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -7,12 +7,12 @@
 use reelfall_rig::scale::limits::{memory_of, Deadline, Machine, TooLarge, FILES_RESERVED, RUN_MOST};
 use reelfall_rig::scale::lists::{server_name, Lists, Read, FAILING};
 use reelfall_rig::scale::network::{Doing, Network, ZONES};
-use reelfall_rig::scale::record::{ListsInForce, Product, Record};
+use reelfall_rig::scale::record::{Added, Busy, Gathered, ListsInForce, Product, Record};
 use reelfall_rig::scale::report::{
-    Axis, PerNode, Report, RequestTimes, Run, Size, Slope, Source, Times, Traffic,
+    Axis, Bend, PerNode, Projection, Report, RequestTimes, Run, Size, Slope, Source, Times, Traffic,
 };
 use reelfall_rig::scale::window::{measure, moments, schedule, times, until_gathered, Event, Rates, DAY};
-use reelfall_rig::scale::{machine, smoke};
+use reelfall_rig::scale::{fleet, machine, smoke, sweep};
 use reelfall_rig::scripted::Program;
 use reelfall_rig::Draw;
 use std::collections::BTreeMap;
@@ -47,9 +47,10 @@
         source: Source::HollowNodes,
         size: Size::TARGET,
         seconds: 10.5,
-        per_node: PerNode { traffic: vec![traffic], peak_bytes: 900.0, cpu: 0.0012, memory: 3e6 },
+        per_node: PerNode { traffic: vec![traffic], peak_bytes: 900.0, cpu: 0.0012, memory: Some(3e6) },
         in_force: Some(some),
         requests: Some(RequestTimes { at_rest: some, under_changes: some }),
+        read_bytes: Some(4096),
     };
     let slope = Slope {
         axis: Axis::Restarts,
@@ -59,6 +60,9 @@
         slope: 1.25,
         standard_error: 0.125,
         bent: true,
+        residuals: vec![0.5, -0.25],
+        bend: Some(Bend { t: -5.5, bound: 4.25, bent: true }),
+        projection: Some(Projection { at: 6_000.0, figure: 7_500.5, standard_error: 12.5 }),
     };
     let product = Product {
         axes: (Axis::Nodes, Axis::Restarts),
@@ -72,6 +76,10 @@
     record.report.slopes.push(slope);
     record.products.push(product);
     record.lists_in_force.push(ListsInForce { run: "changes".to_owned(), times: some });
+    record.gathered.push(Gathered { after: "start".to_owned(), seconds: Some(4.5) });
+    record.gathered.push(Gathered { after: "region-cut".to_owned(), seconds: None });
+    record.added.push(Added { p50: 0.25, p99: -0.5 });
+    record.busy.push(Busy { run: "quiet".to_owned(), share: 0.5 });
     record.left_out("the last part");
     record
 }
@@ -505,6 +513,93 @@
     assert!(computation::measured(nobody, Computation::ServerList, &SIZE, PATIENCE).await.is_err());
 }
 
+#[tokio::test]
+async fn settings_of_a_size_are_read_in_a_process_of_their_own() {
+    let measured = |size: Size| async move {
+        let run = computation::measured(Path::new(RIG), Computation::Settings, &size, PATIENCE).await;
+        run.expect("a run")
+    };
+    let few = measured(SIZE).await;
+    let many = measured(Size { services: 200, routes: 4_000, tenants: 40_000, ..SIZE }).await;
+    assert_eq!((few.name.as_str(), few.size), ("settings", SIZE));
+    let length = computation::input(Computation::Settings, &SIZE).len() as u64;
+    assert_eq!(few.read_bytes, Some(length));
+    assert!(many.read_bytes > Some(100 * length), "{:?}", many.read_bytes);
+    assert!(many.per_node.cpu > few.per_node.cpu);
+    // The tables of 40,000 tenants and 4,000 routes are megabytes.
+    let (few, many) = (few.per_node.memory.expect("memory"), many.per_node.memory.expect("memory"));
+    assert!(many > few + 4e6, "{few} {many}");
+}
+
+// ---- fleets of sweeps ----
+
+#[tokio::test]
+async fn a_fleet_of_a_sweep_has_a_process_of_its_own_and_memory_in_its_first_window_alone() {
+    let rates = Rates { changes: DAY as usize, restarts: DAY as usize };
+    let plan = fleet::Plan { size: SIZE, windows: vec![Rates::NONE, rates], seconds: 1.0, seed: 1 };
+    let record =
+        fleet::in_process(Path::new(RIG), &plan, Deadline::within(PATIENCE)).await.expect("a record");
+    assert!(!record.partial, "{:?}", record.notes);
+    let runs = &record.report.runs;
+    assert_eq!(runs.iter().map(|run| Rates::of(&run.size)).collect::<Vec<_>>(), plan.windows);
+    assert!(runs.iter().all(|run| run.source == Source::HollowNodes && run.size.nodes == SIZE.nodes));
+    let memory: Vec<bool> =
+        runs.iter().map(|run| run.per_node.memory.is_some_and(|memory| memory > 0.0)).collect();
+    assert_eq!(memory, [true, false]);
+    assert!(!record.to_json().expect("a text").contains("\"memory\": null"));
+    let nobody = Path::new("/nowhere/at/all");
+    assert!(fleet::in_process(nobody, &plan, Deadline::within(PATIENCE)).await.is_err());
+}
+
+#[tokio::test]
+async fn a_fleet_whose_time_is_over_leaves_its_windows_out() {
+    let plan = fleet::Plan { size: SIZE, windows: vec![Rates::NONE], seconds: 1.0, seed: 1 };
+    let record = fleet::in_process(Path::new(RIG), &plan, Deadline::within(Duration::ZERO)).await;
+    let record = record.expect("a record");
+    assert!(record.partial && record.report.runs.is_empty(), "{:?}", record.notes);
+}
+
+#[test]
+fn every_axis_is_swept_over_five_sizes_at_least_and_settings_up_to_the_target() {
+    let by_rates = [(Axis::Nodes, &sweep::NODES[..]), (Axis::Restarts, &sweep::RESTARTS[..])];
+    let others = [(Axis::Changes, &sweep::CHANGES[..])];
+    let computed = sweep::COMPUTED.iter().map(|sweep| (sweep.axis, &sweep.sizes[..]));
+    let all: Vec<(Axis, &[usize])> = by_rates.into_iter().chain(others).chain(computed).collect();
+    for axis in [
+        Axis::Nodes,
+        Axis::Servers,
+        Axis::Services,
+        Axis::Routes,
+        Axis::Tenants,
+        Axis::Changes,
+        Axis::Restarts,
+    ] {
+        let sizes: Vec<_> = all.iter().filter(|(of, _)| *of == axis).collect();
+        assert!(!sizes.is_empty(), "{axis:?}");
+        assert!(sizes.iter().all(|(_, sizes)| sizes.len() >= 5 && sizes.is_sorted()), "{sizes:?}");
+    }
+    for sweep in sweep::COMPUTED.iter().filter(|sweep| sweep.computation == Computation::Settings) {
+        assert_eq!(sweep.sizes.last().copied(), Some(Size::TARGET.get(sweep.axis)));
+        // A file has a route for each service at least: no axis may move another.
+        assert!(sweep.sizes.iter().all(|value| {
+            let size = sweep.base.with(sweep.axis, *value);
+            size.routes >= size.services
+        }));
+    }
+    assert!(sweep::SERVICES_TOGETHER.iter().all(|services| *services <= sweep::ROUTES_TOGETHER[0]));
+}
+
+#[test]
+fn a_fleet_plays_the_bases_rates_first_and_none_twice() {
+    for nodes in sweep::NODES {
+        let windows = sweep::windows(&Size { nodes, ..sweep::BASE });
+        assert_eq!(windows[0], Rates::of(&sweep::BASE));
+        assert!(windows.iter().all(|rates| windows.iter().filter(|other| *other == rates).count() == 1));
+    }
+    let of_base = sweep::windows(&sweep::BASE).len();
+    assert_eq!(of_base, sweep::RESTARTS.len() + sweep::CHANGES.len() - 1);
+}
+
 // ---- nodes on sockets ----
 
 fn network(nodes: usize) -> Network {
@@ -574,7 +669,7 @@
     real.restarted(5);
     let asked = real.load(1.0, 1).await.expect("answers");
     let run = real.run("requests", &SIZE, &before, 1.0).expect("figures");
-    assert!(run.per_node.cpu > 0.0 && run.per_node.memory > 0.0);
+    assert!(run.per_node.cpu > 0.0 && run.per_node.memory.is_some_and(|memory| memory > 0.0));
     let times = request_times(&[asked.clone(), asked.clone()], &[asked]).expect("times").expect("some");
     assert_eq!(times.at_rest, times.under_changes);
     assert!(times.at_rest.p50 > 0.0 && times.at_rest.p50 <= times.at_rest.last);
--- a/crates/rig/tests/scale_fit.rs
+++ b/crates/rig/tests/scale_fit.rs
@@ -101,6 +101,24 @@
     near(error, 100.0 * line.standard_error, 1e-9);
 }
 
+#[test]
+fn a_line_holds_its_residuals_its_bend_and_what_it_says_of_the_target() {
+    let straight = line(&points(&SCATTERED));
+    assert_eq!(straight.residuals, residuals(&straight));
+    assert_eq!(straight.bend, bend(&straight.points));
+    let (figure, error) = projection(&straight, Size::TARGET.nodes as f64).expect("no bend");
+    let there = straight.projection.expect("no bend");
+    assert_eq!((there.at, there.figure, there.standard_error), (6_000.0, figure, error));
+    let bent = line(&points(&CURVED));
+    assert!(bent.bent && bent.bend.is_some_and(|bend| bend.bent && bend.t < -100.0));
+    assert_eq!(bent.projection, None);
+    // An exact curve has no error, and its t is still a number that JSON can hold.
+    let exact: Vec<(f64, f64)> = (0..5).map(f64::from).map(|x| (x, x * x)).collect();
+    let text = serde_json::to_string(&line(&exact)).expect("a text");
+    let read: Slope = serde_json::from_str(&text).expect("a line");
+    assert!(read.bend.is_some_and(|bend| bend.t >= 1e12), "{text}");
+}
+
 #[test]
 fn what_is_printed_of_a_bent_sweep_holds_no_projection() {
     let straight = sweep::text(&line(&points(&SCATTERED)));
@@ -142,6 +160,7 @@
         per_node: PerNode { traffic: vec![traffic("a", bytes), traffic("b", 1.0)], ..PerNode::default() },
         in_force: None,
         requests: None,
+        read_bytes: None,
     }
 }
 
@@ -151,13 +170,14 @@
     let of = |(n, r): (usize, usize)| run(n, r, 10.0 + n as f64 + 2.0 * r as f64 + 0.25 * (n * r) as f64);
     let sizes = [1, 2, 4].into_iter().flat_map(|n| [10, 20, 40].map(|r| (n, r)));
     let runs: Vec<Run> = sizes.map(of).collect();
-    let product = sweep::product(&("bytes", bytes), &runs).expect("enough runs");
-    assert_eq!(product.axes, (Axis::Nodes, Axis::Restarts));
+    let axes = (Axis::Nodes, Axis::Restarts);
+    let product = sweep::product(axes, "bytes", bytes, &runs).expect("enough runs");
+    assert_eq!(product.axes, axes);
     near(product.factors[0], 11.0, 1e-8);
     near(product.factors[3], 0.25, 1e-10);
     assert_eq!(product.points.len(), 9);
     // As many runs as terms leave no error to state.
-    assert!(sweep::product(&("bytes", bytes), &runs[..4]).is_none());
+    assert!(sweep::product(axes, "bytes", bytes, &runs[..4]).is_none());
 }
 
 #[test]
