Scale runs: lines for a report that was written without them

virtual.json has runs of several sizes and no lines: the emulator can't depend on the rig's statistics. 'scale lines FILE' draws them through runs of one name that differ along one axis and writes them into the file; all else in it stays as it is.

--- a/crates/rig/src/scale/command.rs
+++ b/crates/rig/src/scale/command.rs
@@ -3,7 +3,7 @@
 use super::computation::{self, Computation};
 use super::limits::{Deadline, RUN_MOST};
 use super::report::Size;
-use super::{fleet, machine, plot, single, smoke, sweep};
+use super::{fleet, lines, machine, plot, single, smoke, sweep};
 use crate::scripted::Program;
 use crate::Result;
 use std::path::PathBuf;
@@ -29,6 +29,11 @@
         #[arg(long, value_name = "DIR")]
         plots: Option<PathBuf>,
     },
+    /// Adds lines through its runs to a report that was written without them
+    Lines {
+        /// The report
+        file: PathBuf,
+    },
     /// One computation, once, in this process
     #[command(hide = true)]
     Computation {
@@ -157,6 +162,10 @@
         None if args.single.smoke => run_smoke(&args.single.common),
         None => run_single(program, &args.single).await,
         Some(What::Sweep { common, plots }) => run_sweep(common, plots.as_deref()).await,
+        Some(What::Lines { file }) => {
+            lines::add_to(file)?;
+            Ok(true)
+        }
         Some(What::Computation { computation, file }) => {
             println!("{}", serde_json::to_string(&computation::of_file(*computation, file)?)?);
             Ok(true)
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -20,6 +20,7 @@
 //! | [`fleet`] | one fleet of a sweep, in a process of its own |
 //! | [`sweep`] | runs along the axes, and lines through them |
 //! | [`fit`] | least squares, errors and bends |
+//! | [`lines`] | lines through the runs of a report that has none |
 //! | [`plot`] | plots of sweeps |
 //! | [`smoke`] | the short form, in virtual time |
 //! | [`command`] | the command line |
@@ -33,6 +34,7 @@
 pub mod fleet;
 pub mod hollow;
 pub mod limits;
+pub mod lines;
 pub mod lists;
 pub mod machine;
 pub mod network;
--- a/crates/rig/src/scale/sweep.rs
+++ b/crates/rig/src/scale/sweep.rs
@@ -89,10 +89,10 @@
 }
 
 /// A figure of a run that a line is drawn through.
-type Figure = (&'static str, fn(&Run) -> Option<f64>);
+pub type Figure = (&'static str, fn(&Run) -> Option<f64>);
 
 /// The figures of runs with hollow nodes.
-const NETWORK_FIGURES: [Figure; 4] = [
+pub const NETWORK_FIGURES: [Figure; 4] = [
     ("control traffic of a node, in and out, B/s", |run| {
         Some(run.per_node.traffic.iter().map(|t: &Traffic| t.bytes_in + t.bytes_out).sum())
     }),
--- a/crates/rig/tests/scale_fit.rs
+++ b/crates/rig/tests/scale_fit.rs
@@ -2,7 +2,7 @@
 
 use reelfall_rig::scale::fit::{bend, least_squares, projection, residuals, slope, t_bound};
 use reelfall_rig::scale::report::{Axis, Run, Size, Slope, Source};
-use reelfall_rig::scale::{plot, report::PerNode, report::Traffic, sweep};
+use reelfall_rig::scale::{lines, plot, report::PerNode, report::Traffic, sweep};
 
 /// The first two of Anscombe's data sets ("Graphs in Statistical Analysis", 1973): one line, and in the second a curve.
 const X: [f64; 11] = [10.0, 8.0, 13.0, 9.0, 11.0, 14.0, 6.0, 4.0, 12.0, 7.0, 5.0];
@@ -180,6 +180,28 @@
     assert!(sweep::product(axes, "bytes", bytes, &runs[..4]).is_none());
 }
 
+#[test]
+fn a_report_without_lines_is_given_those_of_its_runs_and_nothing_else_changes() {
+    let mut runs: Vec<Run> = [50, 100, 150, 200].map(|n| run(n, 0, 10.0 * n as f64)).to_vec();
+    // These differ along two axes, and those are too few.
+    runs.extend([1, 2, 3, 4].map(|n| Run { name: "both".to_owned(), ..run(n, n, 1.0) }));
+    runs.extend([1, 2].map(|n| Run { name: "few".to_owned(), ..run(n, 0, 1.0) }));
+    let lines = lines::through(&runs);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert_eq!(lines[0].figure, "sweep: control traffic of a node, in and out, B/s");
+    near(lines[0].slope, 10.0, 1e-9);
+    let text = serde_json::json!({
+        "schema": 1, "commit": "0", "seed": 1, "cores": 8, "runs": runs, "slopes": [], "further": { "field": 7 },
+    });
+    let added = lines::added(&text.to_string()).expect("a report");
+    let mut read: serde_json::Value = serde_json::from_str(&added).expect("JSON");
+    let slopes: Vec<Slope> = serde_json::from_value(read["slopes"].clone()).expect("lines");
+    assert_eq!((slopes.len(), slopes[0].bent), (1, false));
+    read["slopes"] = serde_json::json!([]);
+    assert_eq!(read, text);
+    assert!(lines::added(&text.to_string().replace("\"schema\":1", "\"schema\":2")).is_err());
+}
+
 #[test]
 fn no_line_is_drawn_through_too_few_points_or_one_place() {
     assert!(slope(Axis::Nodes, "few", &[(1.0, 1.0), (2.0, 2.0), (3.0, 2.5)]).is_none());
