--- a/crates/rig/src/scale/record.rs
+++ b/crates/rig/src/scale/record.rs
@@ -1,7 +1,7 @@
 //! The JSON file of a run: its report, with what a reader has to know beside the figures.
 
 use super::machine;
-use super::report::{Axis, Report, Run, Slope, Times, Traffic, SCHEMA};
+use super::report::{Axis, Report, Run, Slope, Source, Times, Traffic, SCHEMA};
 use crate::Result;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
@@ -188,14 +188,16 @@
 /// One run as a line.
 fn line(run: &Run) -> String {
     let (size, per_node) = (&run.size, &run.per_node);
-    let mut line = format!(
-        "{} [{:?}] nodes {} servers {}: {:.4} % of a core",
-        run.name,
-        run.source,
-        size.nodes,
-        size.servers,
-        per_node.cpu * 100.0,
-    );
+    let size = if run.source == Source::Computation {
+        format!(
+            "servers {} services {} routes {} tenants {}",
+            size.servers, size.services, size.routes, size.tenants
+        )
+    } else {
+        format!("nodes {} servers {}", size.nodes, size.servers)
+    };
+    let percent = per_node.cpu * 100.0;
+    let mut line = format!("{} [{:?}] {size}: {percent:.4} % of a core", run.name, run.source);
     if let Some(memory) = per_node.memory {
         line += &format!(", {:.2} MiB", memory / f64::from(1 << 20));
     }
--- a/crates/rig/src/scale/sweep.rs
+++ b/crates/rig/src/scale/sweep.rs
@@ -102,12 +102,21 @@
 ];
 /// Of the first window of each fleet: later ones follow it in the same process.
 const NETWORK_MEMORY: Figure = ("memory of a node, B", |run| run.per_node.memory);
-/// The figures of computations. Where one is not measured, no line is drawn.
+/// The figures of computations.
 const COMPUTED_FIGURES: [Figure; 3] = [
     ("processor time, s", |run| Some(run.per_node.cpu)),
     ("most memory of the process, B", |run| run.per_node.memory),
     ("length, B", |run| run.read_bytes.map(|bytes| bytes as f64)),
 ];
+/// The figures of one computation: a list's length is known without measuring, and a change's memory is the list's.
+fn figures(computation: Computation) -> &'static [Figure] {
+    match computation {
+        Computation::Settings => &COMPUTED_FIGURES,
+        Computation::ServerList => &COMPUTED_FIGURES[..2],
+        Computation::ServerChange => &COMPUTED_FIGURES[..1],
+    }
+}
+
 /// Why memory is not told of all windows.
 const MEMORY_TOLD: &str =
     "memory of a node is told of the first window of each fleet alone, as its process has done \
@@ -125,7 +134,7 @@
         let sizes = sweep.sizes.map(|value| sweep.base.with(sweep.axis, value));
         let runs = computed(plan, sweep.computation, &sizes, &mut record).await;
         let of = format!("{}: ", sweep.computation.name());
-        lines(sweep.axis, &runs, &COMPUTED_FIGURES, &of, &mut record);
+        lines(sweep.axis, &runs, figures(sweep.computation), &of, &mut record);
     }
     settings_together(plan, &mut record).await;
     let mut runs = Vec::new();
@@ -221,10 +230,6 @@
     for (name, figure) in figures {
         let point = |run: &Run| Some((run.size.get(axis) as f64, figure(run)?));
         let points: Vec<(f64, f64)> = runs.iter().filter_map(point).collect();
-        if points.is_empty() && !runs.is_empty() {
-            // Not measured here by design.
-            continue;
-        }
         match fit::slope(axis, &format!("{of}{name}"), &points) {
             Some(slope) => record.add_slope(slope),
             None => {
