--- a/crates/rig/src/capacity/mechanism.rs
+++ b/crates/rig/src/capacity/mechanism.rs
@@ -228,7 +228,7 @@
     fn held(&self) -> String {
         let row = |play: &Play| {
             let what = play.name.strip_prefix(HELD)?;
-            let memory = play.per_node.memory;
+            let memory = play.per_node.memory?;
             let verdict = match over(memory, budget::MEMORY) {
                 _ if !what.starts_with("a node") => "no budget".to_owned(),
                 Some(factor) => format!("**does not fit**: {} times over 32 MB", times(factor)),
@@ -271,7 +271,7 @@
             self.commit,
             self.seed,
             plain(greatest(&|play, _| play.per_node.cpu * 100.0)),
-            plain(greatest(&|play, _| play.per_node.memory / 1e6)),
+            plain(greatest(&|play, _| play.per_node.memory.unwrap_or(0.0) / 1e6)),
             plain(greatest(&|_, played| played.control.cpu * 100.0)),
             plain(greatest(&|_, played| (played.control.bytes_in + played.control.bytes_out) / 1e3)),
             plain(greatest(&|_, played| played.control.memory / 1e6)),
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -17,8 +17,10 @@
 //! | [`limits`] | what fits on a machine, and when a run ends |
 //! | [`machine`] | what the system tells of processor time and memory |
 //! | [`single`] | one run at one size |
+//! | [`fleet`] | one fleet of a sweep, in a process of its own |
 //! | [`sweep`] | runs along the axes, and lines through them |
 //! | [`fit`] | least squares, errors and bends |
+//! | [`lines`] | lines through the runs of a report that has none |
 //! | [`plot`] | plots of sweeps |
 //! | [`smoke`] | the short form, in virtual time |
 //! | [`command`] | the command line |
@@ -29,8 +31,10 @@
 pub mod drive;
 pub mod faults;
 pub mod fit;
+pub mod fleet;
 pub mod hollow;
 pub mod limits;
+pub mod lines;
 pub mod lists;
 pub mod machine;
 pub mod network;
--- a/crates/rig/tests/mechanism.rs
+++ b/crates/rig/tests/mechanism.rs
@@ -90,7 +90,8 @@
         let per_node = PerNode { memory, ..PerNode::default() };
         Play { name: format!("{HELD}{name}"), per_node, ..play(None, 0.0) }
     };
-    let runs = vec![holds("a node", 16e6), holds("a node of all", 64e6), holds("a relay", 900e6)];
+    let runs =
+        vec![holds("a node", Some(16e6)), holds("a node of all", Some(64e6)), holds("a relay", Some(900e6))];
     let table = Plays { commit: "abc".to_owned(), seed: 1, runs }.table();
     for row in [
         "| a node | 16 MB | fits |",
--- a/crates/rig/tests/scale_fit.rs
+++ b/crates/rig/tests/scale_fit.rs
@@ -2,7 +2,7 @@
 
 use reelfall_rig::scale::fit::{bend, least_squares, projection, residuals, slope, t_bound};
 use reelfall_rig::scale::report::{Axis, Run, Size, Slope, Source};
-use reelfall_rig::scale::{plot, report::PerNode, report::Traffic, sweep};
+use reelfall_rig::scale::{lines, plot, report::PerNode, report::Traffic, sweep};
 
 /// The first two of Anscombe's data sets ("Graphs in Statistical Analysis", 1973): one line, and in the second a curve.
 const X: [f64; 11] = [10.0, 8.0, 13.0, 9.0, 11.0, 14.0, 6.0, 4.0, 12.0, 7.0, 5.0];
@@ -101,6 +101,24 @@
     near(error, 100.0 * line.standard_error, 1e-9);
 }
 
+#[test]
+fn a_line_holds_its_residuals_its_bend_and_what_it_says_of_the_target() {
+    let straight = line(&points(&SCATTERED));
+    assert_eq!(straight.residuals, residuals(&straight));
+    assert_eq!(straight.bend, bend(&straight.points));
+    let (figure, error) = projection(&straight, Size::TARGET.nodes as f64).expect("no bend");
+    let there = straight.projection.expect("no bend");
+    assert_eq!((there.at, there.figure, there.standard_error), (6_000.0, figure, error));
+    let bent = line(&points(&CURVED));
+    assert!(bent.bent && bent.bend.is_some_and(|bend| bend.bent && bend.t < -100.0));
+    assert_eq!(bent.projection, None);
+    // An exact curve has no error, and its t is still a number that JSON can hold.
+    let exact: Vec<(f64, f64)> = (0..5).map(f64::from).map(|x| (x, x * x)).collect();
+    let text = serde_json::to_string(&line(&exact)).expect("a text");
+    let read: Slope = serde_json::from_str(&text).expect("a line");
+    assert!(read.bend.is_some_and(|bend| bend.t >= 1e12), "{text}");
+}
+
 #[test]
 fn what_is_printed_of_a_bent_sweep_holds_no_projection() {
     let straight = sweep::text(&line(&points(&SCATTERED)));
@@ -142,6 +160,7 @@
         per_node: PerNode { traffic: vec![traffic("a", bytes), traffic("b", 1.0)], ..PerNode::default() },
         in_force: None,
         requests: None,
+        read_bytes: None,
     }
 }
 
@@ -151,13 +170,36 @@
     let of = |(n, r): (usize, usize)| run(n, r, 10.0 + n as f64 + 2.0 * r as f64 + 0.25 * (n * r) as f64);
     let sizes = [1, 2, 4].into_iter().flat_map(|n| [10, 20, 40].map(|r| (n, r)));
     let runs: Vec<Run> = sizes.map(of).collect();
-    let product = sweep::product(&("bytes", bytes), &runs).expect("enough runs");
-    assert_eq!(product.axes, (Axis::Nodes, Axis::Restarts));
+    let axes = (Axis::Nodes, Axis::Restarts);
+    let product = sweep::product(axes, "bytes", bytes, &runs).expect("enough runs");
+    assert_eq!(product.axes, axes);
     near(product.factors[0], 11.0, 1e-8);
     near(product.factors[3], 0.25, 1e-10);
     assert_eq!(product.points.len(), 9);
     // As many runs as terms leave no error to state.
-    assert!(sweep::product(&("bytes", bytes), &runs[..4]).is_none());
+    assert!(sweep::product(axes, "bytes", bytes, &runs[..4]).is_none());
+}
+
+#[test]
+fn a_report_without_lines_is_given_those_of_its_runs_and_nothing_else_changes() {
+    let mut runs: Vec<Run> = [50, 100, 150, 200].map(|n| run(n, 0, 10.0 * n as f64)).to_vec();
+    // These differ along two axes, and those are too few.
+    runs.extend([1, 2, 3, 4].map(|n| Run { name: "both".to_owned(), ..run(n, n, 1.0) }));
+    runs.extend([1, 2].map(|n| Run { name: "few".to_owned(), ..run(n, 0, 1.0) }));
+    let lines = lines::through(&runs);
+    assert_eq!(lines.len(), 1, "{lines:?}");
+    assert_eq!(lines[0].figure, "sweep: control traffic of a node, in and out, B/s");
+    near(lines[0].slope, 10.0, 1e-9);
+    let text = serde_json::json!({
+        "schema": 1, "commit": "0", "seed": 1, "cores": 8, "runs": runs, "slopes": [], "further": { "field": 7 },
+    });
+    let added = lines::added(&text.to_string()).expect("a report");
+    let mut read: serde_json::Value = serde_json::from_str(&added).expect("JSON");
+    let slopes: Vec<Slope> = serde_json::from_value(read["slopes"].clone()).expect("lines");
+    assert_eq!((slopes.len(), slopes[0].bent), (1, false));
+    read["slopes"] = serde_json::json!([]);
+    assert_eq!(read, text);
+    assert!(lines::added(&text.to_string().replace("\"schema\":1", "\"schema\":2")).is_err());
 }
 
 #[test]
