Distribution: who has changes but covers nothing hears of removals

Cause: a holder whose first run ended before it had stored what it covers subscribes with an empty coverage, and its upstream took it for one that has nothing (feed.rs, Subscription::new), so that it was not told which of its keys were gone once the removals were forgotten.

Subscribe says now whether the child has changes; then it gets the list of keys.

--- a/crates/distribution/src/feed.rs
+++ b/crates/distribution/src/feed.rs
@@ -73,7 +73,8 @@
 impl Subscription {
     pub fn new(asked: Subscribe, told: Told, source: Source) -> Subscription {
         // Who has nothing has no removals to hear of.
-        let known = if asked.coverage.is_empty() { source.log.floor() } else { asked.floor };
+        let has_nothing = asked.coverage.is_empty() && !asked.has_changes;
+        let known = if has_nothing { source.log.floor() } else { asked.floor };
         Subscription {
             selector: asked.selector,
             coverage: asked.coverage,
--- a/crates/distribution/src/message.rs
+++ b/crates/distribution/src/message.rs
@@ -105,6 +105,8 @@
     pub coverage: Coverage,
     /// Removals up to here are known to the child.
     pub floor: Version,
+    /// The child has changes of it, whatever it covers: it has to hear of all removals since.
+    pub has_changes: bool,
 }
 
 /// What a frame says.
--- a/crates/distribution/src/replica.rs
+++ b/crates/distribution/src/replica.rs
@@ -51,6 +51,9 @@
         let (coverage, floor) = known.unwrap_or_default();
         upstream.subscribe(Selector::Everything, coverage.clone(), floor);
         let log = std::mem::replace(&mut restored.log, Log::new(crate::log::Room::NODE));
+        if !log.is_empty() {
+            upstream.has_changes(&Selector::Everything);
+        }
         let epoch = restored.epoch.take().filter(|epoch| upstream.admit(epoch).is_ok());
         Replica { upstream, log, epoch, token_heard: 0, current: None, stored: coverage, frames_unstored: 0 }
     }
--- a/crates/distribution/src/session.rs
+++ b/crates/distribution/src/session.rs
@@ -65,6 +65,8 @@
     pub floor: Version,
     /// All of it had come at some time.
     pub complete: bool,
+    /// Changes of it may be here, also where nothing is covered.
+    pub has_changes: bool,
     pub(crate) id: Option<u32>,
     pub(crate) asked: Option<u64>,
 }
@@ -209,7 +211,8 @@
             };
             let id = self.next_id;
             let coverage = held.coverage.cut(SPANS_TOLD);
-            let subscribe = Subscribe { id, selector: selector.clone(), coverage, floor: held.floor };
+            let (floor, has_changes) = (held.floor, held.has_changes);
+            let subscribe = Subscribe { id, selector: selector.clone(), coverage, floor, has_changes };
             bytes += message::written(&subscribe);
             if bytes > room && !list.is_empty() {
                 break;
--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -93,7 +93,8 @@
         let mut upstream = Upstream::new(config.follow.clone(), config.lease.clone(), config.seed, now);
         let stored = restored.covered.keys().cloned().collect();
         for (selector, (coverage, floor)) in restored.covered {
-            upstream.subscribe(selector, coverage, floor);
+            upstream.subscribe(selector.clone(), coverage, floor);
+            tell_changes(&mut upstream, &restored.log, &selector);
         }
         let stored_names = restored.log.changes().map(|change| change.key.name.clone());
         let unchecked = stored_names.chain(restored.in_force.keys().cloned()).collect();
@@ -122,7 +123,8 @@
         if self.upstream.held().count() >= crate::child::SUBSCRIPTIONS_MOST {
             return Err(TooMany);
         }
-        self.upstream.subscribe(selector, Coverage::EMPTY, Version::ZERO);
+        self.upstream.subscribe(selector.clone(), Coverage::EMPTY, Version::ZERO);
+        tell_changes(&mut self.upstream, &self.log, &selector);
         Ok(())
     }
 
@@ -397,3 +399,10 @@
     let (urgency, replaces) = (Urgency::Normal, Version::ZERO);
     Change { key, version, urgency, part: Part::ALL, replaces, content }
 }
+
+/// Lets the upstream know of changes of a subscription that are here already.
+fn tell_changes(upstream: &mut Upstream, log: &Log, selector: &Selector) {
+    if log.keys_after(selector, Version::ZERO).next().is_some() {
+        upstream.has_changes(selector);
+    }
+}
--- a/crates/distribution/src/upstream.rs
+++ b/crates/distribution/src/upstream.rs
@@ -74,7 +74,8 @@
             return;
         }
         let complete = coverage.is_whole();
-        let held = Held { coverage, floor, complete, ..Held::default() };
+        let has_changes = !coverage.is_empty();
+        let held = Held { coverage, floor, complete, has_changes, ..Held::default() };
         self.subscriptions.unasked.insert(selector.clone());
         self.subscriptions.held.insert(selector, held);
     }
@@ -111,6 +112,17 @@
     pub fn cover(&mut self, selector: &Selector, span: Span) {
         if let Some(held) = self.subscriptions.held.get_mut(selector) {
             held.coverage.add(span);
+            held.has_changes = true;
+        }
+    }
+
+    /// Changes of a subscription are here, though none may be covered.
+    ///
+    /// Guards against removals that are never heard of: who ended before it stored what it covers would be taken for one
+    /// that has nothing. Harm: a list of keys where removals were forgotten meanwhile.
+    pub fn has_changes(&mut self, selector: &Selector) {
+        if let Some(held) = self.subscriptions.held.get_mut(selector) {
+            held.has_changes = true;
         }
     }
 
--- a/crates/distribution/tests/any_bytes.rs
+++ b/crates/distribution/tests/any_bytes.rs
@@ -78,7 +78,13 @@
 
 fn subscribe(id: u32, coverage: Coverage) -> Payload {
     let selector = Selector::Everything;
-    Payload::Subscribe(vec![Subscribe { id, selector, coverage, floor: Version::ZERO }])
+    Payload::Subscribe(vec![Subscribe {
+        id,
+        selector,
+        coverage,
+        floor: Version::ZERO,
+        has_changes: id.is_multiple_of(2),
+    }])
 }
 
 fn payloads() -> impl Strategy<Value = Payload> {
--- a/crates/distribution/tests/cases_behind.rs
+++ b/crates/distribution/tests/cases_behind.rs
@@ -5,8 +5,9 @@
 use rand::Rng;
 use reelfall_distribution::coverage::SPANS_MANY;
 use reelfall_distribution::log::Log;
+use reelfall_distribution::output::Record;
 use reelfall_distribution::peer::PeerId;
-use reelfall_distribution::resource::{Draft, Key, Name, Version};
+use reelfall_distribution::resource::{Draft, Key, Name, Selector, Version};
 use reelfall_distribution::Time;
 use std::collections::BTreeMap;
 use world::{claim, Network, World};
@@ -142,6 +143,41 @@
     }
 }
 
+const NODE: u32 = 100;
+
+#[test]
+fn who_ended_before_storing_what_it_covers_hears_of_removals() {
+    let mut world = chain(5);
+    let name = |item: u32| Name::service("a", &format!("r{item}"));
+    publish(&mut world, (0..LISTED_KEYS).map(|item| Draft::put(name(item), b"old")).collect());
+    world.run(30.0);
+    let newcomers = [REGION_RELAY + 1, NODE].map(PeerId);
+    world.relay(REGION_RELAY + 1, &[FIRST_RELAY]);
+    world.node(NODE, &[FIRST_RELAY], &[Selector::Services]);
+    for newcomer in newcomers {
+        while !world.seats[&newcomer].disk.iter().any(|record| matches!(record, Record::Put(_))) {
+            world.run(0.05);
+        }
+        let is_covered = |record: &Record| matches!(record, Record::Covered { .. });
+        assert!(
+            !world.seats[&newcomer].disk.iter().any(is_covered),
+            "{newcomer:?} has stored what it covers"
+        );
+        world.kill(newcomer);
+    }
+    // More removals than anybody keeps.
+    publish(&mut world, (0..LISTED_KEYS - 100).map(|item| Draft::remove(name(item))).collect());
+    world.run(30.0);
+    newcomers.into_iter().for_each(|newcomer| world.start(newcomer));
+    world.run(60.0);
+    let published = contents(world.author_of(AUTHOR).log());
+    assert_eq!(published.len(), 100);
+    assert!(contents(world.relay_of(REGION_RELAY + 1).log()) == published, "the relay has other contents");
+    let node = world.node_of(NODE);
+    let kept = (0..LISTED_KEYS).filter(|item| node.in_force(&name(*item)).is_some()).count();
+    assert_eq!(kept, published.len(), "resources in force at the node");
+}
+
 /// Bodies that take several frames.
 const LONG_BODY: usize = 40_000;
 /// Names that drawn changes are of, so that later ones replace earlier ones.
--- a/crates/distribution/tests/false_peers.rs
+++ b/crates/distribution/tests/false_peers.rs
@@ -274,7 +274,8 @@
     open(&mut relay, 100, 1.0, 7);
     let head = Head { session: 7, up: true, number: 2, acknowledged: 0, stamp_us: 1, echo: None };
     let selector = Selector::service("a");
-    let subscribe = Subscribe { id: 0, selector, coverage: Coverage::EMPTY, floor: Version::ZERO };
+    let subscribe =
+        Subscribe { id: 0, selector, coverage: Coverage::EMPTY, floor: Version::ZERO, has_changes: false };
     let frame = encode(&head, &Payload::Subscribe(vec![subscribe]));
     let mut outputs = Vec::new();
     for now in [1.1, 1.2] {
