--- a/crates/distribution/tests/cases_changes.rs
+++ b/crates/distribution/tests/cases_changes.rs
@@ -7,7 +7,7 @@
 use reelfall_distribution::publish::Refusal;
 use reelfall_distribution::resource::{Draft, Name, Part, Selector, Version};
 use reelfall_distribution::Time;
-use world::{claim, World, BAD_FOR_ODD, CALM};
+use world::{claim, hold, World, BAD_FOR_ODD, CALM};
 
 const NODES: std::ops::Range<u32> = 100..106;
 
@@ -27,13 +27,6 @@
     world
 }
 
-fn hold(world: &mut World, author: u32, token: u64, lasts: Time) {
-    let until = world.seats[&PeerId(author)].clock(world.t + lasts);
-    let held =
-        world.with_author(author, |author, now, outputs| author.hold(now, &claim(token), until, outputs));
-    assert_eq!(held, Some(Ok(())));
-}
-
 fn publish(world: &mut World, author: u32, token: u64, drafts: Vec<Draft>) -> Result<Version, Refusal> {
     world
         .with_author(author, |author, now, outputs| author.publish(now, &claim(token), drafts, outputs))
--- a/crates/distribution/tests/cases_tree.rs
+++ b/crates/distribution/tests/cases_tree.rs
@@ -7,7 +7,7 @@
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::resource::{Draft, Name, Selector, Version};
 use reelfall_distribution::Time;
-use world::{claim, World, CALM};
+use world::{claim, hold, World, CALM};
 
 const NODES: std::ops::Range<u32> = 100..106;
 
@@ -27,13 +27,6 @@
     world
 }
 
-fn hold(world: &mut World, author: u32, token: u64, lasts: Time) {
-    let until = world.seats[&PeerId(author)].clock(world.t + lasts);
-    let held =
-        world.with_author(author, |author, now, outputs| author.hold(now, &claim(token), until, outputs));
-    assert_eq!(held, Some(Ok(())));
-}
-
 fn publish(world: &mut World, token: u64, drafts: Vec<Draft>) -> Version {
     let t = world.t;
     let version =
--- a/crates/distribution/tests/defences.rs
+++ b/crates/distribution/tests/defences.rs
@@ -13,7 +13,7 @@
 use reelfall_distribution::publish::Refusal;
 use reelfall_distribution::resource::{Change, Content, Draft, Name, Part, Selector, Version};
 use reelfall_distribution::Time;
-use world::{claim, lease, World, CALM};
+use world::{claim, hold, lease, World, CALM};
 
 const NODES: std::ops::Range<u32> = 100..104;
 
@@ -45,13 +45,6 @@
     world
 }
 
-fn hold(world: &mut World, author: u32, token: u64, lasts: Time) {
-    let until = world.seats[&PeerId(author)].clock(world.t + lasts);
-    let held =
-        world.with_author(author, |author, now, outputs| author.hold(now, &claim(token), until, outputs));
-    assert_eq!(held, Some(Ok(())));
-}
-
 fn publish(world: &mut World, author: u32, token: u64, drafts: Vec<Draft>) -> Version {
     let t = world.t;
     let version = world
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -30,6 +30,14 @@
     Claim { lease: lease(), token }
 }
 
+/// An author gets the lease with this token, for so many seconds.
+pub fn hold(world: &mut World, author: u32, token: u64, lasts: Time) {
+    let until = world.seats[&PeerId(author)].clock(world.t + lasts);
+    let held =
+        world.with_author(author, |author, now, outputs| author.hold(now, &claim(token), until, outputs));
+    assert_eq!(held, Some(Ok(())));
+}
+
 /// A body that begins so is refused by nodes with an odd number.
 pub const BAD_FOR_ODD: &[u8] = b"bad for odd";
 
