--- a/crates/distribution/tests/cases_behind.rs
+++ b/crates/distribution/tests/cases_behind.rs
@@ -165,8 +165,8 @@
         );
         world.kill(newcomer);
     }
-    // More removals than anybody keeps.
-    publish(&mut world, (0..LISTED_KEYS - 100).map(|item| Draft::remove(name(item))).collect());
+    // More removals than anybody keeps; the first are of the latest keys, which came to the newcomers first.
+    publish(&mut world, (100..LISTED_KEYS).rev().map(|item| Draft::remove(name(item))).collect());
     world.run(30.0);
     newcomers.into_iter().for_each(|newcomer| world.start(newcomer));
     world.run(60.0);
--- a/crates/emulator/src/control/world.rs
+++ b/crates/emulator/src/control/world.rs
@@ -1,8 +1,5 @@
 //! Distribution of configuration in a fleet: authors, relays and nodes over a network, what is published, and when it is
 //! in force at each node.
-//!
-//! Who holds the lease is decided here, not played: the first author that runs and that may be chosen gets the next
-//! token once the lease of the one before is over. How leases are granted is `reelfall_lease`'s matter.
 
 mod lease;
 
--- a/crates/emulator/src/control/world/lease.rs
+++ b/crates/emulator/src/control/world/lease.rs
@@ -1,5 +1,5 @@
-//! Who holds the lease: the first author that runs and that may be chosen gets the next token once the lease of the one
-//! before is over.
+//! Who holds the lease. That is decided here, not played: the first author that runs and that may be chosen gets the next
+//! token once the lease of the one before is over. How leases are granted is `reelfall_lease`'s matter.
 
 use super::World;
 use reelfall_distribution::author::Author;
--- a/crates/emulator/tests/distribution.rs
+++ b/crates/emulator/tests/distribution.rs
@@ -5,11 +5,11 @@
 use reelfall_emulator::control::check::{agrees, BUDGET};
 use reelfall_emulator::control::contents::Resource;
 use reelfall_emulator::control::holdings::Holdings;
-use reelfall_emulator::control::layout::{Layout, Sizes};
+use reelfall_emulator::control::layout::{Layout, Sizes, TAKEOVER};
 use reelfall_emulator::control::machine::Machine;
 use reelfall_emulator::control::plays::{self, JudgedBy, Outcome};
 use reelfall_emulator::control::topology::Scope;
-use reelfall_emulator::control::world::{links, Ages, World};
+use reelfall_emulator::control::world::{links, Ages, World, LEASE_LASTS};
 
 /// A change is in force within so many seconds, as is demanded.
 const IN_FORCE: f64 = 15.0;
@@ -230,3 +230,14 @@
     assert_eq!(holdings.node(5).resources(), 5 + 5 + 4 + 5);
     assert_eq!(holdings.node_of_all_services().resources(), 54);
 }
+
+/// After the loss of the author: its lease, the takeover, and relays that are refused once and try two authors that are dead.
+#[test]
+fn a_lease_and_a_takeover_leave_time_for_the_way_of_a_change() {
+    const ROUND_TRIPS: f64 = 1.0;
+    let relay = FollowRules::relay(Vec::new());
+    let way = relay.spread + 2.0 * relay.answer + ROUND_TRIPS;
+    let until_in_force = LEASE_LASTS + TAKEOVER + way;
+    assert!(until_in_force <= IN_FORCE, "{until_in_force} s");
+    assert!(TAKEOVER > relay.answer, "one first relay that is dead takes all of the takeover");
+}
