--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -3,8 +3,7 @@
 use crate::operate;
 use clap::{Args, Parser, Subcommand};
 use reelfall_conf::Plan;
-use reelfall_operations::call::Call;
-use reelfall_operations::fleet::FleetCall;
+use reelfall_operations::request::{FleetRequest, ManagementRequest};
 use reelfall_routes::table::{ListenerId, Match, Query};
 use reelfall_routes::target;
 use std::ffi::OsString;
@@ -51,7 +50,7 @@
     /// Ask or tell all nodes of a fleet, by way of one of them
     Fleet {
         #[command(subcommand)]
-        call: FleetCommand,
+        command: FleetCommand,
     },
     /// Say what is wrong with a settings file
     Check {
@@ -131,16 +130,16 @@
 }
 
 impl FleetCommand {
-    /// The call, and where it goes.
-    fn parted(self) -> (FleetCall, At) {
+    /// The request, and where it goes.
+    fn into_request(self) -> (FleetRequest, At) {
         match self {
-            FleetCommand::Members(at) => (FleetCall::Members, at),
-            FleetCommand::Verdicts(at) => (FleetCall::Verdicts, at),
-            FleetCommand::Explain { server, at } => (FleetCall::Explain(server), at),
-            FleetCommand::Ban { server, seconds, by, at } => (FleetCall::Ban { server, seconds, by }, at),
-            FleetCommand::Lift { server, by, at } => (FleetCall::Lift { server, by }, at),
-            FleetCommand::Leases(at) => (FleetCall::Leases, at),
-            FleetCommand::Release { lease, why, at } => (FleetCall::Release { lease, why }, at),
+            FleetCommand::Members(at) => (FleetRequest::Members, at),
+            FleetCommand::Verdicts(at) => (FleetRequest::Verdicts, at),
+            FleetCommand::Explain { server, at } => (FleetRequest::Explain(server), at),
+            FleetCommand::Ban { server, seconds, by, at } => (FleetRequest::Ban { server, seconds, by }, at),
+            FleetCommand::Lift { server, by, at } => (FleetRequest::Lift { server, by }, at),
+            FleetCommand::Leases(at) => (FleetRequest::Leases, at),
+            FleetCommand::Release { lease, why, at } => (FleetRequest::Release { lease, reason: why }, at),
         }
     }
 }
@@ -168,14 +167,18 @@
         Command::Run { config: Some(path) } => {
             crate::standalone::run(&path).map_err(|e| format!("{e}\nreelfall: not started"))
         }
-        Command::Ready(at) => return operate::run(at.management, &Call::Ready),
-        Command::Disable { server, at } => return operate::run(at.management, &Call::Disable(server)),
-        Command::Enable { server, at } => return operate::run(at.management, &Call::Enable(server)),
-        Command::Drain(at) => return operate::run(at.management, &Call::Drain),
-        Command::Resume(at) => return operate::run(at.management, &Call::Resume),
-        Command::Fleet { call } => {
-            let (call, at) = call.parted();
-            return operate::run(at.management, &Call::Fleet(call));
+        Command::Ready(at) => return operate::run(at.management, &ManagementRequest::Ready),
+        Command::Disable { server, at } => {
+            return operate::run(at.management, &ManagementRequest::Disable(server));
+        }
+        Command::Enable { server, at } => {
+            return operate::run(at.management, &ManagementRequest::Enable(server));
+        }
+        Command::Drain(at) => return operate::run(at.management, &ManagementRequest::Drain),
+        Command::Resume(at) => return operate::run(at.management, &ManagementRequest::Resume),
+        Command::Fleet { command } => {
+            let (request, at) = command.into_request();
+            return operate::run(at.management, &ManagementRequest::Fleet(request));
         }
         Command::Check { file } => check(&file),
         Command::Routes { file, host, path, method, class, listener } => {
--- a/crates/node/src/fleet/admin.rs
+++ b/crates/node/src/fleet/admin.rs
@@ -7,23 +7,23 @@
 use reelfall_fleet::fleet::Fleet;
 use reelfall_fleet::table::HeldEntry;
 use reelfall_fleet::Time;
-use reelfall_operations::fleet::FleetCall;
+use reelfall_operations::request::FleetRequest;
 use std::collections::BTreeMap;
 
 impl FleetRuntime {
-    /// Handles an admin call.
-    pub fn handle_call(&self, call: &FleetCall) -> (StatusCode, String) {
+    /// Handles a management request.
+    pub fn handle_request(&self, request: &FleetRequest) -> (StatusCode, String) {
         let now = self.clock.now();
-        match call {
-            FleetCall::Members => (StatusCode::OK, self.report_members(now)),
-            FleetCall::Verdicts => {
+        match request {
+            FleetRequest::Members => (StatusCode::OK, self.report_members(now)),
+            FleetRequest::Verdicts => {
                 (StatusCode::OK, report_entries(&self.fleet.borrow(), &self.lists.borrow(), now))
             }
-            FleetCall::Explain(server) => (StatusCode::OK, self.explain(server, now)),
+            FleetRequest::Explain(server) => (StatusCode::OK, self.explain(server, now)),
             // Handled by the leases.
-            FleetCall::Leases | FleetCall::Release { .. } => (StatusCode::NOT_FOUND, String::new()),
-            FleetCall::Ban { server, seconds, by } => self.ban(now, server, *seconds, by),
-            FleetCall::Lift { server, by } => self.lift(now, server, by),
+            FleetRequest::Leases | FleetRequest::Release { .. } => (StatusCode::NOT_FOUND, String::new()),
+            FleetRequest::Ban { server, seconds, by } => self.ban(now, server, *seconds, by),
+            FleetRequest::Lift { server, by } => self.lift(now, server, by),
         }
     }
 
--- a/crates/node/src/net/pool/list.rs
+++ b/crates/node/src/net/pool/list.rs
@@ -132,9 +132,9 @@
         let names = self.names.borrow();
         let Some(name) = names.servers.name(entry.server) else { return };
         entry.sharers *= self.shared.processes();
-        let view = self.shared.banned(name, entry.ready_at);
-        entry.ready_at = view.ready_at;
-        if view.out && entry.state == ServerState::Up {
+        let status = self.shared.ban_status(name, entry.ready_at);
+        entry.ready_at = status.ready_at;
+        if status.is_banned && entry.state == ServerState::Up {
             entry.state = ServerState::Draining;
         }
     }
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -13,7 +13,7 @@
 
 use super::{Bounds, Log};
 use reelfall_core::interface::Time;
-use reelfall_operations::ban::{Bans, View as Banned};
+use reelfall_operations::ban::{BanStatus, Bans};
 use reelfall_operations::ledger::Ledger;
 use reelfall_routes::common::{Common, Line, View};
 use reelfall_routes::limits::{Limits, Totals};
@@ -74,9 +74,9 @@
     listed: Rc<ListedServers>,
     pools: RefCell<HashMap<PoolId, Weak<dyn Peer>>>,
     next_pool: Cell<PoolId>,
-    /// What operators have said.
+    /// The bans and the drain that operators have ordered here.
     operations: RefCell<Ledger>,
-    /// Servers that any node of the fleet was told to send out.
+    /// Servers that are banned in the whole fleet.
     fleet_bans: RefCell<Bans>,
     /// The fleet, if the node is part of one.
     observer: RefCell<Option<Rc<dyn FleetObserver>>>,
@@ -145,18 +145,18 @@
         }
     }
 
-    // ---- what operators have said ----
+    // ---- bans and drains ----
 
-    /// What is in force of the operators' word.
+    /// The bans and the drain that hold at this node.
     pub fn operations(&self) -> Ledger {
         self.operations.borrow().clone()
     }
 
-    /// Puts the operators' word in force in all pools.
+    /// Applies bans and drains to all pools.
     pub fn apply_operations(&self, new: Ledger) {
         let old = self.operations.replace(new.clone());
         let pools = self.peers();
-        for name in old.bans.differ(&new.bans) {
+        for name in old.bans.changed_servers(&new.bans) {
             pools.iter().for_each(|p| p.clone().operators_changed(&name));
         }
         if old.drain != new.drain {
@@ -164,21 +164,21 @@
         }
     }
 
-    /// What operators have made of a server, and of its start as its list tells it: at this node, or at any of the fleet.
-    pub fn banned(&self, name: &str, ready_at: Time) -> Banned {
-        let here = self.operations.borrow().bans.view(name, ready_at);
-        let fleet = self.fleet_bans.borrow().view(name, here.ready_at);
-        Banned { out: here.out || fleet.out, ready_at: fleet.ready_at }
+    /// Whether a server is banned, at this node or by its fleet, and when it counts as started if its list says `ready_at`.
+    pub fn ban_status(&self, name: &str, ready_at: Time) -> BanStatus {
+        let here = self.operations.borrow().bans.status(name, ready_at);
+        let fleet = self.fleet_bans.borrow().status(name, here.ready_at);
+        BanStatus { is_banned: here.is_banned || fleet.is_banned, ready_at: fleet.ready_at }
     }
 
     /// Whether the node is being emptied.
     pub fn draining(&self) -> bool {
-        self.operations.borrow().drain.is_on()
+        self.operations.borrow().drain.is_active()
     }
 
     /// When a connection that has been idle since then has to go, if the node is being emptied.
     pub fn idle_until(&self, since: Instant) -> Option<Instant> {
-        let until = self.operations.borrow().drain.idle_until(self.clock.time(since));
+        let until = self.operations.borrow().drain.idle_deadline(self.clock.time(since));
         until.map(|until| self.clock.instant(until))
     }
 
@@ -211,9 +211,9 @@
         self.freed();
     }
 
-    /// Whether some list has named a server, now or lately, or operators have it out.
+    /// Whether some list has named a server, now or lately, or it is banned.
     pub fn knows(&self, name: &str) -> bool {
-        self.operations.borrow().bans.is_out(name) || self.peers().iter().any(|p| p.knows(name))
+        self.operations.borrow().bans.is_banned(name) || self.peers().iter().any(|p| p.knows(name))
     }
 
     fn peers(&self) -> Vec<Rc<dyn Peer>> {
--- a/crates/node/src/net/shared/fleet.rs
+++ b/crates/node/src/net/shared/fleet.rs
@@ -38,24 +38,23 @@
 }
 
 impl Shared {
-    /// The servers that nodes of the fleet were told to send out, all of them. Each that is new, or no longer there, holds
-    /// or is back in all pools when this returns.
-    pub fn banned_by_fleet(&self, out: &BTreeSet<String>) {
+    /// Sets the servers that are banned in the whole fleet. What has changed holds in all pools when this returns.
+    pub fn banned_by_fleet(&self, banned: &BTreeSet<String>) {
         let now = self.clock.now();
         let old = self.fleet_bans.borrow().clone();
         let mut new = old.clone();
-        for name in old.out().filter(|(name, _)| !out.contains(*name)) {
+        for name in old.banned().filter(|(name, _)| !banned.contains(*name)) {
             new.enable(name.0, now);
         }
-        for name in out {
-            if let Err(full) = new.disable(name, now) {
-                self.log.say(format_args!("fleet: {full}"));
+        for name in banned {
+            if let Err(error) = new.disable(name, now) {
+                self.log.say(format_args!("fleet: {error}"));
             }
         }
-        let differ = old.differ(&new);
+        let changed = old.changed_servers(&new);
         self.fleet_bans.replace(new);
         let pools = self.peers();
-        for name in differ {
+        for name in changed {
             pools.iter().for_each(|p| p.clone().operators_changed(&name));
         }
     }
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -1,14 +1,13 @@
 //! Taking over from a process that serves, over a Unix socket: listening sockets, what was learned, and clients.
 //!
-//! Who does what when is decided in [`reelfall_operations::takeover`].
+//! [`reelfall_operations::succession`] decides which of the two accepts, and who has the clients.
 
 use super::front::{Front, Handover, HandoverState};
 use super::shared::Shared;
 use super::task::AbortOnDrop;
 use bytes::{Buf, BytesMut};
-use reelfall_operations::takeover::{
-    Elder as Predecessor, Frame, Heir as Successor, DESCRIPTORS_MOST, VERSION,
-};
+use reelfall_operations::succession::{Predecessor, Successor};
+use reelfall_operations::takeover::{Frame, DESCRIPTORS_MOST, PROTOCOL_VERSION};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -26,17 +25,17 @@
 use tokio::sync::{mpsc, Notify};
 use tokio::time::timeout;
 
-/// How long a new process waits for what the old one gives, before it binds the address itself.
-const GIVEN_WITHIN: Duration = Duration::from_millis(800);
+/// How long a new process waits for the snapshot of the old one, before it binds the address itself.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
 /// How long the other side of an exchange may take for one frame that is on its way.
-const FRAME_WITHIN: Duration = Duration::from_secs(2);
-/// Bytes that one read brings.
-const READ: usize = 16 << 10;
+const FRAME_TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of bytes of one read.
+const READ_LEN: usize = 16 << 10;
 
 /// The exchange between two processes of one node.
 struct Exchange {
     stream: UnixStream,
-    held: BytesMut,
+    buffer: BytesMut,
     descriptors: VecDeque<OwnedFd>,
 }
 
@@ -47,11 +46,11 @@
         if stream.peer_cred()?.uid() != rustix::process::geteuid().as_raw() {
             return Err(io::Error::other("the process on the other side has another user"));
         }
-        Ok(Exchange { stream, held: BytesMut::new(), descriptors: VecDeque::new() })
+        Ok(Exchange { stream, buffer: BytesMut::new(), descriptors: VecDeque::new() })
     }
 
     async fn send(&self, frame: &Frame, descriptors: &[BorrowedFd<'_>]) -> io::Result<()> {
-        let bytes = frame.bytes()?;
+        let bytes = frame.encode()?;
         let mut sent = 0;
         let write = async {
             while sent < bytes.len() {
@@ -61,25 +60,25 @@
             }
             Ok(())
         };
-        timeout(FRAME_WITHIN, write).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+        timeout(FRAME_TIMEOUT, write).await.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
     }
 
     /// The next frame and its descriptors; may be dropped and called again.
     async fn receive(&mut self) -> io::Result<(Frame, Vec<OwnedFd>)> {
         loop {
-            if let Some((frame, length)) = Frame::read(&self.held)? {
-                let n = frame.descriptors();
+            if let Some((frame, length)) = Frame::decode(&self.buffer)? {
+                let n = frame.descriptor_count();
                 if self.descriptors.len() < n {
                     return Err(io::Error::other("a frame without its descriptors"));
                 }
-                self.held.advance(length);
+                self.buffer.advance(length);
                 return Ok((frame, self.descriptors.drain(..n).collect()));
             }
             if self.descriptors.len() > 2 * DESCRIPTORS_MOST {
                 return Err(io::Error::other("descriptors without frames"));
             }
-            let (held, descriptors, stream) = (&mut self.held, &mut self.descriptors, &self.stream);
-            let n = stream.async_io(Interest::READABLE, || read(stream, held, descriptors)).await?;
+            let (buffer, descriptors, stream) = (&mut self.buffer, &mut self.descriptors, &self.stream);
+            let n = stream.async_io(Interest::READABLE, || read(stream, buffer, descriptors)).await?;
             if n == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
@@ -96,10 +95,12 @@
     Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut control, SendFlags::DONTWAIT | SendFlags::NOSIGNAL)?)
 }
 
-fn read(stream: &UnixStream, held: &mut BytesMut, descriptors: &mut VecDeque<OwnedFd>) -> io::Result<usize> {
+fn read(
+    stream: &UnixStream, buffer: &mut BytesMut, descriptors: &mut VecDeque<OwnedFd>,
+) -> io::Result<usize> {
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(DESCRIPTORS_MOST))];
     let mut control = RecvAncillaryBuffer::new(&mut space);
-    let mut bytes = [0; READ];
+    let mut bytes = [0; READ_LEN];
     let flags = RecvFlags::DONTWAIT | RecvFlags::CMSG_CLOEXEC;
     let got = recvmsg(stream, &mut [IoSliceMut::new(&mut bytes)], &mut control, flags)?;
     for message in control.drain() {
@@ -107,11 +108,11 @@
             descriptors.extend(rights);
         }
     }
-    held.extend_from_slice(bytes.get(..got.bytes).unwrap_or_default());
+    buffer.extend_from_slice(bytes.get(..got.bytes).unwrap_or_default());
     Ok(got.bytes)
 }
 
-/// Where the processes of a node meet.
+/// The Unix socket at which the processes of a node meet.
 pub struct HandoverSocket {
     folder: PathBuf,
     name: String,
@@ -136,7 +137,7 @@
         Ok((PathBuf::from(format!("/proc/self/fd/{descriptor}")).join(file), folder))
     }
 
-    /// Listens for a process that takes over. What an earlier life has left is replaced, never found missing in between.
+    /// Listens for a process that takes over. The socket of an earlier run is replaced, never missing in between.
     fn listen(&self) -> io::Result<UnixListener> {
         let ((fresh, _folder), (path, _same)) = (self.path("takeover.new")?, self.path("takeover")?);
         let _ = std::fs::remove_file(&fresh);
@@ -148,18 +149,18 @@
     /// Asks the process that serves for what it has. `None` if there is none, or nothing comes of it.
     pub async fn request_snapshot(&self, shared: &Shared) -> Option<Snapshot> {
         let (path, _folder) = self.path("takeover").ok()?;
-        let asked = timeout(GIVEN_WITHIN, async {
+        let request = timeout(SNAPSHOT_TIMEOUT, async {
             let mut exchange = Exchange::new(UnixStream::connect(path).await?)?;
-            exchange.send(&Frame::Hello { version: VERSION }, &[]).await?;
+            exchange.send(&Frame::Hello { version: PROTOCOL_VERSION }, &[]).await?;
             match exchange.receive().await? {
-                (Frame::Give { listeners, learned }, descriptors) => {
+                (Frame::Snapshot { listeners, learned }, descriptors) => {
                     let listeners = listeners.into_iter().zip(descriptors).collect();
                     Ok(Snapshot { listeners, learned, exchange })
                 }
                 _ => Err(io::Error::other("it gives nothing")),
             }
         });
-        match asked.await {
+        match request.await {
             Ok(Ok(snapshot)) => Some(snapshot),
             Ok(Err(e)) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => {
                 None
@@ -178,7 +179,7 @@
     }
 }
 
-/// What the old process gave.
+/// What the old process handed over.
 pub struct Snapshot {
     listeners: Vec<(String, OwnedFd)>,
     learned: Vec<(String, serde_json::Value)>,
@@ -214,16 +215,16 @@
 }
 
 impl Takeover {
-    /// The succession in force on a front; `place` is where the processes of the node meet, if they can.
+    /// The state of a process that has a predecessor or not; the processes of the node meet at `socket`, if they can.
     pub fn new(
         shared: Rc<Shared>, socket: Option<HandoverSocket>, has_predecessor: bool,
         collect_learned: CollectLearned,
     ) -> Rc<Self> {
         let mut successor = Successor::default();
         if has_predecessor {
-            successor.given();
+            successor.handle_snapshot();
         }
-        shared.set_processes(successor.processes());
+        shared.set_processes(successor.process_count());
         let (predecessor, successor) = (RefCell::default(), Cell::new(successor));
         Rc::new(Takeover {
             socket,
@@ -249,28 +250,28 @@
     /// This process can serve: it accepts, tells the old one, accepts its clients, and listens for its own successor.
     pub async fn serve(self: Rc<Self>, front: Rc<Front>, snapshot: Option<Snapshot>) {
         let mut successor = self.successor.get();
-        successor.ready();
+        successor.set_ready();
         self.successor.set(successor);
         front.notify_handover_changed();
         let _listening = self.listen_for_successor(&front);
         let mut exchange = snapshot.map(|snapshot| snapshot.exchange);
-        let told = match &exchange {
+        let announced = match &exchange {
             Some(exchange) => exchange.send(&Frame::Serving, &[]).await.is_ok(),
             None => false,
         };
         // Whoever is told yes ends the old process: it has to have heard before.
         self.serving.set(true);
         if let Some(exchange) = &mut exchange {
-            if told {
+            if announced {
                 while let Ok((frame, descriptors)) = exchange.receive().await {
                     let Frame::Client { listener } = frame else { break };
                     descriptors.into_iter().for_each(|d| front.accept_handover(d.into(), &listener));
                 }
             }
             let mut successor = self.successor.get();
-            successor.alone();
+            successor.handle_predecessor_gone();
             self.successor.set(successor);
-            self.shared.set_processes(successor.processes());
+            self.shared.set_processes(successor.process_count());
             self.predecessor_gone.notify_one();
         }
         std::future::pending().await
@@ -304,18 +305,18 @@
     /// Serves a process that wants to take over, to the end of either.
     async fn serve_successor(&self, stream: UnixStream, front: &Rc<Front>) {
         let Ok(mut exchange) = Exchange::new(stream) else { return };
-        let Ok(Ok((Frame::Hello { version }, _))) = timeout(FRAME_WITHIN, exchange.receive()).await else {
+        let Ok(Ok((Frame::Hello { version }, _))) = timeout(FRAME_TIMEOUT, exchange.receive()).await else {
             return;
         };
-        if !self.predecessor.borrow_mut().hello(version) {
+        if !self.predecessor.borrow_mut().handle_hello(version) {
             let _ = exchange.send(&Frame::Busy, &[]).await;
             return;
         }
         let ended = self.hand_over(&mut exchange, front).await;
         self.shared.log.say(format_args!("the process that takes over: {ended}"));
         front.hand_over_to(None);
-        self.update_predecessor(front, Predecessor::lost);
-        self.shared.set_processes(self.successor.get().processes());
+        self.update_predecessor(front, Predecessor::handle_successor_lost);
+        self.shared.set_processes(self.successor.get().process_count());
     }
 
     /// Hands over all there is; comes back only when the successor is lost.
@@ -324,8 +325,8 @@
         let (names, listeners): (Vec<String>, Vec<_>) =
             listening.iter().map(|l| (l.name().to_owned(), l.as_fd())).unzip();
         self.shared.set_processes(2);
-        let give = Frame::Give { listeners: names, learned: (self.collect_learned)() };
-        if let Err(e) = exchange.send(&give, &listeners).await {
+        let snapshot = Frame::Snapshot { listeners: names, learned: (self.collect_learned)() };
+        if let Err(e) = exchange.send(&snapshot, &listeners).await {
             return e;
         }
         match exchange.receive().await {
@@ -335,7 +336,7 @@
         }
         let (sender, mut handovers) = mpsc::unbounded_channel::<Handover>();
         front.hand_over_to(Some(sender));
-        self.update_predecessor(front, Predecessor::serving);
+        self.update_predecessor(front, Predecessor::handle_serving);
         let ended = loop {
             let next = tokio::select! {
                 ended = exchange.receive() => break ended.err().unwrap_or(io::Error::other("it talks nonsense")),
@@ -360,11 +361,11 @@
     }
 
     fn shares_listeners(&self) -> bool {
-        self.predecessor.borrow().shares()
+        self.predecessor.borrow().shares_listeners()
     }
 
     fn hands_over(&self) -> bool {
-        self.predecessor.borrow().passes()
+        self.predecessor.borrow().hands_over()
     }
 
     fn terminate(&self) {
@@ -372,14 +373,14 @@
     }
 
     fn end_accept_grace(&self) {
-        self.predecessor.borrow_mut().late();
+        self.predecessor.borrow_mut().end_accept_grace();
     }
 }
 
-async fn send_client(exchange: &Exchange, handovers: Handover) -> io::Result<()> {
-    let Handover { stream, listener, done } = handovers;
+async fn send_client(exchange: &Exchange, handover: Handover) -> io::Result<()> {
+    let Handover { stream, listener, done } = handover;
     let sent = exchange.send(&Frame::Client { listener }, &[stream.as_fd()]).await;
-    // Whoever waits for the word may have ended meanwhile.
+    // Whoever waits for the result may have ended meanwhile.
     let _ = done.send(if sent.is_ok() { Ok(()) } else { Err(stream) });
     sent
 }
--- a/crates/node/src/operate.rs
+++ b/crates/node/src/operate.rs
@@ -1,27 +1,27 @@
-//! Operators' calls from the command line.
+//! The client of the management address, for the command line.
 
-use reelfall_operations::call::Call;
+use reelfall_operations::request::ManagementRequest;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::ExitCode;
 use std::time::Duration;
 
-/// Whatever the load, a node answers a call within a second.
-const WITHIN: Duration = Duration::from_secs(2);
-/// Largest answer that is read.
+/// Timeout for connecting, writing and reading. Whatever the load, a node answers within a second.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Maximum number of bytes of an answer that are read.
 const ANSWER_MOST: u64 = 16 << 10;
-/// The exit code where nobody answers, as in `sysexits.h`.
+/// The exit code if nobody answers, as in `sysexits.h`.
 const UNAVAILABLE: u8 = 69;
 
-/// Makes a call and says what came of it: 0 for yes, 1 for no, 69 where nobody answers.
-pub fn run(management: SocketAddr, call: &Call) -> ExitCode {
-    match ask(management, call) {
-        Ok((status, said)) if (200..300).contains(&status) => {
-            print!("{said}");
+/// Sends a request and prints the answer. The exit code is 0 for success, 1 for an error, 69 if nobody answers.
+pub fn run(management: SocketAddr, request: &ManagementRequest) -> ExitCode {
+    match send(management, request) {
+        Ok((status, text)) if (200..300).contains(&status) => {
+            print!("{text}");
             ExitCode::SUCCESS
         }
-        Ok((status, said)) => {
-            eprint!("{status}: {said}");
+        Ok((status, text)) => {
+            eprint!("{status}: {text}");
             ExitCode::FAILURE
         }
         Err(e) => {
@@ -31,23 +31,23 @@
     }
 }
 
-fn ask(management: SocketAddr, call: &Call) -> io::Result<(u16, String)> {
-    let mut stream = TcpStream::connect_timeout(&management, WITHIN)?;
-    stream.set_read_timeout(Some(WITHIN))?;
-    stream.set_write_timeout(Some(WITHIN))?;
-    let (method, path) = call.line();
-    let text = format!("{method} {path} HTTP/1.1\r\nhost: {management}\r\nconnection: close\r\n\r\n");
-    stream.write_all(text.as_bytes())?;
+fn send(management: SocketAddr, request: &ManagementRequest) -> io::Result<(u16, String)> {
+    let mut stream = TcpStream::connect_timeout(&management, TIMEOUT)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    stream.set_write_timeout(Some(TIMEOUT))?;
+    let (method, path) = request.method_and_path();
+    let head = format!("{method} {path} HTTP/1.1\r\nhost: {management}\r\nconnection: close\r\n\r\n");
+    stream.write_all(head.as_bytes())?;
     let mut answer = Vec::new();
     stream.take(ANSWER_MOST).read_to_end(&mut answer)?;
     let mut headers = [httparse::EMPTY_HEADER; 32];
     let mut response = httparse::Response::new(&mut headers);
-    let none = || io::Error::new(io::ErrorKind::InvalidData, "what came is no answer of a node");
+    let invalid = || io::Error::new(io::ErrorKind::InvalidData, "what came is no answer of a node");
     match response.parse(&answer) {
-        Ok(httparse::Status::Complete(head)) => {
-            let said = String::from_utf8_lossy(answer.get(head..).unwrap_or_default()).into_owned();
-            Ok((response.code.ok_or_else(none)?, said))
+        Ok(httparse::Status::Complete(head_len)) => {
+            let text = String::from_utf8_lossy(answer.get(head_len..).unwrap_or_default()).into_owned();
+            Ok((response.code.ok_or_else(invalid)?, text))
         }
-        _ => Err(none()),
+        _ => Err(invalid()),
     }
 }
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -14,7 +14,7 @@
 use reelfall_conf::model::{self, NodeEntry};
 use reelfall_conf::Plan;
 use reelfall_membership::own;
-use reelfall_operations::fleet::FleetCall;
+use reelfall_operations::request::FleetRequest;
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
 use std::collections::HashMap;
@@ -136,8 +136,8 @@
     Ok(())
 }
 
-/// Answers operators' calls. Like the fleet it is from the start of the process to its end:
-/// what a reload says of them holds from the next start.
+/// Serves the management address. Like the fleet it is there from the start of the process to its end:
+/// what a reload says of it holds from the next start.
 fn manage(
     node: &Rc<Node>, settings: &model::Management, fleet: Option<&model::Fleet>,
     listener: std::net::TcpListener, together: Option<&Rc<FleetRuntime>>, leases: Option<Rc<Leases>>,
@@ -146,9 +146,9 @@
     let name = fleet.map_or("node", |fleet| &fleet.node);
     let serving = node.clone();
     let ready = Box::new(move || serving.services.are_ready());
-    let handler = together
-        .cloned()
-        .map(|t| Box::new(move |call: &_| handle_fleet_call(&t, leases.as_deref(), call)) as FleetHandler);
+    let handler = together.cloned().map(|t| {
+        Box::new(move |request: &_| handle_fleet_request(&t, leases.as_deref(), request)) as FleetHandler
+    });
     let folder = settings.folder.as_deref();
     let answering = Management::new(node.shared.clone(), folder, &plain(name), ready, handler);
     tokio::task::spawn_local(answering.clone().accept(listener));
@@ -159,17 +159,17 @@
     Ok(())
 }
 
-/// Answers a call that concerns the fleet.
-fn handle_fleet_call(
-    together: &FleetRuntime, leases: Option<&Leases>, call: &FleetCall,
+/// Answers a management request that concerns the fleet.
+fn handle_fleet_request(
+    together: &FleetRuntime, leases: Option<&Leases>, request: &FleetRequest,
 ) -> (StatusCode, String) {
-    match (call, leases) {
-        (FleetCall::Leases, Some(leases)) => leases.report(),
-        (FleetCall::Release { lease, why }, Some(leases)) => leases.release(lease, why),
-        (FleetCall::Leases | FleetCall::Release { .. }, None) => {
+    match (request, leases) {
+        (FleetRequest::Leases, Some(leases)) => leases.report(),
+        (FleetRequest::Release { lease, reason }, Some(leases)) => leases.release(lease, reason),
+        (FleetRequest::Leases | FleetRequest::Release { .. }, None) => {
             (StatusCode::NOT_FOUND, "this node has no [fleet.leases]\n".to_owned())
         }
-        (call, _) => together.handle_call(call),
+        (request, _) => together.handle_request(request),
     }
 }
 
--- a/crates/operations/src/ban.rs
+++ b/crates/operations/src/ban.rs
@@ -1,133 +1,136 @@
-//! Servers out by hand.
+//! Servers that operators have banned.
 //!
-//! A ban is a fact of its own, beside what a list says of a server and what the decision module holds of it: neither can
-//! end it. It names a server, not an address, and stays when the list drops the server, renews it or moves it.
+//! A ban is independent of what a list says of a server and of what the decision module holds of it: neither can end it.
+//! It names a server, not an address, and stays when the list drops the server, renews it or moves it.
 //!
 //! | state of a name | owner | ends |
 //! | --- | --- | --- |
-//! | out | [`Bans`] | with the call back |
-//! | back | [`Bans`] | when a list tells of a later start, or [`BACK_MOST`] others came back after it |
+//! | banned | [`Bans`] | when the ban is lifted |
+//! | lifted | [`Bans`] | when a list reports a later start, or [`BACK_MOST`] other bans were lifted after it |
 
 use crate::Time;
 use std::collections::{BTreeMap, VecDeque};
 use thiserror::Error;
 
-/// Most servers that can be out at once.
+/// Maximum number of servers that can be banned at once.
 pub const OUT_MOST: usize = 4096;
-/// Of how many that came back something is kept.
+/// Maximum number of lifted bans that are remembered.
 pub const BACK_MOST: usize = 1024;
 
-/// There can't be more bans.
+/// No more servers can be banned.
 #[derive(Debug, Error, PartialEq, Eq)]
 #[error("{OUT_MOST} servers are out by hand, and no more can be")]
-pub struct TooMany;
+pub struct TooManyBans;
 
-/// A server that was called back.
+/// A ban that was lifted.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Back {
-    /// Its name.
+pub struct LiftedBan {
+    /// The name of the server.
     pub name: String,
-    /// When it had been sent out.
-    pub since: Time,
-    /// When it was called back.
-    pub at: Time,
+    /// When the server was banned.
+    pub banned_at: Time,
+    /// When the ban was lifted.
+    pub lifted_at: Time,
 }
 
-/// What holds of a server when the operators' word is put to the list's.
+/// What holds of a server when bans are applied to its entry in a list.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct View {
+pub struct BanStatus {
     /// Nothing new may be sent to it.
-    pub out: bool,
+    pub is_banned: bool,
     /// When it counts as started.
     pub ready_at: Time,
 }
 
-/// The servers that operators have sent out, and those that they have called back.
+/// The servers that operators have banned, and the bans that they have lifted.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Bans {
-    out: BTreeMap<String, Time>,
+    /// When each server was banned, by its name.
+    banned: BTreeMap<String, Time>,
     /// The latest last.
-    back: VecDeque<Back>,
+    lifted: VecDeque<LiftedBan>,
 }
 
 impl Bans {
-    /// Sends a server out. A second call changes nothing: one call back is enough for two calls out.
+    /// Bans a server. A second call changes nothing: lifting the ban once is enough.
     ///
     /// # Errors
-    /// If too many are out already.
-    pub fn disable(&mut self, name: &str, now: Time) -> Result<(), TooMany> {
-        if self.out.contains_key(name) {
+    /// If too many servers are banned already.
+    pub fn disable(&mut self, name: &str, now: Time) -> Result<(), TooManyBans> {
+        if self.banned.contains_key(name) {
             return Ok(());
         }
-        if self.out.len() >= OUT_MOST {
-            return Err(TooMany);
+        if self.banned.len() >= OUT_MOST {
+            return Err(TooManyBans);
         }
-        self.out.insert(name.to_owned(), now);
-        self.back.retain(|b| b.name != name);
+        self.banned.insert(name.to_owned(), now);
+        self.lifted.retain(|ban| ban.name != name);
         Ok(())
     }
 
-    /// Calls a server back; whether it was out.
+    /// Lifts the ban of a server. Returns whether it was banned.
     pub fn enable(&mut self, name: &str, now: Time) -> bool {
-        let Some(since) = self.out.remove(name) else { return false };
-        self.back.retain(|b| b.name != name);
-        if self.back.len() >= BACK_MOST {
-            self.back.pop_front();
+        let Some(banned_at) = self.banned.remove(name) else { return false };
+        self.lifted.retain(|ban| ban.name != name);
+        if self.lifted.len() >= BACK_MOST {
+            self.lifted.pop_front();
         }
-        self.back.push_back(Back { name: name.to_owned(), since, at: now });
+        self.lifted.push_back(LiftedBan { name: name.to_owned(), banned_at, lifted_at: now });
         true
     }
 
-    /// Puts the operators' word to what a list says of a server.
+    /// Applies the bans to a server that started at `ready_at` according to its list.
     ///
-    /// Guards the rule on cold servers: operators restart a server while it is out, perhaps more than once, and the list
-    /// may tell of that late or never. So one that is back counts as started when it was called back, unless the list
-    /// knows of a later start. Harm: a server that was not restarted, or is warm again, gets less than its part for as
-    /// long as a start takes.
-    pub fn view(&self, name: &str, ready_at: Time) -> View {
-        if self.out.contains_key(name) {
-            return View { out: true, ready_at };
+    /// Guards the rule on cold servers: operators restart a server while it is banned, perhaps more than once, and the
+    /// list may report that late or never. So a server whose ban was lifted counts as started at that moment, unless the
+    /// list knows of a later start. Harm: a server that was not restarted, or is warm again, gets less than its share for
+    /// as long as a start takes.
+    pub fn status(&self, name: &str, ready_at: Time) -> BanStatus {
+        if self.is_banned(name) {
+            return BanStatus { is_banned: true, ready_at };
         }
-        let back = self.back.iter().find(|b| b.name == name).filter(|b| ready_at <= b.at);
-        View { out: false, ready_at: back.map_or(ready_at, |b| b.at) }
+        let lifted = self.lifted.iter().find(|ban| ban.name == name);
+        let lifted = lifted.filter(|ban| ready_at <= ban.lifted_at);
+        BanStatus { is_banned: false, ready_at: lifted.map_or(ready_at, |ban| ban.lifted_at) }
     }
 
-    /// Whether a server is out.
-    pub fn is_out(&self, name: &str) -> bool {
-        self.out.contains_key(name)
+    /// Whether a server is banned.
+    pub fn is_banned(&self, name: &str) -> bool {
+        self.banned.contains_key(name)
     }
 
-    /// The servers that are out, and since when.
-    pub fn out(&self) -> impl Iterator<Item = (&str, Time)> {
-        self.out.iter().map(|(name, since)| (name.as_str(), *since))
+    /// The servers that are banned, with the times of their bans.
+    pub fn banned(&self) -> impl Iterator<Item = (&str, Time)> {
+        self.banned.iter().map(|(name, banned_at)| (name.as_str(), *banned_at))
     }
 
-    /// Those that came back, the latest last.
-    pub fn back(&self) -> impl Iterator<Item = &Back> {
-        self.back.iter()
+    /// The bans that were lifted, the latest last.
+    pub fn lifted(&self) -> impl Iterator<Item = &LiftedBan> {
+        self.lifted.iter()
     }
 
-    /// The bans of another process or an earlier life, checked against the bounds; what is over them is dropped.
-    pub fn of(out: BTreeMap<String, Time>, back: Vec<Back>) -> Self {
-        let out: BTreeMap<String, Time> = out.into_iter().take(OUT_MOST).collect();
-        let mut bans = Bans { out, back: VecDeque::new() };
-        let kept = back.len().saturating_sub(BACK_MOST);
-        bans.back.extend(back.into_iter().skip(kept).filter(|b| !bans.out.contains_key(&b.name)));
-        bans
+    /// The bans of another process or an earlier run; what exceeds the limits is dropped.
+    pub fn from_parts(banned: BTreeMap<String, Time>, lifted: Vec<LiftedBan>) -> Self {
+        let banned: BTreeMap<String, Time> = banned.into_iter().take(OUT_MOST).collect();
+        let excess = lifted.len().saturating_sub(BACK_MOST);
+        let recent = lifted.into_iter().skip(excess);
+        let lifted = recent.filter(|ban| !banned.contains_key(&ban.name)).collect();
+        Bans { banned, lifted }
     }
 
-    /// The names of which these bans and others say different things.
-    pub fn differ(&self, other: &Bans) -> Vec<String> {
-        let mine = self.out.keys().filter(|name| !other.out.contains_key(*name));
-        let theirs = other.out.keys().filter(|name| !self.out.contains_key(*name));
-        let returned = |a: &Bans, b: &Bans| -> Vec<String> {
-            a.back.iter().filter(|x| !b.back.contains(x)).map(|x| x.name.clone()).collect()
-        };
+    /// The names of the servers whose bans differ from `other`.
+    pub fn changed_servers(&self, other: &Bans) -> Vec<String> {
+        let mine = self.banned.keys().filter(|name| !other.banned.contains_key(*name));
+        let theirs = other.banned.keys().filter(|name| !self.banned.contains_key(*name));
         let mut names: Vec<String> = mine.chain(theirs).cloned().collect();
-        names.extend(returned(self, other));
-        names.extend(returned(other, self));
+        names.extend(self.lifted_only_here(other));
+        names.extend(other.lifted_only_here(self));
         names.sort_unstable();
         names.dedup();
         names
     }
+
+    fn lifted_only_here<'a>(&'a self, other: &'a Bans) -> impl Iterator<Item = String> + 'a {
+        self.lifted.iter().filter(|ban| !other.lifted.contains(ban)).map(|ban| ban.name.clone())
+    }
 }
--- a/crates/operations/src/fault.rs
+++ b/crates/operations/src/fault.rs
@@ -1,44 +1,34 @@
-//! Why a call asks for nothing that there is.
+//! Why a management request is rejected.
 
-use percent_encoding::percent_decode_str;
 use thiserror::Error;
 
-/// Longest name of a server in a call, in bytes after decoding.
+/// Maximum length of a name in a request, in bytes after decoding.
 pub const NAME_MOST: usize = 512;
 
-/// Why a call asks for nothing that there is.
+/// Why a management request is rejected.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
-pub enum Fault {
-    /// No call has this path.
+pub enum RequestError {
+    /// No request has this path.
     #[error("no such call: there are /-/ready, /-/servers/ID/disable, /-/servers/ID/enable, /-/drain, /-/resume and /-/fleet/...")]
-    Path,
-    /// The path wants another method.
+    UnknownPath,
+    /// The path requires another method.
     #[error("this call wants the method {0}")]
-    Method(&'static str),
-    /// The name of the server can't be one.
+    WrongMethod(&'static str),
+    /// The name of the server is invalid.
     #[error("the name of the server is empty, longer than {NAME_MOST} bytes, or no text in UTF-8")]
-    Name,
-    /// A time can't be one.
+    InvalidName,
+    /// A duration is invalid.
     #[error("a time is a whole number of seconds")]
-    Time,
+    InvalidDuration,
 }
 
-impl Fault {
-    /// The status that says the same.
+impl RequestError {
+    /// The HTTP status of the answer.
     pub fn status(self) -> u16 {
         match self {
-            Fault::Path => 404,
-            Fault::Method(_) => 405,
-            Fault::Name | Fault::Time => 400,
+            RequestError::UnknownPath => 404,
+            RequestError::WrongMethod(_) => 405,
+            RequestError::InvalidName | RequestError::InvalidDuration => 400,
         }
     }
 }
-
-/// The name of a server as it stands in a path.
-///
-/// # Errors
-/// If it can't be one.
-pub(crate) fn name(written: &str) -> Result<String, Fault> {
-    let name = percent_decode_str(written).decode_utf8().map_err(|_| Fault::Name)?;
-    (!name.is_empty() && name.len() <= NAME_MOST).then(|| name.into_owned()).ok_or(Fault::Name)
-}
--- a/crates/operations/src/ledger.rs
+++ b/crates/operations/src/ledger.rs
@@ -1,80 +1,86 @@
-//! What is written down: the operators' word, so that it outlives the process that was told.
+//! The stored form of bans and drains, so that they outlive the process that was told.
 //!
 //! All processes of a node read and write one ledger. Whoever changes it reads it first, under a lock that is the
-//! caller's to hold, so that the word given to one process is not undone by another.
+//! caller's to hold, so that a change made by one process is not undone by another.
 
-use crate::ban::{Back, Bans};
+use crate::ban::{Bans, LiftedBan};
 use crate::drain::Drain;
 use crate::Time;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use thiserror::Error;
 
-/// The form that is written.
-pub const VERSION: u32 = 1;
-/// Largest ledger that is read, in bytes.
+/// Version of the stored format.
+pub const FORMAT_VERSION: u32 = 1;
+/// Maximum length of a ledger, in bytes.
 pub const LEDGER_MOST: usize = 4 << 20;
 
-/// Why a ledger can't be used.
+/// Why a ledger can't be decoded.
 #[derive(Debug, Error)]
-pub enum Unusable {
-    /// It is no ledger, or half of one.
+pub enum LedgerError {
+    /// It is no ledger, or incomplete.
     #[error("it can't be read: {0}")]
-    Form(#[from] serde_json::Error),
+    Malformed(#[from] serde_json::Error),
     /// A later program wrote it.
-    #[error("it has version {0}, and this program knows {VERSION}")]
-    Version(u32),
-    /// It is larger than any ledger is.
+    #[error("it has version {0}, and this program knows {FORMAT_VERSION}")]
+    UnknownVersion(u32),
+    /// It exceeds [`LEDGER_MOST`].
     #[error("it is larger than {LEDGER_MOST} bytes")]
-    Size,
+    TooLarge,
 }
 
-/// All that operators have said and not taken back.
+/// The bans and drains that operators have ordered at one node.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Ledger {
-    /// Servers out by hand.
+    /// Servers that are banned.
     pub bans: Bans,
-    /// Whether the node is being emptied.
+    /// Whether the node is draining.
     pub drain: Drain,
 }
 
+/// The JSON object that is stored.
 #[derive(Serialize, Deserialize)]
-struct Written {
+struct StoredLedger {
     version: u32,
-    #[serde(default)]
-    out: BTreeMap<String, Time>,
-    #[serde(default)]
-    back: Vec<(String, Time, Time)>,
+    #[serde(default, rename = "out")]
+    banned: BTreeMap<String, Time>,
+    /// Name, time of the ban, time when it was lifted.
+    #[serde(default, rename = "back")]
+    lifted: Vec<(String, Time, Time)>,
     #[serde(default)]
     draining_since: Option<Time>,
 }
 
 impl Ledger {
-    /// Reads what was written.
+    /// Decodes a stored ledger.
     ///
     /// # Errors
     /// If it is no ledger of a version that is known.
-    pub fn read(text: &[u8]) -> Result<Self, Unusable> {
+    pub fn decode(text: &[u8]) -> Result<Self, LedgerError> {
         if text.len() > LEDGER_MOST {
-            return Err(Unusable::Size);
+            return Err(LedgerError::TooLarge);
         }
-        let written: Written = serde_json::from_slice(text)?;
-        if written.version != VERSION {
-            return Err(Unusable::Version(written.version));
+        let stored: StoredLedger = serde_json::from_slice(text)?;
+        if stored.version != FORMAT_VERSION {
+            return Err(LedgerError::UnknownVersion(stored.version));
         }
-        let back = written.back.into_iter().map(|(name, since, at)| Back { name, since, at }).collect();
-        Ok(Ledger { bans: Bans::of(written.out, back), drain: Drain::of(written.draining_since) })
+        let lifted = stored.lifted.into_iter();
+        let lifted = lifted.map(|(name, banned_at, lifted_at)| LiftedBan { name, banned_at, lifted_at });
+        let bans = Bans::from_parts(stored.banned, lifted.collect());
+        Ok(Ledger { bans, drain: Drain::new(stored.draining_since) })
     }
 
-    /// The text to write.
-    pub fn text(&self) -> String {
-        let written = Written {
-            version: VERSION,
-            out: self.bans.out().map(|(name, since)| (name.to_owned(), since)).collect(),
-            back: self.bans.back().map(|b| (b.name.clone(), b.since, b.at)).collect(),
+    /// Encodes the ledger as JSON.
+    pub fn encode(&self) -> String {
+        let banned = self.bans.banned().map(|(name, banned_at)| (name.to_owned(), banned_at));
+        let lifted = self.bans.lifted().map(|ban| (ban.name.clone(), ban.banned_at, ban.lifted_at));
+        let stored = StoredLedger {
+            version: FORMAT_VERSION,
+            banned: banned.collect(),
+            lifted: lifted.collect(),
             draining_since: self.drain.since(),
         };
         // Plain maps of text and numbers always have a form.
-        serde_json::to_string(&written).unwrap_or_default()
+        serde_json::to_string(&stored).unwrap_or_default()
     }
 }
--- a/crates/operations/src/lib.rs
+++ b/crates/operations/src/lib.rs
@@ -2,20 +2,21 @@
 //!
 //! | module | what it decides |
 //! | --- | --- |
-//! | [`call`] | what a call on the operators' address asks for, or why it asks for nothing |
-//! | [`ban`] | which servers are out by hand, and from when one that is back counts as started |
-//! | [`drain`] | what a node that is being emptied tells its clients, and which connections go when |
-//! | [`ledger`] | what is written down, so that it outlives the process that was told |
-//! | [`takeover`] | who accepts and who has the clients while one process takes over from another |
+//! | [`request`] | what a request on the management address asks for, or why it is rejected |
+//! | [`ban`] | which servers are banned, and from when one whose ban was lifted counts as started |
+//! | [`drain`] | what a node that is draining tells its clients, and when their idle connections are closed |
+//! | [`ledger`] | the stored form of bans and drains, so that they outlive the process that was told |
+//! | [`takeover`] | what two processes of a node tell each other while one takes over from the other |
+//! | [`succession`] | who accepts and who has the clients meanwhile |
 //!
 //! Time is an argument everywhere, in seconds of Unix time.
 
 pub mod ban;
-pub mod call;
 pub mod drain;
 mod fault;
-pub mod fleet;
 pub mod ledger;
+pub mod request;
+pub mod succession;
 pub mod takeover;
 
 /// Seconds of Unix time.
--- /dev/null
+++ b/crates/operations/src/request.rs
@@ -0,0 +1,81 @@
+//! Requests on the management address.
+
+mod fields;
+mod fleet;
+
+pub use crate::fault::{RequestError, NAME_MOST};
+pub use fleet::FleetRequest;
+
+use fields::{decode_name, encode_name, require_method};
+
+/// The path below which all management requests are.
+const ROOT: &str = "/-/";
+
+/// What a management request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ManagementRequest {
+    /// Whether this process can serve.
+    Ready,
+    /// Ban this server.
+    Disable(String),
+    /// Lift the ban of this server.
+    Enable(String),
+    /// Drain the node.
+    Drain,
+    /// End the drain.
+    Resume,
+    /// What concerns all nodes of a fleet.
+    Fleet(FleetRequest),
+}
+
+impl ManagementRequest {
+    /// Parses a request. `path` may have a query, which only requests to a fleet use.
+    ///
+    /// # Errors
+    /// If there is no such request.
+    pub fn parse(method: &str, path: &str) -> Result<Self, RequestError> {
+        let path_and_query = path;
+        let path = path.split(['?', '#']).next().unwrap_or_default();
+        let rest = path.strip_prefix(ROOT).ok_or(RequestError::UnknownPath)?;
+        match rest {
+            "ready" => return require_method(method, "GET").map(|()| Self::Ready),
+            "drain" => return require_method(method, "POST").map(|()| Self::Drain),
+            "resume" => return require_method(method, "POST").map(|()| Self::Resume),
+            _ => {}
+        }
+        if let Some(rest) = rest.strip_prefix("fleet/") {
+            let query = path_and_query.split_once('?').map_or("", |(_, query)| query);
+            return FleetRequest::parse(method, rest, query).map(Self::Fleet);
+        }
+        let rest = rest.strip_prefix("servers/").ok_or(RequestError::UnknownPath)?;
+        Self::parse_server_request(method, rest)
+    }
+
+    /// Parses what follows `/-/servers/`.
+    fn parse_server_request(method: &str, rest: &str) -> Result<Self, RequestError> {
+        // Split before decoding, so that a name may hold a slash if it is written as %2F.
+        let (encoded_name, verb) = rest.rsplit_once('/').ok_or(RequestError::UnknownPath)?;
+        let variant = match verb {
+            "disable" => Self::Disable,
+            "enable" => Self::Enable,
+            _ => return Err(RequestError::UnknownPath),
+        };
+        if encoded_name.contains('/') {
+            return Err(RequestError::UnknownPath);
+        }
+        require_method(method, "POST")?;
+        decode_name(encoded_name).map(variant)
+    }
+
+    /// The method and path that [`ManagementRequest::parse`] parses as this request.
+    pub fn method_and_path(&self) -> (&'static str, String) {
+        match self {
+            Self::Ready => ("GET", "/-/ready".to_owned()),
+            Self::Disable(name) => ("POST", format!("/-/servers/{}/disable", encode_name(name))),
+            Self::Enable(name) => ("POST", format!("/-/servers/{}/enable", encode_name(name))),
+            Self::Drain => ("POST", "/-/drain".to_owned()),
+            Self::Resume => ("POST", "/-/resume".to_owned()),
+            Self::Fleet(request) => request.method_and_path(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/operations/tests/requests.rs
@@ -0,0 +1,76 @@
+//! Requests on the management address: what they are parsed as, and what is rejected.
+
+use proptest::prelude::*;
+use reelfall_operations::request::{FleetRequest, ManagementRequest, RequestError};
+
+proptest! {
+    #[test]
+    fn no_text_is_taken_for_a_request_that_it_is_not(text in ".{0,200}", method in "[A-Z]{1,7}") {
+        for request in [ManagementRequest::Disable(text.clone()), ManagementRequest::Enable(text.clone())] {
+            let (method, path) = request.method_and_path();
+            let parsed = ManagementRequest::parse(method, &path);
+            prop_assert!(parsed == Ok(request) || text.is_empty() || text.len() > 512);
+        }
+        let parsed = ManagementRequest::parse(&method, &text);
+        if let Ok(ManagementRequest::Disable(name) | ManagementRequest::Enable(name)) = parsed {
+            prop_assert!(method == "POST" && !name.is_empty());
+        }
+    }
+}
+
+#[test]
+fn fleet_requests_are_parsed_as_they_were_formatted() {
+    let ban = |seconds| FleetRequest::Ban { server: "a/b c".to_owned(), seconds, by: "ada & eze".to_owned() };
+    let lift = FleetRequest::Lift { server: "s".to_owned(), by: "obi".to_owned() };
+    let all = [
+        FleetRequest::Members,
+        FleetRequest::Verdicts,
+        FleetRequest::Explain("a/b".to_owned()),
+        ban(None),
+        ban(Some(60)),
+        lift,
+    ];
+    for request in all.map(ManagementRequest::Fleet) {
+        let (method, path) = request.method_and_path();
+        assert_eq!(ManagementRequest::parse(method, &path), Ok(request));
+    }
+    assert_eq!(
+        ManagementRequest::parse("POST", "/-/fleet/servers/s/ban?for=ever"),
+        Err(RequestError::InvalidDuration)
+    );
+    assert_eq!(
+        ManagementRequest::parse("GET", "/-/fleet/servers/s/ban"),
+        Err(RequestError::WrongMethod("POST"))
+    );
+    assert_eq!(ManagementRequest::parse("POST", "/-/fleet/servers/s/bann"), Err(RequestError::UnknownPath));
+    assert_eq!(ManagementRequest::parse("GET", "/-/fleet"), Err(RequestError::UnknownPath));
+}
+
+#[test]
+fn requests_are_parsed() {
+    assert_eq!(ManagementRequest::parse("GET", "/-/ready"), Ok(ManagementRequest::Ready));
+    assert_eq!(ManagementRequest::parse("GET", "/-/ready?x=1"), Ok(ManagementRequest::Ready));
+    assert_eq!(
+        ManagementRequest::parse("POST", "/-/servers/s-5be2a07c/disable"),
+        Ok(ManagementRequest::Disable("s-5be2a07c".to_owned()))
+    );
+    assert_eq!(
+        ManagementRequest::parse("POST", "/-/servers/a%2Fb%20c/enable"),
+        Ok(ManagementRequest::Enable("a/b c".to_owned()))
+    );
+    for (method, path, error) in [
+        ("POST", "/-/ready", RequestError::WrongMethod("GET")),
+        ("GET", "/-/drain", RequestError::WrongMethod("POST")),
+        ("GET", "/-/servers/a/disable", RequestError::WrongMethod("POST")),
+        ("POST", "/-/servers//disable", RequestError::InvalidName),
+        ("POST", "/-/servers/%ff/enable", RequestError::InvalidName),
+        ("POST", "/-/servers/a/b/enable", RequestError::UnknownPath),
+        ("POST", "/-/servers/a/ban", RequestError::UnknownPath),
+        ("POST", "/drain", RequestError::UnknownPath),
+        ("POST", "/-/drain/", RequestError::UnknownPath),
+    ] {
+        assert_eq!(ManagementRequest::parse(method, path), Err(error), "{method} {path}");
+    }
+    let long = format!("/-/servers/{}/disable", "x".repeat(600));
+    assert_eq!(ManagementRequest::parse("POST", &long), Err(RequestError::InvalidName));
+}
--- a/crates/operations/tests/takeover.rs
+++ b/crates/operations/tests/takeover.rs
@@ -1,7 +1,8 @@
-//! Two processes of one node and a client, through every order in which an upgrade can go, with deaths of the heir at any
-//! moment and SIGTERM early or late.
+//! Two processes of one node and a client, through every order in which an upgrade can go, with deaths of the successor at
+//! any moment and SIGTERM early or late.
 
-use reelfall_operations::takeover::{Elder, Frame, Heir, VERSION};
+use reelfall_operations::succession::{Predecessor, Successor};
+use reelfall_operations::takeover::{Frame, PROTOCOL_VERSION};
 use stateright::{Checker, Model, Property};
 
 /// Where the client's connection is.
@@ -9,10 +10,10 @@
 enum Client {
     /// In the queue of the listening socket.
     Queued,
-    AtElder,
-    /// On its way from the old process to the heir.
-    Between,
-    AtHeir,
+    AtPredecessor,
+    /// On its way from the old process to the successor.
+    InTransit,
+    AtSuccessor,
     /// Ended by a process that was not killed.
     Lost,
     /// Ended with a process that was killed.
@@ -20,9 +21,9 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Word {
+enum MessageKind {
     Hello(u32),
-    Give,
+    Snapshot,
     Busy,
     Serving,
     Client,
@@ -30,42 +31,42 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
-    elder: Option<Elder>,
+    predecessor: Option<Predecessor>,
     terminated: bool,
-    heir: Option<Heir>,
-    /// The heir holds the listening socket.
-    holds: bool,
+    successor: Option<Successor>,
+    /// The successor holds the listening socket.
+    holds_listener: bool,
     /// It has bound one of its own.
-    bound: bool,
-    to_elder: Vec<Word>,
-    to_heir: Vec<Word>,
-    /// The old process has yet to hear of its heir's death.
-    unheard: bool,
-    heirs: u8,
+    bound_listener: bool,
+    to_predecessor: Vec<MessageKind>,
+    to_successor: Vec<MessageKind>,
+    /// The old process has yet to hear of its successor's death.
+    loss_unnoticed: bool,
+    successors: u8,
     client: Client,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Step {
-    HeirStarts(u32),
-    ElderReads,
-    HeirReads,
-    HeirIsReady,
-    HeirDies,
-    ElderHears,
-    Term,
-    Late,
-    ElderEnds,
-    ElderAccepts,
-    HeirAccepts,
-    Pass,
+    SuccessorStarts(u32),
+    PredecessorReads,
+    SuccessorReads,
+    SuccessorIsReady,
+    SuccessorDies,
+    PredecessorNoticesLoss,
+    Terminate,
+    EndAcceptGrace,
+    PredecessorEnds,
+    PredecessorAccepts,
+    SuccessorAccepts,
+    HandOver,
 }
 
 struct Upgrade;
 
 impl Upgrade {
-    fn sees_yes(s: &State) -> bool {
-        s.heir.is_some_and(|h| h.accepts()) && (s.holds || s.bound)
+    fn successor_accepts(s: &State) -> bool {
+        s.successor.is_some_and(|h| h.accepts()) && (s.holds_listener || s.bound_listener)
     }
 }
 
@@ -75,145 +76,153 @@
 
     fn init_states(&self) -> Vec<State> {
         vec![State {
-            elder: Some(Elder::default()),
+            predecessor: Some(Predecessor::default()),
             terminated: false,
-            heir: None,
-            holds: false,
-            bound: false,
-            to_elder: vec![],
-            to_heir: vec![],
-            unheard: false,
-            heirs: 0,
+            successor: None,
+            holds_listener: false,
+            bound_listener: false,
+            to_predecessor: vec![],
+            to_successor: vec![],
+            loss_unnoticed: false,
+            successors: 0,
             client: Client::Queued,
         }]
     }
 
     fn actions(&self, s: &State, steps: &mut Vec<Step>) {
-        if s.heir.is_none() && s.heirs < 2 && !s.unheard {
-            steps.extend([Step::HeirStarts(VERSION), Step::HeirStarts(VERSION + 1)]);
+        if s.successor.is_none() && s.successors < 2 && !s.loss_unnoticed {
+            steps.extend([
+                Step::SuccessorStarts(PROTOCOL_VERSION),
+                Step::SuccessorStarts(PROTOCOL_VERSION + 1),
+            ]);
         }
-        if let Some(elder) = &s.elder {
-            if !s.to_elder.is_empty() && !s.unheard {
-                steps.push(Step::ElderReads);
+        if let Some(predecessor) = &s.predecessor {
+            if !s.to_predecessor.is_empty() && !s.loss_unnoticed {
+                steps.push(Step::PredecessorReads);
             }
-            if s.unheard {
-                steps.push(Step::ElderHears);
+            if s.loss_unnoticed {
+                steps.push(Step::PredecessorNoticesLoss);
             }
             // Operators send SIGTERM after the yes, or too early.
             if !s.terminated {
-                steps.push(Step::Term);
+                steps.push(Step::Terminate);
             } else {
-                steps.extend([Step::Late, Step::ElderEnds]);
+                steps.extend([Step::EndAcceptGrace, Step::PredecessorEnds]);
             }
-            if elder.accepts() && s.client == Client::Queued {
-                steps.push(Step::ElderAccepts);
+            if predecessor.accepts() && s.client == Client::Queued {
+                steps.push(Step::PredecessorAccepts);
             }
-            if elder.passes() && s.client == Client::AtElder {
-                steps.push(Step::Pass);
+            if predecessor.hands_over() && s.client == Client::AtPredecessor {
+                steps.push(Step::HandOver);
             }
         }
-        if let Some(heir) = &s.heir {
-            if !s.to_heir.is_empty() {
-                steps.push(Step::HeirReads);
+        if let Some(successor) = &s.successor {
+            if !s.to_successor.is_empty() {
+                steps.push(Step::SuccessorReads);
             }
-            let told = s.holds || s.bound;
-            if told && !heir.accepts() {
-                steps.push(Step::HeirIsReady);
+            let has_listener = s.holds_listener || s.bound_listener;
+            if has_listener && !successor.accepts() {
+                steps.push(Step::SuccessorIsReady);
             }
-            if heir.accepts() && told && s.client == Client::Queued {
-                steps.push(Step::HeirAccepts);
+            if successor.accepts() && has_listener && s.client == Client::Queued {
+                steps.push(Step::SuccessorAccepts);
             }
-            steps.push(Step::HeirDies);
+            steps.push(Step::SuccessorDies);
         }
     }
 
     fn next_state(&self, last: &State, step: Step) -> Option<State> {
         let mut s = last.clone();
         match step {
-            Step::HeirStarts(version) => {
-                s.heir = Some(Heir::default());
-                s.heirs += 1;
-                s.to_elder = vec![Word::Hello(version)];
-                s.to_heir.clear();
-                if s.elder.is_none() {
-                    (s.bound, s.to_elder) = (true, vec![]);
+            Step::SuccessorStarts(version) => {
+                s.successor = Some(Successor::default());
+                s.successors += 1;
+                s.to_predecessor = vec![MessageKind::Hello(version)];
+                s.to_successor.clear();
+                if s.predecessor.is_none() {
+                    (s.bound_listener, s.to_predecessor) = (true, vec![]);
                 }
             }
-            Step::ElderReads => {
-                let elder = s.elder.as_mut()?;
-                match s.to_elder.remove(0) {
-                    Word::Hello(version) => {
-                        s.to_heir.push(if elder.hello(version) { Word::Give } else { Word::Busy });
+            Step::PredecessorReads => {
+                let predecessor = s.predecessor.as_mut()?;
+                match s.to_predecessor.remove(0) {
+                    MessageKind::Hello(version) => {
+                        s.to_successor.push(if predecessor.handle_hello(version) {
+                            MessageKind::Snapshot
+                        } else {
+                            MessageKind::Busy
+                        });
                     }
-                    Word::Serving => elder.serving(),
+                    MessageKind::Serving => predecessor.handle_serving(),
                     _ => {}
                 }
             }
-            Step::HeirReads => {
-                let heir = s.heir.as_mut()?;
-                match s.to_heir.remove(0) {
-                    Word::Give => {
-                        heir.given();
-                        s.holds = true;
+            Step::SuccessorReads => {
+                let successor = s.successor.as_mut()?;
+                match s.to_successor.remove(0) {
+                    MessageKind::Snapshot => {
+                        successor.handle_snapshot();
+                        s.holds_listener = true;
                     }
-                    Word::Busy => s.bound = true,
-                    Word::Client => s.client = Client::AtHeir,
+                    MessageKind::Busy => s.bound_listener = true,
+                    MessageKind::Client => s.client = Client::AtSuccessor,
                     _ => {}
                 }
             }
-            Step::HeirIsReady => {
-                s.heir.as_mut()?.ready();
-                s.to_elder.push(Word::Serving);
+            Step::SuccessorIsReady => {
+                s.successor.as_mut()?.set_ready();
+                s.to_predecessor.push(MessageKind::Serving);
             }
-            Step::HeirDies => {
-                s.heir = None;
-                if matches!(s.client, Client::AtHeir | Client::Between) {
+            Step::SuccessorDies => {
+                s.successor = None;
+                if matches!(s.client, Client::AtSuccessor | Client::InTransit) {
                     s.client = Client::Killed;
                 }
-                (s.holds, s.bound, s.unheard) = (false, false, s.elder.is_some());
-                (s.to_heir, s.to_elder) = (vec![], vec![]);
+                (s.holds_listener, s.bound_listener, s.loss_unnoticed) =
+                    (false, false, s.predecessor.is_some());
+                (s.to_successor, s.to_predecessor) = (vec![], vec![]);
                 // The queue ends with the last process that holds its socket.
-                if s.elder.is_none() && s.client == Client::Queued {
+                if s.predecessor.is_none() && s.client == Client::Queued {
                     s.client = Client::Killed;
                 }
             }
-            Step::ElderHears => {
-                let elder = s.elder.as_mut()?;
-                elder.lost();
-                s.unheard = false;
+            Step::PredecessorNoticesLoss => {
+                let predecessor = s.predecessor.as_mut()?;
+                predecessor.handle_successor_lost();
+                s.loss_unnoticed = false;
                 // A process that ends empties the backlog as soon as nobody else has the socket.
-                if !elder.accepts() && s.client == Client::Queued {
-                    s.client = Client::AtElder;
+                if !predecessor.accepts() && s.client == Client::Queued {
+                    s.client = Client::AtPredecessor;
                 }
             }
-            Step::Term => {
-                s.elder.as_mut()?.terminate();
+            Step::Terminate => {
+                s.predecessor.as_mut()?.terminate();
                 s.terminated = true;
             }
-            Step::Late => {
-                let elder = s.elder.as_mut()?;
-                elder.late();
+            Step::EndAcceptGrace => {
+                let predecessor = s.predecessor.as_mut()?;
+                predecessor.end_accept_grace();
                 // The backlog is emptied when nobody else has the socket.
-                if !elder.shares() && s.client == Client::Queued {
-                    s.client = Client::AtElder;
+                if !predecessor.shares_listeners() && s.client == Client::Queued {
+                    s.client = Client::AtPredecessor;
                 }
             }
-            Step::ElderEnds => {
-                let elder = s.elder?;
+            Step::PredecessorEnds => {
+                let predecessor = s.predecessor?;
                 // A process ends when it accepts nobody and has nobody left.
-                if elder.accepts() || s.client == Client::AtElder || s.unheard {
+                if predecessor.accepts() || s.client == Client::AtPredecessor || s.loss_unnoticed {
                     return None;
                 }
-                s.elder = None;
-                if s.client == Client::Queued && !s.holds {
+                s.predecessor = None;
+                if s.client == Client::Queued && !s.holds_listener {
                     s.client = Client::Lost;
                 }
             }
-            Step::ElderAccepts => s.client = Client::AtElder,
-            Step::HeirAccepts => s.client = Client::AtHeir,
-            Step::Pass => {
-                s.client = Client::Between;
-                s.to_heir.push(Word::Client);
+            Step::PredecessorAccepts => s.client = Client::AtPredecessor,
+            Step::SuccessorAccepts => s.client = Client::AtSuccessor,
+            Step::HandOver => {
+                s.client = Client::InTransit;
+                s.to_successor.push(MessageKind::Client);
             }
         }
         Some(s)
@@ -227,30 +236,39 @@
             Property::always(
                 "whoever waits in the queue is accepted by somebody who lives",
                 |_, s: &State| {
-                    let settled = s.to_elder.is_empty() && s.to_heir.is_empty() && !s.unheard;
-                    let elder = s.elder.is_some_and(|e| e.accepts());
-                    // An heir that was given the socket gets ready, or dies and is heard of.
-                    let heir = s.heir.is_some() && (s.holds || s.bound);
+                    let settled =
+                        s.to_predecessor.is_empty() && s.to_successor.is_empty() && !s.loss_unnoticed;
+                    let predecessor = s.predecessor.is_some_and(|e| e.accepts());
+                    // A successor that was given the socket gets ready, or dies and is heard of.
+                    let successor = s.successor.is_some() && (s.holds_listener || s.bound_listener);
                     !settled
                         || s.client != Client::Queued
-                        || elder
-                        || heir
+                        || predecessor
+                        || successor
                         || s.terminated
-                        || s.elder.is_none()
+                        || s.predecessor.is_none()
                 },
             ),
-            Property::always("the old process accepts until its heir does", |_, s: &State| {
-                let elder = s.elder.is_some_and(|e| e.accepts());
-                let ended = s.terminated && s.elder.is_none_or(|e| !e.shares());
-                elder || Upgrade::sees_yes(s) || ended || s.unheard
+            Property::always("the old process accepts until its successor does", |_, s: &State| {
+                let predecessor = s.predecessor.is_some_and(|e| e.accepts());
+                let ended = s.terminated && s.predecessor.is_none_or(|e| !e.shares_listeners());
+                predecessor || Upgrade::successor_accepts(s) || ended || s.loss_unnoticed
             }),
             Property::sometimes("a client goes from one process to the other", |_, s: &State| {
-                s.client == Client::AtHeir && s.elder.is_none()
+                s.client == Client::AtSuccessor && s.predecessor.is_none()
             }),
-            Property::sometimes("an heir of another version binds its own socket", |_, s: &State| s.bound),
-            Property::sometimes("the old process serves again after its heir's death", |_, s: &State| {
-                s.heirs == 1 && s.heir.is_none() && !s.unheard && s.elder.is_some_and(|e| e.accepts())
+            Property::sometimes("a successor of another version binds its own socket", |_, s: &State| {
+                s.bound_listener
             }),
+            Property::sometimes(
+                "the old process serves again after its successor's death",
+                |_, s: &State| {
+                    s.successors == 1
+                        && s.successor.is_none()
+                        && !s.loss_unnoticed
+                        && s.predecessor.is_some_and(|e| e.accepts())
+                },
+            ),
         ]
     }
 }
@@ -265,22 +283,43 @@
 #[test]
 fn frames_come_back_as_they_were_written_and_nothing_else_is_one() {
     let frames = [
-        Frame::Hello { version: VERSION },
-        Frame::Give { listeners: vec!["client".to_owned()], learned: vec![("a".to_owned(), 1.5.into())] },
+        Frame::Hello { version: PROTOCOL_VERSION },
+        Frame::Snapshot { listeners: vec!["client".to_owned()], learned: vec![("a".to_owned(), 1.5.into())] },
         Frame::Busy,
         Frame::Serving,
         Frame::Client { listener: "client".to_owned() },
     ];
     for frame in frames {
-        let bytes = frame.bytes().unwrap();
+        let bytes = frame.encode().unwrap();
         for part in 0..bytes.len() {
-            assert!(Frame::read(&bytes[..part]).unwrap().is_none());
+            assert!(Frame::decode(&bytes[..part]).unwrap().is_none());
         }
-        let (again, length) = Frame::read(&bytes).unwrap().unwrap();
+        let (again, length) = Frame::decode(&bytes).unwrap().unwrap();
         assert_eq!((format!("{again:?}"), length), (format!("{frame:?}"), bytes.len()));
     }
-    assert!(Frame::read(b"\xff\xff\xff\xff").is_err());
-    assert!(Frame::read(b"\0\0\0\x04nope").is_err());
-    let many = Frame::Give { listeners: vec![String::new(); 100], learned: vec![] };
-    assert!(many.bytes().is_err());
+    assert!(Frame::decode(b"\xff\xff\xff\xff").is_err());
+    assert!(Frame::decode(b"\0\0\0\x04nope").is_err());
+    let many = Frame::Snapshot { listeners: vec![String::new(); 100], learned: vec![] };
+    assert!(many.encode().is_err());
+}
+
+#[test]
+fn the_encoding_of_frames_is_that_of_the_protocol_version() {
+    let listeners = vec!["client".to_owned()];
+    let learned = vec![("a".to_owned(), 1.5.into())];
+    for (frame, text) in [
+        (Frame::Hello { version: 1 }, r#"{"Hello":{"version":1}}"#),
+        (
+            Frame::Snapshot { listeners, learned },
+            r#"{"Give":{"listeners":["client"],"learned":[["a",1.5]]}}"#,
+        ),
+        (Frame::Busy, r#""Busy""#),
+        (Frame::Serving, r#""Serving""#),
+        (Frame::Client { listener: "client".to_owned() }, r#"{"Client":{"listener":"client"}}"#),
+    ] {
+        let bytes = frame.encode().unwrap();
+        let (length, body) = bytes.split_first_chunk::<4>().unwrap();
+        assert_eq!(u32::from_be_bytes(*length) as usize, body.len());
+        assert_eq!(std::str::from_utf8(body).unwrap(), text);
+    }
 }
