Gateway: forwarded requests, ticket status and ticket store in place of fates

No change of behaviour: the model checker explores the same model, renamed, and each part taken out is still found.

--- a/crates/gateway/tests/ticket.rs
+++ b/crates/gateway/tests/ticket.rs
@@ -1,51 +1,53 @@
 //! Every order of loss, delay, duplication, reordering, restart, forgetting and time-out that two tickets can meet, explored
 //! by a model checker. What is explored is the code that runs: only the network and the servers are models.
 
-use reelfall_gateway::ticket::{End, Fate, Fates, Life, Passed, Taken, Ticket, Todo};
+use reelfall_gateway::forwarded::{Action, ForwardResult, ForwardedRequest};
+use reelfall_gateway::store::{Admission, TicketStore};
+use reelfall_gateway::ticket::{OriginId, Ticket, TicketStatus};
 use stateright::{Checker, Model, Property};
 use std::collections::BTreeMap;
 
 const DEADLINE: u64 = 100;
-const ASK_EVERY: u64 = 10;
-const WINDOW: u64 = 1000;
+const QUERY_INTERVAL: u64 = 10;
+const RETENTION: u64 = 1000;
 
 /// What is on its way. Messages are a multiset: each can be lost, come late, or out of order.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum Message {
     Offer(u64, u64),
-    Ask(u64, u64),
-    /// Of a ticket, by a life of the peer.
-    Said(u64, u64, Word),
+    Query(u64, u64),
+    /// The status of a ticket, by an incarnation of the peer.
+    Status(u64, u64, ReportedStatus),
 }
 
-/// A fate as it is sent.
+/// A status as it is sent.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-enum Word {
-    NeverTaken,
-    Open,
-    Done,
+enum ReportedStatus {
+    NeverRan,
+    InProgress,
+    Completed,
     Failed,
-    Forgotten,
+    Unknown,
 }
 
-impl Word {
-    fn of(fate: &Fate<()>) -> Word {
-        match fate {
-            Fate::NeverTaken => Word::NeverTaken,
-            Fate::Open => Word::Open,
-            Fate::Done(()) => Word::Done,
-            Fate::Failed => Word::Failed,
-            Fate::Forgotten => Word::Forgotten,
+impl ReportedStatus {
+    fn of(status: &TicketStatus<()>) -> ReportedStatus {
+        match status {
+            TicketStatus::NeverRan => ReportedStatus::NeverRan,
+            TicketStatus::InProgress => ReportedStatus::InProgress,
+            TicketStatus::Completed(()) => ReportedStatus::Completed,
+            TicketStatus::Failed => ReportedStatus::Failed,
+            TicketStatus::Unknown => ReportedStatus::Unknown,
         }
     }
 
-    fn fate(&self) -> Fate<()> {
+    fn status(&self) -> TicketStatus<()> {
         match self {
-            Word::NeverTaken => Fate::NeverTaken,
-            Word::Open => Fate::Open,
-            Word::Done => Fate::Done(()),
-            Word::Failed => Fate::Failed,
-            Word::Forgotten => Fate::Forgotten,
+            ReportedStatus::NeverRan => TicketStatus::NeverRan,
+            ReportedStatus::InProgress => TicketStatus::InProgress,
+            ReportedStatus::Completed => TicketStatus::Completed(()),
+            ReportedStatus::Failed => TicketStatus::Failed,
+            ReportedStatus::Unknown => TicketStatus::Unknown,
         }
     }
 }
@@ -63,17 +65,17 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Request {
-    passed: Passed,
+    forwarded: ForwardedRequest,
     told: Vec<Told>,
-    /// Effects abroad, and here.
-    abroad: u8,
-    here: u8,
+    /// Effects at the peer, and at the origin.
+    at_peer: u8,
+    at_origin: u8,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
     requests: Vec<Request>,
-    fates: Fates<()>,
+    store: TicketStore<()>,
     incarnation: u64,
     net: BTreeMap<Message, u8>,
     /// Tickets that run at the peer.
@@ -81,8 +83,8 @@
     /// What may still happen, so that the world ends.
     duplicates: u8,
     restarts: u8,
-    forgettings: u8,
-    questions: u8,
+    expiries: u8,
+    queries: u8,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -91,31 +93,31 @@
     Lose(Message),
     Duplicate(Message),
     LinkFails(u64),
-    AskAgain(u64),
+    QueryAgain(u64),
     Deadline(u64),
     /// What runs at the peer ends: with an answer, with none, or refused before it began.
-    Ends(u64, bool),
-    Refused(u64),
+    Completes(u64, bool),
+    Rejected(u64),
     Restart,
-    Forget,
+    Expire,
 }
 
 /// Which part is taken out, to see that the checker finds what it guards against.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Without {
     Nothing,
-    /// A question leaves no fence.
+    /// A query leaves no fence.
     Fence,
-    /// A later life takes what was offered to the one before, and speaks of it.
-    Life,
-    /// What is forgotten leaves no floor.
+    /// A later incarnation admits what was offered to the one before, and reports on it.
+    OriginId,
+    /// A removed record raises no floor.
     Floor,
 }
 
 struct Gateway {
     requests: u64,
-    most: usize,
-    /// Whether the origin runs what never ran abroad, or refuses it.
+    max_records: usize,
+    /// Whether the origin runs what never ran at the peer, or refuses it.
     runs_here: bool,
     without: Without,
     /// How often something may be duplicated, the peer restart, and what has ended be forgotten.
@@ -123,12 +125,12 @@
 }
 
 fn ticket(number: u64) -> Ticket {
-    Ticket { origin: Life { node: 1, incarnation: 7 }, number }
+    Ticket { origin: OriginId { node: 1, incarnation: 7 }, number }
 }
 
 impl Gateway {
-    fn fresh(&self, incarnation: u64) -> Fates<()> {
-        Fates::new(incarnation, WINDOW, self.most)
+    fn new_store(&self, incarnation: u64) -> TicketStore<()> {
+        TicketStore::new(incarnation, RETENTION, self.max_records)
     }
 
     fn send(world: &mut World, message: Message) {
@@ -146,49 +148,51 @@
         }
     }
 
-    fn act(&self, world: &mut World, number: u64, todo: Todo<()>) {
+    fn act(&self, world: &mut World, number: u64, action: Action<()>) {
         let request = &mut world.requests[number as usize];
-        match todo {
-            Todo::Wait => {}
-            Todo::Ask => {
-                let offered_to = request.passed.offered_to;
-                Self::send(world, Message::Ask(number, offered_to));
+        match action {
+            Action::Wait => {}
+            Action::Query => {
+                let offered_to = request.forwarded.offered_to;
+                Self::send(world, Message::Query(number, offered_to));
             }
-            Todo::End(End::Answer(())) => request.told.push(Told::Answer),
-            Todo::End(End::MayHaveRun) => request.told.push(Told::MayHaveRun),
-            Todo::End(End::NeverRan) if self.runs_here => {
-                request.here += 1;
+            Action::Finish(ForwardResult::Answered(())) => request.told.push(Told::Answer),
+            Action::Finish(ForwardResult::MayHaveRun) => request.told.push(Told::MayHaveRun),
+            Action::Finish(ForwardResult::NeverRan) if self.runs_here => {
+                request.at_origin += 1;
                 request.told.push(Told::Here);
             }
-            Todo::End(End::NeverRan) => request.told.push(Told::Refused),
+            Action::Finish(ForwardResult::NeverRan) => request.told.push(Told::Refused),
         }
     }
 
     fn deliver(&self, world: &mut World, message: &Message) {
         let now = 0;
-        let life = world.incarnation;
+        let incarnation = world.incarnation;
         match message {
             Message::Offer(number, to) => {
-                let to = if self.without == Without::Life { life } else { *to };
-                match world.fates.take(now, ticket(*number), to) {
-                    Taken::Run => world.running.push(*number),
-                    Taken::Say(fate) => Self::send(world, Message::Said(*number, life, Word::of(&fate))),
+                let to = if self.without == Without::OriginId { incarnation } else { *to };
+                match world.store.admit(now, ticket(*number), to) {
+                    Admission::Execute => world.running.push(*number),
+                    Admission::Reply(status) => {
+                        Self::send(world, Message::Status(*number, incarnation, ReportedStatus::of(&status)))
+                    }
                 }
             }
-            Message::Ask(number, to) => {
-                let before = world.fates.clone();
-                let to = if self.without == Without::Life { life } else { *to };
-                let fate = world.fates.ask(now, ticket(*number), to);
+            Message::Query(number, to) => {
+                let before = world.store.clone();
+                let to = if self.without == Without::OriginId { incarnation } else { *to };
+                let status = world.store.query(now, ticket(*number), to);
                 if self.without == Without::Fence {
-                    world.fates = before;
+                    world.store = before;
                 }
-                Self::send(world, Message::Said(*number, life, Word::of(&fate)));
+                Self::send(world, Message::Status(*number, incarnation, ReportedStatus::of(&status)));
             }
-            Message::Said(number, by, word) => {
+            Message::Status(number, by, status) => {
                 let request = &mut world.requests[*number as usize];
-                let by = if self.without == Without::Life { request.passed.offered_to } else { *by };
-                let todo = request.passed.told(by, word.fate());
-                self.act(world, *number, todo);
+                let by = if self.without == Without::OriginId { request.forwarded.offered_to } else { *by };
+                let action = request.forwarded.handle_status(by, status.status());
+                self.act(world, *number, action);
             }
         }
     }
@@ -199,19 +203,23 @@
     type Action = Step;
 
     fn init_states(&self) -> Vec<World> {
-        let request =
-            || Request { passed: Passed::new(1, DEADLINE, ASK_EVERY), told: vec![], abroad: 0, here: 0 };
+        let request = || Request {
+            forwarded: ForwardedRequest::new(1, DEADLINE, QUERY_INTERVAL),
+            told: vec![],
+            at_peer: 0,
+            at_origin: 0,
+        };
         let net = (0..self.requests).map(|n| (Message::Offer(n, 1), 1)).collect();
         vec![World {
             requests: (0..self.requests).map(|_| request()).collect(),
-            fates: self.fresh(1),
+            store: self.new_store(1),
             incarnation: 1,
             net,
             running: vec![],
             duplicates: self.mishaps[0],
             restarts: self.mishaps[1],
-            forgettings: self.mishaps[2],
-            questions: 1,
+            expiries: self.mishaps[2],
+            queries: 1,
         }]
     }
 
@@ -225,23 +233,23 @@
         }
         for (n, request) in world.requests.iter().enumerate() {
             let n = n as u64;
-            if !request.passed.is_ended() {
+            if !request.forwarded.is_ended() {
                 steps.push(Step::Deadline(n));
-                if request.passed.due() == Some(DEADLINE) {
+                if request.forwarded.due() == Some(DEADLINE) {
                     steps.push(Step::LinkFails(n));
-                } else if world.questions > 0 {
-                    steps.push(Step::AskAgain(n));
+                } else if world.queries > 0 {
+                    steps.push(Step::QueryAgain(n));
                 }
             }
         }
         for n in &world.running {
-            steps.extend([Step::Ends(*n, true), Step::Ends(*n, false), Step::Refused(*n)]);
+            steps.extend([Step::Completes(*n, true), Step::Completes(*n, false), Step::Rejected(*n)]);
         }
         if world.restarts > 0 {
             steps.push(Step::Restart);
         }
-        if world.forgettings > 0 && world.fates.held() > 0 {
-            steps.push(Step::Forget);
+        if world.expiries > 0 && world.store.record_count() > 0 {
+            steps.push(Step::Expire);
         }
     }
 
@@ -258,52 +266,52 @@
                 Self::send(&mut world, message);
             }
             Step::LinkFails(n) => {
-                let todo = world.requests[n as usize].passed.link_failed(0);
-                self.act(&mut world, n, todo);
+                let action = world.requests[n as usize].forwarded.link_failed(0);
+                self.act(&mut world, n, action);
             }
-            Step::AskAgain(n) => {
-                world.questions -= 1;
-                let todo = world.requests[n as usize].passed.tick(ASK_EVERY);
-                self.act(&mut world, n, todo);
+            Step::QueryAgain(n) => {
+                world.queries -= 1;
+                let action = world.requests[n as usize].forwarded.tick(QUERY_INTERVAL);
+                self.act(&mut world, n, action);
             }
             Step::Deadline(n) => {
-                let todo = world.requests[n as usize].passed.tick(DEADLINE);
-                self.act(&mut world, n, todo);
+                let action = world.requests[n as usize].forwarded.tick(DEADLINE);
+                self.act(&mut world, n, action);
             }
-            Step::Ends(n, answered) => {
+            Step::Completes(n, answered) => {
                 world.running.retain(|r| *r != n);
-                world.requests[n as usize].abroad += 1;
-                world.fates.done(0, ticket(n), answered.then_some(()));
-                let word = if answered { Word::Done } else { Word::Failed };
+                world.requests[n as usize].at_peer += 1;
+                world.store.complete(0, ticket(n), answered.then_some(()));
+                let status = if answered { ReportedStatus::Completed } else { ReportedStatus::Failed };
                 let by = world.incarnation;
-                Self::send(&mut world, Message::Said(n, by, word));
+                Self::send(&mut world, Message::Status(n, by, status));
             }
-            Step::Refused(n) => {
+            Step::Rejected(n) => {
                 world.running.retain(|r| *r != n);
-                world.fates.refused(0, ticket(n));
+                world.store.reject(0, ticket(n));
                 let by = world.incarnation;
-                Self::send(&mut world, Message::Said(n, by, Word::NeverTaken));
+                Self::send(&mut world, Message::Status(n, by, ReportedStatus::NeverRan));
             }
             Step::Restart => {
                 world.restarts -= 1;
                 world.incarnation += 1;
                 // What ran had its effect, or will have it: the servers behind the peer's node go on.
                 for n in std::mem::take(&mut world.running) {
-                    world.requests[n as usize].abroad += 1;
+                    world.requests[n as usize].at_peer += 1;
                 }
-                world.fates = self.fresh(world.incarnation);
+                world.store = self.new_store(world.incarnation);
             }
-            Step::Forget => {
-                world.forgettings -= 1;
+            Step::Expire => {
+                world.expiries -= 1;
                 if self.without == Without::Floor {
-                    // All that has ended is gone without a trace; what is open stays.
-                    let open = world.running.clone();
-                    world.fates = self.fresh(world.incarnation);
-                    for n in open {
-                        world.fates.take(0, ticket(n), world.incarnation);
+                    // All records of requests that have ended are gone without a trace; the others stay.
+                    let in_progress = world.running.clone();
+                    world.store = self.new_store(world.incarnation);
+                    for n in in_progress {
+                        world.store.admit(0, ticket(n), world.incarnation);
                     }
                 } else {
-                    world.fates.tick(WINDOW);
+                    world.store.tick(RETENTION);
                 }
             }
         }
@@ -313,25 +321,25 @@
     fn properties(&self) -> Vec<Property<Self>> {
         vec![
             Property::always("it runs once at most", |_: &Gateway, w: &World| {
-                w.requests.iter().all(|r| r.abroad + r.here <= 1)
+                w.requests.iter().all(|r| r.at_peer + r.at_origin <= 1)
             }),
             Property::always("one final answer", |_: &Gateway, w: &World| {
                 w.requests.iter().all(|r| r.told.len() <= 1)
             }),
             Property::always("a refusal is of what never ran", |_: &Gateway, w: &World| {
-                w.requests.iter().all(|r| r.told != [Told::Refused] || r.abroad == 0)
+                w.requests.iter().all(|r| r.told != [Told::Refused] || r.at_peer == 0)
             }),
             Property::always("an answer is of what ran", |_: &Gateway, w: &World| {
-                w.requests.iter().all(|r| r.told != [Told::Answer] || r.abroad == 1)
+                w.requests.iter().all(|r| r.told != [Told::Answer] || r.at_peer == 1)
             }),
             Property::always("whatever has ended was answered", |_: &Gateway, w: &World| {
-                w.requests.iter().all(|r| r.passed.is_ended() == (r.told.len() == 1))
+                w.requests.iter().all(|r| r.forwarded.is_ended() == (r.told.len() == 1))
             }),
-            Property::always("no more is held than may be", |g: &Gateway, w: &World| {
-                w.fates.held() <= g.most
+            Property::always("the number of records is bounded", |g: &Gateway, w: &World| {
+                w.store.record_count() <= g.max_records
             }),
             // The explored worlds are not all of one kind.
-            Property::sometimes("it runs abroad", |_: &Gateway, w: &World| {
+            Property::sometimes("it runs at the peer", |_: &Gateway, w: &World| {
                 w.requests.iter().all(|r| r.told == [Told::Answer])
             }),
             Property::sometimes("a fence lets it be run here or refused", |_: &Gateway, w: &World| {
@@ -354,7 +362,7 @@
 fn sound(found: &[&str]) -> bool {
     let mut found = found.to_vec();
     found.sort_unstable();
-    found == ["a fence lets it be run here or refused", "it runs abroad", "nobody knows"]
+    found == ["a fence lets it be run here or refused", "it runs at the peer", "nobody knows"]
 }
 
 #[test]
@@ -366,7 +374,7 @@
         let does: &[bool] = if requests == 1 { &[true, false] } else { &[true] };
         for &runs_here in does {
             let without = Without::Nothing;
-            let (states, found) = check(Gateway { requests, most, runs_here, without, mishaps });
+            let (states, found) = check(Gateway { requests, max_records: most, runs_here, without, mishaps });
             assert!(sound(&found), "{requests} requests, {most} held, {mishaps:?}: {found:?}");
             assert!(states > 500, "only {states} states");
         }
@@ -375,57 +383,68 @@
 
 #[test]
 fn without_each_part_the_checker_finds_what_it_guards_against() {
-    for without in [Without::Fence, Without::Life, Without::Floor] {
+    for without in [Without::Fence, Without::OriginId, Without::Floor] {
         let (_, found) =
-            check(Gateway { requests: 1, most: 2, runs_here: true, without, mishaps: [1, 1, 1] });
+            check(Gateway { requests: 1, max_records: 2, runs_here: true, without, mishaps: [1, 1, 1] });
         assert!(found.contains(&"it runs once at most"), "{without:?}: {found:?}");
     }
 }
 
 #[test]
-fn a_later_life_of_an_origin_ends_what_is_held_of_the_one_before() {
-    let mut fates: Fates<()> = Fates::new(1, WINDOW, 10);
-    let of = |incarnation, number| Ticket { origin: Life { node: 1, incarnation }, number };
-    assert_eq!(fates.take(0, of(7, 0), 1), Taken::Run);
-    assert_eq!(fates.take(0, of(8, 0), 1), Taken::Run);
-    assert_eq!(fates.held(), 1);
-    // A copy of the life before does not run, though its number is not held.
-    assert_eq!(fates.take(0, of(7, 1), 1), Taken::Say(Fate::Forgotten));
-    assert_eq!(fates.ask(0, of(7, 0), 1), Fate::Forgotten);
+fn a_later_incarnation_of_an_origin_removes_the_records_of_the_one_before() {
+    let mut store: TicketStore<()> = TicketStore::new(1, RETENTION, 10);
+    let of = |incarnation, number| Ticket { origin: OriginId { node: 1, incarnation }, number };
+    assert_eq!(store.admit(0, of(7, 0), 1), Admission::Execute);
+    assert_eq!(store.admit(0, of(8, 0), 1), Admission::Execute);
+    assert_eq!(store.record_count(), 1);
+    // A copy of the earlier incarnation does not run, though its number is not held.
+    assert_eq!(store.admit(0, of(7, 1), 1), Admission::Reply(TicketStatus::Unknown));
+    assert_eq!(store.query(0, of(7, 0), 1), TicketStatus::Unknown);
 }
 
 #[test]
-fn memory_is_bounded_and_what_is_open_is_never_forgotten() {
-    let mut fates: Fates<u64> = Fates::new(1, WINDOW, 4);
+fn memory_is_bounded_and_records_of_requests_in_progress_are_never_removed() {
+    let mut store: TicketStore<u64> = TicketStore::new(1, RETENTION, 4);
     for n in 0..4 {
-        assert_eq!(fates.take(0, ticket(n), 1), Taken::Run);
+        assert_eq!(store.admit(0, ticket(n), 1), Admission::Execute);
     }
-    assert_eq!(fates.take(0, ticket(4), 1), Taken::Say(Fate::NeverTaken));
-    assert_eq!(fates.take(0, ticket(4), 1), Taken::Say(Fate::Forgotten), "a fence that took no room");
-    assert_eq!(fates.ask(0, ticket(2), 1), Fate::Open);
-    fates.done(5, ticket(2), Some(9));
-    assert_eq!(fates.ask(6, ticket(2), 1), Fate::Done(9));
-    assert_eq!(fates.take(7, ticket(5), 1), Taken::Run, "what has ended makes room");
-    assert_eq!(fates.ask(8, ticket(2), 1), Fate::Forgotten);
-    fates.tick(1_000_000);
-    assert_eq!(fates.held(), 4);
+    assert_eq!(store.admit(0, ticket(4), 1), Admission::Reply(TicketStatus::NeverRan));
+    assert_eq!(
+        store.admit(0, ticket(4), 1),
+        Admission::Reply(TicketStatus::Unknown),
+        "a fence that took no room"
+    );
+    assert_eq!(store.query(0, ticket(2), 1), TicketStatus::InProgress);
+    store.complete(5, ticket(2), Some(9));
+    assert_eq!(store.query(6, ticket(2), 1), TicketStatus::Completed(9));
+    assert_eq!(store.admit(7, ticket(5), 1), Admission::Execute, "what has ended makes room");
+    assert_eq!(store.query(8, ticket(2), 1), TicketStatus::Unknown);
+    store.tick(1_000_000);
+    assert_eq!(store.record_count(), 4);
 }
 
 #[test]
-fn the_origin_asks_until_it_knows_or_time_is_up() {
-    let mut passed = Passed::new(1, 100, 10);
-    assert_eq!(passed.due(), Some(100));
-    assert_eq!(passed.link_failed::<()>(20), Todo::Ask);
-    assert_eq!(passed.link_failed::<()>(21), Todo::Wait);
-    assert_eq!(passed.due(), Some(30));
-    assert_eq!(passed.tick::<()>(29), Todo::Wait);
-    assert_eq!(passed.tick::<()>(30), Todo::Ask);
-    assert_eq!(passed.told::<()>(1, Fate::Open), Todo::Wait);
-    let mut other = passed.clone();
-    assert_eq!(other.told::<()>(2, Fate::NeverTaken), Todo::End(End::MayHaveRun), "another life's word");
-    assert_eq!(passed.told(1, Fate::Done(5)), Todo::End(End::Answer(5)));
-    assert_eq!((passed.tick::<()>(100), passed.due()), (Todo::Wait, None));
-    let mut late = Passed::new(1, 100, 10);
-    assert_eq!(late.tick::<()>(100), Todo::End(End::MayHaveRun));
-    assert_eq!(late.told::<()>(1, Fate::NeverTaken), Todo::Wait);
+fn the_origin_repeats_its_query_until_it_has_the_status_or_the_deadline() {
+    let mut forwarded = ForwardedRequest::new(1, 100, 10);
+    assert_eq!(forwarded.due(), Some(100));
+    assert_eq!(forwarded.link_failed::<()>(20), Action::Query);
+    assert_eq!(forwarded.link_failed::<()>(21), Action::Wait);
+    assert_eq!(forwarded.due(), Some(30));
+    assert_eq!(forwarded.tick::<()>(29), Action::Wait);
+    assert_eq!(forwarded.tick::<()>(30), Action::Query);
+    assert_eq!(forwarded.handle_status::<()>(1, TicketStatus::InProgress), Action::Wait);
+    let mut other = forwarded.clone();
+    assert_eq!(
+        other.handle_status::<()>(2, TicketStatus::NeverRan),
+        Action::Finish(ForwardResult::MayHaveRun),
+        "another incarnation's report"
+    );
+    assert_eq!(
+        forwarded.handle_status(1, TicketStatus::Completed(5)),
+        Action::Finish(ForwardResult::Answered(5))
+    );
+    assert_eq!((forwarded.tick::<()>(100), forwarded.due()), (Action::Wait, None));
+    let mut late = ForwardedRequest::new(1, 100, 10);
+    assert_eq!(late.tick::<()>(100), Action::Finish(ForwardResult::MayHaveRun));
+    assert_eq!(late.handle_status::<()>(1, TicketStatus::NeverRan), Action::Wait);
 }
