--- a/crates/gateway/tests/ticket.rs
+++ b/crates/gateway/tests/ticket.rs
@@ -109,7 +109,7 @@
     /// A query leaves no fence.
     Fence,
     /// A later incarnation admits what was offered to the one before, and reports on it.
-    OriginId,
+    Incarnation,
     /// A removed record raises no floor.
     Floor,
 }
@@ -171,7 +171,7 @@
         let incarnation = world.incarnation;
         match message {
             Message::Offer(number, to) => {
-                let to = if self.without == Without::OriginId { incarnation } else { *to };
+                let to = if self.without == Without::Incarnation { incarnation } else { *to };
                 match world.store.admit(now, ticket(*number), to) {
                     Admission::Execute => world.running.push(*number),
                     Admission::Reply(status) => {
@@ -181,7 +181,7 @@
             }
             Message::Query(number, to) => {
                 let before = world.store.clone();
-                let to = if self.without == Without::OriginId { incarnation } else { *to };
+                let to = if self.without == Without::Incarnation { incarnation } else { *to };
                 let status = world.store.query(now, ticket(*number), to);
                 if self.without == Without::Fence {
                     world.store = before;
@@ -190,7 +190,8 @@
             }
             Message::Status(number, by, status) => {
                 let request = &mut world.requests[*number as usize];
-                let by = if self.without == Without::OriginId { request.forwarded.offered_to } else { *by };
+                let by =
+                    if self.without == Without::Incarnation { request.forwarded.offered_to } else { *by };
                 let action = request.forwarded.handle_status(by, status.status());
                 self.act(world, *number, action);
             }
@@ -383,7 +384,7 @@
 
 #[test]
 fn without_each_part_the_checker_finds_what_it_guards_against() {
-    for without in [Without::Fence, Without::OriginId, Without::Floor] {
+    for without in [Without::Fence, Without::Incarnation, Without::Floor] {
         let (_, found) =
             check(Gateway { requests: 1, max_records: 2, runs_here: true, without, mishaps: [1, 1, 1] });
         assert!(found.contains(&"it runs once at most"), "{without:?}: {found:?}");
@@ -397,7 +398,7 @@
     assert_eq!(store.admit(0, of(7, 0), 1), Admission::Execute);
     assert_eq!(store.admit(0, of(8, 0), 1), Admission::Execute);
     assert_eq!(store.record_count(), 1);
-    // A copy of the earlier incarnation does not run, though its number is not held.
+    // A copy of the earlier incarnation does not run, though its number has no record.
     assert_eq!(store.admit(0, of(7, 1), 1), Admission::Reply(TicketStatus::Unknown));
     assert_eq!(store.query(0, of(7, 0), 1), TicketStatus::Unknown);
 }
