Routes: servers that several pools list, by states, updates and expiry

Need: `Common`, `Line`, `Word`, `tell`, `lapse`, `leave`, `alone` had to be explained.

Change: renamed in `crates/routes/src/common.rs` and in the pools that use it (docs/glossary.md); `expire` and `remove_pool` share one private `retain`, which stood twice. The file keeps its name, since the audit of docs/CAPACITY.md names its bound.

--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -97,7 +97,7 @@
         let listed = shared.listed_by_pool();
         let upstream = Upstream::new(shared.clone(), member, conn_idle, figures.connect_timeout);
         let pool = Rc::new(Pool {
-            id: shared.number(),
+            id: shared.next_pool_id(),
             engine: RefCell::new(Engine::new(module, &classes, max_attempts)),
             commands: Cell::default(),
             names: RefCell::new(names),
@@ -116,7 +116,7 @@
             discovery,
             rng: SeededRng::new(seed),
         });
-        pool.shared.enter(pool.id, &(pool.clone() as Rc<dyn Peer>));
+        pool.shared.register_pool(pool.id, &(pool.clone() as Rc<dyn Peer>));
         Ok(pool)
     }
 
--- a/crates/node/src/net/pool/list.rs
+++ b/crates/node/src/net/pool/list.rs
@@ -1,11 +1,11 @@
-//! A pool's list of servers, put beside the lists of other pools and the words of operators.
+//! A pool's list of servers, combined with the lists of other pools and the operators' bans.
 
 use super::Pool;
 use crate::net::shared::ListedByPool;
 use reelfall_core::engine::Place;
 use reelfall_core::interface::{ListKind, ServerId, ServerState, Time};
 use reelfall_fleet::entry::ServerInstance;
-use reelfall_routes::common::{Line, Word};
+use reelfall_routes::common::{ListedState, ServerStatus};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -68,22 +68,22 @@
 }
 
 impl Pool {
-    /// News of the list.
+    /// Takes in a list, or a change of it.
     pub fn members(self: &Rc<Self>, list: ListKind, mut places: Vec<Place<SocketAddr>>) {
-        let told = self.merge_lists(list, &mut places);
+        let changed = self.merge_lists(list, &mut places);
         self.dispatch(|engine, now, out| engine.members(now, list, places, out));
         self.listed.notify_waiters();
-        told.into_iter().for_each(|address| self.shared.notify_listing_changed(address, Some(self.id)));
+        changed.into_iter().for_each(|address| self.shared.notify_listing_changed(address, Some(self.id)));
     }
 
-    /// Puts this list beside those of other pools, and gives the servers of which others have to be told.
+    /// Combines this list with those of other pools. Returns the addresses that other pools have to be told of.
     fn merge_lists(&self, list: ListKind, places: &mut [Place<SocketAddr>]) -> Vec<SocketAddr> {
         let mut own = self.own.borrow_mut();
-        let mut told = Vec::new();
-        let parts = self.shared.parts();
-        let mut say = |address, line| {
-            if parts && self.shared.say(self.id, address, line) {
-                told.push(address);
+        let mut changed = Vec::new();
+        let combines_lists = self.shared.combines_lists();
+        let mut update_listing = |address, state| {
+            if combines_lists && self.shared.update_listing(self.id, address, state) {
+                changed.push(address);
             }
         };
         if matches!(list, ListKind::Full | ListKind::Cached) {
@@ -92,13 +92,13 @@
                 own.places.keys().filter(|id| !named.contains(id)).copied().collect();
             let missing: Vec<_> = missing.into_iter().filter_map(|id| own.remove(id)).collect();
             for p in missing.iter().filter(|p| !own.has(&p.address)) {
-                let gone = self.line(Word::Gone, p.entry.ready_at);
-                say(p.address, (self.missing == Missing::Ended).then_some(gone));
+                let gone = self.listed_state(ServerStatus::Gone, p.entry.ready_at);
+                update_listing(p.address, (self.missing == Missing::Ended).then_some(gone));
                 self.withheld.borrow_mut().remove(&p.address);
             }
         }
         for place in places.iter_mut() {
-            let word = word(place.entry.state);
+            let status = status(place.entry.state);
             let old = match place.entry.state {
                 ServerState::Gone => own.remove(place.entry.server),
                 _ => {
@@ -107,58 +107,59 @@
                 }
             };
             if let Some(old) = old.filter(|old| old.address != place.address && !own.has(&old.address)) {
-                say(old.address, None);
+                update_listing(old.address, None);
                 self.withheld.borrow_mut().remove(&old.address);
             }
             // A server that took the place of another at its address is not gone with that one's name.
-            if word != Word::Gone || !own.has(&place.address) {
-                say(place.address, Some(self.line(word, place.entry.ready_at)));
+            if status != ServerStatus::Gone || !own.has(&place.address) {
+                let state = self.listed_state(status, place.entry.ready_at);
+                update_listing(place.address, Some(state));
             }
             self.adjust(place);
         }
-        told
+        changed
     }
 
-    fn line(&self, word: Word, ready_at: Time) -> Line {
-        Line { word, ready_at, known: self.missing == Missing::Ended }
+    fn listed_state(&self, status: ServerStatus, ready_at: Time) -> ListedState {
+        ListedState { status, ready_at, knows_start: self.missing == Missing::Ended }
     }
 
-    /// What holds of a server: what this list says, what other lists add, and what operators say before all.
+    /// Adjusts a server of this list to the lists of other pools, and to the bans, which come before all.
     pub(super) fn adjust(&self, place: &mut Place<SocketAddr>) {
-        if self.shared.parts() {
+        if self.shared.combines_lists() {
             self.adjust_to_lists(place);
         }
         let entry = &mut place.entry;
         let names = self.names.borrow();
         let Some(name) = names.servers.name(entry.server) else { return };
         entry.sharers *= self.shared.processes();
-        let status = self.shared.ban_status(name, entry.ready_at);
-        entry.ready_at = status.ready_at;
-        if status.is_banned && entry.state == ServerState::Up {
+        let ban = self.shared.ban_status(name, entry.ready_at);
+        entry.ready_at = ban.ready_at;
+        if ban.is_banned && entry.state == ServerState::Up {
             entry.state = ServerState::Draining;
         }
     }
 
     fn adjust_to_lists(&self, place: &mut Place<SocketAddr>) {
         let Place { entry, address } = place;
-        let own = self.line(word(entry.state), entry.ready_at);
-        let view = self.shared.view(self.id, *address, own, self.warm_after);
+        let own = self.listed_state(status(entry.state), entry.ready_at);
+        let view = self.shared.combined_view(self.id, *address, own, self.warm_after);
         (entry.sharers, entry.ready_at) = (view.sharers, view.ready_at);
         let mut withheld = self.withheld.borrow_mut();
-        match view.withheld.filter(|_| entry.state == ServerState::Up) {
+        match view.withheld_until.filter(|_| entry.state == ServerState::Up) {
             Some(until) => drop(withheld.insert(*address, until)),
             None => drop(withheld.remove(address)),
         }
-        if entry.state == ServerState::Up && (view.drained || view.withheld.is_some()) {
+        if entry.state == ServerState::Up && (view.is_draining || view.withheld_until.is_some()) {
             entry.state = ServerState::Draining;
         }
     }
 }
 
-fn word(state: ServerState) -> Word {
+fn status(state: ServerState) -> ServerStatus {
     match state {
-        ServerState::Up => Word::Up,
-        ServerState::Draining => Word::Draining,
-        ServerState::Gone => Word::Gone,
+        ServerState::Up => ServerStatus::Up,
+        ServerState::Draining => ServerStatus::Draining,
+        ServerState::Gone => ServerStatus::Gone,
     }
 }
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -15,7 +15,7 @@
 use reelfall_core::interface::Time;
 use reelfall_operations::ban::{BanStatus, Bans};
 use reelfall_operations::ledger::Ledger;
-use reelfall_routes::common::{Common, Line, View};
+use reelfall_routes::common::{CombinedView, ListedState, SharedServers};
 use reelfall_routes::limits::{Limits, Totals};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -70,7 +70,7 @@
     /// Attempts that wait for a connection.
     waiting: Cell<usize>,
     limits: Option<RefCell<Limits>>,
-    common: RefCell<Common<SocketAddr, PoolId>>,
+    shared_servers: RefCell<SharedServers<SocketAddr, PoolId>>,
     listed: Rc<ListedServers>,
     pools: RefCell<HashMap<PoolId, Weak<dyn Peer>>>,
     next_pool: Cell<PoolId>,
@@ -113,7 +113,7 @@
             memory_freed: Notify::new(),
             waiting: Cell::new(0),
             limits,
-            common: RefCell::default(),
+            shared_servers: RefCell::default(),
             listed: Rc::default(),
             pools: RefCell::default(),
             next_pool: Cell::new(0),
@@ -222,36 +222,39 @@
 
     // ---- servers that several pools list ----
 
-    /// A number for a new pool.
-    pub fn number(&self) -> PoolId {
+    /// The id of a new pool.
+    pub fn next_pool_id(&self) -> PoolId {
         let id = self.next_pool.get();
         self.next_pool.set(id + 1);
         id
     }
 
-    /// A pool has begun.
-    pub fn enter(&self, id: PoolId, pool: &Rc<dyn Peer>) {
+    /// Registers a new pool.
+    pub fn register_pool(&self, id: PoolId, pool: &Rc<dyn Peer>) {
         self.pools.borrow_mut().insert(id, Rc::downgrade(pool));
     }
 
-    /// Whether what one pool's list says concerns others.
-    pub fn parts(&self) -> bool {
+    /// Whether one pool's list concerns other pools.
+    pub fn combines_lists(&self) -> bool {
         self.limits.is_some()
     }
 
-    /// What a pool's list says of a server; `None` takes it back. Whether others have to be told.
-    pub fn say(&self, pool: PoolId, address: SocketAddr, line: Option<Line>) -> bool {
-        self.common.borrow_mut().tell(self.clock.now(), pool, &address, line)
+    /// Updates the state of a server in a pool's list; `None` removes it. Returns whether other pools have to be told.
+    pub fn update_listing(&self, pool: PoolId, address: SocketAddr, state: Option<ListedState>) -> bool {
+        self.shared_servers.borrow_mut().update(self.clock.now(), pool, &address, state)
     }
 
-    /// What holds for a pool when all lists are put together.
-    pub fn view(&self, pool: PoolId, address: SocketAddr, own: Line, warm_after: Time) -> View {
-        self.common.borrow().view(self.clock.now(), pool, &address, own, warm_after)
+    /// The state of a server for a pool, with the lists of all pools combined.
+    pub fn combined_view(
+        &self, pool: PoolId, address: SocketAddr, own: ListedState, warm_after: Time,
+    ) -> CombinedView {
+        self.shared_servers.borrow().view(self.clock.now(), pool, &address, own, warm_after)
     }
 
     /// Tells the pools that list a server, but for the one that brought the news.
     pub fn notify_listing_changed(&self, address: SocketAddr, but: Option<PoolId>) {
-        let ids: Vec<PoolId> = self.common.borrow().pools(&address).filter(|p| Some(*p) != but).collect();
+        let ids: Vec<PoolId> =
+            self.shared_servers.borrow().pools(&address).filter(|p| Some(*p) != but).collect();
         for id in ids {
             let pool = self.pools.borrow().get(&id).and_then(Weak::upgrade);
             if let Some(pool) = pool {
@@ -260,17 +263,17 @@
         }
     }
 
-    /// What has to be looked at from time to time: ends that no longer hold, and pools that are gone.
+    /// Periodic work: removes expired listings, and pools that are gone.
     pub fn tick(&self) {
         let gone: Vec<PoolId> =
             self.pools.borrow().iter().filter(|(_, p)| p.strong_count() == 0).map(|(id, _)| *id).collect();
         for id in gone {
             self.pools.borrow_mut().remove(&id);
-            let left = self.common.borrow_mut().leave(id);
-            left.into_iter().for_each(|address| self.notify_listing_changed(address, None));
+            let removed = self.shared_servers.borrow_mut().remove_pool(id);
+            removed.into_iter().for_each(|address| self.notify_listing_changed(address, None));
         }
-        let lapsed = self.common.borrow_mut().lapse(self.clock.now());
-        lapsed.into_iter().for_each(|address| self.notify_listing_changed(address, None));
+        let expired = self.shared_servers.borrow_mut().expire(self.clock.now());
+        expired.into_iter().for_each(|address| self.notify_listing_changed(address, None));
         self.peers().into_iter().for_each(Peer::tick);
     }
 }
--- a/crates/node/src/net/shared/permits.rs
+++ b/crates/node/src/net/shared/permits.rs
@@ -196,7 +196,7 @@
             },
         };
         self.open.set(self.open.get() + 1);
-        let counted = self.parts().then_some(address);
+        let counted = self.combines_lists().then_some(address);
         if counted.is_some() {
             *self.by_server.borrow_mut().entry(address).or_default() += 1;
         }
--- a/crates/rig/examples/state_size.rs
+++ b/crates/rig/examples/state_size.rs
@@ -22,7 +22,7 @@
     ClientId, LogPosition, Message, PeerMessage, Promise, Request, Response, StorageId, Vote,
 };
 use reelfall_lease::token::LeaseName;
-use reelfall_routes::common::{Common, Line, Word as ListWord};
+use reelfall_routes::common::{ListedState, ServerStatus, SharedServers};
 use reelfall_routes::table::Host;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -320,13 +320,13 @@
 
 /// The look through what lists say of so many servers, for words that no longer hold.
 fn lapse(size: usize) -> f64 {
-    let mut common: Common<SocketAddr, u32> = Common::default();
+    let mut servers: SharedServers<SocketAddr, u32> = SharedServers::default();
     for n in 0..size {
-        let line = Line { word: ListWord::Up, ready_at: 0.0, known: true };
-        common.tell(0.0, (n / 19) as u32, &node(n).address, Some(line));
+        let state = ListedState { status: ServerStatus::Up, ready_at: 0.0, knows_start: true };
+        servers.update(0.0, (n / 19) as u32, &node(n).address, Some(state));
     }
     timed(20, |n| {
-        black_box(common.lapse(n as f64).len());
+        black_box(servers.expire(n as f64).len());
     })
 }
 
--- a/crates/routes/src/common.rs
+++ b/crates/routes/src/common.rs
@@ -1,46 +1,46 @@
 //! Servers that several pools list.
 //!
 //! Each pool has a list of its own and decides for itself. What one list says of a server still concerns every pool
-//! that sends to it: a drain holds for all of them, and what a cold server tolerates is one amount, to be parted.
+//! that sends to it: a drain holds for all of them, and what a cold server tolerates is one amount that they share.
 //!
-//! | said of an address by another pool | what holds here |
+//! | state of an address in another pool's list | effect on this pool |
 //! | --- | --- |
-//! | it serves | both send; the cold server's tolerance is parted |
+//! | it serves | both send; the cold server's tolerance is shared |
 //! | it drains | it drains here |
-//! | it is gone | it drains here for [`GONE_HOLDS`], unless this pool's list says that it has started anew since |
+//! | it is gone | it drains here for [`GONE_TTL`], unless this pool's list reports a later start |
 //! | it started at some moment (a list that follows servers) | it started then, or later if this list says so |
-//! | nothing any more (the list was taken from the settings, or the pool ended) | nothing |
+//! | not listed any more (the list was taken from the settings, or the pool ended) | none |
 //!
-//! A cold server's tolerance can't be parted at will: each pool has to be able to send one request now and then. So
-//! the [`SHARERS_MOST`] pools that were there first send to it, and any further pool is withheld until it is warm.
+//! A cold server's tolerance can't be divided at will: each pool has to be able to send one request now and then. So
+//! the [`SHARERS_MOST`] oldest pools send to it, and it is withheld from any further pool until it is warm.
 
 use crate::Time;
 use std::collections::HashMap;
 use std::hash::Hash;
 
-/// How long the word of another pool's list that a server is gone holds, in seconds. Lists come seconds late, so a
-/// list that still has the server is most likely behind; after this time it is taken at its word.
-pub const GONE_HOLDS: Time = 10.0;
+/// How long a server that another pool's list reports as gone is drained here, in seconds. Lists are seconds late, so a
+/// list that still has the server is most likely outdated; after this time it is believed.
+pub const GONE_TTL: Time = 10.0;
 
-/// Most pools that send to one cold server. Each of them may send one request at once; past so many, these alone
-/// would be more than the server tolerates.
+/// Maximum number of pools that send to one cold server. Each of them may send one request at once; with more pools,
+/// these alone would be more than the server tolerates.
 pub const SHARERS_MOST: u32 = 8;
 
-/// What a list says of a server.
+/// The state of a server in a pool's list.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Line {
+pub struct ListedState {
     /// Whether it takes requests.
-    pub word: Word,
+    pub status: ServerStatus,
     /// When it last started; 0 for long ago.
     pub ready_at: Time,
     /// The list follows servers and knows when they start. Otherwise somebody wrote it, and `ready_at` is a guess
     /// that concerns nobody else.
-    pub known: bool,
+    pub knows_start: bool,
 }
 
-/// Whether a server takes requests, by a list.
+/// Whether a server takes requests, according to a list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
+pub enum ServerStatus {
     /// It takes requests.
     Up,
     /// It finishes what it has.
@@ -49,153 +49,150 @@
     Gone,
 }
 
-/// What holds for a pool when all lists are put together.
+/// The state of a server for one pool, with the lists of all pools combined.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct View {
-    /// Another list says that nothing new may go there.
-    pub drained: bool,
-    /// How many pools send there, this one included.
+pub struct CombinedView {
+    /// Nothing new may be sent to it, according to another list.
+    pub is_draining: bool,
+    /// Number of pools that send to it, this one included.
     pub sharers: u32,
     /// When it last started; 0 for long ago.
     pub ready_at: Time,
-    /// Nothing may go there from this pool until then: the server is cold, and others were there first.
-    pub withheld: Option<Time>,
+    /// This pool may not send to it until then: the server is cold, and older pools send to it.
+    pub withheld_until: Option<Time>,
 }
 
-impl View {
-    /// Nobody else knows the server.
-    pub fn alone(ready_at: Time) -> View {
-        View { drained: false, sharers: 1, ready_at, withheld: None }
+impl CombinedView {
+    /// A server that no other pool lists.
+    pub fn unshared(ready_at: Time) -> CombinedView {
+        CombinedView { is_draining: false, sharers: 1, ready_at, withheld_until: None }
     }
 }
 
 #[derive(Clone, Debug)]
-struct Said<P> {
+struct PoolListing<P> {
     pool: P,
-    line: Line,
-    /// When it said so first.
-    at: Time,
+    state: ListedState,
+    /// When the list reported this state first.
+    since: Time,
 }
 
-/// What the lists of all pools say, by address.
+/// The states of servers in the lists of all pools, by address.
 #[derive(Clone, Debug)]
-pub struct Common<A, P> {
-    servers: HashMap<A, Vec<Said<P>>>,
+pub struct SharedServers<A, P> {
+    servers: HashMap<A, Vec<PoolListing<P>>>,
 }
 
-impl<A, P> Default for Common<A, P> {
+impl<A, P> Default for SharedServers<A, P> {
     fn default() -> Self {
-        Common { servers: HashMap::new() }
+        SharedServers { servers: HashMap::new() }
     }
 }
 
-impl<A: Clone + Eq + Hash, P: Copy + Ord> Common<A, P> {
-    /// A list says something of a server; `None` takes back what it said. Gives whether that may change what holds
-    /// for other pools.
-    pub fn tell(&mut self, now: Time, pool: P, address: &A, line: Option<Line>) -> bool {
+impl<A: Clone + Eq + Hash, P: Copy + Ord> SharedServers<A, P> {
+    /// Updates the state of a server in a pool's list; `None` removes it. Returns whether that may change what holds for
+    /// other pools.
+    pub fn update(&mut self, now: Time, pool: P, address: &A, state: Option<ListedState>) -> bool {
         // A start in the future would leave the server cold for others for as long as somebody's clock is wrong.
-        let line = line.map(|l| Line { ready_at: l.ready_at.min(now), ..l });
-        let said = self.servers.entry(address.clone()).or_default();
-        let old = said.iter().position(|s| s.pool == pool);
-        let changed = match (old, line) {
+        let state = state.map(|s| ListedState { ready_at: s.ready_at.min(now), ..s });
+        let listings = self.servers.entry(address.clone()).or_default();
+        let old = listings.iter().position(|listing| listing.pool == pool);
+        let changed = match (old, state) {
             (None, None) => false,
             (Some(n), None) => {
-                said.swap_remove(n);
+                listings.swap_remove(n);
                 true
             }
-            // An end of something that was never named concerns nobody.
-            (None, Some(Line { word: Word::Gone, .. })) => false,
-            (None, Some(line)) => {
-                said.push(Said { pool, line, at: now });
+            // The end of a server that the pool never listed concerns nobody.
+            (None, Some(ListedState { status: ServerStatus::Gone, .. })) => false,
+            (None, Some(state)) => {
+                listings.push(PoolListing { pool, state, since: now });
                 true
             }
-            (Some(n), Some(line)) => said.get_mut(n).is_some_and(|s| {
-                let changed = s.line != line;
+            (Some(n), Some(state)) => listings.get_mut(n).is_some_and(|listing| {
+                let changed = listing.state != state;
                 if changed {
-                    (s.line, s.at) = (line, now);
+                    (listing.state, listing.since) = (state, now);
                 }
                 changed
             }),
         };
-        if said.is_empty() {
+        if listings.is_empty() {
             self.servers.remove(address);
         }
         changed
     }
 
-    /// What holds for a pool whose own list says `own`, and which takes a server for warm `warm_after` seconds after
-    /// its start.
-    pub fn view(&self, now: Time, pool: P, address: &A, own: Line, warm_after: Time) -> View {
-        let Some(said) = self.servers.get(address) else { return View::alone(own.ready_at) };
-        let others = || said.iter().filter(|s| s.pool != pool);
-        let drained = others().any(|s| match s.line.word {
-            Word::Up => false,
-            Word::Draining => true,
-            Word::Gone => now - s.at < GONE_HOLDS && own.ready_at <= s.line.ready_at,
+    /// The state of a server for a pool whose own list has it as `own`, and for which a server is warm `warm_after`
+    /// seconds after its start.
+    pub fn view(&self, now: Time, pool: P, address: &A, own: ListedState, warm_after: Time) -> CombinedView {
+        let Some(listings) = self.servers.get(address) else { return CombinedView::unshared(own.ready_at) };
+        let others = || listings.iter().filter(|listing| listing.pool != pool);
+        let is_draining = others().any(|listing| match listing.state.status {
+            ServerStatus::Up => false,
+            ServerStatus::Draining => true,
+            ServerStatus::Gone => now - listing.since < GONE_TTL && own.ready_at <= listing.state.ready_at,
         });
-        let senders = || others().filter(|s| s.line.word != Word::Gone);
-        let ready_at = started(own, senders().map(|s| s.line));
+        let senders = || others().filter(|listing| listing.state.status != ServerStatus::Gone);
+        let ready_at = latest_start(own, senders().map(|listing| listing.state));
         let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        let warm = if ready_at > 0.0 { ready_at + warm_after } else { 0.0 };
-        let first = count(senders().filter(|s| s.pool < pool).count());
-        View {
-            drained,
+        let warm_at = if ready_at > 0.0 { ready_at + warm_after } else { 0.0 };
+        let older_pools = count(senders().filter(|listing| listing.pool < pool).count());
+        CombinedView {
+            is_draining,
             sharers: count(1 + senders().count()),
             ready_at,
-            withheld: (first >= SHARERS_MOST && now < warm).then_some(warm),
+            withheld_until: (older_pools >= SHARERS_MOST && now < warm_at).then_some(warm_at),
         }
     }
 
     /// The pools that list a server.
     pub fn pools<'a>(&'a self, address: &A) -> impl Iterator<Item = P> + 'a {
-        self.servers.get(address).into_iter().flatten().map(|s| s.pool)
+        self.servers.get(address).into_iter().flatten().map(|listing| listing.pool)
     }
 
-    /// Forgets words of an end that no longer hold, and gives the addresses that they were about.
-    pub fn lapse(&mut self, now: Time) -> Vec<A> {
-        let mut lapsed = Vec::new();
-        self.servers.retain(|address, said| {
-            let before = said.len();
-            said.retain(|s| s.line.word != Word::Gone || now - s.at < GONE_HOLDS);
-            if said.len() < before {
-                lapsed.push(address.clone());
-            }
-            !said.is_empty()
-        });
-        lapsed
+    /// Removes the listings of servers that have been gone for [`GONE_TTL`]. Returns their addresses.
+    pub fn expire(&mut self, now: Time) -> Vec<A> {
+        self.retain(|listing| listing.state.status != ServerStatus::Gone || now - listing.since < GONE_TTL)
+    }
+
+    /// Removes all listings of a pool that has ended. Returns their addresses.
+    pub fn remove_pool(&mut self, pool: P) -> Vec<A> {
+        self.retain(|listing| listing.pool != pool)
     }
 
-    /// A pool has ended: nothing it said holds. Gives the addresses that it was about.
-    pub fn leave(&mut self, pool: P) -> Vec<A> {
-        let mut left = Vec::new();
-        self.servers.retain(|address, said| {
-            let before = said.len();
-            said.retain(|s| s.pool != pool);
-            if said.len() < before {
-                left.push(address.clone());
+    /// Keeps the listings that fulfil a condition. Returns the addresses of the others.
+    fn retain(&mut self, keep: impl Fn(&PoolListing<P>) -> bool) -> Vec<A> {
+        let mut removed = Vec::new();
+        self.servers.retain(|address, listings| {
+            let before = listings.len();
+            listings.retain(&keep);
+            if listings.len() < before {
+                removed.push(address.clone());
             }
-            !said.is_empty()
+            !listings.is_empty()
         });
-        left
+        removed
     }
 
-    /// How many servers are known.
+    /// Number of servers in the lists of all pools.
     pub fn len(&self) -> usize {
         self.servers.len()
     }
 
-    /// Nothing is known.
+    /// Whether no pool lists a server.
     pub fn is_empty(&self) -> bool {
         self.servers.is_empty()
     }
 }
 
-/// When a server last started: the latest start that a list knows of; where none does, what this one guesses.
+/// When a server last started: the latest start that a list knows of; if none does, what this pool's list assumes.
 ///
 /// Guards against a pool that takes a server for warm (a written list knows no starts) while others know that it
-/// has just begun, and would push it over. It ought to catch every server that starts anew under its old address.
+/// has just begun, and would overload it. It ought to catch every server that starts anew under its old address.
 /// Harm: a list that is wrong about a start makes the server cold, and slow to fill, for all pools that have it.
-fn started(own: Line, others: impl Iterator<Item = Line>) -> Time {
-    let known = std::iter::once(own).chain(others).filter(|l| l.known).map(|l| l.ready_at);
-    known.reduce(f64::max).unwrap_or(own.ready_at)
+fn latest_start(own: ListedState, others: impl Iterator<Item = ListedState>) -> Time {
+    let states = std::iter::once(own).chain(others);
+    let starts = states.filter(|state| state.knows_start).map(|state| state.ready_at);
+    starts.reduce(f64::max).unwrap_or(own.ready_at)
 }
