Node: one place makes a list's entry of a configured server; counting servers copies no name

Need: the same entry was built in `net/service.rs` and in `net/registry/following.rs`; and each line of a list built a `ServerInstance`, with a copy of the server's name, only to be hashed for the count of servers, also where no fleet is on.

Change: `Pool::configured_entry` makes the entry. `ListedByPool::insert` takes the two fields of an instance and hashes them in place; `Pool::start_ms` gives the second one, as it was. No test is changed: the two on the count hold it against a walk.

What a list costs was not measured anew.

--- a/crates/node/src/net/pool/list.rs
+++ b/crates/node/src/net/pool/list.rs
@@ -2,9 +2,10 @@
 
 use super::Pool;
 use crate::net::shared::ListedByPool;
+use reelfall_conf::model;
 use reelfall_core::engine::Place;
 use reelfall_core::interface::{ListKind, ServerId, ServerState, Time};
-use reelfall_fleet::entry::ServerInstance;
+use reelfall_core::settings::Listed;
 use reelfall_routes::common::{ListedState, ServerStatus};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
@@ -24,12 +25,13 @@
         ServerList { places: HashMap::new(), at: HashMap::new(), listed }
     }
 
-    pub(super) fn insert(
-        &mut self, place: &Place<SocketAddr>, instance: Option<&ServerInstance>,
+    /// Adds a server, or replaces it. `name` and `start_ms` identify its instance, as in [`reelfall_fleet::entry::ServerInstance`].
+    fn insert(
+        &mut self, place: &Place<SocketAddr>, name: Option<&str>, start_ms: u64,
     ) -> Option<Place<SocketAddr>> {
         let old = self.remove(place.entry.server);
-        if let Some(instance) = instance {
-            self.listed.insert(place.entry.server, instance);
+        if let Some(name) = name {
+            self.listed.insert(place.entry.server, name, start_ms);
         }
         self.at.entry(place.address).or_default().push(place.entry.server);
         self.places.insert(place.entry.server, place.clone());
@@ -68,6 +70,20 @@
 }
 
 impl Pool {
+    /// The entry of a server that stands in the settings and has been taking requests since `ready_at`.
+    pub fn configured_entry(&self, server: &model::Server, ready_at: Time) -> Place<SocketAddr> {
+        let listed = Listed {
+            name: &server.name,
+            zone: server.zone.as_deref(),
+            kind: server.kind.as_deref(),
+            cell: 0,
+            state: server.state,
+            weight: server.weight,
+            ready_at: Some(ready_at),
+        };
+        Place { entry: self.names.borrow_mut().entry(&listed), address: server.address }
+    }
+
     /// Takes in a list, or a change of it.
     pub fn members(self: &Rc<Self>, list: ListKind, mut places: Vec<Place<SocketAddr>>) {
         let changed = self.merge_lists(list, &mut places);
@@ -102,8 +118,9 @@
             let old = match place.entry.state {
                 ServerState::Gone => own.remove(place.entry.server),
                 _ => {
-                    let instance = self.instance(place.entry.server, place.entry.ready_at);
-                    own.insert(place, instance.as_ref())
+                    let names = self.names.borrow();
+                    let name = names.servers.name(place.entry.server);
+                    own.insert(place, name, self.start_ms(place.entry.ready_at))
                 }
             };
             if let Some(old) = old.filter(|old| old.address != place.address && !own.has(&old.address)) {
--- a/crates/node/src/net/pool/outcome.rs
+++ b/crates/node/src/net/pool/outcome.rs
@@ -12,18 +12,17 @@
             Missing::Ended => self.own.borrow().places.get(&server)?.entry.ready_at,
             Missing::Unused => 0.0,
         };
-        self.instance(server, ready_at)
+        let name = self.names.borrow().servers.name(server)?.to_owned();
+        Some(ServerInstance { name, since: self.start_ms(ready_at) })
     }
 
-    /// The same for one that started then. A list that is written by hand tells of no start: when its file was read is
-    /// different on each node.
-    pub(super) fn instance(&self, server: ServerId, ready_at: Time) -> Option<ServerInstance> {
-        let since = match self.missing {
-            Missing::Ended => ready_at,
-            Missing::Unused => 0.0,
-        };
-        let name = self.names.borrow().servers.name(server)?.to_owned();
-        Some(ServerInstance { name, since: (since.max(0.0) * 1e3).round() as u64 })
+    /// The start that identifies the instance of a server among all nodes, in milliseconds; 0 for long ago. A list that is
+    /// written by hand tells of no start: when its file was read is different on each node.
+    pub(super) fn start_ms(&self, ready_at: Time) -> u64 {
+        match self.missing {
+            Missing::Ended => (ready_at.max(0.0) * 1e3).round() as u64,
+            Missing::Unused => 0,
+        }
     }
 
     /// Tells the fleet's observer how an attempt ended.
--- a/crates/node/src/net/registry/following.rs
+++ b/crates/node/src/net/registry/following.rs
@@ -30,20 +30,9 @@
 impl Source for Registry {
     fn follow(self, pool: Rc<Pool>) -> impl Future<Output = ()> + 'static {
         if !self.known.is_empty() {
-            let place = |server: &model::At<model::Server>| {
-                let listed = Listed {
-                    name: &server.name,
-                    zone: server.zone.as_deref(),
-                    kind: server.kind.as_deref(),
-                    cell: 0,
-                    state: server.state,
-                    weight: server.weight,
-                    // Nobody knows when they began: whoever wrote them down knew them for some time.
-                    ready_at: Some(0.0),
-                };
-                Place { entry: pool.names.borrow_mut().entry(&listed), address: server.address }
-            };
-            let places = self.known.iter().map(place).collect();
+            // Nobody knows when they started: whoever wrote them down knew them for some time.
+            let entry = |server: &model::At<model::Server>| pool.configured_entry(server, 0.0);
+            let places = self.known.iter().map(entry).collect();
             pool.members(ListKind::Cached, places);
         }
         let clock = pool.shared.clock;
--- a/crates/node/src/net/service.rs
+++ b/crates/node/src/net/service.rs
@@ -9,9 +9,7 @@
 use super::source::{follow, Source};
 use super::task::AbortOnDrop;
 use reelfall_conf::model;
-use reelfall_core::engine::Place;
 use reelfall_core::interface::{ClassId, ListKind, Time};
-use reelfall_core::settings::Listed;
 use reelfall_graphql::persisted::Persisted;
 use reelfall_routes::limits::{Allowed, Member};
 use reelfall_routes::table::Query;
@@ -63,19 +61,8 @@
 }
 
 fn apply_list(pool: &Rc<Pool>, list: &[ListedServer]) {
-    let place = |ListedServer { server, since }: &ListedServer| {
-        let listed = Listed {
-            name: &server.name,
-            zone: server.zone.as_deref(),
-            kind: server.kind.as_deref(),
-            cell: 0,
-            state: server.state,
-            weight: server.weight,
-            ready_at: Some(*since),
-        };
-        Place { entry: pool.names.borrow_mut().entry(&listed), address: server.address }
-    };
-    let places = list.iter().map(place).collect();
+    let entry = |listed: &ListedServer| pool.configured_entry(&listed.server, listed.since);
+    let places = list.iter().map(entry).collect();
     pool.members(ListKind::Full, places);
 }
 
--- a/crates/node/src/net/shared/listed.rs
+++ b/crates/node/src/net/shared/listed.rs
@@ -2,7 +2,6 @@
 //! hold up requests.
 
 use reelfall_core::interface::ServerId;
-use reelfall_fleet::entry::ServerInstance;
 use std::cell::RefCell;
 use std::collections::hash_map::{Entry, HashMap, RandomState};
 use std::hash::BuildHasher;
@@ -25,8 +24,8 @@
         self.lists.borrow().len()
     }
 
-    fn add(&self, instance: &ServerInstance) -> Fingerprint {
-        let fingerprint = self.hasher.hash_one(instance);
+    fn add(&self, name: &str, start_ms: u64) -> Fingerprint {
+        let fingerprint = self.hasher.hash_one((name, start_ms));
         *self.lists.borrow_mut().entry(fingerprint).or_default() += 1;
         fingerprint
     }
@@ -53,9 +52,10 @@
         ListedByPool { all, servers: HashMap::new() }
     }
 
-    /// The list names this instance of a server, and no other instance of it any more.
-    pub fn insert(&mut self, server: ServerId, instance: &ServerInstance) {
-        let fingerprint = self.all.add(instance);
+    /// The list names this instance of a server, and no other instance of it any more. The arguments are the fields of a
+    /// [`reelfall_fleet::entry::ServerInstance`], which would own a copy of the name.
+    pub fn insert(&mut self, server: ServerId, name: &str, start_ms: u64) {
+        let fingerprint = self.all.add(name, start_ms);
         if let Some(old) = self.servers.insert(server, fingerprint) {
             self.all.subtract(old);
         }
