Node: Log::write_line, and log lines that need no explaining

Change: `Log::say` is `Log::write_line`; `say` stays as an alias for the one call in `net/front/accept.rs`, which is worked on elsewhere. Lines that are read by a machine (`fails several nodes`, `is well, or nobody says otherwise`, `is out by hand`, `is in force`, `this keeper votes`) are unchanged. No test matched one of the changed texts.

--- a/crates/node/src/fleet/events.rs
+++ b/crates/node/src/fleet/events.rs
@@ -67,14 +67,15 @@
         let old = self.condemned.replace(new.clone());
         for server in old.keys().filter(|server| !new.contains_key(server)) {
             let name = &server.name;
-            self.condemned_log.say(format_args!("fleet: {name} is well, or nobody says otherwise"));
+            self.condemned_log.write_line(format_args!("fleet: {name} is well, or nobody says otherwise"));
             let ended = Condemnation { server: server.clone(), until: pool_clock, is_prober: false };
             self.shared.apply_condemnation(&ended);
         }
         for (server, condemnation) in &new {
             if !old.contains_key(server) {
                 let (name, left) = (&server.name, condemnation.until - pool_clock);
-                self.condemned_log.say(format_args!("fleet: {name} fails several nodes, for {left:.1} s"));
+                self.condemned_log
+                    .write_line(format_args!("fleet: {name} fails several nodes, for {left:.1} s"));
             }
             self.shared.apply_condemnation(condemnation);
         }
@@ -94,23 +95,25 @@
         let log = &self.shared.log;
         match event {
             FleetEvent::Member(MemberEvent::Up(n)) => {
-                log.say(format_args!("fleet: {} at {} is there", n.name, n.address));
+                log.write_line(format_args!("fleet: {} at {} is there", n.name, n.address));
             }
             FleetEvent::Member(MemberEvent::Down(n)) => {
-                log.say(format_args!("fleet: {} at {} is gone", n.name, n.address));
+                log.write_line(format_args!("fleet: {} at {} is gone", n.name, n.address));
             }
             FleetEvent::Member(MemberEvent::Rejoined(_)) => {
-                log.say(format_args!("fleet: taken for gone, and back"));
+                log.write_line(format_args!("fleet: this node was declared dead, and has rejoined"));
             }
             FleetEvent::Updated(Key::Ban { server, .. }) | FleetEvent::Expired(Key::Ban { server, .. }) => {
                 self.log_ban(server, now)
             }
             FleetEvent::Updated(Key::Leaving { node, .. }) => {
-                log.say(format_args!("fleet: {node} is on its way out"));
+                log.write_line(format_args!("fleet: {node} is leaving"));
             }
             FleetEvent::Updated(_) | FleetEvent::Expired(_) => {}
             FleetEvent::NameConflict => {
-                log.say(format_args!("fleet: another process has this node's name; this one tells nothing"));
+                log.write_line(format_args!(
+                    "fleet: another process has this node's name; this one publishes nothing"
+                ));
             }
         }
     }
@@ -118,9 +121,10 @@
     fn log_ban(&self, server: &str, now: Time) {
         match self.fleet.borrow().ban_left(server, now) {
             Some(left) => {
-                self.ban_log.say(format_args!("fleet: {server} is out by hand, for {left:.0} s at most"));
+                self.ban_log
+                    .write_line(format_args!("fleet: {server} is out by hand, for {left:.0} s at most"));
             }
-            None => self.ban_log.say(format_args!("fleet: {server} is not out by hand")),
+            None => self.ban_log.write_line(format_args!("fleet: {server} is not out by hand")),
         }
     }
 
@@ -136,9 +140,9 @@
                 ListLag::Since(since) if now - since > LIST_LAG => {
                     followed.lag = ListLag::Logged;
                     let index = followed.index;
-                    self.shared
-                        .log
-                        .say(format_args!("fleet: list {list} is at {index} here, others heard of {latest}"));
+                    self.shared.log.write_line(format_args!(
+                        "fleet: list {list} is at {index} here, others heard of {latest}"
+                    ));
                 }
                 ListLag::Since(_) | ListLag::Logged => {}
             }
@@ -154,7 +158,9 @@
         if dropped > logged && now - logged_at >= DROPPED_LOG_INTERVAL {
             self.logged_dropped.set((now, dropped));
             let by_reason: Vec<String> = by_reason.iter().map(|(why, n)| format!("{n} {why}")).collect();
-            self.shared.log.say(format_args!("fleet: datagrams dropped so far: {}", by_reason.join(", ")));
+            self.shared
+                .log
+                .write_line(format_args!("fleet: datagrams dropped so far: {}", by_reason.join(", ")));
         }
     }
 }
--- a/crates/node/src/lease/admin.rs
+++ b/crates/node/src/lease/admin.rs
@@ -37,7 +37,7 @@
     pub fn release(&self, lease: &str, why: &str) -> (StatusCode, String) {
         match LeaseName::try_from(lease.to_owned()) {
             Ok(name) if self.release_for_a_while(&name) => {
-                self.log.say(format_args!("lease {name}: given back by an operator: {why}"));
+                self.log.write_line(format_args!("lease {name}: released by an operator: {why}"));
                 (StatusCode::OK, format!("{name} is given back\n"))
             }
             Ok(name) => (StatusCode::CONFLICT, format!("{name} is not held here\n")),
--- a/crates/node/src/lease/call.rs
+++ b/crates/node/src/lease/call.rs
@@ -32,16 +32,19 @@
         next = began + interval;
         match answer {
             Ok(Ok(Some(StatusCode::CONFLICT | StatusCode::PRECONDITION_FAILED))) => {
-                leases.log.say(format_args!("lease {name}: a later holder was seen by {}", call.address));
+                leases.log.write_line(format_args!(
+                    "lease {name}: {} has seen a token of a later holder",
+                    call.address
+                ));
                 leases.release_for_a_while(&name);
             }
             Ok(Ok(Some(status))) if !status.is_success() => {
-                leases.log.say(format_args!("lease {name}: {} answers {status}", call.address));
+                leases.log.write_line(format_args!("lease {name}: {} answers {status}", call.address));
             }
             // It succeeded, or the lease was lost meanwhile: then there is nothing to call.
             Ok(Ok(_)) => {}
-            Ok(Err(e)) => leases.log.say(format_args!("lease {name}: {}: {e}", call.address)),
-            Err(_) => leases.log.say(format_args!("lease {name}: {} does not answer", call.address)),
+            Ok(Err(e)) => leases.log.write_line(format_args!("lease {name}: {}: {e}", call.address)),
+            Err(_) => leases.log.write_line(format_args!("lease {name}: {} does not answer", call.address)),
         }
     }
 }
--- a/crates/node/src/lease/dispatch.rs
+++ b/crates/node/src/lease/dispatch.rs
@@ -116,13 +116,13 @@
     fn log_event(&self, name: &LeaseName, event: &LeaseEvent) {
         match event {
             LeaseEvent::Acquired(token) => {
-                self.log.say(format_args!("lease {name}: held here, token {}", token.number()));
+                self.log.write_line(format_args!("lease {name}: acquired, token {}", token.number()));
             }
             LeaseEvent::Released(token) => {
-                self.log.say(format_args!("lease {name}: given back, token {}", token.number()));
+                self.log.write_line(format_args!("lease {name}: released, token {}", token.number()));
             }
             LeaseEvent::Lost(token) => {
-                self.log.say(format_args!("lease {name}: lost, token {}", token.number()));
+                self.log.write_line(format_args!("lease {name}: lost, token {}", token.number()));
             }
         }
     }
@@ -212,7 +212,7 @@
         local.keeper.replace(None);
         local.opening.set(0);
         if local.last_status.replace(why.to_owned()) != why {
-            self.log.say(format_args!("leases: the keeper's folder: {why}"));
+            self.log.write_line(format_args!("leases: the keeper's folder: {why}"));
         }
     }
 
@@ -221,7 +221,7 @@
         let status = local.keeper.borrow().as_ref().map(Keeper::status);
         let Some(status) = status.map(admin::describe) else { return };
         if *local.last_status.borrow() != status {
-            self.log.say(format_args!("leases: this keeper {status}"));
+            self.log.write_line(format_args!("leases: this keeper {status}"));
             local.last_status.replace(status);
         }
     }
--- a/crates/node/src/net/discovery.rs
+++ b/crates/node/src/net/discovery.rs
@@ -81,7 +81,7 @@
         }
     }
     if unusable > 0 {
-        pool.shared.log.say(format_args!("{unusable} entries of list {index} can't be used"));
+        pool.shared.log.write_line(format_args!("{unusable} entries of list {index} can't be used"));
     }
     pool.members(kind, places);
     Ok(index)
@@ -148,7 +148,7 @@
             }
         };
         if let Err(fault) = &ended {
-            pool.shared.log.say(format_args!("discovery: {fault}"));
+            pool.shared.log.write_line(format_args!("discovery: {fault}"));
         }
         if !pool.pushed() {
             // The module says when to ask again.
--- a/crates/node/src/net/management.rs
+++ b/crates/node/src/net/management.rs
@@ -72,7 +72,7 @@
         match ledger_file.read_if_changed() {
             Ok(Some(ledger)) => self.shared.apply_operations(ledger),
             Ok(None) => {}
-            Err(e) => self.shared.log.say(format_args!("the ledger: {e}")),
+            Err(e) => self.shared.log.write_line(format_args!("the ledger: {e}")),
         }
     }
 
@@ -94,7 +94,7 @@
             match TcpListener::bind(address).await {
                 Ok(listener) => break listener,
                 // Another's, or an earlier life's: clients are served meanwhile.
-                Err(e) => self.shared.log.say(format_args!("operators' address {address}: {e}")),
+                Err(e) => self.shared.log.write_line(format_args!("operators' address {address}: {e}")),
             }
             sleep(BIND_RETRY_INTERVAL).await;
         };
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -109,26 +109,32 @@
     let _ = stream.set_nodelay(true);
 }
 
-/// Standard error, a few lines a second: a flood of faults must not become a flood of text.
+/// A log on standard error with a rate limit: a flood of faults must not become a flood of text.
 #[derive(Default)]
 pub struct Log {
-    since: Cell<Option<Instant>>,
-    lines: Cell<u32>,
+    window_start: Cell<Option<Instant>>,
+    lines_in_window: Cell<u32>,
 }
 
 impl Log {
-    const LINES_A_SECOND: u32 = 5;
+    const LINES_PER_WINDOW: u32 = 5;
+    const WINDOW: Duration = Duration::from_secs(1);
 
-    /// Writes a line, unless this second has had its lines.
-    pub fn say(&self, line: std::fmt::Arguments) {
+    /// Writes a line, or drops it if the rate limit is reached.
+    pub fn write_line(&self, line: std::fmt::Arguments) {
         let now = Instant::now();
-        if self.since.get().is_none_or(|since| now - since >= Duration::from_secs(1)) {
-            self.since.set(Some(now));
-            self.lines.set(0);
+        if self.window_start.get().is_none_or(|start| now - start >= Self::WINDOW) {
+            self.window_start.set(Some(now));
+            self.lines_in_window.set(0);
         }
-        if self.lines.get() < Self::LINES_A_SECOND {
-            self.lines.set(self.lines.get() + 1);
+        if self.lines_in_window.get() < Self::LINES_PER_WINDOW {
+            self.lines_in_window.set(self.lines_in_window.get() + 1);
             eprintln!("reelfall: {line}");
         }
     }
+
+    /// The former name of [`Log::write_line`], for the callers that still use it.
+    pub fn say(&self, line: std::fmt::Arguments) {
+        self.write_line(line);
+    }
 }
--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -151,7 +151,7 @@
     pub fn restore_learned(&self, learned: &serde_json::Value) {
         match Learned::deserialize(learned) {
             Ok(learned) => self.engine.borrow_mut().adopt(self.shared.clock.now(), &learned),
-            Err(e) => self.shared.log.say(format_args!("what was learned can't be read: {e}")),
+            Err(e) => self.shared.log.write_line(format_args!("what was learned can't be read: {e}")),
         }
     }
 
--- a/crates/node/src/net/registry/following.rs
+++ b/crates/node/src/net/registry/following.rs
@@ -110,12 +110,18 @@
     fn log_report(&self, report: &Report) {
         let (log, path) = (&self.pool.shared.log, &self.path);
         match report {
-            Report::Entry(child, fault) => log.say(format_args!("registry {path}/{child}: {fault}")),
-            Report::TooMany(most) => log.say(format_args!("registry {path}: more than {most} entries")),
-            Report::NoPath => log.say(format_args!("registry {path}: there is no such path")),
-            Report::NotAllowed => log.say(format_args!("registry {path}: not to be read by this session")),
-            Report::Stale(age) => log.say(format_args!("registry {path}: nothing heard for {age} s")),
-            Report::Fresh => log.say(format_args!("registry {path}: heard again")),
+            Report::Entry(child, fault) => log.write_line(format_args!("registry {path}/{child}: {fault}")),
+            Report::TooMany(most) => {
+                log.write_line(format_args!("registry {path}: more than {most} entries"))
+            }
+            Report::NoPath => log.write_line(format_args!("registry {path}: the path does not exist")),
+            Report::NotAllowed => {
+                log.write_line(format_args!("registry {path}: this session has no permission to read it"))
+            }
+            Report::Stale(age) => {
+                log.write_line(format_args!("registry {path}: no update received for {age} s"))
+            }
+            Report::Fresh => log.write_line(format_args!("registry {path}: updates are received again")),
         }
     }
 }
@@ -124,10 +130,13 @@
     fn event(&mut self, now: Time, session: &Session, event: &Event) {
         match event {
             Event::Lost(why @ (Why::Wire(_) | Why::Credentials)) => {
-                self.pool.shared.log.say(format_args!("registry {}: {why}", self.path));
+                self.pool.shared.log.write_line(format_args!("registry {}: {why}", self.path));
             }
             Event::Reset => {
-                self.pool.shared.log.say(format_args!("registry {}: begins anew", self.path));
+                self.pool.shared.log.write_line(format_args!(
+                    "registry {}: the registry was reset, its state is read again",
+                    self.path
+                ));
             }
             _ => {}
         }
--- a/crates/node/src/net/registry/own_entry.rs
+++ b/crates/node/src/net/registry/own_entry.rs
@@ -105,12 +105,14 @@
         let Some(report) = own.report() else { return };
         let (log, path) = (&self.shared.log, &self.path);
         match report {
-            own::Report::Stands => log.say(format_args!("own entry {path}: stands")),
-            own::Report::Taken(_) => log.say(format_args!("own entry {path}: somebody else's is there")),
+            own::Report::Stands => log.write_line(format_args!("own entry {path}: registered")),
+            own::Report::Taken(_) => {
+                log.write_line(format_args!("own entry {path}: registered by another owner"))
+            }
             own::Report::Superseded => {
-                log.say(format_args!("own entry {path}: a later life of this node has it"))
+                log.write_line(format_args!("own entry {path}: registered by a later run of this node"))
             }
-            own::Report::Refused(why) => log.say(format_args!("own entry {path}: {why}")),
+            own::Report::Refused(why) => log.write_line(format_args!("own entry {path}: {why}")),
         }
     }
 
--- a/crates/node/src/net/shared/fleet.rs
+++ b/crates/node/src/net/shared/fleet.rs
@@ -48,7 +48,7 @@
         }
         for name in banned {
             if let Err(error) = new.disable(name, now) {
-                self.log.say(format_args!("fleet: {error}"));
+                self.log.write_line(format_args!("fleet: {error}"));
             }
         }
         let changed = old.changed_servers(&new);
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -166,11 +166,13 @@
                 None
             }
             Ok(Err(e)) => {
-                shared.log.say(format_args!("the process that serves: {e}; binding the address beside it"));
+                shared
+                    .log
+                    .write_line(format_args!("the process that serves: {e}; binding the address beside it"));
                 None
             }
             Err(_) => {
-                shared.log.say(format_args!(
+                shared.log.write_line(format_args!(
                     "the process that serves gives nothing; binding the address beside it"
                 ));
                 None
@@ -281,7 +283,7 @@
         let listener = match self.socket.as_ref()?.listen() {
             Ok(listener) => listener,
             Err(e) => {
-                self.shared.log.say(format_args!("no process will be able to take over: {e}"));
+                self.shared.log.write_line(format_args!("no process will be able to take over: {e}"));
                 return None;
             }
         };
@@ -313,7 +315,7 @@
             return;
         }
         let ended = self.hand_over(&mut exchange, front).await;
-        self.shared.log.say(format_args!("the process that takes over: {ended}"));
+        self.shared.log.write_line(format_args!("the process that takes over: {ended}"));
         front.hand_over_to(None);
         self.update_predecessor(front, Predecessor::handle_successor_lost);
         self.shared.set_processes(self.successor.get().process_count());
@@ -331,7 +333,7 @@
         }
         match exchange.receive().await {
             Ok((Frame::Serving, _)) => {}
-            Ok(_) => return io::Error::other("it talks nonsense"),
+            Ok(_) => return io::Error::other("it violates the protocol"),
             Err(e) => return e,
         }
         let (sender, mut handovers) = mpsc::unbounded_channel::<Handover>();
@@ -339,7 +341,7 @@
         self.update_predecessor(front, Predecessor::handle_serving);
         let ended = loop {
             let next = tokio::select! {
-                ended = exchange.receive() => break ended.err().unwrap_or(io::Error::other("it talks nonsense")),
+                ended = exchange.receive() => break ended.err().unwrap_or(io::Error::other("it violates the protocol")),
                 Some(next) = handovers.recv() => next,
             };
             if let Err(e) = send_client(exchange, next).await {
--- a/crates/node/src/net/upstream/attempt.rs
+++ b/crates/node/src/net/upstream/attempt.rs
@@ -60,7 +60,7 @@
         }
         let _waits = upstream.shared.wait();
         if timeout_at(until.into(), upstream.freed.notified()).await.is_err() {
-            host.upstream().shared.log.say(format_args!("all connections to servers are in use"));
+            host.upstream().shared.log.write_line(format_args!("all connections to servers are in use"));
             return Err(Outcome::Unused);
         }
     }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -187,7 +187,7 @@
                     address.send_if_modified(|old| std::mem::replace(old, new.discovery) != new.discovery);
                     break;
                 }
-                Err(fault) => shared.log.say(format_args!("the old configuration stays: {fault}")),
+                Err(fault) => shared.log.write_line(format_args!("the old configuration stays: {fault}")),
             }
             tokio::time::sleep(RELOAD_AGAIN).await;
         }
