--- a/crates/membership/src/entry.rs
+++ b/crates/membership/src/entry.rs
@@ -1,4 +1,4 @@
-//! What an entry says of its server: a JSON object as its data. Members that are not known are ignored.
+//! The description of a server in the data of its entry: a JSON object. Unknown members are ignored.
 //!
 //! | member | | |
 //! | --- | --- | --- |
@@ -7,7 +7,7 @@
 //! | `addresses` | list of the same | the first that can be used, if there is no `address` |
 //! | `zone`, `type` | text | |
 //! | `weight` | number | over 0 up to 1000 |
-//! | `state` | `up` (by default) or `draining` | a word that is not known is no leave to send |
+//! | `state` | `up` (by default) or `draining` | an unknown state counts as `draining` |
 //! | `started` | milliseconds of Unix time | when the process began; by default when the entry was made |
 
 use crate::wire::Stat;
@@ -16,14 +16,14 @@
 use std::net::{IpAddr, SocketAddr};
 use thiserror::Error;
 
-/// Longest data of an entry that is looked at, in bytes.
+/// Maximum length of the data of an entry, in bytes.
 pub const DATA_MOST: usize = 16 << 10;
-/// Longest name of a server, in bytes.
+/// Maximum length of the name of a server, in bytes.
 pub const NAME_MOST: usize = 128;
-/// Greatest weight.
+/// Maximum weight.
 pub const WEIGHT_MOST: f64 = 1000.0;
 
-/// What an entry says.
+/// The server that an entry describes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     /// The server's name.
@@ -36,40 +36,41 @@
     pub kind: Option<String>,
     /// Its weight.
     pub weight: f64,
-    /// It finishes what it has.
+    /// It accepts no new requests, and finishes those that it has.
     pub draining: bool,
-    /// When it began.
+    /// When it started.
     pub started: Time,
 }
 
 /// Why an entry can't be used.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum EntryFault {
+pub enum EntryError {
     /// Its data is longer than any can be.
     #[error("its data has {0} bytes, {DATA_MOST} at most")]
-    Long(usize),
+    TooLong(usize),
     /// Its data is no JSON object of the members that are known.
     #[error("its data can't be read: {0}")]
-    Data(String),
+    InvalidData(String),
     /// Its name, or that in its data, can't be one.
     #[error("its name is empty, too long, or holds what can't be shown")]
-    Name,
+    InvalidName,
     /// It names no address that can be used.
     #[error("it has no address that can be used")]
-    Address,
+    InvalidAddress,
     /// Its weight can't be.
     #[error("its weight is not over 0 up to {WEIGHT_MOST}")]
-    Weight,
+    InvalidWeight,
     /// It does not end with a session.
     #[error("it is not ephemeral")]
     NotEphemeral,
     /// Others than those that are trusted may change it.
     #[error("others than those that are trusted may change it")]
-    Stranger,
+    UntrustedWriter,
 }
 
+/// The JSON object in the data of an entry.
 #[derive(Deserialize)]
-struct Data {
+struct EntryData {
     name: Option<String>,
     address: Option<String>,
     port: Option<u16>,
@@ -95,30 +96,33 @@
     }
 }
 
-/// Reads an entry.
+/// Parses an entry.
 ///
 /// # Errors
 /// Says why it can't be used. That concerns nothing but the entry.
-pub fn read(child: &str, data: &[u8], stat: &Stat, now: Time) -> Result<Entry, EntryFault> {
+pub fn parse(child: &str, data: &[u8], stat: &Stat, now: Time) -> Result<Entry, EntryError> {
     if data.len() > DATA_MOST {
-        return Err(EntryFault::Long(data.len()));
+        return Err(EntryError::TooLong(data.len()));
     }
-    let data: Data = serde_json::from_slice(data).map_err(|e| EntryFault::Data(e.to_string()))?;
+    let data: EntryData = serde_json::from_slice(data).map_err(|e| EntryError::InvalidData(e.to_string()))?;
     let name = data.name.unwrap_or_else(|| without_sequence(child).to_owned());
-    let shown =
+    let is_valid_text =
         |text: &str| !text.is_empty() && text.len() <= NAME_MOST && !text.chars().any(char::is_control);
-    let fits = |text: &Option<String>| text.as_deref().is_none_or(shown);
-    if !shown(&name) || !fits(&data.zone) || !fits(&data.kind) {
-        return Err(EntryFault::Name);
+    let is_valid_option = |text: &Option<String>| text.as_deref().is_none_or(is_valid_text);
+    if !is_valid_text(&name) || !is_valid_option(&data.zone) || !is_valid_option(&data.kind) {
+        return Err(EntryError::InvalidName);
     }
-    let listed = data.address.iter().chain(&data.addresses);
-    let address = listed.filter_map(|text| address(text, data.port)).next().ok_or(EntryFault::Address)?;
+    let candidates = data.address.iter().chain(&data.addresses);
+    let address = candidates
+        .filter_map(|text| parse_address(text, data.port))
+        .next()
+        .ok_or(EntryError::InvalidAddress)?;
     let weight = data.weight.unwrap_or(1.0);
     if !(weight > 0.0 && weight <= WEIGHT_MOST) {
-        return Err(EntryFault::Weight);
+        return Err(EntryError::InvalidWeight);
     }
-    let made = stat.ctime as f64 / 1e3;
-    let started = data.started.filter(|s| s.is_finite() && *s >= 0.0).map_or(made, |ms| ms / 1e3);
+    let created = stat.ctime as f64 / 1e3;
+    let started = data.started.filter(|s| s.is_finite() && *s >= 0.0).map_or(created, |ms| ms / 1e3);
     Ok(Entry {
         name,
         address,
@@ -131,8 +135,8 @@
     })
 }
 
-/// An address that a server can be reached at.
-fn address(text: &str, port: Option<u16>) -> Option<SocketAddr> {
+/// Parses an address that a server can be reached at.
+fn parse_address(text: &str, port: Option<u16>) -> Option<SocketAddr> {
     let address: SocketAddr = match (text.parse(), text.parse::<IpAddr>(), port) {
         (Ok(address), ..) => address,
         (_, Ok(ip), Some(port)) => SocketAddr::new(ip, port),
--- a/crates/membership/src/follow.rs
+++ b/crates/membership/src/follow.rs
@@ -16,19 +16,19 @@
 //! Source: ZooKeeper Programmer's Guide, "ZooKeeper Watches", "What ZooKeeper Guarantees about Watches" (a client sees the
 //! watch event before the state that made it).
 
-use crate::entry::{self, EntryFault};
+use crate::entry::{self, EntryError};
 use crate::roster::{Change, Roster};
 use crate::session::Event;
 use crate::wire::{Acl, Answer, Fired, Happened, Op, Refusal, Stat};
 use crate::Time;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
-/// What is believed of a registry that has been silent for too long.
+/// What to do when the list is stale.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Stale {
-    /// The last list holds on: servers are more often there than not.
+    /// The last list is kept: servers are more often there than not.
     GoOn,
-    /// Nothing is sent to servers that nobody vouches for.
+    /// No server is used.
     Refuse,
 }
 
@@ -65,21 +65,21 @@
     }
 }
 
-/// Something that people should know.
+/// Something that is worth a log line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Report {
-    /// An entry can't be used. Said once for each state of its data.
-    Entry(String, EntryFault),
-    /// There are more entries than the bound.
-    TooMany(usize),
-    /// There is no such path.
-    NoPath,
+    /// An entry is invalid. Reported once for each version of its data.
+    InvalidEntry(String, EntryError),
+    /// There are more entries than the limit.
+    TooManyEntries(usize),
+    /// The path does not exist.
+    PathMissing,
     /// The registry does not let this session read the path.
-    NotAllowed,
+    AccessDenied,
     /// The list is stale, for so many seconds now.
     Stale(u64),
-    /// The registry is heard again.
-    Fresh,
+    /// The registry is heard again, after the list was stale.
+    UpToDate,
 }
 
 #[derive(Debug, Default)]
@@ -87,7 +87,7 @@
     /// It is being read.
     reading: bool,
     /// Something has happened since it was asked for.
-    again: bool,
+    read_again: bool,
     /// The state of its data that has been looked at.
     mzxid: Option<i64>,
 }
@@ -102,7 +102,7 @@
     Acl(String, Box<(bytes::Bytes, Stat)>),
 }
 
-/// See the module.
+/// Follows the entries under a path; see the module.
 #[derive(Debug)]
 pub struct Follower {
     path: String,
@@ -111,11 +111,11 @@
     /// Children to be read, in their order.
     queue: VecDeque<String>,
     queued: BTreeSet<String>,
-    asked: HashMap<u64, Purpose>,
+    pending: HashMap<u64, Purpose>,
     reading: usize,
     next_token: u64,
     /// What is to be asked, in its order.
-    ops: VecDeque<(u64, Op)>,
+    requests: VecDeque<(u64, Op)>,
     up: bool,
     /// A watch of its own for each read, since the registry has no persistent ones.
     one_shot: bool,
@@ -123,11 +123,11 @@
     listing: bool,
     list_again: bool,
     /// Everything that was there when it came up has been read.
-    whole: bool,
-    /// Something of it has been read at all.
-    ever: bool,
+    is_complete: bool,
+    /// The whole list was read at least once.
+    has_list: bool,
     /// When the registry was last heard.
-    heard: Time,
+    last_heard: Time,
     next_reread: Time,
     stale: bool,
     roster: Roster,
@@ -144,35 +144,35 @@
             children: HashMap::new(),
             queue: VecDeque::new(),
             queued: BTreeSet::new(),
-            asked: HashMap::new(),
+            pending: HashMap::new(),
             reading: 0,
             next_token: 0,
-            ops: VecDeque::new(),
+            requests: VecDeque::new(),
             up: false,
             one_shot: false,
             listing: false,
             list_again: false,
-            whole: false,
-            ever: false,
-            heard: now,
+            is_complete: false,
+            has_list: false,
+            last_heard: now,
             stale: false,
             roster: Roster::default(),
             reports: VecDeque::new(),
         }
     }
 
-    /// What is to be asked next; its answer comes back with the number.
-    pub fn op(&mut self) -> Option<(u64, Op)> {
-        self.ops.pop_front()
+    /// The next request, with the token that its answer has.
+    pub fn next_request(&mut self) -> Option<(u64, Op)> {
+        self.requests.pop_front()
     }
 
-    /// What has become of servers since this was last asked.
-    pub fn changes(&mut self) -> Vec<Change> {
-        self.roster.changes()
+    /// Returns the changes of servers since the last call.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        self.roster.take_changes()
     }
 
-    /// What people should know next.
-    pub fn report(&mut self) -> Option<Report> {
+    /// The next report.
+    pub fn next_report(&mut self) -> Option<Report> {
         self.reports.pop_front()
     }
 
@@ -181,135 +181,135 @@
         &self.roster
     }
 
-    /// The whole list has been read at some time.
-    pub fn is_known(&self) -> bool {
-        self.ever
+    /// Whether the whole list was read at least once.
+    pub fn has_list(&self) -> bool {
+        self.has_list
     }
 
     /// All that was there has been read, and no news is under way.
     pub fn is_settled(&self) -> bool {
-        self.up && self.whole && !self.listing && self.queue.is_empty() && self.reading == 0
+        self.up && self.is_complete && !self.listing && self.queue.is_empty() && self.reading == 0
     }
 
     /// Seconds since the registry was last heard.
     pub fn age(&self, now: Time) -> Time {
-        (now - self.heard).max(0.0)
+        (now - self.last_heard).max(0.0)
     }
 
-    /// Nothing may be sent, since the list is stale.
-    pub fn refuses(&self) -> bool {
+    /// Whether no server may be used, since the list is stale.
+    pub fn refuses_servers(&self) -> bool {
         self.stale && self.limits.stale == Stale::Refuse
     }
 
-    /// Entries that are held, those that wait to be read, and requests under way.
-    pub fn size(&self) -> (usize, usize, usize) {
-        (self.children.len(), self.queue.len(), self.asked.len())
+    /// Numbers of entries, of entries that wait to be read, and of requests under way.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        (self.children.len(), self.queue.len(), self.pending.len())
     }
 
-    /// When [`Follower::tick`] has something to do.
+    /// When [`Follower::tick`] has to be called next.
     pub fn deadline(&self) -> Time {
-        let stale = if self.up || self.stale { f64::MAX } else { self.heard + self.limits.stale_after };
+        let stale = if self.up || self.stale { f64::MAX } else { self.last_heard + self.limits.stale_after };
         let reread = if self.up { self.next_reread } else { f64::MAX };
         stale.min(reread).min(self.roster.deadline().unwrap_or(f64::MAX))
     }
 
-    /// Time has passed.
+    /// Acts on timeouts; to be called at [`Follower::deadline`].
     pub fn tick(&mut self, now: Time) {
         self.roster.tick(now);
-        if !self.up && !self.stale && now - self.heard >= self.limits.stale_after {
+        if !self.up && !self.stale && now - self.last_heard >= self.limits.stale_after {
             self.stale = true;
-            self.report_one(Report::Stale(self.age(now) as u64));
+            self.report(Report::Stale(self.age(now) as u64));
         }
         if self.up && now >= self.next_reread {
             self.next_reread = now + self.limits.reread;
-            self.list();
+            self.request_list();
             // Nothing is read twice at once: what is being read is read again after.
             let all: Vec<String> = self.children.keys().cloned().collect();
-            all.into_iter().for_each(|child| self.read(child));
-            self.pump();
+            all.into_iter().for_each(|child| self.request_read(child));
+            self.issue_reads();
         }
     }
 
-    /// The registry has been heard: what is known is as old as this.
-    pub fn heard(&mut self, now: Time) {
-        self.heard = self.heard.max(now);
+    /// The registry was heard: the list is as old as this.
+    pub fn note_heard(&mut self, now: Time) {
+        self.last_heard = self.last_heard.max(now);
     }
 
-    /// Something has happened on the session.
-    pub fn event(&mut self, now: Time, event: &Event) {
+    /// Handles an event of the session.
+    pub fn handle_event(&mut self, now: Time, event: &Event) {
         match event {
-            Event::Up { .. } => self.came_up(now),
+            Event::Up { .. } => self.handle_up(now),
             // A session that is over takes entries of this node with it, not those of others: the list stays as old as
             // it is until it is read again.
             Event::Lost(_) | Event::Expired | Event::Reset => self.up = false,
             Event::Answered(token, answer) => {
-                self.heard = now;
-                if let Some(purpose) = self.asked.remove(token) {
-                    self.answered(now, purpose, answer);
+                self.last_heard = now;
+                if let Some(purpose) = self.pending.remove(token) {
+                    self.handle_answer(now, purpose, answer);
                 }
-                self.pump();
+                self.issue_reads();
             }
             Event::Unanswered(token) => {
-                if let Some(Purpose::Data(_) | Purpose::Acl(..)) = self.asked.remove(token) {
+                if let Some(Purpose::Data(_) | Purpose::Acl(..)) = self.pending.remove(token) {
                     self.reading = self.reading.saturating_sub(1);
                 }
             }
             Event::Fired(fired) => {
-                self.heard = now;
-                self.fired(now, fired);
-                self.pump();
+                self.last_heard = now;
+                self.handle_watch(now, fired);
+                self.issue_reads();
             }
         }
     }
 
-    fn came_up(&mut self, now: Time) {
-        (self.up, self.whole, self.listing, self.list_again) = (true, false, false, false);
-        self.heard = now;
+    fn handle_up(&mut self, now: Time) {
+        (self.up, self.is_complete, self.listing, self.list_again) = (true, false, false, false);
+        self.last_heard = now;
         self.next_reread = now + self.limits.reread;
         if std::mem::take(&mut self.stale) {
-            self.report_one(Report::Fresh);
+            self.report(Report::UpToDate);
         }
-        self.ops.clear();
-        self.asked.clear();
+        self.requests.clear();
+        self.pending.clear();
         self.queue.clear();
         self.queued.clear();
         self.reading = 0;
-        self.children.values_mut().for_each(|c| (c.reading, c.again) = (false, false));
-        self.ask(Purpose::Sync, Op::Sync { path: self.path.clone() });
+        self.children.values_mut().for_each(|c| (c.reading, c.read_again) = (false, false));
+        self.request(Purpose::Sync, Op::Sync { path: self.path.clone() });
         if self.one_shot {
-            self.list();
+            self.request_list();
         } else {
-            self.ask(Purpose::Watch, Op::AddWatch { path: self.path.clone() });
+            self.request(Purpose::Watch, Op::AddWatch { path: self.path.clone() });
         }
     }
 
-    fn ask(&mut self, purpose: Purpose, op: Op) {
+    fn request(&mut self, purpose: Purpose, op: Op) {
         self.next_token += 1;
-        self.asked.insert(self.next_token, purpose);
-        self.ops.push_back((self.next_token, op));
+        self.pending.insert(self.next_token, purpose);
+        self.requests.push_back((self.next_token, op));
     }
 
-    fn list(&mut self) {
+    fn request_list(&mut self) {
         if self.listing {
             self.list_again = true;
             return;
         }
         self.listing = true;
         let op = Op::GetChildren { path: self.path.clone(), watch: self.one_shot };
-        self.ask(Purpose::List, op);
+        self.request(Purpose::List, op);
     }
 
     /// A child has to be read, now or when it has been.
-    fn read(&mut self, child: String) {
+    fn request_read(&mut self, child: String) {
         let Some(known) = self.children.get_mut(&child) else { return };
         if known.reading {
-            known.again = true;
+            known.read_again = true;
         } else if self.queued.insert(child.clone()) {
             self.queue.push_back(child);
         }
     }
 
-    fn pump(&mut self) {
+    fn issue_reads(&mut self) {
         while self.up && self.reading < self.limits.window {
             let Some(child) = self.queue.pop_front() else { break };
             if !self.queued.remove(&child) {
@@ -317,45 +317,45 @@
                 continue;
             }
             let Some(known) = self.children.get_mut(&child) else { continue };
-            (known.reading, known.again) = (true, false);
+            (known.reading, known.read_again) = (true, false);
             self.reading += 1;
-            let op = Op::GetData { path: format!("{}/{child}", self.under()), watch: self.one_shot };
-            self.ask(Purpose::Data(child), op);
+            let op = Op::GetData { path: format!("{}/{child}", self.prefix()), watch: self.one_shot };
+            self.request(Purpose::Data(child), op);
         }
-        if self.up && self.whole && self.is_settled() {
-            self.ever = true;
+        if self.up && self.is_complete && self.is_settled() {
+            self.has_list = true;
         }
     }
 
     /// The path as it begins those of its children.
-    fn under(&self) -> &str {
+    fn prefix(&self) -> &str {
         self.path.trim_end_matches('/')
     }
 
-    fn answered(&mut self, now: Time, purpose: Purpose, answer: &Result<Answer, Refusal>) {
+    fn handle_answer(&mut self, now: Time, purpose: Purpose, answer: &Result<Answer, Refusal>) {
         match (purpose, answer) {
             (Purpose::Sync, _) => {}
             (Purpose::Watch, answer) => {
                 self.one_shot = answer.is_err();
-                self.list();
+                self.request_list();
             }
             (Purpose::List, answer) => {
                 self.listing = false;
-                self.listed(now, answer);
+                self.handle_list(now, answer);
                 if std::mem::take(&mut self.list_again) {
-                    self.list();
+                    self.request_list();
                 }
             }
             (Purpose::Data(child), Ok(Answer::Data(data, stat))) => match self.limits.owner {
                 Some(_) if self.children.contains_key(&child) => {
-                    let path = format!("{}/{child}", self.under());
+                    let path = format!("{}/{child}", self.prefix());
                     let read = Box::new((data.clone(), *stat));
-                    self.ask(Purpose::Acl(child, read), Op::GetAcl { path });
+                    self.request(Purpose::Acl(child, read), Op::GetAcl { path });
                 }
-                _ => self.read_whole(now, &child, data, stat, &[]),
+                _ => self.handle_entry(now, &child, data, stat, &[]),
             },
             (Purpose::Acl(child, read), Ok(Answer::Acl(acl, _))) => {
-                self.read_whole(now, &child, &read.0, &read.1, acl);
+                self.handle_entry(now, &child, &read.0, &read.1, acl);
             }
             (Purpose::Data(child) | Purpose::Acl(child, _), Err(Refusal::NoNode)) => {
                 self.reading = self.reading.saturating_sub(1);
@@ -367,28 +367,28 @@
                 if let Some(known) = self.children.get_mut(&child) {
                     known.reading = false;
                 }
-                self.roster.gone(now, &child);
-                self.report_one(Report::NotAllowed);
+                self.roster.remove(now, &child);
+                self.report(Report::AccessDenied);
             }
         }
     }
 
-    fn listed(&mut self, now: Time, answer: &Result<Answer, Refusal>) {
+    fn handle_list(&mut self, now: Time, answer: &Result<Answer, Refusal>) {
         let names: Vec<String> = match answer {
             Ok(Answer::Children(names, _)) => names.iter().flatten().cloned().collect(),
             Err(Refusal::NoNode) => {
-                self.report_one(Report::NoPath);
+                self.report(Report::PathMissing);
                 if self.one_shot {
                     // Its watch tells when it is made.
                     let op = Op::Exists { path: self.path.clone(), watch: true };
-                    self.ask(Purpose::Sync, op);
+                    self.request(Purpose::Sync, op);
                 }
                 Vec::new()
             }
             // Not to be let in says nothing of servers: what was known stays, and grows stale.
-            _ => return self.report_one(Report::NotAllowed),
+            _ => return self.report(Report::AccessDenied),
         };
-        self.whole = true;
+        self.is_complete = true;
         let listed: BTreeSet<&str> = names.iter().map(String::as_str).collect();
         let missing: Vec<String> =
             self.children.keys().filter(|c| !listed.contains(c.as_str())).cloned().collect();
@@ -402,17 +402,17 @@
     fn add(&mut self, child: String) {
         if !self.children.contains_key(&child) {
             if self.children.len() >= self.limits.entries {
-                return self.report_one(Report::TooMany(self.limits.entries));
+                return self.report(Report::TooManyEntries(self.limits.entries));
             }
             self.children.insert(child.clone(), Child::default());
         }
-        self.read(child);
+        self.request_read(child);
     }
 
     fn remove(&mut self, now: Time, child: &str) {
         if self.children.remove(child).is_some() {
             self.queued.remove(child);
-            self.roster.gone(now, child);
+            self.roster.remove(now, child);
         }
         // Guards against a queue that grows with each coming and going while answers are slow. Harm: none.
         if self.queue.len() > 2 * self.queued.len() + 64 {
@@ -421,8 +421,8 @@
         }
     }
 
-    fn fired(&mut self, now: Time, fired: &Fired) {
-        let child = match fired.path.strip_prefix(self.under()) {
+    fn handle_watch(&mut self, now: Time, fired: &Fired) {
+        let child = match fired.path.strip_prefix(self.prefix()) {
             Some("") => None,
             Some(rest) => match rest.strip_prefix('/') {
                 // What is deeper concerns nobody here.
@@ -434,26 +434,26 @@
         match (child, fired.what) {
             (Some(child), Happened::Deleted) => self.remove(now, &child),
             (Some(child), Happened::Created) => self.add(child),
-            (Some(child), Happened::Data) => self.read(child),
-            (None, Happened::Children | Happened::Created | Happened::Deleted) => self.list(),
+            (Some(child), Happened::Data) => self.request_read(child),
+            (None, Happened::Children | Happened::Created | Happened::Deleted) => self.request_list(),
             _ => {}
         }
     }
 
-    fn read_whole(&mut self, now: Time, child: &str, data: &[u8], stat: &Stat, acl: &[Acl]) {
+    fn handle_entry(&mut self, now: Time, child: &str, data: &[u8], stat: &Stat, acl: &[Acl]) {
         self.reading = self.reading.saturating_sub(1);
         // Removed since it was asked for: a removal is never taken back by a read that was under way.
         let Some(known) = self.children.get_mut(child) else { return };
         known.reading = false;
-        let again = std::mem::take(&mut known.again);
-        let news = known.mzxid.replace(stat.mzxid) != Some(stat.mzxid);
-        let entry = self.trusted(stat, acl).and_then(|()| entry::read(child, data, stat, now));
-        if let (Err(fault), true) = (&entry, news) {
-            self.report_one(Report::Entry(child.to_owned(), fault.clone()));
+        let read_again = std::mem::take(&mut known.read_again);
+        let is_new = known.mzxid.replace(stat.mzxid) != Some(stat.mzxid);
+        let entry = self.check_trust(stat, acl).and_then(|()| entry::parse(child, data, stat, now));
+        if let (Err(fault), true) = (&entry, is_new) {
+            self.report(Report::InvalidEntry(child.to_owned(), fault.clone()));
         }
-        self.roster.see(now, child, stat.czxid, entry);
-        if again {
-            self.read(child.to_owned());
+        self.roster.update(now, child, stat.czxid, entry);
+        if read_again {
+            self.request_read(child.to_owned());
         }
     }
 
@@ -461,22 +461,24 @@
     ///
     /// Guards against entries that outlive their process, and against those that a stranger put there or could put
     /// another's address into. Harm: servers that somebody entered by hand need the setting.
-    fn trusted(&self, stat: &Stat, acl: &[Acl]) -> Result<(), EntryFault> {
+    fn check_trust(&self, stat: &Stat, acl: &[Acl]) -> Result<(), EntryError> {
         // The top byte marks entries that end by a time to live or as empty containers (EphemeralType).
         let ephemeral = stat.ephemeral_owner != 0 && (stat.ephemeral_owner as u64) >> 56 < 0x80;
         if !ephemeral && !self.limits.persistent {
-            return Err(EntryFault::NotEphemeral);
+            return Err(EntryError::NotEphemeral);
         }
         // Write 2, delete 8, admin 16.
         let changes = |a: &&Acl| a.permissions & (2 | 8 | 16) != 0;
         match &self.limits.owner {
-            Some(owner) if !acl.iter().filter(changes).all(|a| is(a, owner)) => Err(EntryFault::Stranger),
+            Some(owner) if !acl.iter().filter(changes).all(|a| names_identity(a, owner)) => {
+                Err(EntryError::UntrustedWriter)
+            }
             _ => Ok(()),
         }
     }
 
     /// Keeps a report, unless so many wait that one more would help nobody.
-    fn report_one(&mut self, report: Report) {
+    fn report(&mut self, report: Report) {
         if self.reports.len() < 64 && !self.reports.contains(&report) {
             self.reports.push_back(report);
         }
@@ -484,7 +486,7 @@
 }
 
 /// Whether an access list names somebody. To a session that may not change it, a registry shows `x` for a digest.
-fn is(acl: &Acl, (scheme, id): &(String, String)) -> bool {
+fn names_identity(acl: &Acl, (scheme, id): &(String, String)) -> bool {
     let user = id.split(':').next().unwrap_or_default();
     acl.scheme == *scheme && (acl.id == *id || (scheme == "digest" && acl.id == format!("{user}:x")))
 }
--- a/crates/membership/src/session.rs
+++ b/crates/membership/src/session.rs
@@ -23,29 +23,29 @@
 
 /// Most requests that wait for their answers.
 pub const PENDING_MOST: usize = 1024;
-/// The first rest after all members have failed in a row; it doubles up to [`REST_MOST`].
-const REST: Time = 0.1;
+/// The first pause after all members have failed in a row; it doubles up to [`REST_MOST`].
+const BACKOFF: Time = 0.1;
 const REST_MOST: Time = 5.0;
 
-/// What a session is asked for with.
+/// Configuration of a session.
 #[derive(Clone, Debug)]
-pub struct Asked {
+pub struct SessionConfig {
     /// The members; at least one.
     pub members: Vec<SocketAddr>,
     /// How long the registry keeps the session without a word, in seconds. The registry may give less or more.
     pub timeout: Time,
-    /// A member that has not answered the greeting by then is passed over, in seconds.
+    /// A member that has not answered the handshake by then is passed over, in seconds.
     pub connect_within: Time,
-    /// How this session makes itself known: the scheme and its proof, such as `digest` and `name:password`.
+    /// The credentials of the session: a scheme and its proof, such as `digest` and `name:password`.
     pub auth: Option<(String, Bytes)>,
     /// If every member has turned it away for so long, in seconds, the session begins anew without asking for the state
     /// that it has seen: the registry was set up again.
     pub forget_after: Time,
 }
 
-/// What the session's connection is to do.
+/// What the owner of the connection has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Do {
+pub enum Command {
     /// Connect to this member, and say how that went.
     Connect(SocketAddr),
     /// Send these bytes.
@@ -63,7 +63,7 @@
         fresh: bool,
     },
     /// The connection is lost. The session may live on.
-    Lost(Why),
+    Lost(LossReason),
     /// The session is over: what ended with it is gone.
     Expired,
     /// The registry was set up again, as far as can be told: the state that was seen counts no longer.
@@ -76,31 +76,31 @@
     Fired(Fired),
 }
 
-/// Why a connection was lost.
+/// LossReason a connection was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub enum Why {
+pub enum LossReason {
     /// It could not be made.
     #[error("no connection")]
-    Refused,
+    ConnectFailed,
     /// It was closed from the other side.
     #[error("closed by the registry")]
     Closed,
     /// Nothing came for too long.
     #[error("the registry is silent")]
-    Silent,
+    Timeout,
     /// What came is not what the protocol has.
     #[error("{0}")]
-    Wire(WireFault),
+    Protocol(WireFault),
     /// The registry does not take the session's proof.
     #[error("the registry does not take the credentials")]
-    Credentials,
+    BadCredentials,
 }
 
 #[derive(Debug)]
 enum State {
-    Resting { until: Time },
+    Backoff { until: Time },
     Connecting { until: Time },
-    Greeting { until: Time },
+    Handshake { until: Time },
     Up,
     Closed,
 }
@@ -108,14 +108,14 @@
 /// See the module.
 #[derive(Debug)]
 pub struct Session {
-    asked: Asked,
+    config: SessionConfig,
     state: State,
     /// The next of the members.
-    next: usize,
+    next_member: usize,
     /// Failures in a row.
-    failed: u32,
+    failures: u32,
     /// Since when no member has taken the session.
-    out_since: Time,
+    disconnected_since: Time,
     random: u64,
     id: i64,
     password: Bytes,
@@ -125,26 +125,26 @@
     xid: i32,
     pending: VecDeque<(i32, u64, Op)>,
     frames: Frames,
-    heard: Time,
-    sent: Time,
-    todo: VecDeque<Do>,
+    last_heard: Time,
+    last_sent: Time,
+    commands: VecDeque<Command>,
     events: VecDeque<Event>,
 }
 
 const PING: i32 = -2;
 const AUTH: i32 = -4;
-const NOTICE: i32 = -1;
+const WATCH_EVENT: i32 = -1;
 
 impl Session {
     /// A session that is yet to be asked for. `random` sets the order of members and the rests.
-    pub fn new(asked: Asked, now: Time, random: u64) -> Session {
+    pub fn new(config: SessionConfig, now: Time, random: u64) -> Session {
         let mut session = Session {
-            timeout: asked.timeout,
-            asked,
-            state: State::Resting { until: now },
-            next: 0,
-            failed: 0,
-            out_since: now,
+            timeout: config.timeout,
+            config,
+            state: State::Backoff { until: now },
+            next_member: 0,
+            failures: 0,
+            disconnected_since: now,
             random,
             id: 0,
             password: Bytes::from_static(&[0; 16]),
@@ -152,15 +152,15 @@
             xid: 0,
             pending: VecDeque::new(),
             frames: Frames::default(),
-            heard: now,
-            sent: now,
-            todo: VecDeque::new(),
+            last_heard: now,
+            last_sent: now,
+            commands: VecDeque::new(),
             events: VecDeque::new(),
         };
         // So that many nodes do not all come to the first member.
-        for n in (1..session.asked.members.len()).rev() {
+        for n in (1..session.config.members.len()).rev() {
             let other = (session.fraction() * (n + 1) as f64) as usize;
-            session.asked.members.swap(n, other.min(n));
+            session.config.members.swap(n, other.min(n));
         }
         session
     }
@@ -174,13 +174,13 @@
         ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
     }
 
-    /// What the connection has to do next.
-    pub fn todo(&mut self) -> Option<Do> {
-        self.todo.pop_front()
+    /// The next command for the owner of the connection.
+    pub fn next_command(&mut self) -> Option<Command> {
+        self.commands.pop_front()
     }
 
-    /// What has happened next.
-    pub fn event(&mut self) -> Option<Event> {
+    /// The next event.
+    pub fn next_event(&mut self) -> Option<Event> {
         self.events.pop_front()
     }
 
@@ -200,26 +200,30 @@
     }
 
     /// When the registry was last heard.
-    pub fn heard(&self) -> Time {
-        self.heard
+    pub fn last_heard(&self) -> Time {
+        self.last_heard
     }
 
-    /// Requests that wait for their answers.
-    pub fn pending(&self) -> usize {
+    /// Number of requests that wait for their answers.
+    pub fn pending_count(&self) -> usize {
         self.pending.len()
     }
 
     /// When [`Session::tick`] has to be called; `None` once it is closed.
     pub fn deadline(&self) -> Option<Time> {
         match self.state {
-            State::Resting { until } | State::Connecting { until } | State::Greeting { until } => Some(until),
-            State::Up => Some((self.sent + self.timeout / 3.0).min(self.heard + self.timeout * 2.0 / 3.0)),
+            State::Backoff { until } | State::Connecting { until } | State::Handshake { until } => {
+                Some(until)
+            }
+            State::Up => {
+                Some((self.last_sent + self.timeout / 3.0).min(self.last_heard + self.timeout * 2.0 / 3.0))
+            }
             State::Closed => None,
         }
     }
 
-    /// Asks for something. The answer comes as an event with `token`; whether it can be asked now is told at once.
-    pub fn ask(&mut self, now: Time, token: u64, op: Op) -> bool {
+    /// Sends a request, whose answer comes as an event with `token`. Returns whether it could be sent.
+    pub fn request(&mut self, now: Time, token: u64, op: Op) -> bool {
         if !self.is_up() || self.pending.len() >= PENDING_MOST {
             return false;
         }
@@ -235,21 +239,23 @@
             self.xid = self.xid.wrapping_add(1).max(1);
             self.send(now, Writer::new().int(self.xid).int(-11).done());
         } else if !matches!(self.state, State::Closed) {
-            self.todo.push_back(Do::Close);
+            self.commands.push_back(Command::Close);
         }
         self.state = State::Closed;
-        self.unanswered();
+        self.fail_pending();
     }
 
-    /// Time has passed.
+    /// Acts on timeouts; to be called at [`Session::deadline`].
     pub fn tick(&mut self, now: Time) {
         match self.state {
-            State::Resting { until } if now >= until => self.connect(now),
-            State::Connecting { until } | State::Greeting { until } if now >= until => {
-                self.lose(now, Why::Silent)
+            State::Backoff { until } if now >= until => self.connect(now),
+            State::Connecting { until } | State::Handshake { until } if now >= until => {
+                self.disconnect(now, LossReason::Timeout)
+            }
+            State::Up if now >= self.last_heard + self.timeout * 2.0 / 3.0 => {
+                self.disconnect(now, LossReason::Timeout)
             }
-            State::Up if now >= self.heard + self.timeout * 2.0 / 3.0 => self.lose(now, Why::Silent),
-            State::Up if now >= self.sent + self.timeout / 3.0 => {
+            State::Up if now >= self.last_sent + self.timeout / 3.0 => {
                 self.send(now, Writer::new().int(PING).int(11).done());
             }
             _ => {}
@@ -257,100 +263,104 @@
     }
 
     fn connect(&mut self, now: Time) {
-        let Some(member) = self.asked.members.get(self.next % self.asked.members.len().max(1)) else {
+        let Some(member) = self.config.members.get(self.next_member % self.config.members.len().max(1))
+        else {
             return;
         };
-        self.todo.push_back(Do::Connect(*member));
-        self.state = State::Connecting { until: now + self.asked.connect_within };
+        self.commands.push_back(Command::Connect(*member));
+        self.state = State::Connecting { until: now + self.config.connect_within };
     }
 
-    /// The connection is there.
-    pub fn connected(&mut self, now: Time) {
+    /// The connection was made.
+    pub fn handle_connected(&mut self, now: Time) {
         let State::Connecting { until } = self.state else { return };
         self.frames = Frames::default();
-        let timeout = (self.asked.timeout * 1e3).clamp(1.0, f64::from(i32::MAX)) as i32;
-        let greeting =
+        let timeout = (self.config.timeout * 1e3).clamp(1.0, f64::from(i32::MAX)) as i32;
+        let handshake =
             Writer::new().int(0).long(self.last_zxid).int(timeout).long(self.id).buffer(&self.password);
-        self.send(now, greeting.boolean(false).done());
-        self.state = State::Greeting { until };
+        self.send(now, handshake.boolean(false).done());
+        self.state = State::Handshake { until };
     }
 
     /// The connection could not be made, or has ended.
-    pub fn ended(&mut self, now: Time) {
+    pub fn handle_disconnected(&mut self, now: Time) {
         match self.state {
-            State::Connecting { .. } => self.lose(now, Why::Refused),
-            State::Greeting { .. } | State::Up => self.lose(now, Why::Closed),
-            State::Resting { .. } | State::Closed => {}
+            State::Connecting { .. } => self.disconnect(now, LossReason::ConnectFailed),
+            State::Handshake { .. } | State::Up => self.disconnect(now, LossReason::Closed),
+            State::Backoff { .. } | State::Closed => {}
         }
     }
 
-    /// Bytes have come.
-    pub fn received(&mut self, now: Time, bytes: &[u8]) {
-        if !matches!(self.state, State::Greeting { .. } | State::Up) {
+    /// Bytes were received.
+    pub fn handle_bytes(&mut self, now: Time, bytes: &[u8]) {
+        if !matches!(self.state, State::Handshake { .. } | State::Up) {
             return;
         }
         self.frames.push(bytes);
         loop {
             let taken = match self.frames.frame() {
                 Ok(None) => return,
-                Ok(Some(frame)) => self.frame(now, frame),
-                Err(fault) => Err(Why::Wire(fault)),
+                Ok(Some(frame)) => self.handle_frame(now, frame),
+                Err(fault) => Err(LossReason::Protocol(fault)),
             };
             if let Err(why) = taken {
-                return self.lose(now, why);
+                return self.disconnect(now, why);
             }
-            if !matches!(self.state, State::Greeting { .. } | State::Up) {
+            if !matches!(self.state, State::Handshake { .. } | State::Up) {
                 return;
             }
         }
     }
 
-    fn frame(&mut self, now: Time, frame: Bytes) -> Result<(), Why> {
-        self.heard = now;
+    fn handle_frame(&mut self, now: Time, frame: Bytes) -> Result<(), LossReason> {
+        self.last_heard = now;
         let mut r = Reader::new(frame);
         match self.state {
-            State::Greeting { .. } => self.greeted(now, &mut r),
-            _ => self.told(&mut r),
+            State::Handshake { .. } => self.handle_handshake(now, &mut r),
+            _ => self.handle_response(&mut r),
         }
     }
 
-    fn greeted(&mut self, now: Time, r: &mut Reader) -> Result<(), Why> {
+    fn handle_handshake(&mut self, now: Time, r: &mut Reader) -> Result<(), LossReason> {
         let mut read = || Ok((r.int()?, r.int()?, r.long()?, r.buffer()?));
-        let (_version, timeout, id, password) = read().map_err(Why::Wire)?;
+        let (_version, timeout, id, password) = read().map_err(LossReason::Protocol)?;
         if timeout <= 0 || id == 0 {
             if self.id == 0 {
                 // A new session was asked for and not given: no reason to ask again at once.
-                return Err(Why::Closed);
+                return Err(LossReason::Closed);
             }
             // The registry's word, and nothing else, ends a session.
             self.id = 0;
             self.password = Bytes::from_static(&[0; 16]);
-            self.todo.push_back(Do::Close);
+            self.commands.push_back(Command::Close);
             self.events.push_back(Event::Expired);
             // The same member gives a new one at once.
-            self.state = State::Resting { until: now };
+            self.state = State::Backoff { until: now };
             return Ok(());
         }
         let fresh = self.id != id;
         (self.id, self.password) = (id, password);
         self.timeout = f64::from(timeout) / 1e3;
-        (self.state, self.failed) = (State::Up, 0);
-        if let Some((scheme, proof)) = self.asked.auth.clone() {
+        (self.state, self.failures) = (State::Up, 0);
+        if let Some((scheme, proof)) = self.config.auth.clone() {
             self.send(now, Writer::new().int(AUTH).int(100).int(0).text(&scheme).buffer(&proof).done());
         }
         self.events.push_back(Event::Up { fresh });
         Ok(())
     }
 
-    fn told(&mut self, r: &mut Reader) -> Result<(), Why> {
-        let (xid, zxid, code) =
-            (r.int().map_err(Why::Wire)?, r.long().map_err(Why::Wire)?, r.int().map_err(Why::Wire)?);
+    fn handle_response(&mut self, r: &mut Reader) -> Result<(), LossReason> {
+        let (xid, zxid, code) = (
+            r.int().map_err(LossReason::Protocol)?,
+            r.long().map_err(LossReason::Protocol)?,
+            r.int().map_err(LossReason::Protocol)?,
+        );
         match xid {
             PING => return Ok(()),
-            AUTH if code != 0 => return Err(Why::Credentials),
+            AUTH if code != 0 => return Err(LossReason::BadCredentials),
             AUTH => return Ok(()),
-            NOTICE => {
-                let fired = Fired::read(r).map_err(Why::Wire)?;
+            WATCH_EVENT => {
+                let fired = Fired::read(r).map_err(LossReason::Protocol)?;
                 self.last_zxid = self.last_zxid.max(zxid);
                 self.events.push_back(Event::Fired(fired));
                 return Ok(());
@@ -358,62 +368,62 @@
             _ => {}
         }
         if self.pending.front().is_none_or(|(next, ..)| *next != xid) {
-            return Err(Why::Wire(WireFault::Order(xid)));
+            return Err(LossReason::Protocol(WireFault::Order(xid)));
         }
         let Some((_, token, op)) = self.pending.pop_front() else { return Ok(()) };
         // Guards against a member that has lost what it once had, or never had what another showed: what it says next
         // could bring back servers that are gone. Harm: none, since another member is asked.
         if zxid > 0 && zxid < self.last_zxid {
             self.events.push_back(Event::Unanswered(token));
-            return Err(Why::Wire(WireFault::Older(zxid, self.last_zxid)));
+            return Err(LossReason::Protocol(WireFault::Older(zxid, self.last_zxid)));
         }
         self.last_zxid = self.last_zxid.max(zxid);
         match answer(&op, code, r) {
             Ok(answer) => self.events.push_back(Event::Answered(token, answer)),
             Err(fault) => {
                 self.events.push_back(Event::Unanswered(token));
-                return Err(Why::Wire(fault));
+                return Err(LossReason::Protocol(fault));
             }
         }
         Ok(())
     }
 
     fn send(&mut self, now: Time, bytes: Bytes) {
-        self.sent = now;
-        self.todo.push_back(Do::Send(bytes));
+        self.last_sent = now;
+        self.commands.push_back(Command::Send(bytes));
     }
 
-    fn unanswered(&mut self) {
+    fn fail_pending(&mut self) {
         self.events.extend(self.pending.drain(..).map(|(_, token, _)| Event::Unanswered(token)));
     }
 
-    /// The connection is of no further use: the next member, at once or after a rest.
-    fn lose(&mut self, now: Time, why: Why) {
+    /// Drops the connection, and goes on with the next member at once or after a pause.
+    fn disconnect(&mut self, now: Time, why: LossReason) {
         if self.is_up() {
-            self.out_since = now;
+            self.disconnected_since = now;
         }
-        self.todo.push_back(Do::Close);
+        self.commands.push_back(Command::Close);
         self.frames = Frames::default();
         self.events.push_back(Event::Lost(why));
-        self.unanswered();
-        self.next = (self.next + 1) % self.asked.members.len().max(1);
-        self.failed = self.failed.saturating_add(1);
-        if self.last_zxid > 0 && now - self.out_since >= self.asked.forget_after {
+        self.fail_pending();
+        self.next_member = (self.next_member + 1) % self.config.members.len().max(1);
+        self.failures = self.failures.saturating_add(1);
+        if self.last_zxid > 0 && now - self.disconnected_since >= self.config.forget_after {
             // Guards against waiting for ever for a state that no member will reach: the registry was set up again.
             // Harm: if it was not, but every member that has the state stays away for so long, an older list counts.
-            (self.last_zxid, self.id, self.out_since) = (0, 0, now);
+            (self.last_zxid, self.id, self.disconnected_since) = (0, 0, now);
             self.password = Bytes::from_static(&[0; 16]);
             self.events.push_back(Event::Reset);
         }
         // Each member once without a pause, so that one that is gone costs no time; then rests that grow.
-        let rounds = self.failed as usize / self.asked.members.len().max(1);
-        let rest = match rounds {
-            0 if why != Why::Credentials => 0.0,
+        let rounds = self.failures as usize / self.config.members.len().max(1);
+        let pause = match rounds {
+            0 if why != LossReason::BadCredentials => 0.0,
             n => {
-                (REST * f64::from(2u32.saturating_pow(n.min(10) as u32))).min(REST_MOST)
+                (BACKOFF * f64::from(2u32.saturating_pow(n.min(10) as u32))).min(REST_MOST)
                     * (0.5 + self.fraction())
             }
         };
-        self.state = State::Resting { until: now + rest };
+        self.state = State::Backoff { until: now + pause };
     }
 }
--- a/crates/membership/tests/follow.rs
+++ b/crates/membership/tests/follow.rs
@@ -4,10 +4,10 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use reelfall_membership::entry::EntryFault;
+use reelfall_membership::entry::EntryError;
 use reelfall_membership::follow::{Follower, Limits, Report, Stale};
 use reelfall_membership::roster::{Change, HOLD_MOST};
-use reelfall_membership::session::{Event, Why};
+use reelfall_membership::session::{Event, LossReason};
 use reelfall_membership::wire::{Acl, Answer, Fired, Happened, Op, Refusal, Stat};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -155,19 +155,19 @@
             _ => None,
         });
         let lost: Vec<u64> = answered.chain(lost).collect();
-        follower.event(now, &Event::Lost(Why::Closed));
-        lost.into_iter().for_each(|token| follower.event(now, &Event::Unanswered(token)));
+        follower.handle_event(now, &Event::Lost(LossReason::Closed));
+        lost.into_iter().for_each(|token| follower.handle_event(now, &Event::Unanswered(token)));
     }
 
     fn come_up(&mut self, follower: &mut Follower, now: f64) {
         if !self.up {
             self.up = true;
-            follower.event(now, &Event::Up { fresh: true });
+            follower.handle_event(now, &Event::Up { fresh: true });
         }
     }
 
     fn take(&mut self, follower: &mut Follower) {
-        while let Some(op) = follower.op().filter(|_| self.up) {
+        while let Some(op) = follower.next_request().filter(|_| self.up) {
             self.requests.push_back(op);
         }
     }
@@ -178,7 +178,7 @@
             self.take(follower);
             self.work();
             match self.words.pop_front() {
-                Some(word) => follower.event(now, &word),
+                Some(word) => follower.handle_event(now, &word),
                 None if self.requests.is_empty() => {
                     self.take(follower);
                     if self.requests.is_empty() {
@@ -193,7 +193,7 @@
 }
 
 fn there(follower: &Follower) -> BTreeSet<(String, u16)> {
-    follower.roster().there().map(|e| (e.name.clone(), e.address.port())).collect()
+    follower.roster().servers().map(|e| (e.name.clone(), e.address.port())).collect()
 }
 
 fn follower(limits: Limits) -> (Table, Follower) {
@@ -215,12 +215,12 @@
         table.take(&mut follower);
         table.work();
         if let Some(word) = table.words.pop_front() {
-            follower.event(0.0, &word);
+            follower.handle_event(0.0, &word);
         }
     }
-    assert!(!follower.is_known() && follower.size().2 <= 65, "{:?}", follower.size());
+    assert!(!follower.has_list() && follower.sizes().2 <= 65, "{:?}", follower.sizes());
     table.settle(&mut follower, 0.0);
-    assert!(follower.is_known() && follower.is_settled());
+    assert!(follower.has_list() && follower.is_settled());
     assert_eq!(there(&follower).len(), 200);
 }
 
@@ -229,11 +229,11 @@
     let (mut table, mut follower) = follower(Limits::default());
     table.put("a", payload(1), 9, false);
     table.settle(&mut follower, 1.0);
-    follower.changes();
+    follower.take_changes();
     // A read of it is under way as it goes: what that brings is older than the word of its end.
     table.put("a", payload(2), 9, false);
     let word = table.words.pop_front().unwrap();
-    follower.event(1.0, &word);
+    follower.handle_event(1.0, &word);
     table.take(&mut follower);
     let answered = {
         table.work();
@@ -241,11 +241,11 @@
     };
     table.remove("a", false);
     let gone = table.words.pop_front().unwrap();
-    follower.event(1.0, &gone);
-    assert_eq!(follower.changes(), [Change::Gone("a".to_owned())]);
-    follower.event(1.0, &answered);
+    follower.handle_event(1.0, &gone);
+    assert_eq!(follower.take_changes(), [Change::Removed("a".to_owned())]);
+    follower.handle_event(1.0, &answered);
     assert!(there(&follower).is_empty(), "a read brought it back");
-    assert_eq!(follower.changes(), []);
+    assert_eq!(follower.take_changes(), []);
 }
 
 #[test]
@@ -256,13 +256,16 @@
     table.put("good", payload(3), 9, false);
     table.settle(&mut follower, 1.0);
     assert_eq!(there(&follower), [("good".to_owned(), 3)].into());
-    let reports: Vec<Report> = std::iter::from_fn(|| follower.report()).collect();
-    assert!(reports.contains(&Report::Entry("by-hand".to_owned(), EntryFault::NotEphemeral)), "{reports:?}");
+    let reports: Vec<Report> = std::iter::from_fn(|| follower.next_report()).collect();
+    assert!(
+        reports.contains(&Report::InvalidEntry("by-hand".to_owned(), EntryError::NotEphemeral)),
+        "{reports:?}"
+    );
     assert_eq!(reports.len(), 2, "{reports:?}");
     // Read again from time to time, and not named again.
     follower.tick(31.0);
     table.settle(&mut follower, 31.0);
-    assert_eq!(follower.report(), None);
+    assert_eq!(follower.next_report(), None);
     // Those that end by a time to live belong to no session either.
     table.put("ttl", payload(4), (0xff << 56) | 5000, false);
     table.settle(&mut follower, 32.0);
@@ -308,17 +311,17 @@
         table.drop_connection(&mut follower, 5.0);
         assert_eq!(there(&follower).len(), 1, "a lost connection is no end of anybody");
         // An expired session of this node's is none either.
-        follower.event(6.0, &Event::Expired);
+        follower.handle_event(6.0, &Event::Expired);
         follower.tick(20.9);
-        assert!(!follower.refuses() && follower.age(20.0) == 19.0);
+        assert!(!follower.refuses_servers() && follower.age(20.0) == 19.0);
         assert_eq!(follower.deadline(), 21.0);
         follower.tick(21.0);
-        assert_eq!(follower.refuses(), stale == Stale::Refuse);
-        assert_eq!(follower.report(), Some(Report::Stale(20)));
+        assert_eq!(follower.refuses_servers(), stale == Stale::Refuse);
+        assert_eq!(follower.next_report(), Some(Report::Stale(20)));
         assert_eq!(there(&follower).len(), 1);
         table.come_up(&mut follower, 30.0);
         table.settle(&mut follower, 30.0);
-        assert_eq!((follower.refuses(), follower.report()), (false, Some(Report::Fresh)));
+        assert_eq!((follower.refuses_servers(), follower.next_report()), (false, Some(Report::UpToDate)));
     }
 }
 
@@ -329,8 +332,8 @@
         table.put(&format!("s{n:02}"), payload(n), 9, false);
     }
     table.settle(&mut follower, 1.0);
-    assert_eq!((there(&follower).len(), follower.size().0), (10, 10));
-    assert_eq!(follower.report(), Some(Report::TooMany(10)));
+    assert_eq!((there(&follower).len(), follower.sizes().0), (10, 10));
+    assert_eq!(follower.next_report(), Some(Report::TooManyEntries(10)));
     // One that goes makes room, found when all is read again.
     table.remove("s01", false);
     table.settle(&mut follower, 2.0);
@@ -349,10 +352,10 @@
         table.put(&child, payload(1 + n % 7), 9, false);
         table.remove(&child, false);
         for word in table.words.drain(..).collect::<Vec<_>>() {
-            follower.event(1.0, &word);
+            follower.handle_event(1.0, &word);
         }
         table.take(&mut follower);
-        assert!(follower.size().1 <= 80, "{} wait to be read", follower.size().1);
+        assert!(follower.sizes().1 <= 80, "{} wait to be read", follower.sizes().1);
     }
     table.put("s1", payload(9), 9, false);
     table.settle(&mut follower, 2.0);
@@ -372,13 +375,13 @@
                 Op::GetChildren { .. } | Op::Exists { .. } => Err(Refusal::NoNode),
                 _ => Ok(Answer::Done),
             };
-            follower.event(0.0, &Event::Answered(token, answer));
+            follower.handle_event(0.0, &Event::Answered(token, answer));
             table.take(&mut follower);
         }
-        assert_eq!(follower.report(), Some(Report::NoPath));
-        assert!(follower.is_known(), "nothing is there, and that is known");
+        assert_eq!(follower.next_report(), Some(Report::PathMissing));
+        assert!(follower.has_list(), "nothing is there, and that is known");
         table.recursive = modern;
-        follower.event(1.0, &Event::Fired(Fired { what: Happened::Created, path: PATH.to_owned() }));
+        follower.handle_event(1.0, &Event::Fired(Fired { what: Happened::Created, path: PATH.to_owned() }));
         table.put("a", payload(1), 9, !modern);
         table.settle(&mut follower, 1.0);
         assert_eq!(there(&follower).len(), 1);
@@ -415,7 +418,7 @@
                     }
                     _ => {
                         if let Some(word) = table.words.pop_front() {
-                            follower.event(now, &word);
+                            follower.handle_event(now, &word);
                             if let Event::Fired(Fired { what: Happened::Deleted, path }) = &word {
                                 let child = path.rsplit('/').next().unwrap().to_owned();
                                 prop_assert!(
@@ -427,8 +430,8 @@
                         }
                     }
                 }
-                let (children, queue, asked) = follower.size();
-                prop_assert!(children <= 5 && queue <= 5 && asked <= 5 + 5, "{:?}", follower.size());
+                let (children, queue, asked) = follower.sizes();
+                prop_assert!(children <= 5 && queue <= 5 && asked <= 5 + 5, "{:?}", follower.sizes());
             }
             // All is quiet; what watches have lost is found when all is read again, and whoever waits has waited.
             table.come_up(&mut follower, now);
--- a/crates/membership/tests/own.rs
+++ b/crates/membership/tests/registration.rs
@@ -3,15 +3,15 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use reelfall_membership::own::{Data, Own, Report, AGAIN};
-use reelfall_membership::session::{Event, Why};
+use reelfall_membership::registration::{EntryData, Registration, Report, RETRY_INTERVAL};
+use reelfall_membership::session::{Event, LossReason};
 use reelfall_membership::wire::{Acl, Answer, Fired, Happened, Op, Refusal, Stat};
 use std::collections::VecDeque;
 
 const PATH: &str = "/nodes/n1";
 
-fn data(incarnation: u64) -> Data {
-    Data {
+fn data(incarnation: u64) -> EntryData {
+    EntryData {
         name: "n1".to_owned(),
         address: "127.0.0.1:80".to_owned(),
         site: Some("ikeja-dc".to_owned()),
@@ -30,7 +30,7 @@
 
 /// A node with its connection.
 struct Node {
-    own: Own,
+    registration: Registration,
     session: i64,
     up: bool,
     requests: VecDeque<(u64, Op)>,
@@ -39,12 +39,12 @@
 
 impl Node {
     fn new(incarnation: u64, session: i64) -> Node {
-        let own = Own::new(PATH.to_owned(), data(incarnation), vec![Acl::open()]);
-        Node { own, session, up: false, requests: VecDeque::new(), words: VecDeque::new() }
+        let registration = Registration::new(PATH.to_owned(), data(incarnation), vec![Acl::open()]);
+        Node { registration, session, up: false, requests: VecDeque::new(), words: VecDeque::new() }
     }
 
     fn take(&mut self) {
-        while let Some(op) = self.own.op().filter(|_| self.up) {
+        while let Some(op) = self.registration.next_request().filter(|_| self.up) {
             self.requests.push_back(op);
         }
     }
@@ -52,7 +52,7 @@
     fn come_up(&mut self, now: f64) {
         if !self.up {
             self.up = true;
-            self.own.event(now, self.session, &Event::Up { fresh: true });
+            self.registration.handle_event(now, self.session, &Event::Up { fresh: true });
             self.take();
         }
     }
@@ -66,8 +66,10 @@
         place.watched = false;
         let tokens: Vec<u64> = self.requests.drain(..).map(|(t, _)| t).collect();
         self.words.clear();
-        self.own.event(now, self.session, &Event::Lost(Why::Closed));
-        tokens.into_iter().for_each(|t| self.own.event(now, self.session, &Event::Unanswered(t)));
+        self.registration.handle_event(now, self.session, &Event::Lost(LossReason::Closed));
+        tokens
+            .into_iter()
+            .for_each(|t| self.registration.handle_event(now, self.session, &Event::Unanswered(t)));
     }
 
     /// Its session is over, and the registry has dropped what ended with it.
@@ -76,7 +78,7 @@
         if place.entry.as_ref().is_some_and(|(owner, ..)| *owner == self.session) {
             place.entry = None;
         }
-        self.own.event(now, self.session, &Event::Expired);
+        self.registration.handle_event(now, self.session, &Event::Expired);
         self.session = session;
     }
 
@@ -117,7 +119,7 @@
 
     fn hear(&mut self, now: f64) {
         if let Some(word) = self.words.pop_front() {
-            self.own.event(now, self.session, &word);
+            self.registration.handle_event(now, self.session, &word);
         }
         self.take();
     }
@@ -141,29 +143,29 @@
     node.come_up(0.0);
     node.settle(0.0, &mut place);
     assert!(place.entry.is_none(), "nobody wants it yet");
-    node.own.want();
+    node.registration.register();
     node.settle(0.0, &mut place);
-    assert!(node.own.stands());
+    assert!(node.registration.is_registered());
     let (owner, bytes, _) = place.entry.clone().unwrap();
-    assert_eq!((owner, serde_json::from_slice::<Data>(&bytes).unwrap()), (100, data(1)));
-    assert_eq!(node.own.report(), Some(Report::Stands));
+    assert_eq!((owner, serde_json::from_slice::<EntryData>(&bytes).unwrap()), (100, data(1)));
+    assert_eq!(node.registration.next_report(), Some(Report::Registered));
     // Somebody removes it.
     place.entry = None;
     node.gone();
     node.settle(1.0, &mut place);
-    assert!(place.entry.is_some() && node.own.stands());
-    node.own.withdraw();
-    assert!(!node.own.is_withdrawn());
+    assert!(place.entry.is_some() && node.registration.is_registered());
+    node.registration.deregister();
+    assert!(!node.registration.is_deregistered());
     node.settle(2.0, &mut place);
-    assert!(place.entry.is_none() && node.own.is_withdrawn());
+    assert!(place.entry.is_none() && node.registration.is_deregistered());
 }
 
 #[test]
 fn what_an_earlier_life_left_goes_and_a_strangers_or_a_later_lifes_stays() {
-    let entry = |data: &Data, owner| Some((owner, Bytes::from(serde_json::to_vec(data).unwrap()), 3));
+    let entry = |data: &EntryData, owner| Some((owner, Bytes::from(serde_json::to_vec(data).unwrap()), 3));
     let mut place = Place { entry: entry(&data(1), 50), ..Place::default() };
     let mut node = Node::new(2, 100);
-    node.own.want();
+    node.registration.register();
     node.come_up(0.0);
     node.settle(0.0, &mut place);
     assert_eq!(
@@ -173,20 +175,20 @@
     );
     for (theirs, report) in [
         (data(9), Report::Superseded),
-        (Data { name: "other".to_owned(), ..data(1) }, Report::Taken(PATH.to_owned())),
+        (EntryData { name: "other".to_owned(), ..data(1) }, Report::PathTaken(PATH.to_owned())),
     ] {
         let mut place = Place { entry: entry(&theirs, 50), ..Place::default() };
         let mut node = Node::new(2, 100);
-        node.own.want();
+        node.registration.register();
         node.come_up(0.0);
         node.settle(0.0, &mut place);
-        assert_eq!(node.own.report(), Some(report));
+        assert_eq!(node.registration.next_report(), Some(report));
         assert_eq!(place.entry.as_ref().map(|(owner, ..)| *owner), Some(50));
         // When it goes, this one comes, told by the watch or by looking again.
         place.entry = None;
-        node.own.tick(node.own.deadline());
-        node.settle(AGAIN, &mut place);
-        assert!(node.own.stands());
+        node.registration.tick(node.registration.deadline());
+        node.settle(RETRY_INTERVAL, &mut place);
+        assert!(node.registration.is_registered());
     }
 }
 
@@ -200,7 +202,7 @@
     TestRunner::new_with_rng(config, rng)
         .run(&(steps, any::<bool>()), |(steps, leaves)| {
             let (mut place, mut node, mut now, mut session) = (Place::default(), Node::new(1, 100), 0.0, 100);
-            node.own.want();
+            node.registration.register();
             for (what, after) in steps {
                 now += after;
                 match what {
@@ -216,7 +218,7 @@
                             node.gone();
                         }
                     }
-                    5 => node.own.tick(now),
+                    5 => node.registration.tick(now),
                     _ => {
                         node.take();
                         node.work(&mut place);
@@ -225,22 +227,22 @@
                 }
             }
             if leaves {
-                node.own.withdraw();
+                node.registration.deregister();
             }
             node.come_up(now);
             for _ in 0..4 {
-                now += AGAIN;
+                now += RETRY_INTERVAL;
                 node.settle(now, &mut place);
-                node.own.tick(now);
+                node.registration.tick(now);
             }
             node.settle(now, &mut place);
             let owner = place.entry.as_ref().map(|(owner, ..)| *owner);
             if leaves {
                 prop_assert_eq!(owner, None);
-                prop_assert!(node.own.is_withdrawn());
+                prop_assert!(node.registration.is_deregistered());
             } else {
                 prop_assert_eq!(owner, Some(node.session));
-                prop_assert!(node.own.stands());
+                prop_assert!(node.registration.is_registered());
             }
             Ok(())
         })
--- a/crates/membership/tests/roster.rs
+++ b/crates/membership/tests/roster.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use reelfall_membership::entry::{read, without_sequence, Entry, EntryFault, DATA_MOST};
+use reelfall_membership::entry::{parse, without_sequence, Entry, EntryError, DATA_MOST};
 use reelfall_membership::roster::{Change, Roster, FLAPS_MOST, HOLD, HOLD_MOST, WINDOW};
 use reelfall_membership::wire::Stat;
 use std::collections::BTreeMap;
@@ -20,7 +20,7 @@
 }
 
 fn names(roster: &Roster) -> Vec<String> {
-    let mut names: Vec<String> = roster.there().map(|e| e.name.clone()).collect();
+    let mut names: Vec<String> = roster.servers().map(|e| e.name.clone()).collect();
     names.sort();
     names
 }
@@ -28,33 +28,37 @@
 #[test]
 fn an_entry_is_read_strictly_and_costs_nothing_else() {
     let stat = Stat { ctime: 50_000, ephemeral_owner: 7, ..Stat::default() };
-    let read = |data: &str| read("flags-3-0000000012", data.as_bytes(), &stat, 100.0);
-    let good =
-        read(r#"{"address":"127.0.0.1:9000","zone":"z","type":"big","weight":2,"started":60000,"more":[1]}"#);
+    let parse = |data: &str| parse("flags-3-0000000012", data.as_bytes(), &stat, 100.0);
+    let good = parse(
+        r#"{"address":"127.0.0.1:9000","zone":"z","type":"big","weight":2,"started":60000,"more":[1]}"#,
+    );
     let good = good.unwrap();
     assert_eq!((good.name.as_str(), good.weight, good.started), ("flags-3", 2.0, 60.0));
     assert_eq!((good.zone.as_deref(), good.kind.as_deref(), good.draining), (Some("z"), Some("big"), false));
     // What it does not say is taken from the registry; a start in the future is now.
-    assert_eq!(read(r#"{"address":"127.0.0.1","port":9000}"#).unwrap().started, 50.0);
-    assert_eq!(read(r#"{"addresses":["nonsense","127.0.0.1:9000"],"started":1e18}"#).unwrap().started, 100.0);
-    assert!(read(r#"{"address":"127.0.0.1:9000","state":"draining"}"#).unwrap().draining);
-    assert!(read(r#"{"address":"127.0.0.1:9000","state":"asleep"}"#).unwrap().draining, "no leave to send");
+    assert_eq!(parse(r#"{"address":"127.0.0.1","port":9000}"#).unwrap().started, 50.0);
+    assert_eq!(
+        parse(r#"{"addresses":["nonsense","127.0.0.1:9000"],"started":1e18}"#).unwrap().started,
+        100.0
+    );
+    assert!(parse(r#"{"address":"127.0.0.1:9000","state":"draining"}"#).unwrap().draining);
+    assert!(parse(r#"{"address":"127.0.0.1:9000","state":"asleep"}"#).unwrap().draining, "no leave to send");
     for (data, fault) in [
-        (r#"{"address":"127.0.0.1:0"}"#, EntryFault::Address),
-        (r#"{"address":"0.0.0.0:80"}"#, EntryFault::Address),
-        (r#"{"address":"flags.example.org:80"}"#, EntryFault::Address),
-        (r#"{}"#, EntryFault::Address),
-        (r#"{"address":"127.0.0.1:9000","weight":0}"#, EntryFault::Weight),
-        (r#"{"address":"127.0.0.1:9000","weight":1e9}"#, EntryFault::Weight),
-        (r#"{"address":"127.0.0.1:9000","name":""}"#, EntryFault::Name),
-        (r#"{"address":"127.0.0.1:9000","name":"a\u0000b"}"#, EntryFault::Name),
+        (r#"{"address":"127.0.0.1:0"}"#, EntryError::InvalidAddress),
+        (r#"{"address":"0.0.0.0:80"}"#, EntryError::InvalidAddress),
+        (r#"{"address":"flags.example.org:80"}"#, EntryError::InvalidAddress),
+        (r#"{}"#, EntryError::InvalidAddress),
+        (r#"{"address":"127.0.0.1:9000","weight":0}"#, EntryError::InvalidWeight),
+        (r#"{"address":"127.0.0.1:9000","weight":1e9}"#, EntryError::InvalidWeight),
+        (r#"{"address":"127.0.0.1:9000","name":""}"#, EntryError::InvalidName),
+        (r#"{"address":"127.0.0.1:9000","name":"a\u0000b"}"#, EntryError::InvalidName),
     ] {
-        assert_eq!(read(data), Err(fault), "{data}");
+        assert_eq!(parse(data), Err(fault), "{data}");
     }
     let long = format!("{{\"address\":\"127.0.0.1:9000\",\"x\":\"{}\"}}", "x".repeat(1 << 20));
-    assert!(matches!(read(&long), Err(EntryFault::Long(n)) if n > DATA_MOST));
+    assert!(matches!(parse(&long), Err(EntryError::TooLong(n)) if n > DATA_MOST));
     for bad in ["", "[]", "{", "null", "\u{0}", r#"{"address":5}"#] {
-        assert!(matches!(read(bad), Err(EntryFault::Data(_))), "{bad}");
+        assert!(matches!(parse(bad), Err(EntryError::InvalidData(_))), "{bad}");
     }
     for (child, name) in [
         ("n-0000000001", "n"),
@@ -73,59 +77,59 @@
 fn a_removal_counts_at_once_and_a_return_waits_longer_each_time() {
     let mut roster = Roster::default();
     let mut now = 100.0;
-    roster.see(now, "c", 1, Ok(entry("a", 1)));
-    assert_eq!(roster.changes(), [Change::There(entry("a", 1))]);
+    roster.update(now, "c", 1, Ok(entry("a", 1)));
+    assert_eq!(roster.take_changes(), [Change::Listed(entry("a", 1))]);
     let mut zxid = 1;
     for returns in 1..8u32 {
-        roster.gone(now, "c");
-        assert_eq!(roster.changes(), [Change::Gone("a".to_owned())]);
+        roster.remove(now, "c");
+        assert_eq!(roster.take_changes(), [Change::Removed("a".to_owned())]);
         zxid += 1;
-        roster.see(now, "c", zxid, Ok(entry("a", 1)));
+        roster.update(now, "c", zxid, Ok(entry("a", 1)));
         let hold = if returns == 1 { 0.0 } else { (HOLD * f64::from(1 << (returns - 2))).min(HOLD_MOST) };
         if returns > 1 {
-            assert_eq!(roster.changes(), [], "return {returns} is taken at once");
+            assert_eq!(roster.take_changes(), [], "return {returns} is taken at once");
             roster.tick(now + hold * 0.9);
-            assert_eq!(roster.changes(), []);
+            assert_eq!(roster.take_changes(), []);
             // However often it comes and goes in the meantime.
             for _ in 0..100 {
-                roster.gone(now, "c");
+                roster.remove(now, "c");
                 zxid += 1;
-                roster.see(now, "c", zxid, Ok(entry("a", 1)));
+                roster.update(now, "c", zxid, Ok(entry("a", 1)));
             }
-            assert_eq!(roster.changes(), []);
+            assert_eq!(roster.take_changes(), []);
             now = roster.deadline().expect("something waits");
             roster.tick(now);
         }
-        assert_eq!(roster.changes(), [Change::There(entry("a", 1))], "return {returns}");
+        assert_eq!(roster.take_changes(), [Change::Listed(entry("a", 1))], "return {returns}");
         assert_eq!(roster.deadline(), None);
     }
     // After a quiet time all is forgiven, and nothing is kept.
-    roster.gone(now, "c");
+    roster.remove(now, "c");
     now += WINDOW + 1.0;
     roster.tick(now);
-    roster.see(now, "c", zxid + 1, Ok(entry("a", 1)));
-    assert_eq!(roster.changes().len(), 2);
-    assert_eq!(roster.size(), (1, 1, 0));
+    roster.update(now, "c", zxid + 1, Ok(entry("a", 1)));
+    assert_eq!(roster.take_changes().len(), 2);
+    assert_eq!(roster.sizes(), (1, 1, 0));
 }
 
 #[test]
 fn of_two_entries_the_one_that_was_made_last_counts() {
     let mut roster = Roster::default();
     // A process comes back with a new session while its old entry stands.
-    roster.see(1.0, "old", 1, Ok(entry("a", 1)));
-    roster.see(2.0, "new", 2, Ok(Entry { started: 2.0, ..entry("a", 1) }));
-    assert_eq!(roster.there().next().unwrap().started, 2.0);
-    roster.changes();
-    roster.gone(3.0, "old");
-    assert_eq!(roster.changes(), [], "the end of the old entry is no end of the process");
+    roster.update(1.0, "old", 1, Ok(entry("a", 1)));
+    roster.update(2.0, "new", 2, Ok(Entry { started: 2.0, ..entry("a", 1) }));
+    assert_eq!(roster.servers().next().unwrap().started, 2.0);
+    roster.take_changes();
+    roster.remove(3.0, "old");
+    assert_eq!(roster.take_changes(), [], "the end of the old entry is no end of the process");
     // Another server takes the address while the entry of the one before still stands.
-    roster.see(4.0, "thief", 3, Ok(entry("b", 1)));
-    assert_eq!(roster.changes(), [Change::Gone("a".to_owned()), Change::There(entry("b", 1))]);
-    roster.gone(5.0, "thief");
-    assert_eq!(roster.changes()[0], Change::Gone("b".to_owned()));
+    roster.update(4.0, "thief", 3, Ok(entry("b", 1)));
+    assert_eq!(roster.take_changes(), [Change::Removed("a".to_owned()), Change::Listed(entry("b", 1))]);
+    roster.remove(5.0, "thief");
+    assert_eq!(roster.take_changes()[0], Change::Removed("b".to_owned()));
     assert_eq!(names(&roster), ["a"]);
     // An entry that can't be used any more is as good as none.
-    roster.see(6.0, "new", 2, Err(EntryFault::Address));
+    roster.update(6.0, "new", 2, Err(EntryError::InvalidAddress));
     assert_eq!(names(&roster), Vec::<String>::new());
 }
 
@@ -134,10 +138,10 @@
     let mut roster = Roster::default();
     for n in 0..2 * FLAPS_MOST as i64 {
         let (child, name) = (format!("c{n}"), format!("n{n}"));
-        roster.see(1.0, &child, n, Ok(entry(&name, 1)));
-        roster.gone(1.0, &child);
+        roster.update(1.0, &child, n, Ok(entry(&name, 1)));
+        roster.remove(1.0, &child);
     }
-    assert!(roster.size().2 <= FLAPS_MOST);
+    assert!(roster.sizes().2 <= FLAPS_MOST);
 }
 
 /// Whatever comes in whatever order: what is there is what counts, but for those that wait; in the end none waits.
@@ -160,15 +164,15 @@
                 match what {
                     0 => {
                         entries.remove(&child);
-                        roster.gone(now, &child);
+                        roster.remove(now, &child);
                     }
                     1 => {
                         entries.remove(&child);
-                        roster.see(now, &child, zxid, Err(EntryFault::Address));
+                        roster.update(now, &child, zxid, Err(EntryError::InvalidAddress));
                     }
                     _ => {
                         entries.insert(child.clone(), (zxid, one.clone()));
-                        roster.see(now, &child, zxid, Ok(one));
+                        roster.update(now, &child, zxid, Ok(one));
                     }
                 }
                 if what == 3 {
@@ -187,15 +191,15 @@
                     .map(|(_, e)| (e.name.clone(), e.clone()))
                     .collect();
                 let held: BTreeMap<String, Entry> =
-                    roster.there().map(|e| (e.name.clone(), e.clone())).collect();
+                    roster.servers().map(|e| (e.name.clone(), e.clone())).collect();
                 for (name, entry) in &held {
                     prop_assert_eq!(counts.get(name), Some(entry), "somebody is there who does not count");
                 }
                 // The changes tell the same story.
-                for change in roster.changes() {
+                for change in roster.take_changes() {
                     match change {
-                        Change::There(e) => drop(there.insert(e.name.clone(), e)),
-                        Change::Gone(name) => prop_assert!(there.remove(&name).is_some(), "gone twice"),
+                        Change::Listed(e) => drop(there.insert(e.name.clone(), e)),
+                        Change::Removed(name) => prop_assert!(there.remove(&name).is_some(), "gone twice"),
                     }
                 }
                 prop_assert_eq!(&there, &held);
@@ -205,12 +209,12 @@
                 if what == 2 {
                     now += HOLD_MOST + 1.0;
                     roster.tick(now);
-                    prop_assert_eq!(roster.there().count(), counts.len(), "somebody waits for ever");
+                    prop_assert_eq!(roster.servers().count(), counts.len(), "somebody waits for ever");
                 }
-                for change in roster.changes() {
+                for change in roster.take_changes() {
                     match change {
-                        Change::There(e) => drop(there.insert(e.name.clone(), e)),
-                        Change::Gone(name) => drop(there.remove(&name)),
+                        Change::Listed(e) => drop(there.insert(e.name.clone(), e)),
+                        Change::Removed(name) => drop(there.remove(&name)),
                     }
                 }
             }
--- a/crates/membership/tests/session.rs
+++ b/crates/membership/tests/session.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use reelfall_membership::session::{Asked, Do, Event, Session, Why, PENDING_MOST};
+use reelfall_membership::session::{Command, Event, LossReason, Session, SessionConfig, PENDING_MOST};
 use reelfall_membership::wire::{Answer, Frames, Happened, Op, Refusal, WireFault, Writer, FRAME_MOST};
 use std::net::SocketAddr;
 
@@ -11,8 +11,8 @@
     ([127, 0, 0, 1], 2000 + n).into()
 }
 
-fn asked(members: u16) -> Asked {
-    Asked {
+fn config(members: u16) -> SessionConfig {
+    SessionConfig {
         members: (0..members).map(member).collect(),
         timeout: 6.0,
         connect_within: 1.0,
@@ -29,20 +29,20 @@
     Writer::new().int(xid).long(zxid).int(error)
 }
 
-fn todo(session: &mut Session) -> Vec<Do> {
-    std::iter::from_fn(|| session.todo()).collect()
+fn todo(session: &mut Session) -> Vec<Command> {
+    std::iter::from_fn(|| session.next_command()).collect()
 }
 
 fn events(session: &mut Session) -> Vec<Event> {
-    std::iter::from_fn(|| session.event()).collect()
+    std::iter::from_fn(|| session.next_event()).collect()
 }
 
 /// A session that is up at `now`.
 fn up(now: f64) -> Session {
-    let mut session = Session::new(asked(3), now, 1);
+    let mut session = Session::new(config(3), now, 1);
     session.tick(now);
-    session.connected(now);
-    session.received(now, &greeting(6000, 42));
+    session.handle_connected(now);
+    session.handle_bytes(now, &greeting(6000, 42));
     assert_eq!(events(&mut session), [Event::Up { fresh: true }]);
     todo(&mut session);
     session
@@ -51,7 +51,7 @@
 /// The fields of the greeting that a session sends: the state that it has seen, and its id.
 fn greets(session: &mut Session) -> (i64, i64) {
     let sent = todo(session).into_iter().find_map(|d| match d {
-        Do::Send(bytes) => Some(bytes),
+        Command::Send(bytes) => Some(bytes),
         _ => None,
     });
     let sent = sent.expect("a greeting");
@@ -62,57 +62,57 @@
 #[test]
 fn requests_are_answered_in_their_order_and_watches_tell() {
     let mut s = up(0.0);
-    assert!(s.ask(0.0, 1, Op::Sync { path: "/a".to_owned() }));
-    assert!(s.ask(0.0, 2, Op::Delete { path: "/b".to_owned(), version: -1 }));
+    assert!(s.request(0.0, 1, Op::Sync { path: "/a".to_owned() }));
+    assert!(s.request(0.0, 2, Op::Delete { path: "/b".to_owned(), version: -1 }));
     assert_eq!(todo(&mut s).len(), 2);
     let mut bytes = head(1, 10, 0).text("/a").done().to_vec();
     bytes.extend_from_slice(&head(-1, 11, 0).int(2).int(3).text("/b").done());
     bytes.extend_from_slice(&head(2, 11, -101).done());
     // In whatever pieces they come.
     for byte in bytes {
-        s.received(0.1, &[byte]);
+        s.handle_bytes(0.1, &[byte]);
     }
     let got = events(&mut s);
     assert_eq!(got[0], Event::Answered(1, Ok(Answer::Done)));
     assert!(matches!(&got[1], Event::Fired(f) if f.what == Happened::Deleted && f.path == "/b"));
     assert_eq!(got[2], Event::Answered(2, Err(Refusal::NoNode)));
-    assert_eq!((s.last_zxid(), s.pending()), (11, 0));
+    assert_eq!((s.last_zxid(), s.pending_count()), (11, 0));
     // No more than so many at once.
     for n in 0..PENDING_MOST as u64 {
-        assert!(s.ask(0.2, n, Op::Sync { path: "/".to_owned() }));
+        assert!(s.request(0.2, n, Op::Sync { path: "/".to_owned() }));
     }
-    assert!(!s.ask(0.2, 0, Op::Sync { path: "/".to_owned() }));
+    assert!(!s.request(0.2, 0, Op::Sync { path: "/".to_owned() }));
 }
 
 #[test]
 fn a_lost_connection_is_not_an_expired_session() {
     let mut s = up(0.0);
-    s.ask(0.0, 9, Op::Sync { path: "/".to_owned() });
-    s.received(0.0, &head(-1, 77, 0).int(3).int(3).text("/x").done());
-    s.ended(1.0);
+    s.request(0.0, 9, Op::Sync { path: "/".to_owned() });
+    s.handle_bytes(0.0, &head(-1, 77, 0).int(3).int(3).text("/x").done());
+    s.handle_disconnected(1.0);
     let got = events(&mut s);
-    assert_eq!(got[1..], [Event::Lost(Why::Closed), Event::Unanswered(9)]);
-    assert!(!s.ask(1.0, 1, Op::Sync { path: "/".to_owned() }), "asked of nobody");
+    assert_eq!(got[1..], [Event::Lost(LossReason::Closed), Event::Unanswered(9)]);
+    assert!(!s.request(1.0, 1, Op::Sync { path: "/".to_owned() }), "asked of nobody");
     // The next member, at once, with the same session and the state that was seen.
     let first = todo(&mut s);
-    assert_eq!(first.last(), Some(&Do::Close));
+    assert_eq!(first.last(), Some(&Command::Close));
     s.tick(1.0);
-    assert!(matches!(todo(&mut s)[..], [Do::Connect(_)]));
-    s.connected(1.0);
+    assert!(matches!(todo(&mut s)[..], [Command::Connect(_)]));
+    s.handle_connected(1.0);
     assert_eq!(greets(&mut s), (77, 42));
-    s.received(1.0, &greeting(6000, 42));
+    s.handle_bytes(1.0, &greeting(6000, 42));
     assert_eq!(events(&mut s), [Event::Up { fresh: false }]);
     // Only the registry's word ends it, and a new one is asked for.
-    s.ended(2.0);
+    s.handle_disconnected(2.0);
     s.tick(2.0);
-    s.connected(2.0);
+    s.handle_connected(2.0);
     todo(&mut s);
-    s.received(2.0, &greeting(0, 0));
-    assert_eq!(events(&mut s), [Event::Lost(Why::Closed), Event::Expired]);
+    s.handle_bytes(2.0, &greeting(0, 0));
+    assert_eq!(events(&mut s), [Event::Lost(LossReason::Closed), Event::Expired]);
     s.tick(2.0);
-    s.connected(2.0);
+    s.handle_connected(2.0);
     assert_eq!(greets(&mut s), (77, 0));
-    s.received(2.0, &greeting(6000, 43));
+    s.handle_bytes(2.0, &greeting(6000, 43));
     assert_eq!(events(&mut s), [Event::Up { fresh: true }]);
     assert_eq!(s.id(), 43);
 }
@@ -127,9 +127,9 @@
         now = s.deadline().unwrap();
         s.tick(now);
         for d in todo(&mut s) {
-            assert!(matches!(d, Do::Send(_)), "{d:?}");
+            assert!(matches!(d, Command::Send(_)), "{d:?}");
             pings += 1;
-            s.received(now + 0.01, &head(-2, 5, 0).done());
+            s.handle_bytes(now + 0.01, &head(-2, 5, 0).done());
         }
     }
     assert!(pings >= 19 && events(&mut s).is_empty() && s.is_up());
@@ -139,29 +139,29 @@
         now = s.deadline().unwrap();
         s.tick(now);
     }
-    assert_eq!(events(&mut s), [Event::Lost(Why::Silent)]);
+    assert_eq!(events(&mut s), [Event::Lost(LossReason::Timeout)]);
     assert!(now - heard <= 4.1, "left after {} s of a session of 6", now - heard);
     // One that accepts and says nothing is passed over.
     todo(&mut s);
     s.tick(now);
-    s.connected(now);
+    s.handle_connected(now);
     now = s.deadline().unwrap();
     s.tick(now);
-    assert_eq!(events(&mut s), [Event::Lost(Why::Silent)]);
+    assert_eq!(events(&mut s), [Event::Lost(LossReason::Timeout)]);
 }
 
 #[test]
 fn members_that_fail_are_tried_in_turn_and_then_more_rarely() {
-    let mut s = Session::new(asked(3), 0.0, 5);
+    let mut s = Session::new(config(3), 0.0, 5);
     let (mut now, mut tried, mut rests) = (0.0, vec![], vec![]);
     for _ in 0..30 {
         s.tick(now);
         for d in todo(&mut s) {
-            if let Do::Connect(address) = d {
+            if let Command::Connect(address) = d {
                 tried.push(address);
             }
         }
-        s.ended(now);
+        s.handle_disconnected(now);
         let next = s.deadline().unwrap();
         rests.push(next - now);
         now = next;
@@ -175,27 +175,30 @@
 #[test]
 fn an_older_state_is_never_taken_unless_nobody_has_the_newer() {
     let mut s = up(0.0);
-    s.ask(0.0, 1, Op::Sync { path: "/".to_owned() });
-    s.received(0.0, &head(1, 100, 0).text("/").done());
-    s.ask(0.0, 2, Op::Sync { path: "/".to_owned() });
-    s.received(0.0, &head(2, 99, 0).text("/").done());
+    s.request(0.0, 1, Op::Sync { path: "/".to_owned() });
+    s.handle_bytes(0.0, &head(1, 100, 0).text("/").done());
+    s.request(0.0, 2, Op::Sync { path: "/".to_owned() });
+    s.handle_bytes(0.0, &head(2, 99, 0).text("/").done());
     let got = events(&mut s);
-    assert_eq!(got[1..], [Event::Unanswered(2), Event::Lost(Why::Wire(WireFault::Older(99, 100)))]);
+    assert_eq!(
+        got[1..],
+        [Event::Unanswered(2), Event::Lost(LossReason::Protocol(WireFault::Older(99, 100)))]
+    );
     // Members that lag close the connection; that goes on until the state is given up, and then it begins anew.
     let (mut now, mut reset) = (0.0, None);
     while reset.is_none() && now < 200.0 {
         s.tick(now);
-        s.connected(now);
-        let greeted = todo(&mut s).iter().any(|d| matches!(d, Do::Send(_)));
+        s.handle_connected(now);
+        let greeted = todo(&mut s).iter().any(|d| matches!(d, Command::Send(_)));
         if greeted {
-            s.ended(now);
+            s.handle_disconnected(now);
         }
         reset = events(&mut s).contains(&Event::Reset).then_some(now);
         now = s.deadline().unwrap().max(now);
     }
     assert!(reset.is_some_and(|at| (60.0..80.0).contains(&at)), "{reset:?}");
     s.tick(now);
-    s.connected(now);
+    s.handle_connected(now);
     assert_eq!(greets(&mut s), (0, 0));
 }
 
@@ -211,19 +214,22 @@
     ];
     for lie in lies {
         let mut s = up(0.0);
-        s.received(0.0, lie);
-        assert!(matches!(events(&mut s)[..], [Event::Lost(Why::Wire(_))]), "{lie:?}");
+        s.handle_bytes(0.0, lie);
+        assert!(matches!(events(&mut s)[..], [Event::Lost(LossReason::Protocol(_))]), "{lie:?}");
         assert!(!s.is_up());
     }
     // A list of two thousand million names in a frame of sixteen bytes.
     let mut s = up(0.0);
-    s.ask(0.0, 1, Op::GetChildren { path: "/".to_owned(), watch: false });
-    s.received(0.0, &head(1, 1, 0).int(2_000_000_000).int(0).done());
-    assert!(matches!(events(&mut s)[..], [Event::Unanswered(1), Event::Lost(Why::Wire(WireFault::Short))]));
+    s.request(0.0, 1, Op::GetChildren { path: "/".to_owned(), watch: false });
+    s.handle_bytes(0.0, &head(1, 1, 0).int(2_000_000_000).int(0).done());
+    assert!(matches!(
+        events(&mut s)[..],
+        [Event::Unanswered(1), Event::Lost(LossReason::Protocol(WireFault::Short))]
+    ));
     // Credentials that are not taken.
     let mut s = up(0.0);
-    s.received(0.0, &head(-4, 0, -115).done());
-    assert_eq!(events(&mut s), [Event::Lost(Why::Credentials)]);
+    s.handle_bytes(0.0, &head(-4, 0, -115).done());
+    assert_eq!(events(&mut s), [Event::Lost(LossReason::BadCredentials)]);
     assert!(s.deadline().unwrap() > 0.0, "tried again without a rest");
 }
 
@@ -254,16 +260,16 @@
             for (what, bytes, after) in steps {
                 now += after;
                 match what {
-                    0 => s.received(now, &bytes),
-                    1 => s.received(now, &greeting(6000, 42 + i64::from(bytes.len() as u8 % 3))),
+                    0 => s.handle_bytes(now, &bytes),
+                    1 => s.handle_bytes(now, &greeting(6000, 42 + i64::from(bytes.len() as u8 % 3))),
                     2 => {
                         // An answer that is next, with a body that may be anything.
                         let frame =
                             bytes.iter().fold(head(xid + 1, token as i64, 0), |w, b| w.boolean(*b > 99));
-                        s.received(now, &frame.done());
+                        s.handle_bytes(now, &frame.done());
                     }
-                    3 => s.ended(now),
-                    4 => s.connected(now),
+                    3 => s.handle_disconnected(now),
+                    4 => s.handle_connected(now),
                     5 => {
                         token += 1;
                         let op = match token % 3 {
@@ -271,7 +277,7 @@
                             1 => Op::GetChildren { path: "/".to_owned(), watch: true },
                             _ => Op::GetAcl { path: "/x".to_owned() },
                         };
-                        if s.ask(now, token, op) {
+                        if s.request(now, token, op) {
                             asked += 1;
                             xid = token as i32;
                         }
@@ -282,7 +288,7 @@
                 for event in events(&mut s) {
                     ended += u64::from(matches!(event, Event::Answered(..) | Event::Unanswered(_)));
                 }
-                prop_assert_eq!(asked, ended + s.pending() as u64, "a request without an end");
+                prop_assert_eq!(asked, ended + s.pending_count() as u64, "a request without an end");
             }
             s.close(now);
             ended += events(&mut s).iter().filter(|e| matches!(e, Event::Unanswered(_))).count() as u64;
--- a/crates/node/src/net/registry.rs
+++ b/crates/node/src/net/registry.rs
@@ -19,7 +19,7 @@
 use bytes::Bytes;
 use reelfall_conf::model;
 use reelfall_core::interface::Time;
-use reelfall_membership::session::{Asked, Session};
+use reelfall_membership::session::{Session, SessionConfig};
 use std::collections::hash_map::RandomState;
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
@@ -60,13 +60,13 @@
     }
 
     fn session(&self, now: Time) -> Session {
-        let asked = Asked {
+        let config = SessionConfig {
             members: self.members.clone(),
             timeout: self.timeout,
             connect_within: self.connect_within,
             auth: self.auth.clone(),
             forget_after: self.forget_after,
         };
-        Session::new(asked, now, RandomState::new().hash_one(now.to_bits()))
+        Session::new(config, now, RandomState::new().hash_one(now.to_bits()))
     }
 }
--- a/crates/node/src/net/registry/driver.rs
+++ b/crates/node/src/net/registry/driver.rs
@@ -4,7 +4,7 @@
 use crate::net::shared::Clock;
 use bytes::{Buf, BytesMut};
 use reelfall_core::interface::Time;
-use reelfall_membership::session::{Do, Event, Session, PENDING_MOST};
+use reelfall_membership::session::{Command, Event, Session, PENDING_MOST};
 use reelfall_membership::wire::Op;
 use std::future::Future;
 use std::io;
@@ -14,15 +14,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
-/// Bytes that one read brings.
-const READ: usize = 64 << 10;
+/// Maximum number of bytes of one read.
+const READ_LEN: usize = 64 << 10;
 
-/// What a session serves.
+/// What uses a session.
 pub(super) trait SessionUser {
-    /// Something has happened on the session.
-    fn event(&mut self, now: Time, session: &Session, event: &Event);
-    /// What is to be asked next.
-    fn op(&mut self) -> Option<(u64, Op)>;
+    /// Handles an event of the session.
+    fn handle_event(&mut self, now: Time, session: &Session, event: &Event);
+    /// The next request, with the token that its answer has.
+    fn next_request(&mut self) -> Option<(u64, Op)>;
     /// Time has passed, and the session may have been heard.
     fn tick(&mut self, now: Time, session: &Session);
     /// When `tick` has something to do.
@@ -68,11 +68,11 @@
             clock,
             connection: Connection::Closed,
             out: BytesMut::new(),
-            read: BytesMut::with_capacity(READ),
+            read: BytesMut::with_capacity(READ_LEN),
         }
     }
 
-    /// Runs until the part is done; `told` is for whoever has changed what the part wants.
+    /// Runs until the user of the session is done; `changed` wakes it when there may be something new for it to do.
     pub(super) async fn run(mut self, changed: &Notify) {
         loop {
             self.step();
@@ -89,15 +89,15 @@
                 Wakeup::Connected(Ok(stream)) => {
                     let _ = stream.set_nodelay(true);
                     self.connection = Connection::Up(stream);
-                    self.session.connected(now);
+                    self.session.handle_connected(now);
                 }
                 Wakeup::Connected(Err(_)) | Wakeup::Read(Ok(0) | Err(_)) => {
                     self.connection = Connection::Closed;
-                    self.session.ended(now);
+                    self.session.handle_disconnected(now);
                 }
                 Wakeup::Read(Ok(_)) => {
                     let bytes = self.read.split();
-                    self.session.received(now, &bytes);
+                    self.session.handle_bytes(now, &bytes);
                 }
                 Wakeup::Writable => self.write(),
                 Wakeup::Other => {}
@@ -111,20 +111,20 @@
         self.session.tick(now);
         self.user.tick(now, &self.session);
         loop {
-            while let Some(event) = self.session.event() {
-                self.user.event(now, &self.session, &event);
+            while let Some(event) = self.session.next_event() {
+                self.user.handle_event(now, &self.session, &event);
             }
-            while self.session.is_up() && self.session.pending() < PENDING_MOST {
-                let Some((token, op)) = self.user.op() else { break };
-                self.session.ask(now, token, op);
+            while self.session.is_up() && self.session.pending_count() < PENDING_MOST {
+                let Some((token, op)) = self.user.next_request() else { break };
+                self.session.request(now, token, op);
             }
-            let Some(to) = self.session.todo() else { break };
-            match to {
-                Do::Connect(address) => {
+            let Some(command) = self.session.next_command() else { break };
+            match command {
+                Command::Connect(address) => {
                     self.connection = Connection::Connecting(Box::pin(TcpStream::connect(address)))
                 }
-                Do::Send(bytes) => self.out.extend_from_slice(&bytes),
-                Do::Close => {
+                Command::Send(bytes) => self.out.extend_from_slice(&bytes),
+                Command::Close => {
                     self.connection = Connection::Closed;
                     self.out.clear();
                     self.read.clear();
@@ -172,7 +172,7 @@
                 () = changed.notified() => Wakeup::Other,
             },
             Connection::Up(stream) => {
-                self.read.reserve(READ);
+                self.read.reserve(READ_LEN);
                 let (mut from, to) = stream.split();
                 let writes = !self.out.is_empty();
                 // News first: what a timer would do can wait for it.
--- a/crates/node/src/net/registry/following.rs
+++ b/crates/node/src/net/registry/following.rs
@@ -11,7 +11,7 @@
 use reelfall_membership::entry::Entry;
 use reelfall_membership::follow::{Follower, Limits, Report};
 use reelfall_membership::roster::Change;
-use reelfall_membership::session::{Event, Session, Why};
+use reelfall_membership::session::{Event, LossReason, Session};
 use reelfall_membership::wire::Op;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -74,14 +74,14 @@
     }
 
     fn full_list(&self) -> Vec<Place<SocketAddr>> {
-        self.follower.roster().there().map(|entry| self.listed(entry)).collect()
+        self.follower.roster().servers().map(|entry| self.listed(entry)).collect()
     }
 
     /// News of one server. Who has gone and was never told of needs no word.
     fn changed_server(&self, change: &Change) -> Option<Place<SocketAddr>> {
         match change {
-            Change::There(entry) => Some(self.listed(entry)),
-            Change::Gone(name) => {
+            Change::Listed(entry) => Some(self.listed(entry)),
+            Change::Removed(name) => {
                 self.pool.names.borrow().servers.get(name)?;
                 let gone = Listed {
                     name,
@@ -100,37 +100,39 @@
         }
     }
 
-    fn heard(&mut self, session: &Session) {
+    fn note_heard(&mut self, session: &Session) {
         if session.is_up() {
-            self.follower.heard(session.heard());
-            self.pool.heard.set(Some(session.heard()));
+            self.follower.note_heard(session.last_heard());
+            self.pool.heard.set(Some(session.last_heard()));
         }
     }
 
     fn log_report(&self, report: &Report) {
         let (log, path) = (&self.pool.shared.log, &self.path);
         match report {
-            Report::Entry(child, fault) => log.write_line(format_args!("registry {path}/{child}: {fault}")),
-            Report::TooMany(most) => {
+            Report::InvalidEntry(child, fault) => {
+                log.write_line(format_args!("registry {path}/{child}: {fault}"))
+            }
+            Report::TooManyEntries(most) => {
                 log.write_line(format_args!("registry {path}: more than {most} entries"))
             }
-            Report::NoPath => log.write_line(format_args!("registry {path}: the path does not exist")),
-            Report::NotAllowed => {
+            Report::PathMissing => log.write_line(format_args!("registry {path}: the path does not exist")),
+            Report::AccessDenied => {
                 log.write_line(format_args!("registry {path}: this session has no permission to read it"))
             }
             Report::Stale(age) => {
                 log.write_line(format_args!("registry {path}: no update received for {age} s"))
             }
-            Report::Fresh => log.write_line(format_args!("registry {path}: updates are received again")),
+            Report::UpToDate => log.write_line(format_args!("registry {path}: updates are received again")),
         }
     }
 }
 
 impl SessionUser for Following {
-    fn event(&mut self, now: Time, session: &Session, event: &Event) {
+    fn handle_event(&mut self, now: Time, session: &Session, event: &Event) {
         match event {
-            Event::Lost(why @ (Why::Wire(_) | Why::Credentials)) => {
-                self.pool.shared.log.write_line(format_args!("registry {}: {why}", self.path));
+            Event::Lost(reason @ (LossReason::Protocol(_) | LossReason::BadCredentials)) => {
+                self.pool.shared.log.write_line(format_args!("registry {}: {reason}", self.path));
             }
             Event::Reset => {
                 self.pool.shared.log.write_line(format_args!(
@@ -140,16 +142,16 @@
             }
             _ => {}
         }
-        self.heard(session);
-        self.follower.event(now, event);
+        self.note_heard(session);
+        self.follower.handle_event(now, event);
     }
 
-    fn op(&mut self) -> Option<(u64, Op)> {
-        self.follower.op()
+    fn next_request(&mut self) -> Option<(u64, Op)> {
+        self.follower.next_request()
     }
 
     fn tick(&mut self, now: Time, session: &Session) {
-        self.heard(session);
+        self.note_heard(session);
         self.follower.tick(now);
     }
 
@@ -158,15 +160,15 @@
     }
 
     fn events_handled(&mut self, _now: Time) {
-        while let Some(report) = self.follower.report() {
+        while let Some(report) = self.follower.next_report() {
             self.log_report(&report);
         }
-        let refuses = self.follower.refuses();
+        let refuses = self.follower.refuses_servers();
         let flips = std::mem::replace(&mut self.refused, refuses) != refuses;
-        let changes = self.follower.changes();
+        let changes = self.follower.take_changes();
         if !self.has_listed || flips {
             // Nothing is told before all of it is known: half a list would draw all work to half of the servers.
-            if self.follower.is_known() {
+            if self.follower.has_list() {
                 self.has_listed = true;
                 self.pool.members(ListKind::Full, self.full_list());
             }
--- a/crates/node/src/net/registry/own_entry.rs
+++ b/crates/node/src/net/registry/own_entry.rs
@@ -4,7 +4,7 @@
 use super::RegistryAccess;
 use crate::net::shared::Shared;
 use reelfall_core::interface::Time;
-use reelfall_membership::own::{self, Own};
+use reelfall_membership::registration::{EntryData, Registration, Report};
 use reelfall_membership::session::{Event, Session};
 use reelfall_membership::wire::{Acl, Op};
 use std::cell::{Cell, RefCell};
@@ -28,31 +28,35 @@
 }
 
 impl OwnEntry {
-    /// Keeps an entry from when it is wanted until it is not.
+    /// Starts the task that keeps the entry.
     pub fn keep(
-        shared: &Rc<Shared>, access: RegistryAccess, path: String, data: own::Data, guarded: bool,
+        shared: &Rc<Shared>, access: RegistryAccess, path: String, data: EntryData, guarded: bool,
     ) -> Rc<OwnEntry> {
-        let entered = Rc::new(OwnEntry {
+        let entry = Rc::new(OwnEntry {
             wanted: Cell::new(Wanted::Pending),
             changed: Notify::new(),
             withdrawn: Notify::new(),
             done: Cell::new(false),
         });
         let acl = if guarded { vec![Acl::creator(), Acl::read_only()] } else { vec![Acl::open()] };
-        let own = Own::new(path.clone(), data, acl);
-        let user =
-            EntryKeeper { entered: entered.clone(), shared: shared.clone(), path, own: RefCell::new(own) };
+        let registration = Registration::new(path.clone(), data, acl);
+        let user = EntryKeeper {
+            entry: entry.clone(),
+            shared: shared.clone(),
+            path,
+            registration: RefCell::new(registration),
+        };
         let driver = Driver::new(&access, user, shared.clock);
-        let keeping = entered.clone();
+        let keeping = entry.clone();
         tokio::task::spawn_local(async move {
             driver.run(&keeping.changed).await;
             keeping.done.set(true);
             keeping.withdrawn.notify_one();
         });
-        entered
+        entry
     }
 
-    /// The node is ready: the entry may stand.
+    /// Registers the node: it is ready.
     pub fn publish(&self) {
         if self.wanted.get() == Wanted::Pending {
             self.wanted.set(Wanted::Published);
@@ -60,7 +64,7 @@
         }
     }
 
-    /// The node is on its way out: the entry goes. Waits until it has, but not for long.
+    /// Removes the entry: the node is shutting down. Waits until it is removed, but not for long.
     pub async fn withdraw(&self, within: Duration) {
         self.wanted.set(Wanted::Withdrawn);
         self.changed.notify_one();
@@ -71,52 +75,52 @@
 }
 
 struct EntryKeeper {
-    entered: Rc<OwnEntry>,
+    entry: Rc<OwnEntry>,
     shared: Rc<Shared>,
     path: String,
-    own: RefCell<Own>,
+    registration: RefCell<Registration>,
 }
 
 impl SessionUser for EntryKeeper {
-    fn event(&mut self, now: Time, session: &Session, event: &Event) {
-        self.own.get_mut().event(now, session.id(), event);
+    fn handle_event(&mut self, now: Time, session: &Session, event: &Event) {
+        self.registration.get_mut().handle_event(now, session.id(), event);
     }
 
-    fn op(&mut self) -> Option<(u64, Op)> {
-        self.own.get_mut().op()
+    fn next_request(&mut self) -> Option<(u64, Op)> {
+        self.registration.get_mut().next_request()
     }
 
     fn tick(&mut self, now: Time, _session: &Session) {
-        let own = self.own.get_mut();
-        match self.entered.wanted.get() {
+        let registration = self.registration.get_mut();
+        match self.entry.wanted.get() {
             Wanted::Pending => {}
-            Wanted::Published => own.want(),
-            Wanted::Withdrawn => own.withdraw(),
+            Wanted::Published => registration.register(),
+            Wanted::Withdrawn => registration.deregister(),
         }
-        own.tick(now);
+        registration.tick(now);
     }
 
     fn deadline(&self) -> Time {
-        self.own.borrow().deadline()
+        self.registration.borrow().deadline()
     }
 
     fn events_handled(&mut self, _now: Time) {
-        let own = self.own.get_mut();
-        let Some(report) = own.report() else { return };
+        let registration = self.registration.get_mut();
+        let Some(report) = registration.next_report() else { return };
         let (log, path) = (&self.shared.log, &self.path);
         match report {
-            own::Report::Stands => log.write_line(format_args!("own entry {path}: registered")),
-            own::Report::Taken(_) => {
+            Report::Registered => log.write_line(format_args!("own entry {path}: registered")),
+            Report::PathTaken(_) => {
                 log.write_line(format_args!("own entry {path}: registered by another owner"))
             }
-            own::Report::Superseded => {
+            Report::Superseded => {
                 log.write_line(format_args!("own entry {path}: registered by a later run of this node"))
             }
-            own::Report::Refused(why) => log.write_line(format_args!("own entry {path}: {why}")),
+            Report::Refused(why) => log.write_line(format_args!("own entry {path}: {why}")),
         }
     }
 
     fn is_done(&self) -> bool {
-        self.entered.wanted.get() == Wanted::Withdrawn && self.own.borrow().is_withdrawn()
+        self.entry.wanted.get() == Wanted::Withdrawn && self.registration.borrow().is_deregistered()
     }
 }
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -13,7 +13,7 @@
 use hyper::StatusCode;
 use reelfall_conf::model::{self, NodeEntry};
 use reelfall_conf::Plan;
-use reelfall_membership::own;
+use reelfall_membership::registration::EntryData;
 use reelfall_operations::request::FleetRequest;
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::RandomState;
@@ -226,7 +226,7 @@
         for (registry, wanted) in wanted {
             entries.entry(registry).or_insert_with(|| {
                 let Wanted { access, entry, zone } = wanted.clone();
-                let data = own::Data {
+                let data = EntryData {
                     name: entry.name,
                     address: entry.address.or_else(|| listens.clone()).unwrap_or_default(),
                     site: entry.site,
