--- a/crates/rig/tests/membership.rs
+++ b/crates/rig/tests/membership.rs
@@ -166,7 +166,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_entry_that_flaps_is_let_go_at_once_and_let_in_with_care() {
+async fn a_flapping_entry_is_removed_at_once_and_readmitted_with_a_delay() {
     let registry = Registry::start(1).await.unwrap();
     let (steady, flappy) = (server("steady").await, server("flappy").await);
     let _steady = Announced::enter(&registry, &steady, "steady", 0);
@@ -226,7 +226,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_registry_that_is_silent_for_longer_than_the_session_costs_nobody_his_servers() {
+async fn a_registry_that_is_silent_for_longer_than_the_session_removes_no_server() {
     let registry = Registry::start(3).await.unwrap();
     let (one, two) = (server("one").await, server("two").await);
     let _one = Announced::enter(&registry, &one, "one", 0);
@@ -340,7 +340,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn entries_that_can_not_be_used_cost_nothing_but_themselves() {
+async fn invalid_entries_are_skipped_and_affect_no_others() {
     let registry = Registry::start(1).await.unwrap();
     let good = server("good").await;
     let _good = Announced::enter(&registry, &good, "good", 0);
@@ -398,7 +398,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_registry_that_lies_costs_its_own_connection() {
+async fn a_registry_that_violates_the_protocol_loses_its_connection() {
     let registry = Registry::start(1).await.unwrap();
     let one = server("one").await;
     let _one = Announced::enter(&registry, &one, "one", 0);
@@ -424,7 +424,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn the_nodes_own_entry_stands_from_when_it_is_ready_until_it_ends() {
+async fn the_node_is_registered_from_when_it_is_ready_until_it_ends() {
     let registry = Registry::start(3).await.unwrap();
     let one = server("one").await;
     // What a life before has left.
--- a/crates/rig/tests/node.rs
+++ b/crates/rig/tests/node.rs
@@ -47,7 +47,7 @@
 }
 
 #[test]
-fn what_cannot_be_read_is_turned_away_and_reaches_no_server() {
+fn malformed_requests_are_rejected_and_reach_no_server() {
     let server = Server::good();
     let (_discovery, node) = before(&server, 256);
     let hidden = read_request("hidden");
@@ -82,7 +82,7 @@
 }
 
 #[test]
-fn half_a_request_ends_its_connection_alone() {
+fn an_incomplete_request_ends_only_its_own_connection() {
     let server = Server::good();
     let (_discovery, node) = before(&server, 256);
     let began = Instant::now();
@@ -97,7 +97,7 @@
 }
 
 #[test]
-fn a_crowd_that_says_nothing_does_not_keep_others_out() {
+fn silent_connections_do_not_keep_other_clients_out() {
     let server = Server::good();
     let (_discovery, node) = before(&server, 64);
     let mut good = connect(node.address);
@@ -140,7 +140,7 @@
 }
 
 #[test]
-fn requests_right_behind_each_other_are_answered_in_turn() {
+fn pipelined_requests_are_answered_in_order() {
     let server = Server::good();
     let (_discovery, node) = before(&server, 256);
     let mut stream = connect(node.address);
@@ -239,7 +239,7 @@
 }
 
 #[test]
-fn more_than_an_answer_is_not_taken_for_the_next() {
+fn surplus_bytes_after_an_answer_are_not_taken_for_the_next_answer() {
     let extra: [&[u8]; 2] = [b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother", b"\x00 noise"];
     for extra in extra {
         let server = Server::start(move |request, _, stream| {
--- a/crates/rig/tests/operations.rs
+++ b/crates/rig/tests/operations.rs
@@ -1,4 +1,4 @@
-//! Operators' calls to the real program over loopback sockets.
+//! Management requests, drains and upgrades of the real program, over loopback sockets.
 
 use reelfall_rig::scripted::{
     answer, call, connect, exchange, get, read_request, Discovery, Got, Node, Program, Server, PATIENCE,
@@ -36,7 +36,7 @@
 }
 
 #[test]
-fn a_server_that_is_out_gets_nothing_until_the_one_call_back_whatever_its_list_says() {
+fn a_banned_server_gets_nothing_until_its_ban_is_lifted_whatever_its_list_says() {
     let (a, b, discovery, node) = node();
     until_seen(&node, &a);
     until_seen(&node, &b);
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn calls_for_what_there_is_not_get_a_no_that_says_why() {
+fn unknown_management_requests_are_rejected_with_a_reason() {
     let (_a, _b, _discovery, node) = node();
     for (method, path, status) in [
         ("GET", "/-/ready", 200),
@@ -87,7 +87,7 @@
 }
 
 #[test]
-fn the_command_line_says_yes_no_and_that_nobody_is_there() {
+fn the_command_line_reports_success_rejection_and_an_unreachable_node() {
     let (_a, _b, _discovery, node) = node();
     let run = |args: &[&str], to: SocketAddr| {
         let mut command = program().command();
@@ -106,7 +106,7 @@
 }
 
 #[test]
-fn callers_that_say_nothing_or_half_a_call_hold_nobody_up() {
+fn silent_and_incomplete_management_requests_delay_nobody() {
     let (_a, _b, _discovery, node) = node();
     let crowd: Vec<_> = (0..40)
         .map(|n| {
@@ -127,7 +127,7 @@
 }
 
 #[test]
-fn a_drain_sends_clients_away_without_losing_a_request_and_ends_without_a_trace() {
+fn a_drain_closes_connections_without_losing_a_request_and_ends_without_a_trace() {
     let (_a, _b, _discovery, node) = node();
     let mut used = connect(node.address);
     let ask = |stream: &mut std::net::TcpStream, id: &str| {
@@ -228,17 +228,17 @@
 }
 
 #[test]
-fn an_heir_that_dies_before_or_after_it_serves_leaves_the_old_process_serving() {
+fn a_successor_that_dies_before_or_after_it_serves_leaves_the_old_process_serving() {
     let (_a, _b, _discovery, node) = node();
     let load = Load::start(node.address, 6);
     for n in 0..6 {
-        let mut heir = node.spawn_beside(&program());
+        let mut successor = node.spawn_beside(&program());
         std::thread::sleep(Duration::from_millis(15 * n));
-        heir.kill();
+        successor.kill();
         std::thread::sleep(Duration::from_millis(50));
     }
     let (done, lost) = load.stop();
-    // Clients that an heir had taken in end with it; the old process takes the next ones.
+    // Clients that a successor had accepted end with it; the old process takes the next ones.
     assert!(done > 100 && lost.len() <= 6 * 6, "{} of {done}: {lost:?}", lost.len());
     for n in 0..20 {
         assert_eq!(get(node.address, &format!("after-{n}")).status, 200);
@@ -246,12 +246,12 @@
 }
 
 #[test]
-fn whoever_speaks_nonsense_or_nothing_where_processes_meet_stops_no_upgrade() {
+fn garbage_or_silence_on_the_handover_socket_prevents_no_upgrade() {
     let (_a, _b, _discovery, mut node) = node();
-    let place = node.folder().join("reelfall-n0.takeover");
-    let mut nonsense = std::os::unix::net::UnixStream::connect(&place).unwrap();
-    nonsense.write_all(b"\xff\xff\xff\xffnonsense").unwrap();
-    let _silent = std::os::unix::net::UnixStream::connect(&place).unwrap();
+    let socket = node.folder().join("reelfall-n0.takeover");
+    let mut garbage = std::os::unix::net::UnixStream::connect(&socket).unwrap();
+    garbage.write_all(b"\xff\xff\xff\xffnonsense").unwrap();
+    let _silent = std::os::unix::net::UnixStream::connect(&socket).unwrap();
     let load = Load::start(node.address, 4);
     let next = node.successor(&program());
     node.signal("TERM");
@@ -300,7 +300,7 @@
 }
 
 #[test]
-fn what_cannot_be_written_down_is_in_force_and_the_caller_is_told() {
+fn a_change_that_cannot_be_stored_is_applied_and_reported_as_an_error() {
     let (a, _b, _discovery, node) = node();
     std::fs::remove_dir_all(node.folder()).unwrap();
     assert_eq!(call(node.management, "POST", "/-/servers/s-a/disable"), 500);
--- a/crates/rig/tests/services.rs
+++ b/crates/rig/tests/services.rs
@@ -57,7 +57,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_drain_told_by_one_list_is_kept_by_the_pool_of_another() {
+async fn a_drain_in_one_list_holds_for_the_pool_of_another() {
     let (shared, other) = (good("shared", 1).await, good("other", 1).await);
     let discovery = Discovery::start(vec![Listed::active("d-shared", shared.address)]).await.unwrap();
     let settings = HEAD.to_owned()
@@ -243,7 +243,7 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn what_two_readers_could_route_differently_is_refused_and_passed_to_nobody() {
+async fn ambiguous_requests_are_rejected_and_reach_no_server() {
     let (flags, admin) = (good("flags", 1).await, good("admin", 1).await);
     let settings = HEAD.to_owned()
         + &service("flags", "safe", "", &listed(&flags, ""))
