--- a/crates/node/src/net/pool.rs
+++ b/crates/node/src/net/pool.rs
@@ -97,7 +97,7 @@
         let listed = shared.listed_by_pool();
         let upstream = Upstream::new(shared.clone(), member, conn_idle, figures.connect_timeout);
         let pool = Rc::new(Pool {
-            id: shared.number(),
+            id: shared.next_pool_id(),
             engine: RefCell::new(Engine::new(module, &classes, max_attempts)),
             commands: Cell::default(),
             names: RefCell::new(names),
@@ -116,7 +116,7 @@
             discovery,
             rng: SeededRng::new(seed),
         });
-        pool.shared.enter(pool.id, &(pool.clone() as Rc<dyn Peer>));
+        pool.shared.register_pool(pool.id, &(pool.clone() as Rc<dyn Peer>));
         Ok(pool)
     }
 
@@ -151,7 +151,7 @@
     pub fn restore_learned(&self, learned: &serde_json::Value) {
         match Learned::deserialize(learned) {
             Ok(learned) => self.engine.borrow_mut().adopt(self.shared.clock.now(), &learned),
-            Err(e) => self.shared.log.say(format_args!("what was learned can't be read: {e}")),
+            Err(e) => self.shared.log.write_line(format_args!("what was learned can't be read: {e}")),
         }
     }
 
--- a/crates/node/src/net/registry/following.rs
+++ b/crates/node/src/net/registry/following.rs
@@ -11,7 +11,7 @@
 use reelfall_membership::entry::Entry;
 use reelfall_membership::follow::{Follower, Limits, Report};
 use reelfall_membership::roster::Change;
-use reelfall_membership::session::{Event, Session, Why};
+use reelfall_membership::session::{Event, LossReason, Session};
 use reelfall_membership::wire::Op;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -30,20 +30,9 @@
 impl Source for Registry {
     fn follow(self, pool: Rc<Pool>) -> impl Future<Output = ()> + 'static {
         if !self.known.is_empty() {
-            let place = |server: &model::At<model::Server>| {
-                let listed = Listed {
-                    name: &server.name,
-                    zone: server.zone.as_deref(),
-                    kind: server.kind.as_deref(),
-                    cell: 0,
-                    state: server.state,
-                    weight: server.weight,
-                    // Nobody knows when they began: whoever wrote them down knew them for some time.
-                    ready_at: Some(0.0),
-                };
-                Place { entry: pool.names.borrow_mut().entry(&listed), address: server.address }
-            };
-            let places = self.known.iter().map(place).collect();
+            // Nobody knows when they started: whoever wrote them down knew them for some time.
+            let entry = |server: &model::At<model::Server>| pool.configured_entry(server, 0.0);
+            let places = self.known.iter().map(entry).collect();
             pool.members(ListKind::Cached, places);
         }
         let clock = pool.shared.clock;
@@ -85,14 +74,14 @@
     }
 
     fn full_list(&self) -> Vec<Place<SocketAddr>> {
-        self.follower.roster().there().map(|entry| self.listed(entry)).collect()
+        self.follower.roster().servers().map(|entry| self.listed(entry)).collect()
     }
 
     /// News of one server. Who has gone and was never told of needs no word.
     fn changed_server(&self, change: &Change) -> Option<Place<SocketAddr>> {
         match change {
-            Change::There(entry) => Some(self.listed(entry)),
-            Change::Gone(name) => {
+            Change::Listed(entry) => Some(self.listed(entry)),
+            Change::Removed(name) => {
                 self.pool.names.borrow().servers.get(name)?;
                 let gone = Listed {
                     name,
@@ -111,47 +100,58 @@
         }
     }
 
-    fn heard(&mut self, session: &Session) {
+    fn note_heard(&mut self, session: &Session) {
         if session.is_up() {
-            self.follower.heard(session.heard());
-            self.pool.heard.set(Some(session.heard()));
+            self.follower.note_heard(session.last_heard());
+            self.pool.heard.set(Some(session.last_heard()));
         }
     }
 
     fn log_report(&self, report: &Report) {
         let (log, path) = (&self.pool.shared.log, &self.path);
         match report {
-            Report::Entry(child, fault) => log.say(format_args!("registry {path}/{child}: {fault}")),
-            Report::TooMany(most) => log.say(format_args!("registry {path}: more than {most} entries")),
-            Report::NoPath => log.say(format_args!("registry {path}: there is no such path")),
-            Report::NotAllowed => log.say(format_args!("registry {path}: not to be read by this session")),
-            Report::Stale(age) => log.say(format_args!("registry {path}: nothing heard for {age} s")),
-            Report::Fresh => log.say(format_args!("registry {path}: heard again")),
+            Report::InvalidEntry(child, fault) => {
+                log.write_line(format_args!("registry {path}/{child}: {fault}"))
+            }
+            Report::TooManyEntries(most) => {
+                log.write_line(format_args!("registry {path}: more than {most} entries"))
+            }
+            Report::PathMissing => log.write_line(format_args!("registry {path}: the path does not exist")),
+            Report::AccessDenied => {
+                log.write_line(format_args!("registry {path}: this session has no permission to read it"))
+            }
+            Report::Stale(age) => {
+                log.write_line(format_args!("registry {path}: no update received for {age} s"))
+            }
+            Report::UpToDate => log.write_line(format_args!("registry {path}: updates are received again")),
         }
     }
 }
 
 impl SessionUser for Following {
-    fn event(&mut self, now: Time, session: &Session, event: &Event) {
+    fn handle_event(&mut self, now: Time, session: &Session, event: &Event) {
         match event {
-            Event::Lost(why @ (Why::Wire(_) | Why::Credentials)) => {
-                self.pool.shared.log.say(format_args!("registry {}: {why}", self.path));
+            Event::Lost(reason @ (LossReason::Protocol(_) | LossReason::BadCredentials)) => {
+                self.pool.shared.log.write_line(format_args!("registry {}: {reason}", self.path));
             }
             Event::Reset => {
-                self.pool.shared.log.say(format_args!("registry {}: begins anew", self.path));
+                self.pool.shared.log.write_line(format_args!(
+                    "registry {}: the registry was reset, its state is read again",
+                    self.path
+                ));
             }
             _ => {}
         }
-        self.heard(session);
-        self.follower.event(now, event);
+        self.note_heard(session);
+        self.follower.handle_event(now, event);
     }
 
-    fn op(&mut self) -> Option<(u64, Op)> {
-        self.follower.op()
+    fn next_request(&mut self) -> Option<(u64, Op)> {
+        self.follower.next_request()
     }
 
     fn tick(&mut self, now: Time, session: &Session) {
-        self.heard(session);
+        self.note_heard(session);
         self.follower.tick(now);
     }
 
@@ -160,15 +160,15 @@
     }
 
     fn events_handled(&mut self, _now: Time) {
-        while let Some(report) = self.follower.report() {
+        while let Some(report) = self.follower.next_report() {
             self.log_report(&report);
         }
-        let refuses = self.follower.refuses();
+        let refuses = self.follower.refuses_servers();
         let flips = std::mem::replace(&mut self.refused, refuses) != refuses;
-        let changes = self.follower.changes();
+        let changes = self.follower.take_changes();
         if !self.has_listed || flips {
             // Nothing is told before all of it is known: half a list would draw all work to half of the servers.
-            if self.follower.is_known() {
+            if self.follower.has_list() {
                 self.has_listed = true;
                 self.pool.members(ListKind::Full, self.full_list());
             }
