Client connections: idle ones are evicted before new ones that have not asked yet

Cause: at the bound the oldest connection without a first request went before any that rests.

Change: the connections that may be evicted stand in order (`net/client/eviction.rs`; O(log n) for each change of phase and each eviction, in place of a scan of all): silent for 1 s, then resting, least recently used first, then new ones that have been silent for 20 ms (the accept loop's pause, in which others wait in the backlog). New ones that have not asked hold a quarter of the places at most while others rest: a flood of them evicts its own. A request that comes slowly is answered 408 after 1 s, as before, but never before a new connection. Before an eviction the runtime has a turn, so ends and requests that have come are read; and a connection is not ended over bytes that the runtime has not told of yet.

--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -1,10 +1,14 @@
 //! One client's connection: where it stands, and who has left. Reading and its time-outs are in `io`, its orderly end in
-//! `close`.
+//! `close`, its place among those that may be closed to make room in `eviction`.
 
 mod close;
+mod eviction;
 mod io;
+#[cfg(test)]
+mod tests;
 
 pub(super) use close::close;
+pub(super) use eviction::{ClientId, EvictionOrder, CROWDED_GRACE};
 pub(super) use io::ClientIo;
 
 use super::message::Waiter;
@@ -43,6 +47,9 @@
 
 /// One client's connection.
 pub(super) struct Client {
+    id: ClientId,
+    /// What it is in while requests are read from it.
+    eviction_order: Rc<RefCell<EvictionOrder>>,
     /// Look at the connection again: something here has changed.
     pub wake: Notify,
     pub phase: Cell<Phase>,
@@ -78,8 +85,12 @@
 }
 
 impl Client {
-    pub fn new(listener_tag: Rc<ListenerTag>) -> Self {
+    pub fn new(
+        id: ClientId, listener_tag: Rc<ListenerTag>, eviction_order: Rc<RefCell<EvictionOrder>>,
+    ) -> Self {
         Client {
+            id,
+            eviction_order,
             wake: Notify::new(),
             phase: Cell::new(Phase::New),
             since: Cell::new(Instant::now()),
@@ -117,8 +128,20 @@
     }
 
     pub fn set_phase(&self, phase: Phase) {
+        self.leave_eviction_order();
         self.phase.set(phase);
         self.since.set(Instant::now());
+        self.enter_eviction_order();
+    }
+
+    /// It may be closed to make room from here on.
+    pub fn enter_eviction_order(&self) {
+        self.eviction_order.borrow_mut().insert(self.phase.get(), self.since.get(), self.id);
+    }
+
+    /// It ends, or goes elsewhere: closing it would make no room sooner.
+    pub fn leave_eviction_order(&self) {
+        self.eviction_order.borrow_mut().remove(self.phase.get(), self.since.get(), self.id);
     }
 
     /// How long what has come of a request may have taken.
--- a/crates/node/src/net/client/io.rs
+++ b/crates/node/src/net/client/io.rs
@@ -6,6 +6,7 @@
 use hyper::StatusCode;
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -174,7 +175,7 @@
             return self.fault(status);
         }
         let due = match client.phase.get() {
-            Phase::New | Phase::Idle if client.close_when_idle.get() => return Poll::Ready(Ok(())),
+            Phase::New | Phase::Idle if client.close_when_idle.get() => return self.poll_end(),
             Phase::New => client.since.get() + ASKS_WITHIN,
             Phase::Idle => client.since.get() + IDLE_WITHIN,
             // As slowly as a body may come, but never at rest for long.
@@ -196,6 +197,18 @@
         ready!(timer.as_mut().poll(cx));
         match client.phase.get() {
             Phase::Receiving | Phase::Streaming => self.fault(StatusCode::REQUEST_TIMEOUT),
+            _ => self.poll_end(),
+        }
+    }
+
+    /// Ends a connection on which nothing is asked, unless bytes have come that the runtime has not told of yet: it will,
+    /// and what they ask is answered first.
+    ///
+    /// Guards against requests that come in the moment of an eviction or a time-out, which would be dropped unread or
+    /// unanswered while the processor is short. Harm: one look at the socket for each such end.
+    fn poll_end(&self) -> Poll<io::Result<()>> {
+        match socket2::SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(n) if n > 0 => Poll::Pending,
             _ => Poll::Ready(Ok(())),
         }
     }
--- a/crates/node/src/net/front.rs
+++ b/crates/node/src/net/front.rs
@@ -20,7 +20,7 @@
 pub use listening::Listening;
 pub(super) use translate::{strip_hop_by_hop, time_left, AdmittedRequest, PendingRequest, ID_OPEN};
 
-use super::client::{Client, Phase};
+use super::client::{Client, ClientId, EvictionOrder, Phase};
 use super::service::Routing;
 use super::shared::Shared;
 use super::task::AbortOnDrop;
@@ -48,9 +48,11 @@
     shared: Rc<Shared>,
     routing: RefCell<Rc<Routing>>,
     listening: RefCell<Vec<(Rc<Listening>, AbortOnDrop)>>,
-    clients: RefCell<HashMap<u64, Rc<Client>>>,
-    next: Cell<u64>,
+    clients: RefCell<HashMap<ClientId, Rc<Client>>>,
+    next: Cell<ClientId>,
     max_clients: Cell<usize>,
+    /// Which of the clients go first when there is no room.
+    eviction_order: Rc<RefCell<EvictionOrder>>,
     /// A client's connection has ended.
     freed: Notify,
     stopping: Cell<bool>,
@@ -74,6 +76,7 @@
             clients: RefCell::default(),
             next: Cell::new(0),
             max_clients: Cell::new(clients),
+            eviction_order: Rc::default(),
             freed: Notify::new(),
             stopping: Cell::new(false),
             handover: RefCell::default(),
--- a/crates/node/src/net/front/accept.rs
+++ b/crates/node/src/net/front/accept.rs
@@ -1,7 +1,7 @@
 //! Accepting connections, and the conversation on each.
 
 use super::{Front, Listening};
-use crate::net::client::{close, Client, ClientIo, Phase};
+use crate::net::client::{close, Client, ClientIo, Phase, CROWDED_GRACE};
 use crate::net::gate::{self, Gate};
 use crate::net::service::Routing;
 use crate::net::{set_nodelay, HEAD_MOST};
@@ -12,16 +12,14 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-/// Under pressure, a request that has been coming for so long loses its connection.
-const COMING_LONG: Duration = Duration::from_secs(1);
 /// What the library may read beyond the largest head.
 const BUFFER_MARGIN: usize = 16 << 10;
-/// Pause after a descriptor could not be had.
-const DESCRIPTORS_OUT: Duration = Duration::from_millis(20);
+/// Pause after a descriptor could not be had. What was new before it may be evicted after it.
+const DESCRIPTORS_OUT: Duration = CROWDED_GRACE;
 
 impl Front {
     /// What the machine has accepted counts as taken: the backlog is emptied before a listener closes.
@@ -34,10 +32,8 @@
 
     pub(super) async fn accept(self: &Rc<Self>, listening: &Rc<Listening>) {
         loop {
-            if self.clients.borrow().len() >= self.max_clients.get() {
-                self.make_room();
-                // Without an idle one to close, clients wait in the backlog.
-                let _ = timeout(DESCRIPTORS_OUT, self.freed.notified()).await;
+            if self.is_full() {
+                self.wait_for_room().await;
                 continue;
             }
             if !self.accepts() {
@@ -61,35 +57,38 @@
         }
     }
 
-    /// Closes the connection that can best be spared: the longest silent of those that never asked, then the
-    /// longest idle, then one whose request does not get on.
-    ///
-    /// Guards against clients that connect by hundreds and say nothing, or next to nothing, while others wait to
-    /// be let in; it ought to bear any flood of connections. Harm: a client may find an idle connection closed
-    /// sooner than usual. It is read once more before that, so no request that has come is lost.
+    fn is_full(&self) -> bool {
+        self.clients.borrow().len() >= self.max_clients.get()
+    }
+
+    /// Waits for a place for one more client, a short time at most.
+    async fn wait_for_room(&self) {
+        // What has come already is read first: an end makes room without an eviction, and who has asked is not evicted.
+        tokio::task::yield_now().await;
+        if self.is_full() {
+            self.make_room();
+            // Without one to close, clients wait in the backlog.
+            let _ = timeout(DESCRIPTORS_OUT, self.freed.notified()).await;
+        }
+    }
+
+    /// Closes the connection that is first in the [`EvictionOrder`](crate::net::client::EvictionOrder). One without a
+    /// request ends like one that has rested for long; a request that does not get on is answered 408.
     fn make_room(&self) {
+        let evicted = self.eviction_order.borrow_mut().pop(Instant::now(), self.max_clients.get());
         let clients = self.clients.borrow();
-        let spare = |c: &Client| match c.phase.get() {
-            _ if c.close_when_idle.get() || c.fault.get().is_some() => None,
-            Phase::New => Some((0, c.since.get())),
-            Phase::Idle => Some((1, c.since.get())),
-            Phase::Receiving if c.since.get().elapsed() > COMING_LONG => Some((2, c.since.get())),
-            _ => None,
-        };
-        let least = clients.values().filter_map(|c| Some((spare(c)?, c))).min_by_key(|(key, _)| *key);
-        if let Some((_, client)) = least {
-            match client.phase.get() {
-                Phase::Receiving => client.fault.set(Some(StatusCode::REQUEST_TIMEOUT)),
-                _ => client.close_when_idle.set(true),
-            }
-            client.wake.notify_one();
+        let Some(client) = evicted.and_then(|id| clients.get(&id)) else { return };
+        match client.phase.get() {
+            Phase::Receiving => client.fault.set(Some(StatusCode::REQUEST_TIMEOUT)),
+            _ => client.close_when_idle.set(true),
         }
+        client.wake.notify_one();
     }
 
     pub(super) fn spawn_client(self: Rc<Self>, stream: TcpStream, listening: &Rc<Listening>) {
         let id = self.next.get();
         self.next.set(id + 1);
-        let client = Rc::new(Client::new(listening.tag.clone()));
+        let client = Rc::new(Client::new(id, listening.tag.clone(), self.eviction_order.clone()));
         self.clients.borrow_mut().insert(id, client.clone());
         tokio::task::spawn_local(async move {
             self.connection(stream, &client).await;
@@ -101,7 +100,13 @@
     async fn connection(self: &Rc<Self>, stream: TcpStream, client: &Rc<Client>) {
         set_nodelay(&stream);
         let mut stream = Rc::new(stream);
-        while self.serve_requests(&stream, client).await {
+        loop {
+            client.enter_eviction_order();
+            let hands_over = self.serve_requests(&stream, client).await;
+            client.leave_eviction_order();
+            if !hands_over {
+                break;
+            }
             match self.hand_over(stream, client).await {
                 Some(back) => stream = back,
                 None => return,
