--- a/crates/node/src/net/front/accept.rs
+++ b/crates/node/src/net/front/accept.rs
@@ -49,7 +49,7 @@
                 Ok((stream, _)) => self.clone().spawn_client(stream, listening),
                 Err(e) => {
                     // Out of descriptors, as a rule: the error stays until one is free, so don't spin on it.
-                    self.shared.log.say(format_args!("accept: {e}"));
+                    self.shared.log.write_line(format_args!("accept: {e}"));
                     self.make_room();
                     tokio::time::sleep(DESCRIPTORS_OUT).await;
                 }
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -132,9 +132,4 @@
             eprintln!("reelfall: {line}");
         }
     }
-
-    /// The former name of [`Log::write_line`], for the callers that still use it.
-    pub fn say(&self, line: std::fmt::Arguments) {
-        self.write_line(line);
-    }
 }
