Distribution: staged rollouts that halt or roll back by themselves on refusals

Trials went on by hand and nothing halted one when nodes refused it. An author now takes a rollout policy with a change (stages, soak time, thresholds, age of reports), goes through the stages by the nodes' reports, and rolls back or halts past the threshold, with the refusing nodes and reasons kept. Its record is a resource that relays and authors hold and nodes do not, written before the trial and urgent, so that a successor goes on, or says what is lost.

Refusals are told again in each new session, before standings: a relay that took one and ended, or a new author, would have counted its node as accepting. A relay no longer tells a child that has asked for nothing that all was sent: a node took that for its subscriptions and said so (drawn, red before).

--- a/crates/distribution/src/author.rs
+++ b/crates/distribution/src/author.rs
@@ -11,6 +11,9 @@
 //! content, and versions go up everywhere.
 
 mod orphans;
+mod rollouts;
+
+pub use rollouts::{RolloutDraft, RolloutStatus};
 
 use crate::coverage::Coverage;
 use crate::downstream::{Downstream, ServeRules};
@@ -21,7 +24,7 @@
 use crate::message::{self, Epoch, Payload};
 use crate::output::{Event, Output, Reason, Record};
 use crate::peer::PeerId;
-use crate::publish::{self, Refusal, Write};
+use crate::publish::{self, check_free, Refusal, Write};
 use crate::replica::{orphans, Replica, Update};
 use crate::report::Report;
 use crate::resource::{Change, Content, Draft, Key, Name, Part, Slot, Urgency, Version};
@@ -30,6 +33,7 @@
 use crate::upstream::Upstream;
 use crate::Time;
 use reelfall_lease::token::{Claim, LeaseName};
+use rollouts::Rollouts;
 use std::collections::BTreeSet;
 
 /// What an author is given.
@@ -67,6 +71,7 @@
     downstream: Downstream,
     history: History,
     board: Board,
+    rollouts: Rollouts,
     clock: Time,
 }
 
@@ -92,7 +97,8 @@
         }
         let downstream = Downstream::new(config.serve, crate::chance::mix(config.seed), now);
         let board = Board::default();
-        Author { state: State::StandingBy, replica, downstream, history, board, clock: now, config }
+        let (state, rollouts) = (State::StandingBy, Rollouts::default());
+        Author { state, replica, downstream, history, board, rollouts, clock: now, config }
     }
 
     /// What it has.
@@ -162,6 +168,7 @@
             self.downstream.close_all(now, Reason::Fenced, outputs);
         }
         self.state = State::StandingBy;
+        self.rollouts = Rollouts::default();
         self.replica.upstream.resume(now);
     }
 
@@ -189,6 +196,7 @@
         self.replica.cover_all(head, outputs);
         self.state = State::Writing { epoch, until, orphans: 0 };
         self.write_own_again(now, own, outputs);
+        self.take_over_rollouts(now, outputs);
     }
 
     fn may_write(&self, now: Time, claim: &Claim) -> Result<(), Refusal> {
@@ -209,6 +217,7 @@
         &mut self, now: Time, claim: &Claim, drafts: Vec<Draft>, outputs: &mut Vec<Output>,
     ) -> Result<Version, Refusal> {
         self.may_write(now, claim)?;
+        drafts.iter().try_for_each(|draft| check_free(&draft.name))?;
         let writes = drafts.into_iter().map(Write::whole).collect();
         self.write(now, writes, outputs)
     }
@@ -221,6 +230,7 @@
         &mut self, now: Time, claim: &Claim, draft: Draft, part: Part, outputs: &mut Vec<Output>,
     ) -> Result<Version, Refusal> {
         self.may_write(now, claim)?;
+        check_free(&draft.name)?;
         self.write(now, vec![Write::trial(draft, part)], outputs)
     }
 
@@ -249,6 +259,7 @@
     ) -> Result<Version, Refusal> {
         self.may_write(now, claim)?;
         let change = self.log().at(version).ok_or(Refusal::Superseded)?;
+        check_free(&change.key.name)?;
         let content = match change.key.slot {
             Slot::Trial => Content::Removed,
             Slot::Whole => self.history.before(change).ok_or(Refusal::Forgotten)?,
@@ -262,6 +273,10 @@
         &mut self, now: Time, writes: Vec<Write>, outputs: &mut Vec<Output>,
     ) -> Result<Version, Refusal> {
         publish::check(&writes, self.log(), self.config.room)?;
+        Ok(self.put_all(now, writes, outputs))
+    }
+
+    fn put_all(&mut self, now: Time, writes: Vec<Write>, outputs: &mut Vec<Output>) -> Version {
         let mut version = self.head();
         let mut update = Update::default();
         for write in writes {
@@ -274,7 +289,7 @@
         update.keys.extend(self.replica.forget_removals(outputs));
         self.replica.cover_all(version, outputs);
         self.updated(now, &update);
-        Ok(version)
+        version
     }
 
     fn updated(&mut self, now: Time, update: &Update) {
@@ -282,6 +297,7 @@
             self.history.replaced(old, new);
         }
         if self.is_writing() {
+            self.rollouts.wake(now);
             let source = as_author(self.replica.source(now));
             for key in &update.keys {
                 self.downstream.changed(now, key, source);
@@ -350,8 +366,11 @@
 
     fn take_report(&mut self, now: Time, report: Report, outputs: &mut Vec<Output>) {
         match report {
-            Report::Standing { node, upto } => self.board.standing(node, upto),
+            Report::Standing { node, upto } => {
+                self.board.standing(now, node, upto);
+            }
             Report::Refused { node, key, version, reason } => {
+                self.rollouts.refused(now, node, &key, version, &reason, &self.replica.log);
                 self.board.refused(version, Refused { node, key, reason });
             }
             Report::Orphan { key, version } => self.write_over(now, key, version, outputs),
@@ -369,6 +388,7 @@
             _ => {}
         }
         if self.is_writing() {
+            self.drive_rollouts(now, outputs);
             let source = as_author(self.replica.source(now));
             self.downstream.poll(now, source, outputs);
         } else {
@@ -382,7 +402,9 @@
         match &self.state {
             State::StandingBy => follow,
             State::TakingOver { until, deadline, .. } => follow.min(*until).min(*deadline),
-            State::Writing { until, .. } => self.downstream.next_wakeup().min(*until),
+            State::Writing { until, .. } => {
+                self.downstream.next_wakeup().min(self.rollouts.due()).min(*until)
+            }
         }
     }
 }
--- a/crates/distribution/src/author/orphans.rs
+++ b/crates/distribution/src/author/orphans.rs
@@ -20,7 +20,7 @@
         }
     }
 
-    fn write_or_tell(&mut self, now: Time, write: Write, outputs: &mut Vec<Output>) {
+    pub(super) fn write_or_tell(&mut self, now: Time, write: Write, outputs: &mut Vec<Output>) {
         let (key, version) = (write.key.clone(), self.head());
         if self.write(now, vec![write], outputs).is_err() {
             outputs.push(Output::Event(Event::Full { key, version }));
--- a/crates/distribution/src/child.rs
+++ b/crates/distribution/src/child.rs
@@ -24,6 +24,9 @@
 /// An urgent change is sent as soon as the budget allows so many bytes.
 const URGENT_ROOM: usize = 600;
 
+/// A child that has not asked for anything is told that all was sent after so long, in seconds.
+const FIRST_SUBSCRIPTION_WAIT: Time = 20.0;
+
 /// What changes here once a payload was sent.
 enum Effect {
     EpochTold(u64),
@@ -49,6 +52,7 @@
     floor_known: Version,
     changed_since: bool,
     keepalive: Time,
+    opened_at: Time,
     inflow: Bucket,
 }
 
@@ -67,6 +71,7 @@
             floor_known: Version::ZERO,
             changed_since: true,
             keepalive,
+            opened_at: now,
             inflow: Bucket::new(inflow, now),
         }
     }
@@ -180,7 +185,7 @@
         if self.has_changes() {
             return (room >= self.link.room_most()).then(|| self.change(false, source, room)).flatten();
         }
-        if !source.whole || room < self.urgent_room() {
+        if !source.whole || room < self.urgent_room() || now < self.told_from() {
             return None;
         }
         if let Some(id) = self.lacks_removals(source) {
@@ -190,6 +195,18 @@
         due.then(|| current(source))
     }
 
+    /// When the child may be told that all was sent.
+    ///
+    /// Guards against a node that takes the word of all for what it has not asked for yet, and says that it has it. Harm: a
+    /// child that asks for nothing hears the word later.
+    fn told_from(&self) -> Time {
+        if self.subscriptions.is_empty() {
+            self.opened_at + FIRST_SUBSCRIPTION_WAIT
+        } else {
+            self.opened_at
+        }
+    }
+
     fn has_urgent(&self) -> bool {
         self.partials[1].is_some() || self.queue.last().is_some_and(|(urgent, _, _)| *urgent)
     }
@@ -311,9 +328,9 @@
             return f64::INFINITY;
         }
         if self.changed_since || self.lacks_removals(source).is_some() {
-            return small;
+            return small.max(self.told_from());
         }
-        small.max(self.told_at + self.keepalive)
+        small.max(self.told_at + self.keepalive).max(self.told_from())
     }
 }
 
--- a/crates/distribution/src/lib.rs
+++ b/crates/distribution/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`report`] | what is told upwards: standings, refusals, orphans |
 //! | [`restore`] | what was persisted, read back |
 //! | [`publish`], [`history`], [`status`] | what an author writes, takes back, and hears of it |
+//! | [`rollout`] | staged rollouts: policy, record, verdicts |
 //! | [`author`], [`relay`], [`subscriber`] | the three machines |
 //!
 //! # Use
@@ -56,6 +57,7 @@
 pub mod report;
 pub mod resource;
 pub mod restore;
+pub mod rollout;
 pub mod session;
 pub mod status;
 pub mod subscriber;
--- a/crates/distribution/src/output.rs
+++ b/crates/distribution/src/output.rs
@@ -4,6 +4,8 @@
 use crate::message::Epoch;
 use crate::peer::PeerId;
 use crate::resource::{Change, Key, Name, Selector, Version};
+use crate::rollout::record::RolloutState;
+use crate::rollout::stage::StageCounts;
 use serde::{Deserialize, Serialize};
 
 /// Something to be done. Outputs are done in their order.
@@ -91,6 +93,36 @@
         /// The later token.
         token: u64,
     },
+    /// A rollout has come to its next stage.
+    RolloutAdvanced {
+        /// Of which resource.
+        name: Name,
+        /// The new stage, in thousandths of the nodes.
+        thousandths: u16,
+        /// What the nodes of the stage before had said.
+        counts: StageCounts,
+    },
+    /// An author has taken over a rollout: its stage soaks anew.
+    RolloutResumed {
+        /// Of which resource.
+        name: Name,
+        /// The stage, in thousandths of the nodes.
+        thousandths: u16,
+    },
+    /// A rollout goes on no more by itself.
+    RolloutStopped {
+        /// Of which resource.
+        name: Name,
+        /// Why.
+        state: RolloutState,
+        /// What the nodes of its last stage had said.
+        counts: StageCounts,
+    },
+    /// A record of a rollout can't be read: its trial stays as it is, and nobody watches it.
+    RolloutUnreadable {
+        /// Of which record.
+        key: Key,
+    },
 }
 
 /// Why a session ended.
--- a/crates/distribution/src/publish.rs
+++ b/crates/distribution/src/publish.rs
@@ -3,8 +3,10 @@
 use crate::log::Log;
 use crate::log::Room;
 use crate::resource::{
-    Content, Draft, Key, Name, Part, Slot, Urgency, BODY_MOST, CHANGE_OVERHEAD, NAME_MOST, WHOLE,
+    Content, Draft, Group, Key, Name, Part, Slot, Urgency, BODY_MOST, CHANGE_OVERHEAD, NAME_MOST, WHOLE,
 };
+use crate::rollout::policy::BadPolicy;
+use crate::rollout::record::{RolloutRecord, RECORD_URGENCY};
 use thiserror::Error;
 
 /// Most changes that are published at once.
@@ -40,8 +42,23 @@
     /// There is no trial of this resource.
     #[error("there is no trial of this resource")]
     NoTrial,
+    /// The resource belongs to authors alone.
+    #[error("{0:?} is written by authors alone")]
+    Reserved(Box<Name>),
+    /// A rollout's policy is out of its bounds.
+    #[error(transparent)]
+    Policy(#[from] BadPolicy),
+    /// A rollout of this resource runs, or was halted: it is to be released or reverted first.
+    #[error("a rollout of this resource is open")]
+    RollingOut,
+    /// Too many rollouts are open.
+    #[error("{ROLLOUTS_MOST} rollouts at once")]
+    Rollouts,
 }
 
+/// Most rollouts that are open at once.
+pub const ROLLOUTS_MOST: usize = 16;
+
 /// A change that is to get a version.
 #[derive(Clone, Debug)]
 pub(crate) struct Write {
@@ -69,6 +86,20 @@
         let key = Key { name, slot: Slot::Trial };
         Write { key, content: Content::Removed, urgency, part: Part::ALL }
     }
+
+    /// What is stored of a rollout.
+    pub fn record(record: &RolloutRecord) -> Write {
+        let key = RolloutRecord::key_of(&record.name);
+        Write { key, content: record.to_content(), urgency: RECORD_URGENCY, part: Part::ALL }
+    }
+}
+
+/// Whether an operator may write a resource.
+pub(crate) fn check_free(name: &Name) -> Result<(), Refusal> {
+    match name.group {
+        Group::Authors => Err(Refusal::Reserved(Box::new(name.clone()))),
+        Group::Common | Group::Service(_) | Group::Tenant(_) => Ok(()),
+    }
 }
 
 /// Whether writes keep to their bounds and there is room for all of them.
--- a/crates/distribution/src/report.rs
+++ b/crates/distribution/src/report.rs
@@ -1,10 +1,13 @@
 //! What is told upwards.
 
+mod refusals;
+
 use crate::message;
 use crate::peer::PeerId;
 use crate::resource::{Key, Version};
+use refusals::Refusals;
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Longest reason of a refusal, in bytes; the rest is cut.
 pub const REASON_MOST: usize = 200;
@@ -14,7 +17,7 @@
 pub const STANDINGS_MOST: usize = 16_384;
 
 /// Something that the author has to hear.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Report {
     /// A node has all that it asks for up to this version, and has accepted or refused each change.
     Standing {
@@ -43,11 +46,14 @@
     },
 }
 
-/// Reports that wait for the way up: one standing of each node, each refusal and orphan once.
+/// Reports that wait for the way up: one standing of each node, each refusal and orphan once. Refusals go before
+/// standings, in each session anew: who hears a standing has heard what its node refused.
 #[derive(Debug, Default)]
 pub struct Waiting {
     first: VecDeque<Report>,
     standings: BTreeMap<PeerId, Version>,
+    /// Told already, perhaps.
+    refusals: Refusals,
 }
 
 impl Waiting {
@@ -59,6 +65,7 @@
             }
             return;
         }
+        self.refusals.add(&report);
         if self.first.contains(&report) {
             return;
         }
@@ -83,11 +90,17 @@
         taken
     }
 
-    /// Puts reports back whose way up was cut.
+    /// The session is over: puts back the reports whose way up was cut, and refusals that were told in it.
+    ///
+    /// Guards against refusals that an upstream took and lost, and against another author that never heard them. Harm: they
+    /// are told again in each session.
     pub fn restore(&mut self, reports: Vec<Report>) {
         for report in reports.into_iter().rev() {
             self.put_back(report);
         }
+        let waiting: BTreeSet<&Report> = self.first.iter().collect();
+        let told: Vec<Report> = self.refusals.all().filter(|report| !waiting.contains(report)).collect();
+        self.first.extend(told);
     }
 
     fn next(&mut self) -> Option<Report> {
--- a/crates/distribution/src/resource.rs
+++ b/crates/distribution/src/resource.rs
@@ -32,6 +32,8 @@
     Service(Arc<str>),
     /// One tenant's settings, which a node asks for when it first meets the tenant.
     Tenant(Arc<str>),
+    /// What authors alone need: relays and authors hold it, nodes do not.
+    Authors,
 }
 
 /// The name of a resource.
@@ -74,7 +76,7 @@
     pub fn check(&self) -> Result<(), BadName> {
         check(&self.item)?;
         match &self.group {
-            Group::Common => Ok(()),
+            Group::Common | Group::Authors => Ok(()),
             Group::Service(text) | Group::Tenant(text) => check(text),
         }
     }
@@ -120,7 +122,7 @@
     pub fn holds(&self, group: &Group) -> bool {
         match self {
             Selector::Everything => true,
-            Selector::Services => !matches!(group, Group::Tenant(_)),
+            Selector::Services => !matches!(group, Group::Tenant(_) | Group::Authors),
             Selector::Group(own) => own == group,
         }
     }
@@ -299,7 +301,7 @@
     /// About how many bytes it takes in memory and in a frame.
     pub fn size(&self) -> usize {
         let group = match &self.key.name.group {
-            Group::Common => 0,
+            Group::Common | Group::Authors => 0,
             Group::Service(text) | Group::Tenant(text) => text.len(),
         };
         CHANGE_OVERHEAD + group + self.key.name.item.len() + self.content.bytes().len()
--- a/crates/distribution/src/status.rs
+++ b/crates/distribution/src/status.rs
@@ -2,6 +2,7 @@
 
 use crate::peer::PeerId;
 use crate::resource::{Key, Version};
+use crate::Time;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Most nodes whose standing is kept; others are not counted.
@@ -20,6 +21,15 @@
     pub reason: String,
 }
 
+/// What a node has said last.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Standing {
+    /// It has decided on all changes up to this version.
+    pub upto: Version,
+    /// When it was heard, by the author's clock.
+    pub heard_at: Time,
+}
+
 /// What is known of one version.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Status {
@@ -34,18 +44,24 @@
 /// See the module.
 #[derive(Debug, Default)]
 pub struct Board {
-    standings: BTreeMap<PeerId, Version>,
+    standings: BTreeMap<PeerId, Standing>,
     refusals: BTreeMap<(Version, PeerId), Refused>,
 }
 
 impl Board {
     /// A node has all up to a version. An earlier word that was overtaken changes nothing.
-    pub fn standing(&mut self, node: PeerId, upto: Version) {
+    pub fn standing(&mut self, now: Time, node: PeerId, upto: Version) {
         if self.standings.len() >= NODES_MOST && !self.standings.contains_key(&node) {
             return;
         }
-        let known = self.standings.entry(node).or_insert(upto);
-        *known = (*known).max(upto);
+        let known = self.standings.entry(node).or_insert(Standing { upto, heard_at: now });
+        known.upto = known.upto.max(upto);
+        known.heard_at = known.heard_at.max(now);
+    }
+
+    /// What each node has said last.
+    pub fn standings(&self) -> impl Iterator<Item = (PeerId, Standing)> + '_ {
+        self.standings.iter().map(|(node, standing)| (*node, *standing))
     }
 
     /// A node has refused a change.
@@ -59,8 +75,8 @@
     /// What is known of a version.
     pub fn status(&self, version: Version) -> Status {
         let mut status = Status::default();
-        for (node, upto) in &self.standings {
-            let set = if *upto >= version { &mut status.have } else { &mut status.lack };
+        for (node, standing) in &self.standings {
+            let set = if standing.upto >= version { &mut status.have } else { &mut status.lack };
             set.insert(*node);
         }
         let all = (version, PeerId(0))..=(version, PeerId(u32::MAX));
--- a/crates/distribution/tests/parts.rs
+++ b/crates/distribution/tests/parts.rs
@@ -251,9 +251,9 @@
 #[test]
 fn a_board_counts_who_has_what() {
     let mut board = Board::default();
-    board.standing(PeerId(1), version(5));
-    board.standing(PeerId(1), version(3));
-    board.standing(PeerId(2), version(4));
+    board.standing(0.0, PeerId(1), version(5));
+    board.standing(0.0, PeerId(1), version(3));
+    board.standing(0.0, PeerId(2), version(4));
     let refused = Refused { node: PeerId(2), key: put("x", 4).key, reason: "no".into() };
     board.refused(version(4), refused.clone());
     let status = board.status(version(5));
--- a/crates/distribution/tests/schedules.rs
+++ b/crates/distribution/tests/schedules.rs
@@ -1,6 +1,8 @@
 //! Drawn schedules over small trees: authors that take the lease from each other, relays and nodes that are killed, frozen
 //! and cut off while changes are published, staged, released, taken back and refused.
 
+#[path = "schedules/rollouts.rs"]
+mod rollouts;
 mod world;
 
 use proptest::prelude::*;
@@ -11,6 +13,7 @@
 use reelfall_distribution::publish::Refusal;
 use reelfall_distribution::resource::{Content, Draft, Key, Name, Part, Selector, Slot, Version};
 use reelfall_distribution::Time;
+use rollouts::{Rollouts, Tally};
 use std::collections::BTreeMap;
 use world::{claim, Config, Network, World, BAD_FOR_ODD};
 
@@ -109,6 +112,12 @@
         Some(version)
     }
 
+    /// Whether a process runs and does not stand still.
+    fn runs(&self, id: u32) -> bool {
+        let seat = &self.world.seats[&PeerId(id)];
+        seat.machine.is_some() && self.world.t >= seat.frozen_until
+    }
+
     fn draft(&mut self) -> Draft {
         let draw = &mut self.world.draw;
         let item = format!("r{}", draw.random_range(0..4));
@@ -319,6 +328,19 @@
     play
 }
 
+/// The same with rollouts, which are drawn apart. What a schedule of this number plays without them is another one.
+fn play_rollouts(seed: u64) -> Tally {
+    let mut play = Play::new(seed);
+    let mut rollouts = Rollouts::new(seed);
+    for _ in 0..60 {
+        play.step();
+        rollouts.step(&mut play);
+    }
+    play.quiet();
+    play.check();
+    rollouts.check(&play)
+}
+
 fn schedules() -> u32 {
     std::env::var("SCHEDULES").ok().and_then(|n| n.parse().ok()).unwrap_or(1000)
 }
@@ -330,6 +352,11 @@
     fn all_come_to_the_same_and_nothing_goes_back(seed in any::<u64>()) {
         play(seed);
     }
+
+    #[test]
+    fn no_rollout_goes_on_past_its_threshold(seed in any::<u64>()) {
+        play_rollouts(seed);
+    }
 }
 
 /// Plays one schedule, of the number in `SEED`.
@@ -340,6 +367,35 @@
     }
 }
 
+/// Plays one schedule with rollouts, of the number in `ROLLOUT_SEED`.
+#[test]
+fn one_schedule_with_rollouts() {
+    if let Some(seed) = std::env::var("ROLLOUT_SEED").ok().and_then(|n| n.parse().ok()) {
+        play_rollouts(seed);
+    }
+}
+
+/// The schedules with rollouts do what they are there for.
+#[test]
+fn schedules_roll_out_and_take_back() {
+    let mut all = Tally::default();
+    for seed in 0..40 {
+        let tally = play_rollouts(seed);
+        all.begun += tally.begun;
+        all.advanced += tally.advanced;
+        all.checked += tally.checked;
+        all.resumed += tally.resumed;
+        all.rolled_back += tally.rolled_back;
+        all.completed += tally.completed;
+    }
+    assert!(all.begun > 100, "{} rollouts", all.begun);
+    assert!(all.advanced > 30, "{} stages ended", all.advanced);
+    assert!(all.checked * 10 > all.advanced * 9, "{} of {} could be judged", all.checked, all.advanced);
+    assert!(all.resumed > 10, "{} rollouts were taken over", all.resumed);
+    assert!(all.rolled_back > 20, "{} rollouts were taken back", all.rolled_back);
+    assert!(all.completed > 5, "{} rollouts came to all", all.completed);
+}
+
 /// Schedules that have failed once.
 #[test]
 fn schedules_that_have_failed() {
@@ -363,6 +419,14 @@
     }
 }
 
+/// Schedules with rollouts that have failed once.
+#[test]
+fn schedules_with_rollouts_that_have_failed() {
+    for seed in [1751234203504354436, 18243438213553280910, 1352627634081030488] {
+        play_rollouts(seed);
+    }
+}
+
 /// The schedules do what they are there for.
 #[test]
 fn schedules_publish_and_break() {
