Distribution's tests: standings of an earlier lease, gaps that can be closed, older claims

Rules that no test held: a standing heard in an earlier holding of the lease is no acceptance; records of rollouts stay away from nodes; a sender with gaps closes those that it can; who covers nothing any more hears of removals; an older claim hears of the later token. The case of a relay that lost refusals now asks for the first stage: it passed without the telling again, since the next stage asked anew.

--- a/crates/distribution/tests/cases_trial.rs
+++ b/crates/distribution/tests/cases_trial.rs
@@ -390,6 +390,25 @@
     world.judge.verdict();
 }
 
+/// An author that loses the lease and gets it again has the standings that it heard, and nothing of who refused.
+#[test]
+fn standings_of_an_earlier_lease_are_no_acceptances() {
+    let mut world = tree(22, both_relays);
+    let tolerant = RolloutPolicy { max_refused_share: 800, min_accepted_share: 200, soak: 300.0, ..policy() };
+    roll_out(&mut world, 1, 1, draft(BAD_FOR_ODD, tolerant)).unwrap();
+    world.run(20.0);
+    assert!(status(&world, 1).counts.accepted > 0);
+    world.with_author(1, |author, now, outputs| author.stand_down(now, outputs));
+    for relay in [10, 11] {
+        world.cut(PeerId(1), PeerId(relay), 100.0);
+    }
+    hold(&mut world, 1, 2, 1e6);
+    world.run(30.0);
+    let counts = status(&world, 1).counts;
+    assert!(world.author_of(1).is_writing() && counts.known > 0);
+    assert_eq!((counts.accepted, counts.refused), (0, 0), "nobody was heard");
+}
+
 /// A relay that took refusals and ended before it passed them on: its nodes tell them again before their standing.
 #[test]
 fn refusals_that_a_relay_took_and_lost_come_again() {
@@ -410,7 +429,8 @@
     world.kill(PeerId(11));
     world.start(PeerId(11));
     world.run(150.0);
-    assert!(is_rolled_back(&world, 1), "{:?}", status(&world, 1));
+    let RolloutState::RolledBack(stop) = state(&world, 1) else { panic!("{:?}", status(&world, 1)) };
+    assert_eq!(stop.thousandths, FIRST_STAGE, "the stage ended without them");
     assert_everywhere(&world, EARLIER);
     world.judge.verdict();
 }
@@ -588,6 +608,15 @@
     assert_eq!(roll_out(&mut world, 2, 1, draft(NEW, policy())), Err(Refusal::NotHeld));
 }
 
+#[test]
+fn records_of_rollouts_do_not_go_to_nodes() {
+    let group = RolloutRecord::key_of(&name()).name.group;
+    for selector in [Selector::Services, Selector::common(), Selector::service("a"), Selector::tenant("t")] {
+        assert!(!selector.holds(&group), "{selector:?}");
+    }
+    assert!(Selector::Everything.holds(&group));
+}
+
 #[test]
 fn rollouts_and_their_records_are_bounded() {
     let mut world = tree(20, both_relays);
--- a/crates/distribution/tests/defences.rs
+++ b/crates/distribution/tests/defences.rs
@@ -3,15 +3,21 @@
 mod world;
 
 use reelfall_distribution::author::{Author, AuthorConfig};
-use reelfall_distribution::coverage::Coverage;
+use reelfall_distribution::bucket::Budget;
+use reelfall_distribution::child::Child;
+use reelfall_distribution::coverage::{Coverage, SPANS_MANY};
 use reelfall_distribution::downstream::ServeRules;
+use reelfall_distribution::feed::Source;
 use reelfall_distribution::follow::FollowRules;
-use reelfall_distribution::log::Room;
-use reelfall_distribution::message::Epoch;
-use reelfall_distribution::output::{Event, Reason, Record};
+use reelfall_distribution::link::Link;
+use reelfall_distribution::log::{Log, Room};
+use reelfall_distribution::message::{decode, Epoch, Payload, Span, Subscribe};
+use reelfall_distribution::output::{Event, Output, Reason, Record};
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::publish::Refusal;
-use reelfall_distribution::resource::{Change, Content, Draft, Name, Part, Selector, Version};
+use reelfall_distribution::resource::{
+    Change, Content, Draft, Key, Name, Part, Selector, Slot, Urgency, Version,
+};
 use reelfall_distribution::Time;
 use world::{claim, hold, lease, World, CALM};
 
@@ -207,3 +213,109 @@
     assert!(world.node_of(100).in_force(&name("x")).unwrap().version.token == 2, "it was written anew");
     world.judge.verdict();
 }
+
+/// A relay that has lost all that it covered, since the author before did not know it, has changes all the same: it hears of
+/// removals that were forgotten meanwhile.
+#[test]
+fn who_covers_nothing_any_more_hears_of_removals() {
+    const KEYS: usize = 60;
+    let mut world = World::new(6, CALM);
+    world.author(1, &[10]);
+    world.author(2, &[10]);
+    world.relay(10, &[1, 2]);
+    world.cut(PeerId(2), PeerId(10), 100.0);
+    hold(&mut world, 1, 1, 1e6);
+    world.run(40.0);
+    let item = |n: usize| format!("r{n}");
+    publish(&mut world, 1, 1, (0..KEYS).map(|n| put(&item(n), b"one")).collect());
+    world.run(20.0);
+    assert_eq!(world.relay_of(10).log().len(), KEYS);
+    // The second author knows nothing; the relay hears who it is, and no more.
+    world.cut(PeerId(1), PeerId(10), 1e6);
+    world.with_author(1, |author, now, outputs| author.stand_down(now, outputs));
+    world.run(39.0);
+    hold(&mut world, 2, 2, 1e6);
+    let heard = |world: &World| {
+        let epoch = |record: &Record| matches!(record, Record::Epoch(epoch) if epoch.claim.token == 2);
+        world.seats[&PeerId(10)].disk.iter().any(epoch)
+    };
+    while !heard(&world) {
+        world.run(0.001);
+        assert!(world.t < 300.0, "the relay does not follow the second author");
+    }
+    world.cut(PeerId(2), PeerId(10), 1e6);
+    let top = world.relay_of(10).coverage().top();
+    assert_eq!(top.token, 1, "the second author has told more than its name");
+    // The first one writes again and has not heard of the second. It forgets removals.
+    hold(&mut world, 1, 3, 1e6);
+    world.run(10.0);
+    let last = publish(&mut world, 1, 3, (0..KEYS).map(|n| Draft::remove(name(&item(n)))).collect());
+    assert!(world.author_of(1).log().len() < KEYS, "no removal was forgotten");
+    world.cut(PeerId(1), PeerId(10), 0.0);
+    world.run(60.0);
+    let relay = world.relay_of(10);
+    assert_eq!(relay.coverage().floor(), last);
+    let kept = relay.log().changes().filter(|change| !change.removes()).count();
+    assert_eq!(kept, 0, "keys that are no more");
+}
+
+/// A sender with gaps of its own closes those of its child that it can close; others would open new spans.
+#[test]
+fn a_sender_with_gaps_closes_those_that_it_can() {
+    let version = |sequence| Version { token: 1, sequence };
+    let span = |after, upto| Span { after: version(after), upto: version(upto) };
+    let mut log = Log::new(Room { keys: 1000, bytes: 1 << 20, removals: 10 });
+    let change = |sequence: u64| Change {
+        key: Key { name: name(&format!("r{sequence}")), slot: Slot::Whole },
+        version: version(sequence),
+        urgency: Urgency::Normal,
+        part: Part::ALL,
+        replaces: Version::ZERO,
+        content: Content::body(b"body"),
+    };
+    for sequence in (12..=14).chain(100..=300) {
+        log.put(change(sequence));
+    }
+    let mut own = Coverage::EMPTY;
+    own.add(span(10, 20));
+    own.add(span(90, 300));
+    let mut coverage = Coverage::EMPTY;
+    for n in 0..SPANS_MANY as u64 {
+        coverage.add(span(100 + 2 * n, 101 + 2 * n));
+    }
+    let source = Source {
+        log: &log,
+        coverage: &own,
+        whole: false,
+        removals_known: Version::ZERO,
+        age: None,
+        epoch: None,
+    };
+    let link = Link::new(PeerId(20), 1, false, Budget::CONTROL, 0.0);
+    let mut child = Child::new(link, true, 2.0, Budget::CONTROL, 0.0);
+    let selector = Selector::Everything;
+    let asked = Subscribe { id: 0, selector, coverage, floor: Version::ZERO, has_changes: true };
+    child.subscribe(asked, source).unwrap();
+    let mut outputs = Vec::new();
+    child.poll(0.0, source, &mut outputs);
+    let frames = outputs.iter().filter_map(|output| match output {
+        Output::Send { frame, .. } => decode(frame),
+        _ => None,
+    });
+    let mut spans = frames.filter_map(|(_, payload)| match payload {
+        Payload::Changes { span, changes, .. } => Some((span.after, changes[0].version)),
+        _ => None,
+    });
+    // From what the child lacks before on, over 101, which it has.
+    assert_eq!(spans.next(), Some((version(100), version(102))), "it makes the span of 101 longer");
+}
+
+/// Who writes by a claim that is over hears why.
+#[test]
+fn who_writes_by_an_older_claim_hears_of_the_later_token() {
+    let mut author = author_alone();
+    let mut outputs = Vec::new();
+    author.hold(1.0, &claim(2), 100.0, &mut outputs).unwrap();
+    let refused = author.publish(2.0, &claim(1), vec![put("x", b"late")], &mut outputs);
+    assert_eq!(refused, Err(Refusal::Fenced(2)));
+}
