Scale reports are one definition, and three circles in the rig's imports are opened

The emulator's scale example built its JSON by hand, and the rig read it with a second copy of the types; a field renamed on one side failed at run time, or was lost where it may be left out. Now both use `reelfall_emulator::control::report`, which has the rig's report with `Played` and `Control` beside it (the rig depends on the emulator already; `scale::report` is its name there still). A run with a field that is not known is refused.

By a script over `super::` imports none is left in these two folders.

With `caught_up` renamed in the report alone the rig does not compile (E0609).

--- a/crates/emulator/examples/scale/control.rs
+++ b/crates/emulator/examples/scale/control.rs
@@ -1,6 +1,6 @@
 //! Distribution of configuration over the target's control machines, and beside it what whole copies would cost.
 
-use super::report::{resident, thread_cpu, Played, Run, Size};
+use super::report::{print, resident, thread_cpu};
 use super::Output;
 use clap::Args;
 use reelfall_distribution::DRIFT;
@@ -9,6 +9,7 @@
 use reelfall_emulator::control::check::BUDGET;
 use reelfall_emulator::control::layout::Sizes;
 use reelfall_emulator::control::plays::{self, Outcome};
+use reelfall_emulator::control::report::{PerNode, Played, Run, Size, Source};
 use reelfall_emulator::control::times::Times;
 use reelfall_emulator::control::topology::Scope;
 use reelfall_emulator::control::world::{links, Ages, World};
@@ -119,7 +120,7 @@
     if sizes == Sizes::TARGET {
         runs.extend(whole_copies(sizes));
     }
-    arguments.output.write(runs.iter().map(Run::to_json).collect())
+    arguments.output.write(runs)
 }
 
 fn play_one(world: &mut World, name: &str, arguments: &Arguments) -> Result<Outcome, String> {
@@ -184,23 +185,23 @@
     }
 }
 
-fn run(outcome: &Outcome, arguments: &Arguments, memory: f64, control_memory: f64) -> Run<'static> {
+fn run(outcome: &Outcome, arguments: &Arguments, memory: f64, control_memory: f64) -> Run {
     let title = format!("{}{}", arguments.variant(), outcome.name);
     Run {
         name: format!("configuration: {title}"),
-        source: "virtual-time",
+        source: Source::VirtualTime,
         size: size(arguments.sizes()),
         seconds: outcome.seconds,
-        kind: "configuration",
-        usage: outcome.nodes,
-        memory,
+        per_node: PerNode::of("configuration", &outcome.nodes, Some(memory)),
         in_force: outcome.in_force,
-        played: Some(Played { title, outcome: outcome.clone(), control_memory }),
+        requests: None,
+        read_bytes: None,
+        played: Some(Played::of(title, outcome, control_memory)),
     }
 }
 
 fn report(outcome: &Outcome, run: &Run) {
-    run.print();
+    print(run, outcome.nodes.long_most);
     let Usage { bytes_in, bytes_out, cpu, .. } = outcome.control;
     println!(
         "    control machines: in {bytes_in:.0} B/s, out {bytes_out:.0} B/s, cpu {:.2} %; {} of the changes' nodes without them; faults {}",
@@ -218,7 +219,7 @@
 }
 
 /// What whole copies need at the target, and of what is played here; by formulas.
-fn whole_copies(sizes: Sizes) -> Vec<Run<'static>> {
+fn whole_copies(sizes: Sizes) -> Vec<Run> {
     let played = Contents { servers: 0, services: sizes.services as usize, routes: 0, tenants: 0 };
     println!("whole copies, by formulas:");
     let mut runs = Vec::new();
@@ -242,15 +243,16 @@
             };
             let Contents { servers, services, routes, tenants } = contents;
             let size = Size { servers, services, routes, tenants, ..size(sizes) };
+            let usage = Usage { bytes_in: without_lists.demand(), ..Usage::default() };
             runs.push(Run {
                 name: format!("whole copies of settings, newest alone: {name}, {rate_name}"),
-                source: "computation",
+                source: Source::Computation,
                 size,
                 seconds: 0.0,
-                kind: "configuration",
-                usage: Usage { bytes_in: without_lists.demand(), ..Usage::default() },
-                memory: 0.0,
+                per_node: PerNode::of("configuration", &usage, None),
                 in_force,
+                requests: None,
+                read_bytes: None,
                 played: None,
             });
         }
--- a/crates/emulator/examples/scale/holdings.rs
+++ b/crates/emulator/examples/scale/holdings.rs
@@ -1,11 +1,12 @@
 //! What an author, a relay and a node hold in memory of all that there is.
 
-use super::report::{resident, Run, Size};
+use super::report::resident;
 use super::Output;
 use clap::Args;
 use reelfall_emulator::control::account::Usage;
 use reelfall_emulator::control::holdings::{Holder, Holdings};
 use reelfall_emulator::control::layout::Sizes;
+use reelfall_emulator::control::report::{PerNode, Run, Size, Source};
 
 #[derive(Args)]
 pub struct Arguments {
@@ -37,12 +38,12 @@
     }));
     runs.push(measure(arguments, &mut kept, "a relay, without children".to_owned(), || holdings.relay()));
     runs.push(measure(arguments, &mut kept, "an author".to_owned(), || holdings.author()));
-    arguments.output.write(runs.iter().map(Run::to_json).collect())
+    arguments.output.write(runs)
 }
 
 fn measure(
     arguments: &Arguments, kept: &mut Vec<Holder>, name: String, make: impl FnOnce() -> Holder,
-) -> Run<'static> {
+) -> Run {
     let before = resident();
     let holder = make();
     let memory = resident() - before;
@@ -51,13 +52,13 @@
     let (routes, tenants) = (arguments.routes as usize, arguments.tenants as usize);
     Run {
         name: format!("configuration held: {name}"),
-        source: "computation",
+        source: Source::Computation,
         size: Size { services: Sizes::TARGET.services as usize, routes, tenants, ..Size::default() },
         seconds: 0.0,
-        kind: "configuration",
-        usage: Usage::default(),
-        memory,
+        per_node: PerNode::of("configuration", &Usage::default(), Some(memory)),
         in_force: None,
+        requests: None,
+        read_bytes: None,
         played: None,
     }
 }
--- a/crates/emulator/examples/scale/main.rs
+++ b/crates/emulator/examples/scale/main.rs
@@ -1,5 +1,5 @@
 //! What the control side costs each node of a large fleet, in virtual time. Figures are printed, and appended to a
-//! report in the shape that the rig's scale runs have.
+//! report of the same types as the rig's scale runs.
 //!
 //! `cargo run --release -p reelfall-emulator --example scale -- members --nodes 1500 --out docs/measurements/scale/virtual.json`
 
@@ -11,7 +11,7 @@
 mod tables;
 
 use clap::{Args, Parser, Subcommand};
-use report::Report;
+use reelfall_emulator::control::report::Run;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -68,10 +68,10 @@
 
 impl Output {
     /// Appends runs to the report, if there is to be one.
-    fn write(&self, runs: Vec<serde_json::Value>) -> Result<(), String> {
+    fn write(&self, runs: Vec<Run>) -> Result<(), String> {
         let Some(path) = &self.out else { return Ok(()) };
-        let mut report = Report::open(path, &self.commit, self.seed)?;
+        let mut report = report::open(path, &self.commit, self.seed)?;
         report.append(runs);
-        report.save(path)
+        report::save(&report, path)
     }
 }
--- a/crates/emulator/examples/scale/members.rs
+++ b/crates/emulator/examples/scale/members.rs
@@ -1,11 +1,12 @@
 //! A fleet of nodes that know each other: what it costs at rest, and how fast a ban goes round.
 
-use super::report::{resident, thread_cpu, Run, Size};
+use super::report::{print, resident, thread_cpu};
 use super::Output;
 use clap::Args;
 use reelfall_emulator::control::links::Links;
 use reelfall_emulator::control::membership::{Member, Roster};
 use reelfall_emulator::control::network::Network;
+use reelfall_emulator::control::report::{PerNode, Run, Size, Source};
 use reelfall_emulator::control::times::Times;
 use reelfall_emulator::control::topology::{Scope, Topology, TARGET_ZONES};
 use std::rc::Rc;
@@ -44,8 +45,7 @@
         runs.extend(zone_lost(&mut network, arguments, memory));
     }
     println!("not delivered: {:?}", network.undelivered());
-    runs.iter().for_each(Run::print);
-    arguments.output.write(runs.iter().map(Run::to_json).collect())
+    arguments.output.write(runs)
 }
 
 /// A fleet of which all know all, and the memory of one node.
@@ -77,7 +77,7 @@
     network.endpoints().map(|(_, member)| member.unproven()).sum()
 }
 
-fn quiet(network: &mut Network<Member>, arguments: &Arguments, memory: f64) -> Run<'static> {
+fn quiet(network: &mut Network<Member>, arguments: &Arguments, memory: f64) -> Run {
     let before = downs(network);
     network.reset_accounts();
     network.run(arguments.quiet);
@@ -89,7 +89,7 @@
     run("membership at rest", network, arguments, arguments.quiet, memory, None)
 }
 
-fn bans(network: &mut Network<Member>, arguments: &Arguments, memory: f64) -> Run<'static> {
+fn bans(network: &mut Network<Member>, arguments: &Arguments, memory: f64) -> Run {
     let before = unproven(network);
     let begun = network.now();
     network.reset_accounts();
@@ -115,7 +115,7 @@
     run("membership with bans", network, arguments, seconds, memory, Times::of(times))
 }
 
-fn zone_lost(network: &mut Network<Member>, arguments: &Arguments, memory: f64) -> Option<Run<'static>> {
+fn zone_lost(network: &mut Network<Member>, arguments: &Arguments, memory: f64) -> Option<Run> {
     let zone = network.topology().endpoints(Scope::Zone(5));
     zone.iter().for_each(|endpoint| drop(network.kill(*endpoint)));
     let left = network.endpoints().count();
@@ -131,17 +131,20 @@
 fn run(
     name: &str, network: &Network<Member>, arguments: &Arguments, seconds: f64, memory: f64,
     in_force: Option<Times>,
-) -> Run<'static> {
+) -> Run {
     let running: Vec<u32> = network.endpoints().map(|(endpoint, _)| endpoint).collect();
-    Run {
+    let usage = network.usage(running);
+    let run = Run {
         name: name.to_owned(),
-        source: "virtual-time",
+        source: Source::VirtualTime,
         size: Size { nodes: arguments.nodes as usize, ..Size::default() },
         seconds,
-        kind: "gossip",
-        usage: network.usage(running),
-        memory,
+        per_node: PerNode::of("gossip", &usage, Some(memory)),
         in_force,
+        requests: None,
+        read_bytes: None,
         played: None,
-    }
+    };
+    print(&run, usage.long_most);
+    run
 }
--- a/crates/emulator/examples/scale/quiet.rs
+++ b/crates/emulator/examples/scale/quiet.rs
@@ -1,10 +1,11 @@
 //! What a fleet costs once its nodes have found each other by themselves and nothing happens, by how long it has been left
 //! alone, and what its datagrams contain.
 
-use super::report::{resident, Run, Size};
+use super::report::resident;
 use super::Output;
 use clap::Args;
 use reelfall_emulator::control::account::Usage;
+use reelfall_emulator::control::report::{PerNode, Run, Size, Source};
 use reelfall_emulator::inspect::{Contents, Inspector};
 use reelfall_emulator::together::{rules, secret, World};
 use reelfall_fleet::fleet::Config;
@@ -51,7 +52,7 @@
         );
         runs.push(run(arguments, *settle, contents, memory));
     }
-    arguments.output.write(runs.iter().map(Run::to_json).collect())
+    arguments.output.write(runs)
 }
 
 /// A fleet whose nodes all begin at once and have found each other.
@@ -97,7 +98,7 @@
 }
 
 /// Nothing is lost, so as much comes in as goes out.
-fn run(arguments: &Arguments, settle: f64, contents: Contents, memory: f64) -> Run<'static> {
+fn run(arguments: &Arguments, settle: f64, contents: Contents, memory: f64) -> Run {
     let (bytes, datagrams) = (rate(arguments, contents.bytes), rate(arguments, contents.datagrams));
     let usage = Usage {
         bytes_in: bytes,
@@ -108,13 +109,13 @@
     };
     Run {
         name: format!("fleet at rest, from {settle:.0} s after joining on"),
-        source: "virtual-time",
+        source: Source::VirtualTime,
         size: Size { nodes: arguments.nodes, ..Size::default() },
         seconds: arguments.window,
-        kind: "gossip",
-        usage,
-        memory,
+        per_node: PerNode::of("gossip", &usage, Some(memory)),
         in_force: None,
+        requests: None,
+        read_bytes: None,
         played: None,
     }
 }
--- a/crates/emulator/examples/scale/tables.rs
+++ b/crates/emulator/examples/scale/tables.rs
@@ -1,10 +1,11 @@
 //! One node's tables of its peers: how much memory they take, and what happens past their bounds.
 
-use super::report::{resident, thread_cpu, Run, Size};
+use super::report::{resident, thread_cpu};
 use super::Output;
 use clap::Args;
 use reelfall_emulator::control::account::Usage;
 use reelfall_emulator::control::membership::{Acquainted, Peers, MAX_REMEMBERED};
+use reelfall_emulator::control::report::{PerNode, Run, Size, Source};
 use std::rc::Rc;
 
 /// Nodes over which memory is averaged.
@@ -43,16 +44,16 @@
         let size = Size { nodes: *peers as usize + 1, ..Size::default() };
         let run = Run {
             name: "membership tables".to_owned(),
-            source: "computation",
+            source: Source::Computation,
             size,
             seconds: 0.9,
-            kind: "gossip",
-            usage: Usage { cpu: at_rest, ..Usage::default() },
-            memory,
+            per_node: PerNode::of("gossip", &Usage { cpu: at_rest, ..Usage::default() }, Some(memory)),
             in_force: None,
+            requests: None,
+            read_bytes: None,
             played: None,
         };
-        runs.push(run.to_json());
+        runs.push(run);
     }
     arguments.output.write(runs)
 }
--- a/crates/emulator/src/control/mod.rs
+++ b/crates/emulator/src/control/mod.rs
@@ -21,6 +21,7 @@
 //! | [`demand`] | tenants that nodes ask for when they first meet them |
 //! | [`world`] | authors, relays and nodes over a network; what is published and when it is in force |
 //! | [`plays`] | what is played with them |
+//! | [`report`] | the figures of scale runs, here and of the rig, as they are written to and read from JSON |
 //! | [`check`] | promises, checked by what nodes do |
 //! | [`baseline`] | what distribution without deltas costs: whole files and whole lists |
 //! | [`whole_copies`] | the same, played at sizes that can be |
@@ -39,6 +40,7 @@
 pub mod membership;
 pub mod network;
 pub mod plays;
+pub mod report;
 pub mod times;
 pub mod topology;
 pub mod whole_copies;
--- a/crates/emulator/src/control/plays.rs
+++ b/crates/emulator/src/control/plays.rs
@@ -6,6 +6,7 @@
 use super::times::Times;
 use super::topology::Scope;
 use super::world::{Ages, World};
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
 /// How long nodes are waited for that can hear again, in seconds: a relay and then its nodes may each rest twice for as long
@@ -44,7 +45,8 @@
 }
 
 /// Which time of a play is held against a budget.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum JudgedBy {
     /// From asking for a change until it is in force at the last node.
     InForce,
--- a/crates/rig/src/scale/report.rs
+++ b/crates/emulator/src/control/report.rs
@@ -1,12 +1,21 @@
 //! The figures of a scale run, as they are written to and read from JSON.
+//!
+//! Whoever measures writes these types, in virtual time or on sockets, and the tables of the pages are made of them.
 
+use super::account::Usage;
+use super::plays::Outcome;
 use serde::{Deserialize, Serialize};
 
+pub use super::plays::JudgedBy;
+pub use super::times::Times;
+pub use super::world::Ages;
+
 /// Format of the JSON; readers refuse any other.
 pub const SCHEMA: u32 = 1;
 
 /// How large the system is that a run plays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Size {
     /// Nodes of the fleet.
     pub nodes: usize,
@@ -96,6 +105,7 @@
 
 /// Traffic of one kind of message, for one node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Traffic {
     /// The kind, such as `gossip` or `list`.
     pub kind: String,
@@ -111,6 +121,7 @@
 
 /// What control costs one node, as a mean over the nodes of a run.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct PerNode {
     /// Traffic by kind of message.
     pub traffic: Vec<Traffic>,
@@ -123,19 +134,28 @@
     pub memory: Option<f64>,
 }
 
-/// A distribution of times, in seconds.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Times {
-    /// Median.
-    pub p50: f64,
-    /// 99th percentile.
-    pub p99: f64,
-    /// The largest.
-    pub last: f64,
+impl PerNode {
+    /// What nodes used that sent and received messages of one kind.
+    pub fn of(kind: &str, usage: &Usage, memory: Option<f64>) -> PerNode {
+        let traffic = Traffic {
+            kind: kind.to_owned(),
+            bytes_in: usage.bytes_in,
+            bytes_out: usage.bytes_out,
+            messages_in: usage.messages_in,
+            messages_out: usage.messages_out,
+        };
+        PerNode { traffic: vec![traffic], peak_bytes: usage.short_most as f64, cpu: usage.cpu, memory }
+    }
+
+    /// Bytes that a node received and sent in a second.
+    pub fn bytes(&self) -> f64 {
+        self.traffic.iter().map(|traffic| traffic.bytes_in + traffic.bytes_out).sum()
+    }
 }
 
 /// Times of requests through a real node, at rest and while the control side is loaded.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct RequestTimes {
     /// With nothing else to do.
     pub at_rest: Times,
@@ -143,8 +163,62 @@
     pub under_changes: Times,
 }
 
+/// What control machines used, each.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Control {
+    /// Bytes received a second.
+    pub bytes_in: f64,
+    /// Bytes sent a second.
+    pub bytes_out: f64,
+    /// Processor time, in seconds a second.
+    pub cpu: f64,
+    /// Memory, in bytes.
+    pub memory: f64,
+}
+
+/// What came of a play of the distribution, beside what all runs have.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Played {
+    /// What was played, in words.
+    pub title: String,
+    /// Which time is held against a budget.
+    pub judged_by: JudgedBy,
+    /// Time until a node had all, once it could hear again.
+    pub caught_up: Option<Times>,
+    /// Most bytes that any node received and sent within [`LONG_SPAN`](super::account::LONG_SPAN).
+    pub peak_bytes_10s: f64,
+    /// How often a node had not got a change in the end.
+    pub missing: u64,
+    /// Promises that were not kept: versions that went back, nodes that ended unlike the author, links over their budget.
+    pub faults: u64,
+    /// Ages that nodes stated, where they were compared with the truth.
+    pub ages: Option<Ages>,
+    /// What control machines used.
+    pub control: Control,
+}
+
+impl Played {
+    /// What came of a play, with the memory of one control machine in bytes.
+    pub fn of(title: String, outcome: &Outcome, control_memory: f64) -> Played {
+        let Usage { bytes_in, bytes_out, cpu, .. } = outcome.control;
+        Played {
+            title,
+            judged_by: outcome.judged_by,
+            caught_up: outcome.caught_up,
+            peak_bytes_10s: outcome.nodes.long_most as f64,
+            missing: outcome.missing as u64,
+            faults: outcome.faults_seen as u64,
+            ages: outcome.ages,
+            control: Control { bytes_in, bytes_out, cpu, memory: control_memory },
+        }
+    }
+}
+
 /// One run at one size.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Run {
     /// What it was about, such as `quiet`, `sweep` or the name of a worst moment.
     pub name: String,
@@ -163,6 +237,9 @@
     /// Length of what a computation read, in bytes.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub read_bytes: Option<u64>,
+    /// What came of it, if it is a play of the distribution.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub played: Option<Played>,
 }
 
 /// Whether points bend away from a line: the t statistic of a quadratic term.
@@ -231,3 +308,13 @@
     /// Lines through the sweeps.
     pub slopes: Vec<Slope>,
 }
+
+impl Report {
+    /// Adds runs; a run replaces an earlier one of its name and size.
+    pub fn append(&mut self, runs: Vec<Run>) {
+        for run in runs {
+            self.runs.retain(|other| (&other.name, other.size) != (&run.name, run.size));
+            self.runs.push(run);
+        }
+    }
+}
--- a/crates/emulator/src/control/times.rs
+++ b/crates/emulator/src/control/times.rs
@@ -1,7 +1,10 @@
 //! Percentiles of times.
 
+use serde::{Deserialize, Serialize};
+
 /// A distribution of times, in seconds.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Times {
     /// Median.
     pub p50: f64,
--- a/crates/emulator/src/control/world.rs
+++ b/crates/emulator/src/control/world.rs
@@ -21,6 +21,7 @@
 use reelfall_distribution::output::Output;
 use reelfall_distribution::resource::{Draft, Name, Selector, Version};
 use reelfall_lease::token::Claim;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The world looks at leases and at what nodes have applied so often, in seconds.
@@ -62,7 +63,8 @@
 }
 
 /// Ages that nodes stated of what they know, beside the truth.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Ages {
     /// How often a node that lacked a change was asked.
     pub compared: u64,
--- /dev/null
+++ b/crates/emulator/tests/scale_report.rs
@@ -0,0 +1,99 @@
+//! Reports of scale runs: how they are read, and how runs are added to them.
+
+use reelfall_emulator::control::account::Usage;
+use reelfall_emulator::control::report::{
+    Ages, Control, JudgedBy, PerNode, Played, Report, Run, Size, Source, Times, Traffic, SCHEMA,
+};
+use serde_json::Value;
+
+const TIMES: Times = Times { p50: 0.5, p99: 2.0, last: 4.0 };
+
+fn run(name: &str, nodes: usize) -> Run {
+    let usage = Usage {
+        bytes_in: 30.0,
+        bytes_out: 12.0,
+        messages_in: 3.0,
+        messages_out: 2.0,
+        cpu: 0.25,
+        short_most: 900,
+        long_most: 4_000,
+    };
+    Run {
+        name: name.to_owned(),
+        source: Source::VirtualTime,
+        size: Size { nodes, ..Size::default() },
+        seconds: 60.0,
+        per_node: PerNode::of("configuration", &usage, Some(1e6)),
+        in_force: Some(TIMES),
+        requests: None,
+        read_bytes: None,
+        played: Some(Played {
+            title: "a play".to_owned(),
+            judged_by: JudgedBy::CaughtUp,
+            caught_up: Some(TIMES),
+            peak_bytes_10s: 4_000.0,
+            missing: 1,
+            faults: 2,
+            ages: Some(Ages { compared: 3, least_margin: 0.25, oldest: 9.0 }),
+            control: Control { bytes_in: 1.0, bytes_out: 2.0, cpu: 0.5, memory: 3.0 },
+        }),
+    }
+}
+
+fn report(runs: Vec<Run>) -> Report {
+    Report { schema: SCHEMA, commit: "abc".to_owned(), seed: 1, cores: 8, runs, slopes: Vec::new() }
+}
+
+#[test]
+fn a_report_is_read_as_it_was_written() {
+    let written = report(vec![run("a run", 6)]);
+    let text = serde_json::to_string_pretty(&written).unwrap();
+    assert_eq!(serde_json::from_str::<Report>(&text).unwrap(), written);
+}
+
+/// Gives an object's field another name.
+fn rename(object: &mut Value, field: &str) {
+    let fields = object.as_object_mut().unwrap();
+    let value = fields.remove(field).unwrap();
+    fields.insert(format!("{field}_of_old"), value);
+}
+
+#[test]
+fn a_report_with_a_field_of_another_name_is_refused() {
+    let written = serde_json::to_value(report(vec![run("a run", 6)])).unwrap();
+    // Those that may be left out are the ones that would be lost without a word.
+    for path in ["", "/played", "/played/caught_up", "/played/ages", "/played/control", "/per_node", "/size"]
+    {
+        let path = format!("/runs/0{path}");
+        let fields: Vec<String> =
+            written.pointer(&path).and_then(Value::as_object).unwrap().keys().cloned().collect();
+        for field in fields {
+            let mut renamed = written.clone();
+            rename(renamed.pointer_mut(&path).unwrap(), &field);
+            assert!(serde_json::from_value::<Report>(renamed).is_err(), "{path}/{field}");
+        }
+    }
+}
+
+#[test]
+fn a_run_replaces_an_earlier_one_of_its_name_and_size() {
+    let mut report = report(vec![run("one", 6), run("two", 6)]);
+    let later = Run { seconds: 5.0, ..run("one", 6) };
+    report.append(vec![later.clone(), run("one", 7)]);
+    assert_eq!(report.runs, [run("two", 6), later, run("one", 7)]);
+}
+
+#[test]
+fn what_a_node_uses_is_told_by_its_usage() {
+    let per_node = run("a run", 6).per_node;
+    let traffic = Traffic {
+        kind: "configuration".to_owned(),
+        bytes_in: 30.0,
+        bytes_out: 12.0,
+        messages_in: 3.0,
+        messages_out: 2.0,
+    };
+    let expected = PerNode { traffic: vec![traffic], peak_bytes: 900.0, cpu: 0.25, memory: Some(1e6) };
+    assert_eq!(per_node, expected);
+    assert_eq!(per_node.bytes(), 42.0);
+}
--- a/crates/rig/src/capacity/inputs.rs
+++ b/crates/rig/src/capacity/inputs.rs
@@ -1,5 +1,6 @@
 //! Figures that formulas stand on: where each comes from, and how it was got.
 
+use super::kind::Kind;
 use super::table::{self, amount, Unit};
 use super::Fault;
 use crate::scale::report::{Report, Run, Slope, Source, SCHEMA as REPORT_SCHEMA};
@@ -9,29 +10,6 @@
 /// Format of the inputs' JSON; others are refused.
 pub const SCHEMA: u32 = 1;
 
-/// How a figure was got.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Kind {
-    /// By a command, at a commit.
-    Measured,
-    /// By a formula from other figures, or by reading the code.
-    WorkedOut,
-    /// By nobody: it has to be taken for something.
-    Assumed,
-}
-
-impl Kind {
-    /// The word for it on the page.
-    pub fn word(self) -> &'static str {
-        match self {
-            Kind::Measured => "measured",
-            Kind::WorkedOut => "worked out",
-            Kind::Assumed => "assumed",
-        }
-    }
-}
-
 /// One figure.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -116,9 +94,7 @@
     pub fn read(folder: &Path) -> Result<Measured, Fault> {
         let mut measured = Measured::default();
         for path in report_files(folder) {
-            let report: Report = json(&path)?;
-            known(&path, report.schema, REPORT_SCHEMA)?;
-            let Report { commit, runs, slopes, .. } = report;
+            let Report { commit, runs, slopes, .. } = report(&path)?;
             measured.runs.extend(runs.into_iter().map(|run| (commit.clone(), run)));
             measured.slopes.extend(slopes.into_iter().map(|slope| (commit.clone(), slope)));
         }
@@ -227,6 +203,16 @@
     files
 }
 
+/// Reads a report.
+///
+/// # Errors
+/// If it can't be read or is of another format.
+pub(super) fn report(path: &Path) -> Result<Report, Fault> {
+    let report: Report = json(path)?;
+    known(path, report.schema, REPORT_SCHEMA)?;
+    Ok(report)
+}
+
 pub(super) fn json<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, Fault> {
     let text = std::fs::read(path).map_err(|e| Fault::File(path.to_owned(), e))?;
     serde_json::from_slice(&text).map_err(|e| Fault::Form(path.to_owned(), e))
--- a/crates/rig/src/capacity/mod.rs
+++ b/crates/rig/src/capacity/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! | module | what belongs there |
 //! | --- | --- |
+//! | [`kind`] | how well a figure is known |
 //! | [`inputs`] | figures that were measured, worked out or assumed elsewhere, read from JSON |
 //! | [`mechanism`] | how the mechanism for changes of settings fares, as the emulator plays it |
 //! | [`model`] | the formulas |
@@ -16,6 +17,7 @@
 //! --write` writes their tables.
 
 pub mod inputs;
+pub mod kind;
 pub mod mechanism;
 pub mod model;
 pub mod moments;
@@ -117,7 +119,7 @@
     tables.insert("moments", moments::table(&costs, &runs));
     tables.insert("scale", inputs::runs_table(&inputs::without_points(&runs)));
     tables.insert("slopes", inputs::slopes_table(&slopes));
-    tables.insert("mechanism", mechanism::Plays::read(&root.join(mechanism::PLAYS))?.table());
+    tables.insert("mechanism", mechanism::Plays::read(root)?.table());
     tables.insert("inputs", inputs.table());
     Ok(tables)
 }
--- a/crates/rig/src/capacity/roles/control.rs
+++ b/crates/rig/src/capacity/roles/control.rs
@@ -1,6 +1,6 @@
 //! A machine set aside for control.
 
-use super::super::inputs::Kind::{Assumed, WorkedOut};
+use super::super::kind::Kind::{Assumed, WorkedOut};
 use super::super::model::{self, budget, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, Of};
--- a/crates/rig/src/capacity/roles/keeper.rs
+++ b/crates/rig/src/capacity/roles/keeper.rs
@@ -1,6 +1,6 @@
 //! A keeper of leases.
 
-use super::super::inputs::Kind::WorkedOut;
+use super::super::kind::Kind::WorkedOut;
 use super::super::model::{self, bound, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, Of};
--- a/crates/rig/src/capacity/roles/lists.rs
+++ b/crates/rig/src/capacity/roles/lists.rs
@@ -1,6 +1,6 @@
 //! A service that tells lists of servers.
 
-use super::super::inputs::Kind::{Assumed, WorkedOut};
+use super::super::kind::Kind::{Assumed, WorkedOut};
 use super::super::model::{self, bound, budget, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, Of};
--- a/crates/rig/src/capacity/roles/node_connections.rs
+++ b/crates/rig/src/capacity/roles/node_connections.rs
@@ -1,6 +1,6 @@
 //! Connections of a node.
 
-use super::super::inputs::Kind::{Assumed, WorkedOut};
+use super::super::kind::Kind::{Assumed, WorkedOut};
 use super::super::model::{self, bound, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, Of};
--- a/crates/rig/src/capacity/roles/node_messages.rs
+++ b/crates/rig/src/capacity/roles/node_messages.rs
@@ -1,6 +1,6 @@
 //! What a node sends and receives for control.
 
-use super::super::inputs::Kind::{Assumed, Measured, WorkedOut};
+use super::super::kind::Kind::{Assumed, Measured, WorkedOut};
 use super::super::model::{self, budget, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, with, Of};
--- a/crates/rig/src/capacity/roles/node_processor.rs
+++ b/crates/rig/src/capacity/roles/node_processor.rs
@@ -1,6 +1,6 @@
 //! Processor time that a node takes for control.
 
-use super::super::inputs::Kind::{Measured, WorkedOut};
+use super::super::kind::Kind::{Measured, WorkedOut};
 use super::super::model::{self, budget, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, with, Of};
--- a/crates/rig/src/capacity/roles/node_state.rs
+++ b/crates/rig/src/capacity/roles/node_state.rs
@@ -1,6 +1,6 @@
 //! What a node holds, and the bounds of what it may hold.
 
-use super::super::inputs::Kind::{Measured, WorkedOut};
+use super::super::kind::Kind::{Measured, WorkedOut};
 use super::super::model::{self, bound, budget, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, with, Of};
--- a/crates/rig/src/capacity/roles/operator.rs
+++ b/crates/rig/src/capacity/roles/operator.rs
@@ -1,6 +1,6 @@
 //! An operator, by hand.
 
-use super::super::inputs::Kind::WorkedOut;
+use super::super::kind::Kind::WorkedOut;
 use super::super::model::{self, bound, budget, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, Of};
--- a/crates/rig/src/capacity/roles/row.rs
+++ b/crates/rig/src/capacity/roles/row.rs
@@ -1,6 +1,6 @@
 //! Rows of the roles' tables, made short.
 
-use super::super::inputs::Kind;
+use super::super::kind::Kind;
 use super::super::model;
 use super::super::table::{Row, Unit};
 use crate::scale::report::Size;
--- a/crates/rig/src/capacity/roles/server.rs
+++ b/crates/rig/src/capacity/roles/server.rs
@@ -1,6 +1,6 @@
 //! A server that requests are sent to.
 
-use super::super::inputs::Kind::{Assumed, WorkedOut};
+use super::super::kind::Kind::{Assumed, WorkedOut};
 use super::super::model::{self, Costs};
 use super::super::table::{Row, Unit};
 use super::row::{at, Of};
--- a/crates/rig/src/capacity/table.rs
+++ b/crates/rig/src/capacity/table.rs
@@ -1,6 +1,6 @@
 //! Rows, units and verdicts as Markdown.
 
-use super::inputs::Kind;
+use super::kind::Kind;
 
 /// What an amount is counted in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/rig/src/scale/computation.rs
+++ b/crates/rig/src/scale/computation.rs
@@ -248,6 +248,7 @@
         in_force: None,
         requests: None,
         read_bytes: costs.first().map(|cost| cost.bytes as u64),
+        played: None,
     })
 }
 
--- a/crates/rig/src/scale/drive.rs
+++ b/crates/rig/src/scale/drive.rs
@@ -4,7 +4,7 @@
 use super::hollow::{Hollow, DATAGRAM_MOST};
 use super::lists::{Line, Read};
 use super::machine;
-use super::network::{Doing, Place, Shared};
+use super::shared::{Doing, Place, Shared};
 use std::net::UdpSocket;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
--- a/crates/rig/src/scale/faults.rs
+++ b/crates/rig/src/scale/faults.rs
@@ -1,9 +1,10 @@
 //! The worst moments of a fleet, over a network of hollow nodes.
 
 use super::limits::Deadline;
-use super::network::{Doing, Network, REGION_ZONES, ZONES};
+use super::network::Network;
 use super::record::{Busy, Gathered, ListsInForce, Record};
 use super::report::Size;
+use super::shared::{Doing, REGION_ZONES, ZONES};
 use super::window::{measure, until_gathered, Measured, Rates};
 use crate::Result;
 use std::time::Duration;
--- a/crates/rig/src/scale/mod.rs
+++ b/crates/rig/src/scale/mod.rs
@@ -2,10 +2,11 @@
 //!
 //! | module | what belongs there |
 //! | --- | --- |
-//! | [`report`] | the figures of a scale run, as they are written to and read from JSON |
+//! | [`report`] | the figures of a scale run, as they are written to and read from JSON: the emulator's, which writes them too |
 //! | [`record`] | the JSON file: the report with its notes |
 //! | [`settings`] | settings files of any size |
 //! | [`hollow`] | the control side of one node: all that uses the fleet's own package |
+//! | [`shared`] | what the threads of hollow nodes share: places, zones, cuts |
 //! | [`network`] | many hollow nodes on sockets, and faults between them |
 //! | [`drive`] | one thread of them |
 //! | [`counters`] | what they count, and kinds of datagrams |
@@ -41,9 +42,11 @@
 pub mod plot;
 pub mod real;
 pub mod record;
-pub mod report;
 pub mod settings;
+pub mod shared;
 pub mod single;
 pub mod smoke;
 pub mod sweep;
 pub mod window;
+
+pub use reelfall_emulator::control::report;
--- a/crates/rig/src/scale/real.rs
+++ b/crates/rig/src/scale/real.rs
@@ -3,8 +3,9 @@
 
 use super::hollow::{FLEET_NAME, KEY_FILE};
 use super::lists::server_name;
-use super::network::{zone_name, Network, ZONES};
+use super::network::Network;
 use super::report::{PerNode, RequestTimes, Run, Size, Source, Times};
+use super::shared::{zone_name, ZONES};
 use crate::discovery::{Discovery, Listed};
 use crate::load::{self, Kind};
 use crate::node::{cpu_seconds, memory_kib, Folder, Node};
@@ -133,6 +134,7 @@
             in_force: None,
             requests: None,
             read_bytes: None,
+            played: None,
         })
     }
 
--- a/crates/rig/src/scale/record.rs
+++ b/crates/rig/src/scale/record.rs
@@ -144,7 +144,7 @@
 
     /// Adds a line through a sweep and prints it.
     pub fn add_slope(&mut self, slope: Slope) {
-        super::sweep::print(&slope);
+        println!("{}", slope_text(&slope));
         self.report.slopes.push(slope);
     }
 
@@ -230,6 +230,33 @@
     line
 }
 
+/// A line through a sweep with its error and residuals, and what it says of the target unless the points bend.
+pub fn slope_text(slope: &Slope) -> String {
+    let residuals: Vec<String> = slope.residuals.iter().map(|r| format!("{r:.2e}")).collect();
+    let mut text = format!(
+        "{:?}, {}: {:.4e} + {:.4e} (standard error {:.1e}) for one more; residuals {}",
+        slope.axis,
+        slope.figure,
+        slope.intercept,
+        slope.slope,
+        slope.standard_error,
+        residuals.join(" ")
+    );
+    match (slope.projection, slope.bend) {
+        (Some(there), _) => {
+            text += &format!(
+                "; at {}: {:.4} (standard error {:.4})",
+                there.at, there.figure, there.standard_error
+            );
+        }
+        (None, Some(bend)) => {
+            text += &format!("; bent (t {:.2}, bound {:.2}): no projection", bend.t, bend.bound);
+        }
+        (None, None) => text += "; bent: no projection",
+    }
+    text
+}
+
 /// The commit of the working directory's repository, with `-dirty` if files differ from it.
 fn commit() -> String {
     let output = Command::new("git").args(["describe", "--always", "--dirty", "--abbrev=12"]).output();
--- a/crates/rig/src/scale/smoke.rs
+++ b/crates/rig/src/scale/smoke.rs
@@ -123,6 +123,7 @@
         in_force: times(&in_force),
         requests: None,
         read_bytes: None,
+        played: None,
     })
 }
 
--- a/crates/rig/src/scale/sweep.rs
+++ b/crates/rig/src/scale/sweep.rs
@@ -3,7 +3,7 @@
 use super::computation::{self, Computation};
 use super::limits::Deadline;
 use super::record::{Product, Record};
-use super::report::{Axis, Run, Size, Slope, Traffic};
+use super::report::{Axis, Run, Size, Traffic};
 use super::window::Rates;
 use super::{fit, fleet, machine};
 use crate::Result;
@@ -266,38 +266,6 @@
     Some(Product { axes, figure: name.to_owned(), points, factors: fit.factors, standard_errors: fit.errors })
 }
 
-/// Prints a line with its error and residuals, and what it says of the target unless the points bend.
-pub fn print(slope: &Slope) {
-    println!("{}", text(slope));
-}
-
-/// A line with its error and residuals, and what it says of the target unless the points bend.
-pub fn text(slope: &Slope) -> String {
-    let residuals: Vec<String> = slope.residuals.iter().map(|r| format!("{r:.2e}")).collect();
-    let mut text = format!(
-        "{:?}, {}: {:.4e} + {:.4e} (standard error {:.1e}) for one more; residuals {}",
-        slope.axis,
-        slope.figure,
-        slope.intercept,
-        slope.slope,
-        slope.standard_error,
-        residuals.join(" ")
-    );
-    match (slope.projection, slope.bend) {
-        (Some(there), _) => {
-            text += &format!(
-                "; at {}: {:.4} (standard error {:.4})",
-                there.at, there.figure, there.standard_error
-            );
-        }
-        (None, Some(bend)) => {
-            text += &format!("; bent (t {:.2}, bound {:.2}): no projection", bend.t, bend.bound);
-        }
-        (None, None) => text += "; bent: no projection",
-    }
-    text
-}
-
 fn print_product(product: &Product) {
     let (one, other) = product.axes;
     let terms =
--- a/crates/rig/src/scale/window.rs
+++ b/crates/rig/src/scale/window.rs
@@ -166,6 +166,7 @@
         in_force: times(&forces.bans),
         requests: None,
         read_bytes: None,
+        played: None,
     };
     let missing = expected.saturating_sub(forces.bans.len());
     Ok(Measured { run, lists_in_force: times(&forces.lines), played, busy, missing })
--- a/crates/rig/tests/capacity.rs
+++ b/crates/rig/tests/capacity.rs
@@ -1,6 +1,7 @@
 //! docs/CAPACITY.md says what its inputs make of it, names every bound of the program, and its formulas are right.
 
-use reelfall_rig::capacity::inputs::{self, Input, Inputs, Kind, Measured, SCHEMA};
+use reelfall_rig::capacity::inputs::{self, Input, Inputs, Measured, SCHEMA};
+use reelfall_rig::capacity::kind::Kind;
 use reelfall_rig::capacity::model::{self, bound, Costs};
 use reelfall_rig::capacity::table::{amount, plain, Row, Unit, Verdict};
 use reelfall_rig::capacity::{moments, page, pages, ranking, scale_page, tables, Fault, Page, INPUTS, PAGE};
@@ -397,6 +398,7 @@
         in_force: Some(Times { p50: 1.0, p99: 2.5, last: 4.0 }),
         requests: None,
         read_bytes: None,
+        played: None,
     };
     let slope = Slope {
         axis: Axis::Nodes,
--- a/crates/rig/tests/scale.rs
+++ b/crates/rig/tests/scale.rs
@@ -6,11 +6,12 @@
 use reelfall_rig::scale::hollow::{self, Hollow, Parts, Setup, KINDS};
 use reelfall_rig::scale::limits::{memory_of, Deadline, Machine, TooLarge, FILES_RESERVED, RUN_MOST};
 use reelfall_rig::scale::lists::{server_name, Lists, Read, FAILING};
-use reelfall_rig::scale::network::{Doing, Network, ZONES};
+use reelfall_rig::scale::network::Network;
 use reelfall_rig::scale::record::{Added, Busy, Gathered, ListsInForce, Product, Record};
 use reelfall_rig::scale::report::{
     Axis, Bend, PerNode, Projection, Report, RequestTimes, Run, Size, Slope, Source, Times, Traffic,
 };
+use reelfall_rig::scale::shared::{Doing, ZONES};
 use reelfall_rig::scale::window::{measure, moments, schedule, times, until_gathered, Event, Rates, DAY};
 use reelfall_rig::scale::{fleet, machine, smoke, sweep};
 use reelfall_rig::scripted::Program;
@@ -51,6 +52,7 @@
         in_force: Some(some),
         requests: Some(RequestTimes { at_rest: some, under_changes: some }),
         read_bytes: Some(4096),
+        played: None,
     };
     let slope = Slope {
         axis: Axis::Restarts,
--- a/crates/rig/tests/scale_fit.rs
+++ b/crates/rig/tests/scale_fit.rs
@@ -1,6 +1,7 @@
 //! The statistics of scale runs on data whose answers are known.
 
 use reelfall_rig::scale::fit::{bend, least_squares, projection, residuals, slope, t_bound};
+use reelfall_rig::scale::record::slope_text;
 use reelfall_rig::scale::report::{Axis, Run, Size, Slope, Source};
 use reelfall_rig::scale::{lines, plot, report::PerNode, report::Traffic, sweep};
 
@@ -121,15 +122,15 @@
 
 #[test]
 fn what_is_printed_of_a_bent_sweep_holds_no_projection() {
-    let straight = sweep::text(&line(&points(&SCATTERED)));
+    let straight = slope_text(&line(&points(&SCATTERED)));
     assert!(straight.contains("at 6000: "), "{straight}");
-    let bent = sweep::text(&line(&points(&CURVED)));
+    let bent = slope_text(&line(&points(&CURVED)));
     assert!(bent.contains("no projection") && !bent.contains("at 6000"), "{bent}");
     assert!(bent.contains("bound 2.31"), "{bent}");
     assert!(bent.contains("residuals"), "{bent}");
     // A slope of millionths is told as well.
     let small: Vec<(f64, f64)> = (1..6).map(|n| (f64::from(n), 2e-8 * f64::from(n))).collect();
-    assert!(sweep::text(&line(&small)).contains("2.0000e-8"), "{}", sweep::text(&line(&small)));
+    assert!(slope_text(&line(&small)).contains("2.0000e-8"), "{}", slope_text(&line(&small)));
 }
 
 #[test]
@@ -161,6 +162,7 @@
         in_force: None,
         requests: None,
         read_bytes: None,
+        played: None,
     }
 }
 
