--- a/crates/emulator/src/control/report.rs
+++ b/crates/emulator/src/control/report.rs
@@ -310,11 +310,14 @@
 }
 
 impl Report {
-    /// Adds runs; a run replaces an earlier one of its name and size.
+    /// Adds runs; a run takes the place of an earlier one of its name and size.
     pub fn append(&mut self, runs: Vec<Run>) {
         for run in runs {
-            self.runs.retain(|other| (&other.name, other.size) != (&run.name, run.size));
-            self.runs.push(run);
+            let is_earlier = |other: &&mut Run| other.name == run.name && other.size == run.size;
+            match self.runs.iter_mut().find(is_earlier) {
+                Some(earlier) => *earlier = run,
+                None => self.runs.push(run),
+            }
         }
     }
 }
