--- a/crates/distribution/tests/cases_failover.rs
+++ b/crates/distribution/tests/cases_failover.rs
@@ -28,6 +28,10 @@
 
 fn node(world: &mut World, id: u32, near: &[u32], far: &[u32]) {
     let follow = FollowRules { fallbacks: peers(far), ..FollowRules::node(peers(near)) };
+    node_with(world, id, follow);
+}
+
+fn node_with(world: &mut World, id: u32, follow: FollowRules) {
     let config = SubscriberConfig {
         node: PeerId(id),
         lease: lease(),
@@ -122,25 +126,31 @@
     world.judge.verdict();
 }
 
-/// What a node sends to all that it asks keeps to the budget of one link.
+/// What a node sends to all that it asks keeps to the budget of one link, also where it asks more than that allows.
 #[test]
 fn asking_many_brings_no_new_budget() {
     const TEN_SECONDS: Time = 10.0;
-    let mut world = regions(12);
-    NEAR.chain(FAR).for_each(|id| world.kill(PeerId(id)));
-    let began = world.t;
+    let mut world = World::new(12, CALM);
+    let nobody: Vec<u32> = (20..100).collect();
+    let follow = FollowRules { attempt_delay: 0.02, ..FollowRules::node(peers(&nobody)) };
+    NODES.for_each(|id| node_with(&mut world, id, follow.clone()));
     world.run(60.0);
     // Clocks run unlike by less than a thousandth.
     let most = 1.001 * TEN_SECONDS * Budget::UP.rate + Budget::UP.burst;
+    let mut busiest: f64 = 0.0;
     for id in NODES {
-        let frames = world.sent.iter().filter(|frame| frame.0 > began && frame.1 == PeerId(id));
+        let whom: BTreeSet<PeerId> = asked(&world, id, 0.0).iter().map(|(_, peer)| *peer).collect();
+        assert_eq!(whom.len(), nobody.len(), "{id}");
+        let frames = world.sent.iter().filter(|frame| frame.1 == PeerId(id));
         let frames: Vec<(Time, f64)> = frames.map(|f| (f.0, (f.3 + TRANSPORT_OVERHEAD) as f64)).collect();
         for (from, _) in &frames {
             let window = frames.iter().filter(|(at, _)| (*from..from + TEN_SECONDS).contains(at));
             let bytes: f64 = window.map(|(_, bytes)| bytes).sum();
             assert!(bytes <= most, "{id}: {bytes} of {most} bytes from {from}");
+            busiest = busiest.max(bytes);
         }
     }
+    assert!(busiest > 0.9 * most, "the budget was not needed: {busiest} of {most} bytes");
 }
 
 /// Answers come later than the next candidate is asked: the first is followed, and the others are let go at once.
@@ -213,3 +223,20 @@
         world.judge.verdict();
     }
 }
+
+/// Fallbacks do not wait until all of a region's relays have been asked.
+#[test]
+fn a_fallback_is_asked_early_where_many_upstreams_are_dead() {
+    const BEFORE_A_FALLBACK: Time = 3.0;
+    let mut world = World::new(31, CALM);
+    world.author(1, &[]);
+    world.relay(FAR.start, &[1]);
+    hold(&mut world, 1, 1, 1e6);
+    world.run(20.0);
+    let nobody: Vec<u32> = (FAR.end..NODES.start).collect();
+    NODES.for_each(|id| node(&mut world, id, &nobody, &[FAR.start]));
+    let rules = FollowRules::node(Vec::new());
+    world.run(rules.spread + BEFORE_A_FALLBACK * rules.attempt_delay + ROUND_TRIPS);
+    let without: Vec<u32> = NODES.filter(|id| !is_child(&world, FAR.start, *id)).collect();
+    assert_eq!(without, [0; 0]);
+}
--- a/crates/distribution/tests/cases_return.rs
+++ b/crates/distribution/tests/cases_return.rs
@@ -177,8 +177,8 @@
         let lost = [1, 3].into_iter().chain(NEAR);
         lost.for_each(|id| world.kill(PeerId(id)));
         let rules = FollowRules::node(Vec::new());
-        // The second upstream that is dead is the last one that is tried before a fallback.
-        let most = rules.silence + rules.spread + rules.answer + ROUND_TRIPS;
+        // The other two upstreams, which are dead, may both be asked before a fallback.
+        let most = rules.silence + rules.spread + 2.0 * rules.attempt_delay + ROUND_TRIPS;
         assert!(most <= IN_FORCE, "{most}");
         assert!(!NODES.into_iter().any(|id| follows_one_of(&world, id, &FAR)));
         let moved = until(&mut world, most, "nodes at other relays", |world| {
