Rig: a test of verdicts waits until they stand, and its load fits two cores

`a_verdict_on_one_start...` was red once in the full suite: all nodes took the condemnation back 0.7 s later, as the second list caught up.

Cause: that a node explains a server as condemned is no sign that its pools act on it, or that its quorum stands. The test made the server well at that moment. A fourth node that still sent there was answered twice and reported it healthy; the two nodes whose list caught up are answered in the tenth of a second before a condemnation is applied to a new entry, and with them three speak for the server against three that it failed. On a busy machine one of the three reports may also stand on a late attempt, and is withdrawn.

Now the test waits until three nodes report errors, and until those with work say that they act on it and have left the server. No node's name makes it a prober (one of the four was, by name and turn; a server's start has no part in the draw). The word to a node without work is tested by 150 requests in place of a second, and lists by six seconds at a third of the rate in place of two. `what_three_nodes_find_out...` waits for the same in place of 0.3 s, and its last two nodes never probe.

--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 //! | `load` | clients at the nodes |
 //! | `node_settings` | the settings files of the nodes |
 //! | [`plays`] | one schedule over one fleet, and what came of it |
+//! | [`probers`] | names under which nodes do not probe a condemned server |
 //!
 //! Each node is a process of the program with a settings file; what it sends to another goes to an address of the rig's,
 //! which passes it on, or not. Each node reaches each server by a [`Link`] of its own.
@@ -22,6 +23,7 @@
 mod load;
 mod node_settings;
 pub mod plays;
+pub mod probers;
 pub mod resource;
 pub mod schedule;
 pub mod shorten;
