Rig: no node probes the servers whose last attempt the scenario measures

`troubles` says that nobody is to try a condemned server meanwhile, and held each node's turn for a minute; but by name and turn some node may be a prober for all of that minute, whose attempts then count as the last. The nodes are now named so that none is.

--- a/crates/rig/src/scenario/fleet.rs
+++ b/crates/rig/src/scenario/fleet.rs
@@ -8,6 +8,7 @@
 
 use super::Report;
 use crate::fleet::plays::{Came, Play};
+use crate::fleet::probers::names_that_never_probe;
 use crate::fleet::schedule::Step;
 use crate::fleet::verdicts::verdicts;
 use crate::fleet::{check, schedule, Made, Rig, AIM, WARM};
@@ -218,12 +219,14 @@
     program: &Program, scale: &Scale, shown: Duration, trouble: impl Fn(usize, bool) -> Step,
 ) -> Result<Vec<Duration>> {
     let fleet = "verdicts = { trial_every = \"60s\" }";
-    let mut rig = Rig::start(program, &made(scale, Some(fleet))).await?;
+    let all: Vec<usize> = (0..scale.nodes).collect();
+    let troubled: Vec<usize> = (0..scale.servers.min(5)).collect();
+    let named = names_that_never_probe(scale.nodes, &all, &troubled);
+    let mut rig = Rig::start(program, &Made { named, ..made(scale, Some(fleet)) }).await?;
     gathered(&rig).await?;
     let load = rig.load(scale.rate, 0.0, 8);
     let mut took = Vec::new();
-    let all: Vec<usize> = (0..scale.nodes).collect();
-    for server in 0..scale.servers.min(5) {
+    for server in troubled {
         schedule::play(&mut rig, &[Step::Wait(Duration::from_secs(4)), trouble(server, true)]).await?;
         let from = rig.history.now();
         schedule::play(&mut rig, &[Step::Wait(Duration::from_secs(4))]).await?;
