--- a/crates/distribution/src/author/rollouts.rs
+++ b/crates/distribution/src/author/rollouts.rs
@@ -309,6 +309,11 @@
                     self.stopped(now, &record.name, RolloutState::Lost, false, outputs);
                 }
             }
+            // The author that released it is back and has written its release anew.
+            (RolloutState::Lost, Found::Released) => {
+                self.rollouts.by_name.insert(record.name.clone(), Rollout::new(record.clone()));
+                self.stopped(now, &record.name, RolloutState::Completed, false, outputs);
+            }
             (_, Found::Stage { .. }) | (RolloutState::Superseded, Found::Superseded) => {
                 self.end_trial(now, record, outputs);
             }
