Distribution: what is in force goes before its version is forgotten

Seen: drawn, a node goes back from version 3.4 to 1.17 of a tenant's resource. By a trace: it ended after four outputs of an unsubscription, so that the keys' versions were forgotten on its disk and what is in force was not; it came back, asked again, and a relay that was behind gave it the earlier change. subscriber.rs, unsubscribe, forgot first. It drops what is in force first now: whatever part is stored, no version is forgotten of what is in force.

The seed is kept: red before, green with the change.

--- a/crates/distribution/src/subscriber.rs
+++ b/crates/distribution/src/subscriber.rs
@@ -141,11 +141,13 @@
         };
         let keys = self.log.keys_after(selector, Version::ZERO).map(|(_, key)| key);
         let keys: Vec<Key> = keys.filter(|key| gone(&key.name)).cloned().collect();
+        // Stored the other way round, a crash between the two would leave in force what the log knows no version of, and an
+        // upstream that is behind would replace it by an earlier one.
+        self.force.drop_where(gone, outputs);
         for key in &keys {
             outputs.push(Output::Persist(Record::Forget(key.clone())));
             self.log.take_out(key);
         }
-        self.force.drop_where(gone, outputs);
     }
 
     /// What is in force of a resource.
--- a/crates/distribution/tests/schedules.rs
+++ b/crates/distribution/tests/schedules.rs
@@ -435,7 +435,13 @@
 /// Schedules with rollouts that have failed once.
 #[test]
 fn schedules_with_rollouts_that_have_failed() {
-    for seed in [1751234203504354436, 18243438213553280910, 1352627634081030488, 2675680900701131034] {
+    for seed in [
+        1751234203504354436,
+        18243438213553280910,
+        1352627634081030488,
+        2675680900701131034,
+        17639770246266840483,
+    ] {
         play_rollouts(seed);
     }
 }
