--- a/crates/distribution/src/report.rs
+++ b/crates/distribution/src/report.rs
@@ -50,6 +50,7 @@
 /// standings, in each session anew: who hears a standing has heard what its node refused.
 #[derive(Debug, Default)]
 pub struct Waiting {
+    /// [`WAITING_MOST`] at most, and once a session is over the refusals that are told again beside them.
     first: VecDeque<Report>,
     standings: BTreeMap<PeerId, Version>,
     /// Told already, perhaps.
--- a/crates/distribution/tests/cases_changes.rs
+++ b/crates/distribution/tests/cases_changes.rs
@@ -7,17 +7,13 @@
 use reelfall_distribution::publish::Refusal;
 use reelfall_distribution::resource::{Draft, Name, Part, Selector, Version};
 use reelfall_distribution::Time;
-use world::{claim, hold, World, BAD_FOR_ODD, CALM};
+use world::{claim, hold, name, put, two_authors_and_relays, World, BAD_FOR_ODD};
 
 const NODES: std::ops::Range<u32> = 100..106;
 
 /// Two authors, of whom the first writes with token 1; two relays, six nodes.
 fn tree(seed: u64) -> World {
-    let mut world = World::new(seed, CALM);
-    world.author(1, &[10, 11]);
-    world.author(2, &[10, 11]);
-    world.relay(10, &[1, 2]);
-    world.relay(11, &[1, 2]);
+    let mut world = two_authors_and_relays(seed);
     for id in NODES {
         let selectors = [Selector::common(), Selector::service("a")];
         world.node(id, &[10, 11], &selectors);
@@ -33,14 +29,6 @@
         .unwrap()
 }
 
-fn name(item: &str) -> Name {
-    Name::service("a", item)
-}
-
-fn put(item: &str, bytes: &[u8]) -> Draft {
-    Draft::put(name(item), bytes)
-}
-
 #[test]
 fn a_change_that_half_of_the_nodes_refuse() {
     let mut world = tree(1);
--- a/crates/distribution/tests/cases_failover.rs
+++ b/crates/distribution/tests/cases_failover.rs
@@ -6,15 +6,13 @@
 use reelfall_distribution::bucket::{Budget, TRANSPORT_OVERHEAD};
 use reelfall_distribution::downstream::ServeRules;
 use reelfall_distribution::follow::FollowRules;
-use reelfall_distribution::log::Room;
 use reelfall_distribution::output::{Event, Reason};
 use reelfall_distribution::peer::PeerId;
-use reelfall_distribution::resource::{Draft, Name, Selector};
-use reelfall_distribution::subscriber::SubscriberConfig;
+use reelfall_distribution::resource::{Draft, Name};
 use reelfall_distribution::Time;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
-use world::{claim, hold, lease, peers, Config, Network, World, CALM};
+use world::{claim, hold, node_of_region, node_with, peers, Network, World, CALM};
 
 /// What a node's session elsewhere has to keep to after the loss of its relay, in seconds: 3 s less than a change may take.
 const SESSION_ELSEWHERE: Time = 12.0;
@@ -26,30 +24,13 @@
 const FAR: Range<u32> = 30..42;
 const NODES: Range<u32> = 100..160;
 
-fn node(world: &mut World, id: u32, near: &[u32], far: &[u32]) {
-    let follow = FollowRules { fallbacks: peers(far), ..FollowRules::node(peers(near)) };
-    node_with(world, id, follow);
-}
-
-fn node_with(world: &mut World, id: u32, follow: FollowRules) {
-    let config = SubscriberConfig {
-        node: PeerId(id),
-        lease: lease(),
-        follow,
-        room: Room { keys: 10_000, bytes: 8 << 20, removals: 50 },
-        standing_every: 2.0,
-        seed: rand::Rng::random(&mut world.draw),
-    };
-    world.seat(PeerId(id), Config::Node(config, vec![Selector::Services]));
-}
-
 /// An author that writes, relays of all regions, and nodes of one of them that follow their own.
 fn regions(seed: u64) -> World {
     let mut world = World::new(seed, CALM);
     world.author(1, &[]);
     NEAR.chain(FAR).for_each(|id| world.relay(id, &[1]));
     let (near, far): (Vec<u32>, Vec<u32>) = (NEAR.collect(), FAR.collect());
-    NODES.for_each(|id| node(&mut world, id, &near, &far));
+    NODES.for_each(|id| node_of_region(&mut world, id, &near, &far));
     hold(&mut world, 1, 1, 1e6);
     world.run(30.0);
     assert!(NODES.into_iter().all(|id| follows(&world, id, &near)));
@@ -164,7 +145,7 @@
     relays.iter().for_each(|id| world.relay(*id, &[1]));
     hold(&mut world, 1, 1, 1e6);
     world.run(20.0);
-    NODES.for_each(|id| node(&mut world, id, &relays, &[]));
+    NODES.for_each(|id| node_of_region(&mut world, id, &relays, &[]));
     let rules = FollowRules::node(Vec::new());
     // The session is there, and what the others were told last has come: less than their `silence` of 20 s.
     let most = rules.spread + rules.answer + 2.0;
@@ -234,7 +215,7 @@
     hold(&mut world, 1, 1, 1e6);
     world.run(20.0);
     let nobody: Vec<u32> = (FAR.end..NODES.start).collect();
-    NODES.for_each(|id| node(&mut world, id, &nobody, &[FAR.start]));
+    NODES.for_each(|id| node_of_region(&mut world, id, &nobody, &[FAR.start]));
     let rules = FollowRules::node(Vec::new());
     world.run(rules.spread + BEFORE_A_FALLBACK * rules.attempt_delay + ROUND_TRIPS);
     let without: Vec<u32> = NODES.filter(|id| !is_child(&world, FAR.start, *id)).collect();
--- a/crates/distribution/tests/cases_return.rs
+++ b/crates/distribution/tests/cases_return.rs
@@ -5,14 +5,12 @@
 
 use reelfall_distribution::downstream::ServeRules;
 use reelfall_distribution::follow::{FollowRules, PATIENCE_MOST};
-use reelfall_distribution::log::Room;
 use reelfall_distribution::output::{Event, Reason};
 use reelfall_distribution::peer::PeerId;
-use reelfall_distribution::resource::{Draft, Name, Selector, Version};
-use reelfall_distribution::subscriber::SubscriberConfig;
+use reelfall_distribution::resource::{Draft, Name, Version};
 use reelfall_distribution::Time;
 use std::ops::Range;
-use world::{claim, lease, peers, Config, World, CALM};
+use world::{claim, node_of_region, World, CALM};
 
 /// What all changes have to keep to once there is a path, in seconds.
 const IN_FORCE: Time = 15.0;
@@ -28,26 +26,13 @@
 const FAR: [u32; 3] = [30, 31, 32];
 const NODES: Range<u32> = 100..112;
 
-fn node(world: &mut World, id: u32, near: &[u32], far: &[u32]) {
-    let follow = FollowRules { fallbacks: peers(far), ..FollowRules::node(peers(near)) };
-    let config = SubscriberConfig {
-        node: PeerId(id),
-        lease: lease(),
-        follow,
-        room: Room { keys: 10_000, bytes: 8 << 20, removals: 50 },
-        standing_every: 2.0,
-        seed: rand::Rng::random(&mut world.draw),
-    };
-    world.seat(PeerId(id), Config::Node(config, vec![Selector::Services]));
-}
-
 /// Three authors, of which the first writes with token 1; two regions of three relays; nodes of the first region.
 fn regions(seed: u64) -> World {
     let mut world = World::new(seed, CALM);
     let relays = [NEAR, FAR].concat();
     AUTHORS.iter().for_each(|id| world.author(*id, &relays));
     relays.iter().for_each(|id| world.relay(*id, &AUTHORS));
-    NODES.for_each(|id| node(&mut world, id, &NEAR, &FAR));
+    NODES.for_each(|id| node_of_region(&mut world, id, &NEAR, &FAR));
     hold(&mut world, 1, 1);
     world.run(40.0);
     world
@@ -232,7 +217,7 @@
     let mut world = World::new(41, CALM);
     world.author(1, &[]);
     RELAYS.iter().for_each(|id| world.relay(*id, &[1]));
-    MANY.for_each(|id| node(&mut world, id, &RELAYS, &[]));
+    MANY.for_each(|id| node_of_region(&mut world, id, &RELAYS, &[]));
     hold(&mut world, 1, 1);
     world.run(30.0);
     RELAYS.iter().for_each(|id| world.kill(PeerId(*id)));
--- a/crates/distribution/tests/cases_tree.rs
+++ b/crates/distribution/tests/cases_tree.rs
@@ -7,7 +7,7 @@
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::resource::{Draft, Name, Selector, Version};
 use reelfall_distribution::Time;
-use world::{claim, hold, World, CALM};
+use world::{claim, hold, put, World, CALM};
 
 const NODES: std::ops::Range<u32> = 100..106;
 
@@ -36,10 +36,6 @@
     version
 }
 
-fn put(item: &str, bytes: &[u8]) -> Draft {
-    Draft::put(Name::service("a", item), bytes)
-}
-
 /// When all of these nodes have a version; fails after `most` seconds.
 fn until_all_have(world: &mut World, nodes: &[u32], version: Version, most: Time) -> Time {
     let began = world.t;
--- a/crates/distribution/tests/cases_trial.rs
+++ b/crates/distribution/tests/cases_trial.rs
@@ -12,7 +12,7 @@
 use reelfall_distribution::rollout::stage::{self, StageCounts, Verdict, Waiting};
 use reelfall_distribution::subscriber::STANDING_AGAIN;
 use reelfall_distribution::Time;
-use world::{claim, hold, World, BAD_FOR_ODD, CALM};
+use world::{claim, hold, two_authors_and_relays, World, BAD_FOR_ODD};
 
 const NODES: std::ops::Range<u32> = 100..112;
 const EARLIER: &[u8] = b"earlier";
@@ -53,11 +53,7 @@
 
 /// Two authors, of whom the first writes with token 1; two relays; the nodes follow those of `relays_of`.
 fn tree(seed: u64, relays_of: fn(u32) -> Vec<u32>) -> World {
-    let mut world = World::new(seed, CALM);
-    world.author(1, &[10, 11]);
-    world.author(2, &[10, 11]);
-    world.relay(10, &[1, 2]);
-    world.relay(11, &[1, 2]);
+    let mut world = two_authors_and_relays(seed);
     for id in NODES {
         world.node(id, &relays_of(id), &[Selector::common(), Selector::service("a")]);
     }
--- a/crates/distribution/tests/defences.rs
+++ b/crates/distribution/tests/defences.rs
@@ -15,11 +15,10 @@
 use reelfall_distribution::output::{Event, Output, Reason, Record};
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::publish::Refusal;
-use reelfall_distribution::resource::{
-    Change, Content, Draft, Key, Name, Part, Selector, Slot, Urgency, Version,
-};
+use reelfall_distribution::resource::{Change, Content, Draft, Key, Part, Selector, Slot, Urgency, Version};
+use reelfall_distribution::restore::Restored;
 use reelfall_distribution::Time;
-use world::{claim, hold, lease, World, CALM};
+use world::{claim, hold, lease, name, put, two_authors_and_relays, World, CALM};
 
 const NODES: std::ops::Range<u32> = 100..104;
 
@@ -39,11 +38,7 @@
 
 /// Two authors, of whom the first may write for so long; two relays, four nodes.
 fn tree(seed: u64, lasts: Time) -> World {
-    let mut world = World::new(seed, CALM);
-    world.author(1, &[10, 11]);
-    world.author(2, &[10, 11]);
-    world.relay(10, &[1, 2]);
-    world.relay(11, &[1, 2]);
+    let mut world = two_authors_and_relays(seed);
     for id in NODES {
         world.node(id, &[10, 11], &[Selector::service("a")]);
     }
@@ -61,14 +56,6 @@
     version
 }
 
-fn name(item: &str) -> Name {
-    Name::service("a", item)
-}
-
-fn put(item: &str, bytes: &[u8]) -> Draft {
-    Draft::put(name(item), bytes)
-}
-
 /// A process that stood still is asked to write before it is polled: the call itself has to look at the time.
 #[test]
 fn an_author_that_was_not_polled_writes_nothing_once_its_lease_is_over() {
@@ -319,3 +306,37 @@
     let refused = author.publish(2.0, &claim(1), vec![put("x", b"late")], &mut outputs);
     assert_eq!(refused, Err(Refusal::Fenced(2)));
 }
+
+/// A node may end after any output of an unsubscription: what its disk says is in force has its version in the log, so that
+/// no upstream that is behind can replace it by an earlier one.
+#[test]
+fn a_node_may_end_after_any_output_of_an_unsubscription() {
+    let mut world = tree(1, 1e6);
+    world.run(40.0);
+    publish(&mut world, 1, 1, (0..4).map(|n| put(&format!("r{n}"), b"one")).collect());
+    world.run(20.0);
+    let id = NODES.start;
+    let stored = world.seats[&PeerId(id)].disk.clone();
+    let outputs = world.with_node(id, |node, _, outputs| {
+        node.unsubscribe(&Selector::service("a"), outputs);
+        outputs.clone()
+    });
+    let records: Vec<Record> = outputs
+        .unwrap()
+        .into_iter()
+        .filter_map(|output| match output {
+            Output::Persist(record) => Some(record),
+            _ => None,
+        })
+        .collect();
+    assert!(records.len() > 8, "what is in force and the versions are both forgotten: {records:?}");
+    for kept in 0..=records.len() {
+        let disk = stored.iter().chain(&records[..kept]).cloned();
+        let restored = Restored::read(Room { keys: 100, bytes: 1 << 20, removals: 10 }, disk);
+        for (name, change) in &restored.in_force {
+            let logged = restored.log.get(&Key { name: name.clone(), slot: Slot::Whole });
+            let version = logged.map(|logged| logged.version);
+            assert!(version >= Some(change.version), "after {kept} records {name:?} has {version:?}");
+        }
+    }
+}
--- a/crates/distribution/tests/world/mod.rs
+++ b/crates/distribution/tests/world/mod.rs
@@ -16,7 +16,7 @@
 use reelfall_distribution::output::{Output, Record};
 use reelfall_distribution::peer::PeerId;
 use reelfall_distribution::relay::{Relay, RelayConfig};
-use reelfall_distribution::resource::{Change, Selector};
+use reelfall_distribution::resource::{Change, Draft, Name, Selector};
 use reelfall_distribution::subscriber::{Subscriber, SubscriberConfig};
 use reelfall_distribution::Time;
 use reelfall_lease::token::{Claim, LeaseName};
@@ -38,6 +38,45 @@
     assert_eq!(held, Some(Ok(())));
 }
 
+/// Two authors that do not write yet, and two relays that follow both.
+pub fn two_authors_and_relays(seed: u64) -> World {
+    let mut world = World::new(seed, CALM);
+    world.author(1, &[10, 11]);
+    world.author(2, &[10, 11]);
+    world.relay(10, &[1, 2]);
+    world.relay(11, &[1, 2]);
+    world
+}
+
+/// A node that asks for all services and follows relays of its region, with those of others as fallbacks.
+pub fn node_of_region(world: &mut World, id: u32, near: &[u32], far: &[u32]) {
+    let follow = FollowRules { fallbacks: peers(far), ..FollowRules::node(peers(near)) };
+    node_with(world, id, follow);
+}
+
+/// A node that asks for all services by these rules.
+pub fn node_with(world: &mut World, id: u32, follow: FollowRules) {
+    let config = SubscriberConfig {
+        node: PeerId(id),
+        lease: lease(),
+        follow,
+        room: Room { keys: 10_000, bytes: 8 << 20, removals: 50 },
+        standing_every: 2.0,
+        seed: world.draw.random(),
+    };
+    world.seat(PeerId(id), Config::Node(config, vec![Selector::Services]));
+}
+
+/// A resource of the service that the tests' nodes ask for.
+pub fn name(item: &str) -> Name {
+    Name::service("a", item)
+}
+
+/// What that resource is to be.
+pub fn put(item: &str, bytes: &[u8]) -> Draft {
+    Draft::put(name(item), bytes)
+}
+
 /// A body that begins so is refused by nodes with an odd number.
 pub const BAD_FOR_ODD: &[u8] = b"bad for odd";
 
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -36,6 +36,22 @@
     pub rate: f64,
 }
 
+impl Kind {
+    /// Safe requests of the rig's service of evaluations, so many a second.
+    pub fn evaluate(name: String, rate: f64) -> Kind {
+        Kind {
+            name,
+            host: "evaluate.example.org".to_owned(),
+            method: "GET",
+            path: "/api/flags".to_owned(),
+            headers: Vec::new(),
+            body: None,
+            deadline: Duration::from_secs(2),
+            rate,
+        }
+    }
+}
+
 /// What came of the requests of one kind.
 #[derive(Clone, Debug)]
 pub struct Came {
--- a/crates/rig/src/measure/fleet.rs
+++ b/crates/rig/src/measure/fleet.rs
@@ -11,19 +11,6 @@
 /// Nodes of the fleet; one of them is loaded.
 const NODES: usize = 5;
 
-fn request(name: &str, rate: f64) -> Kind {
-    Kind {
-        name: name.to_owned(),
-        host: "evaluate.example.org".to_owned(),
-        method: "GET",
-        path: "/api/flags".to_owned(),
-        headers: Vec::new(),
-        body: None,
-        deadline: Duration::from_secs(2),
-        rate,
-    }
-}
-
 async fn subject(
     name: &'static str, program: &Program, nodes: usize, fleet: bool, rate: f64,
 ) -> Result<Subject> {
@@ -34,7 +21,7 @@
     }
     let (address, pid) = (rig.address(0).ok_or("no node")?, rig.pid(0).ok_or("no node")?);
     let alive = Alive::Fleet { _rig: Box::new(rig) };
-    Ok(Subject::of(name, address, pid, vec![request(name, rate)], alive))
+    Ok(Subject::of(name, address, pid, vec![Kind::evaluate(name.to_owned(), rate)], alive))
 }
 
 /// Runs all measurements and gives the figures.
--- a/crates/rig/src/scale/real.rs
+++ b/crates/rig/src/scale/real.rs
@@ -148,7 +148,7 @@
             let (address, name) = (node.address, format!("scale{n}x{seed}"));
             let time = Duration::from_secs_f64(seconds);
             running.spawn(async move {
-                let kinds = [request(name)];
+                let kinds = [Kind::evaluate(name, RATE)];
                 load::run(address, &kinds, time, seed.wrapping_mul(97).wrapping_add(n as u64)).await
             });
         }
@@ -191,19 +191,6 @@
     Ok(Some(Times { p50: seconds(p50), p99: seconds(p99), last: seconds(all.max()) }))
 }
 
-fn request(name: String) -> Kind {
-    Kind {
-        name,
-        host: "evaluate.example.org".to_owned(),
-        method: "GET",
-        path: "/api/flags".to_owned(),
-        headers: Vec::new(),
-        body: None,
-        deadline: Duration::from_secs(2),
-        rate: RATE,
-    }
-}
-
 /// An address of a listed server: nobody is there, and nobody asks for it.
 fn listed_address(server: usize) -> SocketAddr {
     let [_, _, high, low] = (server as u32 + 256).to_be_bytes();
