Cluster: a timeout confirms the report of an overdue attempt at once

Callers saw: in a fleet with reports that live longer than about 21 s, a server that hangs was readmitted by all nodes 5 s after their attempts there had timed out; requests waited for it again, up to their deadline. Cause: the report of an overdue attempt is provisional. The timeout has the same finding, so nothing was published until a third of the time to live had passed; the outcomes are forgotten after 5 s, and the observer withdrew a provisional report without evidence.

--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -6,7 +6,7 @@
 //!
 //! An attempt that has waited past its target counts before it ends: a server that hangs would otherwise be sent the
 //! requests of all nodes until the first of them have timed out. Such evidence is provisional: if the attempt is answered
-//! after all, the report is withdrawn.
+//! after all, the report is withdrawn, and if it fails, the report is renewed as a confirmed one.
 
 use crate::entry::{Finding, Report, ServerInstance};
 use crate::Time;
@@ -201,14 +201,14 @@
         self.last_report.is_some_and(|last| last.is_provisional)
     }
 
-    /// Whether a report is due: another finding than the last one, or the same on fresh evidence after a third of the time
-    /// to live of a report. Evidence is reported once: the same attempts reported again would make a report outlive its
-    /// evidence.
+    /// Whether a report is due: another finding than the last one, the same confirmed, or the same on fresh evidence after a
+    /// third of the time to live of a report. A report is as old as its evidence, so that none outlives it.
     fn is_due(&self, assessment: Assessment, now: Time, ttl: Time) -> bool {
         self.last_report.is_none_or(|last| {
             let has_fresh_evidence =
                 now - last.at > ttl / RENEWALS_PER_TTL && self.last_evidence() > last.at;
-            last.finding != assessment.finding || has_fresh_evidence
+            let is_confirmed = last.is_provisional && !assessment.is_provisional;
+            last.finding != assessment.finding || is_confirmed || has_fresh_evidence
         })
     }
 
--- a/crates/cluster/tests/fleet/verdicts.rs
+++ b/crates/cluster/tests/fleet/verdicts.rs
@@ -90,6 +90,39 @@
     assert_eq!(world.violations, Vec::<Violation>::new());
 }
 
+/// Whether every node of this cluster ejects the first server.
+fn is_first_ejected_on_all(world: &Cluster) -> bool {
+    (0..world.processes.len()).all(|node| ejected_servers(world, node) == ["server-0"])
+}
+
+/// Guards against reports of silence that are withdrawn although a timeout has confirmed them.
+#[test]
+fn confirmed_silence_is_reported_for_the_whole_time_to_live() {
+    const REPORT_TTL: f64 = 60.0;
+    /// How long an attempt may take.
+    const TIMEOUT: f64 = 2.0;
+    const REPORTERS: [usize; 3] = [0, 1, 2];
+    let mut world = Cluster::new(5, 73, |_| Config {
+        report_lasts: REPORT_TTL,
+        ..default_config()
+    });
+    world.run_until(20.0, Cluster::is_converged);
+    world.run(1.0);
+    set_overdue(&mut world, &REPORTERS, Some(0.01));
+    world.run_until(2.0, is_first_ejected_on_all);
+    world.run(TIMEOUT);
+    record_outcomes(&mut world, &REPORTERS, &[0], AttemptOutcome::TimedOut);
+    set_overdue(&mut world, &REPORTERS, None);
+    // Longer than outcomes count, and shorter than the reports live.
+    for _ in 0..5 {
+        world.run(REPORT_TTL / 6.0);
+        assert!(is_first_ejected_on_all(&world), "{} s", world.now);
+    }
+    world.run(REPORT_TTL / 3.0);
+    assert!((0..5).all(|node| ejected_servers(&world, node).is_empty()));
+    assert_eq!(world.violations, Vec::<Violation>::new());
+}
+
 #[test]
 fn overdue_attempts_sent_before_the_last_answer_do_not_count() {
     let mut world = gathered_world(5, 71);
