Cluster: a report is made again once its node's other servers have recovered

Callers saw: a server that fell silent beside a moment in which others were late too was ejected half a minute late or not at all; nodes that had not met it sent it requests. Cause: a report carries how many servers its node finds faulty, and is ignored above three in ten. It kept the number of its first moment: the finding did not change, and no evidence came since each node had ejected the server itself. Change: the report is due again when it would be believed; reader and reporter ask the same function, and its age is that of the evidence. Measured: the new test is red without the change (not ejected within 4 s) and green with it; the cluster's tests 26 of 26, golden datagrams equal.

--- a/crates/cluster/src/fleet/mod.rs
+++ b/crates/cluster/src/fleet/mod.rs
@@ -152,7 +152,7 @@
             incarnation: Incarnation { number: 1, tag },
         };
         let members = Members::new(me, config.membership, seed);
-        let observer = Observer::new(config.zone.clone(), config.report_lasts);
+        let observer = Observer::new(config.zone.clone(), config.report_lasts, config.quorum);
         Fleet {
             members,
             observer,
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -7,8 +7,12 @@
 //! An attempt that has waited past its target counts before it ends: a server that hangs would otherwise be sent the
 //! requests of all nodes until the first of them have timed out. Such evidence is provisional: if the attempt is answered
 //! after all, the report is withdrawn, and if it fails, the report is renewed as a confirmed one.
+//!
+//! A report says how many servers this node finds faulty, and is ignored by its readers where these are too many. If that
+//! was so when it was made and no longer is, it is renewed: the others have recovered, and this server has not.
 
 use crate::entry::{Finding, Report, ServerInstance};
+use crate::quorum::Quorum;
 use crate::Time;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -119,6 +123,8 @@
     at: Time,
     /// It was based on overdue attempts, and on nothing else.
     is_provisional: bool,
+    /// Its readers do not ignore it.
+    is_credible: bool,
 }
 
 /// What the evidence leads to.
@@ -201,14 +207,18 @@
         self.last_report.is_some_and(|last| last.is_provisional)
     }
 
-    /// Whether a report is due: another finding than the last one, the same confirmed, or the same on fresh evidence after a
-    /// third of the time to live of a report. A report is as old as its evidence, so that none outlives it.
-    fn is_due(&self, assessment: Assessment, now: Time, ttl: Time) -> bool {
+    /// Whether a report is due: another finding than the last one, the same confirmed or now credible, or the same on fresh
+    /// evidence after a third of the time to live of a report. A report is as old as its evidence, so that none outlives it.
+    fn is_due(&self, assessment: Assessment, is_credible: bool, now: Time, ttl: Time) -> bool {
         self.last_report.is_none_or(|last| {
             let has_fresh_evidence =
                 now - last.at > ttl / RENEWALS_PER_TTL && self.last_evidence() > last.at;
             let is_confirmed = last.is_provisional && !assessment.is_provisional;
-            last.finding != assessment.finding || is_confirmed || has_fresh_evidence
+            let became_credible = is_credible && !last.is_credible;
+            last.finding != assessment.finding
+                || is_confirmed
+                || became_credible
+                || has_fresh_evidence
         })
     }
 
@@ -239,15 +249,17 @@
     servers: BTreeMap<ServerInstance, Observations>,
     zone: String,
     report_ttl: Time,
+    quorum: Quorum,
 }
 
 impl Observer {
-    /// An observer in a zone, whose reports live for so long, in seconds.
-    pub fn new(zone: String, report_ttl: Time) -> Observer {
+    /// An observer in a zone, whose reports live for so long, in seconds, and are read by the rules of this quorum.
+    pub fn new(zone: String, report_ttl: Time, quorum: Quorum) -> Observer {
         Observer {
             servers: BTreeMap::new(),
             zone,
             report_ttl,
+            quorum,
         }
     }
 
@@ -313,6 +325,7 @@
     ) -> Vec<DueReport> {
         self.forget_old(now);
         let (faults, ttl) = (self.count_faults(), self.report_ttl);
+        let (faults, listed) = (saturate(faults), saturate(listed));
         let mut due = Vec::new();
         for (server, observations) in &mut self.servers {
             let assessment = observations.assess().or_else(|| observations.withdrawal());
@@ -324,7 +337,8 @@
                     .last_report
                     .is_some_and(|last| last.finding != Finding::Well)
                 || is_reported(server);
-            if !observations.is_due(assessment, now, ttl) || !matters {
+            let is_credible = self.quorum.believes(assessment.finding, faults, listed);
+            if !observations.is_due(assessment, is_credible, now, ttl) || !matters {
                 continue;
             }
             let Assessment {
@@ -337,14 +351,15 @@
                 finding,
                 at: now,
                 is_provisional,
+                is_credible,
             });
             let report = Report {
                 finding,
                 bad: saturate(bad),
                 good: saturate(good),
                 zone: self.zone.clone(),
-                accused: saturate(faults),
-                listed: saturate(listed),
+                accused: faults,
+                listed,
             };
             // As old as its evidence: reported late, it expires no later.
             let age = match finding {
--- a/crates/cluster/src/quorum.rs
+++ b/crates/cluster/src/quorum.rs
@@ -45,6 +45,15 @@
     }
 }
 
+impl Quorum {
+    /// Whether a finding of a node is believed that finds `faults` of `listed` servers faulty.
+    pub(crate) fn believes(&self, finding: Finding, faults: u16, listed: u16) -> bool {
+        !finding.is_fault()
+            || usize::from(faults) <= ALWAYS_BELIEVED
+            || f64::from(faults) <= self.max_reported_fraction * f64::from(listed)
+    }
+}
+
 /// The votes on one server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Votes {
@@ -63,11 +72,7 @@
 impl Votes {
     /// Adds a report, as it counts for a reader in this zone.
     pub fn add(&mut self, report: &Report, zone: &str, quorum: &Quorum) {
-        let faults = usize::from(report.accused);
-        if report.finding.is_fault()
-            && faults > ALWAYS_BELIEVED
-            && faults as f64 > quorum.max_reported_fraction * f64::from(report.listed)
-        {
+        if !quorum.believes(report.finding, report.accused, report.listed) {
             self.ignored += 1;
             return;
         }
--- a/crates/cluster/tests/fleet/verdicts.rs
+++ b/crates/cluster/tests/fleet/verdicts.rs
@@ -123,6 +123,43 @@
     assert_eq!(world.violations, Vec::<Violation>::new());
 }
 
+/// Guards against reports that stay ignored because of faults that ended long ago.
+#[test]
+fn silent_server_is_ejected_once_the_others_have_recovered() {
+    const REPORTERS: [usize; 3] = [0, 1, 2];
+    /// Too many of the list for the reports to be believed.
+    const LATE_SERVERS: usize = 8;
+    let mut world = gathered_world(9, 79);
+    for node in REPORTERS {
+        world.with_node(node, |fleet, now| {
+            let attempt = |index| OverdueAttempt {
+                server: server(index),
+                since: now - 0.3,
+                late_from: now - 0.1,
+            };
+            let late: Vec<OverdueAttempt> = (0..LATE_SERVERS).map(attempt).collect();
+            fleet.set_overdue(now, &late);
+        });
+    }
+    world.run(1.0);
+    assert!((0..9).all(|node| ejected_servers(&world, node).is_empty()));
+    // All but the first were only late.
+    let recovered: Vec<usize> = (1..LATE_SERVERS).collect();
+    record_outcomes(
+        &mut world,
+        &REPORTERS,
+        &recovered,
+        AttemptOutcome::AnsweredLate,
+    );
+    set_overdue(&mut world, &REPORTERS, Some(1.1));
+    let took = world.run_until(4.0, is_first_ejected_on_all);
+    assert!(took < 1.0, "{took} s");
+    // The evidence is as old as before: the reports end no later.
+    world.run(9.0);
+    assert!((0..9).all(|node| ejected_servers(&world, node).is_empty()));
+    assert_eq!(world.violations, Vec::<Violation>::new());
+}
+
 #[test]
 fn overdue_attempts_sent_before_the_last_answer_do_not_count() {
     let mut world = gathered_world(5, 71);
