Balancer, node: a server that the fleet readmits is used at once by each node

Callers saw: a server that had paused and responds again carried next to nothing for half a minute and more, though all nodes had readmitted it. Cause: the readmission ended the fleet's verdict alone. The node's own ejection (doubled by each failure), a running average of the fault and a probability at the floor stayed. Change: where a member has found that the server responds, the decision module is told. The node's own ejection ends, the next request that can be a trial goes there, average and probability are those of the others. Reports that only expire do not cause it. Off without a fleet.

--- a/crates/balancer/src/decide/automaton.rs
+++ b/crates/balancer/src/decide/automaton.rs
@@ -56,6 +56,21 @@
         self.probability[position] += step * (1.0 - TOTAL_FLOOR);
     }
 
+    /// Lowers the running average of a server to a limit.
+    pub(super) fn limit_mean_response(&mut self, position: usize, limit: f64) {
+        let average = &mut self.mean_response[position];
+        *average = average.min(limit);
+    }
+
+    /// Raises the probability of a server to at least this multiple of the mean.
+    pub(super) fn raise(&mut self, position: usize, relative_probability: f64) {
+        let least = initial_probability(relative_probability, self.probability.len());
+        if self.probability[position] < least {
+            self.probability[position] = least;
+            self.normalize();
+        }
+    }
+
     /// Adds a server with this multiple of the mean probability.
     pub fn insert(&mut self, relative_probability: f64, mean_response: f64) {
         self.mean_response.push(mean_response);
--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -15,7 +15,7 @@
 //! | `endpoint_list` | updates of the endpoint list |
 //! | `departed` | servers that left the list lately |
 //! | `subset` | the servers of a long list that this node prefers |
-//! | `outlier` | ejection of servers that fail or are slow |
+//! | `outlier` | ejection of servers that fail or are slow, and their readmission |
 //! | `slow_start` | servers that have just started, and how much work they may be sent |
 //! | `work_credit` | the bucket of work of a server in its slow start |
 //! | `admission` | which fraction of the requests is admitted, and which ones |
@@ -228,6 +228,7 @@
             } => {
                 self.servers.set_peer_verdict(server, until, is_prober);
             }
+            Event::PeerReadmission { server } => self.readmit(now, server),
             Event::ResponseStarted { request, .. } | Event::ClientGone { request } => {
                 self.end_request(request);
             }
--- a/crates/balancer/src/decide/outlier.rs
+++ b/crates/balancer/src/decide/outlier.rs
@@ -1,9 +1,9 @@
-//! Outlier ejection: servers that fail or are slow get no requests for a while.
+//! Outlier ejection: servers that fail or are slow get no requests for a while, unless the cluster readmits them before.
 
 use super::server_health::Failure;
-use super::servers::ServerTable;
-use super::StrictestClass;
-use crate::interface::Time;
+use super::servers::{relative_size, ServerTable};
+use super::{Balancer, StrictestClass};
+use crate::interface::{ServerId, Time};
 
 /// Maximum fraction of the list that may be ejected, so that a fault that all servers have in common ejects few.
 const MAX_EJECTED_FRACTION: f64 = 0.2;
@@ -38,6 +38,36 @@
     (MAX_EJECTED_FRACTION * servers as f64).max(1.0)
 }
 
+impl Balancer {
+    /// The nodes of the cluster have found that a server responds again. Its ejection by this node ends, it gets the next
+    /// request that may be a trial, and it starts anew with the average response and probability of the others: its own
+    /// are those of the fault, which this node alone would take minutes to unlearn.
+    pub(super) fn readmit(&mut self, now: Time, server: ServerId) {
+        let Some(position) = self.servers.position(server) else {
+            return;
+        };
+        if let Some(mean_response) = self.mean_response_of_others(now, position) {
+            self.automaton.limit_mean_response(position, mean_response);
+        }
+        let relative_weight = self.servers[position].endpoint.weight / self.servers.mean_weight();
+        let relative_probability = relative_size(self.settings.has_server_weights, relative_weight);
+        self.automaton.raise(position, relative_probability);
+        self.servers[position].health.readmit(now);
+    }
+
+    /// The mean of the running averages of all servers but one that are not ejected.
+    fn mean_response_of_others(&self, now: Time, position: usize) -> Option<Time> {
+        let others = self
+            .servers
+            .iter()
+            .zip(&self.automaton.mean_response)
+            .enumerate()
+            .filter(|(other, (server, _))| *other != position && !server.health.is_ejected(now));
+        let averages: Vec<Time> = others.map(|(_, (_, average))| *average).collect();
+        (!averages.is_empty()).then(|| averages.iter().sum::<Time>() / averages.len() as f64)
+    }
+}
+
 /// Ejects the server at a position, as far as the number of ejected servers allows it.
 ///
 /// `random` is a fraction; it spreads the return of a server over the nodes that have ejected it.
--- a/crates/balancer/src/decide/requests.rs
+++ b/crates/balancer/src/decide/requests.rs
@@ -227,6 +227,7 @@
         });
         server.load.in_flight += 1;
         server.load.last_sent_at = now;
+        server.health.record_attempt();
         server.credit.spend(request.work);
         actions.push(Action::Attempt {
             request: id,
--- a/crates/balancer/src/decide/selection.rs
+++ b/crates/balancer/src/decide/selection.rs
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Whether the request may be the first one to a server since its readmission.
+    fn may_be_trial(&self, server: &Server) -> bool {
+        server.health.awaits_trial() && !self.needs_proven_server
+    }
+
     fn speed_weight(&self, server: &Server, mean_response: Time) -> f64 {
         let is_average_valid = self.now - server.load.last_sent_at < AVERAGE_VALIDITY;
         let min = if is_average_valid { 0.0 } else { 1.0 };
@@ -150,6 +155,7 @@
         for eligibility in [Eligibility::Preferred, Eligibility::Permitted] {
             self.selection_weights.clear();
             let mut total = 0.0;
+            let mut awaiting_trial = None;
             let entries = self
                 .automaton
                 .probability
@@ -158,8 +164,14 @@
             for (server, (probability, mean_response)) in self.servers.iter().zip(entries) {
                 let weight = selection.weight(server, *probability, *mean_response, eligibility);
                 total += weight;
+                if weight > 0.0 && selection.may_be_trial(server) {
+                    awaiting_trial = Some(self.selection_weights.len());
+                }
                 self.selection_weights.push(weight);
             }
+            if eligibility == Eligibility::Preferred && awaiting_trial.is_some() {
+                return awaiting_trial;
+            }
             if total > 0.0 {
                 let key = self.affinity_key(request);
                 return self.sample(key, random * total);
--- a/crates/balancer/src/decide/server_health.rs
+++ b/crates/balancer/src/decide/server_health.rs
@@ -28,6 +28,8 @@
     peer_verdict_until: Time,
     /// This node sends it trial requests in spite of the verdict.
     is_prober: bool,
+    /// It was readmitted, and this node has sent it nothing since.
+    awaits_trial: bool,
 }
 
 impl ServerHealth {
@@ -41,6 +43,7 @@
             ejected_until: now,
             peer_verdict_until: now,
             is_prober: false,
+            awaits_trial: false,
         }
     }
 
@@ -65,6 +68,24 @@
         self.is_prober = is_prober;
     }
 
+    /// The cluster's nodes have found that it responds again: what this node holds against it is older.
+    pub(super) fn readmit(&mut self, now: Time) {
+        *self = ServerHealth {
+            awaits_trial: true,
+            ..ServerHealth::new(now)
+        };
+    }
+
+    /// Whether it was readmitted, and this node has sent it nothing since.
+    pub(super) fn awaits_trial(&self) -> bool {
+        self.awaits_trial
+    }
+
+    /// An attempt is sent to it.
+    pub(super) fn record_attempt(&mut self) {
+        self.awaits_trial = false;
+    }
+
     /// It has responded well.
     pub(super) fn record_success(&mut self) {
         self.consecutive_failures = 0;
--- a/crates/balancer/src/engine.rs
+++ b/crates/balancer/src/engine.rs
@@ -241,6 +241,11 @@
         self.handle_event(now, event, commands);
     }
 
+    /// The nodes of a cluster have found that a server responds again; see [`Event::PeerReadmission`].
+    pub fn readmit(&mut self, now: Time, server: ServerId, commands: &mut Vec<Command<H>>) {
+        self.handle_event(now, Event::PeerReadmission { server }, commands);
+    }
+
     /// A timer has expired.
     pub fn handle_timer(&mut self, now: Time, tag: u64, commands: &mut Vec<Command<H>>) {
         self.handle_event(now, Event::Timer { tag }, commands);
--- a/crates/balancer/src/interface/event.rs
+++ b/crates/balancer/src/interface/event.rs
@@ -114,6 +114,11 @@
         /// This node sends it trial requests meanwhile, on behalf of all nodes.
         is_prober: bool,
     },
+    /// The nodes of a cluster, having agreed that a server is faulty, have found that it responds again.
+    PeerReadmission {
+        /// The server.
+        server: ServerId,
+    },
     /// The client has disconnected; it needs no answer any more.
     ClientGone {
         /// The request.
--- a/crates/balancer/tests/failures/outlier_ejection.rs
+++ b/crates/balancer/tests/failures/outlier_ejection.rs
@@ -1,8 +1,8 @@
 //! Servers that fail, are silent or lose connections, and when they get fewer or no requests.
 
 use crate::common::{settings, Node};
-use crate::{classes, AT_MOST_ONCE_CLASS, DEADLINE};
-use reelfall_balancer::interface::{Outcome, ServerId, Time};
+use crate::{classes, AT_MOST_ONCE_CLASS, DEADLINE, IDEMPOTENT_CLASS};
+use reelfall_balancer::interface::{Event, Outcome, ServerId, Time};
 use std::collections::BTreeSet;
 
 const FAULTY_SERVER: ServerId = 0;
@@ -149,3 +149,75 @@
     let mean_response = node.balancer.automaton().mean_response[0];
     assert!(served == 50 && mean_response < 0.02, "{mean_response}");
 }
+
+/// Time between two requests of a node that has few.
+const REQUEST_INTERVAL: Time = 0.1;
+
+/// Serves a request with all its attempts; one at the faulty server times out unless that responds. Returns whether the
+/// faulty server got one.
+fn serve_request(node: &mut Node, faulty_responds: bool) -> bool {
+    node.now += REQUEST_INTERVAL;
+    node.sweep();
+    let (request, mut selected) = node.request(IDEMPOTENT_CLASS, None, DEADLINE);
+    let mut reached_faulty = false;
+    for attempt in 0.. {
+        let Some(server) = selected else { break };
+        let is_faulty = server == FAULTY_SERVER;
+        reached_faulty |= is_faulty;
+        let (outcome, latency) = if is_faulty && !faulty_responds {
+            (Outcome::TimedOut, 0.25)
+        } else {
+            (Outcome::Served, 0.01)
+        };
+        node.now += latency;
+        node.end(request, attempt, server, outcome, latency);
+        selected = node.sent();
+    }
+    reached_faulty
+}
+
+/// Guards against a node that alone leaves out a server that the nodes of its cluster have readmitted.
+#[test]
+fn readmitted_server_gets_an_attempt_in_three_seconds_and_half_of_its_share_in_ten() {
+    const SERVERS: u32 = 8;
+    const TIMEOUTS: usize = 3;
+    let mut node = Node::new(settings(classes()), SERVERS);
+    for _ in 0..100 {
+        serve_request(&mut node, true);
+    }
+    let mut timeouts = 0;
+    while timeouts < TIMEOUTS {
+        timeouts += usize::from(serve_request(&mut node, false));
+    }
+    node.tell(Event::PeerVerdict {
+        server: FAULTY_SERVER,
+        until: node.now + 10.0,
+        is_prober: false,
+    });
+    for _ in 0..20 {
+        assert!(!serve_request(&mut node, true));
+    }
+    node.tell(Event::PeerVerdict {
+        server: FAULTY_SERVER,
+        until: node.now,
+        is_prober: false,
+    });
+    node.tell(Event::PeerReadmission {
+        server: FAULTY_SERVER,
+    });
+    let readmitted_at = node.now;
+    while !serve_request(&mut node, true) {
+        let waited = node.now - readmitted_at;
+        assert!(waited < 3.0, "no attempt within {waited} s");
+    }
+    while node.now < readmitted_at + 10.0 {
+        serve_request(&mut node, true);
+    }
+    let requests = 400;
+    let to_readmitted = (0..requests).filter(|_| serve_request(&mut node, true));
+    let (count, fair_share) = (to_readmitted.count(), requests / SERVERS as usize);
+    assert!(
+        count * 2 >= fair_share && count <= fair_share * 2,
+        "{count} of {requests} requests, {fair_share} are its share"
+    );
+}
--- a/crates/cluster/src/fleet/query.rs
+++ b/crates/cluster/src/fleet/query.rs
@@ -114,6 +114,22 @@
         ejected.into_iter().map(to_ejected).collect()
     }
 
+    /// Whether a member has found that a server responds, and too few still report a fault to eject it. Reports that have
+    /// expired show nothing.
+    pub fn has_recovered(&self, server: &ServerInstance, now: Time) -> bool {
+        let mut votes = Votes::default();
+        let mut responds = false;
+        let reports = self.reports(server, now);
+        for published in reports
+            .iter()
+            .filter(|report| self.members.contains(report.by))
+        {
+            votes.add(published.report, &self.config.zone, &self.config.quorum);
+            responds |= !published.report.finding.is_fault();
+        }
+        responds && votes.majority(&self.config.quorum).is_none()
+    }
+
     /// How long a server can remain ejected: until so many of the reports have expired that they are no quorum.
     fn ejected_for(&self, server: &ServerInstance, now: Time) -> Time {
         let counts = |report: &Report| {
--- a/crates/node/src/fleet/events.rs
+++ b/crates/node/src/fleet/events.rs
@@ -98,6 +98,9 @@
                 is_prober: false,
             };
             self.shared.apply_quorum_ejection(&ended);
+            if self.fleet.borrow().has_recovered(server, now) {
+                self.shared.readmit(server);
+            }
         }
         for (server, ejection) in &new {
             if !old.contains_key(server) {
--- a/crates/node/src/net/pool/peer.rs
+++ b/crates/node/src/net/pool/peer.rs
@@ -4,7 +4,8 @@
 use super::Pool;
 use crate::net::shared::{OverdueRequest, PoolPeer, QuorumEjection};
 use reelfall_balancer::engine::AwaitedAttempt;
-use reelfall_balancer::interface::{Time, UpdateKind};
+use reelfall_balancer::interface::{ServerId, Time, UpdateKind};
+use reelfall_cluster::entry::ServerInstance;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
@@ -69,11 +70,7 @@
     }
 
     fn apply_quorum_ejection(self: Rc<Self>, ejection: &QuorumEjection) {
-        let server = self.names.borrow().servers.get(&ejection.server.name);
-        // The ejection of one instance says nothing about another.
-        let Some(server) =
-            server.filter(|server| self.instance_of(*server).as_ref() == Some(&ejection.server))
-        else {
+        let Some(server) = self.server_of(&ejection.server) else {
             return;
         };
         let QuorumEjection {
@@ -84,6 +81,12 @@
         });
     }
 
+    fn readmit(self: Rc<Self>, server: &ServerInstance) {
+        if let Some(server) = self.server_of(server) {
+            self.dispatch(|engine, now, commands| engine.readmit(now, server, commands));
+        }
+    }
+
     fn listing_changed(self: Rc<Self>, address: SocketAddr) {
         let mut endpoints: Vec<SocketEndpoint> = self
             .server_list
@@ -99,6 +102,12 @@
 }
 
 impl Pool {
+    /// The server of which this is the present instance: what is said of one instance says nothing about another.
+    fn server_of(&self, instance: &ServerInstance) -> Option<ServerId> {
+        let server = self.names.borrow().servers.get(&instance.name)?;
+        (self.instance_of(server).as_ref() == Some(instance)).then_some(server)
+    }
+
     /// Gives the engine endpoints that were adjusted anew, if there are any.
     fn update_engine(self: &Rc<Self>, endpoints: Vec<SocketEndpoint>) {
         if endpoints.is_empty() {
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -38,6 +38,7 @@
 use reelfall_admin::ban::Bans;
 use reelfall_admin::ledger::Ledger;
 use reelfall_balancer::interface::Time;
+use reelfall_cluster::entry::ServerInstance;
 use reelfall_routing::limits::{Limits, ProcessResources};
 use reelfall_routing::shared_servers::SharedServers;
 use std::cell::{Cell, RefCell};
@@ -72,6 +73,8 @@
     fn collect_overdue(&self, now: Time, overdue: &mut Vec<OverdueRequest>);
     /// Applies, or ends, the ejection of a server by the fleet.
     fn apply_quorum_ejection(self: Rc<Self>, ejection: &QuorumEjection);
+    /// Readmits a server of which the fleet has found that it responds again.
+    fn readmit(self: Rc<Self>, server: &ServerInstance);
 }
 
 /// State that all pools of a process share.
--- a/crates/node/src/net/shared/fleet.rs
+++ b/crates/node/src/net/shared/fleet.rs
@@ -70,6 +70,13 @@
         }
     }
 
+    /// Readmits a server in all pools.
+    pub fn readmit(&self, server: &ServerInstance) {
+        for pool in self.pools() {
+            pool.readmit(server);
+        }
+    }
+
     /// The number of distinct servers in all endpoint lists.
     pub fn listed_server_count(&self) -> usize {
         self.listed_servers.count()
