Balancer: a prober probes a server that it has ejected itself

Callers saw: a server that was ejected by the fleet and responds again stayed out until the reports expired and each node's own ejection ended; the others took its requests. Cause: the selection leaves out a server that the node has ejected on its own, also where it is the prober; and otherwise draws it at the floor of its probability. Change: the prober's own ejection does not hold for idempotent requests, the next one is a trial, and a second one follows if it is answered.

--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -226,7 +226,7 @@
                 until,
                 is_prober,
             } => {
-                self.servers.set_peer_verdict(server, until, is_prober);
+                self.servers.set_peer_verdict(now, server, until, is_prober);
             }
             Event::PeerReadmission { server } => self.readmit(now, server),
             Event::ResponseStarted { request, .. } | Event::ClientGone { request } => {
--- a/crates/balancer/src/decide/selection.rs
+++ b/crates/balancer/src/decide/selection.rs
@@ -44,6 +44,8 @@
     spill_weight: f64,
     /// The faults that are seen are not the servers' own.
     is_fault_common: bool,
+    /// The request can be repeated anywhere.
+    is_idempotent: bool,
     /// The request can't be retried, and requests of another class can.
     needs_proven_server: bool,
 }
@@ -89,7 +91,10 @@
 
     fn health_weight(&self, server: &Server) -> f64 {
         let health = &server.health;
-        if health.is_ejected(self.now)
+        // A prober checks the server for all nodes, also for itself.
+        let is_probe = health.is_probing(self.now) && self.is_idempotent;
+        let is_ejected = health.is_ejected(self.now) && !is_probe;
+        if is_ejected
             || server.load.overdue > 0
             || health.is_blocked_by_peers(self.now)
             || self.request.tried_servers.contains(&server.endpoint.server)
@@ -110,9 +115,9 @@
         }
     }
 
-    /// Whether the request may be the first one to a server since its readmission.
+    /// Whether the request may be a trial that the server awaits.
     fn may_be_trial(&self, server: &Server) -> bool {
-        server.health.awaits_trial() && !self.needs_proven_server
+        server.health.awaits_trial() && self.is_idempotent
     }
 
     fn speed_weight(&self, server: &Server, mean_response: Time) -> f64 {
@@ -141,6 +146,7 @@
         let random = self.random.fraction();
         let mean_response = self.sampled_mean_response(now);
         let request = self.requests.get(&id)?;
+        let class = &self.settings.classes[usize::from(request.class)];
         let selection = Selection {
             settings: &self.settings,
             request,
@@ -150,6 +156,7 @@
             mean_response,
             spill_weight: self.zone_spill.weight(),
             is_fault_common: self.fault_scope.is_common(),
+            is_idempotent: class.idempotency == Idempotency::Idempotent,
             needs_proven_server: needs_proven_server(&self.settings, request),
         };
         for eligibility in [Eligibility::Preferred, Eligibility::Permitted] {
--- a/crates/balancer/src/decide/server_health.rs
+++ b/crates/balancer/src/decide/server_health.rs
@@ -4,6 +4,10 @@
 
 /// The duration of ejections doubles at most this many times.
 const MAX_DOUBLINGS: u32 = 3;
+/// Trials of a server that was readmitted.
+const READMISSION_TRIALS: u32 = 1;
+/// Trials by a prober, if the first one succeeds: one response could be chance.
+const PROBE_TRIALS: u32 = 2;
 
 /// What a failed or overdue attempt shows about a server.
 #[derive(Clone, Copy, Debug, Default)]
@@ -28,8 +32,8 @@
     peer_verdict_until: Time,
     /// This node sends it trial requests in spite of the verdict.
     is_prober: bool,
-    /// It was readmitted, and this node has sent it nothing since.
-    awaits_trial: bool,
+    /// Requests that it is sent before others are: to be found responding, or since it was readmitted.
+    trials_due: u32,
 }
 
 impl ServerHealth {
@@ -43,7 +47,7 @@
             ejected_until: now,
             peer_verdict_until: now,
             is_prober: false,
-            awaits_trial: false,
+            trials_due: 0,
         }
     }
 
@@ -62,28 +66,39 @@
         self.has_peer_verdict(now) && !self.is_prober
     }
 
+    /// Whether this node sends it trial requests on behalf of the cluster's nodes.
+    pub(super) fn is_probing(&self, now: Time) -> bool {
+        self.has_peer_verdict(now) && self.is_prober
+    }
+
     /// Records the verdict of the cluster's nodes.
-    pub(super) fn set_peer_verdict(&mut self, until: Time, is_prober: bool) {
+    pub(super) fn set_peer_verdict(&mut self, now: Time, until: Time, is_prober: bool) {
+        let was_probing = self.is_probing(now);
         self.peer_verdict_until = until;
         self.is_prober = is_prober;
+        if !self.is_probing(now) {
+            self.trials_due = 0;
+        } else if !was_probing {
+            self.trials_due = PROBE_TRIALS;
+        }
     }
 
     /// The cluster's nodes have found that it responds again: what this node holds against it is older.
     pub(super) fn readmit(&mut self, now: Time) {
         *self = ServerHealth {
-            awaits_trial: true,
+            trials_due: READMISSION_TRIALS,
             ..ServerHealth::new(now)
         };
     }
 
-    /// Whether it was readmitted, and this node has sent it nothing since.
+    /// Whether the next request that may be a trial is sent to it.
     pub(super) fn awaits_trial(&self) -> bool {
-        self.awaits_trial
+        self.trials_due > 0
     }
 
     /// An attempt is sent to it.
     pub(super) fn record_attempt(&mut self) {
-        self.awaits_trial = false;
+        self.trials_due = self.trials_due.saturating_sub(1);
     }
 
     /// It has responded well.
@@ -97,6 +112,7 @@
     /// An attempt has failed or is overdue. It is ejected if that is allowed; each failure in a row doubles the time.
     pub(super) fn record_failure(&mut self, now: Time, failure: Failure, ejection: Option<Time>) {
         self.is_proven = false;
+        self.trials_due = 0;
         if let Some(duration) = ejection {
             self.is_unreachable |= failure.is_unreachable;
             self.is_failing |= failure.is_failing;
--- a/crates/balancer/src/decide/servers.rs
+++ b/crates/balancer/src/decide/servers.rs
@@ -101,11 +101,17 @@
     }
 
     /// Records what the nodes of a cluster have agreed on.
-    pub(super) fn set_peer_verdict(&mut self, server: ServerId, until: Time, is_prober: bool) {
+    pub(super) fn set_peer_verdict(
+        &mut self,
+        now: Time,
+        server: ServerId,
+        until: Time,
+        is_prober: bool,
+    ) {
         if let Some(position) = self.positions.get(server) {
             self.servers[position]
                 .health
-                .set_peer_verdict(until, is_prober);
+                .set_peer_verdict(now, until, is_prober);
         }
     }
 
