Testbed: a request without an answer says how far it came, and on which connection

Change: the client's error is typed and names the former use of the connection; the history records it (RequestFailed); a violation of rule 1 lists the request's events at client and servers. Violations have a kind and the time in which they arose, which the soak needs.

--- a/crates/testbed/src/client.rs
+++ b/crates/testbed/src/client.rs
@@ -8,6 +8,7 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -28,6 +29,35 @@
     pub body: Bytes,
 }
 
+/// Why a request has no response, and what its connection was used for before.
+#[derive(Debug, thiserror::Error)]
+#[error("{source}, on {connection}")]
+pub struct RequestError {
+    /// The connection that it was sent on.
+    pub connection: ConnectionUse,
+    /// What went wrong.
+    #[source]
+    pub source: crate::Error,
+}
+
+/// The former use of a connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ConnectionUse {
+    /// None.
+    New,
+    /// It had been idle for this time.
+    Reused(Duration),
+}
+
+impl fmt::Display for ConnectionUse {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ConnectionUse::New => write!(formatter, "a new connection"),
+            ConnectionUse::Reused(idle) => write!(formatter, "a connection idle for {idle:?}"),
+        }
+    }
+}
+
 /// A response whose body has not been read, and its connection.
 struct Exchange {
     connection: Connection,
@@ -70,9 +100,27 @@
     ///
     /// # Errors
     /// If the connection breaks before the response is complete.
-    pub async fn send(&self, request: Request<Full<Bytes>>) -> Result<ClientResponse> {
-        let exchange = match self.take_idle() {
-            Some(connection) => self.send_on_reused(connection, request).await?,
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> std::result::Result<ClientResponse, RequestError> {
+        let idle = self.take_idle();
+        let connection = match &idle {
+            Some(idle) => ConnectionUse::Reused(idle.since.elapsed()),
+            None => ConnectionUse::New,
+        };
+        let result = self.send_on(idle, request).await;
+        result.map_err(|source| RequestError { connection, source })
+    }
+
+    /// Sends a request on an idle connection, if there is one, or on a new one.
+    async fn send_on(
+        &self,
+        idle: Option<IdleConnection>,
+        request: Request<Full<Bytes>>,
+    ) -> Result<ClientResponse> {
+        let exchange = match idle {
+            Some(idle) => self.send_on_reused(idle.connection, request).await?,
             None => self.send_on_new(request).await?,
         };
         let Exchange {
@@ -129,11 +177,11 @@
         })
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self) -> Option<IdleConnection> {
         let mut idle = self.idle();
         while let Some(candidate) = idle.pop() {
             if candidate.is_reusable() {
-                return Some(candidate.connection);
+                return Some(candidate);
             }
         }
         None
--- a/crates/testbed/src/fleet/history/event.rs
+++ b/crates/testbed/src/fleet/history/event.rs
@@ -61,6 +61,15 @@
         /// The status; `None` for a connection that broke.
         status: Option<u16>,
     },
+    /// The connection of a request broke before its response was complete.
+    RequestFailed {
+        /// The node that the request was sent to.
+        node: usize,
+        /// The request's id.
+        id: String,
+        /// What the client has seen, and how the connection was used before.
+        error: String,
+    },
     /// A server receives an attempt at a request.
     AttemptReceived {
         /// The server.
@@ -140,6 +149,12 @@
                 .field("id", id)
                 .field("status", status)
                 .finish(),
+            Event::RequestFailed { node, id, error } => formatter
+                .debug_struct(self.format_name())
+                .field("node", node)
+                .field("id", id)
+                .field("error", error)
+                .finish(),
             Event::AttemptReceived { server, id } | Event::Executed { server, id } => formatter
                 .debug_struct(self.format_name())
                 .field("server", server)
@@ -168,6 +183,7 @@
             Event::Logged { .. } => "Said",
             Event::RequestSent { .. } => "Asked",
             Event::ResponseReceived { .. } => "Answered",
+            Event::RequestFailed { .. } => "Broke",
             Event::AttemptReceived { .. } => "Attempt",
             Event::Executed { .. } => "Effect",
             Event::Banned { .. } => "Banned",
@@ -206,6 +222,18 @@
         fields.finish()
     }
 
+    /// The request that the event concerns, if it concerns one.
+    pub fn request_id(&self) -> Option<&str> {
+        match self {
+            Event::RequestSent { id, .. }
+            | Event::ResponseReceived { id, .. }
+            | Event::RequestFailed { id, .. }
+            | Event::AttemptReceived { id, .. }
+            | Event::Executed { id, .. } => Some(id),
+            _ => None,
+        }
+    }
+
     /// Whether the event concerns one request of a client; these are by far the most.
     pub(super) fn is_request_traffic(&self) -> bool {
         matches!(
--- a/crates/testbed/src/fleet/invariants.rs
+++ b/crates/testbed/src/fleet/invariants.rs
@@ -15,8 +15,43 @@
 /// How much later a busy machine may deliver a response, or act on a time-out.
 pub const SCHEDULING_SLACK: Duration = Duration::from_millis(400);
 
+/// An invariant that was violated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViolationKind {
+    /// A request had no response.
+    NoResponse,
+    /// A response came too late.
+    LateResponse,
+    /// An at-most-once request was executed twice.
+    SecondEffect,
+    /// An at-most-once request that was rejected was executed.
+    EffectOfRejected,
+}
+
+/// A violation of an invariant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Violation {
+    /// The invariant.
+    pub kind: ViolationKind,
+    /// When the request was sent.
+    pub from: Duration,
+    /// When the violation was seen.
+    pub at: Duration,
+    /// What was seen.
+    pub text: String,
+}
+
 /// Checks all invariants; returns the violations, one line each.
 pub fn violations(events: &[TimedEvent]) -> Vec<String> {
+    let violations = find_violations(events);
+    violations
+        .into_iter()
+        .map(|violation| violation.text)
+        .collect()
+}
+
+/// Checks all invariants.
+pub fn find_violations(events: &[TimedEvent]) -> Vec<Violation> {
     let mut violations = duplicate_executions(events);
     violations.extend(rejected_but_executed(events));
     violations.extend(unanswered_requests(events));
@@ -24,24 +59,29 @@
 }
 
 /// No at-most-once request is executed twice.
-fn duplicate_executions(events: &[TimedEvent]) -> Vec<String> {
+fn duplicate_executions(events: &[TimedEvent]) -> Vec<Violation> {
     let at_most_once = at_most_once_requests(events);
-    let mut executions: HashMap<&str, u32> = HashMap::new();
+    let mut executions: HashMap<&str, Vec<Duration>> = HashMap::new();
     for entry in events {
         if let Event::Executed { id, .. } = &entry.event {
-            *executions.entry(id).or_default() += 1;
+            executions.entry(id).or_default().push(entry.at);
         }
     }
     let duplicates = executions
         .into_iter()
-        .filter(|(id, count)| *count > 1 && at_most_once.contains(id));
+        .filter(|(id, times)| times.len() > 1 && at_most_once.contains(id));
     duplicates
-        .map(|(id, count)| format!("rule 2: {id} had its effect {count} times"))
+        .map(|(id, times)| Violation {
+            kind: ViolationKind::SecondEffect,
+            from: times.first().copied().unwrap_or_default(),
+            at: times.last().copied().unwrap_or_default(),
+            text: format!("rule 2: {id} had its effect {} times", times.len()),
+        })
         .collect()
 }
 
 /// An at-most-once request that was rejected is not executed.
-fn rejected_but_executed(events: &[TimedEvent]) -> Vec<String> {
+fn rejected_but_executed(events: &[TimedEvent]) -> Vec<Violation> {
     let at_most_once = at_most_once_requests(events);
     let mut rejected: HashMap<&str, u16> = HashMap::new();
     for entry in events {
@@ -57,11 +97,16 @@
         }
     }
     let executed = events.iter().filter_map(|entry| match &entry.event {
-        Event::Executed { id, .. } => Some((id, rejected.get(id.as_str())?)),
+        Event::Executed { id, .. } => Some((entry.at, id, rejected.get(id.as_str())?)),
         _ => None,
     });
     executed
-        .map(|(id, status)| format!("rule 2: {id} was refused with {status}, and ran"))
+        .map(|(at, id, status)| Violation {
+            kind: ViolationKind::EffectOfRejected,
+            from: at,
+            at,
+            text: format!("rule 2: {id} was refused with {status}, and ran"),
+        })
         .collect()
 }
 
@@ -85,7 +130,7 @@
 
 /// Every request that a running node received has one response in time. A node that was killed or paused meanwhile is
 /// excused.
-fn unanswered_requests(events: &[TimedEvent]) -> Vec<String> {
+fn unanswered_requests(events: &[TimedEvent]) -> Vec<Violation> {
     let outages = outages(events);
     let mut pending: HashMap<&str, PendingRequest> = HashMap::new();
     let mut violations = Vec::new();
@@ -103,7 +148,11 @@
                     continue;
                 };
                 if !was_down(&outages, &request, *at) {
-                    violations.extend(response_violation(id, &request, *at, *status));
+                    let mut violation = response_violation(id, &request, *at, *status);
+                    if let Some(violation) = &mut violation {
+                        violation.text += &stations(events, id);
+                    }
+                    violations.extend(violation);
                 }
             }
             _ => {}
@@ -117,18 +166,34 @@
     request: &PendingRequest,
     received_at: Duration,
     status: Option<u16>,
-) -> Option<String> {
+) -> Option<Violation> {
     let sent_at = request.sent_at;
     let response_time = received_at - sent_at;
-    if status.is_none() {
-        Some(format!(
-            "rule 1: {id} was taken at {sent_at:?} and never answered"
-        ))
+    let (kind, text) = if status.is_none() {
+        let text = format!("rule 1: {id} was taken at {sent_at:?} and never answered");
+        (ViolationKind::NoResponse, text)
     } else if response_time > DEADLINE + SCHEDULING_SLACK {
-        Some(format!("rule 1: {id} was answered after {response_time:?}"))
+        let text = format!("rule 1: {id} was answered after {response_time:?}");
+        (ViolationKind::LateResponse, text)
     } else {
-        None
-    }
+        return None;
+    };
+    Some(Violation {
+        kind,
+        from: sent_at,
+        at: received_at,
+        text,
+    })
+}
+
+/// The events of one request, so that a violation says how far it came.
+fn stations(events: &[TimedEvent], id: &str) -> String {
+    let of_request = events
+        .iter()
+        .filter(|entry| entry.event.request_id() == Some(id));
+    of_request
+        .map(|TimedEvent { at, event }| format!("; {:.4} {event}", at.as_secs_f64()))
+        .collect()
 }
 
 /// A time in which a node could not answer.
--- a/crates/testbed/src/fleet/load.rs
+++ b/crates/testbed/src/fleet/load.rs
@@ -162,7 +162,15 @@
     let response = tokio::time::timeout(timeout, client.send(request)).await;
     let status = match response {
         Ok(Ok(response)) => Some(response.status.as_u16()),
-        Ok(Err(_)) | Err(_) => None,
+        Ok(Err(error)) => {
+            history.record(Event::RequestFailed {
+                node,
+                id: id.clone(),
+                error: error.to_string(),
+            });
+            None
+        }
+        Err(_) => None,
     };
     history.record(Event::ResponseReceived { node, id, status });
 }
