--- a/crates/testbed/src/commands/mod.rs
+++ b/crates/testbed/src/commands/mod.rs
@@ -6,6 +6,7 @@
 pub mod load;
 pub mod measure;
 pub mod scenario;
+pub mod soak;
 pub mod stand_ins;
 
 use serde_json::{json, Value};
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`demo`] | a node with its stand-ins, for manual use |
 //! | [`measure`] | processor time, latency and memory of a node |
 //! | [`scripted`] | peers whose bytes a test sets one by one, in blocking code |
+//! | [`soak`] | many drawn days, each judged by what clients and servers saw |
 //! | [`ports`] | free ports of the loopback address |
 
 pub mod client;
@@ -36,6 +37,7 @@
 pub mod relay;
 pub mod scenario;
 pub mod scripted;
+pub mod soak;
 mod task;
 
 pub use random::SeededRng;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -3,8 +3,9 @@
 mod commands;
 
 use clap::{Parser, Subcommand};
-use commands::{demo, fleet, load, measure, scenario, stand_ins};
+use commands::{demo, fleet, load, measure, scenario, soak, stand_ins};
 use reelfall_testbed::node::Program;
+use reelfall_testbed::soak::stalls;
 use reelfall_testbed::Result;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -38,6 +39,11 @@
     Scenario(scenario::ScenarioArgs),
     /// A fleet of nodes under load, and a schedule of faults: drawn from a seed, or read from a file of lines
     Fleet(fleet::ScheduleArgs),
+    /// Many drawn days, each judged by what clients and servers saw; a red one is an exit code
+    Soak(soak::SoakArgs),
+    /// Sleeps, and prints when it woke late, until nobody reads
+    #[command(hide = true)]
+    StallMeter,
     /// A node with its stand-ins, until ended
     Demo(demo::DemoArgs),
     /// Measures what the node costs; the figures are the last line
@@ -59,6 +65,8 @@
         Command::Load(args) => load::run(args).await,
         Command::Scenario(args) => return scenario::run(&program, &args).await,
         Command::Fleet(args) => return fleet::run(&program, &args).await,
+        Command::Soak(args) => return soak::run(&program, args).await,
+        Command::StallMeter => stalls::measure(&mut std::io::stdout())?,
         Command::Demo(args) => demo::run(&program, &args).await?,
         Command::Measure(args) => measure::run(&program, args).await?,
     }
--- /dev/null
+++ b/crates/testbed/src/scripted/configuration.rs
@@ -0,0 +1,50 @@
+//! The configuration that a platform gives to a node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What differs between the configurations of the test bed.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformConfiguration {
+    /// Where the node listens.
+    pub listen: SocketAddr,
+    /// Where it finds discovery.
+    pub discovery: SocketAddr,
+    /// Maximum number of sockets that it may open.
+    pub max_sockets: usize,
+    /// Latency objective of all classes.
+    pub latency_objective: Duration,
+    /// Deadline of all classes.
+    pub deadline: Duration,
+    /// How long requests may still be sent to a draining server.
+    pub drain_grace: Duration,
+}
+
+impl PlatformConfiguration {
+    /// The configuration as the platform writes it: two classes, of which one is idempotent.
+    pub fn to_json(&self) -> String {
+        let promise = self.latency_objective.as_secs_f64();
+        let deadline = self.deadline.as_secs_f64();
+        let drain_grace = self.drain_grace.as_secs_f64();
+        let class = |name: &str, idempotency: &str| {
+            format!(
+                r#"{{"name":"{name}","promise":{promise:?},"deadline":{deadline:?},"worth":1.0,"late-value":0.5,"effect":"{idempotency}"}}"#
+            )
+        };
+        let PlatformConfiguration {
+            listen,
+            discovery,
+            max_sockets,
+            ..
+        } = self;
+        format!(
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1f",
+        "limits":{{"cores":1.0,"memory_mb":64,"sockets":{max_sockets}}},"known":null,
+        "settings":{{"categories":[{},{}],"discovery":"push","kinds":["k"],"failure-domains":["a"],
+        "limits":{{"max-attempts":4,"conn-idle":5.0,"connect-timeout":2.0,"retry-after":true,
+        "max-retry-after":0.3}},"rules":{{"answer-slack":0.05,"drain-grace":{drain_grace:?}}}}}}}"#,
+            class("read", "idempotent"),
+            class("write", "at_most_once"),
+        )
+    }
+}
--- a/crates/testbed/src/scripted/mod.rs
+++ b/crates/testbed/src/scripted/mod.rs
@@ -10,9 +10,11 @@
 //! | `discovery` | the discovery service of the platform, with the lines that a test prescribes |
 //! | `server` | servers that respond as a test prescribes |
 //! | `node` | the process of the program under test |
+//! | `configuration` | the configuration of a platform |
 //! | `client` | requests of clients and operators |
 
 mod client;
+mod configuration;
 mod discovery;
 mod message;
 mod node;
@@ -23,6 +25,7 @@
 pub use client::{
     call_management, connect, exchange, get, read_request, read_response, write_request, Response,
 };
+pub use configuration::PlatformConfiguration;
 pub use discovery::{endpoint_list, Discovery, ListedServer};
 pub use message::{Header, Message};
 pub use node::Node;
--- a/crates/testbed/src/scripted/node.rs
+++ b/crates/testbed/src/scripted/node.rs
@@ -1,7 +1,7 @@
 //! The process of the program under test, with the configuration of a platform.
 
 use super::client::{read_response, try_connect};
-use super::{Message, WAIT_TIMEOUT};
+use super::{Message, PlatformConfiguration, WAIT_TIMEOUT};
 use crate::node::{Folder, Program};
 use crate::ports::Port;
 use std::io::{BufReader, Write};
@@ -11,6 +11,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Latency objective of all classes.
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(1500);
+/// Deadline of all classes.
+const DEADLINE: Duration = Duration::from_secs(6);
+
 /// The program under test. It is killed when this is dropped.
 pub struct Node {
     /// Where clients connect.
@@ -205,20 +210,15 @@
 
 /// A configuration as the platform writes it.
 fn configuration(listen: SocketAddr, discovery: SocketAddr, max_sockets: usize) -> String {
-    let class = |name: &str, idempotency: &str| {
-        format!(
-            r#"{{"name":"{name}","promise":1.5,"deadline":6.0,"worth":1.0,"late-value":0.5,"effect":"{idempotency}"}}"#
-        )
+    let configuration = PlatformConfiguration {
+        listen,
+        discovery,
+        max_sockets,
+        latency_objective: LATENCY_OBJECTIVE,
+        deadline: DEADLINE,
+        drain_grace: Duration::ZERO,
     };
-    format!(
-        r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1f",
-        "limits":{{"cores":1.0,"memory_mb":64,"sockets":{max_sockets}}},"known":null,
-        "settings":{{"categories":[{},{}],"discovery":"push","kinds":["k"],"failure-domains":["a"],
-        "limits":{{"max-attempts":4,"conn-idle":5.0,"connect-timeout":2.0,"retry-after":true,
-        "max-retry-after":0.3}},"rules":{{"answer-slack":0.05}}}}}}"#,
-        class("read", "idempotent"),
-        class("write", "at_most_once"),
-    )
+    configuration.to_json()
 }
 
 fn is_healthy(node: SocketAddr) -> bool {
--- /dev/null
+++ b/crates/testbed/src/soak/exchange.rs
@@ -0,0 +1,197 @@
+//! Requests and responses on one connection, byte by byte. Used by `client`.
+
+use std::io;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Maximum number of headers of a response.
+const MAX_HEADERS: usize = 32;
+/// Bytes that are read at a time.
+const READ_BYTES: usize = 4096;
+
+/// A request as it is written.
+pub(super) struct RequestText {
+    pub(super) id: String,
+    pub(super) at_most_once: bool,
+    pub(super) bytes: Vec<u8>,
+}
+
+impl RequestText {
+    /// A request that both forms of a node accept: by the host of a settings file's route, and by the platform's headers.
+    pub(super) fn new(
+        id: String,
+        at_most_once: bool,
+        body_length: usize,
+        deadline: Duration,
+    ) -> RequestText {
+        let (method, host, class) = if at_most_once {
+            ("POST", "toggle.example.org", "write")
+        } else {
+            ("GET", "evaluate.example.org", "read")
+        };
+        let framing = if at_most_once {
+            format!("content-length: {body_length}\r\n")
+        } else {
+            String::new()
+        };
+        let head = format!(
+            "{method} /api/flags HTTP/1.1\r\nhost: {host}\r\nx-correlation-id: {id}\r\nx-service-class: {class}\r\n\
+             x-time-left: {:.3}\r\n{framing}\r\n",
+            deadline.as_secs_f64()
+        );
+        let mut bytes = head.into_bytes();
+        bytes.resize(bytes.len() + body_length, b'x');
+        RequestText {
+            id,
+            at_most_once,
+            bytes,
+        }
+    }
+}
+
+/// What was read in place of a response.
+#[derive(Debug, PartialEq, Eq)]
+pub(super) enum ReadResponse {
+    /// A whole response.
+    Response { status: u16, body: Vec<u8> },
+    /// A part of one, and the end of the connection.
+    CutShort,
+    /// The end of the connection.
+    Ended { was_reset: bool },
+}
+
+/// The head of a response.
+struct Head {
+    status: u16,
+    length: usize,
+    body_length: Option<usize>,
+    closes: bool,
+}
+
+/// A client's connection.
+pub(super) struct Connection {
+    stream: TcpStream,
+    /// What was read behind the last response.
+    unread: Vec<u8>,
+    requests: usize,
+    is_announced_closed: bool,
+}
+
+impl Connection {
+    pub(super) fn new(stream: TcpStream) -> Connection {
+        // A request that the system holds back would be one that was not written.
+        let _ = stream.set_nodelay(true);
+        Connection {
+            stream,
+            unread: Vec::new(),
+            requests: 0,
+            is_announced_closed: false,
+        }
+    }
+
+    /// Writes bytes; returns whether the system took them.
+    pub(super) async fn write(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).await.is_ok()
+    }
+
+    /// Counts a request; returns whether it is the first one.
+    pub(super) fn begin_request(&mut self) -> bool {
+        self.requests += 1;
+        self.requests == 1
+    }
+
+    /// Whether a response said that the connection would be closed.
+    pub(super) fn is_announced_closed(&self) -> bool {
+        self.is_announced_closed
+    }
+
+    /// Returns once the other side has ended the connection, or sent something.
+    pub(super) async fn closed(&mut self) {
+        let mut byte = [0];
+        let _ = self.stream.peek(&mut byte).await;
+    }
+
+    /// Closes the connection.
+    pub(super) async fn close(&mut self) {
+        let _ = self.stream.shutdown().await;
+    }
+
+    /// Reads the next response, without those that are only provisional.
+    pub(super) async fn read_response(&mut self) -> ReadResponse {
+        loop {
+            let head = loop {
+                if let Some(head) = parse_head(&self.unread) {
+                    break head;
+                }
+                if let Err(end) = self.read_more().await {
+                    return end;
+                }
+            };
+            self.unread.drain(..head.length);
+            if head.status < 200 {
+                continue;
+            }
+            self.is_announced_closed |= head.closes;
+            return self.read_body(&head).await;
+        }
+    }
+
+    async fn read_body(&mut self, head: &Head) -> ReadResponse {
+        let Some(length) = head.body_length else {
+            return ReadResponse::CutShort;
+        };
+        while self.unread.len() < length {
+            if self.read_more().await.is_err() {
+                return ReadResponse::CutShort;
+            }
+        }
+        ReadResponse::Response {
+            status: head.status,
+            body: self.unread.drain(..length).collect(),
+        }
+    }
+
+    /// Reads what has arrived, or how the connection ended.
+    async fn read_more(&mut self) -> Result<(), ReadResponse> {
+        let mut buffer = [0; READ_BYTES];
+        let has_part = !self.unread.is_empty();
+        let read = self.stream.read(&mut buffer).await;
+        match read {
+            Ok(length) if length > 0 => {
+                self.unread
+                    .extend_from_slice(buffer.get(..length).unwrap_or_default());
+                Ok(())
+            }
+            _ if has_part => Err(ReadResponse::CutShort),
+            Ok(_) => Err(ReadResponse::Ended { was_reset: false }),
+            Err(error) => Err(ReadResponse::Ended {
+                was_reset: error.kind() == io::ErrorKind::ConnectionReset,
+            }),
+        }
+    }
+}
+
+/// Parses the head of a response; `None` until it is complete.
+fn parse_head(bytes: &[u8]) -> Option<Head> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let Ok(httparse::Status::Complete(length)) = response.parse(bytes) else {
+        return None;
+    };
+    let value = |name: &str| {
+        let header = response
+            .headers
+            .iter()
+            .find(|header| header.name.eq_ignore_ascii_case(name))?;
+        std::str::from_utf8(header.value).ok()
+    };
+    let closes = value("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
+    let body_length = value("content-length").and_then(|value| value.trim().parse().ok());
+    Some(Head {
+        status: response.code?,
+        length,
+        body_length,
+        closes,
+    })
+}
--- /dev/null
+++ b/crates/testbed/src/soak/report.rs
@@ -0,0 +1,87 @@
+//! Lines and tables of a soak.
+
+use super::judge::{Finding, Judgement};
+use std::collections::BTreeMap;
+
+/// The sums of many days.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Totals {
+    /// Days that were played.
+    pub days: usize,
+    /// Days with findings that no delay of the machine explains.
+    pub red: usize,
+    /// Requests of all days.
+    pub requests: usize,
+    /// Requests that crossed the end of their connection.
+    pub crossed: usize,
+    /// Signals that were sent.
+    pub signals: usize,
+    /// Findings by rule, those in delays of the machine apart.
+    findings: BTreeMap<String, usize>,
+    disturbed: BTreeMap<String, usize>,
+}
+
+impl Totals {
+    /// Adds a day.
+    pub fn add(&mut self, judgement: &Judgement, signals: usize) {
+        self.days += 1;
+        self.red += usize::from(is_red(judgement));
+        self.requests += judgement.requests;
+        self.crossed += judgement.crossed;
+        self.signals += signals;
+        for finding in &judgement.findings {
+            let counts = if finding.disturbed_for.is_some() {
+                &mut self.disturbed
+            } else {
+                &mut self.findings
+            };
+            *counts.entry(format!("{:?}", finding.rule)).or_default() += 1;
+        }
+    }
+
+    /// A row of a table in Markdown, of which the first cell is the kind of the days.
+    pub fn row(&self, kind: &str) -> String {
+        format!(
+            "| {kind} | {} | {} | {} | {} | {} | {} | {} |",
+            self.days,
+            self.red,
+            self.requests,
+            self.signals,
+            self.crossed,
+            list(&self.findings),
+            list(&self.disturbed)
+        )
+    }
+}
+
+/// The head of the table.
+pub const TABLE_HEAD: &str =
+    "| kind | seeds | red | requests | signals | crossed | findings | disturbed |\n\
+     | --- | --- | --- | --- | --- | --- | --- | --- |";
+
+fn list(counts: &BTreeMap<String, usize>) -> String {
+    if counts.is_empty() {
+        return "none".to_owned();
+    }
+    let entries: Vec<String> = counts
+        .iter()
+        .map(|(rule, count)| format!("{rule} {count}"))
+        .collect();
+    entries.join(", ")
+}
+
+/// Whether a day has a finding that no delay of the machine explains.
+pub fn is_red(judgement: &Judgement) -> bool {
+    judgement
+        .findings
+        .iter()
+        .any(|finding| finding.disturbed_for.is_none())
+}
+
+/// The findings, a line each.
+pub fn findings(findings: &[Finding]) -> String {
+    findings
+        .iter()
+        .map(|finding| format!("    {finding}\n"))
+        .collect()
+}
