Node: requests that would outlive the process are answered before it ends

Callers saw: after SIGTERM a POST whose body was complete 0.6 s later or more, at a server that does not respond, had its connection closed without an answer. Cause: the process ends at the longest deadline and 0.6 s after SIGTERM; a request that is complete after 0.6 s has a later deadline, and nothing answered it before. Change: 0.15 s before its end the process answers what still waits as timed out and sends nothing more to servers. The three places that waited for answers (plain, GraphQL operation, batch) are one function.

--- a/crates/node/src/net/frontend.rs
+++ b/crates/node/src/net/frontend.rs
@@ -41,7 +41,6 @@
 pub use listen_socket::{BindError, ListenSocket};
 pub(super) use pending::PendingRequest;
 pub(super) use reply::set_retry_after;
-pub(super) use request::half_response_slack;
 pub(super) use request_body::BufferedBody;
 pub(super) use translate::AdmittedRequest;
 
@@ -84,6 +83,10 @@
     client_ended: Notify,
     /// Whether answers ask clients to connect elsewhere, since the process ends.
     is_stopping: Cell<bool>,
+    /// Whether the process ends so soon that requests without an answer are answered as timed out.
+    must_answer: Cell<bool>,
+    /// Notified when that begins.
+    must_answer_changed: Notify,
     /// Which process accepts, where several processes of this node run.
     handover: RefCell<Option<Rc<dyn HandoverState>>>,
     /// Notified when the state of the handover may have changed.
@@ -107,6 +110,8 @@
             eviction_order: Rc::default(),
             client_ended: Notify::new(),
             is_stopping: Cell::new(false),
+            must_answer: Cell::new(false),
+            must_answer_changed: Notify::new(),
             handover: RefCell::default(),
             handover_changed: Notify::new(),
             handover_sender: RefCell::default(),
--- a/crates/node/src/net/frontend/request.rs
+++ b/crates/node/src/net/frontend/request.rs
@@ -21,8 +21,6 @@
 use hyper::{Request, Response, StatusCode};
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::timeout_at;
 
 /// Path of all requests to the service of a node without routes.
 const PLATFORM_PATH: &str = "/api";
@@ -158,12 +156,13 @@
             return Err(RequestError::ClientLeft);
         }
         let deadline = arrival.deadline;
+        if self.must_answer_now() {
+            return Ok(timed_out());
+        }
         let (id, answer) = pool.submit(message, arrival);
         let mut pending = PendingRequest::new(pool, id);
-        // Attempts end at the deadline with an answer; this catches a request that has got none.
-        let timeout = deadline + half_response_slack(pool);
-        match timeout_at(timeout.into(), answer).await {
-            Ok(Ok(reply)) => {
+        match self.wait_for_answer(pool, deadline, answer).await {
+            Some(Ok(reply)) => {
                 pending.mark_answered();
                 Ok(respond(reply))
             }
@@ -194,11 +193,6 @@
         .filter(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
-/// Half of what answers are given to reach their clients.
-pub(in crate::net) fn half_response_slack(pool: &Pool) -> Duration {
-    Duration::try_from_secs_f64(pool.connection_settings.response_slack / 2.0).unwrap_or_default()
-}
-
 /// Answers a request that was not admitted, after its body was read.
 async fn reject(rejection: Response<ResponseBody>, body: Incoming) -> Response<ResponseBody> {
     match discard(body).await {
--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -12,6 +12,8 @@
 const KILL_AFTER_LONGEST_DEADLINE: Duration = Duration::from_millis(700);
 /// The process ends this long before SIGKILL.
 const EXIT_BEFORE_KILL: Duration = Duration::from_millis(100);
+/// Requests without an answer are answered this long before the end of the process.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 /// How often a node that is being drained closes idle connections.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time reserved at the end for clients that no successor takes over.
@@ -52,7 +54,8 @@
 
 impl Frontend {
     /// Serves clients until `stop`, then for as long as the shutdown takes: it ends when all requests are answered or
-    /// time is up.
+    /// time is up. A request whose last byte came late in the shutdown may have a later deadline than the process; it is
+    /// answered as timed out before.
     pub async fn serve(self: &Rc<Self>, stop: impl Future<Output = ()>) {
         stop.await;
         let begins_at = Instant::now();
@@ -61,6 +64,7 @@
             begins_at,
             ends_at: begins_at + longest_deadline + KILL_AFTER_LONGEST_DEADLINE - EXIT_BEFORE_KILL,
         };
+        let last_answers_at = shutdown.ends_at - LAST_ANSWERS_TIME;
         let handover = self.handover.borrow().clone();
         if let Some(handover) = &handover {
             handover.terminate();
@@ -76,12 +80,20 @@
             if step.is_draining {
                 self.drain_clients(handover, shares_listeners);
             }
+            if now >= last_answers_at && !self.must_answer.replace(true) {
+                self.must_answer_changed.notify_waiters();
+            }
+            let wake_at = if now < last_answers_at {
+                step.until.min(last_answers_at)
+            } else {
+                step.until
+            };
             let is_last_step = step.until == shutdown.ends_at;
             if now >= shutdown.ends_at || (is_last_step && self.clients.borrow().is_empty()) {
                 return;
             }
             tokio::select! {
-                () = tokio::time::sleep_until(step.until.into()) => {}
+                () = tokio::time::sleep_until(wake_at.into()) => {}
                 () = self.client_ended.notified() => {}
                 () = self.handover_changed.notified() => {}
             }
--- a/crates/node/src/net/graphql/batch.rs
+++ b/crates/node/src/net/graphql/batch.rs
@@ -4,7 +4,7 @@
 use super::response::{json_response, request_fault, retry_advice, HttpResponse};
 use super::GraphQlRequest;
 use crate::net::answer::{Answer, Reply};
-use crate::net::frontend::{half_response_slack, set_retry_after, Frontend, RequestError};
+use crate::net::frontend::{set_retry_after, Frontend, RequestError};
 use crate::net::operations::PreparedOperation;
 use crate::net::service::Service;
 use crate::net::shared::{MemoryPermit, Permit};
@@ -19,7 +19,6 @@
 use reelfall_routing::limits::LimitExceeded;
 use std::rc::Rc;
 use std::time::Instant;
-use tokio::time::timeout_at;
 
 /// The text of an entry's answer, and the memory that is reserved for it until the batch is answered.
 struct EntryAnswer {
@@ -116,8 +115,6 @@
     /// Runs the entries until all have ended or the deadline has passed. Dropping this cancels the entries in flight.
     async fn run(mut self) -> Vec<EntryResult<EntryAnswer>> {
         let (frontend, context) = (self.frontend, self.context);
-        // Entries end by themselves at the deadline; this catches those that do not.
-        let timeout = self.deadline + half_response_slack(context.pool);
         let mut in_flight = FuturesUnordered::new();
         loop {
             for entry in self.batch.start_ready() {
@@ -133,14 +130,18 @@
                 // Entries that were rejected at once have made room for others.
                 continue;
             }
-            match timeout_at(timeout.into(), in_flight.next()).await {
-                Ok(Some((entry, result))) => self.batch.finish(entry, entry_fate(result)),
+            let next = in_flight.next();
+            match frontend
+                .wait_for_answer(context.pool, self.deadline, next)
+                .await
+            {
+                Some(Some((entry, result))) => self.batch.finish(entry, entry_fate(result)),
                 _ => {
                     self.batch.end();
                     break;
                 }
             }
-            if Instant::now() >= self.deadline {
+            if frontend.must_answer_now() || Instant::now() >= self.deadline {
                 self.batch.end();
                 break;
             }
--- a/crates/node/src/net/graphql/operation.rs
+++ b/crates/node/src/net/graphql/operation.rs
@@ -2,9 +2,7 @@
 
 use crate::net::answer::Reply;
 use crate::net::body::Payload;
-use crate::net::frontend::{
-    half_response_slack, strip_hop_by_hop, Frontend, PendingRequest, RequestError,
-};
+use crate::net::frontend::{strip_hop_by_hop, Frontend, PendingRequest, RequestError};
 use crate::net::message::{AnswerValidator, Arrival, Message};
 use crate::net::operations::{GraphQl, OperationHead, PreparedOperation};
 use crate::net::pool::Pool;
@@ -16,7 +14,6 @@
 use reelfall_graphql::document::Operation;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::time::timeout_at;
 
 /// Tells the valid answers to an operation from others.
 struct OperationAnswerValidator {
@@ -121,12 +118,13 @@
             validator: Some(Box::new(validator)),
             waiter: context.head.waiter.clone(),
         };
+        if self.must_answer_now() {
+            return Ok(Reply::Failed(Some(Outcome::TimedOut)));
+        }
         let (request, answer) = pool.submit(message, arrival);
         let mut pending = PendingRequest::new(pool, request);
-        // Attempts end at the deadline with an answer; this catches a request that has got none.
-        let timeout = due + half_response_slack(pool);
-        match timeout_at(timeout.into(), answer).await {
-            Ok(Ok(reply)) => {
+        match self.wait_for_answer(pool, due, answer).await {
+            Some(Ok(reply)) => {
                 pending.mark_answered();
                 Ok(reply)
             }
--- a/crates/testbed/tests/reload/shutdown.rs
+++ b/crates/testbed/tests/reload/shutdown.rs
@@ -8,6 +8,8 @@
 use reelfall_testbed::node::Node;
 use reelfall_testbed::pool::Server;
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -84,3 +86,62 @@
     );
     assert!(node.wait_for_exit().await.unwrap());
 }
+
+/// The deadline of a request that must be answered before its process ends.
+const SHORT_DEADLINE: Duration = Duration::from_secs(1);
+/// SIGKILL follows this long after SIGTERM and the longest deadline, at the earliest.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// A request that is written so long after SIGTERM has a later deadline than its process.
+const LATE_REQUEST_TIME: Duration = Duration::from_millis(800);
+
+/// Writes a request of which the last byte comes late in a shutdown, to a server that hangs; returns all that is read.
+async fn write_late_request(host: &str, body: &str, settings: &str, server: &Server) -> String {
+    let mut node = start_node(settings).await;
+    set_paused(server, true);
+    let mut client = TcpStream::connect(node.address()).await.unwrap();
+    let request = format!(
+        "POST /api HTTP/1.1\r\nhost: {host}\r\nx-correlation-id: late\r\ncontent-type: application/json\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let (start, last_byte) = request.split_at(request.len() - 1);
+    client.write_all(start.as_bytes()).await.unwrap();
+    node.signal("TERM").unwrap();
+    let terminated_at = Instant::now();
+    tokio::time::sleep_until((terminated_at + LATE_REQUEST_TIME).into()).await;
+    client.write_all(last_byte.as_bytes()).await.unwrap();
+    let mut response = String::new();
+    let read = within_timeout("the end", client.read_to_string(&mut response)).await;
+    assert!(read.is_ok(), "{read:?}");
+    assert!(node.wait_for_exit().await.unwrap());
+    assert!(terminated_at.elapsed() < SHORT_DEADLINE + KILL_MARGIN);
+    response
+}
+
+/// Guards against requests that end with the process, without an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_outlives_the_process_is_answered() {
+    let server = start_healthy_server("s").await;
+    let settings = settings_for(&["/api"], &server)
+        .replace("repeat = \"safe\"", "repeat = \"unsafe\"")
+        .replace("deadline = \"60s\"", "deadline = \"1s\"");
+    let response = write_late_request("a.example.org", "body", &settings, &server).await;
+    assert!(response.starts_with("HTTP/1.1 504"), "{response:?}");
+}
+
+/// The same for an operation and a batch, whose answers are awaited elsewhere.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn graphql_request_that_outlives_the_process_is_answered() {
+    let mutation = r#"{"query":"mutation { toggle }"}"#;
+    let batch = format!("[{mutation},{mutation}]");
+    for body in [mutation, &batch] {
+        let server = start_healthy_server("s").await;
+        let settings = settings_for(&["/api"], &server)
+            .replace("repeat = \"safe\"", "repeat = \"unsafe\"")
+            .replace("deadline = \"60s\"", "deadline = \"1s\"")
+            + "[service.graphql]\nother_query = \"c\"\nother_mutation = \"c\"\n";
+        let response = write_late_request("a.example.org", body, &settings, &server).await;
+        assert!(response.starts_with("HTTP/1.1 "), "{response:?}");
+        assert!(response.contains("\"errors\""), "{response:?}");
+    }
+}
