Balancer: attempts from before a readmission do not count after it

Callers saw: a node that still awaited an attempt from before the readmission sent the server nothing, and its timeout ejected the server anew, though other nodes have its responses. Found by reading again. Cause: the readmission reset the server's health, not its load: an overdue attempt makes its weight 0, and a timeout counts unless a later attempt was answered. Change: a readmission is recorded like a response, by the function that responses use. The mean of the others is the weighted mean that was there, in place of a second one. Measured: the new test is red without the change (no trial beside the attempt) and green with it; balancer's tests green, golden decisions equal.

--- a/crates/balancer/src/decide/attempts.rs
+++ b/crates/balancer/src/decide/attempts.rs
@@ -109,8 +109,7 @@
         self.zone_spill
             .record(is_remote, ended.waited > ended.latency_objective);
         let sent_at = ended.attempt.sent_at.min(now);
-        server.load.last_answered_sent_at = server.load.last_answered_sent_at.max(sent_at);
-        server.load.overdue = 0;
+        server.load.record_response(sent_at);
         self.automaton.observe(ended.position, response);
         if response <= ended.mean_response {
             self.automaton.reward(ended.position);
--- a/crates/balancer/src/decide/mod.rs
+++ b/crates/balancer/src/decide/mod.rs
@@ -324,15 +324,16 @@
     /// The mean of the running averages of response times. The average of an ejected server does not change, so it would
     /// distort every comparison, and does not count.
     fn mean_response(&self, now: Time) -> Time {
-        self.weighted_mean_response(now, |_| 1.0)
+        self.weighted_mean_response(now, |_, _| 1.0)
     }
 
     /// The same as seen by the sampling: servers count by their probabilities.
     fn sampled_mean_response(&self, now: Time) -> Time {
-        self.weighted_mean_response(now, |probability| probability)
+        self.weighted_mean_response(now, |_, probability| probability)
     }
 
-    fn weighted_mean_response(&self, now: Time, weight: impl Fn(f64) -> f64) -> Time {
+    /// The same with a weight for each server, by its position and probability.
+    fn weighted_mean_response(&self, now: Time, weight: impl Fn(usize, f64) -> f64) -> Time {
         let mut sum = 0.0;
         let mut total_weight = 0.0;
         let entries = self
@@ -340,10 +341,12 @@
             .mean_response
             .iter()
             .zip(&self.automaton.probability);
-        for (server, (mean_response, probability)) in self.servers.iter().zip(entries) {
+        let servers = self.servers.iter().zip(entries).enumerate();
+        for (position, (server, (mean_response, probability))) in servers {
             if !server.health.is_ejected(now) {
-                sum += weight(*probability) * mean_response;
-                total_weight += weight(*probability);
+                let weight = weight(position, *probability);
+                sum += weight * mean_response;
+                total_weight += weight;
             }
         }
         if total_weight > 0.0 {
--- a/crates/balancer/src/decide/outlier.rs
+++ b/crates/balancer/src/decide/outlier.rs
@@ -46,25 +46,15 @@
         let Some(position) = self.servers.position(server) else {
             return;
         };
-        if let Some(mean_response) = self.mean_response_of_others(now, position) {
-            self.automaton.limit_mean_response(position, mean_response);
-        }
+        let others = |other, _| f64::from(u8::from(other != position));
+        let mean_response = self.weighted_mean_response(now, others);
+        self.automaton.limit_mean_response(position, mean_response);
         let relative_weight = self.servers[position].endpoint.weight / self.servers.mean_weight();
         let relative_probability = relative_size(self.settings.has_server_weights, relative_weight);
         self.automaton.raise(position, relative_probability);
         self.servers[position].health.readmit(now);
-    }
-
-    /// The mean of the running averages of all servers but one that are not ejected.
-    fn mean_response_of_others(&self, now: Time, position: usize) -> Option<Time> {
-        let others = self
-            .servers
-            .iter()
-            .zip(&self.automaton.mean_response)
-            .enumerate()
-            .filter(|(other, (server, _))| *other != position && !server.health.is_ejected(now));
-        let averages: Vec<Time> = others.map(|(_, (_, average))| *average).collect();
-        (!averages.is_empty()).then(|| averages.iter().sum::<Time>() / averages.len() as f64)
+        // Other nodes have its responses: what this one still awaits is held up on its own connections.
+        self.servers[position].load.record_response(now);
     }
 }
 
--- a/crates/balancer/src/decide/servers.rs
+++ b/crates/balancer/src/decide/servers.rs
@@ -23,6 +23,14 @@
     pub(super) last_answered_sent_at: Time,
 }
 
+impl ServerLoad {
+    /// The server is known to have responded to an attempt that was sent then.
+    pub(super) fn record_response(&mut self, sent_at: Time) {
+        self.last_answered_sent_at = self.last_answered_sent_at.max(sent_at);
+        self.overdue = 0;
+    }
+}
+
 /// What this node knows of one listed server.
 pub(super) struct Server {
     pub(super) endpoint: Endpoint,
--- a/crates/balancer/tests/failures/outlier_ejection.rs
+++ b/crates/balancer/tests/failures/outlier_ejection.rs
@@ -233,6 +233,36 @@
     }
 }
 
+/// Guards against attempts from before a readmission that count against the server after it.
+#[test]
+fn attempts_from_before_a_readmission_do_not_count_after_it() {
+    let mut node = Node::new(settings(classes()), SERVERS);
+    for _ in 0..100 {
+        serve_request(&mut node, true);
+    }
+    let (held, held_server) = loop {
+        let (request, server) = node.request(AT_MOST_ONCE_CLASS, None, DEADLINE);
+        let server = server.expect("a server");
+        if server == FAULTY_SERVER {
+            break (request, server);
+        }
+        node.end(request, 0, server, Outcome::Served, 0.01);
+    };
+    for _ in 0..3 {
+        serve_request(&mut node, true);
+    }
+    node.tell(Event::PeerReadmission {
+        server: FAULTY_SERVER,
+    });
+    assert!(
+        serve_request(&mut node, true),
+        "no trial beside the attempt"
+    );
+    node.end(held, 0, held_server, Outcome::TimedOut, DEADLINE);
+    let sent = (0..50).filter(|_| serve_request(&mut node, true)).count();
+    assert!(sent > 0, "ejected for an attempt from before");
+}
+
 /// Guards against a node that alone leaves out a server that the nodes of its cluster have readmitted.
 #[test]
 fn readmitted_server_gets_an_attempt_in_three_seconds_and_half_of_its_share_in_ten() {
