Cluster: a report that was withdrawn without a response shows no recovery

Cause: a provisional report is withdrawn by the finding Unclear, whether its attempts were answered or are gone; any Unclear was taken for a response. Change: the withdrawal says by its number of good attempts whether the server has responded since; the form on the wire is the same.

--- a/crates/cluster/src/entry.rs
+++ b/crates/cluster/src/entry.rs
@@ -123,10 +123,18 @@
     Silent,
     /// It was reached and failed.
     Failing,
-    /// The previous report was wrong: it answered after all. Counts for nothing, and replaces that report.
+    /// The previous report was wrong: its attempts were answered after all, or have ended without an outcome. Counts for
+    /// nothing, and replaces that report.
     Unclear,
 }
 
+impl Report {
+    /// Whether the server has responded to the reporting node.
+    pub fn is_of_response(&self) -> bool {
+        self.finding == Finding::Well || (self.finding == Finding::Unclear && self.good > 0)
+    }
+}
+
 impl Finding {
     /// Whether it counts against the server.
     pub fn is_fault(self) -> bool {
@@ -141,7 +149,7 @@
     pub finding: Finding,
     /// Number of failed attempts, each a request of its own.
     pub bad: u16,
-    /// Number of successful attempts in the same time.
+    /// Number of successful attempts in the same time; of an unclear finding, 1 if its attempts were answered after all.
     pub good: u16,
     /// The zone of the reporting node; empty for none.
     pub zone: String,
--- a/crates/cluster/src/fleet/query.rs
+++ b/crates/cluster/src/fleet/query.rs
@@ -114,8 +114,8 @@
         ejected.into_iter().map(to_ejected).collect()
     }
 
-    /// Whether a member has found that a server responds, and too few still report a fault to eject it. Reports that have
-    /// expired show nothing.
+    /// Whether a server has responded to a member, and too few still report a fault to eject it. Reports that have expired,
+    /// or were withdrawn without a response, show nothing.
     pub fn has_recovered(&self, server: &ServerInstance, now: Time) -> bool {
         let mut votes = Votes::default();
         let mut responds = false;
@@ -125,7 +125,7 @@
             .filter(|report| self.members.contains(report.by))
         {
             votes.add(published.report, &self.config.zone, &self.config.quorum);
-            responds |= !published.report.finding.is_fault();
+            responds |= published.report.is_of_response();
         }
         responds && votes.majority(&self.config.quorum).is_none()
     }
--- a/crates/cluster/src/observer.rs
+++ b/crates/cluster/src/observer.rs
@@ -192,15 +192,16 @@
             .count()
     }
 
-    /// Withdraws a provisional report whose attempts were answered.
+    /// Withdraws a provisional report whose attempts were answered, or have ended without an outcome.
     fn withdrawal(&self) -> Option<Assessment> {
-        let withdrawal = Assessment {
+        let last = self.last_report.filter(|last| last.is_provisional)?;
+        let has_responded = self.last_response_at >= last.at;
+        Some(Assessment {
             finding: Finding::Unclear,
             bad: 0,
-            good: 0,
+            good: usize::from(has_responded),
             is_provisional: false,
-        };
-        self.is_provisional().then_some(withdrawal)
+        })
     }
 
     fn is_provisional(&self) -> bool {
--- a/crates/cluster/tests/fleet/verdicts.rs
+++ b/crates/cluster/tests/fleet/verdicts.rs
@@ -160,6 +160,75 @@
     assert_eq!(world.violations, Vec::<Violation>::new());
 }
 
+/// How many nodes of this cluster find that the first server responds again.
+fn nodes_that_find_recovery(world: &Cluster) -> usize {
+    let processes = world.processes.iter().flatten();
+    let finds_recovery = processes.filter(|process| {
+        let now = process.local_time(world.now);
+        process.fleet.has_recovered(&server(0), now)
+    });
+    finds_recovery.count()
+}
+
+fn is_ejected_on_none(world: &Cluster) -> bool {
+    (0..world.processes.len()).all(|node| ejected_servers(world, node).is_empty())
+}
+
+/// Guards against servers that are taken for recovered although nothing has come from them.
+#[test]
+fn only_responses_show_that_an_ejected_server_has_recovered() {
+    let mut world = gathered_world(5, 83);
+    world.run(1.0);
+    // The attempts are answered after all.
+    set_overdue(&mut world, &[0, 1, 2], Some(0.01));
+    world.run_until(2.0, is_first_ejected_on_all);
+    assert_eq!(nodes_that_find_recovery(&world), 0);
+    world.run(0.1);
+    record_outcomes(&mut world, &[0, 1, 2], &[0], AttemptOutcome::AnsweredLate);
+    set_overdue(&mut world, &[0, 1, 2], None);
+    world.run_until(2.0, is_ejected_on_none);
+    assert_eq!(nodes_that_find_recovery(&world), 5);
+    world.run(30.0);
+    // The attempts end without an outcome.
+    set_overdue(&mut world, &[0, 1, 2], Some(0.01));
+    world.run_until(2.0, is_first_ejected_on_all);
+    set_overdue(&mut world, &[0, 1, 2], None);
+    world.run_until(2.0, is_ejected_on_none);
+    assert_eq!(nodes_that_find_recovery(&world), 0, "aborted attempts");
+    world.run(30.0);
+    // The reports expire.
+    set_overdue(&mut world, &[0, 1, 2], Some(0.01));
+    world.run_until(2.0, is_first_ejected_on_all);
+    record_outcomes(&mut world, &[0, 1, 2], &[0], AttemptOutcome::TimedOut);
+    set_overdue(&mut world, &[0, 1, 2], None);
+    world.run_until(15.0, is_ejected_on_none);
+    assert_eq!(nodes_that_find_recovery(&world), 0, "expired reports");
+}
+
+/// Guards against a faulty server that is taken for recovered when others take its place among the ejected ones.
+#[test]
+fn server_that_is_displaced_by_others_has_not_recovered() {
+    let mut world = gathered_world(9, 89);
+    world.run(1.0);
+    // One of nine finds that the server responds, three that it does not: it is ejected.
+    record_outcomes(&mut world, &[0, 1, 2], &[0], AttemptOutcome::ServerError);
+    world.run_until(2.0, is_first_ejected_on_all);
+    for _ in 0..2 {
+        record_outcomes(&mut world, &[8], &[0], AttemptOutcome::Answered);
+        world.run(0.1);
+    }
+    // Four others have more votes against them, and four is the most of twenty.
+    let nodes: Vec<usize> = (0..8).collect();
+    for server in 1..=4 {
+        record_outcomes(&mut world, &nodes, &[server], AttemptOutcome::ServerError);
+    }
+    let is_displaced = |world: &Cluster| {
+        (0..9).all(|node| !ejected_servers(world, node).contains(&"server-0".to_owned()))
+    };
+    world.run_until(3.0, is_displaced);
+    assert_eq!(nodes_that_find_recovery(&world), 0);
+}
+
 #[test]
 fn overdue_attempts_sent_before_the_last_answer_do_not_count() {
     let mut world = gathered_world(5, 71);
