--- a/crates/testbed/tests/stand_ins.rs
+++ b/crates/testbed/tests/stand_ins.rs
@@ -7,6 +7,10 @@
 use reelfall_testbed::link::Link;
 use reelfall_testbed::load::{self, Workload};
 use reelfall_testbed::pool::{Pool, Server, ServerBehavior};
+use reelfall_testbed::scripted::{ok_response, serve, Message};
+use std::io::{BufReader, Write};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const SERVICE_TIME: Duration = Duration::from_millis(1);
@@ -27,6 +31,29 @@
         .unwrap()
 }
 
+/// Guards against requests that cross the end of an idle connection, which the node closes after 5 s.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn client_reuses_no_connection_that_was_idle_for_four_seconds() {
+    const MAX_REUSED_IDLE: Duration = Duration::from_secs(4);
+    let connections = Arc::new(AtomicUsize::new(0));
+    let accepted = connections.clone();
+    let address = serve(move |mut stream, _| {
+        accepted.fetch_add(1, Ordering::SeqCst);
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(request) = Message::read(&mut reader) {
+            let _ = stream.write_all(&ok_response(&request));
+        }
+    });
+    let client = Client::new(address);
+    for id in ["first", "reused"] {
+        client.send(get(id)).await.unwrap();
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 1);
+    tokio::time::sleep(MAX_REUSED_IDLE).await;
+    client.send(get("after-idle")).await.unwrap();
+    assert_eq!(connections.load(Ordering::SeqCst), 2, "it is reused");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn link_forwards_delays_and_pauses_traffic() {
     const ONE_WAY_DELAY: Duration = Duration::from_millis(100);
