Soak: a delay explains a finding only if it is as long as the overrun

Change: a finding says by how much its time was exceeded, and is explained only by delays that are as long in sum; a crash and a missing answer by none. Faults of servers have the names of what they do.

--- a/crates/testbed/src/commands/soak.rs
+++ b/crates/testbed/src/commands/soak.rs
@@ -10,9 +10,13 @@
 use reelfall_testbed::Result;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::Semaphore;
 use tokio::task::JoinSet;
 
+/// Longest time of a day; one takes a third of it.
+const DAY_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// Drawn days, each judged by what clients and servers saw. A red day is printed with its command and its findings.
 #[derive(clap::Args)]
 pub struct SoakArgs {
@@ -97,23 +101,34 @@
         Some(seed) => seed..seed + 1,
         None => args.from..args.from + args.seeds,
     };
+    let kind = args.only;
     let places = Arc::new(Semaphore::new(args.parallel.max(1)));
     let mut days = JoinSet::new();
     for seed in seeds {
         let (program, meter, places) = (program.clone(), meter.clone(), places.clone());
-        let kind = args.only;
         days.spawn(async move {
-            let _place = places.acquire().await?;
-            play(&program, kind, seed, &meter).await
+            let _place = places.acquire().await;
+            let day = play(&program, kind, seed, &meter);
+            let played = tokio::time::timeout(DAY_TIMEOUT, day).await;
+            let played = played.unwrap_or_else(|_| Err("it does not end".into()));
+            (seed, played)
         });
     }
     let mut totals = Totals::default();
     while let Some(day) = days.join_next().await {
-        let day = day??;
-        report(&day, &args)?;
-        totals.add(&day.judgement, day.signals);
+        let (seed, played) = day?;
+        match played {
+            Ok(day) => {
+                report(&day, &args)?;
+                totals.add(&day.judgement, day.signals);
+            }
+            Err(error) => {
+                println!("{} {seed}: not played, {error}", kind.name());
+                totals.add_unplayed();
+            }
+        }
     }
-    println!("{TABLE_HEAD}\n{}", totals.row(args.only.name()));
+    println!("{TABLE_HEAD}\n{}", totals.row(kind.name()));
     Ok(totals.red == 0)
 }
 
--- a/crates/testbed/src/fleet/history/event.rs
+++ b/crates/testbed/src/fleet/history/event.rs
@@ -234,15 +234,9 @@
         }
     }
 
-    /// Whether the event concerns one request of a client; these are by far the most.
+    /// Whether the event is of the usual course of one request; these are by far the most.
     pub(super) fn is_request_traffic(&self) -> bool {
-        matches!(
-            self,
-            Event::RequestSent { .. }
-                | Event::ResponseReceived { .. }
-                | Event::AttemptReceived { .. }
-                | Event::Executed { .. }
-        )
+        self.request_id().is_some() && !matches!(self, Event::RequestFailed { .. })
     }
 }
 
--- a/crates/testbed/src/soak/endings.rs
+++ b/crates/testbed/src/soak/endings.rs
@@ -28,8 +28,8 @@
 const SERVER_WORKERS: usize = 8;
 /// Idle clients of a crowd.
 const CROWD: usize = 120;
-/// Rate of a server that responds in pieces, in bytes per second.
-const PIECES_RATE: u64 = 2000;
+/// Rate of a slow path, in bytes per second.
+const SLOW_PATH_RATE: u64 = 2000;
 /// Share of requests whose connection is closed, before and after the effect each, by a server that does that.
 const CLOSED_RATIO: f64 = 0.2;
 
@@ -68,7 +68,7 @@
     let record = Arc::new(Record::start());
     let place = NodePlace::reserve()?;
     let mut surroundings = Surroundings::start(plan, &record, &place, sabotage).await?;
-    place.configure(&surroundings.configuration(plan)?)?;
+    place.configure(&surroundings.configuration(plan))?;
     let mut node = NodeProcess::start(program, &place, plan.form)?;
     record.add_note("the node is started");
     if !matches!(plan.signal_time, SignalTime::AfterStart(_)) {
@@ -96,7 +96,7 @@
     }
     let drain_announced_at = surroundings.begin_trouble(plan, &record);
     if plan.replaces_configuration {
-        place.configure(&surroundings.configuration(plan)?)?;
+        place.configure(&surroundings.configuration(plan))?;
     }
     surroundings.begin_sabotage(sabotage);
     let mut end = send_signals(plan, &mut node, &record, &phase_sender).await;
@@ -219,17 +219,17 @@
         })
     }
 
-    fn configuration(&self, plan: &EndingsPlan) -> Result<NodeConfiguration> {
+    fn configuration(&self, plan: &EndingsPlan) -> NodeConfiguration {
         let discovery = match &self.discovery_link {
             Some(link) => link.address,
             None => self.discovery.address,
         };
-        Ok(NodeConfiguration {
+        NodeConfiguration {
             form: plan.form,
             discovery,
             servers: self.listed.iter().map(|server| server.address).collect(),
             deadline: plan.deadline,
-        })
+        }
     }
 
     /// Begins the faults of servers and discovery. Returns when the first server was announced as draining, if it was.
@@ -269,16 +269,16 @@
         match fault {
             ServerFault::None => {}
             ServerFault::Hangs => server.update_behavior(|behavior| behavior.is_frozen = true),
-            ServerFault::RespondsInPieces => {
+            ServerFault::SlowPath => {
                 if let Some(Some(link)) = self.server_links.get(index) {
-                    link.update_faults(|faults| faults.bytes_per_second = Some(PIECES_RATE));
+                    link.update_faults(|faults| faults.bytes_per_second = Some(SLOW_PATH_RATE));
                 }
             }
             ServerFault::ClosesConnections => server.update_behavior(|behavior| {
                 behavior.close_before_effect_ratio = CLOSED_RATIO;
                 behavior.close_after_effect_ratio = CLOSED_RATIO;
             }),
-            ServerFault::ResetsAll => {
+            ServerFault::Unreachable => {
                 if let Some(link) = self.server_links.get_mut(index) {
                     *link = None;
                 }
--- a/crates/testbed/src/soak/fleet_day.rs
+++ b/crates/testbed/src/soak/fleet_day.rs
@@ -3,9 +3,9 @@
 use super::judge::{mark_disturbed, Finding, Judgement, Rule};
 use super::stalls::StallMeter;
 use crate::fleet::history::{Event, History, TimedEvent};
-use crate::fleet::invariants::{find_violations, Violation, ViolationKind};
+use crate::fleet::invariants::{find_violations, Violation, ViolationKind, SCHEDULING_SLACK};
 use crate::fleet::schedule::{self, Step};
-use crate::fleet::{queries, server_name, FleetSpec, TestFleet, SHORT_SLOW_START};
+use crate::fleet::{queries, server_name, FleetSpec, TestFleet, DEADLINE, SHORT_SLOW_START};
 use crate::node::Program;
 use crate::{Result, SeededRng};
 use std::sync::Arc;
@@ -155,15 +155,22 @@
 }
 
 fn finding(violation: Violation) -> Finding {
-    let rule = match violation.kind {
-        ViolationKind::SecondEffect | ViolationKind::EffectOfRejected => Rule::NoSecondEffect,
-        ViolationKind::NoResponse => Rule::Answered,
-        ViolationKind::LateResponse => Rule::AnsweredInTime,
+    let response_time = violation.at.saturating_sub(violation.from);
+    let (rule, overrun) = match violation.kind {
+        ViolationKind::SecondEffect | ViolationKind::EffectOfRejected => {
+            (Rule::NoSecondEffect, None)
+        }
+        ViolationKind::NoResponse => (Rule::Answered, None),
+        ViolationKind::LateResponse => {
+            let overrun = response_time.saturating_sub(DEADLINE + SCHEDULING_SLACK);
+            (Rule::AnsweredInTime, Some(overrun))
+        }
     };
     Finding {
         rule,
         from: violation.from,
         at: violation.at,
+        overrun,
         text: violation.text,
         disturbed_for: None,
     }
@@ -184,6 +191,7 @@
         rule: Rule::UsedAgain,
         from: resumed_at,
         at: first_by,
+        overrun: None,
         text: format!(
             "node {node} sent {name} nothing for {:?}",
             first_by - resumed_at
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -36,20 +36,12 @@
     NothingForLeft,
     /// The process ends in time.
     Ends,
+    /// The process does not crash.
+    NoCrash,
     /// A server that responds again is used again.
     UsedAgain,
 }
 
-impl Rule {
-    /// Whether a delay of the machine can look like a violation.
-    fn is_about_time(self) -> bool {
-        !matches!(
-            self,
-            Rule::Answered | Rule::OwnAnswer | Rule::NoSecondEffect
-        )
-    }
-}
-
 /// A violation of a rule.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Finding {
@@ -59,9 +51,11 @@
     pub from: Duration,
     /// When it was seen.
     pub at: Duration,
+    /// By how much a time was exceeded; `None` if no delay of the machine explains the finding.
+    pub overrun: Option<Duration>,
     /// What was seen.
     pub text: String,
-    /// The longest delay of the machine in that time, if the rule is about time.
+    /// The delays of the machine in that time, if they are as long as the overrun.
     pub disturbed_for: Option<Duration>,
 }
 
@@ -72,7 +66,7 @@
         match self.disturbed_for {
             Some(length) => write!(
                 formatter,
-                " (disturbed, the machine stood still for {length:?})"
+                " (disturbed, the machine stood still for {length:?} in all)"
             ),
             None => Ok(()),
         }
@@ -118,10 +112,15 @@
         match judge_request(plan, request, &attempts) {
             Verdict::Fine => {}
             Verdict::Crossed => judgement.crossed += 1,
-            Verdict::Violates(rule, text) => judgement.findings.push(Finding {
+            Verdict::Violates {
+                rule,
+                overrun,
+                text,
+            } => judgement.findings.push(Finding {
                 rule,
                 from: request.written_at,
                 at: request.ended_at,
+                overrun,
                 text: format!("{} {text}", request.id),
                 disturbed_for: None,
             }),
@@ -141,24 +140,37 @@
     judgement
 }
 
-/// Notes the longest delay of the machine in the time of each finding that is about time.
+/// Notes the findings that are explained by delays of the machine.
 pub fn mark_disturbed(findings: &mut [Finding], stalls: &[Stall]) {
-    for finding in findings
-        .iter_mut()
-        .filter(|finding| finding.rule.is_about_time())
-    {
-        finding.disturbed_for = stalls
+    for finding in findings {
+        let within = stalls
             .iter()
-            .filter(|stall| stall.from <= finding.at && finding.from <= stall.to)
-            .map(|stall| stall.to - stall.from)
-            .max();
+            .filter(|stall| stall.from <= finding.at && finding.from <= stall.to);
+        let delay: Duration = within.map(|stall| stall.to - stall.from).sum();
+        let is_explained = finding.overrun.is_some_and(|overrun| overrun <= delay);
+        finding.disturbed_for = is_explained.then_some(delay);
     }
 }
 
 enum Verdict {
     Fine,
     Crossed,
-    Violates(Rule, String),
+    Violates {
+        rule: Rule,
+        overrun: Option<Duration>,
+        text: String,
+    },
+}
+
+impl Verdict {
+    /// A violation that no delay of the machine explains.
+    fn violates(rule: Rule, text: impl Into<String>) -> Verdict {
+        Verdict::Violates {
+            rule,
+            overrun: None,
+            text: text.into(),
+        }
+    }
 }
 
 type AttemptsById<'a> = HashMap<&'a str, Vec<&'a ServerRecord>>;
@@ -177,52 +189,62 @@
     let waited = request.ended_at.saturating_sub(request.written_at);
     let sent_to = attempts.get(request.id.as_str());
     match request.end {
-        RequestEnd::Answered { is_own: false, .. } => Verdict::Violates(
-            Rule::OwnAnswer,
-            "has the answer of another request".to_owned(),
-        ),
-        RequestEnd::Answered { status, .. } if waited > plan.deadline + ANSWER_SLACK => {
-            let text = format!("was answered {status} after {waited:?}");
-            Verdict::Violates(Rule::AnsweredInTime, text)
+        RequestEnd::Answered { is_own: false, .. } => {
+            Verdict::violates(Rule::OwnAnswer, "has the answer of another request")
         }
-        RequestEnd::Answered { .. } | RequestEnd::ClientLeft => Verdict::Fine,
+        RequestEnd::Answered { status, .. } => judge_answer(plan, status, waited),
+        RequestEnd::ClientLeft => Verdict::Fine,
         RequestEnd::NoAnswer => {
-            Verdict::Violates(Rule::Answered, format!("has no answer after {waited:?}"))
-        }
-        RequestEnd::CutShort => {
-            let is_due_to_server = sent_to.into_iter().flatten().any(|attempt| {
-                plan.servers
-                    .get(attempt.server)
-                    .is_some_and(|fault| *fault != ServerFault::None)
-            });
-            if is_due_to_server {
-                Verdict::Fine
-            } else {
-                Verdict::Violates(
-                    Rule::Answered,
-                    "has an answer that was cut short".to_owned(),
-                )
-            }
+            Verdict::violates(Rule::Answered, format!("has no answer after {waited:?}"))
         }
+        RequestEnd::CutShort => judge_cut(plan, sent_to),
         RequestEnd::ConnectionEnded {
             was_reset,
             was_announced,
         } => {
             let how = if was_reset { "reset" } else { "closed" };
+            let may_be_shut_unread = request.is_first && plan.has_crowd;
             if sent_to.is_some() {
                 let text = format!("was forwarded, and its connection {how} after {waited:?}");
-                return Verdict::Violates(Rule::Answered, text);
-            }
-            let may_be_shut_unread = request.is_first && plan.has_crowd;
-            if was_announced || waited < CROSSING_TIME || may_be_shut_unread {
-                return Verdict::Crossed;
+                Verdict::violates(Rule::Answered, text)
+            } else if was_announced || waited < CROSSING_TIME || may_be_shut_unread {
+                Verdict::Crossed
+            } else {
+                Verdict::Violates {
+                    rule: Rule::NotClosedUnanswered,
+                    overrun: Some(waited - CROSSING_TIME),
+                    text: format!("was not forwarded, and its connection {how} after {waited:?}"),
+                }
             }
-            let text = format!("was not forwarded, and its connection {how} after {waited:?}");
-            Verdict::Violates(Rule::NotClosedUnanswered, text)
         }
     }
 }
 
+fn judge_answer(plan: &EndingsPlan, status: u16, waited: Duration) -> Verdict {
+    let allowed = plan.deadline + ANSWER_SLACK;
+    if waited <= allowed {
+        return Verdict::Fine;
+    }
+    Verdict::Violates {
+        rule: Rule::AnsweredInTime,
+        overrun: Some(waited - allowed),
+        text: format!("was answered {status} after {waited:?}"),
+    }
+}
+
+/// An answer that was cut short through a fault of its server has failed, and is not lost.
+fn judge_cut(plan: &EndingsPlan, sent_to: Option<&Vec<&ServerRecord>>) -> Verdict {
+    let is_due_to_server = sent_to.into_iter().flatten().any(|attempt| {
+        let fault = plan.servers.get(attempt.server);
+        fault.is_some_and(|fault| *fault != ServerFault::None)
+    });
+    if is_due_to_server {
+        Verdict::Fine
+    } else {
+        Verdict::violates(Rule::Answered, "has an answer that was cut short")
+    }
+}
+
 fn second_effects(requests: &[RequestRecord], events: &[ServerRecord]) -> Vec<Finding> {
     let at_most_once: HashSet<&str> = requests
         .iter()
@@ -240,6 +262,7 @@
             rule: Rule::NoSecondEffect,
             from: event.at,
             at: event.at,
+            overrun: None,
             text: format!(
                 "{} had its effect again, at server {}",
                 event.id, event.server
@@ -258,17 +281,17 @@
         .iter()
         .filter(|request| request.end == RequestEnd::ClientLeft);
     let late = left.flat_map(|request| {
+        let allowed_until = request.ended_at + ABORT_DETECTION_TIME;
         let attempts = attempts.get(request.id.as_str()).into_iter().flatten();
         attempts
-            .filter(|attempt| attempt.at > request.ended_at + ABORT_DETECTION_TIME)
+            .filter(move |attempt| attempt.at > allowed_until)
             // The path to such a server delays requests as well.
-            .filter(|attempt| {
-                plan.servers.get(attempt.server) != Some(&ServerFault::RespondsInPieces)
-            })
-            .map(|attempt| Finding {
+            .filter(|attempt| plan.servers.get(attempt.server) != Some(&ServerFault::SlowPath))
+            .map(move |attempt| Finding {
                 rule: Rule::NothingForLeft,
                 from: request.ended_at,
                 at: attempt.at,
+                overrun: Some(attempt.at - allowed_until),
                 text: format!(
                     "{} reached server {} {:?} after its client had left",
                     request.id,
@@ -285,15 +308,15 @@
     let Some(announced_at) = end.drain_announced_at else {
         return Vec::new();
     };
+    let allowed_until = announced_at + DRAIN_GRACE + SOCKET_SLACK;
     let late = events.iter().filter(|event| {
-        event.server == 0
-            && event.event == ServerEvent::Received
-            && event.at > announced_at + DRAIN_GRACE + SOCKET_SLACK
+        event.server == 0 && event.event == ServerEvent::Received && event.at > allowed_until
     });
     late.map(|event| Finding {
         rule: Rule::NothingToDraining,
         from: announced_at,
         at: event.at,
+        overrun: Some(event.at - allowed_until),
         text: format!(
             "{} was sent {:?} after the announcement",
             event.id,
@@ -305,18 +328,22 @@
 }
 
 fn late_exit(end: &ProcessEnd) -> Option<Finding> {
-    let text = if end.has_crashed {
-        "the process has crashed".to_owned()
+    let (rule, text) = if end.has_crashed {
+        (Rule::NoCrash, "the process has crashed".to_owned())
     } else if end.exited_at.is_none() {
         let after = end.killed_at - end.terminated_at;
-        format!("the process runs {after:?} after SIGTERM")
+        (
+            Rule::Ends,
+            format!("the process runs {after:?} after SIGTERM"),
+        )
     } else {
         return None;
     };
     Some(Finding {
-        rule: Rule::Ends,
+        rule,
         from: end.terminated_at,
         at: end.exited_at.unwrap_or(end.killed_at),
+        overrun: None,
         text,
         disturbed_for: None,
     })
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -101,12 +101,12 @@
     None,
     /// It makes no progress.
     Hangs,
-    /// Its responses come a few bytes at a time.
-    RespondsInPieces,
+    /// The path to it is slow, in both directions.
+    SlowPath,
     /// It closes some connections before or after the effect of a request.
     ClosesConnections,
-    /// All connections to it are reset, once.
-    ResetsAll,
+    /// Its connections end, and it can't be reached any more.
+    Unreachable,
 }
 
 /// What discovery does at the first signal.
@@ -220,9 +220,9 @@
 fn draw_server(random: &mut SeededRng) -> ServerFault {
     match random.next_u64() % 7 {
         0 => ServerFault::Hangs,
-        1 => ServerFault::RespondsInPieces,
+        1 => ServerFault::SlowPath,
         2 => ServerFault::ClosesConnections,
-        3 => ServerFault::ResetsAll,
+        3 => ServerFault::Unreachable,
         _ => ServerFault::None,
     }
 }
--- a/crates/testbed/src/soak/process.rs
+++ b/crates/testbed/src/soak/process.rs
@@ -11,7 +11,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{ExitStatus, Stdio};
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::process::Child;
 
@@ -81,7 +80,7 @@
     }
 }
 
-/// A port for clients and a folder, which the processes of an upgrade share.
+/// A port for clients, and a folder with the configuration and the log of a node.
 pub struct NodePlace {
     folder: Folder,
     port: Port,
@@ -92,11 +91,11 @@
     ///
     /// # Errors
     /// Fails if there is no port or no folder.
-    pub fn reserve() -> Result<Arc<NodePlace>> {
-        Ok(Arc::new(NodePlace {
+    pub fn reserve() -> Result<NodePlace> {
+        Ok(NodePlace {
             folder: Folder::new()?,
             port: Port::reserve()?,
-        }))
+        })
     }
 
     /// Where clients connect.
--- a/crates/testbed/src/soak/report.rs
+++ b/crates/testbed/src/soak/report.rs
@@ -8,7 +8,7 @@
 pub struct Totals {
     /// Days that were played.
     pub days: usize,
-    /// Days with findings that no delay of the machine explains.
+    /// Days with findings that no delay of the machine explains, and days that could not be played.
     pub red: usize,
     /// Requests of all days.
     pub requests: usize,
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Adds a day that could not be played to its end.
+    pub fn add_unplayed(&mut self) {
+        self.days += 1;
+        self.red += 1;
+    }
+
     /// A row of a table in Markdown, of which the first cell is the kind of the days.
     pub fn row(&self, kind: &str) -> String {
         format!(
