--- a/crates/emulator/examples/scale/baseline.rs
+++ b/crates/emulator/examples/scale/baseline.rs
@@ -1,6 +1,6 @@
 //! What full snapshots cost at the target and at the size of a run, by formulas. `control` prints it beside its scenarios.
 
-use super::control::{size, CHANGES_PER_DAY};
+use super::target::{size, CHANGES_PER_DAY};
 use reelfall_emulator::control::account::Usage;
 use reelfall_emulator::control::baseline::{
     ApplyTime, ConfigurationSize, FullSnapshots, SECONDS_PER_DAY,
--- a/crates/emulator/examples/scale/main.rs
+++ b/crates/emulator/examples/scale/main.rs
@@ -11,6 +11,7 @@
 mod quiet;
 mod report;
 mod tables;
+mod target;
 
 use self::error::ScaleError;
 use clap::{Args, Parser, Subcommand};
--- a/crates/node/src/fleet/admin.rs
+++ b/crates/node/src/fleet/admin.rs
@@ -159,7 +159,11 @@
         None => report.add(format_args!("start {since}: not condemned")),
     }
     for published in fleet.reports(instance, now) {
-        let (by, evidence, age) = (published.by, describe(published.report), published.age);
+        let (by, evidence, age) = (
+            published.by,
+            describe_report(published.report),
+            published.age,
+        );
         report.add(format_args!("  {by}: {evidence}, {age:.1} s ago"));
     }
 }
@@ -175,7 +179,7 @@
                     "{} since {}: {by} says {}, {:.1} s ago, for {:.1} s",
                     server.name,
                     server.since,
-                    describe(evidence),
+                    describe_report(evidence),
                     entry.age(now),
                     entry.remaining_ttl(now)
                 ));
@@ -202,7 +206,8 @@
     report.finish()
 }
 
-fn describe(report: &ServerReport) -> String {
+/// A report in the words of the management interface.
+pub(super) fn describe_report(report: &ServerReport) -> String {
     let zone = if report.zone.is_empty() {
         String::new()
     } else {
--- a/crates/node/src/fleet/events.rs
+++ b/crates/node/src/fleet/events.rs
@@ -1,5 +1,6 @@
 //! The effects of the fleet's events: bans and ejections are applied to the pools, and changes are logged.
 
+use super::admin::describe_report;
 use super::FleetRuntime;
 use crate::net::shared::{OverdueRequest, QuorumEjection};
 use reelfall_cluster::entry::{Key, ServerInstance};
@@ -150,6 +151,7 @@
             FleetEvent::Updated(Key::Leaving { node, .. }) => {
                 log.write_line(format_args!("fleet: {node} is leaving"));
             }
+            FleetEvent::Updated(Key::Report { server, by }) => self.log_own_report(server, by, now),
             FleetEvent::Updated(_) | FleetEvent::Expired(_) => {}
             FleetEvent::NameConflict => {
                 self.name_conflict_log.write_line(format_args!(
@@ -159,6 +161,20 @@
         }
     }
 
+    /// Logs what this node reports on a server; the reports of others are in their logs.
+    fn log_own_report(&self, server: &ServerInstance, by: &str, now: Time) {
+        let fleet = self.fleet.borrow();
+        if by != fleet.members().me().name {
+            return;
+        }
+        let reports = fleet.reports(server, now);
+        if let Some(own) = reports.iter().find(|published| published.by == by) {
+            let (name, report) = (&server.name, describe_report(own.report));
+            self.report_log
+                .write_line(format_args!("fleet: report on {name}: {report}"));
+        }
+    }
+
     fn log_ban(&self, server: &str, now: Time) {
         match self.fleet.borrow().ban_left(server, now) {
             Some(left) => {
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -79,6 +79,8 @@
     ban_log: Log,
     /// Separate for the same reason.
     ejection_log: Log,
+    /// Separate, since the reports on many servers come at once.
+    report_log: Log,
     /// Name conflicts, which member changes precede in numbers that reach the rate limit of a log.
     name_conflict_log: Log,
     /// There is something to send at once.
--- a/crates/node/src/fleet/open.rs
+++ b/crates/node/src/fleet/open.rs
@@ -74,6 +74,7 @@
             clock,
             ban_log: Log::default(),
             ejection_log: Log::default(),
+            report_log: Log::default(),
             name_conflict_log: Log::default(),
             wake: Notify::new(),
             ejected: RefCell::default(),
--- a/crates/testbed/src/commands/soak.rs
+++ b/crates/testbed/src/commands/soak.rs
@@ -5,7 +5,7 @@
 use reelfall_testbed::soak::fleet_day::{self, FleetPlan};
 use reelfall_testbed::soak::judge::Judgement;
 use reelfall_testbed::soak::plan::EndingsPlan;
-use reelfall_testbed::soak::report::{findings, is_red, Totals, TABLE_HEAD};
+use reelfall_testbed::soak::report::{findings, is_red, list, Totals, TABLE_HEAD};
 use reelfall_testbed::soak::stalls::StallMeter;
 use reelfall_testbed::Result;
 use std::path::PathBuf;
@@ -129,6 +129,7 @@
         }
     }
     println!("{TABLE_HEAD}\n{}", totals.row(kind.name()));
+    println!("answers other than 200: {}", totals.reasons());
     Ok(totals.red == 0)
 }
 
@@ -143,8 +144,11 @@
         "disturbed"
     };
     println!(
-        "{kind} {seed}: {state}, {} requests, {} crossed",
-        judgement.requests, judgement.crossed
+        "{kind} {seed}: {state}, {} requests ({}), {} attempts at servers, {} crossed",
+        judgement.load.requests,
+        list(&judgement.load.statuses),
+        judgement.load.attempts,
+        judgement.crossed
     );
     if args.trace {
         println!("{}", day.history);
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -1,7 +1,7 @@
 //! The clients of a day of endings: they use each open connection until it ends. Started by `endings`.
 
 use super::exchange::{Connection, ReadResponse, RequestText};
-use super::plan::ClientKind;
+use super::plan::{ClientKind, NodeForm};
 use super::record::{Record, RequestEnd, RequestRecord};
 use crate::SeededRng;
 use std::net::SocketAddr;
@@ -47,6 +47,8 @@
 pub struct ClientContext {
     /// Where they connect.
     pub address: SocketAddr,
+    /// How the node is configured.
+    pub form: NodeForm,
     /// The deadline of their requests.
     pub deadline: Duration,
     /// Where they write down what they see.
@@ -74,7 +76,10 @@
     kind: ClientKind,
     name: String,
     random: SeededRng,
+    /// Number of requests so far.
     sequence: u64,
+    /// Number of connections so far.
+    connections: u64,
 }
 
 /// A request that was written.
@@ -93,6 +98,7 @@
             name,
             random: SeededRng(seed),
             sequence: 0,
+            connections: 0,
         }
     }
 
@@ -101,6 +107,7 @@
         while self.context.phase() == LoadPhase::Connecting {
             match TcpStream::connect(self.context.address).await {
                 Ok(stream) => {
+                    self.connections += 1;
                     let mut connection = Connection::new(stream);
                     while self.context.phase() != LoadPhase::Over
                         && self.step(&mut connection).await
@@ -171,6 +178,7 @@
         let at_most_once =
             body_length.is_some() || self.random.next_fraction() < AT_MOST_ONCE_RATIO;
         RequestText::new(
+            self.context.form,
             id,
             at_most_once,
             body_length.unwrap_or(0),
@@ -215,10 +223,9 @@
             return false;
         }
         let written = self.written(&text);
-        let is_first = connection.begin_request();
         self.pause(STAY_MS).await;
         connection.close().await;
-        self.add(written, is_first, RequestEnd::ClientLeft);
+        self.add(written, ReadEnd::without_answer(RequestEnd::ClientLeft));
         false
     }
 
@@ -238,49 +245,76 @@
     ) -> bool {
         let mut lost: Option<RequestEnd> = None;
         for request in written {
-            let is_first = connection.begin_request();
-            let end = match lost {
-                Some(end) => end,
+            let read = match lost {
+                Some(end) => ReadEnd::without_answer(end),
                 None => self.read_response(connection, &request.id).await,
             };
-            if !matches!(end, RequestEnd::Answered { .. }) {
-                lost = Some(end);
+            if read.end.status().is_none() {
+                lost = Some(read.end);
             }
-            self.add(request, is_first, end);
+            self.add(request, read);
         }
         lost.is_none() && !connection.is_announced_closed()
     }
 
-    async fn read_response(&mut self, connection: &mut Connection, id: &str) -> RequestEnd {
+    async fn read_response(&mut self, connection: &mut Connection, id: &str) -> ReadEnd {
         let limit = self.context.deadline + ANSWER_MARGIN;
         let was_announced = connection.is_announced_closed();
         match timeout(limit, connection.read_response()).await {
-            Err(_) => RequestEnd::NoAnswer,
-            Ok(ReadResponse::Response { status, body }) => RequestEnd::Answered {
-                status,
-                is_own: status != 200 || body == id.as_bytes(),
-            },
-            Ok(ReadResponse::CutShort) => RequestEnd::CutShort,
-            Ok(ReadResponse::Ended { was_reset }) => RequestEnd::ConnectionEnded {
-                was_reset,
-                was_announced,
-            },
+            Err(_) => ReadEnd::without_answer(RequestEnd::NoAnswer),
+            Ok(ReadResponse::Response { status, body }) => ReadEnd::answered(id, status, &body),
+            Ok(ReadResponse::CutShort) => ReadEnd::without_answer(RequestEnd::CutShort),
+            Ok(ReadResponse::Ended { was_reset }) => {
+                ReadEnd::without_answer(RequestEnd::ConnectionEnded {
+                    was_reset,
+                    was_announced,
+                })
+            }
         }
     }
 
-    fn add(&self, request: WrittenRequest, is_first: bool, end: RequestEnd) {
+    fn add(&self, request: WrittenRequest, read: ReadEnd) {
         let record = &self.context.record;
         record.add_request(RequestRecord {
             id: request.id,
             at_most_once: request.at_most_once,
-            is_first,
+            client: self.name.clone(),
+            connection: self.connections,
             written_at: request.written_at,
             ended_at: record.now(),
-            end,
+            end: read.end,
+            failure_text: read.failure_text,
         });
     }
 }
 
+/// How a request ended, as its client read it.
+struct ReadEnd {
+    end: RequestEnd,
+    failure_text: Option<String>,
+}
+
+impl ReadEnd {
+    fn without_answer(end: RequestEnd) -> ReadEnd {
+        ReadEnd {
+            end,
+            failure_text: None,
+        }
+    }
+
+    fn answered(id: &str, status: u16, body: &[u8]) -> ReadEnd {
+        let is_served = status == 200;
+        let text = || String::from_utf8_lossy(body).trim().to_owned();
+        ReadEnd {
+            end: RequestEnd::Answered {
+                status,
+                is_own: !is_served || body == id.as_bytes(),
+            },
+            failure_text: (!is_served).then(text),
+        }
+    }
+}
+
 /// One idle client of a crowd: it connects, sends nothing, and connects again once the node ends that.
 pub async fn idle(context: Arc<ClientContext>) {
     while context.phase() == LoadPhase::Connecting {
--- a/crates/testbed/src/soak/endings.rs
+++ b/crates/testbed/src/soak/endings.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// SIGKILL comes so long after the deadline that follows SIGTERM.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
@@ -26,6 +26,8 @@
 const SERVICE_TIME: Duration = Duration::from_millis(4);
 /// Requests that a server processes at a time.
 const SERVER_WORKERS: usize = 8;
+/// Longest wait for an answer to a request of each kind, before a crowd comes.
+const FIRST_ANSWERS_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle clients of a crowd.
 const CROWD: usize = 120;
 /// Rate of a slow path, in bytes per second.
@@ -82,11 +84,12 @@
         .map_or(place.address(), |link| link.address);
     let context = Arc::new(ClientContext {
         address: client_address,
+        form: plan.form,
         deadline: plan.deadline,
         record: record.clone(),
         phase,
     });
-    let mut clients = start_clients(plan, &context);
+    let mut clients = start_clients(plan, &context).await;
     match plan.signal_time {
         SignalTime::UnderLoad(time)
         | SignalTime::AfterStart(time)
@@ -94,12 +97,14 @@
             sleep(time).await;
         }
     }
+    let trouble_at = record.now();
     let drain_announced_at = surroundings.begin_trouble(plan, &record);
     if plan.replaces_configuration {
         place.configure(&surroundings.configuration(plan))?;
     }
     surroundings.begin_sabotage(sabotage);
     let mut end = send_signals(plan, &mut node, &record, &phase_sender).await;
+    end.trouble_at = trouble_at;
     end.drain_announced_at = drain_announced_at;
     await_end(&mut node, &record, &mut end).await;
     phase_sender.send_replace(LoadPhase::Over);
@@ -114,18 +119,23 @@
     })
 }
 
-fn start_clients(plan: &EndingsPlan, context: &Arc<ClientContext>) -> JoinSet<()> {
+/// Starts the clients, and the crowd behind them: it comes to a node in use, unless the signals come right after the start.
+async fn start_clients(plan: &EndingsPlan, context: &Arc<ClientContext>) -> JoinSet<()> {
     let mut clients = JoinSet::new();
-    if plan.has_crowd {
-        for _ in 0..CROWD {
-            clients.spawn(idle(context.clone()));
-        }
-    }
     for (index, kind) in plan.clients.iter().enumerate() {
         let name = format!("{kind:?}-{index}");
         let seed = plan.seed.wrapping_mul(0x9e37).wrapping_add(index as u64);
         clients.spawn(Client::new(context.clone(), *kind, name, seed).run());
     }
+    if plan.has_crowd {
+        if matches!(plan.signal_time, SignalTime::UnderLoad(_)) {
+            // A day on which nothing is answered in this time is a finding.
+            let _ = timeout(FIRST_ANSWERS_TIMEOUT, context.record.first_answers()).await;
+        }
+        for _ in 0..CROWD {
+            clients.spawn(idle(context.clone()));
+        }
+    }
     clients
 }
 
@@ -158,6 +168,7 @@
     }
     let terminated_at = terminated_at.unwrap_or_else(|| record.now());
     ProcessEnd {
+        trouble_at: terminated_at,
         terminated_at,
         exited_at: None,
         has_crashed: false,
--- a/crates/testbed/src/soak/exchange.rs
+++ b/crates/testbed/src/soak/exchange.rs
@@ -1,5 +1,6 @@
 //! Requests and responses on one connection, byte by byte. Used by `client`.
 
+use super::plan::NodeForm;
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -18,18 +19,20 @@
 }
 
 impl RequestText {
-    /// A request that both forms of a node accept: by the host of a settings file's route, and by the platform's headers.
+    /// A request by the host of a settings file's route, and by the class of the node's configuration.
     pub(super) fn new(
+        form: NodeForm,
         id: String,
         at_most_once: bool,
         body_length: usize,
         deadline: Duration,
     ) -> RequestText {
-        let (method, host, class) = if at_most_once {
-            ("POST", "toggle.example.org", "write")
+        let (method, host) = if at_most_once {
+            ("POST", "toggle.example.org")
         } else {
-            ("GET", "evaluate.example.org", "read")
+            ("GET", "evaluate.example.org")
         };
+        let class = class_name(form, at_most_once);
         let framing = if at_most_once {
             format!("content-length: {body_length}\r\n")
         } else {
@@ -50,6 +53,16 @@
     }
 }
 
+/// The name that the configuration of a node gives to the class of such requests.
+fn class_name(form: NodeForm, at_most_once: bool) -> &'static str {
+    match (form, at_most_once) {
+        (NodeForm::Platform, false) => "read",
+        (NodeForm::Platform, true) => "write",
+        (NodeForm::SettingsFile, false) => "evaluate",
+        (NodeForm::SettingsFile, true) => "toggle",
+    }
+}
+
 /// What was read in place of a response.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum ReadResponse {
@@ -74,7 +87,6 @@
     stream: TcpStream,
     /// What was read behind the last response.
     unread: Vec<u8>,
-    requests: usize,
     is_announced_closed: bool,
 }
 
@@ -85,7 +97,6 @@
         Connection {
             stream,
             unread: Vec::new(),
-            requests: 0,
             is_announced_closed: false,
         }
     }
@@ -95,12 +106,6 @@
         self.stream.write_all(bytes).await.is_ok()
     }
 
-    /// Counts a request; returns whether it is the first one.
-    pub(super) fn begin_request(&mut self) -> bool {
-        self.requests += 1;
-        self.requests == 1
-    }
-
     /// Whether a response said that the connection would be closed.
     pub(super) fn is_announced_closed(&self) -> bool {
         self.is_announced_closed
--- a/crates/testbed/src/soak/fleet_day.rs
+++ b/crates/testbed/src/soak/fleet_day.rs
@@ -1,8 +1,10 @@
 //! A day of a fleet of real processes: drawn faults, then a server that pauses, and responds again.
 
+use super::ejections::{self, Pause};
+use super::judge::load::{unserved, LoadSummary};
 use super::judge::{mark_disturbed, Finding, Judgement, Rule};
 use super::stalls::StallMeter;
-use crate::fleet::history::{Event, History, TimedEvent};
+use crate::fleet::history::{History, TimedEvent};
 use crate::fleet::invariants::{find_violations, Violation, ViolationKind, SCHEDULING_SLACK};
 use crate::fleet::schedule::{self, Step};
 use crate::fleet::{queries, server_name, FleetSpec, TestFleet, DEADLINE, SHORT_SLOW_START};
@@ -19,6 +21,8 @@
 const RATE: (u64, u64) = (20, 80);
 /// Shortest and longest pause of the server, in milliseconds.
 const PAUSE_MS: (u64, u64) = (300, 10_000);
+/// Shortest and longest time that all servers are late, in milliseconds, on every other day.
+const COMMON_PAUSE_MS: (u64, u64) = (250, 500);
 /// Share of requests that must have their effect at most once.
 const AT_MOST_ONCE_RATIO: f64 = 0.2;
 /// How long the drawn faults last before the pause.
@@ -31,6 +35,9 @@
 const READMISSION_TIME: Duration = Duration::from_secs(10);
 /// A server that was readmitted gets an attempt of each node within this time.
 const FIRST_ATTEMPT_TIME: Duration = Duration::from_secs(3);
+/// The load of so long before the pause has to be served: by then the drawn faults are over.
+const SERVED_TIME: Duration = Duration::from_secs(3);
+
 /// A day of a fleet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FleetPlan {
@@ -50,6 +57,8 @@
     pub paused_server: usize,
     /// How long it pauses.
     pub pause: Duration,
+    /// How long all other servers pause at the same time.
+    pub common_pause: Option<Duration>,
 }
 
 impl FleetPlan {
@@ -63,6 +72,8 @@
         let paused_server = draw((0, servers as u64 - 1)) as usize;
         let (min_pause, max_pause) = PAUSE_MS;
         let pause = Duration::from_millis(draw((min_pause, max_pause - min_pause)));
+        let (min_common, max_common) = COMMON_PAUSE_MS;
+        let common_pause = Duration::from_millis(draw((min_common, max_common - min_common)));
         FleetPlan {
             seed,
             nodes,
@@ -72,9 +83,41 @@
             faults: schedule::generate(seed, nodes, servers, FAULTS_DURATION),
             paused_server,
             pause,
+            common_pause: (!seed.is_multiple_of(2)).then_some(common_pause.min(pause)),
         }
     }
 
+    /// The nodes that have the name of another one, and those that have one of their own.
+    pub(super) fn nodes_by_conflict(&self) -> (Vec<usize>, Vec<usize>) {
+        let first_conflicting = if self.has_name_conflict {
+            self.nodes - 2
+        } else {
+            self.nodes
+        };
+        (0..self.nodes).partition(|node| *node >= first_conflicting)
+    }
+
+    /// How long a server takes for a request.
+    pub(super) fn service_time(&self) -> Duration {
+        self.spec().service_time
+    }
+
+    /// The pause of the one server, and that of all others in its first moments.
+    fn pause_steps(&self) -> Vec<Step> {
+        let set_paused = |server, paused| Step::SetServerPaused { server, paused };
+        let others = (0..self.servers).filter(|server| *server != self.paused_server);
+        let common_pause = self.common_pause.unwrap_or(Duration::ZERO);
+        let mut steps = vec![set_paused(self.paused_server, true)];
+        if self.common_pause.is_some() {
+            steps.extend(others.clone().map(|server| set_paused(server, true)));
+            steps.push(Step::Wait(common_pause));
+            steps.extend(others.map(|server| set_paused(server, false)));
+        }
+        steps.push(Step::Wait(self.pause - common_pause));
+        steps.push(set_paused(self.paused_server, false));
+        steps
+    }
+
     fn spec(&self) -> FleetSpec {
         let names = self
             .has_name_conflict
@@ -116,18 +159,8 @@
     schedule::execute(&mut fleet, &plan.faults).await?;
     tokio::time::sleep(RECOVERY_TIME).await;
     let server = plan.paused_server;
-    let pause = [
-        Step::SetServerPaused {
-            server,
-            paused: true,
-        },
-        Step::Wait(plan.pause),
-        Step::SetServerPaused {
-            server,
-            paused: false,
-        },
-    ];
-    schedule::execute(&mut fleet, &pause).await?;
+    let paused_at = history.now();
+    schedule::execute(&mut fleet, &plan.pause_steps()).await?;
     if blocks_server {
         fleet
             .server_link(0, server)
@@ -138,22 +171,35 @@
     load.stop().await;
     let events = history.events();
     let mut findings: Vec<Finding> = find_violations(&events).into_iter().map(finding).collect();
-    for node in fleet.running_nodes() {
-        findings.extend(unused_server(plan, &events, node, resumed_at));
+    findings.extend(unserved_load(&events, paused_at));
+    let nodes = fleet.running_nodes();
+    for node in &nodes {
+        findings.extend(unused_server(plan, &events, *node, resumed_at));
     }
+    let pause = Pause {
+        from: paused_at,
+        to: resumed_at,
+    };
+    findings.extend(ejections::judge(plan, &events, &nodes, pause));
     mark_disturbed(&mut findings, &meter.stalls_since(started));
-    let is_request = |entry: &&TimedEvent| matches!(entry.event, Event::RequestSent { .. });
-    let requests = events.iter().filter(is_request).count();
     Ok(FleetOutcome {
         history,
         judgement: Judgement {
             findings,
-            requests,
+            load: LoadSummary::of_fleet(&events),
             crossed: 0,
         },
     })
 }
 
+/// The finding of a load that was not served before the pause.
+fn unserved_load(events: &[TimedEvent], paused_at: Duration) -> Option<Finding> {
+    let from = paused_at.saturating_sub(SERVED_TIME);
+    let queries::ServedRatio { ratio, requests } = queries::served_ratio(events, from, paused_at);
+    let served = (ratio * requests as f64).round() as usize;
+    unserved(requests, served, from, paused_at)
+}
+
 fn finding(violation: Violation) -> Finding {
     let response_time = violation.at.saturating_sub(violation.from);
     let (rule, overrun) = match violation.kind {
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -5,6 +5,7 @@
 //! | [`plan`] | what happens on a day of endings, drawn from its seed |
 //! | [`endings`] | playing such a day |
 //! | [`fleet_day`] | a day of a fleet, with servers that pause and respond again |
+//! | `ejections` | the judgement of ejections on such a day |
 //! | [`process`] | the process of the node |
 //! | [`client`] | the clients, which use each connection until it ends |
 //! | `exchange` | requests and responses on one connection |
@@ -15,6 +16,7 @@
 //! | [`report`] | lines and tables |
 
 pub mod client;
+mod ejections;
 pub mod endings;
 mod exchange;
 pub mod fleet_day;
--- a/crates/testbed/src/soak/record.rs
+++ b/crates/testbed/src/soak/record.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
 /// How a request ended at its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,6 +29,21 @@
     NoAnswer,
 }
 
+impl RequestEnd {
+    /// The status of the response, if there is one.
+    pub fn status(&self) -> Option<u16> {
+        match self {
+            RequestEnd::Answered { status, .. } => Some(*status),
+            _ => None,
+        }
+    }
+
+    /// Whether the response says that the request had no effect, and can be repeated.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self.status(), Some(429 | 503))
+    }
+}
+
 /// A request of a client.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RequestRecord {
@@ -35,14 +51,25 @@
     pub id: String,
     /// Whether it must have its effect at most once.
     pub at_most_once: bool,
-    /// Whether it is the first one on its connection.
-    pub is_first: bool,
+    /// Its client.
+    pub client: String,
+    /// The number of its connection among those of its client.
+    pub connection: u64,
     /// When its last byte was written.
     pub written_at: Duration,
     /// When it ended.
     pub ended_at: Duration,
     /// How it ended.
     pub end: RequestEnd,
+    /// The text of an answer other than 200.
+    pub failure_text: Option<String>,
+}
+
+impl RequestRecord {
+    /// What tells its connection from all others.
+    pub(super) fn connection_key(&self) -> (&str, u64) {
+        (&self.client, self.connection)
+    }
 }
 
 /// What happened at a server.
@@ -83,6 +110,8 @@
     requests: Mutex<Vec<RequestRecord>>,
     server_events: Mutex<Vec<ServerRecord>>,
     notes: Mutex<Vec<Note>>,
+    /// Notified when a request has ended.
+    request_ended: Notify,
 }
 
 impl Record {
@@ -93,6 +122,18 @@
             requests: Mutex::default(),
             server_events: Mutex::default(),
             notes: Mutex::default(),
+            request_ended: Notify::new(),
+        }
+    }
+
+    /// A record of what was seen elsewhere, whose clock starts now.
+    pub fn of(requests: Vec<RequestRecord>, server_events: Vec<ServerRecord>) -> Record {
+        Record {
+            started: Instant::now(),
+            requests: Mutex::new(requests),
+            server_events: Mutex::new(server_events),
+            notes: Mutex::default(),
+            request_ended: Notify::new(),
         }
     }
 
@@ -109,6 +150,28 @@
     /// Adds a request that has ended.
     pub fn add_request(&self, request: RequestRecord) {
         lock(&self.requests).push(request);
+        self.request_ended.notify_waiters();
+    }
+
+    /// Returns once a request of each kind has an answer.
+    pub async fn first_answers(&self) {
+        loop {
+            // Registered before the search, so that none between the two is missed.
+            let request_ended = self.request_ended.notified();
+            if self.has_answers() {
+                return;
+            }
+            request_ended.await;
+        }
+    }
+
+    fn has_answers(&self) -> bool {
+        let requests = lock(&self.requests);
+        let mut answered = requests
+            .iter()
+            .filter(|request| request.end.status().is_some());
+        let is_at_most_once = answered.next().map(|first| first.at_most_once);
+        is_at_most_once.is_some_and(|first| answered.any(|request| request.at_most_once != first))
     }
 
     /// Adds an event at a server, which happens now.
@@ -146,7 +209,12 @@
         for request in self.requests() {
             let id = &request.id;
             lines.push((request.written_at, format!("client wrote {id}")));
-            lines.push((request.ended_at, format!("client {id}: {:?}", request.end)));
+            let connection = request.connection;
+            let end = format!(
+                "client {id}: {:?}, on its connection {connection}",
+                request.end
+            );
+            lines.push((request.ended_at, end));
         }
         for event in self.server_events() {
             let ServerRecord { server, id, .. } = &event;
--- a/crates/testbed/src/soak/report.rs
+++ b/crates/testbed/src/soak/report.rs
@@ -1,7 +1,9 @@
 //! Lines and tables of a soak.
 
+use super::judge::load::LoadSummary;
 use super::judge::{Finding, Judgement};
 use std::collections::BTreeMap;
+use std::fmt::Display;
 
 /// The sums of many days.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -10,8 +12,8 @@
     pub days: usize,
     /// Days with findings that no delay of the machine explains, and days that could not be played.
     pub red: usize,
-    /// Requests of all days.
-    pub requests: usize,
+    /// What became of the load of all days.
+    pub load: LoadSummary,
     /// Requests that crossed the end of their connection.
     pub crossed: usize,
     /// Signals that were sent.
@@ -26,7 +28,7 @@
     pub fn add(&mut self, judgement: &Judgement, signals: usize) {
         self.days += 1;
         self.red += usize::from(is_red(judgement));
-        self.requests += judgement.requests;
+        self.load.add(&judgement.load);
         self.crossed += judgement.crossed;
         self.signals += signals;
         for finding in &judgement.findings {
@@ -48,30 +50,38 @@
     /// A row of a table in Markdown, of which the first cell is the kind of the days.
     pub fn row(&self, kind: &str) -> String {
         format!(
-            "| {kind} | {} | {} | {} | {} | {} | {} | {} |",
+            "| {kind} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
             self.days,
             self.red,
-            self.requests,
+            self.load.requests,
+            list(&self.load.statuses),
+            self.load.attempts,
             self.signals,
             self.crossed,
             list(&self.findings),
             list(&self.disturbed)
         )
     }
+
+    /// The answers other than 200, by their text.
+    pub fn reasons(&self) -> String {
+        list(&self.load.reasons)
+    }
 }
 
 /// The head of the table.
 pub const TABLE_HEAD: &str =
-    "| kind | seeds | red | requests | signals | crossed | findings | disturbed |\n\
-     | --- | --- | --- | --- | --- | --- | --- | --- |";
+    "| kind | seeds | red | requests | answers by status | attempts at servers | signals | crossed | findings | disturbed |\n\
+     | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |";
 
-fn list(counts: &BTreeMap<String, usize>) -> String {
+/// Counts by what was counted.
+pub fn list<K: Display>(counts: &BTreeMap<K, usize>) -> String {
     if counts.is_empty() {
         return "none".to_owned();
     }
     let entries: Vec<String> = counts
         .iter()
-        .map(|(rule, count)| format!("{rule} {count}"))
+        .map(|(counted, count)| format!("{counted}: {count}"))
         .collect();
     entries.join(", ")
 }
--- a/crates/testbed/src/soak/stalls.rs
+++ b/crates/testbed/src/soak/stalls.rs
@@ -23,6 +23,13 @@
     pub to: Duration,
 }
 
+impl Stall {
+    /// How much of it lies between two times.
+    pub fn overlap(&self, from: Duration, to: Duration) -> Duration {
+        self.to.min(to).saturating_sub(self.from.max(from))
+    }
+}
+
 /// Measures delays until it is dropped.
 pub struct StallMeter {
     stalls: Arc<Mutex<Vec<Stall>>>,
--- /dev/null
+++ b/crates/testbed/tests/soak_judge.rs
@@ -0,0 +1,276 @@
+//! The judgement of days of the soak, on records that are written by hand: what is a finding, and what is not.
+
+use reelfall_testbed::soak::judge::{judge, Finding, Judgement, ProcessEnd, Rule};
+use reelfall_testbed::soak::plan::{EndingsPlan, ServerFault, SignalTime};
+use reelfall_testbed::soak::record::{
+    Record, RequestEnd, RequestRecord, ServerEvent, ServerRecord,
+};
+use reelfall_testbed::soak::stalls::Stall;
+use std::time::Duration;
+
+/// A seed whose signals come under load, without a crowd.
+const SEED: u64 = 4;
+const DEADLINE: Duration = Duration::from_secs(2);
+/// The trouble begins, and SIGTERM is sent.
+const TERMINATED_AT: Duration = Duration::from_secs(10);
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+/// A day in which the first of four servers hangs, and the others have no fault.
+fn plan() -> EndingsPlan {
+    EndingsPlan {
+        signal_time: SignalTime::UnderLoad(TERMINATED_AT),
+        has_crowd: false,
+        deadline: DEADLINE,
+        servers: vec![
+            ServerFault::Hangs,
+            ServerFault::None,
+            ServerFault::None,
+            ServerFault::None,
+        ],
+        ..EndingsPlan::draw(SEED)
+    }
+}
+
+fn end() -> ProcessEnd {
+    ProcessEnd {
+        trouble_at: TERMINATED_AT,
+        terminated_at: TERMINATED_AT,
+        exited_at: Some(TERMINATED_AT + DEADLINE),
+        has_crashed: false,
+        killed_at: TERMINATED_AT + DEADLINE + 700 * MILLISECOND,
+        drain_announced_at: None,
+    }
+}
+
+fn request(id: &str, at: Duration, took: Duration, end: RequestEnd) -> RequestRecord {
+    RequestRecord {
+        id: id.to_owned(),
+        at_most_once: false,
+        client: id.to_owned(),
+        connection: 1,
+        written_at: at,
+        ended_at: at + took,
+        end,
+        failure_text: None,
+    }
+}
+
+fn answered(status: u16) -> RequestEnd {
+    RequestEnd::Answered {
+        status,
+        is_own: true,
+    }
+}
+
+/// A request of each kind that was served before the trouble.
+fn served() -> Vec<RequestRecord> {
+    let at = Duration::from_secs(1);
+    let safe = request("safe", at, MILLISECOND, answered(200));
+    let unsafe_request = RequestRecord {
+        at_most_once: true,
+        ..request("unsafe", at, MILLISECOND, answered(200))
+    };
+    vec![safe, unsafe_request]
+}
+
+fn event(id: &str, server: usize, kind: ServerEvent, at: Duration) -> ServerRecord {
+    ServerRecord {
+        server,
+        id: id.to_owned(),
+        event: kind,
+        at,
+    }
+}
+
+/// The judgement of a day in which these requests were sent beside those that were served.
+fn judge_requests(
+    plan: &EndingsPlan,
+    requests: Vec<RequestRecord>,
+    events: Vec<ServerRecord>,
+    stalls: &[Stall],
+) -> Judgement {
+    let mut all = served();
+    all.extend(requests);
+    judge(plan, &Record::of(all, events), &end(), stalls)
+}
+
+fn rules(judgement: &Judgement) -> Vec<Rule> {
+    let rule = |finding: &Finding| finding.rule;
+    judgement.findings.iter().map(rule).collect()
+}
+
+/// After SIGTERM, with time left.
+const LATER: Duration = Duration::from_millis(10_100);
+
+#[test]
+fn load_that_is_served_has_no_findings() {
+    let judgement = judge_requests(&plan(), Vec::new(), Vec::new(), &[]);
+    assert_eq!(rules(&judgement), []);
+    assert_eq!(judgement.load.requests, 2);
+    assert_eq!(judgement.load.statuses, [(200, 2)].into());
+}
+
+/// Guards against days that are green because nothing was sent to a server.
+#[test]
+fn load_that_is_not_served_before_the_trouble_is_a_finding() {
+    let at = Duration::from_secs(1);
+    let refused = |status| vec![request("other", at, MILLISECOND, answered(status))];
+    let judgement = judge_requests(&plan(), refused(503), Vec::new(), &[]);
+    assert_eq!(rules(&judgement), [Rule::LoadServed]);
+    let judgement = judge_requests(&plan(), refused(400), Vec::new(), &[]);
+    assert_eq!(rules(&judgement), [Rule::ValidRequest, Rule::LoadServed]);
+    // No answer at all to one of the two kinds.
+    let only_safe = served().into_iter().filter(|request| !request.at_most_once);
+    let record = Record::of(only_safe.collect(), Vec::new());
+    assert_eq!(
+        rules(&judge(&plan(), &record, &end(), &[])),
+        [Rule::LoadServed]
+    );
+}
+
+/// Guards against a process that answers all that waits as timed out once it is told to end.
+#[test]
+fn request_with_time_left_must_not_time_out() {
+    let timed_out = |at, took| vec![request("r", at, took, answered(504))];
+    let judge_timeout = |at, took| {
+        rules(&judge_requests(
+            &plan(),
+            timed_out(at, took),
+            Vec::new(),
+            &[],
+        ))
+    };
+    assert_eq!(
+        judge_timeout(LATER, 50 * MILLISECOND),
+        [Rule::NotTimedOutEarly]
+    );
+    assert_eq!(
+        judge_timeout(LATER, 1850 * MILLISECOND),
+        [Rule::NotTimedOutEarly]
+    );
+    assert_eq!(judge_timeout(LATER, 1950 * MILLISECOND), []);
+    // The last answers of the process come 0.45 s after the longest deadline that follows SIGTERM.
+    let last_answers_at = TERMINATED_AT + DEADLINE + 450 * MILLISECOND;
+    assert_eq!(
+        judge_timeout(last_answers_at - 1000 * MILLISECOND, 1000 * MILLISECOND),
+        []
+    );
+    assert_eq!(
+        judge_timeout(last_answers_at - 1000 * MILLISECOND, 800 * MILLISECOND),
+        [Rule::NotTimedOutEarly]
+    );
+}
+
+#[test]
+fn request_that_a_healthy_server_has_processed_must_have_its_answer() {
+    let judge_failure = |status, server, processed_at| {
+        let failed = vec![request("r", LATER, 500 * MILLISECOND, answered(status))];
+        let processed = vec![event("r", server, ServerEvent::Executed, processed_at)];
+        rules(&judge_requests(&plan(), failed, processed, &[]))
+    };
+    let processed_at = LATER + 4 * MILLISECOND;
+    for status in [500, 502, 503] {
+        assert_eq!(
+            judge_failure(status, 1, processed_at),
+            [Rule::ServersAnswer]
+        );
+        assert_eq!(judge_failure(status, 0, processed_at), [], "a server hangs");
+    }
+    assert_eq!(judge_failure(200, 1, processed_at), []);
+    let too_late = LATER + DEADLINE - 50 * MILLISECOND;
+    assert_eq!(judge_failure(502, 1, too_late), []);
+}
+
+#[test]
+fn refused_request_must_not_have_had_its_effect() {
+    let judge_refusal = |status, at_most_once| {
+        let refused = RequestRecord {
+            at_most_once,
+            ..request("r", LATER, 500 * MILLISECOND, answered(status))
+        };
+        let processed = vec![event("r", 0, ServerEvent::Executed, LATER)];
+        rules(&judge_requests(&plan(), vec![refused], processed, &[]))
+    };
+    assert_eq!(judge_refusal(503, true), [Rule::NoEffectOfRefused]);
+    assert_eq!(judge_refusal(429, true), [Rule::NoEffectOfRefused]);
+    assert_eq!(judge_refusal(503, false), []);
+    assert_eq!(judge_refusal(502, true), []);
+}
+
+const RESET: RequestEnd = RequestEnd::ConnectionEnded {
+    was_reset: true,
+    was_announced: false,
+};
+
+/// Three requests that were written at once, on one connection.
+fn pipelined(ends: [RequestEnd; 3]) -> Vec<RequestRecord> {
+    let to_request = |(index, end)| RequestRecord {
+        client: "pipelining".to_owned(),
+        ..request(&format!("p{index}"), LATER, 800 * MILLISECOND, end)
+    };
+    ends.into_iter().enumerate().map(to_request).collect()
+}
+
+/// Guards against a finding on requests behind the first one of a connection that was never accepted.
+#[test]
+fn connection_of_a_crowd_may_be_shut_unread_with_all_that_was_written() {
+    let crowded = EndingsPlan {
+        has_crowd: true,
+        ..plan()
+    };
+    let unread = judge_requests(&crowded, pipelined([RESET; 3]), Vec::new(), &[]);
+    assert_eq!(rules(&unread), []);
+    assert_eq!(unread.crossed, 3);
+    // One that was read, by its answer or by an attempt, has to be served to its end.
+    let is_read = judge_requests(
+        &crowded,
+        pipelined([answered(200), RESET, RESET]),
+        Vec::new(),
+        &[],
+    );
+    assert_eq!(rules(&is_read), [Rule::NotClosedUnanswered; 2]);
+    let attempt = vec![event("p1", 1, ServerEvent::Received, LATER)];
+    let is_forwarded = judge_requests(&crowded, pipelined([RESET; 3]), attempt, &[]);
+    let expected = [
+        Rule::NotClosedUnanswered,
+        Rule::Answered,
+        Rule::NotClosedUnanswered,
+    ];
+    assert_eq!(rules(&is_forwarded), expected);
+    // Without a crowd, no connection is shut unread.
+    let judgement = judge_requests(&plan(), pipelined([RESET; 3]), Vec::new(), &[]);
+    assert_eq!(rules(&judgement), [Rule::NotClosedUnanswered; 3]);
+}
+
+/// Guards against delays that are too short to explain a finding.
+#[test]
+fn delay_explains_a_finding_only_if_it_is_as_long_as_the_overrun() {
+    let took = DEADLINE + 800 * MILLISECOND;
+    let overrun = 300 * MILLISECOND;
+    let stall = |from, length| Stall {
+        from,
+        to: from + length,
+    };
+    let is_disturbed = |stalls: &[Stall]| {
+        let late = vec![request("r", LATER, took, answered(200))];
+        let judgement = judge_requests(&plan(), late, Vec::new(), stalls);
+        assert_eq!(rules(&judgement), [Rule::AnsweredInTime]);
+        judgement.findings[0].disturbed_for.is_some()
+    };
+    assert!(!is_disturbed(&[]));
+    assert!(!is_disturbed(&[stall(LATER, overrun - MILLISECOND)]));
+    assert!(is_disturbed(&[stall(LATER, overrun)]));
+    let half = overrun / 2;
+    assert!(is_disturbed(&[
+        stall(LATER, half),
+        stall(LATER + took - half, half)
+    ]));
+    // What lies before the request or behind its end does not count.
+    assert!(!is_disturbed(&[stall(LATER - half, overrun)]));
+    assert!(!is_disturbed(&[stall(LATER + took, overrun)]));
+    // No delay explains a missing answer.
+    let lost = vec![request("r", LATER, took, RequestEnd::NoAnswer)];
+    let judgement = judge_requests(&plan(), lost, Vec::new(), &[stall(LATER, 2 * took)]);
+    assert_eq!(rules(&judgement), [Rule::Answered]);
+    assert_eq!(judgement.findings[0].disturbed_for, None);
+}
