--- a/crates/testbed/src/soak/ejections.rs
+++ b/crates/testbed/src/soak/ejections.rs
@@ -1,22 +1,95 @@
 //! The judgement of ejections on a day of a fleet: a silent server is ejected in time, and none that responds.
+//!
+//! Whether a node has ejected the silent server is asked at its management address, as an operator would: its log may drop
+//! lines.
 
 use super::fleet_day::FleetPlan;
 use super::judge::{Finding, Rule};
-use crate::fleet::history::{Event, TimedEvent};
+use crate::client::Client;
+use crate::fleet::history::{Event, History, TimedEvent};
 use crate::fleet::invariants::PROPAGATION_TIME;
-use crate::fleet::{queries, server_name};
+use crate::fleet::{queries, server_name, TestFleet};
+use crate::AbortOnDrop;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
 use reelfall_cluster::quorum::Quorum;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 /// What a node logs when it ejects a server, behind the name of the server.
 const EJECTED: &str = "is ejected, a quorum";
-/// What a node logs when it readmits a server.
-const READMITTED: &str = "is no longer ejected";
+/// What a node answers about a server that it has ejected.
+const EXPLAINED_AS_EJECTED: &str = "fails several nodes";
+/// Pause between two questions to a node.
+const WATCH_INTERVAL: Duration = Duration::from_millis(50);
 /// A response is late from this time on: the latency objective of the services of a fleet.
 const LATE_AFTER: Duration = crate::fleet::LATENCY_OBJECTIVE;
 /// Reports from before a server responded again may still eject it for this time.
 const OLD_REPORTS_TIME: Duration = PROPAGATION_TIME;
 
+/// Asks each node again and again whether it has ejected a server, until it is dropped.
+pub(super) struct EjectionWatch {
+    nodes: Vec<usize>,
+    seen: Arc<Mutex<Vec<SeenEjection>>>,
+    _tasks: Vec<AbortOnDrop>,
+}
+
+/// A node was seen to have ejected the server.
+#[derive(Clone, Copy, Debug)]
+struct SeenEjection {
+    node: usize,
+    at: Duration,
+}
+
+impl EjectionWatch {
+    pub(super) fn start(fleet: &TestFleet, server: usize, history: &Arc<History>) -> EjectionWatch {
+        let seen: Arc<Mutex<Vec<SeenEjection>>> = Arc::default();
+        let nodes = fleet.running_nodes();
+        let watch = |node: &usize| {
+            let client = Client::new(fleet.management(*node)?);
+            let path = format!("/-/fleet/servers/{}", server_name(server));
+            let (node, history, seen) = (*node, history.clone(), seen.clone());
+            Some(crate::spawn(async move {
+                loop {
+                    if is_ejected(&client, &path).await {
+                        let at = history.now();
+                        let mut seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
+                        seen.push(SeenEjection { node, at });
+                    }
+                    tokio::time::sleep(WATCH_INTERVAL).await;
+                }
+            }))
+        };
+        let tasks = nodes.iter().filter_map(watch).collect();
+        EjectionWatch {
+            nodes,
+            seen,
+            _tasks: tasks,
+        }
+    }
+
+    /// When a node was first seen to have ejected the server, at a time or later.
+    fn first_seen(&self, node: usize, from: Duration) -> Option<Duration> {
+        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut of_node = seen.iter().filter(|entry| entry.node == node);
+        of_node.find(|entry| entry.at >= from).map(|entry| entry.at)
+    }
+}
+
+async fn is_ejected(client: &Client, path: &str) -> bool {
+    let request = Request::builder()
+        .uri(path)
+        .header("host", "node")
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else { return false };
+    let response = client.send(request).await;
+    response.is_ok_and(|response| {
+        let body = String::from_utf8_lossy(&response.body);
+        body.contains(EXPLAINED_AS_EJECTED)
+    })
+}
+
 /// When the server paused, and when it responded again.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Pause {
@@ -28,34 +101,31 @@
 pub(super) fn judge(
     plan: &FleetPlan,
     events: &[TimedEvent],
-    nodes: &[usize],
+    watch: &EjectionWatch,
     pause: Pause,
 ) -> Vec<Finding> {
-    let mut findings = late_ejections(plan, events, nodes, pause);
+    let mut findings = late_ejections(plan, events, watch, pause);
     findings.extend(ejections_of_responding(plan, events, pause));
     findings
 }
 
 /// An ejection that a node logged.
-struct LoggedChange<'a> {
+struct LoggedEjection<'a> {
     at: Duration,
     node: usize,
     server: &'a str,
-    is_ejected: bool,
 }
 
-fn logged_changes(events: &[TimedEvent]) -> impl Iterator<Item = LoggedChange<'_>> {
+fn logged_ejections(events: &[TimedEvent]) -> impl Iterator<Item = LoggedEjection<'_>> {
     events.iter().filter_map(|entry| {
         let Event::Logged { node, line } = &entry.event else {
             return None;
         };
         let (server, text) = line.split_once("fleet: ")?.1.split_once(' ')?;
-        let is_ejected = text.starts_with(EJECTED);
-        (is_ejected || text.starts_with(READMITTED)).then_some(LoggedChange {
+        text.starts_with(EJECTED).then_some(LoggedEjection {
             at: entry.at,
             node: *node,
             server,
-            is_ejected,
         })
     })
 }
@@ -97,7 +167,7 @@
 fn late_ejections(
     plan: &FleetPlan,
     events: &[TimedEvent],
-    nodes: &[usize],
+    watch: &EjectionWatch,
     pause: Pause,
 ) -> Vec<Finding> {
     let Some(quorum_at) = quorum_at(plan, events, pause) else {
@@ -105,26 +175,14 @@
     };
     // While most servers are late, the reports on each are ignored.
     let due = (quorum_at + LATE_AFTER).max(common_pause_end(plan, pause)) + PROPAGATION_TIME;
-    if due > pause.to {
+    if due + WATCH_INTERVAL > pause.to {
         return Vec::new();
     }
     let name = server_name(plan.paused_server);
     let late = |node: &usize| {
-        let changes = || {
-            logged_changes(events).filter(|change| change.node == *node && change.server == name)
-        };
-        let was_ejected = changes()
-            .filter(|change| change.at < pause.from)
-            .last()
-            .is_some_and(|change| change.is_ejected);
-        if was_ejected {
-            return None;
-        }
-        let ejected_at = changes()
-            .find(|change| change.is_ejected && change.at >= pause.from)
-            .map(|change| change.at);
+        let ejected_at = watch.first_seen(*node, pause.from);
         let (at, overrun) = match ejected_at {
-            Some(at) if at <= due => return None,
+            Some(at) if at <= due + WATCH_INTERVAL => return None,
             Some(at) if at <= pause.to => (at, Some(at - due)),
             _ => (pause.to, None),
         };
@@ -140,7 +198,7 @@
             disturbed_for: None,
         })
     };
-    nodes.iter().filter_map(late).collect()
+    watch.nodes.iter().filter_map(late).collect()
 }
 
 fn ejections_of_responding(plan: &FleetPlan, events: &[TimedEvent], pause: Pause) -> Vec<Finding> {
@@ -154,17 +212,17 @@
             pause.from
         }
     };
-    let wrong = logged_changes(events)
-        .filter(|change| change.is_ejected && change.at > responds_from(change.server));
+    let wrong =
+        logged_ejections(events).filter(|ejection| ejection.at > responds_from(ejection.server));
     wrong
-        .map(|change| Finding {
+        .map(|ejection| Finding {
             rule: Rule::NotEjected,
-            from: change.at.saturating_sub(PROPAGATION_TIME + LATE_AFTER),
-            at: change.at,
+            from: ejection.at.saturating_sub(PROPAGATION_TIME + LATE_AFTER),
+            at: ejection.at,
             overrun: Some(LATE_AFTER - plan.service_time()),
             text: format!(
                 "node {} ejected {}, which responds",
-                change.node, change.server
+                ejection.node, ejection.server
             ),
             disturbed_for: None,
         })
--- a/crates/testbed/src/soak/fleet_day.rs
+++ b/crates/testbed/src/soak/fleet_day.rs
@@ -1,6 +1,6 @@
 //! A day of a fleet of real processes: drawn faults, then a server that pauses, and responds again.
 
-use super::ejections::{self, Pause};
+use super::ejections::{self, EjectionWatch, Pause};
 use super::judge::load::{unserved, LoadSummary};
 use super::judge::{mark_disturbed, Finding, Judgement, Rule};
 use super::stalls::StallMeter;
@@ -159,6 +159,7 @@
     schedule::execute(&mut fleet, &plan.faults).await?;
     tokio::time::sleep(RECOVERY_TIME).await;
     let server = plan.paused_server;
+    let watch = EjectionWatch::start(&fleet, server, &history);
     let paused_at = history.now();
     schedule::execute(&mut fleet, &plan.pause_steps()).await?;
     if blocks_server {
@@ -180,7 +181,7 @@
         from: paused_at,
         to: resumed_at,
     };
-    findings.extend(ejections::judge(plan, &events, &nodes, pause));
+    findings.extend(ejections::judge(plan, &events, &watch, pause));
     mark_disturbed(&mut findings, &meter.stalls_since(started));
     Ok(FleetOutcome {
         history,
