Cluster: a test of what a moment in which all servers are late ejects

Change: no change of the product. The test lets all servers be late at all of six nodes for 0.25 to 2 s; each node gives up attempts at one, two or all servers after 0.2 s. At most a fifth of the servers is ejected at any time, and none for longer than its evidence lives, with and without probers.

--- a/crates/cluster/tests/fleet/main.rs
+++ b/crates/cluster/tests/fleet/main.rs
@@ -5,4 +5,5 @@
 mod fixture;
 mod membership;
 mod schedules;
+mod stalls;
 mod verdicts;
