--- a/crates/testbed/src/commands/soak.rs
+++ b/crates/testbed/src/commands/soak.rs
@@ -7,6 +7,8 @@
 use reelfall_testbed::soak::plan::EndingsPlan;
 use reelfall_testbed::soak::report::{findings, is_red, list, Totals, TABLE_HEAD};
 use reelfall_testbed::soak::stalls::StallMeter;
+use reelfall_testbed::soak::upgrade_plan::UpgradePlan;
+use reelfall_testbed::soak::upgrades;
 use reelfall_testbed::Result;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -50,6 +52,8 @@
     Endings,
     /// A fleet with a server that pauses
     Fleet,
+    /// A node whose processes take over from each other
+    Upgrade,
 }
 
 impl Kind {
@@ -57,6 +61,7 @@
         match self {
             Kind::Endings => "endings",
             Kind::Fleet => "fleet",
+            Kind::Upgrade => "upgrade",
         }
     }
 }
@@ -91,6 +96,16 @@
                 history: format!("{plan:?}\n{}", outcome.history.to_text()),
             })
         }
+        Kind::Upgrade => {
+            let plan = UpgradePlan::draw(seed);
+            let outcome = upgrades::play(program, &plan, meter).await?;
+            Ok(Day {
+                seed,
+                judgement: outcome.judgement,
+                signals: plan.steps.len(),
+                history: format!("{plan:?}\n{}\n{}", outcome.record.to_text(), outcome.log),
+            })
+        }
     }
 }
 
--- a/crates/testbed/src/soak/endings.rs
+++ b/crates/testbed/src/soak/endings.rs
@@ -204,7 +204,7 @@
         let mut servers = Vec::with_capacity(plan.servers.len());
         let mut server_links = Vec::with_capacity(plan.servers.len());
         for index in 0..plan.servers.len() {
-            let server = start_server(index, plan.seed, record).await?;
+            let server = start_server(index, SERVICE_TIME, plan.seed, record).await?;
             server_links.push(Some(Link::start(server.address).await?));
             servers.push(server);
         }
@@ -304,8 +304,14 @@
     }
 }
 
-async fn start_server(index: usize, seed: u64, record: &Arc<Record>) -> Result<Server> {
-    let behavior = ServerBehavior::healthy(SERVICE_TIME);
+/// Starts a server whose events are recorded.
+pub(super) async fn start_server(
+    index: usize,
+    service_time: Duration,
+    seed: u64,
+    record: &Arc<Record>,
+) -> Result<Server> {
+    let behavior = ServerBehavior::healthy(service_time);
     let seed = seed.wrapping_add(index as u64);
     let server = Server::start(&format!("s{index}"), SERVER_WORKERS, behavior, seed).await?;
     let record = record.clone();
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -9,11 +9,13 @@
 mod request;
 
 use self::load::LoadSummary;
-use self::request::{judge_request, DayContext, Verdict};
+use self::request::{judge_request, DayConditions, DayContext, Verdict};
 use super::plan::{EndingsPlan, ServerFault};
 use super::process::DRAIN_GRACE;
 use super::record::{Record, RequestEnd, RequestRecord, ServerEvent, ServerRecord};
 use super::stalls::Stall;
+use super::upgrade_plan::UpgradePlan;
+use super::upgrades::SeenUpgrades;
 use std::collections::HashSet;
 use std::fmt;
 use std::time::Duration;
@@ -121,16 +123,69 @@
     pub crossed: usize,
 }
 
-/// Judges a day.
+/// Judges a day of endings.
 pub fn judge(plan: &EndingsPlan, record: &Record, end: &ProcessEnd, stalls: &[Stall]) -> Judgement {
-    let requests = record.requests();
-    let events = record.server_events();
-    let context = DayContext::new(plan, end, &requests, &events);
+    let (requests, events) = (record.requests(), record.server_events());
+    let day = DayConditions {
+        deadline: plan.deadline,
+        has_crowd: plan.has_crowd,
+        servers: &plan.servers,
+        terminated_at: Some(end.terminated_at),
+        killed_at: &[],
+    };
+    let mut judgement = judge_requests(day, &requests, &events);
+    let findings = &mut judgement.findings;
+    findings.extend(load::unserved_load(plan, end, &requests));
+    let drain = end.drain_announced_at.map(|announced_at| Drain {
+        announced_at,
+        lifted_at: Duration::MAX,
+    });
+    findings.extend(attempts_at_draining(drain.as_slice(), &events));
+    findings.extend(late_exit(end));
+    mark_disturbed(findings, stalls);
+    judgement
+}
+
+/// Judges a day of upgrades.
+pub fn judge_upgrades(
+    plan: &UpgradePlan,
+    record: &Record,
+    seen: &SeenUpgrades,
+    stalls: &[Stall],
+) -> Judgement {
+    let (requests, events) = (record.requests(), record.server_events());
+    let day = DayConditions {
+        deadline: plan.deadline,
+        has_crowd: false,
+        servers: &plan.servers,
+        terminated_at: None,
+        killed_at: &seen.killed_at,
+    };
+    let mut judgement = judge_requests(day, &requests, &events);
+    let findings = &mut judgement.findings;
+    findings.extend(load::unserved_requests(
+        &requests,
+        Duration::ZERO,
+        record.now(),
+    ));
+    findings.extend(attempts_at_draining(&seen.drains, &events));
+    findings.extend(seen.ends.iter().filter_map(late_exit));
+    mark_disturbed(findings, stalls);
+    judgement
+}
+
+/// What the judgement of all requests comes to, whatever kind of day it is.
+fn judge_requests(
+    day: DayConditions,
+    requests: &[RequestRecord],
+    events: &[ServerRecord],
+) -> Judgement {
+    let context = DayContext::new(day, requests, events);
     let mut judgement = Judgement {
-        load: LoadSummary::of_endings(&requests, &events),
+        load: LoadSummary::of_endings(requests, events),
         ..Judgement::default()
     };
-    for request in &requests {
+    for request in requests {
         match judge_request(&context, request) {
             Verdict::Fine => {}
             Verdict::Crossed => judgement.crossed += 1,
@@ -148,13 +203,10 @@
             }),
         }
     }
-    let findings = &mut judgement.findings;
-    findings.extend(load::unserved_load(plan, end, &requests));
-    findings.extend(effects(&requests, &events));
-    findings.extend(attempts_for_left_clients(plan, &requests, &context));
-    findings.extend(attempts_at_draining(end, &events));
-    findings.extend(late_exit(end));
-    mark_disturbed(findings, stalls);
+    judgement.findings.extend(effects(requests, events));
+    judgement
+        .findings
+        .extend(attempts_for_left_clients(requests, &context));
     judgement
 }
 
@@ -205,11 +257,7 @@
     violations.collect()
 }
 
-fn attempts_for_left_clients(
-    plan: &EndingsPlan,
-    requests: &[RequestRecord],
-    context: &DayContext,
-) -> Vec<Finding> {
+fn attempts_for_left_clients(requests: &[RequestRecord], context: &DayContext) -> Vec<Finding> {
     let left = requests
         .iter()
         .filter(|request| request.end == RequestEnd::ClientLeft);
@@ -219,7 +267,7 @@
             .events_of(request, ServerEvent::Received)
             .filter(move |attempt| attempt.at > allowed_until)
             // The path to such a server delays requests as well.
-            .filter(|attempt| plan.servers.get(attempt.server) != Some(&ServerFault::SlowPath))
+            .filter(|attempt| context.fault_of(attempt.server) != Some(ServerFault::SlowPath))
             .map(move |attempt| Finding {
                 rule: Rule::NothingForLeft,
                 from: request.ended_at,
@@ -237,27 +285,39 @@
     late.collect()
 }
 
-fn attempts_at_draining(end: &ProcessEnd, events: &[ServerRecord]) -> Vec<Finding> {
-    let Some(announced_at) = end.drain_announced_at else {
-        return Vec::new();
-    };
-    let allowed_until = announced_at + DRAIN_GRACE + SOCKET_SLACK;
-    let late = events.iter().filter(|event| {
-        event.server == 0 && event.event == ServerEvent::Received && event.at > allowed_until
+/// The time in which the first server drains, as discovery has announced it.
+#[derive(Clone, Copy, Debug)]
+pub struct Drain {
+    /// When it was announced.
+    pub announced_at: Duration,
+    /// When it was announced to be over.
+    pub lifted_at: Duration,
+}
+
+fn attempts_at_draining(drains: &[Drain], events: &[ServerRecord]) -> Vec<Finding> {
+    let attempts = events
+        .iter()
+        .filter(|event| event.server == 0 && event.event == ServerEvent::Received);
+    let late = attempts.filter_map(|event| {
+        let drain = drains.iter().find(|drain| {
+            let allowed_until = drain.announced_at + DRAIN_GRACE + SOCKET_SLACK;
+            event.at > allowed_until && event.at < drain.lifted_at
+        })?;
+        let allowed_until = drain.announced_at + DRAIN_GRACE + SOCKET_SLACK;
+        Some(Finding {
+            rule: Rule::NothingToDraining,
+            from: drain.announced_at,
+            at: event.at,
+            overrun: Some(event.at - allowed_until),
+            text: format!(
+                "{} was sent {:?} after the announcement",
+                event.id,
+                event.at - drain.announced_at
+            ),
+            disturbed_for: None,
+        })
     });
-    late.map(|event| Finding {
-        rule: Rule::NothingToDraining,
-        from: announced_at,
-        at: event.at,
-        overrun: Some(event.at - allowed_until),
-        text: format!(
-            "{} was sent {:?} after the announcement",
-            event.id,
-            event.at - announced_at
-        ),
-        disturbed_for: None,
-    })
-    .collect()
+    late.collect()
 }
 
 fn late_exit(end: &ProcessEnd) -> Option<Finding> {
--- a/crates/testbed/src/soak/judge/load.rs
+++ b/crates/testbed/src/soak/judge/load.rs
@@ -82,7 +82,7 @@
         from,
         at,
         overrun: None,
-        text: format!("{served} of {answers} answers were 200 before the trouble"),
+        text: format!("{served} of {answers} answers were 200 although nothing stood in the way"),
         disturbed_for: None,
     })
 }
@@ -97,18 +97,27 @@
     if !matches!(plan.signal_time, SignalTime::UnderLoad(_)) {
         return Vec::new();
     }
+    unserved_requests(requests, Duration::ZERO, end.trouble_at)
+}
+
+/// The same for the requests that ended between two times.
+pub(super) fn unserved_requests(
+    requests: &[RequestRecord],
+    from: Duration,
+    to: Duration,
+) -> Vec<Finding> {
     let unserved_kind = |at_most_once: bool| {
         let statuses = requests
             .iter()
             .filter(|request| request.at_most_once == at_most_once)
-            .filter(|request| request.ended_at < end.trouble_at)
+            .filter(|request| (from..to).contains(&request.ended_at))
             .filter_map(|request| request.end.status());
         let (mut answers, mut served) = (0, 0);
         for status in statuses {
             answers += 1;
             served += usize::from(status == OK);
         }
-        unserved(answers, served, Duration::ZERO, end.trouble_at)
+        unserved(answers, served, from, to)
     };
     [false, true]
         .into_iter()
--- a/crates/testbed/src/soak/judge/request.rs
+++ b/crates/testbed/src/soak/judge/request.rs
@@ -1,7 +1,7 @@
 //! The judgement of one request, by how it ended at its client and what servers did for it.
 
-use super::{ProcessEnd, Rule};
-use crate::soak::plan::{EndingsPlan, ServerFault};
+use super::Rule;
+use crate::soak::plan::ServerFault;
 use crate::soak::record::{RequestEnd, RequestRecord, ServerEvent, ServerRecord};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
@@ -12,6 +12,8 @@
 const CROSSING_TIME: Duration = Duration::from_millis(100);
 /// Time that a node needs for an answer on its way: it answers as timed out so much before the deadline.
 const RESPONSE_SLACK: Duration = Duration::from_millis(100);
+/// The connections of a process that was killed end within this time.
+const KILL_DETECTION_TIME: Duration = Duration::from_millis(50);
 /// From this time after the longest deadline that follows SIGTERM on, a process that ends 0.1 s before SIGKILL answers
 /// what is left: 0.15 s before its end.
 const LAST_ANSWERS_AFTER_DEADLINE: Duration = Duration::from_millis(450);
@@ -19,7 +21,7 @@
 /// What is known of a request or about it.
 pub(super) enum Verdict {
     Fine,
-    /// It crossed the end of its connection, and had no effect.
+    /// It crossed the end of its connection, and had no effect, or ended with a process that was killed.
     Crossed,
     Violates {
         rule: Rule,
@@ -42,9 +44,20 @@
 /// A connection of a client.
 type ConnectionKey<'a> = (&'a str, u64);
 
+/// The conditions of a day, as far as they decide what is allowed.
+pub(super) struct DayConditions<'a> {
+    pub(super) deadline: Duration,
+    pub(super) has_crowd: bool,
+    pub(super) servers: &'a [ServerFault],
+    /// When SIGTERM was sent, if the node ends without a successor.
+    pub(super) terminated_at: Option<Duration>,
+    /// When processes were killed, with the connections that they had accepted.
+    pub(super) killed_at: &'a [Duration],
+}
+
 /// What the judgement of a request refers to.
 pub(super) struct DayContext<'a> {
-    plan: &'a EndingsPlan,
+    day: DayConditions<'a>,
     /// From when on the process may answer as timed out what has time left.
     last_answers_at: Duration,
     events: HashMap<&'a str, Vec<&'a ServerRecord>>,
@@ -54,8 +67,7 @@
 
 impl<'a> DayContext<'a> {
     pub(super) fn new(
-        plan: &'a EndingsPlan,
-        end: &ProcessEnd,
+        day: DayConditions<'a>,
         requests: &'a [RequestRecord],
         events: &'a [ServerRecord],
     ) -> DayContext<'a> {
@@ -72,15 +84,21 @@
             .filter(was_read)
             .map(RequestRecord::connection_key)
             .collect();
+        let last_answers_at = day.terminated_at.map_or(Duration::MAX, |terminated_at| {
+            terminated_at + day.deadline + LAST_ANSWERS_AFTER_DEADLINE - RESPONSE_SLACK
+        });
         DayContext {
-            plan,
-            last_answers_at: end.terminated_at + plan.deadline + LAST_ANSWERS_AFTER_DEADLINE
-                - RESPONSE_SLACK,
+            day,
+            last_answers_at,
             events: by_id,
             read_connections,
         }
     }
 
+    pub(super) fn fault_of(&self, server: usize) -> Option<ServerFault> {
+        self.day.servers.get(server).copied()
+    }
+
     /// What servers did for a request.
     pub(super) fn events_of(
         &self,
@@ -99,7 +117,16 @@
 
     /// Where clients fill the descriptors, a new connection may be shut unread, with all that was written to it.
     fn may_be_shut_unread(&self, request: &RequestRecord) -> bool {
-        self.plan.has_crowd && !self.read_connections.contains(&request.connection_key())
+        self.day.has_crowd && !self.read_connections.contains(&request.connection_key())
+    }
+
+    /// Whether the connection of a request ended with a process that was killed.
+    fn ended_by_kill(&self, request: &RequestRecord) -> bool {
+        let mut kills = self.day.killed_at.iter();
+        kills.any(|kill| {
+            (*kill..*kill + KILL_DETECTION_TIME).contains(&request.ended_at)
+                && request.written_at <= *kill + KILL_DETECTION_TIME
+        })
     }
 }
 
@@ -120,7 +147,9 @@
             was_announced,
         } => {
             let how = if was_reset { "reset" } else { "closed" };
-            if context.was_forwarded(request) {
+            if context.ended_by_kill(request) {
+                Verdict::Crossed
+            } else if context.was_forwarded(request) {
                 let text = format!("was forwarded, and its connection {how} after {waited:?}");
                 Verdict::violates(Rule::Answered, text)
             } else if was_announced || waited < CROSSING_TIME || context.may_be_shut_unread(request)
@@ -143,7 +172,7 @@
     status: u16,
     waited: Duration,
 ) -> Verdict {
-    let deadline = context.plan.deadline;
+    let deadline = context.day.deadline;
     let allowed = deadline + ANSWER_SLACK;
     if waited > allowed {
         return Verdict::Violates {
@@ -166,12 +195,12 @@
 
 /// A request has failed: no server without a fault may have processed it in time.
 fn judge_failure(context: &DayContext, request: &RequestRecord, status: u16) -> Verdict {
-    let due = (request.written_at + context.plan.deadline).min(context.last_answers_at);
+    let due = (request.written_at + context.day.deadline).min(context.last_answers_at);
     let processed = context
         .events_of(request, ServerEvent::Executed)
         .find(|event| {
-            let fault = context.plan.servers.get(event.server);
-            fault == Some(&ServerFault::None) && event.at + RESPONSE_SLACK < due
+            context.fault_of(event.server) == Some(ServerFault::None)
+                && event.at + RESPONSE_SLACK < due
         });
     match processed {
         None => Verdict::Fine,
@@ -191,8 +220,8 @@
     let is_due_to_server = context
         .events_of(request, ServerEvent::Received)
         .any(|attempt| {
-            let fault = context.plan.servers.get(attempt.server);
-            fault.is_some_and(|fault| *fault != ServerFault::None)
+            let fault = context.fault_of(attempt.server);
+            fault.is_some_and(|fault| fault != ServerFault::None)
         });
     if is_due_to_server {
         Verdict::Fine
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -6,6 +6,8 @@
 //! | [`endings`] | playing such a day |
 //! | [`fleet_day`] | a day of a fleet, with servers that pause and respond again |
 //! | `ejections` | the judgement of ejections on such a day |
+//! | [`upgrade_plan`] | what happens on a day of upgrades, drawn from its seed |
+//! | [`upgrades`] | playing such a day |
 //! | [`process`] | the process of the node |
 //! | [`client`] | the clients, which use each connection until it ends |
 //! | `exchange` | requests and responses on one connection |
@@ -27,3 +29,5 @@
 pub mod report;
 pub mod sabotage;
 pub mod stalls;
+pub mod upgrade_plan;
+pub mod upgrades;
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -84,7 +84,7 @@
 }
 
 impl ClientKind {
-    const ALL: [ClientKind; 6] = [
+    pub(super) const ALL: [ClientKind; 6] = [
         ClientKind::Quick,
         ClientKind::Resting,
         ClientKind::SlowWriter,
--- a/crates/testbed/src/soak/process.rs
+++ b/crates/testbed/src/soak/process.rs
@@ -1,7 +1,7 @@
 //! The process of a node on a day of endings: its configuration, its start, signals to it, and its end.
 
 use super::plan::{NodeForm, NodeSignal};
-use crate::node::{Folder, Program};
+use crate::node::{wait_for_health, Folder, Program};
 use crate::ports::Port;
 use crate::scripted::PlatformConfiguration;
 use crate::Result;
@@ -12,7 +12,7 @@
 use std::path::PathBuf;
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
-use tokio::process::Child;
+use tokio::process::{Child, Command};
 
 /// Sockets that the node may open: few enough for a crowd to take them.
 const MAX_SOCKETS: usize = 96;
@@ -131,6 +131,7 @@
 /// A process of a node. It is killed when this is dropped.
 pub struct NodeProcess {
     child: Child,
+    management: Option<Port>,
 }
 
 impl NodeProcess {
@@ -139,11 +140,32 @@
     /// # Errors
     /// Fails if it does not start.
     pub fn start(program: &Program, place: &NodePlace, form: NodeForm) -> Result<NodeProcess> {
+        Ok(NodeProcess {
+            child: NodeProcess::command(program, place, form)?.spawn()?,
+            management: None,
+        })
+    }
+
+    /// Starts a process of the platform's form with a management address, which can take over from the one before it.
+    ///
+    /// # Errors
+    /// Fails if it does not start, or if there is no port.
+    pub fn start_managed(program: &Program, place: &NodePlace) -> Result<NodeProcess> {
+        let management = Port::reserve()?;
+        let mut command = NodeProcess::command(program, place, NodeForm::Platform)?;
+        command.env("ROUTER_MANAGEMENT", management.address().to_string());
+        Ok(NodeProcess {
+            child: command.spawn()?,
+            management: Some(management),
+        })
+    }
+
+    fn command(program: &Program, place: &NodePlace, form: NodeForm) -> Result<Command> {
         let log = File::options()
             .create(true)
             .append(true)
             .open(place.log_file())?;
-        let mut command = tokio::process::Command::from(program.command());
+        let mut command = Command::from(program.command());
         match form {
             NodeForm::Platform => command.env("ROUTER_CONFIG", place.configuration_file()),
             NodeForm::SettingsFile => command
@@ -151,13 +173,31 @@
                 .arg("--config")
                 .arg(place.configuration_file()),
         };
-        let child = command
+        command
             .env("TMPDIR", place.folder.path())
             .stdout(Stdio::null())
             .stderr(Stdio::from(log))
-            .kill_on_drop(true)
-            .spawn()?;
-        Ok(NodeProcess { child })
+            .kill_on_drop(true);
+        Ok(command)
+    }
+
+    /// The management address.
+    ///
+    /// # Errors
+    /// Fails for a process without one.
+    pub fn management(&self) -> Result<SocketAddr> {
+        let port = self.management.as_ref();
+        Ok(port
+            .ok_or("the process has no management address")?
+            .address())
+    }
+
+    /// Waits until it serves.
+    ///
+    /// # Errors
+    /// Fails for a process without a management address, and if it is not ready in time.
+    pub async fn wait_until_ready(&self) -> Result<()> {
+        wait_for_health(self.management()?, "/-/ready", true).await
     }
 
     /// Sends a signal; one to a process that has ended is lost.
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -8,6 +8,8 @@
 use reelfall_testbed::soak::report::{findings, is_red};
 use reelfall_testbed::soak::sabotage::Sabotage;
 use reelfall_testbed::soak::stalls::StallMeter;
+use reelfall_testbed::soak::upgrade_plan::UpgradePlan;
+use reelfall_testbed::soak::upgrades;
 use std::path::Path;
 
 const TESTBED: &str = env!("CARGO_BIN_EXE_reelfall-testbed");
@@ -17,6 +19,8 @@
 const SLOW_UPLOAD_SEED: u64 = 1;
 /// Days of a fleet.
 const FLEET_SEEDS: [u64; 1] = [1];
+/// Days of upgrades, with successors that are killed.
+const UPGRADE_SEEDS: [u64; 2] = [4, 5];
 /// A violation that is put in on purpose is found within so many days.
 const MAX_DAYS_TO_FIND: u64 = 10;
 
@@ -72,6 +76,16 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drawn_upgrades_violate_no_rule() {
+    let meter = meter();
+    for seed in UPGRADE_SEEDS {
+        let plan = UpgradePlan::draw(seed);
+        let outcome = upgrades::play(&program(), &plan, &meter).await.unwrap();
+        assert_not_red(seed, &outcome.judgement, &outcome.record.to_text());
+    }
+}
+
 /// Plays days with a violation that is put in on purpose until one finds it.
 async fn assert_found(sabotage: Sabotage, rule: Rule) {
     let meter = meter();
