Node: a request that arrives before an idle connection is closed is served

Callers saw a connection that had rested until the node ended it close without an answer to a request that had arrived before the close. A POST can't be repeated.

Cause: the node looked at the socket, found nothing and told the HTTP library that the connection had ended, which then shut the write side down; what came between the two was discarded.

Change: the library's shutdown of such a connection does nothing; the node looks once more right before it closes it, and serves it on if a request is there. That leaves no code between the last look and the close but the two calls.

Measured: client::tests::request_received_before_an_idle_connection_is_closed_is_read is red without it (Broken pipe), green with it; tests of endings, connection bound, node, operations, reload and golden answers green.

--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -80,6 +80,8 @@
     /// Whether it was answered before the body of its request was received. Closing then lingers, or the answer might be
     /// lost.
     pub was_answered_early: Cell<bool>,
+    /// Whether the connection ends since its client has sent no request: one that arrives before it is closed is served.
+    ends_idle: Cell<bool>,
     /// Whether it is handed over to another process as soon as no request is in progress.
     pub is_handing_over: Cell<bool>,
     /// The listener that accepted it.
@@ -115,6 +117,7 @@
             is_streaming: Cell::new(false),
             answer_open_flag: RefCell::default(),
             was_answered_early: Cell::new(false),
+            ends_idle: Cell::new(false),
             is_handing_over: Cell::new(false),
             listener_tag,
             is_disconnected: Cell::new(false),
@@ -128,6 +131,11 @@
         self.stream.replace(Rc::downgrade(stream));
     }
 
+    /// Whether a request has arrived on a connection that was to end without one.
+    pub fn take_late_request(&self, stream: &TcpStream) -> bool {
+        self.ends_idle.take() && has_input(stream)
+    }
+
     /// Checks for a disconnect that the connection's own task has not read yet.
     fn check_disconnect(&self) {
         self.last_disconnect_check.set(Instant::now());
@@ -182,6 +190,12 @@
     }
 }
 
+/// Whether something was received that has not been read, also where the runtime has not reported it yet.
+fn has_input(stream: &TcpStream) -> bool {
+    let peeked = socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    peeked.is_ok_and(|length| length > 0)
+}
+
 impl Waiter for Client {
     /// Checks the socket as well: on a busy processor, the connection's own task may read a disconnect late, and attempts
     /// would be made for nobody.
--- a/crates/node/src/net/client/io.rs
+++ b/crates/node/src/net/client/io.rs
@@ -2,13 +2,12 @@
 //!
 //! `frontend::accept` gives a [`ClientIo`] to the HTTP library for each connection.
 
-use super::{Client, Phase, REQUEST_TIMEOUT};
+use super::{has_input, Client, Phase, REQUEST_TIMEOUT};
 use crate::net::gate::Gate;
 use crate::net::MAX_REQUEST_HEAD_BYTES;
 use hyper::StatusCode;
 use std::future::Future;
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -232,10 +231,11 @@
     /// Ends a connection without a request, unless input has arrived that the runtime has not reported yet. A request that
     /// arrives at the moment of an eviction or a timeout is answered first.
     fn poll_end(&self) -> Poll<io::Result<()>> {
-        match socket2::SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(length) if length > 0 => Poll::Pending,
-            _ => Poll::Ready(Ok(())),
+        if has_input(&self.stream) {
+            return Poll::Pending;
         }
+        self.client.ends_idle.set(true);
+        Poll::Ready(Ok(()))
     }
 
     /// Records a write, or enforces the timeout of one that is pending.
@@ -360,8 +360,9 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context) -> Poll<io::Result<()>> {
-        if self.client.rejection_status.get().is_some() {
-            // The HTTP library shuts a rejected connection down; `close` still has to answer the client.
+        // The HTTP library shuts each connection down. `close` still has to answer a rejected client, and a request may
+        // arrive up to then on a connection that ends without one.
+        if self.client.rejection_status.get().is_some() || self.client.ends_idle.get() {
             return Poll::Ready(Ok(()));
         }
         Poll::Ready(socket2::SockRef::from(&*self.stream).shutdown(std::net::Shutdown::Write))
--- a/crates/node/src/net/client/tests.rs
+++ b/crates/node/src/net/client/tests.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 const CONNECTION_LIMIT: usize = 10;
@@ -197,3 +197,38 @@
         assert_eq!(poll_fn(|context| read(&mut io, context)).await, b"");
     });
 }
+
+/// Guards against requests that arrive between the end of an idle connection and its close, and are discarded.
+#[test]
+fn request_received_before_an_idle_connection_is_closed_is_read() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let (near, mut far) = UnixStream::pair().expect("a pair");
+        near.set_nonblocking(true).expect("a socket");
+        let near = std::net::TcpStream::from(OwnedFd::from(near));
+        let stream = Rc::new(TcpStream::from_std(near).expect("a socket"));
+        let client = client(&Rc::default());
+        let end = async || {
+            let mut io = ClientIo::new(stream.clone(), client.clone(), Gate::new(&METHODS));
+            client.close_when_idle.set(true);
+            assert_eq!(poll_fn(|context| read(&mut io, context)).await, b"");
+            let shutdown = poll_fn(|context| Pin::new(&mut io).poll_shutdown(context)).await;
+            shutdown.expect("a socket");
+        };
+        end().await;
+        let request = b"GET /api HTTP/1.1\r\nhost: n\r\n\r\n";
+        far.write_all(request).expect("the connection is open");
+        assert!(client.take_late_request(&stream), "it is discarded");
+        let mut io = ClientIo::new(stream.clone(), client.clone(), Gate::new(&METHODS));
+        assert_eq!(poll_fn(|context| read(&mut io, context)).await, request);
+        // It could be answered: the write side is open.
+        stream.try_write(b"x").expect("the connection is open");
+        // Nothing has arrived: the connection is closed.
+        client.set_phase(Phase::Idle);
+        end().await;
+        assert!(!client.take_late_request(&stream));
+    });
+}
--- a/crates/node/src/net/frontend/accept.rs
+++ b/crates/node/src/net/frontend/accept.rs
@@ -118,6 +118,9 @@
             let must_hand_over = self.serve_requests(&stream, client).await;
             client.leave_eviction_order();
             if !must_hand_over {
+                if client.take_late_request(&stream) {
+                    continue;
+                }
                 break;
             }
             match self.hand_over(stream, client).await {
