Scenarios and schedules fail if their load was not served

The scenario `services` compares what two services serve alone and beside a flood: if both serve nothing the loss is none, and it passes. A schedule on a fleet (command and scenario `fleet`) holds all invariants if no request reaches a server. Measurements had a check already (TooFewServed), and so had the scenarios membership and graphql.

Change: alone, nine in ten requests are served, something of the flood is, and a schedule serves something. A session scenario that serves too few says with which statuses.

--- a/crates/testbed/src/fleet/schedule_run.rs
+++ b/crates/testbed/src/fleet/schedule_run.rs
@@ -72,7 +72,13 @@
         } else {
             None
         };
-        let mut violations = invariants::violations(&fleet.history.events());
+        let events = fleet.history.events();
+        let mut violations = invariants::violations(&events);
+        let served = queries::served_ratio(&events, schedule_start, schedule_end);
+        if served.ratio <= 0.0 {
+            // The invariants hold for load that reached no server.
+            violations.push(format!("none of {} requests was served", served.requests));
+        }
         if must_converge && convergence_time.is_none() {
             violations.push("the nodes do not find each other again".to_owned());
         }
--- a/crates/testbed/src/scenario/membership.rs
+++ b/crates/testbed/src/scenario/membership.rs
@@ -214,8 +214,9 @@
         });
         report.check(outcome.in_time_percent() >= SERVED_PERCENT, || {
             format!(
-                "{service}: {:.2} % served in time",
-                outcome.in_time_percent()
+                "{service}: {:.2} % served in time: {}",
+                outcome.in_time_percent(),
+                outcome.figures()
             )
         });
     }
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -8,6 +8,9 @@
 
 use serde_json::{json, Map, Value};
 
+/// Least share of requests that are served while nothing stands in their way, in percent.
+const MIN_SERVED_PERCENT: f64 = 90.0;
+
 /// The result of a scenario.
 #[derive(Debug, Default)]
 pub struct Report {
@@ -28,6 +31,14 @@
         }
     }
 
+    /// Checks that load was served although nothing but the scenario stood in its way: what is counted of it shows nothing
+    /// otherwise.
+    pub fn check_served(&mut self, load: &str, served_percent: f64) {
+        self.check(served_percent >= MIN_SERVED_PERCENT, || {
+            format!("{load}: {served_percent:.2} % served, though nothing stands in the way")
+        });
+    }
+
     /// Whether all guarantees hold.
     pub fn passed(&self) -> bool {
         self.violations.is_empty()
--- a/crates/testbed/src/scenario/services/mod.rs
+++ b/crates/testbed/src/scenario/services/mod.rs
@@ -114,6 +114,7 @@
         let (before, after) = (&alone[index], &overloaded[index]);
         report.add_figure(&format!("{name}_alone"), before.figures());
         report.add_figure(&format!("{name}_beside_flood"), after.figures());
+        report.check_served(&format!("{name} alone"), before.in_time_percent());
         let served_loss = before.in_time_percent() - after.in_time_percent();
         report.check(served_loss <= scale.max_served_loss, || {
             format!("{name} serves {served_loss:.2} points less beside the flood")
@@ -129,6 +130,8 @@
     let rejection_us = evaluate.rejection_latency.value_at_quantile(0.5);
     report.add_figure("evaluate_refusal_p50_ms", rejection_us as f64 / US_PER_MS);
     check_answered(report, "evaluate in the flood", evaluate);
+    let served = evaluate.with_status(&[200]);
+    report.check(served > 0, || "nothing of the flood was served".to_owned());
     let rejected = evaluate.with_status(&[429, 503]);
     report.check(rejected > evaluate.sent / 2, || {
         format!("only {rejected} of the flood were refused")
--- a/tests/repeat.sh
+++ b/tests/repeat.sh
@@ -5,7 +5,7 @@
 #
 # Usage: tests/repeat.sh [--copies N] PACKAGE BINARY TEST COUNT
 #   BINARY is the name of the test binary (cluster for crates/testbed/tests/cluster), TEST the whole name of the test.
-#   --copies N runs N copies of the test at once (1).
+#   --copies N runs N copies of the test at once beside load (1); without load they run one after the other.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 copies=1
@@ -51,11 +51,11 @@
 
 # Runs the test so many times, and adds the failed runs to the variable `failed`.
 run_times() {
-    local label=$1 runs=$2 done=0 pid pids batch
+    local label=$1 runs=$2 at_once=$3 done=0 pids batch
     failed=0
     while [ "$done" -lt "$runs" ]; do
         pids=()
-        batch=$((runs - done < copies ? runs - done : copies))
+        batch=$((runs - done < at_once ? runs - done : at_once))
         for ((copy = 0; copy < batch; copy++)); do
             (cd "$package_folder" && exec "$test_binary" --exact "$test" --nocapture) >"$kept/$label-$((done + copy)).log" 2>&1 &
             pids+=($!)
@@ -73,11 +73,11 @@
 }
 
 alone=$((count / 2)) beside=$((count - count / 2))
-run_times alone "$alone"
+run_times alone "$alone" 1
 failed_alone=$failed
 start_load
 start_load
-run_times beside-load "$beside"
+run_times beside-load "$beside" "$copies"
 failed_beside=$failed
 stop_load
 commit=$(git rev-parse --short HEAD)$(git diff --quiet HEAD -- crates || echo ' with changes')
