--- a/crates/node/src/net/client/tests.rs
+++ b/crates/node/src/net/client/tests.rs
@@ -152,6 +152,14 @@
     })
 }
 
+/// A client's connection, and its other end. Bytes written to a Unix socket can be read at once.
+fn connected() -> (Rc<TcpStream>, UnixStream) {
+    let (near, far) = UnixStream::pair().expect("a pair");
+    near.set_nonblocking(true).expect("a socket");
+    let near = std::net::TcpStream::from(OwnedFd::from(near));
+    (Rc::new(TcpStream::from_std(near).expect("a socket")), far)
+}
+
 #[test]
 fn request_received_during_eviction_is_read() {
     let runtime = tokio::runtime::Builder::new_current_thread()
@@ -159,11 +167,7 @@
         .build()
         .expect("a runtime");
     runtime.block_on(async {
-        // Bytes written to a Unix socket can be read at once.
-        let (near, mut far) = UnixStream::pair().expect("a pair");
-        near.set_nonblocking(true).expect("a socket");
-        let near = std::net::TcpStream::from(OwnedFd::from(near));
-        let stream = Rc::new(TcpStream::from_std(near).expect("a socket"));
+        let (stream, mut far) = connected();
         let client = client(&Rc::default());
         let mut io = ClientIo::new(stream, client.clone(), Gate::new(&METHODS));
         let mut no_waker = Context::from_waker(Waker::noop());
@@ -187,10 +191,7 @@
         .build()
         .expect("a runtime");
     runtime.block_on(async {
-        let (near, _far) = UnixStream::pair().expect("a pair");
-        near.set_nonblocking(true).expect("a socket");
-        let near = std::net::TcpStream::from(OwnedFd::from(near));
-        let stream = Rc::new(TcpStream::from_std(near).expect("a socket"));
+        let (stream, _far) = connected();
         let client = client(&Rc::default());
         let mut io = ClientIo::new(stream, client.clone(), Gate::new(&METHODS));
         client.close_when_idle.set(true);
@@ -206,10 +207,7 @@
         .build()
         .expect("a runtime");
     runtime.block_on(async {
-        let (near, mut far) = UnixStream::pair().expect("a pair");
-        near.set_nonblocking(true).expect("a socket");
-        let near = std::net::TcpStream::from(OwnedFd::from(near));
-        let stream = Rc::new(TcpStream::from_std(near).expect("a socket"));
+        let (stream, mut far) = connected();
         let client = client(&Rc::default());
         let end = async || {
             let mut io = ClientIo::new(stream.clone(), client.clone(), Gate::new(&METHODS));
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 /// Pause before another attempt to connect.
@@ -315,6 +316,17 @@
     }
 }
 
+/// Starts a client of each of these kinds.
+pub fn spawn_clients(context: &Arc<ClientContext>, kinds: &[ClientKind], seed: u64) -> JoinSet<()> {
+    let mut clients = JoinSet::new();
+    for (index, kind) in kinds.iter().enumerate() {
+        let name = format!("{kind:?}-{index}");
+        let seed = seed.wrapping_mul(0x9e37).wrapping_add(index as u64);
+        clients.spawn(Client::new(context.clone(), *kind, name, seed).run());
+    }
+    clients
+}
+
 /// One idle client of a crowd: it connects, sends nothing, and connects again once the node ends that.
 pub async fn idle(context: Arc<ClientContext>) {
     while context.phase() == LoadPhase::Connecting {
--- a/crates/testbed/src/soak/endings.rs
+++ b/crates/testbed/src/soak/endings.rs
@@ -1,6 +1,6 @@
 //! A day of endings: a node under load is told to end, in the middle of other trouble.
 
-use super::client::{idle, Client, ClientContext, LoadPhase};
+use super::client::{idle, spawn_clients, ClientContext, LoadPhase};
 use super::judge::{judge, Judgement, ProcessEnd};
 use super::plan::{DiscoveryFault, EndingsPlan, NodeForm, NodeSignal, ServerFault, SignalTime};
 use super::process::{NodeConfiguration, NodePlace, NodeProcess};
@@ -121,12 +121,7 @@
 
 /// Starts the clients, and the crowd behind them: it comes to a node in use, unless the signals come right after the start.
 async fn start_clients(plan: &EndingsPlan, context: &Arc<ClientContext>) -> JoinSet<()> {
-    let mut clients = JoinSet::new();
-    for (index, kind) in plan.clients.iter().enumerate() {
-        let name = format!("{kind:?}-{index}");
-        let seed = plan.seed.wrapping_mul(0x9e37).wrapping_add(index as u64);
-        clients.spawn(Client::new(context.clone(), *kind, name, seed).run());
-    }
+    let mut clients = spawn_clients(context, &plan.clients, plan.seed);
     if plan.has_crowd {
         if matches!(plan.signal_time, SignalTime::UnderLoad(_)) {
             // A day on which nothing is answered in this time is a finding.
--- a/crates/testbed/src/soak/upgrades.rs
+++ b/crates/testbed/src/soak/upgrades.rs
@@ -1,7 +1,7 @@
 //! A day of upgrades: processes that take over from each other under load, drains that are lifted, and successors that are
 //! killed.
 
-use super::client::{Client, ClientContext, LoadPhase};
+use super::client::{spawn_clients, ClientContext, LoadPhase};
 use super::endings::start_server;
 use super::judge::{judge_upgrades, Drain, Judgement, ProcessEnd};
 use super::plan::{NodeForm, NodeSignal};
@@ -22,7 +22,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout};
 
 /// The load before the first step.
@@ -105,7 +104,7 @@
         record: record.clone(),
         phase,
     });
-    let mut clients = start_clients(plan, &context);
+    let mut clients = spawn_clients(&context, &plan.clients, plan.seed);
     sleep(WARM_UP).await;
     let mut day = Day {
         program,
@@ -144,16 +143,6 @@
     Ok(servers)
 }
 
-fn start_clients(plan: &UpgradePlan, context: &Arc<ClientContext>) -> JoinSet<()> {
-    let mut clients = JoinSet::new();
-    for (index, kind) in plan.clients.iter().enumerate() {
-        let name = format!("{kind:?}-{index}");
-        let seed = plan.seed.wrapping_mul(0x9e37).wrapping_add(index as u64);
-        clients.spawn(Client::new(context.clone(), *kind, name, seed).run());
-    }
-    clients
-}
-
 impl Day<'_> {
     async fn take(&mut self, step: UpgradeStep) -> Result<()> {
         match step {
