--- a/crates/cluster/tests/fleet/main.rs
+++ b/crates/cluster/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod datagrams;
 mod fixture;
 mod membership;
+mod readmission;
 mod schedules;
 mod stalls;
 mod verdicts;
--- a/crates/cluster/tests/fleet/verdicts.rs
+++ b/crates/cluster/tests/fleet/verdicts.rs
@@ -91,7 +91,7 @@
 }
 
 /// Whether every node of this cluster ejects the first server.
-fn is_first_ejected_on_all(world: &Cluster) -> bool {
+pub fn is_first_ejected_on_all(world: &Cluster) -> bool {
     (0..world.processes.len()).all(|node| ejected_servers(world, node) == ["server-0"])
 }
 
@@ -170,7 +170,7 @@
     finds_recovery.count()
 }
 
-fn is_ejected_on_none(world: &Cluster) -> bool {
+pub fn is_ejected_on_none(world: &Cluster) -> bool {
     (0..world.processes.len()).all(|node| ejected_servers(world, node).is_empty())
 }
 
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -19,6 +19,8 @@
 const SLOW_UPLOAD_SEED: u64 = 1;
 /// Days of a fleet.
 const FLEET_SEEDS: [u64; 1] = [1];
+/// A day on which all processes of a busy machine stood still for up to a second.
+const STALLED_FLEET_SEED: u64 = 212;
 /// Days of upgrades, with successors that are killed.
 const UPGRADE_SEEDS: [u64; 2] = [4, 5];
 /// A violation that is put in on purpose is found within so many days.
@@ -76,6 +78,17 @@
     }
 }
 
+/// Guards against servers that are ejected because everything is late.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn fleet_on_a_busy_machine_ejects_no_server_that_responds() {
+    let plan = FleetPlan::draw(STALLED_FLEET_SEED);
+    let outcome = fleet_day::play(&program(), &plan, false, &meter())
+        .await
+        .unwrap();
+    let history = outcome.history.tail(60);
+    assert_not_red(STALLED_FLEET_SEED, &outcome.judgement, &history);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn drawn_upgrades_violate_no_rule() {
     let meter = meter();
