Soak: a silent server has to stay ejected until it responds

Cause, found on reading the change again: a node was judged by the first moment in which it had ejected the silent server.

Change: each answer of a node is kept; after the time by which it has to eject the server, none may say that it has not. A node that does not answer at all is a finding too.

--- a/crates/testbed/src/soak/ejections.rs
+++ b/crates/testbed/src/soak/ejections.rs
@@ -31,31 +31,36 @@
 /// Asks each node again and again whether it has ejected a server, until it is dropped.
 pub(super) struct EjectionWatch {
     nodes: Vec<usize>,
-    seen: Arc<Mutex<Vec<SeenEjection>>>,
+    answers: Arc<Mutex<Vec<WatchAnswer>>>,
     _tasks: Vec<AbortOnDrop>,
 }
 
-/// A node was seen to have ejected the server.
+/// What a node has answered.
 #[derive(Clone, Copy, Debug)]
-struct SeenEjection {
+struct WatchAnswer {
     node: usize,
     at: Duration,
+    is_ejected: bool,
 }
 
 impl EjectionWatch {
     pub(super) fn start(fleet: &TestFleet, server: usize, history: &Arc<History>) -> EjectionWatch {
-        let seen: Arc<Mutex<Vec<SeenEjection>>> = Arc::default();
+        let answers: Arc<Mutex<Vec<WatchAnswer>>> = Arc::default();
         let nodes = fleet.running_nodes();
         let watch = |node: &usize| {
             let client = Client::new(fleet.management(*node)?);
             let path = format!("/-/fleet/servers/{}", server_name(server));
-            let (node, history, seen) = (*node, history.clone(), seen.clone());
+            let (node, history, answers) = (*node, history.clone(), answers.clone());
             Some(crate::spawn(async move {
                 loop {
-                    if is_ejected(&client, &path).await {
+                    if let Some(is_ejected) = ask(&client, &path).await {
                         let at = history.now();
-                        let mut seen = seen.lock().unwrap_or_else(PoisonError::into_inner);
-                        seen.push(SeenEjection { node, at });
+                        let mut answers = answers.lock().unwrap_or_else(PoisonError::into_inner);
+                        answers.push(WatchAnswer {
+                            node,
+                            at,
+                            is_ejected,
+                        });
                     }
                     tokio::time::sleep(WATCH_INTERVAL).await;
                 }
@@ -64,30 +69,48 @@
         let tasks = nodes.iter().filter_map(watch).collect();
         EjectionWatch {
             nodes,
-            seen,
+            answers,
             _tasks: tasks,
         }
     }
 
-    /// When a node was first seen to have ejected the server, at a time or later.
-    fn first_seen(&self, node: usize, from: Duration) -> Option<Duration> {
-        let seen = self.seen.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut of_node = seen.iter().filter(|entry| entry.node == node);
-        of_node.find(|entry| entry.at >= from).map(|entry| entry.at)
+    /// The last answer of a node between two times by which it had not ejected the server, and whether it answered at all.
+    fn last_admission(&self, node: usize, from: Duration, to: Duration) -> LastAdmission {
+        let answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+        let of_node = answers
+            .iter()
+            .filter(|answer| answer.node == node && (from..to).contains(&answer.at));
+        let last = of_node.clone().rfind(|answer| !answer.is_ejected);
+        match last {
+            Some(answer) => LastAdmission::At(answer.at),
+            None if of_node.count() > 0 => LastAdmission::None,
+            None => LastAdmission::Unknown,
+        }
     }
 }
 
-async fn is_ejected(client: &Client, path: &str) -> bool {
+/// When a node was last seen not to have ejected the server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum LastAdmission {
+    At(Duration),
+    /// It had ejected it all the time.
+    None,
+    /// It has not answered.
+    Unknown,
+}
+
+/// Whether a node has ejected the server; `None` if it does not say.
+async fn ask(client: &Client, path: &str) -> Option<bool> {
     let request = Request::builder()
         .uri(path)
         .header("host", "node")
         .body(Full::new(Bytes::new()));
-    let Ok(request) = request else { return false };
-    let response = client.send(request).await;
-    response.is_ok_and(|response| {
-        let body = String::from_utf8_lossy(&response.body);
-        body.contains(EXPLAINED_AS_EJECTED)
-    })
+    let response = client.send(request.ok()?).await.ok()?;
+    let body = String::from_utf8_lossy(&response.body);
+    response
+        .status
+        .is_success()
+        .then(|| body.contains(EXPLAINED_AS_EJECTED))
 }
 
 /// When the server paused, and when it responded again.
@@ -175,15 +198,15 @@
     };
     // While most servers are late, the reports on each are ignored.
     let due = (quorum_at + LATE_AFTER).max(common_pause_end(plan, pause)) + PROPAGATION_TIME;
-    if due + WATCH_INTERVAL > pause.to {
+    if due + 3 * WATCH_INTERVAL > pause.to {
         return Vec::new();
     }
     let name = server_name(plan.paused_server);
     let late = |node: &usize| {
-        let ejected_at = watch.first_seen(*node, pause.from);
-        let (at, overrun) = match ejected_at {
-            Some(at) if at <= due + WATCH_INTERVAL => return None,
-            Some(at) if at <= pause.to => (at, Some(at - due)),
+        let last_admission = watch.last_admission(*node, due + WATCH_INTERVAL, pause.to);
+        let (at, overrun) = match last_admission {
+            LastAdmission::None => return None,
+            LastAdmission::At(at) if at + 2 * WATCH_INTERVAL < pause.to => (at, Some(at - due)),
             _ => (pause.to, None),
         };
         Some(Finding {
@@ -192,7 +215,7 @@
             at,
             overrun,
             text: format!(
-                "node {node} had ejected {name} at {ejected_at:?}, which was silent from {:?}, and known to enough nodes from {quorum_at:?}",
+                "node {node} had not ejected {name}: {last_admission:?}; it was silent from {:?}, and known to enough nodes from {quorum_at:?}",
                 pause.from
             ),
             disturbed_for: None,
