Soak: requests that crossed the end of their connection are counted by how

Cause, found on reading the change again: one figure held requests behind an announced end, on connections of a crowd that were never read, with killed processes, and those whose connection ended within 0.1 s without any of it. A node that closes on requests would hide in it.

Change: four counts in place of one.

--- a/crates/testbed/src/commands/soak.rs
+++ b/crates/testbed/src/commands/soak.rs
@@ -159,11 +159,11 @@
         "disturbed"
     };
     println!(
-        "{kind} {seed}: {state}, {} requests ({}), {} attempts at servers, {} crossed",
+        "{kind} {seed}: {state}, {} requests ({}), {} attempts at servers, crossed: {}",
         judgement.load.requests,
         list(&judgement.load.statuses),
         judgement.load.attempts,
-        judgement.crossed
+        list(&judgement.crossed)
     );
     if args.trace {
         println!("{}", day.history);
--- a/crates/testbed/src/soak/fleet_day.rs
+++ b/crates/testbed/src/soak/fleet_day.rs
@@ -10,6 +10,7 @@
 use crate::fleet::{queries, server_name, FleetSpec, TestFleet, DEADLINE, SHORT_SLOW_START};
 use crate::node::Program;
 use crate::{Result, SeededRng};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -188,7 +189,7 @@
         judgement: Judgement {
             findings,
             load: LoadSummary::of_fleet(&events),
-            crossed: 0,
+            crossed: BTreeMap::new(),
         },
     })
 }
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -16,7 +16,7 @@
 use super::stalls::Stall;
 use super::upgrade_plan::UpgradePlan;
 use super::upgrades::SeenUpgrades;
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::fmt;
 use std::time::Duration;
 
@@ -119,8 +119,32 @@
     pub findings: Vec<Finding>,
     /// What became of the load.
     pub load: LoadSummary,
-    /// Requests that crossed the end of their connection and had no effect: their clients can repeat them.
-    pub crossed: usize,
+    /// Requests that crossed the end of their connection, by how.
+    pub crossed: BTreeMap<Crossing, usize>,
+}
+
+/// How a request crossed the end of its connection: all but the last had no effect, and their clients can repeat them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Crossing {
+    /// Behind an answer that announced the end.
+    Announced,
+    /// Right before an end that was not announced, as of an idle connection.
+    Unannounced,
+    /// On a new connection that was shut unread, in a crowd.
+    Unread,
+    /// With a process that was killed.
+    Killed,
+}
+
+impl fmt::Display for Crossing {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Crossing::Announced => "announced",
+            Crossing::Unannounced => "unannounced",
+            Crossing::Unread => "unread",
+            Crossing::Killed => "killed",
+        })
+    }
 }
 
 /// Judges a day of endings.
@@ -188,7 +212,7 @@
     for request in requests {
         match judge_request(&context, request) {
             Verdict::Fine => {}
-            Verdict::Crossed => judgement.crossed += 1,
+            Verdict::Crossed(how) => *judgement.crossed.entry(how).or_default() += 1,
             Verdict::Violates {
                 rule,
                 overrun,
--- a/crates/testbed/src/soak/judge/request.rs
+++ b/crates/testbed/src/soak/judge/request.rs
@@ -1,6 +1,6 @@
 //! The judgement of one request, by how it ended at its client and what servers did for it.
 
-use super::Rule;
+use super::{Crossing, Rule};
 use crate::soak::plan::ServerFault;
 use crate::soak::record::{RequestEnd, RequestRecord, ServerEvent, ServerRecord};
 use std::collections::{HashMap, HashSet};
@@ -21,8 +21,7 @@
 /// What is known of a request or about it.
 pub(super) enum Verdict {
     Fine,
-    /// It crossed the end of its connection, and had no effect, or ended with a process that was killed.
-    Crossed,
+    Crossed(Crossing),
     Violates {
         rule: Rule,
         overrun: Option<Duration>,
@@ -148,13 +147,16 @@
         } => {
             let how = if was_reset { "reset" } else { "closed" };
             if context.ended_by_kill(request) {
-                Verdict::Crossed
+                Verdict::Crossed(Crossing::Killed)
             } else if context.was_forwarded(request) {
                 let text = format!("was forwarded, and its connection {how} after {waited:?}");
                 Verdict::violates(Rule::Answered, text)
-            } else if was_announced || waited < CROSSING_TIME || context.may_be_shut_unread(request)
-            {
-                Verdict::Crossed
+            } else if was_announced {
+                Verdict::Crossed(Crossing::Announced)
+            } else if context.may_be_shut_unread(request) {
+                Verdict::Crossed(Crossing::Unread)
+            } else if waited < CROSSING_TIME {
+                Verdict::Crossed(Crossing::Unannounced)
             } else {
                 Verdict::Violates {
                     rule: Rule::NotClosedUnanswered,
--- a/crates/testbed/src/soak/report.rs
+++ b/crates/testbed/src/soak/report.rs
@@ -1,7 +1,7 @@
 //! Lines and tables of a soak.
 
 use super::judge::load::LoadSummary;
-use super::judge::{Finding, Judgement};
+use super::judge::{Crossing, Finding, Judgement};
 use std::collections::BTreeMap;
 use std::fmt::Display;
 
@@ -14,8 +14,8 @@
     pub red: usize,
     /// What became of the load of all days.
     pub load: LoadSummary,
-    /// Requests that crossed the end of their connection.
-    pub crossed: usize,
+    /// Requests that crossed the end of their connection, by how.
+    crossed: BTreeMap<Crossing, usize>,
     /// Signals that were sent.
     pub signals: usize,
     /// Findings by rule, those in delays of the machine apart.
@@ -29,7 +29,9 @@
         self.days += 1;
         self.red += usize::from(is_red(judgement));
         self.load.add(&judgement.load);
-        self.crossed += judgement.crossed;
+        for (how, count) in &judgement.crossed {
+            *self.crossed.entry(*how).or_default() += count;
+        }
         self.signals += signals;
         for finding in &judgement.findings {
             let counts = if finding.disturbed_for.is_some() {
@@ -57,7 +59,7 @@
             list(&self.load.statuses),
             self.load.attempts,
             self.signals,
-            self.crossed,
+            list(&self.crossed),
             list(&self.findings),
             list(&self.disturbed)
         )
--- a/crates/testbed/tests/soak_judge.rs
+++ b/crates/testbed/tests/soak_judge.rs
@@ -1,6 +1,6 @@
 //! The judgement of days of the soak, on records that are written by hand: what is a finding, and what is not.
 
-use reelfall_testbed::soak::judge::{judge, Finding, Judgement, ProcessEnd, Rule};
+use reelfall_testbed::soak::judge::{judge, Crossing, Finding, Judgement, ProcessEnd, Rule};
 use reelfall_testbed::soak::plan::{EndingsPlan, ServerFault, SignalTime};
 use reelfall_testbed::soak::record::{
     Record, RequestEnd, RequestRecord, ServerEvent, ServerRecord,
@@ -220,7 +220,7 @@
     };
     let unread = judge_requests(&crowded, pipelined([RESET; 3]), Vec::new(), &[]);
     assert_eq!(rules(&unread), []);
-    assert_eq!(unread.crossed, 3);
+    assert_eq!(unread.crossed, [(Crossing::Unread, 3)].into());
     // One that was read, by its answer or by an attempt, has to be served to its end.
     let is_read = judge_requests(
         &crowded,
