--- a/tests/soak-violations.sh
+++ b/tests/soak-violations.sh
@@ -14,7 +14,7 @@
 at_once=5
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
-git ls-files -z | xargs -0 tar cf - | tar xf - -C "$copy"
+git ls-files -z -- ':!journal' | tar --null -T - -cf - | tar xf - -C "$copy"
 cd "$copy"
 git init -q .
 git add -A
