Soak: a process that ends with a failure has crashed

Cause, found on reading the change again: only an end by a signal counted as a crash, so that a node that panics after SIGTERM and exits with 101 was green.

Change: has_crashed, in one place, asks for success or SIGTERM; the copies are folded.

Measured: soak_judge::process_that_fails_has_crashed is red with the former condition (an exit with 101 has no signal).

--- a/crates/node/src/net/client/tests.rs
+++ b/crates/node/src/net/client/tests.rs
@@ -4,7 +4,7 @@
 use super::{Client, ClientId, ClientIo, EvictionOrder, ListenerTag, Phase};
 use crate::net::gate::{Gate, METHODS};
 use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
+use std::future::{poll_fn, Future};
 use std::io::Write;
 use std::os::fd::OwnedFd;
 use std::os::unix::net::UnixStream;
@@ -152,6 +152,15 @@
     })
 }
 
+/// Runs a test on the kind of runtime that a node has.
+fn block_on(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(test);
+}
+
 /// A client's connection, and its other end. Bytes written to a Unix socket can be read at once.
 fn connected() -> (Rc<TcpStream>, UnixStream) {
     let (near, far) = UnixStream::pair().expect("a pair");
@@ -162,11 +171,7 @@
 
 #[test]
 fn request_received_during_eviction_is_read() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    runtime.block_on(async {
+    block_on(async {
         let (stream, mut far) = connected();
         let client = client(&Rc::default());
         let mut io = ClientIo::new(stream, client.clone(), Gate::new(&METHODS));
@@ -186,11 +191,7 @@
 
 #[test]
 fn evicted_connection_without_a_request_is_closed() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    runtime.block_on(async {
+    block_on(async {
         let (stream, _far) = connected();
         let client = client(&Rc::default());
         let mut io = ClientIo::new(stream, client.clone(), Gate::new(&METHODS));
@@ -202,11 +203,7 @@
 /// Guards against requests that arrive between the end of an idle connection and its close, and are discarded.
 #[test]
 fn request_received_before_an_idle_connection_is_closed_is_read() {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .expect("a runtime");
-    runtime.block_on(async {
+    block_on(async {
         let (stream, mut far) = connected();
         let client = client(&Rc::default());
         let end = async || {
--- a/crates/testbed/src/soak/endings.rs
+++ b/crates/testbed/src/soak/endings.rs
@@ -3,7 +3,7 @@
 use super::client::{idle, spawn_clients, ClientContext, LoadPhase};
 use super::judge::{judge, Judgement, ProcessEnd};
 use super::plan::{DiscoveryFault, EndingsPlan, NodeForm, NodeSignal, ServerFault, SignalTime};
-use super::process::{NodeConfiguration, NodePlace, NodeProcess};
+use super::process::{has_crashed, NodeConfiguration, NodePlace, NodeProcess, KILL_MARGIN};
 use super::record::{Record, ServerEvent};
 use super::sabotage::Sabotage;
 use super::stalls::StallMeter;
@@ -12,16 +12,12 @@
 use crate::node::{wait_for_health, Program};
 use crate::pool::{RequestEvent, Server, ServerBehavior};
 use crate::Result;
-use nix::sys::signal::Signal;
-use std::os::unix::process::ExitStatusExt;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
-/// SIGKILL comes so long after the deadline that follows SIGTERM.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// How long a server takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(4);
 /// Requests that a server processes at a time.
@@ -177,9 +173,7 @@
     let kill_at = Instant::from_std(record.started() + end.killed_at);
     if let Ok(Ok(status)) = timeout_at(kill_at, node.wait()).await {
         end.exited_at = Some(record.now());
-        end.has_crashed = status
-            .signal()
-            .is_some_and(|signal| signal != Signal::SIGTERM as i32);
+        end.has_crashed = has_crashed(status);
         record.add_note(format!("the process has ended: {status}"));
         // Clients go on until SIGKILL.
         tokio::time::sleep_until(kill_at).await;
--- a/crates/testbed/src/soak/judge.rs
+++ b/crates/testbed/src/soak/judge.rs
@@ -104,7 +104,7 @@
     pub terminated_at: Duration,
     /// When the process had ended; `None` if it had not at the time of SIGKILL.
     pub exited_at: Option<Duration>,
-    /// Whether it ended by a signal other than SIGTERM.
+    /// Whether it ended with a failure, or by a signal other than SIGTERM.
     pub has_crashed: bool,
     /// When SIGKILL was sent, or would have been.
     pub killed_at: Duration,
@@ -206,7 +206,7 @@
 ) -> Judgement {
     let context = DayContext::new(day, requests, events);
     let mut judgement = Judgement {
-        load: LoadSummary::of_endings(requests, events),
+        load: LoadSummary::of_record(requests, events),
         ..Judgement::default()
     };
     for request in requests {
--- a/crates/testbed/src/soak/judge/load.rs
+++ b/crates/testbed/src/soak/judge/load.rs
@@ -25,8 +25,8 @@
 }
 
 impl LoadSummary {
-    /// The load of a day of endings.
-    pub(super) fn of_endings(requests: &[RequestRecord], events: &[ServerRecord]) -> LoadSummary {
+    /// The load that clients and servers have recorded.
+    pub(super) fn of_record(requests: &[RequestRecord], events: &[ServerRecord]) -> LoadSummary {
         let received = |event: &&ServerRecord| event.event == ServerEvent::Received;
         let mut summary = LoadSummary {
             requests: requests.len(),
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -20,7 +20,7 @@
 /// Greatest pause between two signals of a series, in milliseconds.
 const MAX_SIGNAL_PAUSE_MS: u64 = 50;
 /// Shortest and longest deadline of requests, in milliseconds.
-const DEADLINE_MS: (u64, u64) = (1000, 3000);
+pub(super) const DEADLINE_MS: (u64, u64) = (1000, 3000);
 /// How long new connections come after the first SIGTERM, in milliseconds.
 const CONNECTING_MS: (u64, u64) = (200, 400);
 /// How long the load runs before the signals, in milliseconds. A node gets no SIGHUP in its first second.
@@ -185,7 +185,8 @@
     }
 }
 
-fn draw_ms(random: &mut SeededRng, (min, max): (u64, u64)) -> Duration {
+/// A time between two numbers of milliseconds.
+pub(super) fn draw_ms(random: &mut SeededRng, (min, max): (u64, u64)) -> Duration {
     Duration::from_millis(min + random.next_u64() % (max - min + 1))
 }
 
--- a/crates/testbed/src/soak/process.rs
+++ b/crates/testbed/src/soak/process.rs
@@ -9,6 +9,7 @@
 use nix::unistd::Pid;
 use std::fs::File;
 use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{ExitStatus, Stdio};
 use std::time::Duration;
@@ -19,6 +20,8 @@
 /// Latency objective of all classes.
 const LATENCY_OBJECTIVE: Duration = Duration::from_millis(200);
 
+/// SIGKILL comes so long after the deadline that follows SIGTERM.
+pub const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// How long requests may still be sent to a draining server.
 pub const DRAIN_GRACE: Duration = Duration::from_millis(500);
 
@@ -128,6 +131,11 @@
     }
 }
 
+/// Whether a process that was told to end has crashed. SIGTERM may come before the process handles it.
+pub fn has_crashed(status: ExitStatus) -> bool {
+    !status.success() && status.signal() != Some(Signal::SIGTERM as i32)
+}
+
 /// A process of a node. It is killed when this is dropped.
 pub struct NodeProcess {
     child: Child,
--- a/crates/testbed/src/soak/upgrade_plan.rs
+++ b/crates/testbed/src/soak/upgrade_plan.rs
@@ -1,6 +1,6 @@
 //! What happens on a day of upgrades, drawn from its seed. [`super::upgrades`] carries it out.
 
-use super::plan::{ClientKind, ServerFault};
+use super::plan::{draw_ms, ClientKind, ServerFault, DEADLINE_MS};
 use crate::SeededRng;
 use std::time::Duration;
 
@@ -16,8 +16,6 @@
 const KILL_AFTER_MS: (u64, u64) = (0, 25);
 /// How long the node, or a server, drains, in milliseconds.
 const DRAIN_MS: (u64, u64) = (100, 1500);
-/// Shortest and longest deadline of requests, in milliseconds.
-const DEADLINE_MS: (u64, u64) = (1000, 3000);
 
 /// Something that is done to the node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -92,7 +90,3 @@
     };
     TimedStep { wait, step }
 }
-
-fn draw_ms(random: &mut SeededRng, (min, max): (u64, u64)) -> Duration {
-    Duration::from_millis(min + random.next_u64() % (max - min + 1))
-}
--- a/crates/testbed/src/soak/upgrades.rs
+++ b/crates/testbed/src/soak/upgrades.rs
@@ -5,7 +5,7 @@
 use super::endings::start_server;
 use super::judge::{judge_upgrades, Drain, Judgement, ProcessEnd};
 use super::plan::{NodeForm, NodeSignal};
-use super::process::{NodeConfiguration, NodePlace, NodeProcess};
+use super::process::{has_crashed, NodeConfiguration, NodePlace, NodeProcess, KILL_MARGIN};
 use super::record::Record;
 use super::stalls::StallMeter;
 use super::upgrade_plan::{UpgradePlan, UpgradeStep};
@@ -17,8 +17,6 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Method, Request};
-use nix::sys::signal::Signal;
-use std::os::unix::process::ExitStatusExt;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -28,8 +26,6 @@
 const WARM_UP: Duration = Duration::from_millis(500);
 /// The load after the last step.
 const AFTER_LAST_STEP: Duration = Duration::from_millis(500);
-/// SIGKILL comes so long after the deadline that follows SIGTERM.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// Service times of the servers: that of the last is long enough for requests to be in flight at every step.
 const SERVICE_TIMES: [Duration; 4] = [
     Duration::from_millis(4),
@@ -185,14 +181,11 @@
         let time_to_end = self.plan.deadline + KILL_MARGIN;
         let status = timeout(time_to_end, old.wait()).await;
         let status = status.ok().and_then(Result::ok);
-        let has_crashed = status
-            .and_then(|status| status.signal())
-            .is_some_and(|signal| signal != Signal::SIGTERM as i32);
         self.seen.ends.push(ProcessEnd {
             trouble_at: terminated_at,
             terminated_at,
             exited_at: status.map(|_| self.record.now()),
-            has_crashed,
+            has_crashed: status.is_some_and(has_crashed),
             killed_at: terminated_at + time_to_end,
             drain_announced_at: None,
         });
--- a/crates/testbed/tests/soak_judge.rs
+++ b/crates/testbed/tests/soak_judge.rs
@@ -2,10 +2,13 @@
 
 use reelfall_testbed::soak::judge::{judge, Crossing, Finding, Judgement, ProcessEnd, Rule};
 use reelfall_testbed::soak::plan::{EndingsPlan, ServerFault, SignalTime};
+use reelfall_testbed::soak::process::has_crashed;
 use reelfall_testbed::soak::record::{
     Record, RequestEnd, RequestRecord, ServerEvent, ServerRecord,
 };
 use reelfall_testbed::soak::stalls::Stall;
+use std::os::unix::process::ExitStatusExt;
+use std::process::ExitStatus;
 use std::time::Duration;
 
 /// A seed whose signals come under load, without a crowd.
@@ -274,3 +277,16 @@
     assert_eq!(rules(&judgement), [Rule::Answered]);
     assert_eq!(judgement.findings[0].disturbed_for, None);
 }
+
+/// Guards against a process that panics as it ends, and is taken for one that ended in order.
+#[test]
+fn process_that_fails_has_crashed() {
+    const SIGABRT: i32 = 6;
+    const SIGTERM: i32 = 15;
+    let exited = |code: i32| ExitStatus::from_raw(code << 8);
+    assert!(!has_crashed(exited(0)));
+    assert!(has_crashed(exited(101)));
+    assert!(has_crashed(ExitStatus::from_raw(SIGABRT)));
+    // SIGTERM may come before the process handles it.
+    assert!(!has_crashed(ExitStatus::from_raw(SIGTERM)));
+}
