--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,11 +15,11 @@
 DESCRIPTORS = 1024
 SERVERS = 6
 SECONDS = 40
-# Clients that send a body of 64 KiB at 64 kB a second, one request after the other. Together with the other clients
+# Clients that send a body of 64 KiB at 70 kB a second, faster than the slowest that the pages allow, one request after the other. Together with the other clients
 # they have at most a third of the descriptors in use for requests.
 SLOW_CLIENTS = 240
 SLOW_BODY = 64 << 10
-SLOW_RATE = 64_000
+SLOW_RATE = 70_000
 # Clients that send a body of 6,000 bytes at once.
 USUAL_BODY = 6_000
 USUAL_PER_SECOND = 40
@@ -178,4 +178,4 @@
     return bool(refused or twice)
 
 
-main(__file__, lambda record, processes: run_to_end(play(record, processes)))
+main(lambda record, processes: run_to_end(play(record, processes)))
--- a/review/lib/stand_in.py
+++ b/review/lib/stand_in.py
@@ -5,14 +5,17 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
+import random
 import shutil
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import tomllib
 
@@ -50,9 +53,9 @@
 class Record:
     """The file `record.txt` of a case: a line for each thing that was sent, answered or run, with its time."""
 
-    def __init__(self, case_file):
-        folder = os.path.dirname(os.path.abspath(case_file))
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
+        self.lock = threading.Lock()
         self.start = time.monotonic()
 
     def now(self):
@@ -60,15 +63,26 @@
 
     def write(self, text, at=None):
         at = self.now() if at is None else at
-        self.file.write(f"{at:9.3f} {text}\n")
+        with self.lock:
+            self.file.write(f"{at:9.3f} {text}\n")
 
     def say(self, text):
         """Writes a line to the record and to standard output."""
         self.write(text)
-        self.file.flush()
+        with self.lock:
+            self.file.flush()
         print(text, flush=True)
 
 
+PR_SET_PDEATHSIG = 1
+PRCTL = ctypes.CDLL(None, use_errno=True).prctl
+
+
+def end_with_parent():
+    """Has the system kill this process when the case ends, also if the case is killed and can't end it."""
+    PRCTL(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Processes:
     """The processes that a case has started; all of them are ended at its end."""
 
@@ -85,6 +99,7 @@
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=log,
+            preexec_fn=end_with_parent,
         )
         log.close()
         self.started.append(process)
@@ -150,6 +165,20 @@
             writer.close()
 
 
+# Name, share, quota in requests a second, as the wire page shows them.
+TENANTS = [
+    ("okoli-pay", 0.27, 80.0),
+    ("ada-market", 0.24, 71.0),
+    ("zuma-ride", 0.13, 39.0),
+    ("ebi-loans", 0.08, 24.0),
+    ("kano-mart", 0.08, 24.0),
+    ("ifeoma-health", 0.06, 18.0),
+    ("oyo-transit", 0.05, 15.0),
+    ("benue-agro", 0.05, 15.0),
+    ("ije-books", 0.04, 12.0),
+]
+
+
 def lagos_settings():
     """The settings of a node of lagos-flags, as the wire page shows them, for one node."""
 
@@ -222,11 +251,7 @@
             "warm-after": 8.9,
         },
         "stages": ["flag-servers"],
-        "tenants": [
-            {"name": "okoli-pay", "portion": 0.27, "quota-rps": 80.0},
-            {"name": "ada-market", "portion": 0.24, "quota-rps": 71.0},
-            {"name": "zuma-ride", "portion": 0.13, "quota-rps": 39.0},
-        ],
+        "tenants": [{"name": name, "portion": share, "quota-rps": quota} for name, share, quota in TENANTS],
         "tick": 0.002,
         "value-by": "work",
         "weight-kind": "nominal",
@@ -297,12 +322,14 @@
 
 def request_head(method, request_id, service_class, time_left, length=None):
     """The head of a client's request in the form of the protocol page."""
+    # Each tenant has its share of the requests; which one a request belongs to follows from its id.
+    tenant = random.Random(request_id).choices([t[0] for t in TENANTS], [t[1] for t in TENANTS])[0]
     lines = [
         f"{method} /api HTTP/1.1",
         "Host: api.internal",
         f"X-Correlation-Id: {request_id}",
         f"X-Service-Class: {service_class}",
-        "X-Account: okoli-pay",
+        f"X-Account: {tenant}",
         f"X-Time-Left: {time_left:.3f}",
     ]
     if length is not None:
@@ -318,15 +345,17 @@
     return LOOP.run_until_complete(case)
 
 
-def main(case_file, case):
-    """Runs `case(record, processes)`, which returns whether the rule was broken, and exits with the result."""
+def main(case):
+    """Runs `case(record, processes)`, which returns whether the rule was broken, and exits with the result.
+
+    The first argument of the program is the path of the record."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    record = Record(case_file)
+    record = Record(sys.argv[1])
     processes = Processes()
     result = NOT_RUN
     try:
         result = BROKEN if case(record, processes) else HELD
-    except Exception as error:
+    except BaseException as error:
         record.say(f"the case could not run: {type(error).__name__}: {error}")
     finally:
         processes.end()
