Log how far an upload had come when its attempt ended without an answer

Change: an attempt of a streamed body that ends without an answer logs its outcome, how much of the body was forwarded, and whether that counts as all of it.

--- a/crates/node/src/net/body.rs
+++ b/crates/node/src/net/body.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -139,6 +140,22 @@
     }
 }
 
+/// The progress of the upload, for the log.
+impl fmt::Display for StreamedBody {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{} of ", self.bytes_forwarded.get())?;
+        match self.announced_size {
+            Some(size) => write!(f, "{size} bytes forwarded")?,
+            None => write!(f, "an unknown number of bytes forwarded")?,
+        }
+        match self.error.get() {
+            Some(error) => write!(f, ", {error}"),
+            None if self.is_complete() => write!(f, ", complete"),
+            None => write!(f, ", not complete"),
+        }
+    }
+}
+
 /// The body of a request, shared by all of its attempts.
 #[derive(Clone)]
 pub enum Payload {
--- a/crates/node/src/net/upstream/exchange.rs
+++ b/crates/node/src/net/upstream/exchange.rs
@@ -165,10 +165,24 @@
         if is_unsent && self.connection.is_reused && !self.attempt.is_body_consumed() {
             return ExchangeResult::ConnectionWasStale;
         }
-        self.attempt.end(self.connection_error_outcome());
+        let outcome = self.connection_error_outcome();
+        self.log_upload(outcome);
+        self.attempt.end(outcome);
         ExchangeResult::Ended
     }
 
+    /// Logs how far the upload of a streamed body had come when its attempt ended without an answer.
+    fn log_upload(&self, outcome: Outcome) {
+        let Some(body) = self.attempt.message.body.streamed() else {
+            return;
+        };
+        let address = self.connection.target.address;
+        let log = &self.attempt.context.connections().shared.log;
+        log.write_line(format_args!(
+            "an upload to {address} ended without an answer ({outcome:?}): {body}"
+        ));
+    }
+
     fn connection_error_outcome(&self) -> Outcome {
         match self.attempt.message.body.streamed() {
             // The client has aborted the upload, which says nothing about the server.
@@ -184,9 +198,11 @@
     {
         let attempt = self.attempt;
         if !self.may_be_fully_sent() {
+            self.log_upload(Outcome::ConnectFailed);
             drop(self.connection);
             return attempt.end(Outcome::ConnectFailed);
         }
+        self.log_upload(Outcome::TimedOut);
         attempt.end(Outcome::TimedOut);
         // The connection is only kept if no retry is in flight, since two copies must not run at the same time.
         if !attempt.context.has_attempt_in_flight(attempt.request) {
