Mend: a request that had run was refused if its body came whole before it was streamed

Cause: StreamedBody::poll passed on the part that was read before the decision to stream without the check of the announced length that all later parts get. If that part was the whole body, the HTTP library never polled again, the body never counted as complete, and a reset looked like one before the last byte: never run.

Why it works: every part goes through StreamedBody::forward, so no part can be passed on uncounted.

Related paths that were looked at: announced and chunked bodies (the end of a chunked one is polled, so it held before); one write, head first, two writes; reset, close, half an answer, hang; platform and settings file (the same code; both forced); shutdown (forced); GraphQL (always buffered whole before anything is sent); the calls of leases (no body); buffered bodies (counted by what the socket took; an overestimate, which is on the safe side).

--- a/crates/node/src/net/body.rs
+++ b/crates/node/src/net/body.rs
@@ -96,8 +96,7 @@
     fn poll(&self, cx: &mut Context) -> Poll<Option<FrameResult>> {
         self.is_consumed.set(true);
         if let Some(prefix) = self.prefix.borrow_mut().take() {
-            self.bytes_forwarded.set(prefix.len() as u64);
-            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+            return Poll::Ready(Some(self.forward(prefix)));
         }
         loop {
             let polled = Pin::new(&mut *self.remainder.borrow_mut()).poll_frame(cx);
@@ -120,6 +119,7 @@
         }
     }
 
+    /// Passes on a part of the body, and records that it was the last one if it was.
     fn forward(&self, data: Bytes) -> FrameResult {
         let forwarded = self.bytes_forwarded.get() + data.len() as u64;
         self.bytes_forwarded.set(forwarded);
