--- a/crates/balancer/src/engine.rs
+++ b/crates/balancer/src/engine.rs
@@ -197,15 +197,17 @@
         }
     }
 
-    /// Records that the last byte of a streamed body was written; returns when the final answer is due. Returns `None`
-    /// if no upload was in progress.
+    /// Records that the last byte of a streamed body was written; returns when the final answer is due, which follows
+    /// from when its client had written that byte. Returns `None` if no upload was in progress.
     pub fn finish_upload(
         &mut self,
         now: Time,
         request: RequestId,
+        last_byte_at: Time,
         commands: &mut Vec<Command<H>>,
     ) -> Option<Time> {
-        let uploaded = self.requests.get_mut(&request)?.finish_upload(now)?;
+        let open = self.requests.get_mut(&request)?;
+        let uploaded = open.finish_upload(now, last_byte_at)?;
         let event = Event::Upload {
             request,
             remaining: Some(uploaded.remaining),
--- a/crates/balancer/src/engine/request.rs
+++ b/crates/balancer/src/engine/request.rs
@@ -108,13 +108,13 @@
     }
 
     /// Ends the upload and sets the deadline of the final answer; returns `None` if there was no upload.
-    pub(super) fn finish_upload(&mut self, now: Time) -> Option<Uploaded> {
-        let remaining = self.time_after_upload.take()?;
-        self.deadline = now + remaining;
+    pub(super) fn finish_upload(&mut self, now: Time, last_byte_at: Time) -> Option<Uploaded> {
+        let time_after_upload = self.time_after_upload.take()?;
+        self.deadline = last_byte_at.min(now) + time_after_upload;
         self.uploaded_at = Some(now);
         Some(Uploaded {
             deadline: self.deadline,
-            remaining,
+            remaining: (self.deadline - now).max(0.0),
         })
     }
 
--- a/crates/balancer/tests/uploads.rs
+++ b/crates/balancer/tests/uploads.rs
@@ -111,11 +111,11 @@
         "the duration of an upload counts as response time of the server"
     );
     assert_eq!(
-        engine.finish_upload(20.0, upload.request, &mut commands),
+        engine.finish_upload(20.0, upload.request, 20.0, &mut commands),
         Some(20.0 + TIME_AFTER_UPLOAD)
     );
     assert_eq!(
-        engine.finish_upload(20.1, upload.request, &mut commands),
+        engine.finish_upload(20.1, upload.request, 20.1, &mut commands),
         None,
         "the response time starts twice"
     );
@@ -172,7 +172,7 @@
     let (mut engine, mut commands) = (engine(), Vec::new());
     let upload = submit_upload(&mut engine, &mut commands);
     engine.mark_body_consumed(upload.request);
-    engine.finish_upload(5.0, upload.request, &mut commands);
+    engine.finish_upload(5.0, upload.request, 5.0, &mut commands);
     commands.clear();
     engine.end_attempt(
         5.1,
@@ -189,6 +189,20 @@
     assert!(sent_attempt(&commands).is_none());
 }
 
+#[test]
+fn answer_is_due_from_when_the_client_had_written_the_last_byte() {
+    for (last_byte_at, finished_at, due) in [(5.0, 5.4, 5.6), (5.0, 6.0, 5.6), (7.0, 5.0, 5.6)] {
+        let (mut engine, mut commands) = (engine(), Vec::new());
+        let upload = submit_upload(&mut engine, &mut commands);
+        let deadline =
+            engine.finish_upload(finished_at, upload.request, last_byte_at, &mut commands);
+        assert!(
+            deadline.is_some_and(|deadline| (deadline - due).abs() < 1e-9),
+            "written at {last_byte_at}, received at {finished_at}: {deadline:?}"
+        );
+    }
+}
+
 /// Runs 400 requests within 20 seconds; one server responds more slowly than the others.
 fn run_requests_with_slow_server(engine: &mut Engine<TestHost>) {
     const SLOW_SERVER: ServerId = 2;
--- a/crates/node/src/net/answer.rs
+++ b/crates/node/src/net/answer.rs
@@ -2,7 +2,7 @@
 //!
 //! `upstream` makes an [`Answer`] of each server's answer, `frontend` a [`ResponseBody`] for its client.
 
-use super::body::MAX_STREAMED_BYTES;
+use super::body::{MAX_STREAMED_BYTES, STALL_TIMEOUT};
 use super::message::Message;
 use super::shared::MemoryPermit;
 use bytes::Bytes;
@@ -15,13 +15,9 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
 use thiserror::Error;
 use tokio::time::{Instant, Sleep};
 
-/// A streamed answer is aborted if no data arrives for this long.
-const STALL_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The final answer to a request, of which there is exactly one.
 pub type Reply = FinalAnswer<Box<Answer>>;
 
--- a/crates/node/src/net/body.rs
+++ b/crates/node/src/net/body.rs
@@ -12,6 +12,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::sync::Notify;
 
@@ -19,6 +20,9 @@
 /// units.
 pub const MAX_STREAMED_BYTES: u64 = 40 << 20;
 
+/// A streamed request or answer body is aborted if its server makes no progress with it for this long.
+pub const STALL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Why a streamed body has ended early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum StreamedBodyError {
@@ -41,8 +45,9 @@
     is_consumed: Cell<bool>,
     is_complete: Cell<bool>,
     error: Cell<Option<StreamedBodyError>>,
-    /// Notified when the body is complete or has ended early.
-    ended: Notify,
+    created_at: Instant,
+    /// Notified when a part of the body was consumed, and when it has ended.
+    changed: Notify,
 }
 
 impl StreamedBody {
@@ -56,7 +61,8 @@
             is_consumed: Cell::new(false),
             is_complete: Cell::new(false),
             error: Cell::new(None),
-            ended: Notify::new(),
+            created_at: Instant::now(),
+            changed: Notify::new(),
         })
     }
 
@@ -75,21 +81,41 @@
         self.error.get()
     }
 
-    /// Waits until it is complete or has ended early.
-    pub async fn wait_for_end(&self) {
-        while !self.is_complete.get() && self.error.get().is_none() {
-            self.ended.notified().await;
-        }
+    /// When it was decided to stream it.
+    pub fn created_at(&self) -> Instant {
+        self.created_at
+    }
+
+    /// How much of it was consumed, in bytes.
+    pub fn bytes_forwarded(&self) -> u64 {
+        self.bytes_forwarded.get()
+    }
+
+    /// How much of it was not consumed, in bytes; `None` if its size is not announced.
+    pub fn bytes_remaining(&self) -> Option<u64> {
+        let forwarded = self.bytes_forwarded.get();
+        self.announced_size
+            .map(|size| size.saturating_sub(forwarded))
+    }
+
+    /// Whether it is complete or has ended early.
+    pub fn has_ended(&self) -> bool {
+        self.is_complete.get() || self.error.get().is_some()
+    }
+
+    /// Waits until more of it is consumed, or it has ended.
+    pub async fn wait_for_change(&self) {
+        self.changed.notified().await;
     }
 
     fn complete(&self) {
         self.is_complete.set(true);
-        self.ended.notify_waiters();
+        self.changed.notify_waiters();
     }
 
     fn fail(&self, error: StreamedBodyError) -> FrameResult {
         self.error.set(Some(error));
-        self.ended.notify_waiters();
+        self.changed.notify_waiters();
         Err(io::Error::other(error))
     }
 
@@ -123,6 +149,7 @@
     fn forward(&self, data: Bytes) -> FrameResult {
         let forwarded = self.bytes_forwarded.get() + data.len() as u64;
         self.bytes_forwarded.set(forwarded);
+        self.changed.notify_waiters();
         if forwarded > MAX_STREAMED_BYTES {
             return self.fail(StreamedBodyError::TooLarge);
         }
@@ -134,9 +161,8 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.announced_size.map_or_else(SizeHint::new, |size| {
-            SizeHint::with_exact(size.saturating_sub(self.bytes_forwarded.get()))
-        })
+        self.bytes_remaining()
+            .map_or_else(SizeHint::new, SizeHint::with_exact)
     }
 }
 
@@ -173,6 +199,11 @@
             Payload::Streamed(body) => Some(body),
         }
     }
+
+    /// Whether part of a streamed body is still to be consumed.
+    pub fn is_upload_in_progress(&self) -> bool {
+        self.streamed().is_some_and(|body| !body.is_complete())
+    }
 }
 
 /// The body of one attempt's request, for the HTTP library.
--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -18,7 +18,7 @@
 pub(super) use eviction::{ClientId, EvictionOrder, CROWDED_GRACE};
 pub(super) use io::ClientIo;
 
-use super::message::Waiter;
+use super::message::{ClientInput, Waiter};
 use hyper::StatusCode;
 use reelfall_routing::table::ListenerId;
 use std::cell::{Cell, RefCell};
@@ -73,6 +73,10 @@
     last_byte_at: Cell<Instant>,
     /// How long the reading of a streamed body has waited for the client, in total.
     time_stalled: Cell<Duration>,
+    /// When the present wait for more of a streamed body began.
+    awaited_since: Cell<Option<Instant>>,
+    /// When the latest of these waits ended.
+    awaited_until: Cell<Option<Instant>>,
     /// Whether the current answer is streamed.
     pub is_streaming: Cell<bool>,
     /// Whether more of a streamed answer may arrive.
@@ -115,6 +119,8 @@
             request_bytes: Cell::new(0),
             last_byte_at: Cell::new(Instant::now()),
             time_stalled: Cell::default(),
+            awaited_since: Cell::new(None),
+            awaited_until: Cell::new(None),
             is_streaming: Cell::new(false),
             answer_open_flag: RefCell::default(),
             was_answered_early: Cell::new(false),
@@ -177,6 +183,24 @@
         REQUEST_TIMEOUT + Duration::from_secs_f64(self.request_bytes.get() as f64 / MIN_BODY_RATE)
     }
 
+    /// Begins a wait for more of a streamed body, unless one is in progress; returns when it began.
+    fn begin_wait_for_input(&self) -> Instant {
+        let since = self.awaited_since.get().unwrap_or_else(Instant::now);
+        self.awaited_since.set(Some(since));
+        since
+    }
+
+    /// Ends a wait for more of a streamed body, if one is in progress.
+    fn end_wait_for_input(&self) {
+        let Some(since) = self.awaited_since.take() else {
+            return;
+        };
+        let now = Instant::now();
+        self.awaited_until.set(Some(now));
+        self.time_stalled
+            .set(self.time_stalled.get() + (now - since));
+    }
+
     /// Enters [`Phase::Receiving`] if the received bytes start a request.
     fn begin_request(&self) {
         match self.phase.get() {
@@ -185,6 +209,8 @@
                 self.has_written.set(false);
                 self.request_bytes.set(0);
                 self.time_stalled.set(Duration::ZERO);
+                self.awaited_since.set(None);
+                self.awaited_until.set(None);
             }
             _ => {}
         }
@@ -208,6 +234,18 @@
         }
         self.is_disconnected.get()
     }
+
+    fn input(&self) -> ClientInput {
+        ClientInput {
+            is_awaited: self.awaited_since.get().is_some(),
+            awaited_until: self.awaited_until.get(),
+        }
+    }
+
+    fn unread_input_bytes(&self) -> Option<u64> {
+        let stream = self.stream.borrow().upgrade()?;
+        rustix::io::ioctl_fionread(&*stream).ok()
+    }
 }
 
 /// The identity of a listener, shared with its clients. They must not share the listener itself: its socket would stay
--- a/crates/node/src/net/client/io.rs
+++ b/crates/node/src/net/client/io.rs
@@ -47,8 +47,6 @@
     write_timer: Option<Pin<Box<Sleep>>>,
     /// Runs between two reads of excess input.
     excess_timer: Option<Pin<Box<Sleep>>>,
-    /// When the wait for more of a streamed body began.
-    waiting_since: Option<Instant>,
     /// Whether the system's send buffer was reduced to [`STREAM_SEND_BUFFER`].
     has_small_send_buffer: bool,
 }
@@ -65,7 +63,6 @@
             read_timer: None,
             write_timer: None,
             excess_timer: None,
-            waiting_since: None,
             has_small_send_buffer: false,
         }
     }
@@ -92,13 +89,7 @@
         if is_disconnect(read) {
             client.is_disconnected.set(true);
         }
-        let time_stalled = self
-            .waiting_since
-            .take()
-            .map_or(Duration::ZERO, |since| since.elapsed());
-        client
-            .time_stalled
-            .set(client.time_stalled.get() + time_stalled);
+        client.end_wait_for_input();
         if let Ok(length) = read {
             client
                 .request_bytes
@@ -206,7 +197,7 @@
     }
 
     /// When the client has to have sent more; `None` while nothing is expected from it.
-    fn read_deadline(&mut self) -> Option<Instant> {
+    fn read_deadline(&self) -> Option<Instant> {
         let client = &self.client;
         let phase_since = client.phase_since.get();
         match client.phase.get() {
@@ -222,8 +213,7 @@
                 let time_left = client
                     .time_allowed()
                     .saturating_sub(client.time_stalled.get());
-                let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
-                Some(waiting_since + time_left.min(REQUEST_TIMEOUT))
+                Some(client.begin_wait_for_input() + time_left.min(REQUEST_TIMEOUT))
             }
             Phase::Streaming | Phase::AwaitingAnswer | Phase::Answering => None,
         }
--- a/crates/node/src/net/frontend/translate.rs
+++ b/crates/node/src/net/frontend/translate.rs
@@ -22,7 +22,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A streamed upload is aborted after this time, which is enough for 32 MB at the minimum rate of a request body.
+/// A streamed upload is aborted after this time, which is enough for 32 MB at the minimum rate of a request body. One that
+/// its server holds up ends earlier.
 const UPLOAD_TIMEOUT: Duration = Duration::from_secs(900);
 
 /// A request that was admitted to its service.
@@ -92,6 +93,7 @@
             _body_memory: memory.map(Rc::new),
             _id_claim: id_claim,
             _admission: admitted.admission,
+            time_after_upload,
             validator: None,
             waiter,
         };
--- a/crates/node/src/net/graphql/operation.rs
+++ b/crates/node/src/net/graphql/operation.rs
@@ -116,6 +116,7 @@
             _body_memory: permits.body_memory,
             _id_claim: id_claim,
             _admission: permits.admission,
+            time_after_upload: None,
             validator: Some(Box::new(validator)),
             waiter: context.head.waiter.clone(),
         };
--- a/crates/node/src/net/message.rs
+++ b/crates/node/src/net/message.rs
@@ -23,6 +23,8 @@
     pub _id_claim: OpenId,
     /// Counts the request among the open requests of its service while an attempt may be in flight.
     pub _admission: Option<Permit>,
+    /// For a streamed body: the client's time for the answer, from the last byte of its request on.
+    pub time_after_upload: Option<Duration>,
     /// Validates answers; without a validator, any answer with status 200 is valid.
     pub validator: Option<Box<dyn AnswerValidator>>,
     /// The client that waits for the answer.
@@ -33,6 +35,19 @@
 pub trait Waiter {
     /// Whether it has disconnected, in which case no new attempt is sent.
     fn has_disconnected(&self) -> bool;
+    /// The progress of the client's input.
+    fn input(&self) -> ClientInput;
+    /// How much input of the client has arrived and was not read, in bytes; `None` if the system doesn't tell.
+    fn unread_input_bytes(&self) -> Option<u64>;
+}
+
+/// The progress of a client's input while its request is received.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientInput {
+    /// Whether the node waits for more, having read all that has arrived.
+    pub is_awaited: bool,
+    /// When the latest of these waits ended, if there was one.
+    pub awaited_until: Option<Instant>,
 }
 
 /// Validates answers of a protocol whose result is not determined by the status alone.
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -22,6 +22,7 @@
 pub mod task;
 #[cfg(test)]
 mod tests;
+mod upload_clock;
 pub mod upstream;
 
 use reelfall_config::check::ProcessShares;
--- a/crates/node/src/net/pool/commands.rs
+++ b/crates/node/src/net/pool/commands.rs
@@ -162,9 +162,11 @@
         self.engine.borrow_mut().mark_body_consumed(request);
     }
 
-    fn finish_upload(&self, request: RequestId) -> Option<Instant> {
-        let deadline =
-            self.dispatch(|engine, now, commands| engine.finish_upload(now, request, commands));
+    fn finish_upload(&self, request: RequestId, last_byte_at: Instant) -> Option<Instant> {
+        let last_byte_at = self.shared.clock.time(last_byte_at);
+        let deadline = self.dispatch(|engine, now, commands| {
+            engine.finish_upload(now, request, last_byte_at, commands)
+        });
         deadline.map(|deadline| self.shared.clock.instant(deadline))
     }
 
--- /dev/null
+++ b/crates/node/src/net/upload_clock.rs
@@ -0,0 +1,131 @@
+//! When the answer to a request is due whose body is streamed.
+//!
+//! A client's time counts from the moment at which it has written the last byte of its request. While a server holds the
+//! body up, the node can't see this moment, since the end of the body may lie in the buffers of the client's and of this
+//! system. An [`UploadClock`] derives the earliest moment at which the last byte can have been written:
+//!
+//! - not before the node has last waited for the client, having read all that had arrived;
+//! - not while more of the body is to come than the buffers hold.
+//!
+//! `upstream::answer_timer` reports the progress of an upload to its clock, and ends the attempt when it is due.
+
+#[cfg(test)]
+mod tests;
+
+use super::body::STALL_TIMEOUT;
+use super::message::ClientInput;
+use std::time::{Duration, Instant};
+
+/// The most data that a client's system holds for a connection, in bytes: the largest send buffer of Linux by default
+/// (`net.ipv4.tcp_wmem`).
+const MAX_CLIENT_BUFFER_BYTES: u64 = 4 << 20;
+/// The most data that this system holds for a connection, in bytes: the largest receive buffer of Linux by default
+/// (`net.ipv4.tcp_rmem`).
+const MAX_RECEIVE_BUFFER_BYTES: u64 = 6 << 20;
+
+/// The progress of an upload at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct UploadProgress {
+    pub bytes_forwarded: u64,
+    /// `None` if the end of the body is not announced.
+    pub bytes_remaining: Option<u64>,
+    pub input: ClientInput,
+}
+
+/// Derives when the answer to a request is due from the progress of its upload.
+#[derive(Debug)]
+pub struct UploadClock {
+    /// The client's time, from the last byte of its request on.
+    time_for_answer: Duration,
+    /// The earliest moment at which the client can have written the last byte.
+    earliest_end: Instant,
+    /// Whether the client can have written the last byte.
+    can_have_ended: bool,
+    is_client_awaited: bool,
+    last_progress_at: Instant,
+    bytes_forwarded: u64,
+    /// For a body of unknown length: the bytes that had been forwarded when `earliest_end` was last moved for them.
+    bytes_at_earliest_end: u64,
+}
+
+impl UploadClock {
+    /// The clock of an upload that begins now.
+    pub fn new(now: Instant, time_for_answer: Duration) -> Self {
+        UploadClock {
+            time_for_answer,
+            earliest_end: now,
+            can_have_ended: true,
+            is_client_awaited: false,
+            last_progress_at: now,
+            bytes_forwarded: 0,
+            bytes_at_earliest_end: 0,
+        }
+    }
+
+    /// Updates the clock. `unread_bytes` returns how much input of the client has arrived and was not read, in bytes, if
+    /// that is known; it is called only if that matters.
+    pub fn update(
+        &mut self,
+        now: Instant,
+        progress: UploadProgress,
+        unread_bytes: impl FnOnce() -> Option<u64>,
+    ) {
+        if progress.bytes_forwarded > self.bytes_forwarded {
+            self.bytes_forwarded = progress.bytes_forwarded;
+            self.last_progress_at = now;
+        }
+        self.is_client_awaited = progress.input.is_awaited;
+        if let Some(awaited_until) = progress.input.awaited_until {
+            self.earliest_end = self.earliest_end.max(awaited_until);
+        }
+        let fits_in_buffers = |bytes: u64| {
+            bytes <= MAX_CLIENT_BUFFER_BYTES
+                || bytes <= MAX_CLIENT_BUFFER_BYTES + MAX_RECEIVE_BUFFER_BYTES
+                    && unread_bytes().is_none_or(|unread| bytes <= MAX_CLIENT_BUFFER_BYTES + unread)
+        };
+        match progress.bytes_remaining {
+            Some(remaining) => {
+                self.can_have_ended = fits_in_buffers(remaining);
+                if !self.can_have_ended {
+                    self.earliest_end = now;
+                }
+            }
+            None => {
+                let forwarded_since = self.bytes_forwarded - self.bytes_at_earliest_end;
+                if !fits_in_buffers(forwarded_since) {
+                    self.earliest_end = now;
+                    self.bytes_at_earliest_end = self.bytes_forwarded;
+                }
+            }
+        }
+    }
+
+    /// When the upload has to end at the latest, if it makes no more progress; `None` while the client is awaited, whose
+    /// own timeouts apply then.
+    pub fn deadline(&self) -> Option<Instant> {
+        if self.is_client_awaited {
+            None
+        } else if self.can_have_ended {
+            Some(self.earliest_end + self.time_for_answer)
+        } else {
+            Some(self.last_progress_at + STALL_TIMEOUT.max(self.time_for_answer))
+        }
+    }
+
+    /// Whether the buffers may meanwhile hold the rest of the body, although they could not at the last update. Nothing
+    /// reports this, so the clock has to be updated again after a short time.
+    pub fn is_uncertain(&self) -> bool {
+        !self.can_have_ended && !self.is_client_awaited
+    }
+
+    /// The earliest moment at which the client can have written the last byte.
+    pub fn earliest_end(&self) -> Instant {
+        self.earliest_end
+    }
+
+    /// Whether the server has taken nothing of the body for at least half of the client's time. What it takes at first says
+    /// little, since its system takes some data also when the server hangs.
+    pub fn has_server_stalled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.last_progress_at) >= self.time_for_answer / 2
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/upload_clock/tests.rs
@@ -0,0 +1,136 @@
+//! The earliest end of an upload, and its deadline, in virtual time.
+
+use super::{UploadClock, UploadProgress, MAX_CLIENT_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES};
+use crate::net::body::STALL_TIMEOUT;
+use crate::net::message::ClientInput;
+use std::time::{Duration, Instant};
+
+const TIME_FOR_ANSWER: Duration = Duration::from_millis(600);
+const SECOND: Duration = Duration::from_secs(1);
+/// The slowest rate of a body, in bytes a second.
+const SLOWEST_RATE: u64 = 64_000;
+
+/// An upload whose clock is updated at chosen moments.
+struct Upload {
+    clock: UploadClock,
+    start: Instant,
+    /// The announced size, in bytes.
+    size: Option<u64>,
+    unread: Option<u64>,
+}
+
+impl Upload {
+    fn new(size: Option<u64>) -> Upload {
+        let start = Instant::now();
+        Upload {
+            clock: UploadClock::new(start, TIME_FOR_ANSWER),
+            start,
+            size,
+            unread: Some(0),
+        }
+    }
+
+    /// Updates the clock this long after the start.
+    fn update(&mut self, after: Duration, forwarded: u64, input: ClientInput) {
+        let progress = UploadProgress {
+            bytes_forwarded: forwarded,
+            bytes_remaining: self.size.map(|size| size - forwarded),
+            input,
+        };
+        let unread = self.unread;
+        self.clock.update(self.start + after, progress, || unread);
+    }
+
+    /// When the upload has to end at the latest, since its start.
+    fn deadline(&self) -> Option<Duration> {
+        self.clock.deadline().map(|deadline| deadline - self.start)
+    }
+}
+
+const NOT_AWAITED: ClientInput = ClientInput {
+    is_awaited: false,
+    awaited_until: None,
+};
+
+#[test]
+fn time_of_a_body_that_fits_into_the_buffers_runs_from_the_start_whatever_the_server_takes() {
+    for size in [Some(MAX_CLIENT_BUFFER_BYTES), None] {
+        let mut upload = Upload::new(size);
+        for step in 0..10 {
+            upload.update(SECOND / 20 * step, u64::from(step) * 10_000, NOT_AWAITED);
+            assert_eq!(upload.deadline(), Some(TIME_FOR_ANSWER));
+        }
+    }
+}
+
+#[test]
+fn time_does_not_run_while_the_client_is_awaited_and_begins_anew_afterwards() {
+    let mut upload = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES));
+    for second in 1..20_u32 {
+        let moment = SECOND * second;
+        let mut input = ClientInput {
+            is_awaited: true,
+            awaited_until: None,
+        };
+        upload.update(moment, u64::from(second) * SLOWEST_RATE, input);
+        assert_eq!(upload.deadline(), None);
+        input.is_awaited = false;
+        input.awaited_until = Some(upload.start + moment);
+        upload.update(moment, u64::from(second) * SLOWEST_RATE, input);
+        assert_eq!(upload.deadline(), Some(moment + TIME_FOR_ANSWER));
+    }
+}
+
+#[test]
+fn time_begins_once_the_rest_of_an_announced_body_fits_into_the_buffers() {
+    let size = 32 << 20;
+    let fits_at = size - MAX_CLIENT_BUFFER_BYTES;
+    let mut upload = Upload::new(Some(size));
+    upload.update(SECOND, 1, NOT_AWAITED);
+    assert!(upload.clock.is_uncertain());
+    assert_eq!(upload.deadline(), Some(SECOND + STALL_TIMEOUT));
+    upload.update(SECOND * 2, fits_at - 1, NOT_AWAITED);
+    assert!(upload.clock.is_uncertain());
+    upload.update(SECOND * 3, fits_at, NOT_AWAITED);
+    assert_eq!(upload.deadline(), Some(SECOND * 2 + TIME_FOR_ANSWER));
+}
+
+#[test]
+fn unread_input_makes_room_in_the_buffers_and_unknown_input_as_much_as_there_can_be() {
+    let mut upload = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES + 1_000));
+    upload.update(SECOND, 0, NOT_AWAITED);
+    assert!(upload.clock.is_uncertain());
+    // The client writes on, which nothing reports.
+    upload.unread = Some(1_000);
+    upload.update(SECOND * 2, 0, NOT_AWAITED);
+    assert_eq!(upload.deadline(), Some(SECOND + TIME_FOR_ANSWER));
+    for (rest, is_uncertain) in [(0, false), (1, true)] {
+        let size = MAX_CLIENT_BUFFER_BYTES + MAX_RECEIVE_BUFFER_BYTES + rest;
+        let mut upload = Upload::new(Some(size));
+        upload.unread = None;
+        upload.update(SECOND, 0, NOT_AWAITED);
+        assert_eq!(upload.clock.is_uncertain(), is_uncertain);
+    }
+}
+
+#[test]
+fn time_of_a_chunked_body_begins_anew_when_more_was_taken_than_the_buffers_hold() {
+    let mut upload = Upload::new(None);
+    upload.update(SECOND, MAX_CLIENT_BUFFER_BYTES, NOT_AWAITED);
+    assert_eq!(upload.deadline(), Some(TIME_FOR_ANSWER));
+    upload.update(SECOND * 2, MAX_CLIENT_BUFFER_BYTES + 1, NOT_AWAITED);
+    assert_eq!(upload.deadline(), Some(SECOND * 2 + TIME_FOR_ANSWER));
+    upload.update(SECOND * 3, MAX_CLIENT_BUFFER_BYTES + 2, NOT_AWAITED);
+    assert_eq!(upload.deadline(), Some(SECOND * 2 + TIME_FOR_ANSWER));
+}
+
+#[test]
+fn server_has_stalled_if_it_took_nothing_for_half_of_the_clients_time() {
+    let mut upload = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES));
+    upload.update(SECOND, 1, NOT_AWAITED);
+    upload.update(SECOND * 2, 1, NOT_AWAITED);
+    let taken_at = upload.start + SECOND;
+    let is_stalled = |after| upload.clock.has_server_stalled(taken_at + after);
+    assert!(!is_stalled(TIME_FOR_ANSWER / 2 - Duration::from_millis(1)));
+    assert!(is_stalled(TIME_FOR_ANSWER / 2));
+}
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -8,6 +8,7 @@
 //! | --- | --- |
 //! | `attempt` | the state of an attempt, its request and the reports of its outcome |
 //! | `exchange` | sending that request and waiting for the head of the answer |
+//! | `answer_timer` | when the answer is due |
 //! | `response` | reading the answer, which is buffered whole or streamed |
 //! | `acquire` | a connection for an attempt: an idle one or a new one |
 //! | `connection_pool` | the idle connections of all servers |
@@ -15,6 +16,7 @@
 //! | `socket` | its socket, which counts the bytes that were written |
 
 mod acquire;
+mod answer_timer;
 mod attempt;
 mod connection;
 mod connection_pool;
@@ -47,9 +49,9 @@
     fn has_attempt_in_flight(&self, request: RequestId) -> bool;
     /// Reports that part of a streamed request body was consumed, so that no retry can send it.
     fn mark_body_consumed(&self, request: RequestId);
-    /// Reports that the last byte of a request body was written. Returns when the answer is due if that only follows
-    /// from the end of the upload.
-    fn finish_upload(&self, request: RequestId) -> Option<Instant>;
+    /// Reports that the last byte of a request body was written, and when its client can have written that at the
+    /// earliest. Returns when the answer is due if that only follows from the end of the upload.
+    fn finish_upload(&self, request: RequestId, last_byte_at: Instant) -> Option<Instant>;
     /// Reports how an attempt ended, with the answer if there is one.
     fn end_attempt(
         &self,
--- a/crates/node/src/net/upstream/attempt.rs
+++ b/crates/node/src/net/upstream/attempt.rs
@@ -76,6 +76,19 @@
             .is_some_and(|body| body.is_consumed())
     }
 
+    /// Logs how far the upload of a streamed body had come when its attempt ended without an answer.
+    pub(super) fn log_upload(&self, outcome: Outcome) {
+        let Some(body) = self.message.body.streamed() else {
+            return;
+        };
+        let context = &self.context;
+        let address = context.address(self.server);
+        let address = address.map_or_else(|| "a former server".to_owned(), |it| it.to_string());
+        context.connections().shared.log.write_line(format_args!(
+            "an upload to {address} ended without an answer ({outcome:?}): {body}"
+        ));
+    }
+
     pub(super) fn report_body_consumed(&self) {
         if self.is_body_consumed() {
             self.context.mark_body_consumed(self.request);
--- a/crates/node/src/net/upstream/connection.rs
+++ b/crates/node/src/net/upstream/connection.rs
@@ -75,6 +75,11 @@
         self.socket.bytes_written()
     }
 
+    /// Reduces the system's send buffer for a streamed body.
+    pub(super) fn limit_send_buffer(&self) {
+        self.socket.limit_send_buffer();
+    }
+
     /// Whether an idle connection can't be used any more: closed by either side, or idle for too long.
     pub(super) fn is_expired(&self, now: Instant, idle_timeout: Duration) -> bool {
         self.sender.is_closed() || now - self.idle_since >= idle_timeout || !self.socket.is_quiet()
--- a/crates/node/src/net/upstream/exchange.rs
+++ b/crates/node/src/net/upstream/exchange.rs
@@ -1,10 +1,11 @@
 //! Runs an attempt: one exchange on a connection, and another exchange if that connection turns out to be closed.
 
+use super::answer_timer::AnswerTimer;
 use super::attempt::{Attempt, AttemptDeadlines, DRAIN_TIMEOUT};
 use super::connection::Connection;
 use super::response::read_response;
 use super::AttemptContext;
-use crate::net::body::{Payload, PayloadBody, StreamedBody};
+use crate::net::body::{Payload, PayloadBody};
 use crate::net::message::Message;
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
@@ -14,7 +15,7 @@
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::time::Instant;
-use tokio::time::{sleep_until, timeout, timeout_at};
+use tokio::time::timeout;
 
 /// The result of one exchange on a connection.
 enum ExchangeResult {
@@ -56,7 +57,14 @@
 impl<C: AttemptContext> Attempt<C> {
     /// Sends the request on one connection and reads the answer.
     async fn exchange(&self) -> ExchangeResult {
-        let connection = match self.acquire().await {
+        let mut timer = AnswerTimer::new(self);
+        let acquired = tokio::select! {
+            biased;
+            acquired = self.acquire() => acquired,
+            // The client has waited for its answer since before the first attempt, so there is no time for another one.
+            () = timer.expire_upload() => Err(Outcome::NotSent),
+        };
+        let connection = match acquired {
             Ok(connection) => connection,
             Err(outcome) => {
                 self.end(outcome);
@@ -73,7 +81,7 @@
             self.end(Outcome::ConnectFailed);
             return ExchangeResult::Ended;
         }
-        Exchange::new(self, connection).run().await
+        Exchange::new(self, connection, timer).run().await
     }
 }
 
@@ -83,27 +91,30 @@
     connection: Connection,
     /// The number of bytes that had been written on the connection before this request.
     bytes_written_before: u64,
-    answer_by: Instant,
+    timer: AnswerTimer<'a, C>,
 }
 
 impl<'a, C: AttemptContext> Exchange<'a, C> {
-    fn new(attempt: &'a Attempt<C>, connection: Connection) -> Self {
+    fn new(attempt: &'a Attempt<C>, connection: Connection, timer: AnswerTimer<'a, C>) -> Self {
+        if attempt.message.body.streamed().is_some() {
+            connection.limit_send_buffer();
+        }
         Exchange {
             attempt,
             bytes_written_before: connection.bytes_written(),
             connection,
-            answer_by: attempt.deadlines.answer_by,
+            timer,
         }
     }
 
     async fn run(mut self) -> ExchangeResult {
-        let request = self.attempt.build_request(self.answer_by);
+        let request = self.attempt.build_request(self.timer.answer_by());
         let mut head = pin!(self.connection.sender.try_send_request(request));
         let result = self.wait_for_head(head.as_mut()).await;
         self.attempt.report_body_consumed();
         match result {
             HeadWait::Received(response) => {
-                read_response(self.attempt, self.connection, response, self.answer_by).await;
+                read_response(self.attempt, self.connection, response, self.timer).await;
                 ExchangeResult::Ended
             }
             HeadWait::SendFailed(error) => self.handle_send_error(error),
@@ -114,40 +125,17 @@
         }
     }
 
-    async fn wait_for_head<F>(&mut self, mut head: Pin<&mut F>) -> HeadWait
+    async fn wait_for_head<F>(&mut self, head: Pin<&mut F>) -> HeadWait
     where
         F: Future<Output = HeadResult>,
     {
-        if let Some(body) = self.attempt.message.body.streamed() {
-            let early_result = self.wait_for_upload(body, head.as_mut()).await;
-            if body.is_complete() {
-                let attempt = self.attempt;
-                if let Some(answer_by) = attempt.context.finish_upload(attempt.request) {
-                    self.answer_by = answer_by;
-                }
-            }
-            if let Some(result) = early_result {
-                return HeadWait::from(result);
-            }
-        }
-        match timeout_at(self.answer_by.into(), head).await {
-            Ok(result) => HeadWait::from(result),
-            Err(_) => HeadWait::TimedOut,
-        }
-    }
-
-    /// Waits until a streamed body is uploaded or has failed, or the deadline has passed. Returns the head of the
-    /// answer if that is received first.
-    async fn wait_for_upload<F>(&self, body: &StreamedBody, head: Pin<&mut F>) -> Option<HeadResult>
-    where
-        F: Future<Output = HeadResult>,
-    {
-        tokio::select! {
+        let result = tokio::select! {
             biased;
-            () = body.wait_for_end() => None,
-            () = sleep_until(self.answer_by.into()) => None,
-            result = head => Some(result),
-        }
+            result = head => HeadWait::from(result),
+            () = self.timer.expire() => HeadWait::TimedOut,
+        };
+        self.timer.record_progress(Instant::now());
+        result
     }
 
     /// Whether the last byte of the request may have been written.
@@ -166,23 +154,11 @@
             return ExchangeResult::ConnectionWasStale;
         }
         let outcome = self.connection_error_outcome();
-        self.log_upload(outcome);
+        self.attempt.log_upload(outcome);
         self.attempt.end(outcome);
         ExchangeResult::Ended
     }
 
-    /// Logs how far the upload of a streamed body had come when its attempt ended without an answer.
-    fn log_upload(&self, outcome: Outcome) {
-        let Some(body) = self.attempt.message.body.streamed() else {
-            return;
-        };
-        let address = self.connection.target.address;
-        let log = &self.attempt.context.connections().shared.log;
-        log.write_line(format_args!(
-            "an upload to {address} ended without an answer ({outcome:?}): {body}"
-        ));
-    }
-
     fn connection_error_outcome(&self) -> Outcome {
         match self.attempt.message.body.streamed() {
             // The client has aborted the upload, which says nothing about the server.
@@ -192,18 +168,30 @@
         }
     }
 
+    fn timeout_outcome(&self) -> Outcome {
+        if self.may_be_fully_sent() {
+            return Outcome::TimedOut;
+        }
+        let is_upload = self.attempt.message.body.streamed().is_some();
+        if is_upload && !self.timer.has_server_stalled() {
+            // The server reads the body, only too slowly for the client's time, which may be the client's doing.
+            return Outcome::NotSent;
+        }
+        Outcome::ConnectFailed
+    }
+
     async fn handle_timeout<F>(self, head: Pin<&mut F>)
     where
         F: Future<Output = HeadResult>,
     {
         let attempt = self.attempt;
-        if !self.may_be_fully_sent() {
-            self.log_upload(Outcome::ConnectFailed);
+        let outcome = self.timeout_outcome();
+        attempt.log_upload(outcome);
+        if outcome.never_ran() {
             drop(self.connection);
-            return attempt.end(Outcome::ConnectFailed);
+            return attempt.end(outcome);
         }
-        self.log_upload(Outcome::TimedOut);
-        attempt.end(Outcome::TimedOut);
+        attempt.end(outcome);
         // The connection is only kept if no retry is in flight, since two copies must not run at the same time.
         if !attempt.context.has_attempt_in_flight(attempt.request) {
             if let Ok(Ok(response)) = timeout(DRAIN_TIMEOUT, head).await {
--- a/crates/node/src/net/upstream/response.rs
+++ b/crates/node/src/net/upstream/response.rs
@@ -6,6 +6,7 @@
 //! - buffering: chunks of the body are collected;
 //! - then complete, streaming, broken or timed out, each of which ends the attempt.
 
+use super::answer_timer::AnswerTimer;
 use super::attempt::{Attempt, DRAIN_TIMEOUT};
 use super::connection::Connection;
 use super::AttemptContext;
@@ -25,7 +26,7 @@
 use hyper::{Response, StatusCode, Version};
 use reelfall_balancer::interface::Outcome;
 use std::time::{Duration, Instant};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::{sleep_until, timeout};
 
 /// How long a large answer is buffered before it is streamed.
 const MAX_BUFFERING_TIME: Duration = Duration::from_millis(25);
@@ -37,7 +38,7 @@
     attempt: &Attempt<C>,
     connection: Connection,
     response: Response<Incoming>,
-    answer_by: Instant,
+    timer: AnswerTimer<'_, C>,
 ) {
     let (head, body) = response.into_parts();
     let outcome = classify(&head, attempt.validator());
@@ -54,7 +55,9 @@
         return attempt.end(Outcome::ConnectionLost);
     }
     let announced_bytes = body.size_hint().exact().map_or(0, |length| length as usize);
-    let memory = attempt.reserve_announced(announced_bytes, answer_by).await;
+    let memory = attempt
+        .reserve_announced(announced_bytes, timer.answer_by())
+        .await;
     let buffering = BufferingResponse {
         memory,
         buffer: BytesMut::new(),
@@ -63,7 +66,7 @@
         connection,
         attempt,
         announced_bytes,
-        answer_by,
+        timer,
         stream_after: Instant::now() + MAX_BUFFERING_TIME,
     };
     buffering.run().await;
@@ -160,6 +163,14 @@
             Some(())
         };
         if let Ok(Some(())) = timeout(DRAIN_TIMEOUT, read_to_end).await {
+            self.release(connection);
+        }
+    }
+
+    /// Returns a connection whose answer was read to its end to the pool, or closes it if the server has answered before
+    /// it had received the body.
+    fn release(&self, connection: Connection) {
+        if !self.message.body.is_upload_in_progress() {
             self.context.connections().put(connection);
         }
     }
@@ -188,7 +199,7 @@
     attempt: &'a Attempt<C>,
     /// The length that the head states, in bytes; 0 if it states none.
     announced_bytes: usize,
-    answer_by: Instant,
+    timer: AnswerTimer<'a, C>,
     /// A large answer that is not complete by then is streamed.
     stream_after: Instant,
 }
@@ -208,23 +219,25 @@
 
     async fn read_frame(&mut self) -> Progress {
         let can_stream = self.can_stream();
-        let deadline = if can_stream {
-            self.answer_by.min(self.stream_after)
-        } else {
-            self.answer_by
+        let received = tokio::select! {
+            biased;
+            frame = self.body.frame() => Some(frame),
+            () = self.timer.expire() => None,
+            () = sleep_until(self.stream_after.into()), if can_stream => None,
         };
-        match timeout_at(deadline.into(), self.body.frame()).await {
-            Ok(Some(Ok(frame))) => {
+        self.timer.record_progress(Instant::now());
+        match received {
+            Some(Some(Ok(frame))) => {
                 let data = frame.data_ref().map_or(&[][..], |data| data);
                 self.buffer.extend_from_slice(data);
                 self.check_size()
             }
-            Ok(Some(Err(_))) => Progress::Broken,
-            Ok(None) if self.is_valid() => Progress::Complete,
+            Some(Some(Err(_))) => Progress::Broken,
+            Some(None) if self.is_valid() => Progress::Complete,
             // What followed an invalid answer on the connection is unknown, so the connection is closed.
-            Ok(None) => Progress::Broken,
-            Err(_) if can_stream => Progress::Streaming,
-            Err(_) => Progress::TimedOut,
+            Some(None) => Progress::Broken,
+            None if can_stream => Progress::Streaming,
+            None => Progress::TimedOut,
         }
     }
 
@@ -276,7 +289,7 @@
 
     fn complete(self) {
         let attempt = self.attempt;
-        attempt.context.connections().put(self.connection);
+        attempt.release(self.connection);
         let answer = Answer {
             headers: self.head.headers,
             body: self.buffer.freeze(),
@@ -290,7 +303,12 @@
     fn start_streaming(self) {
         let attempt = self.attempt;
         let (context, connection) = (attempt.context.clone(), self.connection);
-        let return_connection = move || context.connections().put(connection);
+        let message = attempt.message.clone();
+        let return_connection = move || {
+            if !message.body.is_upload_in_progress() {
+                context.connections().put(connection);
+            }
+        };
         let remainder = StreamedAnswer::new(
             self.body,
             self.buffer.len() as u64,
@@ -308,6 +326,7 @@
 
     async fn time_out(self) {
         let attempt = self.attempt;
+        attempt.log_upload(Outcome::TimedOut);
         attempt.end(Outcome::TimedOut);
         if !attempt.context.has_attempt_in_flight(attempt.request) {
             attempt.drain(self.connection, self.body).await;
--- a/crates/node/src/net/upstream/socket.rs
+++ b/crates/node/src/net/upstream/socket.rs
@@ -9,6 +9,10 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Size of the system's send buffer for a streamed body, in bytes. A larger one would hide that a slow server has stopped
+/// reading.
+const STREAM_SEND_BUFFER: usize = 128 << 10;
+
 /// A socket that counts the bytes written to it and can be inspected while the HTTP library uses it.
 pub(super) struct Socket {
     stream: TcpStream,
@@ -29,6 +33,12 @@
         self.bytes_written.get()
     }
 
+    /// Reduces the system's send buffer to [`STREAM_SEND_BUFFER`].
+    pub(super) fn limit_send_buffer(&self) {
+        // If this fails, a slow server is only detected later.
+        let _ = socket2::SockRef::from(&self.stream).set_send_buffer_size(STREAM_SEND_BUFFER);
+    }
+
     /// Shuts down both directions.
     pub(super) fn shutdown(&self) {
         let _ = socket2::SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
--- a/crates/testbed/tests/leases.rs
+++ b/crates/testbed/tests/leases.rs
@@ -9,6 +9,10 @@
 };
 use reelfall_testbed::fleet::history::{Event, History, TimedEvent};
 use reelfall_testbed::fleet::{FleetSpec, TestFleet, SHORT_SLOW_START};
+use reelfall_testbed::scripted;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -44,11 +48,10 @@
     at: Duration,
 }
 
-fn lease_settings(resource: &FencedResource) -> String {
+fn lease_settings(resource: SocketAddr) -> String {
     format!(
         "[fleet.leases]\nkeepers = [\"n0\", \"n1\", \"n2\"]\nfolder = \"{{folder}}\"\nlength = \"1s\"\n\
-         [[fleet.leases.call]]\nname = \"{LEASE}\"\naddress = \"{}\"\npath = \"/roll\"\nevery = \"50ms\"\n",
-        resource.address
+         [[fleet.leases.call]]\nname = \"{LEASE}\"\naddress = \"{resource}\"\npath = \"/roll\"\nevery = \"50ms\"\n"
     )
 }
 
@@ -60,7 +63,7 @@
         node_count,
         server_count: 2,
         service_settings: SHORT_SLOW_START.to_owned(),
-        fleet_settings: Some(lease_settings(&resource)),
+        fleet_settings: Some(lease_settings(resource.address)),
         ..FleetSpec::default()
     };
     let fleet = TestFleet::start_with_history(&fleets::program(), &spec, history)
@@ -356,3 +359,34 @@
     hand_over(fleet).await;
     assert_no_lease_violations(fleet);
 }
+
+/// The call of a lease has a timeout of its own: a resource that reads calls and answers none does not stop them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lease_calls_go_on_though_the_resource_hangs() {
+    const CALLS: usize = 5;
+    let _permit = reserve_fleet().await;
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counted = calls.clone();
+    let resource = scripted::serve(move |mut stream, _| {
+        let mut call = [0; 1];
+        if stream.read_exact(&mut call).is_ok() {
+            counted.fetch_add(1, Ordering::SeqCst);
+        }
+        // The connection stays open until the node ends it.
+        let _ = stream.read_to_end(&mut Vec::new());
+    });
+    let spec = FleetSpec {
+        node_count: KEEPER_COUNT,
+        server_count: 2,
+        service_settings: SHORT_SLOW_START.to_owned(),
+        fleet_settings: Some(lease_settings(resource)),
+        ..FleetSpec::default()
+    };
+    let fleet = fleets::start(spec).await;
+    fleet
+        .wait_until("the resource gets further calls", async |_| {
+            calls.load(Ordering::SeqCst) >= CALLS
+        })
+        .await
+        .unwrap();
+}
--- /dev/null
+++ b/crates/testbed/tests/uploads/endings.rs
@@ -0,0 +1,153 @@
+//! Clients that leave while a server holds up their body, and nodes that end, upgrade or reload meanwhile.
+
+use crate::harness::{
+    at_once, program, read_body, read_bytes, read_head, request_parts, serve, settings,
+    ClientWrite, Framing, NodeKind, NodeProcess, Runs, TestNode, Upload, OK_RESPONSE, TIME_LEFT,
+};
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Barrier};
+
+/// Size of a body in bytes that a client can write although its server reads nothing.
+const LENGTH: usize = 4_300_000;
+/// What the server reads before it hangs, in bytes.
+const READ_BYTES: usize = 50_000;
+
+/// Servers that hang in the middle of each body.
+struct HangingServers {
+    addresses: Vec<SocketAddr>,
+    /// Receives a message for each body whose beginning was read.
+    hangs: Receiver<()>,
+    /// A server waits here before it reads on.
+    resume: Arc<Barrier>,
+    /// Receives whether a body was read to its end.
+    ends: Receiver<bool>,
+}
+
+impl HangingServers {
+    fn start(runs: &Runs) -> HangingServers {
+        let (hang_sender, hangs) = channel();
+        let (end_sender, ends) = channel();
+        let resume = Arc::new(Barrier::new(2));
+        let (runs, resumed) = (runs.clone(), resume.clone());
+        let senders = std::sync::Mutex::new((hang_sender, end_sender));
+        let addresses = serve(move |mut reader, mut stream| {
+            let (hang_sender, end_sender) = senders.lock().unwrap().clone();
+            while let Some(mut head) = read_head(&mut reader) {
+                if read_bytes(&mut reader, READ_BYTES).is_none() {
+                    return;
+                }
+                let _ = hang_sender.send(());
+                resumed.wait();
+                head.length = head.length.map(|length| length - READ_BYTES);
+                let is_complete = read_body(&mut reader, &head).is_some();
+                if is_complete {
+                    runs.record(&head.id);
+                    let _ = stream.write_all(OK_RESPONSE);
+                }
+                let _ = end_sender.send(is_complete);
+            }
+        });
+        HangingServers {
+            addresses,
+            hangs,
+            resume,
+            ends,
+        }
+    }
+}
+
+fn writes(id: &str) -> Vec<ClientWrite> {
+    at_once(request_parts(id, Framing::Announced, &[LENGTH]))
+}
+
+#[test]
+fn upload_of_a_client_that_leaves_does_not_run_and_its_connection_ends() {
+    for kind in NodeKind::ALL {
+        let runs = Runs::default();
+        let servers = HangingServers::start(&runs);
+        let node = TestNode::start(kind, &servers.addresses);
+        let upload = Upload::start(node.address, writes("left"));
+        servers.hangs.recv().unwrap();
+        upload.abort();
+        std::thread::sleep(TIME_LEFT * 2);
+        servers.resume.wait();
+        assert!(
+            !servers.ends.recv().unwrap(),
+            "{kind:?}: the request has run"
+        );
+        assert_eq!(runs.count("left"), 0);
+    }
+}
+
+/// An upload that its server holds up is refused, and does not run when the server reads on.
+#[test]
+fn refused_upload_does_not_run_when_its_server_reads_on() {
+    for kind in NodeKind::ALL {
+        let runs = Runs::default();
+        let servers = HangingServers::start(&runs);
+        let node = TestNode::start(kind, &servers.addresses);
+        let upload = Upload::start(node.address, writes("refused"));
+        servers.hangs.recv().unwrap();
+        let ending = upload.wait();
+        assert!(ending.is_in_time(), "{kind:?}: {ending:?}");
+        servers.resume.wait();
+        assert!(
+            !servers.ends.recv().unwrap(),
+            "{kind:?}: the request has run"
+        );
+        assert_eq!((ending.is_refused(), runs.count("refused")), (true, 0));
+    }
+}
+
+#[test]
+fn upload_that_its_server_holds_up_is_answered_in_time_during_a_shutdown() {
+    for kind in NodeKind::ALL {
+        let servers = HangingServers::start(&Runs::default());
+        let node = TestNode::start(kind, &servers.addresses);
+        let upload = Upload::start(node.address, writes("shutdown"));
+        servers.hangs.recv().unwrap();
+        node.signal("TERM");
+        let ending = upload.wait();
+        assert!(ending.is_in_time(), "{kind:?}: {ending:?}");
+    }
+}
+
+#[test]
+fn upload_that_its_server_holds_up_is_answered_in_time_during_an_upgrade() {
+    let servers = HangingServers::start(&Runs::default());
+    let node = TestNode::start(NodeKind::Platform, &servers.addresses);
+    let NodeProcess::Platform { node: process, .. } = &node.process else {
+        panic!("a node of the platform");
+    };
+    let upload = Upload::start(node.address, writes("upgrade"));
+    servers.hangs.recv().unwrap();
+    let _successor = process.spawn_successor(&program());
+    node.signal("TERM");
+    let ending = upload.wait();
+    assert!(ending.is_in_time(), "{ending:?}");
+}
+
+#[test]
+fn upload_that_its_server_holds_up_is_answered_in_time_during_reloads() {
+    let servers = HangingServers::start(&Runs::default());
+    let mut node = TestNode::start(NodeKind::SettingsFile, &servers.addresses);
+    let upload = Upload::start(node.address, writes("reload"));
+    servers.hangs.recv().unwrap();
+    let NodeProcess::SettingsFile {
+        node: process,
+        runtime,
+    } = &mut node.process
+    else {
+        panic!("a node with a settings file");
+    };
+    // The first reload replaces the pool, the second one removes the server.
+    let replaced = settings(&servers.addresses).replace("500ms", "400ms");
+    let other = HangingServers::start(&Runs::default());
+    for text in [replaced, settings(&other.addresses)] {
+        runtime.block_on(process.reload(&text)).unwrap();
+    }
+    let ending = upload.wait();
+    assert!(ending.is_in_time(), "{ending:?}");
+}
--- a/crates/testbed/tests/uploads/harness.rs
+++ b/crates/testbed/tests/uploads/harness.rs
@@ -58,7 +58,7 @@
     },
     SettingsFile {
         node: Box<node::Node>,
-        _runtime: tokio::runtime::Runtime,
+        runtime: tokio::runtime::Runtime,
     },
 }
 
@@ -94,7 +94,8 @@
         }
     }
 
-    fn start_with_settings(settings: &str) -> TestNode {
+    /// Starts a node with this settings file.
+    pub fn start_with_settings(settings: &str) -> TestNode {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
@@ -109,7 +110,7 @@
             address: node.address(),
             process: NodeProcess::SettingsFile {
                 node: Box::new(node),
-                _runtime: runtime,
+                runtime,
             },
         }
     }
@@ -229,6 +230,11 @@
         Upload { stream, written }
     }
 
+    /// Closes the connection.
+    pub fn abort(self) {
+        let _ = self.stream.shutdown(std::net::Shutdown::Both);
+    }
+
     /// Waits for the answer.
     pub fn wait(self) -> Ending {
         let response = read_response(&self.stream);
@@ -265,6 +271,19 @@
     Upload::start(node, writes).wait()
 }
 
+/// Sends these requests at the same time; returns their names and how they ended.
+pub fn send_all(
+    node: SocketAddr,
+    requests: Vec<(String, Vec<ClientWrite>)>,
+) -> Vec<(String, Ending)> {
+    let threads: Vec<_> = requests
+        .into_iter()
+        .map(|(name, writes)| std::thread::spawn(move || (name, send(node, writes))))
+        .collect();
+    let results = threads.into_iter().map(|thread| thread.join().unwrap());
+    results.collect()
+}
+
 /// How often each request has run, by its id.
 #[derive(Clone, Default)]
 pub struct Runs(Arc<Mutex<HashMap<String, usize>>>);
--- a/crates/testbed/tests/uploads/main.rs
+++ b/crates/testbed/tests/uploads/main.rs
@@ -5,6 +5,12 @@
 //! | --- | --- |
 //! | `harness` | the nodes, servers and clients |
 //! | `resets` | servers that stop after they have received a body |
+//! | `stalls` | servers that stop reading a body, and those that only read it slowly |
+//! | `graphql` | GraphQL requests, which are always buffered |
+//! | `endings` | clients that leave, and nodes that end, upgrade or reload during an upload |
 
+mod endings;
+mod graphql;
 mod harness;
 mod resets;
+mod stalls;
--- /dev/null
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -0,0 +1,267 @@
+//! Servers that stop reading a body, or read it too slowly for its client's time, and those that must not be cut off.
+
+use crate::harness::{
+    at_once, head, read_body, read_bytes, read_head, request_parts, send, send_all, serve,
+    ClientWrite, Framing, NodeKind, ReceivedHead, Runs, TestNode, UsedMemory, OK_RESPONSE,
+    TIME_LEFT,
+};
+use reelfall_testbed::scripted::listener_with_full_backlog;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Size of the first piece of a body, in bytes. The client pauses after it.
+const FIRST_PIECE_BYTES: usize = 100_000;
+const PAUSE: Duration = Duration::from_millis(300);
+/// Sizes of bodies in bytes that a client can write although the server reads nothing: the buffers between them hold the
+/// rest.
+const BUFFERED_BYTES: [usize; 5] = [1_500_000, 2_500_000, 3_500_000, 4_000_000, 4_600_000];
+/// The size of a body in bytes that a client can't write while the server reads nothing.
+const UNBUFFERED_BYTES: usize = 9_000_000;
+/// How a server reads at 64 kB a second.
+const SLOW_PIECE_BYTES: usize = 6_400;
+const SLOW_PIECE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a server does with a body.
+#[derive(Clone, Copy, Debug)]
+enum Reading {
+    /// Hangs before it has read any of it.
+    Nothing,
+    /// Hangs in the middle of it.
+    FirstPiece,
+    /// Reads 64 kB a second.
+    Slowly,
+    /// Sends the head of its answer, and hangs.
+    AnswersEarly,
+}
+
+impl Reading {
+    /// The sizes of bodies that have to be answered, in bytes. A body may be read as slowly as at 64 kB a second, so
+    /// a client that can't write its last byte waits for longer than these tests.
+    fn body_sizes(self) -> Vec<usize> {
+        let mut sizes = BUFFERED_BYTES.to_vec();
+        if !matches!(self, Reading::Slowly) {
+            sizes.push(UNBUFFERED_BYTES);
+        }
+        sizes
+    }
+
+    /// Reads a body this way; returns whether it was read to its end.
+    fn read(
+        self,
+        reader: &mut BufReader<TcpStream>,
+        stream: &mut TcpStream,
+        length: usize,
+    ) -> bool {
+        match self {
+            Reading::Nothing => hang(),
+            Reading::FirstPiece => {
+                let _ = read_bytes(reader, FIRST_PIECE_BYTES / 2);
+                hang()
+            }
+            Reading::Slowly => {
+                for _ in 0..length.div_ceil(SLOW_PIECE_BYTES) {
+                    if read_bytes(reader, SLOW_PIECE_BYTES).is_none() {
+                        return false;
+                    }
+                    std::thread::sleep(SLOW_PIECE_INTERVAL);
+                }
+                true
+            }
+            Reading::AnswersEarly => {
+                let _ = stream.write_all(&OK_RESPONSE[..OK_RESPONSE.len() - 1]);
+                hang()
+            }
+        }
+    }
+}
+
+/// Keeps a connection open without reading from it.
+fn hang() -> ! {
+    loop {
+        std::thread::park();
+    }
+}
+
+/// Starts servers that read all bodies this way.
+fn start_servers(reading: Reading) -> Vec<SocketAddr> {
+    serve(move |mut reader, mut stream| {
+        while let Some(head) = read_head(&mut reader) {
+            // A chunked body is read until the connection ends.
+            let length = head.length.unwrap_or(usize::MAX);
+            if !reading.read(&mut reader, &mut stream, length) {
+                return;
+            }
+            let _ = stream.write_all(OK_RESPONSE);
+        }
+    })
+}
+
+/// The writes of a client that pauses after the first piece of its body.
+fn paused_writes(id: &str, framing: Framing, length: usize) -> Vec<ClientWrite> {
+    let pieces = [FIRST_PIECE_BYTES, length - FIRST_PIECE_BYTES];
+    let mut writes = at_once(request_parts(id, framing, &pieces));
+    writes[2].pause = PAUSE;
+    writes
+}
+
+/// Guards against: a request whose server stopped reading its body got no answer, as nothing but the 900 s for an upload
+/// limited the wait.
+fn check_uploads_that_are_held_up(reading: Reading) {
+    for kind in NodeKind::ALL {
+        let node = TestNode::start(kind, &start_servers(reading));
+        let mut requests = Vec::new();
+        for framing in Framing::ALL {
+            for length in reading.body_sizes() {
+                let id = format!("{framing:?}-{length}");
+                let writes = paused_writes(&id, framing, length);
+                requests.push((id, writes));
+            }
+        }
+        for (id, ending) in send_all(node.address, requests) {
+            assert!(
+                ending.is_in_time(),
+                "{kind:?}, {reading:?}, {id}: {ending:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn upload_is_answered_in_time_though_its_server_reads_nothing() {
+    check_uploads_that_are_held_up(Reading::Nothing);
+}
+
+#[test]
+fn upload_is_answered_in_time_though_its_server_stops_reading() {
+    check_uploads_that_are_held_up(Reading::FirstPiece);
+}
+
+#[test]
+fn upload_is_answered_in_time_though_its_server_reads_slowly() {
+    check_uploads_that_are_held_up(Reading::Slowly);
+}
+
+#[test]
+fn upload_is_answered_in_time_though_its_server_answers_early_and_hangs() {
+    check_uploads_that_are_held_up(Reading::AnswersEarly);
+}
+
+/// A body that is buffered whole, since there is memory for it, is in time as well.
+#[test]
+fn buffered_request_is_answered_in_time_though_its_server_reads_nothing() {
+    const LENGTH: usize = 1_000_000;
+    let node = TestNode::start(NodeKind::Platform, &start_servers(Reading::Nothing));
+    let requests = Framing::ALL.map(|framing| {
+        let id = format!("buffered-{framing:?}");
+        let writes = paused_writes(&id, framing, LENGTH);
+        (id, writes)
+    });
+    for (id, ending) in send_all(node.address, requests.into()) {
+        assert!(ending.is_in_time(), "{id}: {ending:?}");
+    }
+}
+
+/// Guards against: the time of a streamed request did not run while its attempts waited for connections.
+#[test]
+fn upload_is_answered_in_time_though_no_connection_comes_up() {
+    let listener = listener_with_full_backlog();
+    let address = listener.local_addr().unwrap();
+    let _fills_backlog = TcpStream::connect(address).unwrap();
+    for kind in NodeKind::ALL {
+        let node = TestNode::start(kind, &[address]);
+        let requests = BUFFERED_BYTES.map(|length| {
+            let parts = request_parts(&length.to_string(), Framing::Announced, &[length]);
+            (length.to_string(), at_once(parts))
+        });
+        for (id, ending) in send_all(node.address, requests.into()) {
+            assert!(ending.is_in_time(), "{kind:?}, {id}: {ending:?}");
+        }
+    }
+}
+
+/// Starts servers that pause for longer than the client's time in the middle of a body and then read on.
+fn start_pausing_servers() -> Vec<SocketAddr> {
+    serve(|mut reader, mut stream| {
+        while let Some(head) = read_head(&mut reader) {
+            let read_on = |reader: &mut BufReader<TcpStream>, head: &ReceivedHead| {
+                read_bytes(reader, FIRST_PIECE_BYTES)?;
+                std::thread::sleep(TIME_LEFT * 3);
+                read_bytes(reader, head.length? - FIRST_PIECE_BYTES)
+            };
+            if read_on(&mut reader, &head).is_none() {
+                return;
+            }
+            let _ = stream.write_all(OK_RESPONSE);
+        }
+    })
+}
+
+/// The client's time has not begun: it can't have written the last byte of so large a body.
+#[test]
+fn upload_is_served_though_its_server_pauses_while_much_is_to_come() {
+    const LENGTH: usize = 24 << 20;
+    for kind in NodeKind::ALL {
+        let node = TestNode::start(kind, &start_pausing_servers());
+        let parts = request_parts("large", Framing::Announced, &[LENGTH]);
+        let ending = send(node.address, at_once(parts));
+        assert_eq!(ending.status, Some(200), "{kind:?}: {ending:?}");
+        assert!(ending.is_in_time(), "{kind:?}: {ending:?}");
+    }
+}
+
+fn start_reading_servers() -> Vec<SocketAddr> {
+    serve(|mut reader, mut stream| {
+        while let Some(head) = read_head(&mut reader) {
+            if read_body(&mut reader, &head).is_none() {
+                return;
+            }
+            let _ = stream.write_all(OK_RESPONSE);
+        }
+    })
+}
+
+/// A client may take longer for its body than it waits for the answer.
+#[test]
+fn upload_of_a_client_that_writes_slowly_is_served() {
+    const PIECES: usize = 25;
+    for kind in NodeKind::ALL {
+        let node = TestNode::start(kind, &start_reading_servers());
+        let _memory = UsedMemory::fill(kind, node.address);
+        let requests = Framing::ALL.map(|framing| {
+            let id = format!("slow-{framing:?}");
+            let mut writes = at_once(request_parts(&id, framing, &[SLOW_PIECE_BYTES; PIECES]));
+            for write in writes.iter_mut().skip(1) {
+                write.pause = SLOW_PIECE_INTERVAL;
+            }
+            (id, writes)
+        });
+        for (id, ending) in send_all(node.address, requests.into()) {
+            assert_eq!(ending.status, Some(200), "{kind:?}, {id}: {ending:?}");
+            assert!(ending.is_in_time(), "{kind:?}, {id}: {ending:?}");
+        }
+    }
+}
+
+/// A client that stops in the middle of a streamed body and stays is answered, and its request never runs.
+#[test]
+fn upload_whose_client_stops_in_the_middle_is_refused_and_does_not_run() {
+    let runs = Runs::default();
+    let recorded = runs.clone();
+    let servers = serve(move |mut reader, mut stream| {
+        while let Some(head) = read_head(&mut reader) {
+            if read_body(&mut reader, &head).is_none() {
+                return;
+            }
+            recorded.record(&head.id);
+            let _ = stream.write_all(OK_RESPONSE);
+        }
+    });
+    for kind in NodeKind::ALL {
+        let node = TestNode::start(kind, &servers);
+        let text = head("stops", "content-length: 3000000") + "the start of a body";
+        let ending = send(node.address, at_once(vec![text.into_bytes()]));
+        assert!(ending.status.is_some(), "{kind:?}: {ending:?}");
+        assert_eq!(runs.count("stops"), 0);
+    }
+}
