Mend: a chunked upload was rejected with 408 while its server worked

Callers saw: a streamed chunked request whose server needs more than 2.6 s got 408 although its whole body had come and its time was not over.

Cause: the client's connection stays in the phase in which more of a streamed body is expected until the answer. Only the HTTP library knows the end of a chunked body; it reads on to notice a disconnect, and the timeout for a pause in a body applied.

Change: the connection enters the phase of an awaited answer once the body is complete.

Measured: upload_is_served_though_its_server_works_for_longer_than_a_client_may_pause failed before (408 after 2.6 s, chunked only) and holds now, on a node of the platform and one with a settings file. Buffered chunked bodies and GraphQL requests were looked at: they enter that phase before they are sent.

--- a/crates/node/src/net/frontend/request.rs
+++ b/crates/node/src/net/frontend/request.rs
@@ -11,6 +11,7 @@
 use super::translate::{AdmittedRequest, TranslatedRequest};
 use super::Frontend;
 use crate::net::answer::ResponseBody;
+use crate::net::body::StreamedBody;
 use crate::net::client::{Client, Phase};
 use crate::net::message::Waiter;
 use crate::net::pool::Pool;
@@ -130,10 +131,12 @@
             Some(_) => Phase::Streaming,
             None => Phase::AwaitingAnswer,
         });
-        let mut response = self
-            .submit(pool, admitted, head, body, client)
-            .await
-            .unwrap_or_else(RequestError::response);
+        let upload_end = end_upload(streamed_body.as_deref(), client);
+        let submission = self.submit(pool, admitted, head, body, client);
+        let mut response = tokio::select! {
+            response = submission => response.unwrap_or_else(RequestError::response),
+            never = upload_end => match never {},
+        };
         if streamed_body.is_some_and(|body| !body.is_complete()) {
             // The rest of the body is not read, so the start of the next request is unknown.
             client.was_answered_early.set(true);
@@ -183,6 +186,19 @@
     }
 }
 
+/// Enters [`Phase::AwaitingAnswer`] once a streamed body is complete: nothing more is expected from the client then.
+async fn end_upload(body: Option<&StreamedBody>, client: &Client) -> Infallible {
+    if let Some(body) = body {
+        while !body.has_ended() {
+            body.wait_for_change().await;
+        }
+        if body.is_complete() {
+            client.set_phase(Phase::AwaitingAnswer);
+        }
+    }
+    std::future::pending().await
+}
+
 fn is_platform_path(path: &str) -> bool {
     path.strip_prefix(PLATFORM_PATH)
         .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
--- a/crates/testbed/tests/uploads/stalls.rs
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -210,12 +210,13 @@
     }
 }
 
-fn start_reading_servers() -> Vec<SocketAddr> {
-    serve(|mut reader, mut stream| {
+fn start_reading_servers(work: Duration) -> Vec<SocketAddr> {
+    serve(move |mut reader, mut stream| {
         while let Some(head) = read_head(&mut reader) {
             if read_body(&mut reader, &head).is_none() {
                 return;
             }
+            std::thread::sleep(work);
             let _ = stream.write_all(OK_RESPONSE);
         }
     })
@@ -226,7 +227,7 @@
 fn upload_of_a_client_that_writes_slowly_is_served() {
     const PIECES: usize = 25;
     for kind in NodeKind::ALL {
-        let node = TestNode::start(kind, &start_reading_servers());
+        let node = TestNode::start(kind, &start_reading_servers(Duration::ZERO));
         let _memory = UsedMemory::fill(kind, node.address);
         let requests = Framing::ALL.map(|framing| {
             let id = format!("slow-{framing:?}");
@@ -243,6 +244,26 @@
     }
 }
 
+/// Guards against: after a chunked body had come, its client was still expected to send, and rejected for sending nothing.
+#[test]
+fn upload_is_served_though_its_server_works_for_longer_than_a_client_may_pause() {
+    const WORK: Duration = Duration::from_millis(3_200);
+    const LENGTH: usize = 1_200_000;
+    for kind in NodeKind::ALL {
+        let node = TestNode::start(kind, &start_reading_servers(WORK));
+        let requests = Framing::ALL.map(|framing| {
+            let id = format!("work-{framing:?}");
+            let mut parts = request_parts(&id, framing, &[LENGTH]);
+            let text = String::from_utf8(parts[0].clone()).unwrap();
+            parts[0] = text.replace("time-left: 1.000", "time-left: 4.500").into();
+            (id, at_once(parts))
+        });
+        for (id, ending) in send_all(node.address, requests.into()) {
+            assert_eq!(ending.status, Some(200), "{kind:?}, {id}: {ending:?}");
+        }
+    }
+}
+
 /// A client that stops in the middle of a streamed body and stays is answered, and its request never runs.
 #[test]
 fn upload_whose_client_stops_in_the_middle_is_refused_and_does_not_run() {
