Tell a server what is left of the client's time if a streamed body has come whole

Callers saw nothing; a server was told the whole of the client's time for a body that had come whole before it was streamed, however long the node had waited for a connection.

Cause: for a streamed body the client's own header was passed on, as the time after its end is not known. For a body that has come whole, it is known.

Change: AnswerTimer::known_deadline. The tests of uploads run on both kinds of nodes at the same time.

--- a/crates/node/src/net/body.rs
+++ b/crates/node/src/net/body.rs
@@ -41,6 +41,7 @@
     remainder: RefCell<Incoming>,
     /// The value of `Content-Length`, in bytes, if the client sent one.
     announced_size: Option<u64>,
+    has_arrived: bool,
     bytes_forwarded: Cell<u64>,
     is_consumed: Cell<bool>,
     is_complete: Cell<bool>,
@@ -53,7 +54,9 @@
 impl StreamedBody {
     /// A body of which `prefix` has already been read.
     pub fn new(prefix: Bytes, remainder: Incoming, announced_size: Option<u64>) -> Rc<Self> {
+        let has_arrived = announced_size == Some(prefix.len() as u64);
         Rc::new(StreamedBody {
+            has_arrived,
             prefix: RefCell::new(Some(prefix).filter(|prefix| !prefix.is_empty())),
             remainder: RefCell::new(remainder),
             announced_size,
@@ -66,6 +69,11 @@
         })
     }
 
+    /// Whether all of it had arrived when it was decided to stream it.
+    pub fn has_arrived(&self) -> bool {
+        self.has_arrived
+    }
+
     /// Whether part of it was consumed, so that it can't be sent again.
     pub fn is_consumed(&self) -> bool {
         self.is_consumed.get()
--- a/crates/node/src/net/upstream/answer_timer.rs
+++ b/crates/node/src/net/upstream/answer_timer.rs
@@ -37,6 +37,15 @@
         self.answer_by
     }
 
+    /// When the answer is due, if all of the request has arrived.
+    pub(super) fn known_deadline(&self) -> Option<Instant> {
+        match (&self.upload, self.attempt.message.body.streamed()) {
+            (Some(upload), Some(body)) if body.has_arrived() => upload.deadline(),
+            (Some(_), _) => None,
+            (None, _) => Some(self.answer_by),
+        }
+    }
+
     /// Waits until the answer is due.
     pub(super) async fn expire(&mut self) {
         if self.is_upload_overdue().await {
--- a/crates/node/src/net/upstream/exchange.rs
+++ b/crates/node/src/net/upstream/exchange.rs
@@ -108,7 +108,7 @@
     }
 
     async fn run(mut self) -> ExchangeResult {
-        let request = self.attempt.build_request(self.timer.answer_by());
+        let request = self.attempt.build_request(self.timer.known_deadline());
         let mut head = pin!(self.connection.sender.try_send_request(request));
         let result = self.wait_for_head(head.as_mut()).await;
         self.attempt.report_body_consumed();
--- a/crates/testbed/tests/uploads/endings.rs
+++ b/crates/testbed/tests/uploads/endings.rs
@@ -1,8 +1,9 @@
 //! Clients that leave while a server holds up their body, and nodes that end, upgrade or reload meanwhile.
 
 use crate::harness::{
-    at_once, program, read_body, read_bytes, read_head, request_parts, serve, settings,
-    ClientWrite, Framing, NodeKind, NodeProcess, Runs, TestNode, Upload, OK_RESPONSE, TIME_LEFT,
+    at_once, for_each_kind, program, read_body, read_bytes, read_head, request_parts, serve,
+    settings, ClientWrite, Framing, NodeKind, NodeProcess, Runs, TestNode, Upload, OK_RESPONSE,
+    TIME_LEFT,
 };
 use std::io::Write;
 use std::net::SocketAddr;
@@ -64,7 +65,7 @@
 
 #[test]
 fn upload_of_a_client_that_leaves_does_not_run_and_its_connection_ends() {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let runs = Runs::default();
         let servers = HangingServers::start(&runs);
         let node = TestNode::start(kind, &servers.addresses);
@@ -78,13 +79,13 @@
             "{kind:?}: the request has run"
         );
         assert_eq!(runs.count("left"), 0);
-    }
+    });
 }
 
 /// An upload that its server holds up is refused, and does not run when the server reads on.
 #[test]
 fn refused_upload_does_not_run_when_its_server_reads_on() {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let runs = Runs::default();
         let servers = HangingServers::start(&runs);
         let node = TestNode::start(kind, &servers.addresses);
@@ -98,12 +99,12 @@
             "{kind:?}: the request has run"
         );
         assert_eq!((ending.is_refused(), runs.count("refused")), (true, 0));
-    }
+    });
 }
 
 #[test]
 fn upload_that_its_server_holds_up_is_answered_in_time_during_a_shutdown() {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let servers = HangingServers::start(&Runs::default());
         let node = TestNode::start(kind, &servers.addresses);
         let upload = Upload::start(node.address, writes("shutdown"));
@@ -111,7 +112,7 @@
         node.signal("TERM");
         let ending = upload.wait();
         assert!(ending.is_in_time(), "{kind:?}: {ending:?}");
-    }
+    });
 }
 
 #[test]
--- a/crates/testbed/tests/uploads/harness.rs
+++ b/crates/testbed/tests/uploads/harness.rs
@@ -44,6 +44,16 @@
     pub const ALL: [NodeKind; 2] = [NodeKind::Platform, NodeKind::SettingsFile];
 }
 
+/// Runs a check on nodes of all kinds at the same time.
+pub fn for_each_kind(check: impl Fn(NodeKind) + Sync) {
+    std::thread::scope(|scope| {
+        for kind in NodeKind::ALL {
+            let check = &check;
+            scope.spawn(move || check(kind));
+        }
+    });
+}
+
 /// A running node.
 pub struct TestNode {
     pub address: SocketAddr,
--- a/crates/testbed/tests/uploads/resets.rs
+++ b/crates/testbed/tests/uploads/resets.rs
@@ -2,8 +2,8 @@
 //! answered in time.
 
 use crate::harness::{
-    at_once, read_body, read_head, request_parts, send, serve, ClientWrite, Ending, Framing,
-    NodeKind, Runs, TestNode, Upload, UsedMemory, OK_RESPONSE,
+    at_once, for_each_kind, read_body, read_head, request_parts, send, serve, ClientWrite, Ending,
+    Framing, NodeKind, Runs, TestNode, Upload, UsedMemory, OK_RESPONSE,
 };
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -176,36 +176,36 @@
 
 #[test]
 fn request_that_has_run_is_not_refused_after_a_reset() {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         check_requests_that_have_run(kind, Stop::Reset);
-    }
+    });
 }
 
 #[test]
 fn request_that_has_run_is_not_refused_after_a_close() {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         check_requests_that_have_run(kind, Stop::Close);
-    }
+    });
 }
 
 #[test]
 fn request_that_has_run_is_not_refused_after_half_an_answer() {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         check_requests_that_have_run(kind, Stop::HalfAnswer);
-    }
+    });
 }
 
 #[test]
 fn request_that_has_run_is_answered_in_time_though_its_server_hangs() {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         check_requests_that_have_run(kind, Stop::Hang);
-    }
+    });
 }
 
 /// Guards against the same as above, while the node ends.
 #[test]
 fn request_that_has_run_is_not_refused_after_a_reset_during_a_shutdown() {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let (sender, has_run) = channel();
         let sender = Mutex::new(sender);
         let reset = Arc::new(Barrier::new(2));
@@ -230,5 +230,5 @@
         let ending = request.wait();
         assert!(!ending.is_refused(), "{kind:?}: refused after it has run");
         assert!(ending.is_in_time(), "{kind:?}: {ending:?}");
-    }
+    });
 }
--- a/crates/testbed/tests/uploads/stalls.rs
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -1,13 +1,15 @@
 //! Servers that stop reading a body, or read it too slowly for its client's time, and those that must not be cut off.
 
 use crate::harness::{
-    at_once, head, read_body, read_bytes, read_head, request_parts, send, send_all, serve,
-    ClientWrite, Framing, NodeKind, ReceivedHead, Runs, TestNode, UsedMemory, OK_RESPONSE,
+    at_once, for_each_kind, head, read_body, read_bytes, read_head, request_parts, send, send_all,
+    serve, ClientWrite, Framing, NodeKind, ReceivedHead, Runs, TestNode, UsedMemory, OK_RESPONSE,
     TIME_LEFT,
 };
 use reelfall_testbed::scripted::listener_with_full_backlog;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
 use std::time::Duration;
 
 /// Size of the first piece of a body, in bytes. The client pauses after it.
@@ -108,7 +110,7 @@
 /// Guards against: a request whose server stopped reading its body got no answer, as nothing but the 900 s for an upload
 /// limited the wait.
 fn check_uploads_that_are_held_up(reading: Reading) {
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let node = TestNode::start(kind, &start_servers(reading));
         let mut requests = Vec::new();
         for framing in Framing::ALL {
@@ -124,7 +126,7 @@
                 "{kind:?}, {reading:?}, {id}: {ending:?}"
             );
         }
-    }
+    });
 }
 
 #[test]
@@ -168,7 +170,7 @@
     let listener = listener_with_full_backlog();
     let address = listener.local_addr().unwrap();
     let _fills_backlog = TcpStream::connect(address).unwrap();
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let node = TestNode::start(kind, &[address]);
         let requests = BUFFERED_BYTES.map(|length| {
             let parts = request_parts(&length.to_string(), Framing::Announced, &[length]);
@@ -177,7 +179,7 @@
         for (id, ending) in send_all(node.address, requests.into()) {
             assert!(ending.is_in_time(), "{kind:?}, {id}: {ending:?}");
         }
-    }
+    });
 }
 
 /// Starts servers that pause for longer than the client's time in the middle of a body and then read on.
@@ -201,13 +203,13 @@
 #[test]
 fn upload_is_served_though_its_server_pauses_while_much_is_to_come() {
     const LENGTH: usize = 24 << 20;
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let node = TestNode::start(kind, &start_pausing_servers());
         let parts = request_parts("large", Framing::Announced, &[LENGTH]);
         let ending = send(node.address, at_once(parts));
         assert_eq!(ending.status, Some(200), "{kind:?}: {ending:?}");
         assert!(ending.is_in_time(), "{kind:?}: {ending:?}");
-    }
+    });
 }
 
 fn start_reading_servers(work: Duration) -> Vec<SocketAddr> {
@@ -222,11 +224,42 @@
     })
 }
 
+/// Guards against: a server was told the whole of the client's time, although some of it had passed since the whole body
+/// had come.
+#[test]
+fn server_is_told_what_is_left_of_the_clients_time() {
+    const LENGTH: usize = 6_000;
+    let (sender, told) = channel();
+    let sender = Mutex::new(sender);
+    let servers = serve(move |mut reader, mut stream| {
+        let sender = sender.lock().unwrap().clone();
+        while let Some(head) = read_head(&mut reader) {
+            if read_body(&mut reader, &head).is_none() {
+                return;
+            }
+            let _ = sender.send(head.time_left);
+            let _ = stream.write_all(OK_RESPONSE);
+        }
+    });
+    for kind in NodeKind::ALL {
+        let node = TestNode::start(kind, &servers);
+        let _memory = UsedMemory::fill(kind, node.address);
+        let parts = request_parts("told", Framing::Announced, &[LENGTH]);
+        let ending = send(node.address, at_once(vec![parts.concat()]));
+        assert_eq!(ending.status, Some(200), "{kind:?}: {ending:?}");
+        let told: f64 = told.recv().unwrap().parse().unwrap();
+        assert!(
+            told < TIME_LEFT.as_secs_f64(),
+            "{kind:?}: {told} s are told"
+        );
+    }
+}
+
 /// A client may take longer for its body than it waits for the answer.
 #[test]
 fn upload_of_a_client_that_writes_slowly_is_served() {
     const PIECES: usize = 25;
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let node = TestNode::start(kind, &start_reading_servers(Duration::ZERO));
         let _memory = UsedMemory::fill(kind, node.address);
         let requests = Framing::ALL.map(|framing| {
@@ -241,7 +274,7 @@
             assert_eq!(ending.status, Some(200), "{kind:?}, {id}: {ending:?}");
             assert!(ending.is_in_time(), "{kind:?}, {id}: {ending:?}");
         }
-    }
+    });
 }
 
 /// Guards against: after a chunked body had come, its client was still expected to send, and rejected for sending nothing.
@@ -249,7 +282,7 @@
 fn upload_is_served_though_its_server_works_for_longer_than_a_client_may_pause() {
     const WORK: Duration = Duration::from_millis(3_200);
     const LENGTH: usize = 1_200_000;
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let node = TestNode::start(kind, &start_reading_servers(WORK));
         let requests = Framing::ALL.map(|framing| {
             let id = format!("work-{framing:?}");
@@ -261,7 +294,7 @@
         for (id, ending) in send_all(node.address, requests.into()) {
             assert_eq!(ending.status, Some(200), "{kind:?}, {id}: {ending:?}");
         }
-    }
+    });
 }
 
 /// A client that stops in the middle of a streamed body and stays is answered, and its request never runs.
@@ -278,11 +311,11 @@
             let _ = stream.write_all(OK_RESPONSE);
         }
     });
-    for kind in NodeKind::ALL {
+    for_each_kind(|kind| {
         let node = TestNode::start(kind, &servers);
         let text = head("stops", "content-length: 3000000") + "the start of a body";
         let ending = send(node.address, at_once(vec![text.into_bytes()]));
         assert!(ending.status.is_some(), "{kind:?}: {ending:?}");
         assert_eq!(runs.count("stops"), 0);
-    }
+    });
 }
