--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -9,7 +9,8 @@
 //! | `attempt` | the state of an attempt, its request and the reports of its outcome |
 //! | `exchange` | sending that request and waiting for the head of the answer |
 //! | `answer_timer` | when the answer is due |
-//! | `response` | reading the answer, which is buffered whole or streamed |
+//! | `response` | judging the head of the answer |
+//! | `buffering` | reading its body, which is buffered whole or streamed |
 //! | `acquire` | a connection for an attempt: an idle one or a new one |
 //! | `connection_pool` | the idle connections of all servers |
 //! | `connection` | one connection |
@@ -18,6 +19,7 @@
 mod acquire;
 mod answer_timer;
 mod attempt;
+mod buffering;
 mod connection;
 mod connection_pool;
 mod exchange;
--- a/crates/node/src/net/upstream/response.rs
+++ b/crates/node/src/net/upstream/response.rs
@@ -1,35 +1,28 @@
-//! Reads an answer whose head was received. It is buffered whole, or streamed while more of it is received.
-//!
-//! Called by `exchange`. The states of an answer:
-//!
-//! - head received: rejected answers and server errors end the attempt here;
-//! - buffering: chunks of the body are collected;
-//! - then complete, streaming, broken or timed out, each of which ends the attempt.
+//! Judges an answer whose head was received: rejected answers and server errors end the attempt here, others are read by
+//! `buffering`. Called by `exchange`.
 
 use super::answer_timer::AnswerTimer;
 use super::attempt::{Attempt, DRAIN_TIMEOUT};
+use super::buffering::{BufferingResponse, OpenExchange};
 use super::connection::Connection;
 use super::AttemptContext;
-use crate::net::answer::{Answer, StreamedAnswer};
 use crate::net::body::MAX_STREAMED_BYTES;
-use crate::net::message::AnswerValidator;
+use crate::net::message::{AnswerValidator, Message};
 use crate::net::shared::MemoryPermit;
 use crate::net::{
     kib_permits, MAX_BUFFERED_RESPONSE_BYTES, MAX_IMMEDIATE_RESPONSE_BYTES,
     UNRESERVED_RESPONSE_BYTES,
 };
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderName};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode, Version};
 use reelfall_balancer::interface::Outcome;
-use std::time::{Duration, Instant};
-use tokio::time::{sleep_until, timeout};
+use std::time::Instant;
+use tokio::time::timeout;
 
-/// How long a large answer is buffered before it is streamed.
-const MAX_BUFFERING_TIME: Duration = Duration::from_millis(25);
 /// Header with which a server states that it has not run a request.
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 
@@ -58,18 +51,14 @@
     let memory = attempt
         .reserve_announced(announced_bytes, timer.answer_by())
         .await;
-    let buffering = BufferingResponse {
-        memory,
-        buffer: BytesMut::new(),
-        body,
-        head,
-        connection,
+    let exchange = OpenExchange {
         attempt,
-        announced_bytes,
+        connection,
         timer,
-        stream_after: Instant::now() + MAX_BUFFERING_TIME,
     };
-    buffering.run().await;
+    BufferingResponse::new(exchange, head, body, memory)
+        .run()
+        .await;
 }
 
 /// The outcome that the head of an answer indicates.
@@ -103,12 +92,12 @@
 }
 
 impl<C: AttemptContext> Attempt<C> {
-    fn validator(&self) -> Option<&dyn AnswerValidator> {
+    pub(super) fn validator(&self) -> Option<&dyn AnswerValidator> {
         self.message.validator.as_deref()
     }
 
     /// Whether the answer has to be buffered whole, because it is validated before it is forwarded.
-    fn must_buffer_whole(&self) -> bool {
+    pub(super) fn must_buffer_whole(&self) -> bool {
         self.message.validator.is_some()
     }
 
@@ -122,7 +111,7 @@
     }
 
     /// Maximum size of a buffered answer, in bytes.
-    fn max_buffered_bytes(&self) -> usize {
+    pub(super) fn max_buffered_bytes(&self) -> usize {
         if self.must_buffer_whole() {
             MAX_BUFFERED_RESPONSE_BYTES
         } else {
@@ -167,169 +156,16 @@
         }
     }
 
-    /// Returns a connection whose answer was read to its end to the pool, or closes it if the server has answered before
-    /// it had received the body.
-    fn release(&self, connection: Connection) {
-        if !self.message.body.is_upload_in_progress() {
-            self.context.connections().put(connection);
-        }
+    /// Returns a connection whose answer was read to its end to the pool.
+    pub(super) fn release(&self, connection: Connection) {
+        release(&self.context, &self.message, connection);
     }
 }
 
-/// The result of reading the next frame of a body.
-enum Progress {
-    /// More of the body is awaited.
-    Buffering,
-    /// The body has ended, and is a valid answer.
-    Complete,
-    /// The buffered part is forwarded, and the rest is streamed.
-    Streaming,
-    /// The answer is unusable, and the request may have run.
-    Broken,
-    TimedOut,
-}
-
-/// An answer whose body is being buffered.
-struct BufferingResponse<'a, C> {
-    memory: Option<MemoryPermit>,
-    buffer: BytesMut,
-    body: Incoming,
-    head: Parts,
-    connection: Connection,
-    attempt: &'a Attempt<C>,
-    /// The length that the head states, in bytes; 0 if it states none.
-    announced_bytes: usize,
-    timer: AnswerTimer<'a, C>,
-    /// A large answer that is not complete by then is streamed.
-    stream_after: Instant,
-}
-
-impl<C: AttemptContext> BufferingResponse<'_, C> {
-    async fn run(mut self) {
-        loop {
-            match self.read_frame().await {
-                Progress::Buffering => {}
-                Progress::Complete => return self.complete(),
-                Progress::Streaming => return self.start_streaming(),
-                Progress::Broken => return self.attempt.end(Outcome::ConnectionLost),
-                Progress::TimedOut => return self.time_out().await,
-            }
-        }
-    }
-
-    async fn read_frame(&mut self) -> Progress {
-        let can_stream = self.can_stream();
-        let received = tokio::select! {
-            biased;
-            frame = self.body.frame() => Some(frame),
-            () = self.timer.expire() => None,
-            () = sleep_until(self.stream_after.into()), if can_stream => None,
-        };
-        self.timer.record_progress(Instant::now());
-        match received {
-            Some(Some(Ok(frame))) => {
-                let data = frame.data_ref().map_or(&[][..], |data| data);
-                self.buffer.extend_from_slice(data);
-                self.check_size()
-            }
-            Some(Some(Err(_))) => Progress::Broken,
-            Some(None) if self.is_valid() => Progress::Complete,
-            // What followed an invalid answer on the connection is unknown, so the connection is closed.
-            Some(None) => Progress::Broken,
-            None if can_stream => Progress::Streaming,
-            None => Progress::TimedOut,
-        }
-    }
-
-    /// Whether the answer is too large to be buffered without a memory permit.
-    fn is_large(&self) -> bool {
-        self.announced_bytes > UNRESERVED_RESPONSE_BYTES
-            || self.buffer.len() > UNRESERVED_RESPONSE_BYTES
-    }
-
-    fn can_stream(&self) -> bool {
-        self.is_large() && !self.attempt.must_buffer_whole() && !self.buffer.is_empty()
-    }
-
-    fn is_valid(&self) -> bool {
-        self.attempt
-            .validator()
-            .is_none_or(|validator| validator.is_valid_answer(&self.buffer))
-    }
-
-    /// Decides after each frame whether to continue buffering.
-    fn check_size(&mut self) -> Progress {
-        if !self.is_large() {
-            return Progress::Buffering;
-        }
-        self.reserve_unannounced();
-        let has_memory = self.memory.is_some();
-        let fits = has_memory && self.buffer.len() <= self.attempt.max_buffered_bytes();
-        if self.attempt.must_buffer_whole() {
-            return if fits {
-                Progress::Buffering
-            } else {
-                Progress::Broken
-            };
-        }
-        if !self.buffer.is_empty() && (!fits || self.stream_after <= Instant::now()) {
-            return Progress::Streaming;
-        }
-        Progress::Buffering
-    }
-
-    /// Reserves memory for a large answer without an announced length; if there is no memory, the answer is streamed.
-    fn reserve_unannounced(&mut self) {
-        if self.memory.is_none() && self.announced_bytes == 0 {
-            let pool = self.attempt.context.connections();
-            let permits = kib_permits(self.attempt.max_buffered_bytes());
-            self.memory = pool.shared.reserve_answer(pool.service, permits);
-        }
-    }
-
-    fn complete(self) {
-        let attempt = self.attempt;
-        attempt.release(self.connection);
-        let answer = Answer {
-            headers: self.head.headers,
-            body: self.buffer.freeze(),
-            remainder: None,
-            _memory: self.memory,
-        };
-        attempt.end_with_answer(answer);
-    }
-
-    /// Forwards the answer while the rest is received, which ends the attempt.
-    fn start_streaming(self) {
-        let attempt = self.attempt;
-        let (context, connection) = (attempt.context.clone(), self.connection);
-        let message = attempt.message.clone();
-        let return_connection = move || {
-            if !message.body.is_upload_in_progress() {
-                context.connections().put(connection);
-            }
-        };
-        let remainder = StreamedAnswer::new(
-            self.body,
-            self.buffer.len() as u64,
-            attempt.message.clone(),
-            return_connection,
-        );
-        let answer = Answer {
-            headers: self.head.headers,
-            body: self.buffer.freeze(),
-            remainder: Some(remainder),
-            _memory: None,
-        };
-        attempt.end_with_answer(answer);
-    }
-
-    async fn time_out(self) {
-        let attempt = self.attempt;
-        attempt.log_upload(Outcome::TimedOut);
-        attempt.end(Outcome::TimedOut);
-        if !attempt.context.has_attempt_in_flight(attempt.request) {
-            attempt.drain(self.connection, self.body).await;
-        }
+/// Returns a connection whose answer to a request was read to its end to the pool, or closes it if the server has answered
+/// before it had received the body.
+pub(super) fn release<C: AttemptContext>(context: &C, message: &Message, connection: Connection) {
+    if !message.body.is_upload_in_progress() {
+        context.connections().put(connection);
     }
 }
