Uploads: look at the clock again while the client is awaited, and once it has left

Callers would see: no answer for an upload whose server had stopped reading at just the moment at which the client's data ran out: the last data is read into the HTTP library's channel, no part of the body is consumed any more, and nothing told the timer that the client wrote on. An attempt whose client was answered otherwise stayed for up to 900 s.

Change: the clock says when it has to be updated again, also while the client is awaited; an upload whose client waits no more ends.

--- a/crates/node/src/net/upload_clock.rs
+++ b/crates/node/src/net/upload_clock.rs
@@ -23,6 +23,9 @@
 /// (`net.ipv4.tcp_rmem`).
 const MAX_RECEIVE_BUFFER_BYTES: u64 = 6 << 20;
 
+/// How often an upload is looked at of which the buffers may soon hold the rest.
+const UNCERTAIN_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The progress of an upload at one moment.
 #[derive(Clone, Copy, Debug)]
 pub struct UploadProgress {
@@ -112,10 +115,15 @@
         }
     }
 
-    /// Whether the buffers may meanwhile hold the rest of the body, although they could not at the last update. Nothing
-    /// reports this, so the clock has to be updated again after a short time.
-    pub fn is_uncertain(&self) -> bool {
-        !self.can_have_ended && !self.is_client_awaited
+    /// When the clock has to be updated again at the latest, even if the server takes nothing of the body meanwhile: nothing
+    /// reports that an awaited client writes on, or that the buffers hold the rest of the body.
+    pub fn next_update(&self, now: Instant) -> Instant {
+        match self.deadline() {
+            // Whenever the client writes on, the deadline that follows is later than this.
+            None => now + self.time_for_answer,
+            Some(deadline) if self.can_have_ended => deadline,
+            Some(deadline) => deadline.min(now + UNCERTAIN_INTERVAL),
+        }
     }
 
     /// The earliest moment at which the client can have written the last byte.
--- a/crates/node/src/net/upload_clock/tests.rs
+++ b/crates/node/src/net/upload_clock/tests.rs
@@ -87,10 +87,10 @@
     let fits_at = size - MAX_CLIENT_BUFFER_BYTES;
     let mut upload = Upload::new(Some(size));
     upload.update(SECOND, 1, NOT_AWAITED);
-    assert!(upload.clock.is_uncertain());
+    assert!(!upload.clock.can_have_ended);
     assert_eq!(upload.deadline(), Some(SECOND + STALL_TIMEOUT));
     upload.update(SECOND * 2, fits_at - 1, NOT_AWAITED);
-    assert!(upload.clock.is_uncertain());
+    assert!(!upload.clock.can_have_ended);
     upload.update(SECOND * 3, fits_at, NOT_AWAITED);
     assert_eq!(upload.deadline(), Some(SECOND * 2 + TIME_FOR_ANSWER));
 }
@@ -99,7 +99,7 @@
 fn unread_input_makes_room_in_the_buffers_and_unknown_input_as_much_as_there_can_be() {
     let mut upload = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES + 1_000));
     upload.update(SECOND, 0, NOT_AWAITED);
-    assert!(upload.clock.is_uncertain());
+    assert!(!upload.clock.can_have_ended);
     // The client writes on, which nothing reports.
     upload.unread = Some(1_000);
     upload.update(SECOND * 2, 0, NOT_AWAITED);
@@ -109,7 +109,7 @@
         let mut upload = Upload::new(Some(size));
         upload.unread = None;
         upload.update(SECOND, 0, NOT_AWAITED);
-        assert_eq!(upload.clock.is_uncertain(), is_uncertain);
+        assert_eq!(upload.clock.can_have_ended, !is_uncertain);
     }
 }
 
@@ -134,3 +134,23 @@
     assert!(!is_stalled(TIME_FOR_ANSWER / 2 - Duration::from_millis(1)));
     assert!(is_stalled(TIME_FOR_ANSWER / 2));
 }
+
+#[test]
+fn clock_is_updated_again_before_an_answer_can_be_due_and_soon_while_much_is_to_come() {
+    let mut awaited = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES));
+    let input = ClientInput {
+        is_awaited: true,
+        awaited_until: None,
+    };
+    awaited.update(SECOND, 1, input);
+    let now = awaited.start + SECOND;
+    assert_eq!(awaited.clock.next_update(now), now + TIME_FOR_ANSWER);
+    let mut uncertain = Upload::new(Some(32 << 20));
+    uncertain.update(SECOND, 1, NOT_AWAITED);
+    let now = uncertain.start + SECOND;
+    assert!(uncertain.clock.next_update(now) < now + TIME_FOR_ANSWER / 2);
+    let mut buffered = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES));
+    buffered.update(SECOND / 10, 1, NOT_AWAITED);
+    let deadline = buffered.start + TIME_FOR_ANSWER;
+    assert_eq!(buffered.clock.next_update(buffered.start), deadline);
+}
--- a/crates/node/src/net/upstream/answer_timer.rs
+++ b/crates/node/src/net/upstream/answer_timer.rs
@@ -4,12 +4,9 @@
 use super::AttemptContext;
 use crate::net::body::StreamedBody;
 use crate::net::upload_clock::{UploadClock, UploadProgress};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::time::sleep_until;
 
-/// How often an upload is looked at again of which the buffers may meanwhile hold the rest.
-const UNCERTAIN_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Runs until the answer to an attempt is due.
 pub(super) struct AnswerTimer<'a, C> {
     attempt: &'a Attempt<C>,
@@ -61,7 +58,8 @@
         }
     }
 
-    /// Waits until the upload has ended or is overdue; returns whether it is overdue.
+    /// Waits until the upload has ended, is overdue, or has lost its client, without which it never ends; returns whether the
+    /// attempt has to end.
     async fn is_upload_overdue(&mut self) -> bool {
         let attempt = self.attempt;
         let Some(body) = attempt.message.body.streamed() else {
@@ -75,14 +73,10 @@
             };
             let deadline = upload.deadline().unwrap_or(self.answer_by);
             let deadline = deadline.min(self.answer_by);
-            if now >= deadline {
+            if now >= deadline || !attempt.context.is_answer_wanted(attempt.request) {
                 return true;
             }
-            let wake_at = if upload.is_uncertain() {
-                deadline.min(now + UNCERTAIN_INTERVAL)
-            } else {
-                deadline
-            };
+            let wake_at = upload.next_update(now).min(deadline);
             tokio::select! {
                 biased;
                 () = body.wait_for_change() => {}
--- a/crates/testbed/tests/uploads/endings.rs
+++ b/crates/testbed/tests/uploads/endings.rs
@@ -1,14 +1,15 @@
 //! Clients that leave while a server holds up their body, and nodes that end, upgrade or reload meanwhile.
 
 use crate::harness::{
-    at_once, for_each_kind, program, read_body, read_bytes, read_head, request_parts, serve,
-    settings, ClientWrite, Framing, NodeKind, NodeProcess, Runs, TestNode, Upload, OK_RESPONSE,
-    TIME_LEFT,
+    at_once, for_each_kind, hang, open_connections, program, read_body, read_bytes, read_head,
+    request_parts, serve, settings, ClientWrite, Framing, NodeKind, NodeProcess, Runs, TestNode,
+    Upload, OK_RESPONSE, TIME_LEFT,
 };
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Barrier};
+use std::time::{Duration, Instant};
 
 /// Size of a body in bytes that a client can write although its server reads nothing.
 const LENGTH: usize = 4_300_000;
@@ -152,3 +153,65 @@
     let ending = upload.wait();
     assert!(ending.is_in_time(), "{ending:?}");
 }
+
+/// How a client ends an upload before it has written all of its body.
+#[derive(Clone, Copy, Debug)]
+enum ClientEnd {
+    /// It closes its connection.
+    Leaves,
+    /// It writes nothing more, and stays until the node ends the connection.
+    Stops,
+}
+
+/// Checks that the connections to servers that read nothing end after their clients have ended their uploads. The sizes
+/// of what the clients write are about as much as the buffers between a client and its server hold.
+fn check_connections_after(end: ClientEnd) {
+    const PIECES: std::ops::Range<usize> = 340_000..500_000;
+    const STEP: usize = 2_000;
+    const REQUESTS_PER_NODE: usize = 40;
+    const REST: usize = 1_500_000;
+    let pieces: Vec<usize> = PIECES.step_by(STEP).collect();
+    for_each_kind(|kind| {
+        for pieces in pieces.chunks(REQUESTS_PER_NODE) {
+            let servers = serve(|mut reader, _stream| {
+                let _ = read_head(&mut reader);
+                hang()
+            });
+            let node = TestNode::start(kind, &servers);
+            let start = |piece: &usize| {
+                let lengths = [*piece, REST];
+                let mut parts = request_parts(&piece.to_string(), Framing::Announced, &lengths);
+                parts.truncate(2);
+                Upload::start(node.address, at_once(parts))
+            };
+            let uploads: Vec<Upload> = pieces.iter().map(start).collect();
+            std::thread::sleep(TIME_LEFT / 2);
+            for upload in uploads {
+                match end {
+                    ClientEnd::Leaves => upload.abort(),
+                    ClientEnd::Stops => assert!(upload.wait().status.is_some()),
+                }
+            }
+            let ended_at = Instant::now();
+            while open_connections(&servers) > 0 {
+                assert!(
+                    ended_at.elapsed() < TIME_LEFT * 5,
+                    "{kind:?}, {end:?}: {} connections to the servers are open",
+                    open_connections(&servers)
+                );
+                std::thread::sleep(Duration::from_millis(20));
+            }
+        }
+    });
+}
+
+#[test]
+fn connections_to_servers_that_read_nothing_end_after_their_clients_have_left() {
+    check_connections_after(ClientEnd::Leaves);
+}
+
+/// Guards against: a connection stayed open for 900 s if its server had stopped reading just when its client stopped writing.
+#[test]
+fn connections_to_servers_that_read_nothing_end_after_their_clients_have_stopped() {
+    check_connections_after(ClientEnd::Stops);
+}
--- a/crates/testbed/tests/uploads/graphql.rs
+++ b/crates/testbed/tests/uploads/graphql.rs
@@ -1,7 +1,7 @@
 //! GraphQL requests, which are always buffered whole, while servers stop.
 
 use crate::harness::{
-    read_body, read_head, send_all, serve, ClientWrite, Runs, TestNode, TIME_LEFT,
+    hang, read_body, read_head, send_all, serve, ClientWrite, Runs, TestNode, TIME_LEFT,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -61,9 +61,7 @@
 fn mutation_is_answered_in_time_though_its_server_reads_nothing() {
     let servers = serve(|mut reader, _stream| {
         let _ = read_head(&mut reader);
-        loop {
-            std::thread::park();
-        }
+        hang()
     });
     check_mutations(&servers, &Runs::default());
 }
--- a/crates/testbed/tests/uploads/harness.rs
+++ b/crates/testbed/tests/uploads/harness.rs
@@ -400,6 +400,30 @@
     }
 }
 
+/// Keeps a connection open without reading from it.
+pub fn hang() -> ! {
+    loop {
+        std::thread::park();
+    }
+}
+
+/// The number of connections to these servers that have not ended at their client's side.
+pub fn open_connections(servers: &[SocketAddr]) -> usize {
+    /// The state of an open connection in `/proc/net/tcp`.
+    const ESTABLISHED: &str = "01";
+    let ports: Vec<String> = servers
+        .iter()
+        .map(|server| format!(":{:04X}", server.port()))
+        .collect();
+    let is_open = |line: &&str| {
+        let mut fields = line.split_whitespace().skip(2);
+        let (remote, state) = (fields.next().unwrap_or(""), fields.next());
+        state == Some(ESTABLISHED) && ports.iter().any(|port| remote.ends_with(port))
+    };
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    table.lines().filter(is_open).count()
+}
+
 /// Starts servers whose connections are handled by `handle`, with a buffered reader of the same socket.
 pub fn serve(
     handle: impl Fn(BufReader<TcpStream>, TcpStream) + Send + Sync + 'static,
--- a/crates/testbed/tests/uploads/stalls.rs
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -1,9 +1,9 @@
 //! Servers that stop reading a body, or read it too slowly for its client's time, and those that must not be cut off.
 
 use crate::harness::{
-    at_once, for_each_kind, head, read_body, read_bytes, read_head, request_parts, send, send_all,
-    serve, ClientWrite, Framing, NodeKind, ReceivedHead, Runs, TestNode, UsedMemory, OK_RESPONSE,
-    TIME_LEFT,
+    at_once, for_each_kind, hang, head, read_body, read_bytes, read_head, request_parts, send,
+    send_all, serve, ClientWrite, Framing, NodeKind, ReceivedHead, Runs, TestNode, UsedMemory,
+    OK_RESPONSE, TIME_LEFT,
 };
 use reelfall_testbed::scripted::listener_with_full_backlog;
 use std::io::{BufReader, Write};
@@ -78,13 +78,6 @@
     }
 }
 
-/// Keeps a connection open without reading from it.
-fn hang() -> ! {
-    loop {
-        std::thread::park();
-    }
-}
-
 /// Starts servers that read all bodies this way.
 fn start_servers(reading: Reading) -> Vec<SocketAddr> {
     serve(move |mut reader, mut stream| {
@@ -149,6 +142,34 @@
     check_uploads_that_are_held_up(Reading::AnswersEarly);
 }
 
+/// Guards against: the time of a request did not run if its server had stopped reading just when the client's data ran out, as
+/// nothing looked at the clock when the client wrote on.
+#[test]
+fn upload_is_answered_in_time_whenever_its_client_pauses() {
+    /// Sizes of a first piece in bytes, about as much as the buffers between a client and its server hold.
+    const PIECES: std::ops::Range<usize> = 340_000..500_000;
+    const STEP: usize = 2_000;
+    /// A node that has found its servers to hang sends no further requests, so each one gets only so many.
+    const REQUESTS_PER_NODE: usize = 20;
+    const REST: usize = 1_500_000;
+    let pieces: Vec<usize> = PIECES.step_by(STEP).collect();
+    for_each_kind(|kind| {
+        for pieces in pieces.chunks(REQUESTS_PER_NODE) {
+            let node = TestNode::start(kind, &start_servers(Reading::Nothing));
+            let request = |piece: &usize| {
+                let id = piece.to_string();
+                let mut writes = at_once(request_parts(&id, Framing::Announced, &[*piece, REST]));
+                writes[2].pause = PAUSE;
+                (id, writes)
+            };
+            let requests = pieces.iter().map(request).collect();
+            for (id, ending) in send_all(node.address, requests) {
+                assert!(ending.is_in_time(), "{kind:?}, {id}: {ending:?}");
+            }
+        }
+    });
+}
+
 /// A body that is buffered whole, since there is memory for it, is in time as well.
 #[test]
 fn buffered_request_is_answered_in_time_though_its_server_reads_nothing() {
