Uploads: a client that stops in the middle is answered though its server reads nothing

Callers saw: a client that stopped in the middle of a streamed body and stayed got neither an error nor a close, if its server had stopped reading just when its data ran out; the connection to the server stayed for up to 900 s.

Cause: the timeout of the client's connection hands its error to the HTTP library, which passes it on with the body. With a blocked server nothing polls the body.

Change: the rejection of a client ends its streamed body itself, and that ends the attempt: never run, the client's doing.

--- a/crates/node/src/net/body.rs
+++ b/crates/node/src/net/body.rs
@@ -116,6 +116,15 @@
         self.changed.notified().await;
     }
 
+    /// Ends it early, as its client has stopped sending it. Its server may not be reading it, so that nothing polls for the
+    /// error of the connection.
+    pub fn abort(&self) {
+        if !self.has_ended() {
+            self.error.set(Some(StreamedBodyError::ClientAborted));
+            self.changed.notify_waiters();
+        }
+    }
+
     fn complete(&self) {
         self.is_complete.set(true);
         self.changed.notify_waiters();
--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -66,6 +66,8 @@
     pub close_when_idle: Cell<bool>,
     /// The status to respond with before the connection is closed, if its request was rejected, timed out or evicted.
     pub rejection_status: Cell<Option<StatusCode>>,
+    /// Notified when the status is set because the request was not received in time.
+    pub rejected: Notify,
     /// Whether anything was written since the last request began.
     has_written: Cell<bool>,
     /// Bytes received of the current request, and when the last of them were received.
@@ -115,6 +117,7 @@
             phase_since: Cell::new(Instant::now()),
             close_when_idle: Cell::new(false),
             rejection_status: Cell::new(None),
+            rejected: Notify::new(),
             has_written: Cell::new(false),
             request_bytes: Cell::new(0),
             last_byte_at: Cell::new(Instant::now()),
--- a/crates/node/src/net/client/io.rs
+++ b/crates/node/src/net/client/io.rs
@@ -166,6 +166,7 @@
     /// Ends the connection with an error; [`close`](super::close()) responds with the status.
     fn reject(&self, status: StatusCode) -> Poll<io::Result<()>> {
         self.client.rejection_status.set(Some(status));
+        self.client.rejected.notify_waiters();
         Poll::Ready(Err(io::ErrorKind::InvalidData.into()))
     }
 
--- a/crates/node/src/net/frontend/request.rs
+++ b/crates/node/src/net/frontend/request.rs
@@ -186,11 +186,15 @@
     }
 }
 
-/// Enters [`Phase::AwaitingAnswer`] once a streamed body is complete: nothing more is expected from the client then.
+/// Enters [`Phase::AwaitingAnswer`] once a streamed body is complete: nothing more is expected from the client then. Ends the
+/// body if its client is rejected before.
 async fn end_upload(body: Option<&StreamedBody>, client: &Client) -> Infallible {
     if let Some(body) = body {
         while !body.has_ended() {
-            body.wait_for_change().await;
+            tokio::select! {
+                () = body.wait_for_change() => {}
+                () = client.rejected.notified() => body.abort(),
+            }
         }
         if body.is_complete() {
             client.set_phase(Phase::AwaitingAnswer);
--- a/crates/node/src/net/upstream/answer_timer.rs
+++ b/crates/node/src/net/upstream/answer_timer.rs
@@ -69,7 +69,7 @@
             let now = Instant::now();
             self.record_progress(now);
             let Some(upload) = &self.upload else {
-                return false;
+                return body.error().is_some();
             };
             let deadline = upload.deadline().unwrap_or(self.answer_by);
             let deadline = deadline.min(self.answer_by);
--- a/crates/node/src/net/upstream/exchange.rs
+++ b/crates/node/src/net/upstream/exchange.rs
@@ -172,12 +172,13 @@
         if self.may_be_fully_sent() {
             return Outcome::TimedOut;
         }
-        let is_upload = self.attempt.message.body.streamed().is_some();
-        if is_upload && !self.timer.has_server_stalled() {
+        match self.attempt.message.body.streamed() {
+            // The client has aborted the upload, which says nothing about the server.
+            Some(body) if body.error().is_some() => Outcome::NotSent,
             // The server reads the body, only too slowly for the client's time, which may be the client's doing.
-            return Outcome::NotSent;
+            Some(_) if !self.timer.has_server_stalled() => Outcome::NotSent,
+            _ => Outcome::ConnectFailed,
         }
-        Outcome::ConnectFailed
     }
 
     async fn handle_timeout<F>(self, head: Pin<&mut F>)
