Mend: an attempt was made for a client that had left behind unread input

Cause: while no server takes a streamed body, the node looks at the client's socket, and took unread data for a client that is there. The end of the connection lies behind that data.

Change: where there is unread data, the runtime is asked whether the system has reported the end of the client's side.

--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -19,12 +19,14 @@
 pub(super) use io::ClientIo;
 
 use super::message::{ClientInput, Waiter};
+use futures_util::FutureExt;
 use hyper::StatusCode;
 use reelfall_routing::table::ListenerId;
 use std::cell::{Cell, RefCell};
 use std::mem::MaybeUninit;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
@@ -153,7 +155,8 @@
             return self.is_disconnected.set(true);
         };
         match socket2::SockRef::from(&*stream).peek(&mut [MaybeUninit::uninit()]) {
-            Ok(length) if length > 0 => {}
+            // The end of the connection may lie behind input that is not read.
+            Ok(length) if length > 0 => self.is_disconnected.set(is_read_closed(&stream)),
             Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => {}
             _ => self.is_disconnected.set(true),
         }
@@ -220,6 +223,12 @@
     }
 }
 
+/// Whether the runtime has seen the end of the client's data, which may lie behind unread data.
+fn is_read_closed(stream: &TcpStream) -> bool {
+    let readiness = stream.ready(Interest::READABLE).now_or_never();
+    readiness.is_some_and(|ready| ready.is_ok_and(|ready| ready.is_read_closed()))
+}
+
 /// Whether the socket has unread data, even if the runtime has not reported it yet.
 fn has_input(stream: &TcpStream) -> bool {
     let peeked = socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
--- a/crates/testbed/tests/uploads/endings.rs
+++ b/crates/testbed/tests/uploads/endings.rs
@@ -8,8 +8,9 @@
 use crate::servers::{
     hang, open_connections, read_body, read_bytes, read_head, serve, Runs, OK_RESPONSE,
 };
-use std::io::Write;
-use std::net::SocketAddr;
+use reelfall_testbed::scripted::{listener_with_full_backlog, wait_for_connection_attempt};
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
@@ -223,3 +224,36 @@
 fn connections_to_servers_that_read_nothing_end_after_their_clients_have_stopped() {
     check_connections_after(ClientEnd::Stops);
 }
+
+/// Guards against: a client that had left was taken for one that waits as long as unread input lay before the end of its
+/// connection.
+#[test]
+fn no_attempt_is_made_for_a_client_that_has_left_behind_unread_input() {
+    const ID: &str = "left";
+    let listener = listener_with_full_backlog();
+    let address = listener.local_addr().unwrap();
+    let fills_backlog = TcpStream::connect(address).unwrap();
+    let node = TestNode::start(NodeKind::Platform, &[address]);
+    // The client's system sends the end of its connection only behind all data, so that has to fit into the node's buffer.
+    let mut parts = request_parts(ID, Framing::Announced, &[READ_BYTES / 2, LENGTH]);
+    parts.truncate(2);
+    let head = String::from_utf8(parts[0].clone()).unwrap();
+    parts[0] = head.replace("time-left: 1.000", "time-left: 5.000").into();
+    let upload = Upload::start(node.address, at_once(parts));
+    wait_for_connection_attempt(address.port());
+    upload.abort();
+    drop(fills_backlog);
+    listener.set_nonblocking(true).unwrap();
+    let (started, mut heads) = (Instant::now(), Vec::new());
+    // The system tries again to connect after a second.
+    while started.elapsed() < TIME_LEFT * 3 {
+        if let Ok((stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).unwrap();
+            stream.set_read_timeout(Some(TIME_LEFT)).unwrap();
+            let head = read_head(&mut BufReader::new(stream));
+            heads.extend(head.map(|head| head.id));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(!heads.contains(&ID.to_owned()), "an attempt was made");
+}
