--- /dev/null
+++ b/review/lib-2/harness.py
@@ -0,0 +1,145 @@
+"""What the scripts of cases 6 to 10 have in common: processes, free ports, a temporary folder and the record.
+
+Every address is a loopback address. Everything that is started is ended, also when the case fails.
+"""
+
+import http.client
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+NODE = os.path.join(ROOT, "target", "release", "reelfall")
+TESTBED = os.path.join(ROOT, "target", "release", "reelfall-testbed")
+HELD, BROKEN, NOT_RUN = 0, 1, 2
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+
+
+class CaseCannotRun(Exception):
+    """The case could not run, so it says nothing about the rule."""
+
+
+class Record:
+    """The file `record.txt`, in which each line has its time in seconds."""
+
+    def __init__(self, path):
+        self._file = open(path, "w", encoding="utf-8")
+        self._lock = threading.Lock()
+        self._start = time.monotonic()
+
+    def write(self, text):
+        with self._lock:
+            self._file.write(f"{time.monotonic() - self._start:8.3f} {text}\n")
+            self._file.flush()
+
+    def close(self):
+        self._file.close()
+
+
+class Case:
+    """One run of a case: its temporary folder, its record and its processes."""
+
+    def __init__(self, folder):
+        self.folder = tempfile.mkdtemp(prefix="reelfall-review-")
+        self.record = Record(os.path.join(folder, "record.txt"))
+        self._processes = []
+
+    def start(self, name, arguments, **options):
+        """Starts a process; its output goes to files in the temporary folder."""
+        if not os.access(arguments[0], os.X_OK):
+            raise CaseCannotRun(f"{arguments[0]} is not built")
+        environment = {**os.environ, "TMPDIR": self.folder, **options.pop("environment", {})}
+        output = open(os.path.join(self.folder, f"{name}.out"), "ab")
+        errors = open(os.path.join(self.folder, f"{name}.err"), "ab")
+        process = subprocess.Popen(
+            arguments, stdout=output, stderr=errors, cwd=self.folder, env=environment, **options
+        )
+        output.close()
+        errors.close()
+        self._processes.append((name, process))
+        self.record.write(f"started {name}")
+        return process
+
+    def output_of(self, name):
+        """What a process has written to standard output."""
+        with open(os.path.join(self.folder, f"{name}.out"), encoding="utf-8", errors="replace") as file:
+            return file.read()
+
+    def errors_of(self, name):
+        """What a process has written to standard error."""
+        with open(os.path.join(self.folder, f"{name}.err"), encoding="utf-8", errors="replace") as file:
+            return file.read()
+
+    def write_file(self, name, text):
+        path = os.path.join(self.folder, name)
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+        return path
+
+    def end(self):
+        """Ends all processes, copies their log lines into the record, and removes the temporary folder."""
+        for _, process in self._processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for _, process in self._processes:
+            process.wait()
+        for name in dict.fromkeys(name for name, _ in self._processes):
+            for line in self.errors_of(name).splitlines()[-60:]:
+                self.record.write(f"log of {name}: {line}")
+        self.record.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    """A free port of 127.0.0.1."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def wait_for(what, condition, seconds):
+    """Waits until a condition holds, and returns its value."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise CaseCannotRun(f"{what}: not within {seconds} s")
+
+
+def get(port, path, timeout=2.0, method="GET"):
+    """Status and body of one call; None if there is no answer."""
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=timeout)
+    try:
+        connection.request(method, path)
+        response = connection.getresponse()
+        return response.status, response.read().decode("utf-8", "replace")
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def run(folder, body):
+    """Runs a case and exits with its code: 0 the rule held, 1 it was broken, 2 the case could not run."""
+    case = Case(folder)
+    code = NOT_RUN
+    try:
+        verdict = body(case)
+        code = BROKEN if verdict else HELD
+        case.record.write("the rule was broken: " + verdict if verdict else "the rule held")
+        print(verdict or "the rule held")
+    except CaseCannotRun as error:
+        case.record.write(f"the case could not run: {error}")
+        print(f"the case could not run: {error}", file=sys.stderr)
+    finally:
+        case.end()
+    sys.exit(code)
