Review, case 10: slow readers of large answers take a node over its memory limit

Promise: over its memory limit a node is killed, which is a crash; hundreds of large, slow answers fit far below their sum.

--- a/review/10/test.py
+++ b/review/10/test.py
@@ -1,151 +1,135 @@
-"""One service gets more requests than its rate; another service of the same process has a request at work.
+"""Clients read large answers slowly at a node of the platform that has 48 MB; see claim.txt.
 
-With the trouble, five requests at once come to the service `admin`, whose rate is one a second with a burst of one; without
-it, one. The rule is broken if the node ends, or if a request gets no answer.
+The platform's part is played here: once the node's anonymous memory (without the pages of its program and without what the
+system holds for its sockets) is over `memory_mb`, the node is killed, and the rule is broken.
 """
 
-import http.client
-import http.server
+import asyncio
 import os
 import sys
-import threading
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib-2"))
-import harness
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "lib"))
+from stand_in import HAS_TROUBLE, Discovery, PlatformNode, main, read_head, request_head, run_to_end
 
-WORK_SECONDS = 0.4
-
-SETTINGS = """
-[management]
-address = "127.0.0.1:{management}"
-
-[[listener]]
-name = "client"
-address = "127.0.0.1:{public}"
-
-[[service]]
-name = "admin"
-limits = {{ rate = "1/s", burst = 1 }}
-tries = {{ retry_after = "0.5ms" }}
-
-[[service.class]]
-name = "admin"
-repeat = "safe"
-aim = "150ms"
-deadline = "600ms"
-
-[[service.route]]
-path = "/admin"
-
-[[service.server]]
-name = "flag-1"
-address = "127.0.0.1:{server}"
-
-[[service]]
-name = "rollout"
-
-[[service.class]]
-name = "rollout"
-repeat = "unsafe"
-aim = "500ms"
-deadline = "900ms"
-
-[[service.route]]
-path = "/rollout"
-
-[[service.server]]
-name = "flag-1"
-address = "127.0.0.1:{server}"
-"""
+MEMORY_MB = 48
+DESCRIPTORS = 1024
+SERVERS = 6
+CLIENTS = 160
+LARGE_ANSWER, SMALL_ANSWER = 32_000_000, 2_000
+READ_RATE, PIECE = 64_000, 8_192
+STARTS_EVERY = 0.02
+SECONDS = 20
+DEADLINE = 0.6
 
 
 class Server:
-    """A server of both services: a rollout takes WORK_SECONDS, anything else no time."""
+    """A server that writes each answer as fast as it is taken."""
 
     def __init__(self, record):
-        server = self
         self.record = record
 
-        class Handler(http.server.BaseHTTPRequestHandler):
-            protocol_version = "HTTP/1.1"
-
-            def do_GET(self):
-                server.answer(self)
-
-            def do_POST(self):
-                server.record.write("server: a rollout has begun")
-                self.rfile.read(int(self.headers["Content-Length"]))
-                time.sleep(WORK_SECONDS)
-                server.answer(self)
-
-            def log_message(self, *_):
-                pass
+    async def start(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
 
-        self.http = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
-        self.http.daemon_threads = True
-        threading.Thread(target=self.http.serve_forever, daemon=True).start()
-
-    @property
-    def port(self):
-        return self.http.server_address[1]
-
-    def answer(self, request):
+    async def serve(self, reader, writer):
+        length = LARGE_ANSWER if HAS_TROUBLE else SMALL_ANSWER
         try:
-            request.send_response(200)
-            request.send_header("Content-Length", "2")
-            request.end_headers()
-            request.wfile.write(b"ok")
+            while True:
+                _, headers = await read_head(reader)
+                self.record.write(f"server runs {headers['x-correlation-id']}")
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length)
+                for start in range(0, length, 65_536):
+                    writer.write(bytes(min(65_536, length - start)))
+                    await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+
+class Clients:
+    """Clients that read their answers at READ_RATE, and what became of the answers."""
+
+    def __init__(self, record, port):
+        self.record, self.port = record, port
+        self.begun = self.complete = self.broken = 0
+
+    async def read_answers(self, number, until):
+        count = 0
+        while time.monotonic() < until:
+            count += 1
+            await self.read_answer(f"{os.getpid():08x}{number:04x}{count:04x}")
+            await asyncio.sleep(0.2)
+
+    async def read_answer(self, request_id):
+        try:
+            # A small buffer, so that the reader takes no more than it has asked for.
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port, limit=PIECE)
         except OSError:
-            self.record.write("server: the node has gone before the answer")
-
-
-def send(port, method, path, name):
-    """The outcome of one request."""
-    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=3)
-    try:
-        body = b"x" if method == "POST" else None
-        connection.request(method, path, body=body, headers={"X-Correlation-Id": name})
-        response = connection.getresponse()
-        response.read()
-        return f"status {response.status}"
-    except (OSError, http.client.HTTPException) as error:
-        return f"no answer ({type(error).__name__})"
-    finally:
-        connection.close()
-
-
-def body(case):
-    server = Server(case.record)
-    public, management = harness.free_port(), harness.free_port()
-    settings = SETTINGS.format(management=management, public=public, server=server.port)
-    node = case.start("node", [harness.NODE, "run", "--config", case.write_file("node.toml", settings)])
-    harness.wait_for("the node", lambda: (harness.get(management, "/-/ready") or (0,))[0] == 200, 10)
-
-    outcomes = {}
-
-    def request(method, path, name):
-        outcomes[name] = send(public, method, path, name)
-        case.record.write(f"client: {method} {path} {name}: {outcomes[name]}")
-
-    rollout = threading.Thread(target=request, args=("POST", "/rollout", "rollout-1"))
-    rollout.start()
-    time.sleep(0.1)
-    count = 5 if harness.TROUBLE else 1
-    admins = [threading.Thread(target=request, args=("GET", "/admin", f"admin-{n}")) for n in range(count)]
-    for thread in admins:
-        thread.start()
-    for thread in [rollout, *admins]:
-        thread.join()
-    time.sleep(0.3)
-    ended = node.poll()
-    unanswered = sorted(name for name, outcome in outcomes.items() if not outcome.startswith("status"))
-    case.record.write(f"the node's exit code: {ended}")
-    if ended is not None:
-        return f"the node ended with code {ended}; no answer to {', '.join(unanswered)}"
-    if unanswered:
-        return f"no answer to {', '.join(unanswered)}"
-    return None
-
-
-harness.run(os.path.dirname(os.path.abspath(__file__)), body)
+            self.record.write("a client can't connect")
+            return
+        self.record.write(f"client sends {request_id}")
+        try:
+            writer.write(request_head("GET", request_id, "evaluate", DEADLINE))
+            first, headers = await read_head(reader)
+            left = int(headers.get("content-length", 0))
+            self.record.write(f"client gets {first.split()[1]} for {request_id}, {left} bytes announced")
+            self.begun += 1
+            while left > 0:
+                piece = await reader.read(PIECE)
+                if not piece:
+                    raise ConnectionResetError
+                left -= len(piece)
+                await asyncio.sleep(len(piece) / READ_RATE)
+            self.complete += 1
+        except (OSError, asyncio.IncompleteReadError):
+            self.broken += 1
+            self.record.write(f"client's answer to {request_id} breaks off")
+        finally:
+            writer.close()
+
+
+async def watch_memory(record, node, until):
+    """The platform: kills the node over its limit. Returns the greatest memory seen, in MiB, and whether it was killed."""
+    greatest, last_line = 0.0, 0.0
+    while time.monotonic() < until and node.process.poll() is None:
+        used = node.resident_mib() or 0.0
+        greatest = max(greatest, used)
+        if time.monotonic() - last_line > 0.5:
+            last_line = time.monotonic()
+            record.write(f"the node has {used:.1f} MiB")
+        if used > MEMORY_MB:
+            node.process.kill()
+            node.process.wait()
+            record.say(f"the platform kills the node: {used:.1f} MiB of {MEMORY_MB}")
+            return greatest, True
+        await asyncio.sleep(0.02)
+    return greatest, node.process.poll() is not None
+
+
+async def play(record, processes):
+    servers = {f"s-{number}": await Server(record).start() for number in range(SERVERS)}
+    discovery = Discovery(servers)
+    await discovery.start()
+    node = PlatformNode(processes, discovery, MEMORY_MB, DESCRIPTORS)
+    await node.wait_until_ready()
+    clients = Clients(record, node.port)
+    until = time.monotonic() + SECONDS
+    memory = asyncio.create_task(watch_memory(record, node, until))
+    tasks = []
+    for number in range(CLIENTS):
+        if node.process.poll() is None:
+            tasks.append(asyncio.create_task(clients.read_answers(number, until)))
+        await asyncio.sleep(STARTS_EVERY)
+    greatest, was_killed = await memory
+    await asyncio.wait(tasks, timeout=3)
+    record.say(
+        f"greatest memory {greatest:.1f} MiB of {MEMORY_MB}; answers begun {clients.begun}, complete {clients.complete}, "
+        f"broken off {clients.broken}"
+    )
+    return was_killed
+
+
+main(lambda record, processes: run_to_end(play(record, processes)))
--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -3,6 +3,7 @@
 Every address is a loopback address. Everything that is started is ended, also when the case fails.
 """
 
+import ctypes
 import http.client
 import os
 import shutil
@@ -13,6 +14,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 NODE = os.path.join(ROOT, "target", "release", "reelfall")
@@ -21,6 +23,15 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
+PR_SET_PDEATHSIG = 1
+PRCTL = ctypes.CDLL(None).prctl
+
+
+def end_with_parent():
+    """Has the system end a started process with the case, also if the case is killed."""
+    PRCTL(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class CaseCannotRun(Exception):
     """The case could not run, so it says nothing about the rule."""
 
@@ -50,15 +61,15 @@
         self.record = Record(os.path.join(folder, "record.txt"))
         self._processes = []
 
-    def start(self, name, arguments, **options):
+    def start(self, name, arguments):
         """Starts a process; its output goes to files in the temporary folder."""
         if not os.access(arguments[0], os.X_OK):
             raise CaseCannotRun(f"{arguments[0]} is not built")
-        environment = {**os.environ, "TMPDIR": self.folder, **options.pop("environment", {})}
+        environment = {**os.environ, "TMPDIR": self.folder}
         output = open(os.path.join(self.folder, f"{name}.out"), "ab")
         errors = open(os.path.join(self.folder, f"{name}.err"), "ab")
         process = subprocess.Popen(
-            arguments, stdout=output, stderr=errors, cwd=self.folder, env=environment, **options
+            arguments, stdout=output, stderr=errors, cwd=self.folder, env=environment, preexec_fn=end_with_parent
         )
         output.close()
         errors.close()
@@ -130,6 +141,7 @@
 
 def run(folder, body):
     """Runs a case and exits with its code: 0 the rule held, 1 it was broken, 2 the case could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     case = Case(folder)
     code = NOT_RUN
     try:
@@ -140,6 +152,10 @@
     except CaseCannotRun as error:
         case.record.write(f"the case could not run: {error}")
         print(f"the case could not run: {error}", file=sys.stderr)
+    except Exception:
+        # An error of the script is no result.
+        case.record.write(f"the case could not run: {traceback.format_exc(limit=0).strip()}")
+        traceback.print_exc()
     finally:
         case.end()
     sys.exit(code)
