--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -19,7 +19,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 NODE = os.path.join(ROOT, "target", "release", "reelfall")
 TESTBED = os.path.join(ROOT, "target", "release", "reelfall-testbed")
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# What a script exits with; `run.sh` turns it into 0, 1 and 2.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -140,7 +141,7 @@
 
 
 def run(folder, body):
-    """Runs a case and exits with its code: 0 the rule held, 1 it was broken, 2 the case could not run."""
+    """Runs a case and exits with HELD, BROKEN or NOT_RUN."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     case = Case(folder)
     code = NOT_RUN
