--- a/review/lib-2/harness.py
+++ b/review/lib-2/harness.py
@@ -6,6 +6,7 @@
 import ctypes
 import http.client
 import os
+import shlex
 import shutil
 import signal
 import socket
@@ -14,10 +15,10 @@
 import tempfile
 import threading
 import time
+import tomllib
 import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
-NODE = os.path.join(ROOT, "target", "release", "reelfall")
 TESTBED = os.path.join(ROOT, "target", "release", "reelfall-testbed")
 # What a script exits with; `run.sh` turns it into 0, 1 and 2.
 HELD, BROKEN, NOT_RUN = 0, 10, 2
@@ -57,20 +58,30 @@
 class Case:
     """One run of a case: its temporary folder, its record and its processes."""
 
-    def __init__(self, folder):
+    def __init__(self, record_path):
         self.folder = tempfile.mkdtemp(prefix="reelfall-review-")
-        self.record = Record(os.path.join(folder, "record.txt"))
+        self.record = Record(record_path)
         self._processes = []
 
-    def start(self, name, arguments):
-        """Starts a process; its output goes to files in the temporary folder."""
-        if not os.access(arguments[0], os.X_OK):
-            raise CaseCannotRun(f"{arguments[0]} is not built")
+    def start_program(self, name, arguments):
+        """Starts the project's program by the command of the deploy file, with these arguments."""
+        with open(os.path.join(ROOT, "deploy", "balancer.toml"), "rb") as file:
+            command = tomllib.load(file)["run"]
+        return self._start(name, ["/bin/sh", "-c", f"{command} {shlex.join(arguments)}"])
+
+    def start_stand_in(self, name, arguments):
+        """Starts one of the project's stand-ins."""
+        if not os.access(TESTBED, os.X_OK):
+            raise CaseCannotRun("the stand-ins are not built: review/build-2.sh")
+        return self._start(name, [TESTBED, *arguments])
+
+    def _start(self, name, arguments):
+        """Starts a process in the root of the project; its output goes to files in the temporary folder."""
         environment = {**os.environ, "TMPDIR": self.folder}
         output = open(os.path.join(self.folder, f"{name}.out"), "ab")
         errors = open(os.path.join(self.folder, f"{name}.err"), "ab")
         process = subprocess.Popen(
-            arguments, stdout=output, stderr=errors, cwd=self.folder, env=environment, preexec_fn=end_with_parent
+            arguments, stdout=output, stderr=errors, cwd=ROOT, env=environment, preexec_fn=end_with_parent
         )
         output.close()
         errors.close()
@@ -140,10 +151,10 @@
         connection.close()
 
 
-def run(folder, body):
-    """Runs a case and exits with HELD, BROKEN or NOT_RUN."""
+def run(body):
+    """Runs a case and exits with HELD, BROKEN or NOT_RUN. The first argument of the script is the path of the record."""
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
-    case = Case(folder)
+    case = Case(sys.argv[1])
     code = NOT_RUN
     try:
         verdict = body(case)
--- a/review/lib-2/registry_client.py
+++ b/review/lib-2/registry_client.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-PING, CREATE = 11, 1
+PING, CREATE, CLOSE = 11, 1, -11
 PING_XID = -2
 EPHEMERAL = 1
 ALL_PERMISSIONS = 31
@@ -44,6 +44,12 @@
         if code not in (0, NODE_EXISTS):
             raise OSError(f"creating {path} failed with code {code}")
 
+    def close(self):
+        """Ends the session, so that its entries are removed."""
+        with self.lock:
+            self.xid += 1
+            self._send(struct.pack(">ii", self.xid, CLOSE))
+
     def _ping(self, interval):
         while True:
             time.sleep(interval)
