--- a/review/7/test.py
+++ b/review/7/test.py
@@ -151,7 +151,7 @@
 
 def body(case):
     server = Server(case.record)
-    case.start("registry", [harness.TESTBED, "registry", "--members", str(MEMBERS)])
+    case.start_stand_in("registry", ["registry", "--members", str(MEMBERS)])
     line = harness.wait_for("the registry", lambda: case.output_of("registry").strip(), 10)
     addresses = json.loads(line.splitlines()[0])["addresses"]
     control = int(addresses["control"].rsplit(":", 1)[1])
@@ -160,7 +160,7 @@
     settings = SETTINGS.format(
         management=management, public=public, members=members, entry="/n1", server=server.port
     )
-    node = case.start("node", [harness.NODE, "run", "--config", case.write_file("node.toml", settings)])
+    node = case.start_program("node", ["run", "--config", case.write_file("node.toml", settings)])
     harness.wait_for("the node's entry", lambda: "registered" in case.errors_of("node"), 15)
 
     stopped_at = [0.0]
@@ -202,4 +202,4 @@
     return None
 
 
-harness.run(os.path.dirname(os.path.abspath(__file__)), body)
+harness.run(body)
