Answers: a slow one of unknown length is not cut off at the client's time

Callers got 503 or 504 for an answer without an announced length that its server wrote slowly, though its first bytes came in time and the server wrote on.

Cause: such an answer was streamed only once more than 64 KiB had arrived; until then its whole body was timed.

Change: if its time is up, a part of it is there, the server has written within the last 0.5 s and no other attempt can be made, it is streamed from there. A request that can be sent again still is.

Related paths looked at: answers with a length (streamed 25 ms after their head above 64 KiB, timed as a whole below), GraphQL (validated, so timed as a whole), the stall of a streamed answer (10 s, restarted by each part), clients that read slowly.

--- a/crates/balancer/src/engine/request.rs
+++ b/crates/balancer/src/engine/request.rs
@@ -146,6 +146,23 @@
             && now < self.send_by()
     }
 
+    /// Whether another attempt could be sent if the one in flight ended now without an answer and may have run.
+    pub(super) fn could_send_again(&self, now: Time, max_attempts: u32) -> bool {
+        let latest = match self.idempotency {
+            Idempotency::Idempotent => self.deadline,
+            Idempotency::AtMostOnce => f64::NEG_INFINITY,
+            Idempotency::Keyed { window, .. } => {
+                let sent_at = self.in_flight.as_ref().map(|attempt| attempt.sent_at);
+                let first = self.first_execution.or(sent_at).unwrap_or(now);
+                self.deadline.min(first + window - MAX_TRANSIT_TIME)
+            }
+        };
+        self.needs_answer()
+            && !self.is_body_consumed
+            && self.attempts < max_attempts
+            && now < latest
+    }
+
     /// Assigns a number to an attempt and returns it.
     pub(super) fn count_attempt(&mut self) -> u32 {
         let number = self.attempts;
--- a/crates/node/src/net/upstream/buffering.rs
+++ b/crates/node/src/net/upstream/buffering.rs
@@ -24,6 +24,9 @@
 /// How long a large answer is buffered before it is streamed.
 const MAX_BUFFERING_TIME: Duration = Duration::from_millis(25);
 
+/// A server that has written nothing of an answer for this long has stopped writing it.
+const MAX_PROGRESS_PAUSE: Duration = Duration::from_millis(500);
+
 /// An attempt whose answer is being received on its connection.
 pub(super) struct OpenExchange<'a, C> {
     pub(super) attempt: &'a Attempt<C>,
@@ -57,6 +60,8 @@
     announced_bytes: usize,
     /// A large answer that is not complete by then is streamed.
     stream_after: Instant,
+    /// When a part of the body was received last; when the head was, before that.
+    progressed_at: Instant,
 }
 
 impl<'a, C: AttemptContext> BufferingResponse<'a, C> {
@@ -88,6 +93,7 @@
             body,
             head,
             stream_after: Instant::now() + MAX_BUFFERING_TIME,
+            progressed_at: Instant::now(),
         }
     }
 
@@ -117,13 +123,14 @@
             Some(Some(Ok(frame))) => {
                 let data = frame.data_ref().map_or(&[][..], |data| data);
                 self.buffer.push(data);
+                self.progressed_at = Instant::now();
                 self.check_size()
             }
             Some(Some(Err(_))) => Progress::Broken,
             Some(None) if self.is_valid() => Progress::Complete,
             // What followed an invalid answer on the connection is unknown, so the connection is closed.
             Some(None) => Progress::Broken,
-            None if can_stream => Progress::Streaming,
+            None if can_stream || self.is_slow_but_wanted() => Progress::Streaming,
             None => Progress::TimedOut,
         }
     }
@@ -138,6 +145,17 @@
         self.is_large() && !self.exchange.attempt.must_buffer_whole() && !self.buffer.is_empty()
     }
 
+    /// Whether an answer of unknown length whose time is up is streamed: its first bytes are in time, its server writes on, and
+    /// no other attempt can be made.
+    fn is_slow_but_wanted(&self) -> bool {
+        let attempt = self.exchange.attempt;
+        self.body.size_hint().exact().is_none()
+            && !attempt.must_buffer_whole()
+            && !self.buffer.is_empty()
+            && self.progressed_at.elapsed() < MAX_PROGRESS_PAUSE
+            && !attempt.context.could_send_again(attempt.request)
+    }
+
     fn is_valid(&self) -> bool {
         self.exchange
             .attempt
--- a/crates/testbed/tests/streams.rs
+++ b/crates/testbed/tests/streams.rs
@@ -212,6 +212,93 @@
     assert!(body == expected, "{} bytes", body.len());
 }
 
+/// The pause between two parts of an answer that a server writes slowly.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(125);
+const TRICKLE_BYTES: usize = 8_000;
+/// Together far more than 64 KiB, of which the client's time is for the first bytes only.
+const TRICKLE_PARTS: usize = 40;
+
+/// Writes an answer slowly to each request on a connection, with this line for its framing.
+fn serve_trickling_responses(mut stream: TcpStream, framing: &str) {
+    let is_chunked = framing.starts_with("transfer-encoding");
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while !read_head(&mut reader).is_empty() {
+        let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n");
+        let _ = stream.write_all(head.as_bytes());
+        for part in 0..TRICKLE_PARTS {
+            let data = pattern(part * TRICKLE_BYTES, TRICKLE_BYTES);
+            let size_line = format!("{:x}\r\n", data.len());
+            let encoded = if is_chunked {
+                [size_line.as_bytes(), &data, b"\r\n"].concat()
+            } else {
+                data
+            };
+            if stream.write_all(&encoded).is_err() {
+                return;
+            }
+            std::thread::sleep(TRICKLE_INTERVAL);
+        }
+        if is_chunked {
+            let _ = stream.write_all(b"0\r\n\r\n");
+        }
+        if framing == "connection: close" {
+            let _ = stream.shutdown(Shutdown::Both);
+            return;
+        }
+    }
+}
+
+/// Sends a request, and checks that its answer begins in time and is complete.
+fn check_trickling_response(node: SocketAddr, framing: &str, request: &str) {
+    let mut stream = connect(node);
+    let started = Instant::now();
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut reader = BufReader::new(stream);
+    let head = read_head(&mut reader);
+    assert!(head.starts_with("HTTP/1.1 200"), "{framing}: {head}");
+    let waited = started.elapsed();
+    assert!(
+        waited < Duration::from_millis(600),
+        "{framing}: the first bytes came after {waited:?}"
+    );
+    // The node passes on an answer that ends with its connection in chunks.
+    let body = if head.to_lowercase().contains("transfer-encoding: chunked") {
+        read_chunked_body(&mut reader)
+    } else {
+        let mut body = vec![0; TRICKLE_PARTS * TRICKLE_BYTES];
+        reader.read_exact(&mut body).unwrap();
+        body
+    };
+    let expected = pattern(0, TRICKLE_PARTS * TRICKLE_BYTES);
+    assert!(body == expected, "{framing}: {} bytes", body.len());
+}
+
+/// Guards against an answer of unknown length that is cut off since its first 64 KiB take longer than the client's time, though
+/// its first bytes came in time and its server writes on.
+#[test]
+fn slow_response_of_unknown_length_is_not_cut_off() {
+    let requests = [
+        read_request("t-read").replace("6.0", "0.6"),
+        write_request("t-write", "content-length: 1", "x").replace("6.0", "0.6"),
+    ];
+    std::thread::scope(|scope| {
+        for framing in [
+            "transfer-encoding: chunked",
+            "connection: close",
+            "content-length: 320000",
+        ] {
+            let requests = &requests;
+            scope.spawn(move || {
+                let server = serve(move |stream, _| serve_trickling_responses(stream, framing));
+                let (_discovery, node) = start_node(server);
+                for request in requests {
+                    check_trickling_response(node.address, framing, request);
+                }
+            });
+        }
+    });
+}
+
 /// Answers each request on a connection with 300,000 bytes of an incomplete body, and closes the connection.
 fn serve_truncated_responses(mut stream: TcpStream, framing: &str) {
     let chunk_size_line = if framing.starts_with("transfer-encoding") {
