--- a/crates/testbed/tests/uploads/clients.rs
+++ b/crates/testbed/tests/uploads/clients.rs
@@ -17,6 +17,11 @@
     (240_000..500_000).step_by(2_000).collect()
 }
 
+/// A client that writes more than this at once, in bytes, chooses a send buffer of [`LARGE_SEND_BUFFER`].
+const LARGE_PIECE_BYTES: usize = 12 << 20;
+/// The largest send buffer that a client may choose on some systems, in bytes.
+const LARGE_SEND_BUFFER: usize = 4 << 20;
+
 /// How the end of a body is found.
 #[derive(Clone, Copy, Debug)]
 pub enum Framing {
@@ -103,6 +108,13 @@
     /// Begins to write the parts of a request on a new connection.
     pub fn start(node: SocketAddr, writes: Vec<ClientWrite>) -> Upload {
         let stream = connect(node);
+        if writes
+            .iter()
+            .any(|write| write.data.len() > LARGE_PIECE_BYTES)
+        {
+            let socket = socket2::SockRef::from(&stream);
+            socket.set_send_buffer_size(LARGE_SEND_BUFFER).unwrap();
+        }
         let mut writer = stream.try_clone().unwrap();
         let (sender, written) = channel();
         std::thread::spawn(move || {
--- a/crates/testbed/tests/uploads/stalls.rs
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -140,6 +140,64 @@
     check_uploads_that_are_held_up(Reading::AnswersEarly);
 }
 
+/// How much of a large body a server reads at once before it reads slowly, in bytes. The system's receive buffer grows
+/// meanwhile.
+const FAST_BYTES: usize = 12_000_000;
+/// Sizes of large bodies in bytes, whose rest may lie in the buffers of the systems.
+const LARGE_BYTES: [usize; 4] = [18_000_000, 20_000_000, 22_000_000, 26_000_000];
+/// Rates at which the rest is read, in bytes per second.
+const SLOW_RATES: [usize; 2] = [1_000_000, 3_000_000];
+
+/// Guards against: the time of a large body ran only when less was to come than the buffers hold by default, though they held
+/// more.
+#[test]
+fn large_upload_is_answered_in_time_though_its_server_becomes_slow() {
+    for rate in SLOW_RATES {
+        let servers = serve(move |mut reader, mut stream| {
+            while let Some(head) = read_head(&mut reader) {
+                let length = head.length.unwrap_or(usize::MAX);
+                if read_bytes(&mut reader, FAST_BYTES.min(length)).is_none() {
+                    return;
+                }
+                for _ in 0..length.saturating_sub(FAST_BYTES).div_ceil(rate / 10) {
+                    if read_bytes(&mut reader, rate / 10).is_none() {
+                        return;
+                    }
+                    std::thread::sleep(Duration::from_millis(100));
+                }
+                let _ = stream.write_all(OK_RESPONSE);
+            }
+        });
+        for_each_kind(|kind| {
+            let node = TestNode::start(kind, &servers);
+            let mut requests = Vec::new();
+            for framing in Framing::ALL {
+                for length in LARGE_BYTES {
+                    let id = format!("{framing:?}-{length}");
+                    let writes = at_once(request_parts(&id, framing, &[length]));
+                    requests.push((id, writes));
+                }
+            }
+            let test = format!("{kind:?}, {rate} bytes a second");
+            for (id, ending) in send_all(node.address, requests) {
+                println!(
+                    "{test}, {id}: {:?} after {:?}",
+                    ending.status,
+                    ending
+                        .written_at
+                        .map(|at| ending.ended_at.saturating_duration_since(at))
+                );
+                // A client that has not written all of its body still has its time.
+                let has_waited = ending.written_at.is_some();
+                assert!(
+                    !has_waited || ending.is_in_time(),
+                    "{test}, {id}: {ending:?}"
+                );
+            }
+        });
+    }
+}
+
 /// Guards against: the time of a request did not run if its server had stopped reading just when the client's data ran out, as
 /// nothing looked at the clock when the client wrote on.
 #[test]
