Connections: one that came up for a server that has moved is not used

Callers' work went to the wrong place: a request was sent to another process that had the former address of its server, since the connection came up after the list had changed.

Cause: after the connect the node looked whether the server was still listed, and not whether it was still listed there.

Related paths looked at: idle connections (compared before), stale connections (nothing sent), two servers at one address in the list, removal and drain during a connect (the server has no address then), ids of the other process of an upgrade.

--- a/crates/node/src/net/upstream/connection_pool.rs
+++ b/crates/node/src/net/upstream/connection_pool.rs
@@ -113,17 +113,25 @@
         }
         connection.idle_since = Instant::now();
         connection.is_reused = true;
-        let target = connection.target;
+        if !self.is_current(&connection) {
+            return;
+        }
         let mut servers = self.servers.borrow_mut();
-        let server = servers
-            .get_mut(&target.server)
-            .filter(|server| server.generation == target.generation);
-        if let Some(server) = server {
+        if let Some(server) = servers.get_mut(&connection.target.server) {
             server.idle.push(connection);
             self.shared.notify_connection_freed();
         }
     }
 
+    /// Whether a connection leads to the current instance of its server: the list has not removed, moved or restarted the
+    /// server since the connection was begun, and it does not drain. Otherwise another process may have its address.
+    pub(super) fn is_current(&self, connection: &Connection) -> bool {
+        let target = connection.target;
+        let servers = self.servers.borrow();
+        let current = servers.get(&target.server);
+        current.is_some_and(|server| server.generation == target.generation)
+    }
+
     /// Reserves capacity for one more connection. A service at its own limit closes one of its idle connections first.
     pub(super) fn reserve_connection(&self, address: SocketAddr) -> Option<ConnectionPermit> {
         match self.shared.reserve_connection(address, self.service) {
--- a/crates/node/src/net/upstream/exchange.rs
+++ b/crates/node/src/net/upstream/exchange.rs
@@ -79,7 +79,9 @@
             self.end(Outcome::NotSent);
             return ExchangeResult::Ended;
         }
-        if self.context.address(self.server).is_none() || Instant::now() >= self.deadlines.send_by {
+        let is_current = self.context.address(self.server).is_some()
+            && self.context.connections().is_current(&connection);
+        if !is_current || Instant::now() >= self.deadlines.send_by {
             self.end(Outcome::ConnectFailed);
             return ExchangeResult::Ended;
         }
