--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -21,7 +21,6 @@
 pub mod shared;
 pub mod source;
 pub mod stream_window;
-pub mod system_buffers;
 pub mod takeover;
 pub mod task;
 #[cfg(test)]
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -33,7 +33,6 @@
 pub use service_limits::Permit;
 
 use super::memory::{MemoryAccount, MemoryPlan};
-use super::system_buffers::SystemBuffers;
 use super::{Log, ResourceLimits};
 use connections::ConnectionCounts;
 use memory::BufferLimits;
@@ -86,8 +85,6 @@
     pub log: Log,
     /// The time of engines and limits.
     pub clock: Clock,
-    /// How much the systems of clients and of this node hold of a connection's data.
-    pub system_buffers: SystemBuffers,
     request_ids: RequestIds,
     connections: ConnectionCounts,
     buffer_limits: BufferLimits,
@@ -151,7 +148,6 @@
         Shared {
             log: Log::default(),
             clock: Clock::start(),
-            system_buffers: SystemBuffers::of_system(),
             request_ids: RequestIds::default(),
             connections: ConnectionCounts::new(max_connections),
             buffer_limits: BufferLimits::new(buffer_limit_kib),
--- a/crates/node/src/net/upload_clock.rs
+++ b/crates/node/src/net/upload_clock.rs
@@ -14,9 +14,15 @@
 
 use super::body::STALL_TIMEOUT;
 use super::message::ClientInput;
-use super::system_buffers::SystemBuffers;
 use std::time::{Duration, Instant};
 
+/// The most data that a client's system holds for a connection, in bytes: the largest send buffer of Linux by default
+/// (`net.ipv4.tcp_wmem`).
+const MAX_CLIENT_BUFFER_BYTES: u64 = 4 << 20;
+/// The most data that this system holds for a connection, in bytes: the largest receive buffer of Linux by default
+/// (`net.ipv4.tcp_rmem`).
+const MAX_RECEIVE_BUFFER_BYTES: u64 = 6 << 20;
+
 /// How often an upload is looked at of which the buffers may soon hold the rest.
 const UNCERTAIN_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -34,7 +40,6 @@
 /// Derives when the answer to a request is due from the progress of its upload.
 #[derive(Debug)]
 pub struct UploadClock {
-    buffers: SystemBuffers,
     /// The client's time, from the last byte of its request on.
     time_for_answer: Duration,
     /// The earliest moment at which the client can have written the last byte.
@@ -49,9 +54,8 @@
 
 impl UploadClock {
     /// The clock of an upload that begins now.
-    pub fn new(now: Instant, time_for_answer: Duration, buffers: SystemBuffers) -> Self {
+    pub fn new(now: Instant, time_for_answer: Duration) -> Self {
         UploadClock {
-            buffers,
             time_for_answer,
             earliest_end: now,
             can_have_ended: true,
@@ -77,14 +81,10 @@
         if let Some(awaited_until) = progress.input.awaited_until {
             self.earliest_end = self.earliest_end.max(awaited_until);
         }
-        let SystemBuffers {
-            client_send_bytes,
-            receive_bytes,
-        } = self.buffers;
         let fits_in_buffers = |bytes: u64| {
-            bytes <= client_send_bytes
-                || bytes <= client_send_bytes + receive_bytes
-                    && unread_bytes().is_none_or(|unread| bytes <= client_send_bytes + unread)
+            bytes <= MAX_CLIENT_BUFFER_BYTES
+                || bytes <= MAX_CLIENT_BUFFER_BYTES + MAX_RECEIVE_BUFFER_BYTES
+                    && unread_bytes().is_none_or(|unread| bytes <= MAX_CLIENT_BUFFER_BYTES + unread)
         };
         match progress.bytes_remaining {
             Some(remaining) => {
--- a/crates/node/src/net/upload_clock/tests.rs
+++ b/crates/node/src/net/upload_clock/tests.rs
@@ -1,19 +1,12 @@
 //! The earliest end of an upload, and its deadline, in virtual time.
 
-use super::{UploadClock, UploadProgress};
+use super::{UploadClock, UploadProgress, MAX_CLIENT_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES};
 use crate::net::body::STALL_TIMEOUT;
 use crate::net::message::ClientInput;
-use crate::net::system_buffers::SystemBuffers;
 use std::time::{Duration, Instant};
 
 const TIME_FOR_ANSWER: Duration = Duration::from_millis(600);
 const SECOND: Duration = Duration::from_secs(1);
-const MAX_CLIENT_BUFFER_BYTES: u64 = 4 << 20;
-const MAX_RECEIVE_BUFFER_BYTES: u64 = 6 << 20;
-const BUFFERS: SystemBuffers = SystemBuffers {
-    client_send_bytes: MAX_CLIENT_BUFFER_BYTES,
-    receive_bytes: MAX_RECEIVE_BUFFER_BYTES,
-};
 /// The slowest rate of a body, in bytes a second.
 const SLOWEST_RATE: u64 = 64_000;
 
@@ -32,7 +25,7 @@
     fn new(size: Option<u64>) -> Upload {
         let start = Instant::now();
         Upload {
-            clock: UploadClock::new(start, TIME_FOR_ANSWER, BUFFERS),
+            clock: UploadClock::new(start, TIME_FOR_ANSWER),
             start,
             size,
             unread: Some(0),
--- a/crates/node/src/net/upstream/answer_timer.rs
+++ b/crates/node/src/net/upstream/answer_timer.rs
@@ -20,8 +20,7 @@
         let message = &attempt.message;
         let upload = message.body.streamed().map(|body| {
             let time_for_answer = message.time_after_upload.unwrap_or_default();
-            let buffers = attempt.context.connections().shared.system_buffers;
-            UploadClock::new(body.created_at(), time_for_answer, buffers)
+            UploadClock::new(body.created_at(), time_for_answer)
         });
         AnswerTimer {
             attempt,
