Answers: one that is sent in several parts is not over after the first

Each flush counted as the end of the answer: its client counted as idle, could be closed or handed over to another process in the middle of it, and the memory of the answer was released while most of it waited for its reader.

Change: the flag that keeps a streamed answer open is set for a buffered one in several parts as well. An answer without reserved memory allocates nothing for it.

--- a/crates/node/src/net/answer.rs
+++ b/crates/node/src/net/answer.rs
@@ -56,16 +56,19 @@
 
 /// The memory that is reserved for the buffered part of an answer until it was sent.
 #[derive(Clone, Default)]
-pub struct AnswerMemory(Rc<RefCell<Vec<MemoryPermit>>>);
+pub struct AnswerMemory(Option<Rc<RefCell<Vec<MemoryPermit>>>>);
 
 impl AnswerMemory {
     fn new(permits: Vec<MemoryPermit>) -> Self {
-        AnswerMemory(Rc::new(RefCell::new(permits)))
+        let has_permits = !permits.is_empty();
+        AnswerMemory(has_permits.then(|| Rc::new(RefCell::new(permits))))
     }
 
     /// Releases the memory, since the buffered part was sent or dropped.
     pub fn release(&self) {
-        self.0.take();
+        if let Some(permits) = &self.0 {
+            permits.take();
+        }
     }
 }
 
@@ -183,6 +186,8 @@
 pub struct ResponseBody {
     buffered: VecDeque<Bytes>,
     remainder: Option<StreamedAnswer>,
+    /// Set while a part of the body was not passed to the HTTP library; `None` if that takes all of it at once.
+    is_open: Option<Rc<Cell<bool>>>,
     memory: AnswerMemory,
 }
 
@@ -199,24 +204,42 @@
         remainder: Option<StreamedAnswer>,
         memory: Vec<MemoryPermit>,
     ) -> Self {
+        let is_open = match &remainder {
+            Some(remainder) => Some(remainder.is_open.clone()),
+            None => (buffered.len() > 1).then(|| Rc::new(Cell::new(true))),
+        };
         ResponseBody {
             buffered,
             remainder,
+            is_open,
             memory: AnswerMemory::new(memory),
         }
     }
 
+    /// The next part of a body that is buffered whole.
+    fn next_buffered(&mut self) -> Option<Bytes> {
+        let chunk = self.buffered.pop_front();
+        if let (true, Some(is_open)) = (self.buffered.is_empty(), &self.is_open) {
+            is_open.set(false);
+        }
+        chunk
+    }
+
     /// The memory of the buffered part, which the client's connection releases when the answer was sent: this body is
     /// dropped when the HTTP library has queued all of it.
     pub fn memory(&self) -> AnswerMemory {
         self.memory.clone()
     }
 
-    /// A flag that stays set while more of the body may arrive; `None` if all of it is buffered.
+    /// A flag that stays set while a part of the body was not passed to the HTTP library, which flushes the socket between two
+    /// parts; `None` if it takes all of it at once.
     pub fn open_flag(&self) -> Option<Rc<Cell<bool>>> {
-        self.remainder
-            .as_ref()
-            .map(|remainder| remainder.is_open.clone())
+        self.is_open.clone()
+    }
+
+    /// Whether a part of the body may not have arrived.
+    pub fn is_streamed(&self) -> bool {
+        self.remainder.is_some()
     }
 }
 
@@ -238,9 +261,10 @@
             buffered,
             remainder,
             memory,
+            ..
         } = &mut *self;
         let Some(remainder) = remainder else {
-            return Poll::Ready(buffered.pop_front().map(|chunk| Ok(Frame::data(chunk))));
+            return Poll::Ready(self.next_buffered().map(|chunk| Ok(Frame::data(chunk))));
         };
         ready!(remainder.window.poll_open(cx));
         if let Some(chunk) = buffered.pop_front() {
--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -88,7 +88,7 @@
     awaited_until: Cell<Option<Instant>>,
     /// Whether the current answer is streamed.
     pub is_streaming: Cell<bool>,
-    /// Whether more of a streamed answer may arrive.
+    /// Set while a part of the answer was not passed to the HTTP library.
     pub answer_open_flag: RefCell<Option<Rc<Cell<bool>>>>,
     /// Whether a request was answered before its body was received. The close then lingers, since the answer might be
     /// lost otherwise.
--- a/crates/node/src/net/frontend/request.rs
+++ b/crates/node/src/net/frontend/request.rs
@@ -61,8 +61,8 @@
         if self.must_close(&response, &client) {
             set_connection_close(&mut response);
         }
+        client.is_streaming.set(response.body().is_streamed());
         let answer_open_flag = response.body().open_flag();
-        client.is_streaming.set(answer_open_flag.is_some());
         client.answer_open_flag.replace(answer_open_flag);
         client.answer_memory.replace(response.body().memory());
         client.set_phase(Phase::Answering);
--- a/crates/testbed/tests/connection_bound.rs
+++ b/crates/testbed/tests/connection_bound.rs
@@ -2,8 +2,8 @@
 //! sockets.
 
 use reelfall_testbed::scripted::{
-    connect, get, read_request, read_response, Discovery, ListedServer, Node, Program, Response,
-    Server,
+    connect, get, read_request, read_response, Discovery, ListedServer, Message, Node, Program,
+    Response, Server,
 };
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpStream};
@@ -184,3 +184,82 @@
         "only {served} of {MAX_CLIENTS} idle clients were served"
     );
 }
+
+/// Sizes in bytes of answers that are buffered and sent in several parts, and how many of them are more than the buffers of the
+/// systems hold.
+const BUFFERED_ANSWER_BYTES: usize = 500_000;
+const BUFFERED_ANSWERS: usize = 12;
+/// A client that has received as much as this, in bytes, reads no more.
+const SMALL_RECEIVE_BUFFER: usize = 8 << 10;
+/// When no further request has arrived for this long, the node waits for the client to read.
+const QUIET_TIME: Duration = Duration::from_millis(300);
+
+/// A client that has sent requests on one connection and does not read their answers.
+struct SilentReader {
+    stream: TcpStream,
+    /// How many of the requests have reached the server, when no further one does.
+    begun_answers: usize,
+}
+
+impl SilentReader {
+    fn start(node: &Node, server: &Server, requests: usize) -> SilentReader {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None);
+        let socket = socket.unwrap();
+        socket.set_recv_buffer_size(SMALL_RECEIVE_BUFFER).unwrap();
+        socket.connect(&node.address.into()).unwrap();
+        let mut stream = TcpStream::from(socket);
+        let before = server.requests();
+        let texts: String = (0..requests)
+            .map(|number| read_request(&format!("a-{before}-{number}")))
+            .collect();
+        stream.write_all(texts.as_bytes()).unwrap();
+        let (mut begun_answers, mut quiet_since) = (0, Instant::now());
+        while begun_answers == 0 || quiet_since.elapsed() < QUIET_TIME {
+            if server.requests() - before != begun_answers {
+                (begun_answers, quiet_since) = (server.requests() - before, Instant::now());
+            }
+            std::thread::yield_now();
+        }
+        SilentReader {
+            stream,
+            begun_answers,
+        }
+    }
+}
+
+/// Guards against a connection that counts as idle between the parts of an answer, and is closed at the client limit.
+#[test]
+fn client_that_is_reading_its_answers_is_not_closed_for_others() {
+    let server = Server::start(|_, _, stream| {
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {BUFFERED_ANSWER_BYTES}\r\n\r\n");
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(&vec![b'x'; BUFFERED_ANSWER_BYTES]);
+    });
+    let (_discovery, node) = start_node(&server);
+    let many = SilentReader::start(&node, &server, BUFFERED_ANSWERS);
+    let begun = many.begun_answers;
+    assert!(begun < BUFFERED_ANSWERS, "the systems hold all answers");
+    drop(many);
+    // The last of these answers is the one of which the systems hold only a part.
+    let reader = SilentReader::start(&node, &server, begun);
+    // More clients than the node keeps, each idle after a request: the one that has been idle longest is closed for the next.
+    let others: Vec<TcpStream> = (0..MAX_CLIENTS + 1)
+        .map(|_| {
+            let mut stream = connect(node.address);
+            let _ = stream.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\n\r\n");
+            let response = read_response(&stream);
+            assert_eq!(response.map(|response| response.status), Some(200));
+            stream
+        })
+        .collect();
+    let mut stream = reader.stream;
+    let mut answers = std::io::BufReader::new(stream.try_clone().unwrap());
+    let mut read_answer = |number| {
+        let length = Message::read(&mut answers).map(|answer| answer.body.len());
+        assert_eq!(length, Some(BUFFERED_ANSWER_BYTES), "answer {number}");
+    };
+    (0..begun).for_each(&mut read_answer);
+    let _ = stream.write_all(read_request("last").as_bytes());
+    read_answer(begun);
+    drop(others);
+}
