Ids: the processes of an upgrade read each other's claims at once, and give up a stopped one

A fault of: the other process read claims only when it claimed an id itself, and four times a second. The socket holds a few hundred records, so at a high rate unsafe requests got 503 during an upgrade; with a stopped process they got it for good, and unsent records piled up.

Change: a task reads the records as they come; a peer that takes none for 1 s is given up, as if it had ended. Links are private to the ids, which wait for the peer's claims by an event and not by polling.

Related paths looked at: a peer that ends (its last claims are read before its end counts), the time limit of the first exchange, processes of earlier versions (they close the stream).

--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -29,7 +29,7 @@
 pub use fleet::{FleetObserver, OverdueRequest, QuorumEjection};
 pub use listed::{ListedByPool, ListedServers};
 pub use memory::{BufferLayout, MemoryPermit};
-pub use request_ids::{ClaimError, OpenId, PeerLink, Repeatability};
+pub use request_ids::{ClaimError, OpenId, Repeatability};
 pub use service_limits::Permit;
 
 use super::memory::{MemoryAccount, MemoryPlan};
--- a/crates/node/src/net/shared/request_ids.rs
+++ b/crates/node/src/net/shared/request_ids.rs
@@ -7,16 +7,19 @@
 mod peer_link;
 mod retained;
 
-pub use peer_link::{LinkState, PeerLink};
-
 use super::Shared;
-use peer_link::PeerIds;
+use peer_link::{LinkState, PeerIds, PeerLink};
 use retained::RetainedIds;
+use rustix::net::{recv, RecvFlags};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::io;
+use std::os::unix::net::UnixStream;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 use thiserror::Error;
+use tokio::io::Interest;
+use tokio::sync::Notify;
 
 /// How long the id of an unsafe request stays claimed after its end: as long as a client's connection may be idle.
 const RETENTION: Duration = Duration::from_secs(5);
@@ -86,7 +89,7 @@
     /// Forgets the ids whose retention has ended.
     fn expire(&self, now: Instant) {
         let expired = self.retained.borrow_mut().expire(now);
-        self.peers.borrow_mut().release(&expired);
+        self.peers.borrow_mut().release(&expired, now);
     }
 
     fn claim_unsafe(&self, id: IdDigest) -> Result<(), ClaimError> {
@@ -108,10 +111,11 @@
         if claim.repeatability != Repeatability::Unsafe {
             return;
         }
+        let now = Instant::now();
         if claim.may_have_run() {
-            self.retained.borrow_mut().insert(claim.id, Instant::now());
+            self.retained.borrow_mut().insert(claim.id, now);
         } else {
-            self.peers.borrow_mut().release(&[claim.id]);
+            self.peers.borrow_mut().release(&[claim.id], now);
         }
     }
 }
@@ -176,23 +180,50 @@
         })
     }
 
-    /// Shares the ids of unsafe requests with another process of the node.
-    pub fn add_id_peer(&self, link: PeerLink) {
+    /// Shares the ids of unsafe requests with another process of the node, and waits until that has sent those that it had.
+    ///
+    /// # Errors
+    /// If the stream can't be used.
+    pub async fn share_request_ids(self: &Rc<Self>, stream: UnixStream) -> io::Result<()> {
+        let link = PeerLink::new(stream)?;
+        let readable = tokio::net::UnixStream::from_std(link.clone_stream()?)?;
         let ids = self.request_ids.unsafe_ids();
-        self.request_ids.peers.borrow_mut().add(link, &ids);
-    }
-
-    /// Whether each of the other processes has sent the ids that it had when its link was added, or its link has ended.
-    pub fn knows_ids_of_peers(&self) -> bool {
-        let mut peers = self.request_ids.peers.borrow_mut();
-        peers.receive(Instant::now());
-        peers.state() == LinkState::Synchronized
+        self.request_ids
+            .peers
+            .borrow_mut()
+            .add(link, &ids, Instant::now());
+        let received = Rc::new(Notify::new());
+        tokio::task::spawn_local(receive_ids(Rc::downgrade(self), readable, received.clone()));
+        while self.request_ids.peers.borrow().state() == LinkState::Synchronizing {
+            received.notified().await;
+        }
+        Ok(())
     }
 
-    /// Called periodically: forgets ids, and receives those of other processes.
+    /// Called periodically: forgets ids, and those of processes that have ended.
     pub(super) fn tick_request_ids(&self) {
         let now = Instant::now();
         self.request_ids.expire(now);
         self.request_ids.peers.borrow_mut().receive(now);
     }
 }
+
+/// Receives the ids of another process as they come, until it ends. Reports each time to `received`.
+async fn receive_ids(shared: Weak<Shared>, readable: tokio::net::UnixStream, received: Rc<Notify>) {
+    while readable.readable().await.is_ok() {
+        let Some(shared) = shared.upgrade() else {
+            return;
+        };
+        let mut peers = shared.request_ids.peers.borrow_mut();
+        peers.receive(Instant::now());
+        received.notify_one();
+        // What arrives from now on makes the stream readable again.
+        let peeked = readable.try_io(Interest::READABLE, || {
+            let (peeked, _) = recv(&readable, &mut [0; 1], RecvFlags::PEEK)?;
+            Ok(peeked)
+        });
+        if peeked.is_ok_and(|length| length == 0) {
+            return;
+        }
+    }
+}
--- a/crates/node/src/net/shared/request_ids/peer_link.rs
+++ b/crates/node/src/net/shared/request_ids/peer_link.rs
@@ -1,7 +1,8 @@
 //! Claims of ids among the processes of a node, over a Unix socket for each pair of them.
 //!
 //! Both sides write records of [`RECORD_BYTES`]: an operation and the digest of an id. A claim is written before the request
-//! is sent anywhere, and what has arrived is read before any claim succeeds.
+//! is sent anywhere, and what has arrived is read before any claim succeeds. A peer that does not read is given up after
+//! [`STUCK_TIMEOUT`], as if it had ended.
 
 #[cfg(test)]
 mod tests;
@@ -9,12 +10,15 @@
 use super::{ClaimError, IdDigest, RETENTION};
 use std::collections::HashMap;
 use std::io::{self, Read, Write};
+use std::net::Shutdown;
 use std::os::unix::net::UnixStream;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// The size of a record, in bytes.
 const RECORD_BYTES: usize = 1 + IdDigest::BYTES;
 const READ_BYTES: usize = 4096;
+/// A peer that has taken no record for this long, though the socket is full, sends no requests either.
+const STUCK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What a record states about its id.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +45,7 @@
 
 /// How much is known of the claims of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LinkState {
+pub(super) enum LinkState {
     /// Those from before the link are not known.
     Synchronizing,
     /// All claims are known, or the peer has ended.
@@ -49,11 +53,14 @@
 }
 
 /// The connection to another process of the node.
-pub struct PeerLink {
+pub(super) struct PeerLink {
     stream: UnixStream,
     state: LinkState,
     /// Records that the socket has not taken yet.
     unsent: Vec<u8>,
+    /// Since when the socket takes no more.
+    blocked_since: Option<Instant>,
+    is_ended: bool,
     /// The beginning of a record whose rest has not arrived.
     partial: Vec<u8>,
     /// The ids that the peer has claimed.
@@ -73,48 +80,69 @@
     ///
     /// # Errors
     /// If the stream can't be used without blocking.
-    pub fn new(stream: UnixStream) -> io::Result<PeerLink> {
+    pub(super) fn new(stream: UnixStream) -> io::Result<PeerLink> {
         stream.set_nonblocking(true)?;
         Ok(PeerLink {
             stream,
             state: LinkState::Synchronizing,
             unsent: Vec::new(),
+            blocked_since: None,
+            is_ended: false,
             partial: Vec::new(),
             claimed: HashMap::new(),
         })
     }
 
+    /// Another handle of the stream, to wait for records.
+    pub(super) fn clone_stream(&self) -> io::Result<UnixStream> {
+        self.stream.try_clone()
+    }
+
     fn write(&mut self, operation: Operation, id: IdDigest) {
+        if self.is_ended {
+            return;
+        }
         self.unsent.push(operation as u8);
         self.unsent.extend_from_slice(&id.0);
     }
 
     /// Passes records to the socket; returns whether it has taken all of them, or the peer has ended.
-    fn flush(&mut self) -> bool {
+    fn flush(&mut self, now: Instant) -> bool {
         while !self.unsent.is_empty() {
             match self.stream.write(&self.unsent) {
-                Ok(length) if length > 0 => drop(self.unsent.drain(..length)),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return false,
-                // The reading side finds the end.
+                Ok(length) if length > 0 => {
+                    self.unsent.drain(..length);
+                    self.blocked_since = None;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    let since = *self.blocked_since.get_or_insert(now);
+                    if now - since < STUCK_TIMEOUT {
+                        return false;
+                    }
+                    // What it has claimed before is known from its records.
+                    self.receive(now);
+                    self.end(now);
+                }
+                // The reading side finds the end, behind the last records.
                 _ => self.unsent.clear(),
             }
         }
         true
     }
 
-    /// Handles all records that have arrived; returns whether the peer is still there.
-    fn receive(&mut self) -> bool {
+    /// Handles all records that have arrived, and the end of the peer.
+    fn receive(&mut self, now: Instant) {
         let mut buffer = [0; READ_BYTES];
-        loop {
+        while !self.is_ended {
             match self.stream.read(&mut buffer) {
-                Ok(0) => return false,
+                Ok(0) => self.end(now),
                 Ok(length) => {
                     let received = buffer.get(..length).unwrap_or_default();
                     self.partial.extend_from_slice(received);
                     self.handle_records();
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return true,
-                Err(_) => return false,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+                Err(_) => self.end(now),
             }
         }
     }
@@ -138,18 +166,24 @@
         }
     }
 
-    /// Keeps the claims of a peer that has ended for as long as it would have.
+    /// Ends the link. The claims of the peer are kept for as long as it would have.
     fn end(&mut self, now: Instant) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+        self.is_ended = true;
         self.state = LinkState::Synchronized;
+        self.unsent = Vec::new();
         for claim in self.claimed.values_mut() {
-            if let Claim::Held = claim {
-                *claim = Claim::HeldUntil(now + RETENTION);
-            }
+            *claim = Claim::HeldUntil(now + RETENTION);
         }
+    }
+
+    /// Forgets the claims of a peer that ended long enough ago; returns whether any are left, or may come.
+    fn is_of_use(&mut self, now: Instant) -> bool {
         self.claimed.retain(|_, claim| match claim {
             Claim::Held => true,
             Claim::HeldUntil(until) => *until > now,
         });
+        !self.is_ended || !self.claimed.is_empty()
     }
 }
 
@@ -169,12 +203,12 @@
 
 impl PeerIds {
     /// Adds a link, and sends the ids that are claimed here.
-    pub(super) fn add(&mut self, mut link: PeerLink, claimed: &[IdDigest]) {
+    pub(super) fn add(&mut self, mut link: PeerLink, claimed: &[IdDigest], now: Instant) {
         for id in claimed {
             link.write(Operation::Claim, *id);
         }
         link.write(Operation::Synchronized, IdDigest([0; IdDigest::BYTES]));
-        link.flush();
+        link.flush(now);
         self.links.push(link);
     }
 
@@ -189,7 +223,7 @@
         let mut result = Ok(());
         for link in &mut self.links {
             link.write(Operation::Claim, id);
-            if !link.flush() {
+            if !link.flush(now) {
                 result = Err(ClaimError::Full);
             }
         }
@@ -198,30 +232,27 @@
             result = Err(ClaimError::InUse);
         }
         if result.is_err() {
-            self.release(&[id]);
+            self.release(&[id], now);
         }
         result
     }
 
     /// Releases ids at all peers.
-    pub(super) fn release(&mut self, ids: &[IdDigest]) {
+    pub(super) fn release(&mut self, ids: &[IdDigest], now: Instant) {
         for link in &mut self.links {
             for id in ids {
                 link.write(Operation::Release, *id);
             }
-            link.flush();
+            link.flush(now);
         }
     }
 
     /// Receives what the peers have sent, and forgets those that ended long enough ago.
     pub(super) fn receive(&mut self, now: Instant) {
         self.links.retain_mut(|link| {
-            link.flush();
-            let is_alive = link.receive();
-            if !is_alive {
-                link.end(now);
-            }
-            is_alive || !link.claimed.is_empty()
+            link.flush(now);
+            link.receive(now);
+            link.is_of_use(now)
         });
     }
 
--- a/crates/node/src/net/shared/request_ids/peer_link/tests.rs
+++ b/crates/node/src/net/shared/request_ids/peer_link/tests.rs
@@ -1,5 +1,5 @@
 use super::super::{ClaimError, IdDigest, RETENTION};
-use super::{LinkState, PeerIds, PeerLink};
+use super::{LinkState, PeerIds, PeerLink, STUCK_TIMEOUT};
 use std::os::unix::net::UnixStream;
 use std::time::Instant;
 
@@ -11,10 +11,11 @@
 fn linked(claimed: &[IdDigest]) -> (PeerIds, PeerIds) {
     let (first_end, second_end) = UnixStream::pair().expect("a pair");
     let (mut first, mut second) = (PeerIds::default(), PeerIds::default());
-    second.add(PeerLink::new(second_end).expect("a link"), &[]);
+    let now = Instant::now();
+    second.add(PeerLink::new(second_end).expect("a link"), &[], now);
     assert_eq!(second.state(), LinkState::Synchronizing);
-    first.add(PeerLink::new(first_end).expect("a link"), claimed);
-    second.receive(Instant::now());
+    first.add(PeerLink::new(first_end).expect("a link"), claimed, now);
+    second.receive(now);
     assert_eq!(second.state(), LinkState::Synchronized);
     (first, second)
 }
@@ -28,7 +29,7 @@
     assert_eq!(second.claim(id("a"), now), Err(ClaimError::InUse));
     assert_eq!(second.claim(id("b"), now), Ok(()));
     assert_eq!(first.claim(id("b"), now), Err(ClaimError::InUse));
-    first.release(&[id("a"), id("early")]);
+    first.release(&[id("a"), id("early")], now);
     assert_eq!(second.claim(id("a"), now), Ok(()));
     assert_eq!(second.claim(id("early"), now), Ok(()));
 }
@@ -52,3 +53,21 @@
     assert_eq!(second.claim(id("a"), now), Err(ClaimError::InUse));
     assert_eq!(second.claim(id("a"), now + RETENTION), Ok(()));
 }
+
+/// Guards against a peer that is stopped: it must neither hold up unsafe requests nor make records pile up.
+#[test]
+fn peer_that_does_not_read_is_given_up() {
+    let start = Instant::now();
+    let (mut first, _second) = linked(&[]);
+    let claim = |first: &mut PeerIds, number: usize, now| first.claim(id(&number.to_string()), now);
+    let refused = (0..1_000_000).find(|number| claim(&mut first, *number, start).is_err());
+    let refused = refused.expect("the socket holds a limited number of records");
+    let almost = start + STUCK_TIMEOUT / 2;
+    assert_eq!(claim(&mut first, refused, almost), Err(ClaimError::Full));
+    let stuck = start + STUCK_TIMEOUT;
+    assert_eq!(claim(&mut first, refused, stuck), Ok(()));
+    assert!(
+        first.links.is_empty(),
+        "nothing is kept for a peer without claims"
+    );
+}
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -14,7 +14,7 @@
 pub use socket::{HandoverSocket, Snapshot};
 
 use super::frontend::{Frontend, Handover, HandoverState, ListenSocket};
-use super::shared::{PeerLink, Shared};
+use super::shared::Shared;
 use super::task::AbortOnDrop;
 use exchange::{Exchange, ExchangeError, ReceivedFrame, FRAME_TIMEOUT};
 use reelfall_admin::succession::{Predecessor, Successor};
@@ -175,7 +175,7 @@
             Ok(Ok(ReceivedFrame {
                 frame: Frame::ShareIds { version },
                 ..
-            })) => return self.share_ids(version, exchange),
+            })) => return self.share_ids(version, exchange).await,
             _ => return,
         };
         if !self.predecessor.borrow_mut().handle_hello(version) {
@@ -196,13 +196,13 @@
     }
 
     /// Shares the ids of unsafe requests with a process that supports these records.
-    fn share_ids(&self, version: u32, exchange: Exchange) {
+    async fn share_ids(&self, version: u32, exchange: Exchange) {
         if version != ID_RECORDS_VERSION {
             return;
         }
-        let link = exchange.into_stream().and_then(PeerLink::new);
-        if let Ok(link) = link {
-            self.shared.add_id_peer(link);
+        if let Ok(stream) = exchange.into_stream() {
+            // A stream that can't be used is closed, which the other process sees.
+            let _ = self.shared.share_request_ids(stream).await;
         }
     }
 
--- a/crates/node/src/net/takeover/socket.rs
+++ b/crates/node/src/net/takeover/socket.rs
@@ -2,20 +2,19 @@
 //! [`crate::platform`] and [`super::Takeover`].
 
 use super::exchange::{Exchange, ExchangeError};
-use crate::net::shared::{PeerLink, Shared};
+use crate::net::shared::Shared;
 use reelfall_admin::takeover::{Frame, ID_RECORDS_VERSION, PROTOCOL_VERSION};
 use std::fs::File;
 use std::io;
 use std::os::fd::{AsRawFd, OwnedFd};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{UnixListener, UnixStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// How long a new process waits for the snapshot of its predecessor before it binds the address itself.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
-/// How often a new process looks for the ids of its predecessor.
-const ID_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Maximum length of the path of a Unix socket, in bytes.
 const MAX_SOCKET_PATH_LEN: usize = 99;
 /// The extension of the socket's file name.
@@ -98,30 +97,24 @@
 
 impl HandoverSocket {
     /// Shares the ids of unsafe requests with the process that serves, if there is one, and waits until they are known.
-    pub async fn share_ids(&self, shared: &Shared) {
-        let Ok(link) = self.connect_id_link().await else {
+    pub async fn share_ids(&self, shared: &Rc<Shared>) {
+        let Ok(stream) = self.connect_for_ids().await else {
             return;
         };
-        shared.add_id_peer(link);
-        let wait = async {
-            while !shared.knows_ids_of_peers() {
-                sleep(ID_POLL_INTERVAL).await;
-            }
-        };
-        if timeout(SNAPSHOT_TIMEOUT, wait).await.is_err() {
-            let log = &shared.log;
-            log.write_line(format_args!(
+        let sharing = timeout(SNAPSHOT_TIMEOUT, shared.share_request_ids(stream));
+        if sharing.await.is_err() {
+            shared.log.write_line(format_args!(
                 "takeover: the predecessor has not sent the ids of its requests in time"
             ));
         }
     }
 
-    async fn connect_id_link(&self) -> Result<PeerLink, ExchangeError> {
+    async fn connect_for_ids(&self) -> Result<std::os::unix::net::UnixStream, ExchangeError> {
         let socket = self.path(SOCKET)?;
         let exchange = Exchange::new(UnixStream::connect(&socket.path).await?)?;
         let version = ID_RECORDS_VERSION;
         exchange.send(&Frame::ShareIds { version }, &[]).await?;
-        Ok(PeerLink::new(exchange.into_stream()?)?)
+        Ok(exchange.into_stream()?)
     }
 }
 
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -138,7 +138,7 @@
     }
 
     /// Requests the predecessor's snapshot; `None` if no process of the same name serves.
-    async fn request_snapshot(&self, shared: &Shared) -> Option<Snapshot> {
+    async fn request_snapshot(&self, shared: &Rc<Shared>) -> Option<Snapshot> {
         let socket = self.handover_socket()?;
         let snapshot = socket.request_snapshot(shared).await;
         // Also with a predecessor that keeps its sockets.
--- a/crates/testbed/tests/returns/ids.rs
+++ b/crates/testbed/tests/returns/ids.rs
@@ -2,10 +2,12 @@
 
 use crate::servers::{self, Servers};
 use crate::{program, start_node};
-use reelfall_testbed::scripted::{connect, read_response, write_request, Message, Response};
+use reelfall_testbed::scripted::{
+    connect, read_response, write_request, Message, Response, WAIT_TIMEOUT,
+};
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long servers take for a request whose id names one of these times.
 const SERVER_TIMES_MS: [u64; 3] = [0, 60, 700];
@@ -148,3 +150,43 @@
         drop(successor);
     });
 }
+
+/// How many unsafe requests are sent one after the other while both processes of an upgrade run.
+const REQUESTS_DURING_UPGRADE: usize = 1_500;
+
+/// Guards against requests that are refused since the other process does not take notice of their ids fast enough.
+#[test]
+fn unsafe_requests_are_served_while_both_processes_of_an_upgrade_run() {
+    let servers = servers::start(|_| Duration::ZERO);
+    let (_discovery, node) = start_node(&servers.addresses);
+    let successor = node.start_successor(&program());
+    let mut stream = connect(successor.address);
+    for number in 0..REQUESTS_DURING_UPGRADE {
+        let request = write_request(&format!("s-0-{number}"), "content-length: 1", "x");
+        stream.write_all(request.as_bytes()).unwrap();
+        let status = read_response(&stream).map(|response| response.status);
+        assert_eq!(status, Some(200), "request {number}");
+    }
+}
+
+/// Guards against a process that is stopped and holds up the unsafe requests of the other one for good.
+#[test]
+fn unsafe_requests_are_served_again_though_the_other_process_is_stopped() {
+    let servers = servers::start(|_| Duration::ZERO);
+    let (_discovery, node) = start_node(&servers.addresses);
+    let successor = node.start_successor(&program());
+    node.signal("STOP");
+    let (started, mut served) = (Instant::now(), 0);
+    // Far more than the socket between the processes holds.
+    for number in 0.. {
+        let id = format!("t-0-{number}");
+        let status = read_response(&send_unsafe(successor.address, &id)).map(|it| it.status);
+        served = if status == Some(200) { served + 1 } else { 0 };
+        assert!(matches!(status, Some(200 | 503)), "{status:?}");
+        if served > REQUESTS_DURING_UPGRADE {
+            break;
+        }
+        assert!(started.elapsed() < WAIT_TIMEOUT, "{served} served in a row");
+    }
+    node.signal("CONT");
+}
