Memory: answers up to 64 KiB do not count towards the limits of their service

A GraphQL answer of 9 kB of a service with little memory waited for it until its time was up (504), and one of unknown length failed at once.

Change: up to 64 KiB the account of the process alone counts them. A GraphQL answer of unknown length waits for memory as one with a length does.

Measured: answer_up_to_64_kib_needs_no_memory_of_its_service got 504 before, and passes now.

Related paths looked at: plain answers (streamed where there is no memory), bodies (4 KiB, as before), entries of batches.

--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -28,7 +28,7 @@
 pub use connections::ConnectionPermit;
 pub use fleet::{FleetObserver, OverdueRequest, QuorumEjection};
 pub use listed::{ListedByPool, ListedServers};
-pub use memory::{BufferLayout, MemoryPermit};
+pub use memory::{AnswerBuffer, AnswerQuota, BufferLayout, MemoryPermit};
 pub use request_ids::{ClaimError, OpenId, Repeatability};
 pub use service_limits::Permit;
 
--- a/crates/node/src/net/shared/memory.rs
+++ b/crates/node/src/net/shared/memory.rs
@@ -36,6 +36,23 @@
     }
 }
 
+/// Whether a buffered answer counts towards the limits of its service.
+#[derive(Clone, Copy)]
+pub enum AnswerQuota {
+    /// Only the account of the process counts it, since it is small.
+    Exempt,
+    /// It counts towards those of this service, or of the only one.
+    Of(Option<ServiceId>),
+}
+
+/// A part of an answer that is to be buffered.
+#[derive(Clone, Copy)]
+pub struct AnswerBuffer {
+    pub kib: u32,
+    pub layout: BufferLayout,
+    pub quota: AnswerQuota,
+}
+
 /// The share of a limit that a body uses.
 enum LimitPermit {
     /// Of the process, if it has one service only.
@@ -88,14 +105,18 @@
     }
 
     /// Reserves memory for a response, if there is enough now.
-    pub fn reserve_answer(
-        self: &Rc<Self>,
-        service_id: Option<ServiceId>,
-        kib: u32,
-        layout: BufferLayout,
-    ) -> Option<MemoryPermit> {
-        let limit = &self.buffer_limits.responses;
-        self.try_reserve(limit, service_id, kib, layout)
+    pub fn reserve_answer(self: &Rc<Self>, buffer: AnswerBuffer) -> Option<MemoryPermit> {
+        let AnswerBuffer { kib, layout, quota } = buffer;
+        match quota {
+            AnswerQuota::Exempt => Some(MemoryPermit {
+                _limit: None,
+                _reservation: self.reserve_buffer(layout.bytes_for(kib))?,
+            }),
+            AnswerQuota::Of(service_id) => {
+                let limit = &self.buffer_limits.responses;
+                self.try_reserve(limit, service_id, kib, layout)
+            }
+        }
     }
 
     fn try_reserve(
@@ -125,14 +146,12 @@
     /// Reserves memory for a response and waits for it until the deadline.
     pub async fn reserve_answer_by(
         self: &Rc<Self>,
-        service_id: Option<ServiceId>,
-        kib: u32,
-        layout: BufferLayout,
+        buffer: AnswerBuffer,
         deadline: Instant,
     ) -> Option<MemoryPermit> {
         loop {
             let released = self.memory.released();
-            if let Some(permit) = self.reserve_answer(service_id, kib, layout) {
+            if let Some(permit) = self.reserve_answer(buffer) {
                 return Some(permit);
             }
             timeout_at(deadline.into(), released).await.ok()?;
--- a/crates/node/src/net/upstream/buffering.rs
+++ b/crates/node/src/net/upstream/buffering.rs
@@ -13,7 +13,7 @@
 use crate::net::chunked_buffer::ChunkedBuffer;
 use crate::net::memory::stream_window_bytes;
 use crate::net::shared::{BufferLayout, MemoryPermit};
-use crate::net::{kib_permits, MAX_UNSTREAMED_RESPONSE_BYTES, UNRESERVED_RESPONSE_BYTES};
+use crate::net::{MAX_UNSTREAMED_RESPONSE_BYTES, UNRESERVED_RESPONSE_BYTES};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::http::response::Parts;
@@ -124,7 +124,7 @@
                 let data = frame.data_ref().map_or(&[][..], |data| data);
                 self.buffer.push(data);
                 self.progressed_at = Instant::now();
-                self.check_size()
+                self.check_size().await
             }
             Some(Some(Err(_))) => Progress::Broken,
             Some(None) if self.is_valid() => Progress::Complete,
@@ -164,8 +164,8 @@
     }
 
     /// Decides after each frame whether to continue buffering.
-    fn check_size(&mut self) -> Progress {
-        let fits = self.buffer.len() <= self.reserved_bytes || self.reserve_more();
+    async fn check_size(&mut self) -> Progress {
+        let fits = self.buffer.len() <= self.reserved_bytes || self.reserve_more().await;
         if fits && !self.is_large() {
             return Progress::Buffering;
         }
@@ -185,7 +185,7 @@
     /// Reserves memory for what is buffered of an answer without an announced length; `false` if there is none.
     ///
     /// Each step doubles what is reserved, as the buffer does when it grows.
-    fn reserve_more(&mut self) -> bool {
+    async fn reserve_more(&mut self) -> bool {
         let attempt = self.exchange.attempt;
         let max_bytes = attempt.max_buffered_bytes();
         if self.announced_bytes > 0 || self.buffer.len() > max_bytes {
@@ -193,11 +193,11 @@
         }
         let needed_bytes = self.buffer.len().max(2 * self.reserved_bytes);
         let reserved_bytes = needed_bytes.next_power_of_two().min(max_bytes);
-        let pool = attempt.context.connections();
-        let added = kib_permits(reserved_bytes - self.reserved_bytes);
-        let permit = pool
-            .shared
-            .reserve_answer(pool.service, added, attempt.buffer_layout());
+        let added_bytes = reserved_bytes - self.reserved_bytes;
+        let deadline = self.exchange.timer.answer_by();
+        let permit = attempt
+            .reserve_answer(added_bytes, reserved_bytes, deadline)
+            .await;
         let is_reserved = permit.is_some();
         if is_reserved {
             self.memory.extend(permit);
--- a/crates/node/src/net/upstream/response.rs
+++ b/crates/node/src/net/upstream/response.rs
@@ -5,13 +5,13 @@
 use super::attempt::{Attempt, DRAIN_TIMEOUT};
 use super::buffering::{BufferingResponse, OpenExchange};
 use super::connection::Connection;
-use super::AttemptContext;
+use super::{AttemptContext, ConnectionPool};
 use crate::net::body::MAX_STREAMED_BYTES;
 use crate::net::message::{AnswerValidator, Message};
-use crate::net::shared::{BufferLayout, MemoryPermit};
+use crate::net::shared::{AnswerBuffer, AnswerQuota, BufferLayout, MemoryPermit};
 use crate::net::{
     kib_permits, MAX_BUFFERED_RESPONSE_BYTES, MAX_IMMEDIATE_RESPONSE_BYTES,
-    UNRESERVED_RESPONSE_BYTES,
+    MAX_UNSTREAMED_RESPONSE_BYTES, UNRESERVED_RESPONSE_BYTES,
 };
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -141,18 +141,36 @@
             // The connection of the client has memory for this much.
             return None;
         }
-        let pool = self.context.connections();
+        let bytes = announced_bytes.min(self.max_buffered_bytes());
+        // Without memory in time an answer that is validated is not read, and the wait for its body times out.
+        self.reserve_answer(bytes, bytes, deadline).await
+    }
+
+    /// Reserves memory for another `added_bytes` of an answer, of which `total_bytes` are buffered then. Waits for it if the
+    /// answer can't be streamed instead.
+    pub(super) async fn reserve_answer(
+        &self,
+        added_bytes: usize,
+        total_bytes: usize,
+        deadline: Instant,
+    ) -> Option<MemoryPermit> {
+        let ConnectionPool {
+            shared, service, ..
+        } = self.context.connections();
+        let buffer = AnswerBuffer {
+            kib: kib_permits(added_bytes),
+            layout: self.buffer_layout(),
+            quota: if total_bytes <= MAX_UNSTREAMED_RESPONSE_BYTES {
+                AnswerQuota::Exempt
+            } else {
+                AnswerQuota::Of(*service)
+            },
+        };
         if self.must_buffer_whole() {
-            // Without memory in time the answer is not read, and the wait for its body times out.
-            let permits = kib_permits(announced_bytes);
-            return pool
-                .shared
-                .reserve_answer_by(pool.service, permits, self.buffer_layout(), deadline)
-                .await;
+            shared.reserve_answer_by(buffer, deadline).await
+        } else {
+            shared.reserve_answer(buffer)
         }
-        let permits = kib_permits(announced_bytes.min(MAX_IMMEDIATE_RESPONSE_BYTES));
-        pool.shared
-            .reserve_answer(pool.service, permits, self.buffer_layout())
     }
 
     /// Reads and discards the rest of an answer, so that its connection can be used again.
--- a/crates/testbed/tests/uploads/graphql.rs
+++ b/crates/testbed/tests/uploads/graphql.rs
@@ -1,8 +1,10 @@
 //! GraphQL requests, which are always buffered whole, while servers stop.
 
-use crate::clients::{send_all_in_time, ClientWrite, TIME_LEFT};
+use crate::clients::{send_all_in_time, ClientWrite, Framing, TIME_LEFT};
 use crate::nodes::TestNode;
 use crate::servers::{hang, read_body, read_head, serve, Runs};
+use reelfall_testbed::scripted::exchange;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -84,3 +86,39 @@
         .iter()
         .any(|length| runs.count(&format!("m-{length}")) == 1));
 }
+
+/// Sizes of answers in bytes that do not count towards the memory of their service.
+const SMALL_ANSWERS: [usize; 2] = [9_000, 60_000];
+
+/// Guards against answers that wait for memory of their service, which is for larger ones.
+#[test]
+fn answer_up_to_64_kib_needs_no_memory_of_its_service() {
+    for framing in Framing::ALL {
+        for length in SMALL_ANSWERS {
+            let servers = serve(move |mut reader, mut stream| {
+                while let Some(head) = read_head(&mut reader) {
+                    let _ = read_body(&mut reader, &head);
+                    let body = format!(r#"{{"data":{{"toggle":"{}"}}}}"#, "x".repeat(length));
+                    let answer = match framing {
+                        Framing::Announced => {
+                            format!("content-length: {}\r\n\r\n{body}", body.len())
+                        }
+                        Framing::Chunked => format!(
+                            "transfer-encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n0\r\n\r\n",
+                            body.len()
+                        ),
+                    };
+                    let _ = stream.write_all(format!("HTTP/1.1 200 OK\r\n{answer}").as_bytes());
+                }
+            });
+            let settings = settings(&servers).replace(
+                "name = \"graphql\"\n",
+                "name = \"graphql\"\nlimits = { memory = \"1KiB\" }\n",
+            );
+            let node = TestNode::start_with_settings(&settings);
+            let response = exchange(node.address, &mutation("small", 200));
+            let status = response.map(|response| response.status);
+            assert_eq!(status, Some(200), "{framing:?}, {length} bytes");
+        }
+    }
+}
