Answers: a short one of unknown length is timed as a whole

A fault of: an answer of unknown length whose time was up was streamed from its first byte on.

Change: only one of which more than 8 KiB are there is streamed. The rule of when a request can be sent again stands once.

--- a/crates/balancer/src/engine/request.rs
+++ b/crates/balancer/src/engine/request.rs
@@ -127,7 +127,12 @@
     /// Until when another attempt may be sent without a second effect, as servers remember an idempotency key only for
     /// its window.
     pub(super) fn send_by(&self) -> Time {
-        match (self.idempotency, self.first_execution) {
+        self.send_by_after(self.first_execution)
+    }
+
+    /// Until when another attempt may be sent if the first one that may have run was sent at this time.
+    fn send_by_after(&self, first_execution: Option<Time>) -> Time {
+        match (self.idempotency, first_execution) {
             (_, None) | (Idempotency::Idempotent, _) => self.deadline,
             (Idempotency::AtMostOnce, Some(_)) => f64::NEG_INFINITY,
             (Idempotency::Keyed { window, .. }, Some(first)) => {
@@ -148,19 +153,11 @@
 
     /// Whether another attempt could be sent if the one in flight ended now without an answer and may have run.
     pub(super) fn could_send_again(&self, now: Time, max_attempts: u32) -> bool {
-        let latest = match self.idempotency {
-            Idempotency::Idempotent => self.deadline,
-            Idempotency::AtMostOnce => f64::NEG_INFINITY,
-            Idempotency::Keyed { window, .. } => {
-                let sent_at = self.in_flight.as_ref().map(|attempt| attempt.sent_at);
-                let first = self.first_execution.or(sent_at).unwrap_or(now);
-                self.deadline.min(first + window - MAX_TRANSIT_TIME)
-            }
-        };
+        let sent_at = self.in_flight.as_ref().map(|attempt| attempt.sent_at);
         self.needs_answer()
             && !self.is_body_consumed
             && self.attempts < max_attempts
-            && now < latest
+            && now < self.send_by_after(self.first_execution.or(sent_at))
     }
 
     /// Assigns a number to an attempt and returns it.
--- a/crates/node/src/net/upstream/buffering.rs
+++ b/crates/node/src/net/upstream/buffering.rs
@@ -145,13 +145,13 @@
         self.is_large() && !self.exchange.attempt.must_buffer_whole() && !self.buffer.is_empty()
     }
 
-    /// Whether an answer of unknown length whose time is up is streamed: its first bytes are in time, its server writes on, and
-    /// no other attempt can be made.
+    /// Whether an answer of unknown length whose time is up is streamed: it is long, its first bytes are in time, its server
+    /// writes on, and no other attempt can be made. A short one is timed as a whole.
     fn is_slow_but_wanted(&self) -> bool {
         let attempt = self.exchange.attempt;
         self.body.size_hint().exact().is_none()
             && !attempt.must_buffer_whole()
-            && !self.buffer.is_empty()
+            && self.buffer.len() > UNRESERVED_RESPONSE_BYTES
             && self.progressed_at.elapsed() < MAX_PROGRESS_PAUSE
             && !attempt.context.could_send_again(attempt.request)
     }
--- a/crates/testbed/tests/streams.rs
+++ b/crates/testbed/tests/streams.rs
@@ -299,6 +299,32 @@
     });
 }
 
+/// Guards against a short answer that reaches its client long after the client's time, since its first bytes came in time: the
+/// pages time answers up to 64 KiB as a whole.
+#[test]
+fn short_response_of_unknown_length_is_timed_as_a_whole() {
+    const PARTS: usize = 20;
+    let server = serve(|mut stream, _| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while !read_head(&mut reader).is_empty() {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+            for _ in 0..PARTS {
+                if stream.write_all(b"5\r\nshort\r\n").is_err() {
+                    return;
+                }
+                std::thread::sleep(TRICKLE_INTERVAL);
+            }
+            let _ = stream.write_all(b"0\r\n\r\n");
+        }
+    });
+    let (_discovery, node) = start_node(server);
+    let mut stream = connect(node.address);
+    let request = write_request("short", "content-length: 1", "x").replace("6.0", "0.6");
+    stream.write_all(request.as_bytes()).unwrap();
+    let head = read_head(&mut BufReader::new(stream));
+    assert!(head.starts_with("HTTP/1.1 504"), "{head}");
+}
+
 /// Answers each request on a connection with 300,000 bytes of an incomplete body, and closes the connection.
 fn serve_truncated_responses(mut stream: TcpStream, framing: &str) {
     let chunk_size_line = if framing.starts_with("transfer-encoding") {
