--- a/crates/testbed/src/scripted/configuration.rs
+++ b/crates/testbed/src/scripted/configuration.rs
@@ -5,22 +5,27 @@
 
 /// The memory of a node unless a test limits it, in MiB.
 const DEFAULT_MEMORY_MIB: usize = 64;
+/// How long a node waits for a connection to a server unless a test says otherwise.
+const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The resources that the platform allows a node.
+/// What the platform sets for a node, besides its addresses.
 #[derive(Clone, Copy, Debug)]
-pub struct NodeLimits {
+pub struct NodeSettings {
     /// Maximum number of sockets that the node may open.
     pub max_sockets: usize,
     /// The memory above which the platform kills the node, in MiB.
     pub memory_mib: usize,
+    /// How long the node waits for a connection to a server.
+    pub connect_timeout: Duration,
 }
 
-impl NodeLimits {
-    /// Limits that are not reached by a few clients, with this number of sockets.
-    pub fn with_sockets(max_sockets: usize) -> NodeLimits {
-        NodeLimits {
+impl NodeSettings {
+    /// Settings with this number of sockets, and limits that a few clients don't reach.
+    pub fn with_sockets(max_sockets: usize) -> NodeSettings {
+        NodeSettings {
             max_sockets,
             memory_mib: DEFAULT_MEMORY_MIB,
+            connect_timeout: DEFAULT_CONNECT_TIMEOUT,
         }
     }
 }
@@ -32,8 +37,8 @@
     pub listen: SocketAddr,
     /// Address of the discovery service.
     pub discovery: SocketAddr,
-    /// The resources of the node.
-    pub limits: NodeLimits,
+    /// What the platform sets for the node.
+    pub settings: NodeSettings,
     /// Latency objective of all classes.
     pub latency_objective: Duration,
     /// Deadline of all classes.
@@ -56,18 +61,20 @@
         let PlatformConfiguration {
             listen,
             discovery,
-            limits:
-                NodeLimits {
-                    max_sockets,
-                    memory_mib,
-                },
+            settings,
             ..
         } = self;
+        let NodeSettings {
+            max_sockets,
+            memory_mib,
+            connect_timeout,
+        } = settings;
+        let connect_timeout = connect_timeout.as_secs_f64();
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1f",
         "limits":{{"cores":1.0,"memory_mb":{memory_mib},"sockets":{max_sockets}}},"known":null,
         "settings":{{"categories":[{},{}],"discovery":"push","kinds":["k"],"failure-domains":["a"],
-        "limits":{{"max-attempts":4,"conn-idle":5.0,"connect-timeout":2.0,"retry-after":true,
+        "limits":{{"max-attempts":4,"conn-idle":5.0,"connect-timeout":{connect_timeout:?},"retry-after":true,
         "max-retry-after":0.3}},"rules":{{"answer-slack":0.05,"drain-grace":{drain_grace:?}}}}}}}"#,
             class("read", "idempotent"),
             class("write", "at_most_once"),
--- a/crates/testbed/src/scripted/discovery.rs
+++ b/crates/testbed/src/scripted/discovery.rs
@@ -87,6 +87,19 @@
         Discovery { address, shared }
     }
 
+    /// Starts a service that lists these servers as active, with the names `s-0`, `s-1` and so on.
+    pub fn listing(servers: &[SocketAddr]) -> Discovery {
+        let names: Vec<String> = (0..servers.len()).map(|n| format!("s-{n}")).collect();
+        let listed: Vec<ListedServer> = names
+            .iter()
+            .zip(servers)
+            .map(|(name, server)| ListedServer::new(name, *server, "active"))
+            .collect();
+        let discovery = Discovery::start();
+        discovery.send_snapshot(1, &listed);
+        discovery
+    }
+
     /// Sends a complete list to all watches.
     pub fn send_snapshot(&self, index: u64, servers: &[ListedServer<'_>]) {
         self.send_line(&endpoint_list(index, true, servers));
--- a/crates/testbed/src/scripted/mod.rs
+++ b/crates/testbed/src/scripted/mod.rs
@@ -25,7 +25,7 @@
 pub use client::{
     call_management, connect, exchange, get, read_request, read_response, write_request, Response,
 };
-pub use configuration::{NodeLimits, PlatformConfiguration};
+pub use configuration::{NodeSettings, PlatformConfiguration};
 pub use discovery::{endpoint_list, Discovery, ListedServer};
 pub use message::{Header, Message};
 pub use node::Node;
--- a/crates/testbed/src/scripted/node.rs
+++ b/crates/testbed/src/scripted/node.rs
@@ -1,7 +1,7 @@
 //! The program under test as a process, with a configuration in the platform's format.
 
 use super::client::{read_response, try_connect};
-use super::{Message, NodeLimits, PlatformConfiguration, WAIT_TIMEOUT};
+use super::{Message, NodeSettings, PlatformConfiguration, WAIT_TIMEOUT};
 use crate::node::{Folder, Program};
 use crate::ports::Port;
 use std::io::{BufReader, Write};
@@ -24,7 +24,7 @@
     pub management: SocketAddr,
     child: Child,
     config_path: PathBuf,
-    limits: NodeLimits,
+    settings: NodeSettings,
     /// `TMPDIR` of the process, shared by the processes of an upgrade.
     folder: Arc<Folder>,
     discovery: SocketAddr,
@@ -39,17 +39,23 @@
     /// # Panics
     /// Panics if the program can't be started, exits, or is not ready within [`WAIT_TIMEOUT`].
     pub fn start(program: &Program, discovery: SocketAddr, max_sockets: usize) -> Node {
-        Node::start_with_limits(program, discovery, NodeLimits::with_sockets(max_sockets))
+        Node::start_with(program, discovery, NodeSettings::with_sockets(max_sockets))
     }
 
-    /// Starts the program with these limits and waits until it is ready.
+    /// Starts the program with these settings and waits until it is ready.
     ///
     /// # Panics
     /// Panics if the program can't be started, exits, or is not ready within [`WAIT_TIMEOUT`].
-    pub fn start_with_limits(program: &Program, discovery: SocketAddr, limits: NodeLimits) -> Node {
+    pub fn start_with(program: &Program, discovery: SocketAddr, settings: NodeSettings) -> Node {
         let folder = Folder::new().expect("a temporary folder can be created");
         let port = Port::reserve().expect("a port is left");
-        let mut node = Node::spawn(program, Arc::new(port), discovery, limits, Arc::new(folder));
+        let mut node = Node::spawn(
+            program,
+            Arc::new(port),
+            discovery,
+            settings,
+            Arc::new(folder),
+        );
         let started = Instant::now();
         let address = node.address;
         while !is_healthy(address) || !node.is_ready() {
@@ -67,13 +73,13 @@
         program: &Program,
         port: Arc<Port>,
         discovery: SocketAddr,
-        limits: NodeLimits,
+        settings: NodeSettings,
         folder: Arc<Folder>,
     ) -> Node {
         let management_port = Port::reserve().expect("a port is left");
         let (address, management) = (port.address(), management_port.address());
         let config_path = folder.path().join(format!("{}.json", management.port()));
-        let configuration = configuration(address, discovery, limits);
+        let configuration = configuration(address, discovery, settings);
         std::fs::write(&config_path, configuration).expect("the configuration can be written");
         let mut command = program.command();
         command
@@ -87,7 +93,7 @@
             management,
             child,
             config_path,
-            limits,
+            settings,
             folder,
             discovery,
             port,
@@ -130,7 +136,7 @@
             program,
             self.port.clone(),
             self.discovery,
-            self.limits,
+            self.settings,
             self.folder.clone(),
         )
     }
@@ -165,7 +171,7 @@
     /// # Panics
     /// Panics if the file can't be written.
     pub fn set_discovery(&self, discovery: SocketAddr) {
-        self.write_configuration(&configuration(self.address, discovery, self.limits));
+        self.write_configuration(&configuration(self.address, discovery, self.settings));
     }
 
     /// Overwrites the configuration with invalid JSON.
@@ -214,11 +220,11 @@
 }
 
 /// Formats the configuration of a node with the defaults of these tests.
-fn configuration(listen: SocketAddr, discovery: SocketAddr, limits: NodeLimits) -> String {
+fn configuration(listen: SocketAddr, discovery: SocketAddr, settings: NodeSettings) -> String {
     let configuration = PlatformConfiguration {
         listen,
         discovery,
-        limits,
+        settings,
         latency_objective: LATENCY_OBJECTIVE,
         deadline: DEADLINE,
         drain_grace: Duration::ZERO,
--- a/crates/testbed/src/soak/process.rs
+++ b/crates/testbed/src/soak/process.rs
@@ -3,7 +3,7 @@
 use super::plan::{ConfigSource, NodeSignal};
 use crate::node::{wait_for_health, Folder, Program};
 use crate::ports::Port;
-use crate::scripted::{NodeLimits, PlatformConfiguration};
+use crate::scripted::{NodeSettings, PlatformConfiguration};
 use crate::Result;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -44,7 +44,7 @@
             ConfigSource::Platform => PlatformConfiguration {
                 listen,
                 discovery: self.discovery,
-                limits: NodeLimits::with_sockets(MAX_SOCKETS),
+                settings: NodeSettings::with_sockets(MAX_SOCKETS),
                 latency_objective: LATENCY_OBJECTIVE,
                 deadline: self.deadline,
                 drain_grace: DRAIN_GRACE,
--- a/crates/testbed/tests/floods/nodes.rs
+++ b/crates/testbed/tests/floods/nodes.rs
@@ -1,7 +1,7 @@
 //! Nodes of both kinds, with servers that answer at once.
 
 use reelfall_testbed::node::{self, anonymous_memory_kib};
-use reelfall_testbed::scripted::{self, Discovery, ListedServer, Program, Server};
+use reelfall_testbed::scripted::{self, Discovery, Program, Server};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
@@ -38,14 +38,8 @@
     /// A node of the platform.
     pub fn platform() -> TestNode {
         let servers = start_servers();
-        let names: Vec<String> = (0..SERVERS).map(|number| format!("s-{number}")).collect();
-        let listed: Vec<ListedServer> = names
-            .iter()
-            .zip(&servers)
-            .map(|(name, server)| ListedServer::new(name, server.address, "active"))
-            .collect();
-        let discovery = Discovery::start();
-        discovery.send_snapshot(1, &listed);
+        let addresses: Vec<SocketAddr> = servers.iter().map(|server| server.address).collect();
+        let discovery = Discovery::listing(&addresses);
         let node = scripted::Node::start(&program(), discovery.address, MAX_SOCKETS);
         TestNode {
             process: NodeProcess::Platform {
--- a/crates/testbed/tests/memory/nodes.rs
+++ b/crates/testbed/tests/memory/nodes.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::{self, Behavior, Progress};
 use reelfall_testbed::node::anonymous_memory_kib;
-use reelfall_testbed::scripted::{self, exchange, Discovery, ListedServer, NodeLimits, Program};
+use reelfall_testbed::scripted::{self, exchange, Discovery, ListedServer, NodeSettings, Program};
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
@@ -29,11 +29,11 @@
 pub fn start_platform(server: SocketAddr, memory_mib: usize) -> (Discovery, scripted::Node) {
     let discovery = Discovery::start();
     discovery.send_snapshot(1, &[ListedServer::new("s-1", server, "active")]);
-    let limits = NodeLimits {
-        max_sockets: MAX_SOCKETS,
+    let settings = NodeSettings {
         memory_mib,
+        ..NodeSettings::with_sockets(MAX_SOCKETS)
     };
-    let node = scripted::Node::start_with_limits(&program(), discovery.address, limits);
+    let node = scripted::Node::start_with(&program(), discovery.address, settings);
     (discovery, node)
 }
 
--- a/crates/testbed/tests/returns/main.rs
+++ b/crates/testbed/tests/returns/main.rs
@@ -11,7 +11,7 @@
 mod ids;
 mod servers;
 
-use reelfall_testbed::scripted::{Discovery, ListedServer, Node, Program};
+use reelfall_testbed::scripted::{Discovery, Node, Program};
 use std::net::SocketAddr;
 
 const MAX_SOCKETS: usize = 512;
@@ -22,16 +22,7 @@
 
 /// Starts a node of the platform with these servers.
 fn start_node(servers: &[SocketAddr]) -> (Discovery, Node) {
-    let names: Vec<String> = (0..servers.len())
-        .map(|number| format!("s-{number}"))
-        .collect();
-    let listed: Vec<ListedServer> = names
-        .iter()
-        .zip(servers)
-        .map(|(name, server)| ListedServer::new(name, *server, "active"))
-        .collect();
-    let discovery = Discovery::start();
-    discovery.send_snapshot(1, &listed);
+    let discovery = Discovery::listing(servers);
     let node = Node::start(&program(), discovery.address, MAX_SOCKETS);
     (discovery, node)
 }
--- a/crates/testbed/tests/uploads/nodes.rs
+++ b/crates/testbed/tests/uploads/nodes.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::head;
 use reelfall_testbed::node;
-use reelfall_testbed::scripted::{self, connect, Discovery, ListedServer, Program};
+use reelfall_testbed::scripted::{self, connect, Discovery, Program};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 
@@ -77,14 +77,7 @@
     }
 
     fn start_platform(servers: &[SocketAddr]) -> TestNode {
-        let names: Vec<String> = (0..servers.len()).map(|n| format!("s-{n}")).collect();
-        let listed: Vec<ListedServer> = names
-            .iter()
-            .zip(servers)
-            .map(|(name, server)| ListedServer::new(name, *server, "active"))
-            .collect();
-        let discovery = Discovery::start();
-        discovery.send_snapshot(1, &listed);
+        let discovery = Discovery::listing(servers);
         let node = scripted::Node::start(&program(), discovery.address, MAX_SOCKETS);
         TestNode {
             address: node.address,
