--- a/crates/testbed/src/scripted/configuration.rs
+++ b/crates/testbed/src/scripted/configuration.rs
@@ -8,6 +8,9 @@
 /// How long a node waits for a connection to a server unless a test says otherwise.
 const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long servers know a key, in seconds.
+const KEY_WINDOW_S: f64 = 5.0;
+
 /// What the platform sets for a node, besides its addresses.
 #[derive(Clone, Copy, Debug)]
 pub struct NodeSettings {
@@ -48,14 +51,15 @@
 }
 
 impl PlatformConfiguration {
-    /// Formats the configuration in the platform's format, with an idempotent class `read` and an at-most-once class `write`.
+    /// Formats the configuration in the platform's format, with an idempotent class `read`, an at-most-once class `write` and a
+    /// class `keyed`, of which servers know repeats by their key.
     pub fn to_json(&self) -> String {
         let promise = self.latency_objective.as_secs_f64();
         let deadline = self.deadline.as_secs_f64();
         let drain_grace = self.drain_grace.as_secs_f64();
         let class = |name: &str, idempotency: &str| {
             format!(
-                r#"{{"name":"{name}","promise":{promise:?},"deadline":{deadline:?},"worth":1.0,"late-value":0.5,"effect":"{idempotency}"}}"#
+                r#"{{"name":"{name}","promise":{promise:?},"deadline":{deadline:?},"worth":1.0,"late-value":0.5,"effect":"{idempotency}","key-scope":"all","dedup-window":{KEY_WINDOW_S:?}}}"#
             )
         };
         let PlatformConfiguration {
@@ -73,11 +77,12 @@
         format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1f",
         "limits":{{"cores":1.0,"memory_mb":{memory_mib},"sockets":{max_sockets}}},"known":null,
-        "settings":{{"categories":[{},{}],"discovery":"push","kinds":["k"],"failure-domains":["a"],
+        "settings":{{"categories":[{},{},{}],"discovery":"push","kinds":["k"],"failure-domains":["a"],
         "limits":{{"max-attempts":4,"conn-idle":5.0,"connect-timeout":{connect_timeout:?},"retry-after":true,
         "max-retry-after":0.3}},"rules":{{"answer-slack":0.05,"drain-grace":{drain_grace:?}}}}}}}"#,
             class("read", "idempotent"),
             class("write", "at_most_once"),
+            class("keyed", "deduplicated"),
         )
     }
 }
