Answers: one clock decides when an answer is passed on and when it ends

Class: several parts of the node ended an exchange, each by its own clock.

Change: net/answer_clock.rs alone decides. At the client's time an answer whose head has come is passed on unless its announced length is up to 64 KiB. One of unknown length is broken off after 2 s of silence, and if it turns out to be short and over 0.5 s late: its client can tell. Its start is held back for 1.5 s at most. A part of a body that has come keeps the node from another attempt. The start of an attempt's answer is timed by the attempt, the rest by the client's time.

Logs and counts for it: attempts that ended without an answer, further attempts, answers passed on unfinished or broken off, refusals and failures, each with the request's id; GET /-/metrics.

response.rs and buffering.rs do not import each other any more: memory and the release of connections are modules of their own.

--- a/crates/admin/src/request.rs
+++ b/crates/admin/src/request.rs
@@ -18,6 +18,8 @@
 pub enum ManagementRequest {
     /// Report whether the process can serve.
     Ready,
+    /// Report the counts of events of requests.
+    Metrics,
     /// Ban the server with this name at this node.
     Disable(String),
     /// Lift the ban of the server with this name at this node.
@@ -41,6 +43,7 @@
         let rest = path.strip_prefix(ROOT).ok_or(RequestError::UnknownPath)?;
         match rest {
             "ready" => return require_method(method, "GET").map(|()| Self::Ready),
+            "metrics" => return require_method(method, "GET").map(|()| Self::Metrics),
             "drain" => return require_method(method, "POST").map(|()| Self::Drain),
             "resume" => return require_method(method, "POST").map(|()| Self::Resume),
             _ => {}
@@ -77,6 +80,7 @@
     pub fn to_http(&self) -> HttpTarget {
         match self {
             Self::Ready => HttpTarget::get("/-/ready"),
+            Self::Metrics => HttpTarget::get("/-/metrics"),
             Self::Disable(name) => {
                 HttpTarget::post(format!("/-/servers/{}/disable", encode_name(name)))
             }
--- a/crates/balancer/src/engine/attempts.rs
+++ b/crates/balancer/src/engine/attempts.rs
@@ -99,6 +99,7 @@
         }
         let attempt = open.start_attempt(now, server);
         let deadline = open.attempt_deadline(now, timeout);
+        let client_deadline = open.deadline();
         let send_by = open.send_by().min(deadline);
         let is_uploading = open.is_uploading();
         commands.push(Command::Send {
@@ -107,6 +108,7 @@
             server,
             send_by,
             deadline,
+            client_deadline,
         });
         is_uploading.then_some(Event::Upload {
             request,
--- a/crates/balancer/src/engine/command.rs
+++ b/crates/balancer/src/engine/command.rs
@@ -29,8 +29,10 @@
         server: ServerId,
         /// The request must not be sent after this time.
         send_by: Time,
-        /// The attempt has to end by this time.
+        /// The server has to have begun its answer by this time.
         deadline: Time,
+        /// The final answer is due at this time, which is not before `deadline`.
+        client_deadline: Time,
     },
     /// Cancel an attempt. The host does not report its end.
     CancelAttempt {
--- a/crates/balancer/src/engine/request.rs
+++ b/crates/balancer/src/engine/request.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// When its final answer is due; while its body is uploaded, when the upload has to end.
+    pub(super) fn deadline(&self) -> Time {
+        self.deadline
+    }
+
     pub(super) fn needs_answer(&self) -> bool {
         self.reply.is_some()
     }
--- a/crates/balancer/tests/engine/rule_checker.rs
+++ b/crates/balancer/tests/engine/rule_checker.rs
@@ -64,7 +64,9 @@
                     server,
                     send_by,
                     deadline,
+                    client_deadline,
                 } => {
+                    assert!(deadline <= client_deadline, "due after its client's time");
                     let sent = SentAttempt {
                         attempt,
                         server,
--- a/crates/emulator/src/digest.rs
+++ b/crates/emulator/src/digest.rs
@@ -42,6 +42,7 @@
                 server,
                 send_by,
                 deadline,
+                ..
             } => {
                 let words = [(*request).into(), (*attempt).into(), (*server).into()];
                 self.words(command_code::SEND, words);
--- a/crates/node/src/net/answer.rs
+++ b/crates/node/src/net/answer.rs
@@ -1,25 +1,24 @@
 //! Answers of servers on their way to clients: buffered whole, or streamed while they still arrive.
 //!
-//! `upstream` makes an [`Answer`] of each server's answer, `frontend` a [`ResponseBody`] for its client.
+//! `upstream` makes an [`Answer`] of each server's answer, `frontend` a [`ResponseBody`] for its client. `streamed` passes on
+//! the rest of an answer that still arrives.
 
-use super::body::{byte_count, MAX_STREAMED_BYTES, STALL_TIMEOUT};
-use super::message::Message;
+mod streamed;
+
+pub use streamed::{AnswerBreak, StreamedAnswer};
+
+use super::body::byte_count;
 use super::shared::MemoryPermit;
-use super::stream_window::StreamWindow;
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::HeaderMap;
 use reelfall_balancer::engine::FinalAnswer;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::task::{ready, Context, Poll};
-use thiserror::Error;
-use tokio::time::{Instant, Sleep};
 
 /// The final answer to a request, of which there is exactly one.
 pub type Reply = FinalAnswer<Box<Answer>>;
@@ -72,115 +71,6 @@
     }
 }
 
-/// Why a streamed answer has ended early.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-enum StreamedAnswerError {
-    #[error("the answer exceeds the size limit")]
-    TooLarge,
-    #[error("the server stopped sending the answer")]
-    Stalled,
-}
-
-impl From<StreamedAnswerError> for io::Error {
-    fn from(error: StreamedAnswerError) -> Self {
-        io::Error::other(error)
-    }
-}
-
-/// The rest of an answer, which is forwarded to its client while it is received.
-///
-/// If it ends early, the client's connection is aborted, so that a truncated answer never looks complete.
-pub struct StreamedAnswer {
-    incoming: Incoming,
-    window: Arc<StreamWindow>,
-    bytes_forwarded: u64,
-    /// Runs while there is no data to forward.
-    stall_timer: Option<Pin<Box<Sleep>>>,
-    /// Returns the connection to its pool once the answer is complete; dropped before, it closes the connection.
-    on_complete: Option<Box<dyn FnOnce()>>,
-    is_open: Rc<Cell<bool>>,
-    /// Keeps the request's id claimed and its admission in use until the answer has ended.
-    _message: Rc<Message>,
-}
-
-impl StreamedAnswer {
-    /// The rest of an answer after `bytes_forwarded` bytes, of which at most `window_bytes` are on their way to the client;
-    /// `on_complete` is called at its regular end.
-    pub fn new(
-        incoming: Incoming,
-        bytes_forwarded: u64,
-        window_bytes: usize,
-        message: Rc<Message>,
-        on_complete: impl FnOnce() + 'static,
-    ) -> Self {
-        StreamedAnswer {
-            incoming,
-            window: StreamWindow::new(window_bytes),
-            bytes_forwarded,
-            stall_timer: None,
-            on_complete: Some(Box::new(on_complete)),
-            is_open: Rc::new(Cell::new(true)),
-            _message: message,
-        }
-    }
-
-    fn complete(&mut self) {
-        self.is_open.set(false);
-        if let Some(on_complete) = self.on_complete.take() {
-            on_complete();
-        }
-    }
-
-    fn poll(&mut self, cx: &mut Context) -> Poll<Option<Result<Bytes, io::Error>>> {
-        loop {
-            match Pin::new(&mut self.incoming).poll_frame(cx) {
-                Poll::Ready(Some(Ok(frame))) => {
-                    self.stall_timer = None;
-                    // The data is copied, since it is a slice of a read buffer, all of which it would keep in use.
-                    if let Ok(data) = frame.into_data() {
-                        return Poll::Ready(Some(self.forward(Bytes::copy_from_slice(&data))));
-                    }
-                }
-                Poll::Ready(Some(Err(error))) => {
-                    return Poll::Ready(Some(Err(io::Error::other(error))));
-                }
-                Poll::Ready(None) => {
-                    self.complete();
-                    return Poll::Ready(None);
-                }
-                Poll::Pending => {
-                    return self
-                        .poll_stall(cx)
-                        .map(|error| Some(Err(io::Error::from(error))));
-                }
-            }
-        }
-    }
-
-    fn forward(&mut self, data: Bytes) -> Result<Bytes, io::Error> {
-        self.bytes_forwarded += data.len() as u64;
-        if self.bytes_forwarded > MAX_STREAMED_BYTES {
-            return Err(StreamedAnswerError::TooLarge.into());
-        }
-        if self.incoming.is_end_stream() {
-            // The HTTP library does not poll for the end of an answer whose length it knows.
-            self.complete();
-        }
-        Ok(self.window.pass(data))
-    }
-
-    /// Ready once the answer has stalled.
-    fn poll_stall(&mut self, cx: &mut Context) -> Poll<StreamedAnswerError> {
-        let stall_timer = self.stall_timer.get_or_insert_with(|| {
-            Box::pin(tokio::time::sleep_until(Instant::now() + STALL_TIMEOUT))
-        });
-        stall_timer
-            .as_mut()
-            .poll(cx)
-            .map(|()| StreamedAnswerError::Stalled)
-    }
-}
-
 /// The body of an answer to a client.
 #[derive(Default)]
 pub struct ResponseBody {
@@ -205,7 +95,7 @@
         memory: Vec<MemoryPermit>,
     ) -> Self {
         let is_open = match &remainder {
-            Some(remainder) => Some(remainder.is_open.clone()),
+            Some(remainder) => Some(remainder.open_flag()),
             None => (buffered.len() > 1).then(|| Rc::new(Cell::new(true))),
         };
         ResponseBody {
@@ -266,9 +156,9 @@
         let Some(remainder) = remainder else {
             return Poll::Ready(self.next_buffered().map(|chunk| Ok(Frame::data(chunk))));
         };
-        ready!(remainder.window.poll_open(cx));
+        ready!(remainder.poll_window(cx));
         if let Some(chunk) = buffered.pop_front() {
-            return Poll::Ready(Some(Ok(Frame::data(remainder.window.pass(chunk)))));
+            return Poll::Ready(Some(Ok(Frame::data(remainder.pass(chunk)))));
         }
         // The buffered part was sent but for what the connection to the server has memory for.
         memory.release();
@@ -287,7 +177,7 @@
         let Some(remainder) = &self.remainder else {
             return SizeHint::with_exact(buffered);
         };
-        match remainder.incoming.size_hint().exact() {
+        match remainder.remaining_bytes() {
             Some(remaining) => SizeHint::with_exact(buffered + remaining),
             None => SizeHint::new(),
         }
--- /dev/null
+++ b/crates/node/src/net/answer_clock.rs
@@ -0,0 +1,148 @@
+//! When an answer has to be passed on, and when one that is passed on has to end.
+//!
+//! The first bytes of an answer of more than 64 KiB are timed; a shorter one is timed as a whole. Of many answers the length is
+//! known only at their end, and one that is written slowly can't be told from one that was given up by its server. An
+//! [`AnswerClock`] decides for an answer of which the head came in its client's time:
+//!
+//! | length | at the client's time | then |
+//! | --- | --- | --- |
+//! | announced, up to 64 KiB | it has failed | - |
+//! | more than 64 KiB, announced or received | it is passed on | it ends when its server is silent for [`STALL_TIMEOUT`] |
+//! | unknown | it is passed on | it is broken off if its server is silent for [`MAX_SILENCE`], and if it turns out to be short and late |
+//!
+//! `upstream::buffering` follows the clock until the answer is passed on, and [`StreamedAnswer`](super::answer::StreamedAnswer)
+//! from then on: no other part of the node ends an answer of which a server still writes more.
+
+#[cfg(test)]
+mod tests;
+
+use super::body::STALL_TIMEOUT;
+use super::MAX_UNSTREAMED_RESPONSE_BYTES;
+use std::time::{Duration, Instant};
+
+/// How long the start of an answer that is known to be long is held back. If its connection breaks meanwhile, another attempt can
+/// be made.
+const LONG_ANSWER_HOLD: Duration = Duration::from_millis(25);
+
+/// How long the start of an answer of unknown length is held back at most. Clients of long answers miss what is held back for 2 s.
+const MAX_HOLD: Duration = Duration::from_millis(1500);
+
+/// The longest silence of a server in an answer that is overdue unless it turns out to be long. From then on its client can't tell
+/// a silent server from a node that holds the rest back.
+const MAX_SILENCE: Duration = Duration::from_secs(2);
+
+/// A short answer that is complete later than this after its client's time is lost, as if it had never come.
+const MAX_LATENESS: Duration = Duration::from_millis(500);
+
+/// What is known of the length of an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerLength {
+    /// Up to [`MAX_UNSTREAMED_RESPONSE_BYTES`]: its last byte is timed.
+    Short,
+    /// More than that: its first bytes are timed.
+    Long,
+    /// Not announced, and not received so far.
+    Unknown,
+}
+
+/// Decides when an answer is passed on, and when it has to end.
+#[derive(Clone, Debug)]
+pub struct AnswerClock {
+    announced_bytes: Option<u64>,
+    received_bytes: u64,
+    head_at: Instant,
+    first_part_at: Option<Instant>,
+    /// Since when its server is silent, or its client does not read.
+    silent_since: Instant,
+    /// When its client's time is up; `None` while that is unknown, as the request is still being uploaded.
+    deadline: Option<Instant>,
+    /// How long its client has kept the node from reading on, in total.
+    client_wait: Duration,
+}
+
+impl AnswerClock {
+    /// The clock of an answer whose head was received now. `announced_bytes` is the length of its body, if the head states it.
+    pub fn new(now: Instant, announced_bytes: Option<u64>) -> Self {
+        AnswerClock {
+            announced_bytes,
+            received_bytes: 0,
+            head_at: now,
+            first_part_at: None,
+            silent_since: now,
+            deadline: None,
+            client_wait: Duration::ZERO,
+        }
+    }
+
+    /// Records that a part of the body was received.
+    pub fn record_part(&mut self, now: Instant, bytes: usize) {
+        self.received_bytes += bytes as u64;
+        self.first_part_at.get_or_insert(now);
+        self.silent_since = now;
+    }
+
+    /// Records that nothing was read for this long up to now, as the client had not taken what was read before.
+    pub fn record_client_wait(&mut self, now: Instant, waited: Duration) {
+        self.silent_since = now;
+        self.client_wait += waited;
+    }
+
+    /// Sets when the client's time is up; `None` if that is unknown.
+    pub fn set_deadline(&mut self, deadline: Option<Instant>) {
+        self.deadline = deadline;
+    }
+
+    /// How much of the body was received, in bytes.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+
+    /// How long its server has been silent.
+    pub fn silence(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.silent_since)
+    }
+
+    /// What is known of its length.
+    pub fn length(&self) -> AnswerLength {
+        let known_bytes = self.announced_bytes.unwrap_or(self.received_bytes);
+        if known_bytes > MAX_UNSTREAMED_RESPONSE_BYTES as u64 {
+            AnswerLength::Long
+        } else if self.announced_bytes.is_some() {
+            AnswerLength::Short
+        } else {
+            AnswerLength::Unknown
+        }
+    }
+
+    /// When its start has to be passed on though its client still has time; `None` while nothing has to be.
+    pub fn hold_until(&self) -> Option<Instant> {
+        let first_part_at = self.first_part_at?;
+        match self.length() {
+            AnswerLength::Short => None,
+            AnswerLength::Long => Some(self.head_at + LONG_ANSWER_HOLD),
+            AnswerLength::Unknown => Some(first_part_at + MAX_HOLD),
+        }
+    }
+
+    /// When an answer that is passed on is broken off, unless its server writes on.
+    pub fn ends_at(&self) -> Instant {
+        let stalled_at = self.silent_since + STALL_TIMEOUT;
+        let Some(deadline) = self.deadline else {
+            return stalled_at;
+        };
+        match self.length() {
+            AnswerLength::Short => deadline + MAX_LATENESS,
+            AnswerLength::Long => stalled_at.max(deadline),
+            AnswerLength::Unknown => (self.silent_since + MAX_SILENCE).max(deadline + MAX_LATENESS),
+        }
+    }
+
+    /// Whether an answer that is complete now is lost: it is short, and its client's time was up long before, though that has
+    /// not kept the node from reading on.
+    pub fn is_late(&self, now: Instant) -> bool {
+        let is_overdue = self
+            .deadline
+            .is_some_and(|deadline| now > deadline + MAX_LATENESS + self.client_wait);
+        is_overdue && self.length() != AnswerLength::Long
+    }
+}
--- /dev/null
+++ b/crates/node/src/net/answer_clock/tests.rs
@@ -0,0 +1,95 @@
+//! When answers are passed on and have to end, in virtual time.
+
+use super::{AnswerClock, AnswerLength, MAX_HOLD, MAX_LATENESS, MAX_SILENCE};
+use crate::net::body::STALL_TIMEOUT;
+use crate::net::MAX_UNSTREAMED_RESPONSE_BYTES;
+use std::time::{Duration, Instant};
+
+const CLIENT_TIME: Duration = Duration::from_millis(550);
+const SECOND: Duration = Duration::from_secs(1);
+
+/// An answer whose head came at its start, with the client's time from then on.
+fn clock(start: Instant, announced_bytes: Option<u64>) -> AnswerClock {
+    let mut clock = AnswerClock::new(start, announced_bytes);
+    clock.set_deadline(Some(start + CLIENT_TIME));
+    clock
+}
+
+#[test]
+fn length_is_known_by_the_head_or_by_what_was_received() {
+    let start = Instant::now();
+    let most = MAX_UNSTREAMED_RESPONSE_BYTES;
+    assert_eq!(
+        clock(start, Some(most as u64)).length(),
+        AnswerLength::Short
+    );
+    assert_eq!(
+        clock(start, Some(most as u64 + 1)).length(),
+        AnswerLength::Long
+    );
+    let mut unknown = clock(start, None);
+    unknown.record_part(start, most);
+    assert_eq!(unknown.length(), AnswerLength::Unknown);
+    unknown.record_part(start, 1);
+    assert_eq!(unknown.length(), AnswerLength::Long);
+}
+
+#[test]
+fn start_of_an_answer_is_held_back_for_less_than_its_client_allows() {
+    let start = Instant::now();
+    let mut unknown = clock(start, None);
+    assert_eq!(unknown.hold_until(), None, "nothing is held back");
+    unknown.record_part(start + SECOND, 1);
+    unknown.record_part(start + 2 * SECOND, 1);
+    assert_eq!(unknown.hold_until(), Some(start + SECOND + MAX_HOLD));
+    let mut short = clock(start, Some(2));
+    short.record_part(start, 1);
+    assert_eq!(short.hold_until(), None);
+}
+
+#[test]
+fn answer_of_unknown_length_ends_when_its_server_is_silent() {
+    let start = Instant::now();
+    let mut unknown = clock(start, None);
+    assert_eq!(unknown.ends_at(), start + MAX_SILENCE);
+    unknown.record_part(start + 3 * SECOND, 1);
+    assert_eq!(unknown.ends_at(), start + 3 * SECOND + MAX_SILENCE);
+    unknown.record_part(start + 4 * SECOND, MAX_UNSTREAMED_RESPONSE_BYTES);
+    assert_eq!(unknown.ends_at(), start + 4 * SECOND + STALL_TIMEOUT);
+}
+
+#[test]
+fn server_may_be_silent_while_its_client_has_time() {
+    let start = Instant::now();
+    let mut unknown = AnswerClock::new(start, None);
+    unknown.record_part(start, 1);
+    unknown.set_deadline(Some(start + 60 * SECOND));
+    assert_eq!(unknown.ends_at(), start + 60 * SECOND + MAX_LATENESS);
+    unknown.set_deadline(None);
+    assert_eq!(unknown.ends_at(), start + STALL_TIMEOUT);
+    let mut long = AnswerClock::new(start, Some(1 << 20));
+    long.set_deadline(Some(start + 60 * SECOND));
+    assert_eq!(long.ends_at(), start + 60 * SECOND);
+}
+
+#[test]
+fn short_answer_is_lost_half_a_second_after_its_time() {
+    let start = Instant::now();
+    let last_moment = start + CLIENT_TIME + MAX_LATENESS;
+    let unknown = clock(start, None);
+    assert!(!unknown.is_late(last_moment));
+    assert!(unknown.is_late(last_moment + Duration::from_millis(1)));
+    assert_eq!(clock(start, Some(2)).ends_at(), last_moment);
+    assert!(!clock(start, Some(1 << 20)).is_late(last_moment + SECOND));
+}
+
+#[test]
+fn slow_client_makes_no_answer_late_or_silent() {
+    let start = Instant::now();
+    let mut unknown = clock(start, None);
+    unknown.record_part(start, 1);
+    unknown.record_client_wait(start + 5 * SECOND, 5 * SECOND);
+    assert_eq!(unknown.ends_at(), start + 5 * SECOND + MAX_SILENCE);
+    assert!(!unknown.is_late(start + 6 * SECOND));
+    assert!(unknown.is_late(start + 7 * SECOND));
+}
--- a/crates/node/src/net/frontend/headers.rs
+++ b/crates/node/src/net/frontend/headers.rs
@@ -1,12 +1,12 @@
 //! The headers of requests that the node reads, sets or removes.
 
 use super::error::RequestError;
+pub(super) use crate::net::message::CORRELATION_ID;
 use crate::net::upstream::TIME_LEFT;
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use reelfall_balancer::interface::Time;
 use reelfall_balancer::settings::stable_hash;
 
-pub(super) const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 pub(super) const SERVICE_CLASS: HeaderName = HeaderName::from_static("x-service-class");
 pub(super) const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 pub(super) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
--- a/crates/node/src/net/frontend/pending.rs
+++ b/crates/node/src/net/frontend/pending.rs
@@ -1,7 +1,10 @@
 //! Requests whose answer is awaited.
 
 use super::Frontend;
+use crate::net::answer::Reply;
 use crate::net::pool::Pool;
+use crate::net::request_events::RequestEvent;
+use hyper::header::HeaderValue;
 use reelfall_balancer::interface::RequestId;
 use std::future::Future;
 use std::rc::Rc;
@@ -31,6 +34,24 @@
         }
     }
 
+    /// Records a final answer that is no server's; `None` stands for one that the engine has not given in time.
+    pub(in crate::net) fn record_final_answer(
+        &self,
+        correlation_id: Option<&HeaderValue>,
+        reply: Option<&Reply>,
+    ) {
+        let event = match reply {
+            Some(Reply::Served(_)) => return,
+            Some(Reply::Rejected { .. }) => RequestEvent::Refused,
+            Some(Reply::Failed(outcome)) => RequestEvent::Failed(*outcome),
+            None => RequestEvent::Unanswered,
+        };
+        let id = correlation_id.and_then(|id| id.to_str().ok());
+        self.shared
+            .request_events
+            .record(id.unwrap_or_default(), &event);
+    }
+
     /// Whether the process exits so soon that nothing more is sent to servers.
     pub(in crate::net) fn is_exit_imminent(&self) -> bool {
         self.is_exit_imminent.get()
--- a/crates/node/src/net/frontend/request.rs
+++ b/crates/node/src/net/frontend/request.rs
@@ -13,7 +13,7 @@
 use crate::net::answer::ResponseBody;
 use crate::net::body::StreamedBody;
 use crate::net::client::{Client, Phase};
-use crate::net::message::Waiter;
+use crate::net::message::{Waiter, CORRELATION_ID};
 use crate::net::pool::Pool;
 use crate::net::service::{Routing, Service};
 use hyper::body::Incoming;
@@ -155,6 +155,7 @@
         body: RequestBody,
         client: &Rc<Client>,
     ) -> Result<Response<ResponseBody>, RequestError> {
+        let correlation_id = head.headers.get(CORRELATION_ID).cloned();
         let TranslatedRequest { message, arrival } =
             self.translate(admitted, head, body, client.clone())?;
         if client.has_disconnected() {
@@ -169,9 +170,13 @@
         match self.wait_for_answer(pool, deadline, answer).await {
             Some(Ok(reply)) => {
                 cancel_on_drop.disarm();
+                self.record_final_answer(correlation_id.as_ref(), Some(&reply));
                 Ok(respond(reply))
             }
-            _ => Ok(timed_out()),
+            _ => {
+                self.record_final_answer(correlation_id.as_ref(), None);
+                Ok(timed_out())
+            }
         }
     }
 }
--- a/crates/node/src/net/graphql/operation.rs
+++ b/crates/node/src/net/graphql/operation.rs
@@ -4,7 +4,7 @@
 use crate::net::body::Payload;
 use crate::net::frontend::{repeatability, strip_hop_by_hop, CancelOnDrop, Frontend, RequestError};
 use crate::net::graphql_operations::{GraphQl, OperationHead, PreparedOperation};
-use crate::net::message::{AnswerValidator, Arrival, Message};
+use crate::net::message::{AnswerValidator, Arrival, Message, CORRELATION_ID};
 use crate::net::pool::Pool;
 use crate::net::shared::{MemoryPermit, Permit};
 use hyper::header::{self, HeaderMap, HeaderValue};
@@ -106,6 +106,7 @@
             ..self.arrival(pool, &headers, deadline)
         };
         set_server_headers(&mut headers, &prepared.method);
+        let correlation_id = headers.get(CORRELATION_ID).cloned();
         let validator = OperationAnswerValidator {
             operation: prepared.operation,
         };
@@ -129,9 +130,13 @@
         match self.wait_for_answer(pool, deadline, answer).await {
             Some(Ok(reply)) => {
                 cancel_on_drop.disarm();
+                self.record_final_answer(correlation_id.as_ref(), Some(&reply));
                 Ok(reply)
             }
-            _ => Ok(Reply::Failed(Some(Outcome::TimedOut))),
+            _ => {
+                self.record_final_answer(correlation_id.as_ref(), None);
+                Ok(Reply::Failed(Some(Outcome::TimedOut)))
+            }
         }
     }
 }
--- a/crates/node/src/net/management.rs
+++ b/crates/node/src/net/management.rs
@@ -171,6 +171,9 @@
             ManagementRequest::Ready => {
                 ManagementResponse::new(StatusCode::SERVICE_UNAVAILABLE, "not ready yet\n")
             }
+            ManagementRequest::Metrics => {
+                ManagementResponse::ok(self.shared.request_events.to_text())
+            }
             ManagementRequest::Fleet(request) => match &self.fleet {
                 Some(handler) => handler(request),
                 None => ManagementResponse::new(
--- a/crates/node/src/net/message.rs
+++ b/crates/node/src/net/message.rs
@@ -34,6 +34,11 @@
 }
 
 impl Message {
+    /// Its correlation id, for the log.
+    pub fn id(&self) -> &str {
+        request_id(&self.headers)
+    }
+
     /// The length of the names and values of its headers, in bytes.
     pub fn head_bytes(&self) -> usize {
         let length = |(name, value): (&HeaderName, &HeaderValue)| name.as_str().len() + value.len();
@@ -41,6 +46,15 @@
     }
 }
 
+/// Identifies a request, the same in every attempt.
+pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
+
+/// The correlation id in these headers, for the log; empty if there is none that can be printed.
+pub fn request_id(headers: &HeaderMap) -> &str {
+    let id = headers.get(CORRELATION_ID);
+    id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+}
+
 /// A client that waits for an answer.
 pub trait Waiter {
     /// Whether it has disconnected, in which case no new attempt is sent.
--- a/crates/node/src/net/mod.rs
+++ b/crates/node/src/net/mod.rs
@@ -3,6 +3,7 @@
 //! The code here translates between sockets and the decision module of each pool, which makes every decision.
 
 pub mod answer;
+mod answer_clock;
 pub mod body;
 mod chunked_buffer;
 mod client;
@@ -16,6 +17,7 @@
 pub mod message;
 pub mod pool;
 pub mod registry;
+mod request_events;
 pub mod request_filter;
 pub mod service;
 pub mod shared;
@@ -135,16 +137,31 @@
 }
 
 /// A rate-limited log on standard error, so that a burst of faults does not flood it.
-#[derive(Default)]
 pub struct Log {
+    max_lines_per_window: u32,
     window_start: Cell<Option<Instant>>,
     lines_in_window: Cell<u32>,
 }
 
+impl Default for Log {
+    fn default() -> Self {
+        Log::with_limit(Log::LINES_PER_SECOND)
+    }
+}
+
 impl Log {
-    const LINES_PER_WINDOW: u32 = 5;
+    const LINES_PER_SECOND: u32 = 5;
     const WINDOW: Duration = Duration::from_secs(1);
 
+    /// A log that drops what is more than this many lines a second.
+    pub fn with_limit(lines_per_second: u32) -> Self {
+        Log {
+            max_lines_per_window: lines_per_second,
+            window_start: Cell::default(),
+            lines_in_window: Cell::default(),
+        }
+    }
+
     /// Number of lines written in the current window.
     #[cfg(test)]
     pub fn lines_in_window(&self) -> u32 {
@@ -162,7 +179,7 @@
             self.window_start.set(Some(now));
             self.lines_in_window.set(0);
         }
-        if self.lines_in_window.get() < Self::LINES_PER_WINDOW {
+        if self.lines_in_window.get() < self.max_lines_per_window {
             self.lines_in_window.set(self.lines_in_window.get() + 1);
             eprintln!("reelfall: {line}");
         }
--- a/crates/node/src/net/pool/commands.rs
+++ b/crates/node/src/net/pool/commands.rs
@@ -3,6 +3,7 @@
 use super::Pool;
 use crate::net::answer::{Answer, Reply};
 use crate::net::message::Message;
+use crate::net::request_events::RequestEvent;
 use crate::net::upstream::{self, AttemptDeadlines, ConnectionPool};
 use reelfall_balancer::engine::{self, Command, Engine};
 use reelfall_balancer::interface::{Outcome, RequestId, ServerId, Time};
@@ -45,6 +46,7 @@
     server: ServerId,
     send_by: Time,
     deadline: Time,
+    client_deadline: Time,
 }
 
 impl Pool {
@@ -74,12 +76,14 @@
                 server,
                 send_by,
                 deadline,
+                client_deadline,
             } => self.start_attempt(&AttemptCommand {
                 request,
                 attempt,
                 server,
                 send_by,
                 deadline,
+                client_deadline,
             }),
             Command::CancelAttempt { request, .. } => self.cancel_attempt(request),
             // The client may have just disconnected; the answer is dropped then.
@@ -93,14 +97,21 @@
 
     fn start_attempt(self: &Rc<Self>, command: &AttemptCommand) {
         let mut engine = self.engine.borrow_mut();
+        let server = engine.address(command.server).copied();
         let Some(pending) = engine.payload(command.request) else {
             return;
         };
         let (pool, message) = (self.clone(), pending.message.clone());
+        if command.attempt > 0 {
+            let attempt = command.attempt;
+            let event = RequestEvent::Retried { attempt, server };
+            self.shared.request_events.record(message.id(), &event);
+        }
         let clock = &self.shared.clock;
         let times = AttemptDeadlines {
             send_by: clock.instant(command.send_by),
             answer_by: clock.instant(command.deadline),
+            client_deadline: clock.instant(command.client_deadline),
         };
         let attempt = upstream::run_attempt(
             pool,
--- a/crates/node/src/net/shared.rs
+++ b/crates/node/src/net/shared.rs
@@ -33,6 +33,7 @@
 pub use service_limits::Permit;
 
 use super::memory::{MemoryAccount, MemoryPlan};
+use super::request_events::RequestEvents;
 use super::{Log, ResourceLimits};
 use connections::ConnectionCounts;
 use memory::BufferLimits;
@@ -83,6 +84,8 @@
 pub struct Shared {
     /// The rate-limited log.
     pub log: Log,
+    /// What happens to requests that are not simply answered.
+    pub request_events: Rc<RequestEvents>,
     /// The time of engines and limits.
     pub clock: Clock,
     request_ids: RequestIds,
@@ -147,6 +150,7 @@
     ) -> Self {
         Shared {
             log: Log::default(),
+            request_events: Rc::default(),
             clock: Clock::start(),
             request_ids: RequestIds::default(),
             connections: ConnectionCounts::new(max_connections),
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -10,19 +10,23 @@
 //! | `exchange` | sending that request and waiting for the head of the answer |
 //! | `answer_timer` | when the answer is due |
 //! | `response` | judging the head of the answer |
-//! | `buffering` | reading its body, which is buffered whole or streamed |
+//! | `buffering` | reading its body, which is buffered whole or passed on in part, as the answer's clock decides |
+//! | `answer_memory` | how much of it may be buffered, and the memory for that |
+//! | `release` | returning a connection to the pool after its answer |
 //! | `acquire` | a connection for an attempt: an idle one or a new one |
 //! | `connection_pool` | the idle connections of all servers |
 //! | `connection` | one connection |
 //! | `socket` | its socket, which counts the bytes that were written |
 
 mod acquire;
+mod answer_memory;
 mod answer_timer;
 mod attempt;
 mod buffering;
 mod connection;
 mod connection_pool;
 mod exchange;
+mod release;
 mod response;
 mod socket;
 
--- a/crates/node/src/net/upstream/answer_timer.rs
+++ b/crates/node/src/net/upstream/answer_timer.rs
@@ -11,6 +11,8 @@
 pub(super) struct AnswerTimer<'a, C> {
     attempt: &'a Attempt<C>,
     answer_by: Instant,
+    /// When the client's time is up; for an upload that has not ended, when that has to end at the latest.
+    client_deadline: Instant,
     /// The clock of the upload; `None` for a buffered body, and once the upload has ended.
     upload: Option<UploadClock>,
 }
@@ -25,6 +27,7 @@
         AnswerTimer {
             attempt,
             answer_by: attempt.deadlines.answer_by,
+            client_deadline: attempt.deadlines.client_deadline,
             upload,
         }
     }
@@ -43,6 +46,21 @@
         }
     }
 
+    /// When the client's time is up; `None` while that is unknown, as the upload has not ended.
+    pub(super) fn client_deadline(&self) -> Option<Instant> {
+        self.upload.is_none().then_some(self.client_deadline)
+    }
+
+    /// Whether the client's time is up when this expires, so that no other attempt can be made.
+    pub(super) fn is_final(&self) -> bool {
+        self.upload.is_some() || self.answer_by >= self.client_deadline
+    }
+
+    /// Lets the attempt go on until the client's time is up, as its server has begun the answer.
+    pub(super) fn extend(&mut self) {
+        self.answer_by = self.client_deadline;
+    }
+
     /// Waits until the answer is due.
     pub(super) async fn expire(&mut self) {
         if self.is_upload_overdue().await {
@@ -112,7 +130,10 @@
         }
         let attempt = self.attempt;
         let answer_by = attempt.context.finish_upload(attempt.request, last_byte_at);
-        self.answer_by = answer_by.unwrap_or(self.answer_by);
+        if let Some(answer_by) = answer_by {
+            self.answer_by = answer_by;
+            self.client_deadline = answer_by;
+        }
     }
 
     /// Whether the upload has not ended and its server has stopped reading it.
--- a/crates/node/src/net/upstream/attempt.rs
+++ b/crates/node/src/net/upstream/attempt.rs
@@ -7,23 +7,23 @@
 use crate::net::answer::Answer;
 use crate::net::body::PayloadBody;
 use crate::net::message::Message;
+use crate::net::request_events::RequestEvent;
 use hyper::header::HeaderValue;
 use hyper::{Request, Uri};
 use reelfall_balancer::interface::{Outcome, RequestId, ServerId};
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// How long a connection may stay occupied after its attempt has ended, to read the rest of the answer.
-pub(super) const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+use std::time::Instant;
 
 /// The deadlines of an attempt.
 #[derive(Clone, Copy)]
 pub struct AttemptDeadlines {
     /// The request is not sent after this time, since the server might no longer recognize it as a retry.
     pub send_by: Instant,
-    /// When the attempt times out.
+    /// When the attempt times out, unless its server has begun its answer.
     pub answer_by: Instant,
+    /// When the client's time is up, which is not before `answer_by`.
+    pub client_deadline: Instant,
 }
 
 /// One attempt of a request at a server.
@@ -36,6 +36,7 @@
     pub(super) deadlines: AttemptDeadlines,
     /// Whether a part of the request may have been sent.
     pub(super) is_sent: Cell<bool>,
+    pub(super) started_at: Instant,
 }
 
 impl<C: AttemptContext> Attempt<C> {
@@ -58,10 +59,22 @@
         if outcome.never_ran() {
             self.record_never_ran();
         }
+        self.record(&RequestEvent::AttemptEnded {
+            attempt: self.number,
+            server: self.context.address(self.server),
+            outcome,
+            after: self.started_at.elapsed(),
+        });
         self.context
             .end_attempt(self.request, self.number, outcome, None);
     }
 
+    /// Records an event of its request.
+    pub(super) fn record(&self, event: &RequestEvent) {
+        let shared = &self.context.connections().shared;
+        shared.request_events.record(self.message.id(), event);
+    }
+
     /// Reports an answer.
     pub(super) fn end_with_answer(&self, answer: Answer) {
         let (request, number) = (self.request, self.number);
--- a/crates/node/src/net/upstream/buffering.rs
+++ b/crates/node/src/net/upstream/buffering.rs
@@ -1,32 +1,28 @@
-//! Buffers an answer, which is forwarded whole, or streamed while more of it is received. `response` passes on answers whose
+//! Buffers an answer, which is passed on whole, or in part while more of it is received. `response` hands over answers whose
 //! head was accepted.
 //!
 //! The states of an answer: buffering while chunks of its body are collected; then complete, streaming, broken or timed
-//! out, each of which ends the attempt.
+//! out, each of which ends the attempt. When it is streamed or has timed out is decided by its [`AnswerClock`].
 
 use super::answer_timer::AnswerTimer;
 use super::attempt::Attempt;
 use super::connection::Connection;
-use super::response::release;
+use super::release::release;
 use super::AttemptContext;
 use crate::net::answer::{Answer, StreamedAnswer};
+use crate::net::answer_clock::{AnswerClock, AnswerLength};
 use crate::net::chunked_buffer::ChunkedBuffer;
 use crate::net::memory::stream_window_bytes;
+use crate::net::request_events::RequestEvent;
 use crate::net::shared::{BufferLayout, MemoryPermit};
-use crate::net::{MAX_UNSTREAMED_RESPONSE_BYTES, UNRESERVED_RESPONSE_BYTES};
+use crate::net::UNRESERVED_RESPONSE_BYTES;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Bytes, Frame, Incoming};
 use hyper::http::response::Parts;
 use reelfall_balancer::interface::Outcome;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::time::sleep_until;
 
-/// How long a large answer is buffered before it is streamed.
-const MAX_BUFFERING_TIME: Duration = Duration::from_millis(25);
-
-/// A server that has written nothing of an answer for this long has stopped writing it.
-const MAX_PROGRESS_PAUSE: Duration = Duration::from_millis(500);
-
 /// An attempt whose answer is being received on its connection.
 pub(super) struct OpenExchange<'a, C> {
     pub(super) attempt: &'a Attempt<C>,
@@ -47,6 +43,15 @@
     TimedOut,
 }
 
+/// What the wait for the next frame of a body has ended with.
+enum FrameWait {
+    Received(Option<hyper::Result<Frame<Bytes>>>),
+    /// The time of the attempt is up.
+    Overdue,
+    /// The start of the answer has been held back for long enough.
+    Held,
+}
+
 /// An answer whose body is being buffered.
 pub(super) struct BufferingResponse<'a, C> {
     exchange: OpenExchange<'a, C>,
@@ -58,10 +63,7 @@
     head: Parts,
     /// The length that the head states, in bytes; 0 if it states none.
     announced_bytes: usize,
-    /// A large answer that is not complete by then is streamed.
-    stream_after: Instant,
-    /// When a part of the body was received last; when the head was, before that.
-    progressed_at: Instant,
+    clock: AnswerClock,
 }
 
 impl<'a, C: AttemptContext> BufferingResponse<'a, C> {
@@ -72,7 +74,8 @@
         body: Incoming,
         memory: Option<MemoryPermit>,
     ) -> Self {
-        let announced_bytes = body.size_hint().exact().map_or(0, |length| length as usize);
+        let announced_length = body.size_hint().exact();
+        let announced_bytes = announced_length.map_or(0, |length| length as usize);
         let max_buffered_bytes = exchange.attempt.max_buffered_bytes();
         let reserved_bytes = match memory {
             Some(_) => announced_bytes.min(max_buffered_bytes),
@@ -92,8 +95,7 @@
             announced_bytes,
             body,
             head,
-            stream_after: Instant::now() + MAX_BUFFERING_TIME,
-            progressed_at: Instant::now(),
+            clock: AnswerClock::new(Instant::now(), announced_length),
         }
     }
 
@@ -111,49 +113,73 @@
     }
 
     async fn read_frame(&mut self) -> Progress {
-        let can_stream = self.can_stream();
-        let received = tokio::select! {
-            biased;
-            frame = self.body.frame() => Some(frame),
-            () = self.exchange.timer.expire() => None,
-            () = sleep_until(self.stream_after.into()), if can_stream => None,
-        };
+        let received = self.wait_for_frame().await;
         self.exchange.timer.record_progress(Instant::now());
+        self.clock
+            .set_deadline(self.exchange.timer.client_deadline());
         match received {
-            Some(Some(Ok(frame))) => {
+            FrameWait::Received(Some(Ok(frame))) => {
                 let data = frame.data_ref().map_or(&[][..], |data| data);
                 self.buffer.push(data);
-                self.progressed_at = Instant::now();
+                self.clock.record_part(Instant::now(), data.len());
                 self.check_size().await
             }
-            Some(Some(Err(_))) => Progress::Broken,
-            Some(None) if self.is_valid() => Progress::Complete,
+            FrameWait::Received(Some(Err(_))) => Progress::Broken,
+            FrameWait::Received(None) if self.is_valid() => Progress::Complete,
             // What followed an invalid answer on the connection is unknown, so the connection is closed.
-            Some(None) => Progress::Broken,
-            None if can_stream || self.is_slow_but_wanted() => Progress::Streaming,
-            None => Progress::TimedOut,
+            FrameWait::Received(None) => Progress::Broken,
+            FrameWait::Held => Progress::Streaming,
+            FrameWait::Overdue => self.judge_overdue(),
         }
     }
 
-    /// Whether the answer is so large that it is streamed unless it is complete soon.
-    fn is_large(&self) -> bool {
-        self.announced_bytes > MAX_UNSTREAMED_RESPONSE_BYTES
-            || self.buffer.len() > MAX_UNSTREAMED_RESPONSE_BYTES
+    async fn wait_for_frame(&mut self) -> FrameWait {
+        let hold_until = self
+            .clock
+            .hold_until()
+            .filter(|_| !self.exchange.attempt.must_buffer_whole());
+        let held = async {
+            match hold_until {
+                Some(hold_until) => sleep_until(hold_until.into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            biased;
+            frame = self.body.frame() => FrameWait::Received(frame),
+            () = self.exchange.timer.expire() => FrameWait::Overdue,
+            () = held => FrameWait::Held,
+        }
     }
 
-    fn can_stream(&self) -> bool {
-        self.is_large() && !self.exchange.attempt.must_buffer_whole() && !self.buffer.is_empty()
+    /// Decides what becomes of an answer that is not complete when the time of its attempt is up. One that may be long is passed
+    /// on when its client's time is up, and is given up before only for another attempt, if nothing of it has come.
+    fn judge_overdue(&mut self) -> Progress {
+        let attempt = self.exchange.attempt;
+        if attempt.must_buffer_whole() || self.clock.length() == AnswerLength::Short {
+            return Progress::TimedOut;
+        }
+        if self.exchange.timer.is_final() {
+            let client_deadline = self.exchange.timer.client_deadline();
+            self.clock
+                .set_deadline(client_deadline.or_else(|| Some(Instant::now())));
+            self.record_passed_on();
+            return Progress::Streaming;
+        }
+        if self.buffer.is_empty() && attempt.context.could_send_again(attempt.request) {
+            return Progress::TimedOut;
+        }
+        self.exchange.timer.extend();
+        Progress::Buffering
     }
 
-    /// Whether an answer of unknown length whose time is up is streamed: it is long, its first bytes are in time, its server
-    /// writes on, and no other attempt can be made. A short one is timed as a whole.
-    fn is_slow_but_wanted(&self) -> bool {
+    fn record_passed_on(&self) {
         let attempt = self.exchange.attempt;
-        self.body.size_hint().exact().is_none()
-            && !attempt.must_buffer_whole()
-            && self.buffer.len() > UNRESERVED_RESPONSE_BYTES
-            && self.progressed_at.elapsed() < MAX_PROGRESS_PAUSE
-            && !attempt.context.could_send_again(attempt.request)
+        attempt.record(&RequestEvent::PassedOnUnfinished {
+            server: attempt.context.address(attempt.server),
+            received_bytes: self.clock.received_bytes(),
+            silence: self.clock.silence(Instant::now()),
+        });
     }
 
     fn is_valid(&self) -> bool {
@@ -166,9 +192,6 @@
     /// Decides after each frame whether to continue buffering.
     async fn check_size(&mut self) -> Progress {
         let fits = self.buffer.len() <= self.reserved_bytes || self.reserve_more().await;
-        if fits && !self.is_large() {
-            return Progress::Buffering;
-        }
         if self.exchange.attempt.must_buffer_whole() {
             return if fits {
                 Progress::Buffering
@@ -176,7 +199,11 @@
                 Progress::Broken
             };
         }
-        if !self.buffer.is_empty() && (!fits || self.stream_after <= Instant::now()) {
+        let is_held_long_enough = self
+            .clock
+            .hold_until()
+            .is_some_and(|hold_until| hold_until <= Instant::now());
+        if !self.buffer.is_empty() && (!fits || is_held_long_enough) {
             return Progress::Streaming;
         }
         Progress::Buffering
@@ -222,7 +249,8 @@
     fn start_streaming(self) {
         let attempt = self.exchange.attempt;
         let (context, connection) = (attempt.context.clone(), self.exchange.connection);
-        let window_bytes = stream_window_bytes(context.connections().shared.read_bytes());
+        let shared = context.connections().shared.clone();
+        let window_bytes = stream_window_bytes(shared.read_bytes());
         let start_bytes = self.buffer.len();
         // The connection to the server has memory for as much as the window.
         let memory = if start_bytes <= window_bytes {
@@ -234,9 +262,10 @@
         let return_connection = move || release(&context, &message, connection);
         let remainder = StreamedAnswer::new(
             self.body,
-            start_bytes as u64,
+            self.clock,
             window_bytes,
             attempt.message.clone(),
+            shared.request_events.clone(),
             return_connection,
         );
         let answer = Answer {
--- a/crates/node/src/net/upstream/exchange.rs
+++ b/crates/node/src/net/upstream/exchange.rs
@@ -1,8 +1,9 @@
 //! Runs an attempt: one exchange on a connection, and another exchange if that connection turns out to be closed.
 
 use super::answer_timer::AnswerTimer;
-use super::attempt::{Attempt, AttemptDeadlines, DRAIN_TIMEOUT};
+use super::attempt::{Attempt, AttemptDeadlines};
 use super::connection::Connection;
+use super::release::DRAIN_TIMEOUT;
 use super::response::read_response;
 use super::AttemptContext;
 use crate::net::body::{byte_count, Payload, PayloadBody};
@@ -52,6 +53,7 @@
         server,
         deadlines,
         is_sent: Cell::new(false),
+        started_at: Instant::now(),
     };
     while let ExchangeResult::ConnectionWasStale = attempt.exchange().await {}
 }
