--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -188,6 +188,14 @@
         }
     }
 
+    /// Whether its answer is passed on while more of it may arrive.
+    pub fn is_answer_unfinished(&self) -> bool {
+        let is_open = self.answer_open_flag.borrow();
+        self.phase.get() == Phase::Answering
+            && self.is_streaming.get()
+            && is_open.as_ref().is_some_and(|is_open| is_open.get())
+    }
+
     /// Enters a phase now.
     pub fn set_phase(&self, phase: Phase) {
         self.leave_eviction_order();
--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -8,7 +8,9 @@
 
 /// How long connections are still accepted after SIGTERM: clients may connect for 0.4 s after it.
 const ACCEPT_GRACE: Duration = Duration::from_millis(500);
-/// SIGKILL follows this long after the longest deadline at the earliest.
+/// The most of the longest deadline that counts for the time until SIGKILL.
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// SIGKILL follows this long after the longest deadline that counts at the earliest.
 const KILL_AFTER_LONGEST_DEADLINE: Duration = Duration::from_millis(700);
 /// The process ends this long before SIGKILL.
 const EXIT_BEFORE_KILL: Duration = Duration::from_millis(100);
@@ -16,6 +18,8 @@
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 /// How often a node that is being drained closes idle connections.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(100);
+/// How long the process goes on after its time for answers that are passed on unfinished, if it is not killed.
+const MAX_STREAMING_TIME: Duration = Duration::from_secs(60);
 /// Time reserved at the end for clients that no successor takes over.
 const FINAL_DRAIN_TIME: Duration = Duration::from_millis(400);
 
@@ -54,15 +58,16 @@
 
 impl Frontend {
     /// Serves clients until `stop`, and then during the shutdown, which ends when all clients have disconnected or time
-    /// is up. A request that was received late in the shutdown may have a deadline after the end of the process; it is
-    /// answered as timed out before the end.
+    /// is up. A request may have a deadline after the end of the process; it is answered as timed out before the end. Answers
+    /// that are passed on unfinished are not cut off: the process goes on for them until it is killed.
     pub async fn serve(self: &Rc<Self>, stop: impl Future<Output = ()>) {
         stop.await;
         let begins_at = Instant::now();
         let longest_deadline = self.routing.borrow().longest_deadline();
+        let counted_deadline = longest_deadline.min(MAX_COUNTED_DEADLINE);
         let shutdown = Shutdown {
             begins_at,
-            ends_at: begins_at + longest_deadline + KILL_AFTER_LONGEST_DEADLINE - EXIT_BEFORE_KILL,
+            ends_at: begins_at + counted_deadline + KILL_AFTER_LONGEST_DEADLINE - EXIT_BEFORE_KILL,
         };
         let last_answers_at = shutdown.ends_at - LAST_ANSWERS_TIME;
         let handover = self.handover.borrow().clone();
@@ -83,15 +88,21 @@
             if now >= last_answers_at && !self.is_exit_imminent.replace(true) {
                 self.exit_imminent.notify_waiters();
             }
-            let wake_at = if now < last_answers_at {
+            let is_last_step = step.until == shutdown.ends_at;
+            let streaming_until = shutdown.ends_at + MAX_STREAMING_TIME;
+            let is_time_up = now >= shutdown.ends_at;
+            if is_time_up && (!self.is_streaming() || now >= streaming_until)
+                || is_last_step && self.clients.borrow().is_empty()
+            {
+                return;
+            }
+            let wake_at = if is_time_up {
+                streaming_until
+            } else if now < last_answers_at {
                 step.until.min(last_answers_at)
             } else {
                 step.until
             };
-            let is_last_step = step.until == shutdown.ends_at;
-            if now >= shutdown.ends_at || (is_last_step && self.clients.borrow().is_empty()) {
-                return;
-            }
             tokio::select! {
                 () = tokio::time::sleep_until(wake_at.into()) => {}
                 () = self.client_ended.notified() => {}
@@ -100,6 +111,12 @@
         }
     }
 
+    /// Whether an answer is passed on to a client while its server still writes it.
+    fn is_streaming(&self) -> bool {
+        let clients = self.clients.borrow();
+        clients.values().any(|client| client.is_answer_unfinished())
+    }
+
     /// Stops accepting, and closes every connection as soon as no request is in progress on it.
     fn drain_clients(
         self: &Rc<Self>,
