Attempts: one whose long answer has begun is not given up for another

A fault that the new soak of answers found: safe and keyed requests got 503 long before their time, though their server had begun a long answer. Whether there is one is the decision module's to say, which may have no budget for it: then the request was refused.

Change: an answer that is long or may be so, and has begun, is waited for until its client's time. could_send_again is gone.

--- a/crates/balancer/src/engine.rs
+++ b/crates/balancer/src/engine.rs
@@ -157,13 +157,6 @@
             .is_some_and(Request::has_attempt_in_flight)
     }
 
-    /// Whether a request could be sent again if its attempt in flight ended now without an answer and may have run.
-    pub fn could_send_again(&self, now: Time, request: RequestId) -> bool {
-        self.requests
-            .get(&request)
-            .is_some_and(|request| request.could_send_again(now, self.max_attempts))
-    }
-
     /// Accepts a request and returns its identifier. Unless it is abandoned, exactly one [`Command::Answer`] follows,
     /// at once or later.
     pub fn submit(
--- a/crates/balancer/src/engine/request.rs
+++ b/crates/balancer/src/engine/request.rs
@@ -132,12 +132,7 @@
     /// Until when another attempt may be sent without a second effect, as servers remember an idempotency key only for
     /// its window.
     pub(super) fn send_by(&self) -> Time {
-        self.send_by_after(self.first_execution)
-    }
-
-    /// Until when another attempt may be sent if the first one that may have run was sent at this time.
-    fn send_by_after(&self, first_execution: Option<Time>) -> Time {
-        match (self.idempotency, first_execution) {
+        match (self.idempotency, self.first_execution) {
             (_, None) | (Idempotency::Idempotent, _) => self.deadline,
             (Idempotency::AtMostOnce, Some(_)) => f64::NEG_INFINITY,
             (Idempotency::Keyed { window, .. }, Some(first)) => {
@@ -156,15 +151,6 @@
             && now < self.send_by()
     }
 
-    /// Whether another attempt could be sent if the one in flight ended now without an answer and may have run.
-    pub(super) fn could_send_again(&self, now: Time, max_attempts: u32) -> bool {
-        let sent_at = self.in_flight.as_ref().map(|attempt| attempt.sent_at);
-        self.needs_answer()
-            && !self.is_body_consumed
-            && self.attempts < max_attempts
-            && now < self.send_by_after(self.first_execution.or(sent_at))
-    }
-
     /// Assigns a number to an attempt and returns it.
     pub(super) fn count_attempt(&mut self) -> u32 {
         let number = self.attempts;
--- a/crates/node/src/net/pool/commands.rs
+++ b/crates/node/src/net/pool/commands.rs
@@ -165,11 +165,6 @@
                 .is_some_and(|pending| !pending.message.waiter.has_disconnected())
     }
 
-    fn could_send_again(&self, request: RequestId) -> bool {
-        let now = self.shared.clock.now();
-        self.engine.borrow().could_send_again(now, request)
-    }
-
     fn has_attempt_in_flight(&self, request: RequestId) -> bool {
         self.engine.borrow().has_attempt_in_flight(request)
     }
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -51,8 +51,6 @@
     fn address(&self, server: ServerId) -> Option<SocketAddr>;
     /// Whether a client still waits for the answer to a request.
     fn is_answer_wanted(&self, request: RequestId) -> bool;
-    /// Whether a request could be sent again if its attempt ended now without an answer.
-    fn could_send_again(&self, request: RequestId) -> bool;
     /// Whether another attempt of this request may be in flight.
     fn has_attempt_in_flight(&self, request: RequestId) -> bool;
     /// Reports that part of a streamed request body was consumed, so that no retry can send it.
--- a/crates/node/src/net/upstream/buffering.rs
+++ b/crates/node/src/net/upstream/buffering.rs
@@ -152,8 +152,8 @@
         }
     }
 
-    /// Decides what becomes of an answer that is not complete when the time of its attempt is up. One that may be long is passed
-    /// on when its client's time is up, and is given up before only for another attempt, if nothing of it has come.
+    /// Decides what becomes of an answer that is not complete when the time of its attempt is up. One that may be long is not
+    /// given up for another attempt, and is passed on when its client's time is up.
     fn judge_overdue(&mut self) -> Progress {
         let attempt = self.exchange.attempt;
         if attempt.must_buffer_whole() || self.clock.length() == AnswerLength::Short {
@@ -166,9 +166,6 @@
             self.record_passed_on();
             return Progress::Streaming;
         }
-        if self.buffer.is_empty() && attempt.context.could_send_again(attempt.request) {
-            return Progress::TimedOut;
-        }
         self.exchange.timer.extend();
         Progress::Buffering
     }
