Soak: runs with servers that write answers slowly, stop or break off

The servers and clients of the tests of answers are a module of the test bed; the soak's classes are named alike on both kinds of node.

--- a/crates/testbed/src/commands/soak.rs
+++ b/crates/testbed/src/commands/soak.rs
@@ -1,6 +1,8 @@
 //! The command `soak`: randomized runs, each checked by what clients and servers observed.
 
 use reelfall_testbed::node::Program;
+use reelfall_testbed::soak::answers;
+use reelfall_testbed::soak::answers_plan::{AnswersPlan, NodeEvent};
 use reelfall_testbed::soak::checker::CheckResult;
 use reelfall_testbed::soak::endings;
 use reelfall_testbed::soak::fleet_run::{self, FleetPlan};
@@ -55,6 +57,8 @@
     Fleet,
     /// A node whose processes take over from each other
     Upgrade,
+    /// A node whose servers write answers slowly, stop or break off
+    Answers,
 }
 
 impl Kind {
@@ -63,6 +67,7 @@
             Kind::Endings => "endings",
             Kind::Fleet => "fleet",
             Kind::Upgrade => "upgrade",
+            Kind::Answers => "answers",
         }
     }
 }
@@ -102,6 +107,20 @@
                 history: format!("{plan:?}\n{}", outcome.history.to_text()),
             })
         }
+        Kind::Answers => {
+            let plan = AnswersPlan::from_seed(seed);
+            let outcome = answers::run(program, &plan, meter).await?;
+            let signals = match &plan.event {
+                NodeEvent::Signals(signals) => signals.len(),
+                _ => 0,
+            };
+            Ok(CompletedRun {
+                seed,
+                check_result: outcome.check_result,
+                signals,
+                history: format!("{:?}\n{}\n{}", plan.event, outcome.history, outcome.log),
+            })
+        }
         Kind::Upgrade => {
             let plan = UpgradePlan::from_seed(seed);
             let outcome = upgrades::run(program, &plan, meter).await?;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -17,6 +17,7 @@
 //! | [`demo`] | a node with its stand-ins, for manual use |
 //! | [`measure`] | CPU time, latency and memory of a node |
 //! | [`scripted`] | peers with blocking sockets, for tests that control every byte |
+//! | [`slow_answers`] | servers that write answers slowly, and clients that record when each part comes |
 //! | [`soak`] | long randomized runs, each checked against the records of clients and servers |
 //! | [`ports`] | port reservations on the loopback address |
 
@@ -37,6 +38,7 @@
 pub mod relay;
 pub mod scenario;
 pub mod scripted;
+pub mod slow_answers;
 pub mod soak;
 mod task;
 
--- a/crates/testbed/src/soak/checker.rs
+++ b/crates/testbed/src/soak/checker.rs
@@ -45,6 +45,10 @@
     ServersAnswer,
     /// No request is answered as invalid: the clients send valid ones only.
     ValidRequest,
+    /// A long answer that its server writes is passed on to its end.
+    NotCutOff,
+    /// Nothing of a long answer is held back for 2 s.
+    NotHeldBack,
     /// No request of an at-most-once class is executed twice.
     NoSecondEffect,
     /// No at-most-once request that was refused is executed.
--- a/crates/testbed/src/soak/client.rs
+++ b/crates/testbed/src/soak/client.rs
@@ -1,7 +1,7 @@
 //! Clients of the runs `endings` and `upgrade`. They use each open connection until it ends.
 
 use super::exchange::{Connection, ReadResponse, RequestText};
-use super::plan::{ClientKind, ConfigSource};
+use super::plan::ClientKind;
 use super::record::{Record, RequestEnd, RequestRecord};
 use crate::SeededRng;
 use std::net::SocketAddr;
@@ -48,8 +48,6 @@
 pub struct ClientContext {
     /// The address that they connect to.
     pub address: SocketAddr,
-    /// How the node is configured.
-    pub config_source: ConfigSource,
     /// The deadline of their requests.
     pub deadline: Duration,
     /// Where they record their requests.
@@ -180,7 +178,6 @@
         let at_most_once =
             body_length.is_some() || self.random.next_fraction() < AT_MOST_ONCE_RATIO;
         RequestText::new(
-            self.context.config_source,
             id,
             at_most_once,
             body_length.unwrap_or(0),
--- a/crates/testbed/src/soak/endings.rs
+++ b/crates/testbed/src/soak/endings.rs
@@ -81,7 +81,6 @@
         .map_or(workspace.address(), |link| link.address);
     let context = Arc::new(ClientContext {
         address: client_address,
-        config_source: plan.config_source,
         deadline: plan.deadline,
         record: record.clone(),
         phase,
--- a/crates/testbed/src/soak/exchange.rs
+++ b/crates/testbed/src/soak/exchange.rs
@@ -1,6 +1,5 @@
 //! Requests and responses on one connection, byte by byte. Used by `client`.
 
-use super::plan::ConfigSource;
 use std::io;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -19,27 +18,25 @@
 }
 
 impl RequestText {
-    /// Builds a request with the host of the route in the settings file and the class name of this kind of configuration.
+    /// Builds a request with the host of the route in the settings file and the name of its class.
     pub(super) fn new(
-        config_source: ConfigSource,
         id: String,
         at_most_once: bool,
         body_length: usize,
         deadline: Duration,
     ) -> RequestText {
-        let (method, host) = if at_most_once {
-            ("POST", "toggle.example.org")
+        let (method, class) = if at_most_once {
+            ("POST", "write")
         } else {
-            ("GET", "evaluate.example.org")
+            ("GET", "read")
         };
-        let class = class_name(config_source, at_most_once);
         let framing = if at_most_once {
             format!("content-length: {body_length}\r\n")
         } else {
             String::new()
         };
         let head = format!(
-            "{method} /api/flags HTTP/1.1\r\nhost: {host}\r\nx-correlation-id: {id}\r\nx-service-class: {class}\r\n\
+            "{method} /api/flags HTTP/1.1\r\nhost: {class}.example.org\r\nx-correlation-id: {id}\r\nx-service-class: {class}\r\n\
              x-time-left: {:.3}\r\n{framing}\r\n",
             deadline.as_secs_f64()
         );
@@ -53,16 +50,6 @@
     }
 }
 
-/// The name of the request's class in this kind of configuration.
-fn class_name(config_source: ConfigSource, at_most_once: bool) -> &'static str {
-    match (config_source, at_most_once) {
-        (ConfigSource::Platform, false) => "read",
-        (ConfigSource::Platform, true) => "write",
-        (ConfigSource::SettingsFile, false) => "evaluate",
-        (ConfigSource::SettingsFile, true) => "toggle",
-    }
-}
-
 /// The result of reading a response.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum ReadResponse {
--- a/crates/testbed/src/soak/mod.rs
+++ b/crates/testbed/src/soak/mod.rs
@@ -9,6 +9,9 @@
 //! | `ejections` | checks of the ejections in a fleet run |
 //! | [`upgrade_plan`] | the plan of a run of kind `upgrade`, generated from a seed |
 //! | [`upgrades`] | execution of such a plan |
+//! | [`answers_plan`] | the plan of a run of kind `answers` (slow, stopping and broken answers), generated from a seed |
+//! | [`answers`] | execution of such a plan |
+//! | [`answers_check`] | the checks of such a run |
 //! | [`process`] | the process of the node |
 //! | [`client`] | the clients, which use each connection until it ends |
 //! | `exchange` | requests and responses on one connection |
@@ -18,6 +21,9 @@
 //! | [`injected_violation`] | rule violations that tests inject to show that the checker finds them |
 //! | [`report`] | output lines and tables |
 
+pub mod answers;
+pub mod answers_check;
+pub mod answers_plan;
 pub mod checker;
 pub mod client;
 mod ejections;
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -191,7 +191,7 @@
 }
 
 /// Returns a random series of one or more SIGTERM and, with `may_reload`, some SIGHUP, in random order.
-fn random_signals(random: &mut SeededRng, may_reload: bool) -> Vec<TimedSignal> {
+pub(super) fn random_signals(random: &mut SeededRng, may_reload: bool) -> Vec<TimedSignal> {
     let terminations = 1 + random.next_u64() % MAX_TERMINATIONS;
     let reloads = if may_reload {
         random.next_u64() % (MAX_HANGUPS + 1)
--- a/crates/testbed/src/soak/process.rs
+++ b/crates/testbed/src/soak/process.rs
@@ -57,7 +57,7 @@
     fn settings_file(&self, listen: SocketAddr) -> String {
         let process = format!("[process]\ndescriptors = {MAX_SOCKETS}\n\n");
         let listener = format!("[[listener]]\nname = \"client\"\naddress = \"{listen}\"\n\n");
-        let services = [("evaluate", "safe"), ("toggle", "unsafe")];
+        let services = [("read", "safe"), ("write", "unsafe")];
         let services: String = services
             .iter()
             .map(|(name, repeat)| self.service_section(name, repeat))
--- a/crates/testbed/src/soak/upgrades.rs
+++ b/crates/testbed/src/soak/upgrades.rs
@@ -95,7 +95,6 @@
     let (phase_sender, phase) = watch::channel(LoadPhase::Connecting);
     let context = Arc::new(ClientContext {
         address: workspace.address(),
-        config_source: ConfigSource::Platform,
         deadline: plan.deadline,
         record: record.clone(),
         phase,
--- a/crates/testbed/tests/answers/endings.rs
+++ b/crates/testbed/tests/answers/endings.rs
@@ -1,9 +1,9 @@
 //! Nodes that end, drain, are upgraded, or get another list of servers while a server writes a long answer.
 
-use crate::clients::{Class, End, Reception, Request, TIME_LEFT};
 use crate::nodes::{program, NodeKind, NodeProcess, TestNode};
-use crate::servers::{Ending, Framing, Script, Servers};
+use crate::{Request, TIME_LEFT};
 use reelfall_testbed::scripted::{call_management, ListedServer};
+use reelfall_testbed::slow_answers::{Class, End, Ending, Framing, Reception, Script, Servers};
 use std::time::{Duration, Instant};
 
 /// The most of the longest deadline that counts for the time until SIGKILL.
--- a/crates/testbed/tests/answers/nodes.rs
+++ b/crates/testbed/tests/answers/nodes.rs
@@ -1,8 +1,8 @@
 //! The nodes of these tests.
 
-use crate::servers::Servers;
 use reelfall_testbed::node;
 use reelfall_testbed::scripted::{self, Discovery, Program};
+use reelfall_testbed::slow_answers::Servers;
 use std::net::SocketAddr;
 
 const MAX_SOCKETS: usize = 512;
--- a/crates/testbed/tests/answers/pauses.rs
+++ b/crates/testbed/tests/answers/pauses.rs
@@ -1,8 +1,8 @@
 //! Long answers whose servers pause while they write them.
 
-use crate::clients::{send, Class, End, Reception, Request};
 use crate::nodes::{NodeKind, TestNode};
-use crate::servers::{Ending, Framing, Script, Servers};
+use crate::{send, Request};
+use reelfall_testbed::slow_answers::{Class, End, Ending, Framing, Reception, Script, Servers};
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/testbed/tests/answers/unfinished.rs
+++ b/crates/testbed/tests/answers/unfinished.rs
@@ -1,8 +1,10 @@
 //! Answers that stop, break or come too late.
 
-use crate::clients::{send, Class, End, Reception, MAX_LATENESS, TIME_LEFT};
 use crate::nodes::{NodeKind, TestNode};
-use crate::servers::{Ending, Framing, Script, Servers};
+use crate::{send, TIME_LEFT};
+use reelfall_testbed::slow_answers::{
+    Class, End, Ending, Framing, Reception, Script, Servers, MAX_LATENESS,
+};
 use std::time::Duration;
 
 /// A server that writes nothing more of an answer for this long has stopped: by then its client can't tell from what it gets
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -1,6 +1,8 @@
 //! Soak runs with fixed seeds, and runs with an injected violation, which the checker has to find.
 
 use reelfall_testbed::node::Program;
+use reelfall_testbed::soak::answers;
+use reelfall_testbed::soak::answers_plan::AnswersPlan;
 use reelfall_testbed::soak::checker::{CheckResult, Rule};
 use reelfall_testbed::soak::endings::{self, EndingsOutcome};
 use reelfall_testbed::soak::fleet_run::{self, FleetPlan};
@@ -24,6 +26,8 @@
 const STALLED_FLEET_SEED: u64 = 212;
 /// Runs of kind `upgrade`, with successors that are killed.
 const UPGRADE_SEEDS: [u64; 2] = [4, 5];
+/// Runs of kind `answers`: signals in series with both sources of the configuration, a crowd, draining servers, an upgrade and a drain.
+const ANSWERS_SEEDS: [u64; 6] = [0, 2, 11, 13, 32, 35];
 /// An injected violation must be found within this number of runs.
 const MAX_RUNS_TO_FIND: u64 = 10;
 
@@ -104,6 +108,18 @@
     }
 }
 
+/// Guards against answers that are cut off, held back, or end so that their clients can't tell.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn generated_slow_answers_violate_no_rule() {
+    let meter = meter();
+    for seed in ANSWERS_SEEDS {
+        let plan = AnswersPlan::from_seed(seed);
+        let outcome = answers::run(&program(), &plan, &meter).await.unwrap();
+        let history = format!("{}\n{}", outcome.history, outcome.log);
+        assert_not_red(seed, &outcome.check_result, &history);
+    }
+}
+
 /// Asserts that one of the first runs with an injected violation has a finding about the rule.
 async fn assert_found(violation: InjectedViolation, rule: Rule) {
     let meter = meter();
