Uploads: the time of a chunked body begins with its last byte

Cause: nothing tells how much of a chunked body is to come. The clock began anew with every 4 MiB that the server took, at the moment at which it noticed, though the client may have written its last byte up to 4 MiB before.

Change: the clock keeps how much of the body had arrived at which time, in some 130 samples at most, and begins at the latest of them after which more has come than a client's buffer holds: before it the client can't have been done. It is looked at ten times a second.

time_of_a_chunked_body_begins_anew_... stated the fault as the rule: at 2 s, when 4 MiB and a byte had been taken, it wanted the time to begin at 2 s, though all but the first byte may have been written at once. Two tests with the exact moments take its place.

--- a/crates/node/src/net/upload_clock.rs
+++ b/crates/node/src/net/upload_clock.rs
@@ -5,7 +5,8 @@
 //! system. An [`UploadClock`] derives the earliest moment at which the last byte can have been written:
 //!
 //! - not before the node has last waited for the client, having read all that had arrived;
-//! - not while more of the body is to come than the buffers hold.
+//! - not while more of the body is to come than the buffers hold;
+//! - not at a time after which more of a body of unknown length has come than the client's buffer holds.
 //!
 //! `upstream::answer_timer` reports the progress of an upload to its clock, and ends the attempt when it is due.
 
@@ -14,6 +15,7 @@
 
 use super::body::STALL_TIMEOUT;
 use super::message::ClientInput;
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 /// The most data that a client's system holds for a connection, in bytes: the largest send buffer of Linux by default
@@ -23,7 +25,10 @@
 /// (`net.ipv4.tcp_rmem`).
 const MAX_RECEIVE_BUFFER_BYTES: u64 = 6 << 20;
 
-/// How often an upload is looked at of which the buffers may soon hold the rest.
+/// How much of a body of unknown length comes between two samples of its arrival, in bytes.
+const SAMPLE_BYTES: u64 = MAX_CLIENT_BUFFER_BYTES / 64;
+
+/// How often an upload is looked at of which the buffers may soon hold the rest, or whose length is unknown.
 const UNCERTAIN_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The progress of an upload at one moment.
@@ -48,8 +53,49 @@
     can_have_ended: bool,
     /// The progress at the last update.
     progress: UploadProgress,
-    /// For a body of unknown length: the bytes that had been forwarded when `earliest_end` was last moved for them.
-    bytes_at_earliest_end: u64,
+    /// For a body of unknown length.
+    arrival: ArrivalHistory,
+}
+
+/// How much of a body had arrived at which time, for as long as its client can have written the last byte since.
+#[derive(Debug, Default)]
+struct ArrivalHistory {
+    samples: VecDeque<ArrivalSample>,
+}
+
+/// How much of a body had arrived at a time, in bytes.
+#[derive(Clone, Copy, Debug)]
+struct ArrivalSample {
+    at: Instant,
+    at_least: u64,
+    at_most: u64,
+}
+
+impl ArrivalHistory {
+    /// Records how much has arrived by now, and returns the latest time at which the client can't have written the last byte,
+    /// since more has arrived after it than the client's buffer holds.
+    fn record(&mut self, sample: ArrivalSample) -> Option<Instant> {
+        let mut excluded = None;
+        while let Some(first) = self.samples.front() {
+            if first.at_most + MAX_CLIENT_BUFFER_BYTES >= sample.at_least {
+                break;
+            }
+            excluded = Some(first.at);
+            self.samples.pop_front();
+        }
+        self.push(sample);
+        excluded
+    }
+
+    /// Adds a sample; it replaces the last one if that is not much older in bytes.
+    fn push(&mut self, sample: ArrivalSample) {
+        let before_last = self.samples.iter().rev().nth(1);
+        let base = before_last.map_or(0, |before_last| before_last.at_most);
+        if self.samples.len() > 1 && sample.at_most < base + SAMPLE_BYTES {
+            self.samples.pop_back();
+        }
+        self.samples.push_back(sample);
+    }
 }
 
 impl UploadClock {
@@ -65,7 +111,7 @@
                 progressed_at: now,
                 input: ClientInput::default(),
             },
-            bytes_at_earliest_end: 0,
+            arrival: ArrivalHistory::default(),
         }
     }
 
@@ -81,23 +127,25 @@
         if let Some(awaited_until) = progress.input.awaited_until {
             self.earliest_end = self.earliest_end.max(awaited_until);
         }
-        let fits_in_buffers = |bytes: u64| {
-            bytes <= MAX_CLIENT_BUFFER_BYTES
-                || bytes <= MAX_CLIENT_BUFFER_BYTES + MAX_RECEIVE_BUFFER_BYTES
-                    && unread_bytes().is_none_or(|unread| bytes <= MAX_CLIENT_BUFFER_BYTES + unread)
-        };
         match progress.bytes_remaining {
             Some(remaining) => {
-                self.can_have_ended = fits_in_buffers(remaining);
+                self.can_have_ended = remaining <= MAX_CLIENT_BUFFER_BYTES
+                    || remaining
+                        <= MAX_CLIENT_BUFFER_BYTES
+                            + unread_bytes().unwrap_or(MAX_RECEIVE_BUFFER_BYTES);
                 if !self.can_have_ended {
                     self.earliest_end = now;
                 }
             }
             None => {
-                let forwarded_since = progress.bytes_forwarded - self.bytes_at_earliest_end;
-                if !fits_in_buffers(forwarded_since) {
-                    self.earliest_end = now;
-                    self.bytes_at_earliest_end = progress.bytes_forwarded;
+                let (forwarded, unread) = (progress.bytes_forwarded, unread_bytes());
+                let excluded = self.arrival.record(ArrivalSample {
+                    at: now,
+                    at_least: forwarded + unread.unwrap_or(0),
+                    at_most: forwarded + unread.unwrap_or(MAX_RECEIVE_BUFFER_BYTES),
+                });
+                if let Some(excluded) = excluded {
+                    self.earliest_end = self.earliest_end.max(excluded);
                 }
             }
         }
@@ -121,7 +169,9 @@
         match self.deadline() {
             // Whenever the client writes on, the deadline that follows is later than this.
             None => now + self.time_for_answer,
-            Some(deadline) if self.can_have_ended => deadline,
+            Some(deadline) if self.can_have_ended && self.progress.bytes_remaining.is_some() => {
+                deadline
+            }
             Some(deadline) => deadline.min(now + UNCERTAIN_INTERVAL),
         }
     }
--- a/crates/node/src/net/upload_clock/tests.rs
+++ b/crates/node/src/net/upload_clock/tests.rs
@@ -1,6 +1,8 @@
 //! The earliest end of an upload, and its deadline, in virtual time.
 
-use super::{UploadClock, UploadProgress, MAX_CLIENT_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES};
+use super::{
+    UploadClock, UploadProgress, MAX_CLIENT_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES, SAMPLE_BYTES,
+};
 use crate::net::body::STALL_TIMEOUT;
 use crate::net::message::ClientInput;
 use std::time::{Duration, Instant};
@@ -122,15 +124,55 @@
     }
 }
 
+/// Guards against: the time of a chunked body began anew with every 4 MiB that its server took, though its client had written the
+/// last byte before.
+#[test]
+fn time_of_a_chunked_body_begins_with_its_last_byte_whatever_its_length() {
+    const RATE: u64 = 8 << 20;
+    const STEP: Duration = Duration::from_millis(50);
+    let moment_of = |bytes: u64| Duration::from_secs_f64(bytes as f64 / RATE as f64);
+    for mib in 9..30 {
+        let size = mib << 20;
+        let mut upload = Upload::new(None);
+        let written_at = moment_of(size - MAX_CLIENT_BUFFER_BYTES);
+        let mut moment = Duration::ZERO;
+        while moment < moment_of(size) {
+            let forwarded = (moment.as_secs_f64() * RATE as f64) as u64;
+            upload.update(moment, forwarded, NOT_AWAITED);
+            moment += STEP;
+        }
+        upload.update(moment_of(size), size, NOT_AWAITED);
+        let time = upload.deadline().expect("a deadline") - TIME_FOR_ANSWER;
+        assert!(
+            time <= written_at && written_at <= time + 2 * STEP,
+            "{mib} MiB: {time:?} instead of {written_at:?}"
+        );
+    }
+}
+
 #[test]
-fn time_of_a_chunked_body_begins_anew_when_more_was_taken_than_the_buffers_hold() {
+fn time_of_a_chunked_body_runs_on_while_its_server_takes_no_more_than_the_buffers_hold() {
     let mut upload = Upload::new(None);
     upload.update(SECOND, MAX_CLIENT_BUFFER_BYTES, NOT_AWAITED);
     assert_eq!(upload.deadline(), Some(TIME_FOR_ANSWER));
     upload.update(SECOND * 2, MAX_CLIENT_BUFFER_BYTES + 1, NOT_AWAITED);
-    assert_eq!(upload.deadline(), Some(SECOND * 2 + TIME_FOR_ANSWER));
-    upload.update(SECOND * 3, MAX_CLIENT_BUFFER_BYTES + 2, NOT_AWAITED);
-    assert_eq!(upload.deadline(), Some(SECOND * 2 + TIME_FOR_ANSWER));
+    assert_eq!(upload.deadline(), Some(TIME_FOR_ANSWER));
+    upload.update(SECOND * 3, 2 * MAX_CLIENT_BUFFER_BYTES + 1, NOT_AWAITED);
+    assert_eq!(upload.deadline(), Some(SECOND + TIME_FOR_ANSWER));
+}
+
+#[test]
+fn arrival_of_a_body_is_kept_in_few_samples() {
+    // Two samples at most are less than the least difference apart.
+    let max_samples = 2 * (MAX_CLIENT_BUFFER_BYTES / SAMPLE_BYTES) + 3;
+    for step_bytes in [10, 10_000, SAMPLE_BYTES / 2 + 1, SAMPLE_BYTES] {
+        let mut upload = Upload::new(None);
+        for step in 0..20_000_u32 {
+            upload.update(SECOND * step, u64::from(step) * step_bytes, NOT_AWAITED);
+        }
+        let samples = upload.clock.arrival.samples.len() as u64;
+        assert!(samples <= max_samples, "{step_bytes}: {samples}");
+    }
 }
 
 #[test]
--- a/crates/testbed/tests/uploads/stalls.rs
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -198,6 +198,45 @@
     }
 }
 
+/// Guards against: the time of a chunked body began anew with every 4 MiB that its server took, though its client had written the
+/// last byte before.
+#[test]
+fn chunked_upload_is_answered_in_time_whatever_its_server_has_read_when_its_client_is_done() {
+    /// 4 MiB take a little less than the client's time.
+    const RATE: usize = 4_600_000;
+    const PIECE_BYTES: usize = 1_000_000;
+    let servers = serve(|mut reader, mut stream| {
+        if let Some(head) = read_head(&mut reader) {
+            let pieces: usize = head.id.parse().unwrap();
+            // The sizes of chunks and the line ends are a little more.
+            for _ in 0..(pieces * PIECE_BYTES).div_ceil(RATE / 10) {
+                if read_bytes(&mut reader, RATE / 10).is_none() {
+                    return;
+                }
+                std::thread::sleep(Duration::from_millis(100));
+            }
+            // The rest of the body is not read.
+            let _ = stream.write_all(OK_RESPONSE);
+        }
+    });
+    for_each_kind(|kind| {
+        let node = TestNode::start(kind, &servers);
+        let requests = (5..21).map(|pieces| {
+            let id = pieces.to_string();
+            let parts = request_parts(&id, Framing::Chunked, &vec![PIECE_BYTES; pieces]);
+            (id, at_once(parts))
+        });
+        for (id, ending) in send_all(node.address, requests.collect()) {
+            // A client that has not written all of its body still has its time.
+            let has_waited = ending.written_at.is_some();
+            assert!(
+                !has_waited || ending.is_in_time(),
+                "{kind:?}, {id} MB: {ending:?}"
+            );
+        }
+    });
+}
+
 /// Guards against: the time of a request did not run if its server had stopped reading just when the client's data ran out, as
 /// nothing looked at the clock when the client wrote on.
 #[test]
