Uploads: a streamed body has a receive buffer of 256 KiB

What lies unread in the node's receive buffer may have been written long ago, so the client's time runs while it is passed on. Linux lets that buffer grow to 32 MiB here, and since all of it counts (before, 6 MiB of it did, and a client that had written all of a larger rest was answered late; found by reading, not forced). A server with little processor time then got refusals for bodies that their clients were still writing.

Change: the receive buffer is reduced (128 KiB, which the system doubles) as soon as a body is streamed, as the send buffers are.

--- a/crates/node/src/net/client/io.rs
+++ b/crates/node/src/net/client/io.rs
@@ -27,6 +27,8 @@
 /// Size of the system's send buffer for a streamed answer, in bytes. A larger one would hide that a slow client has
 /// stopped reading.
 const STREAM_SEND_BUFFER: usize = 128 << 10;
+/// Size of the system's receive buffer for a streamed body, in bytes. What lies in it unread counts as written by its client.
+const STREAM_RECEIVE_BUFFER: usize = 128 << 10;
 /// Maximum size of pipelined requests that are buffered while a request is being answered, in bytes.
 const MAX_PIPELINED_BYTES: usize = MAX_REQUEST_HEAD_BYTES;
 /// How much input may be buffered without a reservation of memory, in bytes.
@@ -51,6 +53,8 @@
     excess_timer: Option<Pin<Box<Sleep>>>,
     /// Whether the system's send buffer was reduced to [`STREAM_SEND_BUFFER`].
     has_small_send_buffer: bool,
+    /// Whether its receive buffer was reduced to [`STREAM_RECEIVE_BUFFER`].
+    has_small_receive_buffer: bool,
 }
 
 impl ClientIo {
@@ -66,6 +70,7 @@
             write_timer: None,
             excess_timer: None,
             has_small_send_buffer: false,
+            has_small_receive_buffer: false,
         }
     }
 
@@ -176,6 +181,16 @@
         }
     }
 
+    /// Reduces the system's receive buffer for a streamed body.
+    fn limit_receive_buffer(&mut self) {
+        if self.client.phase.get() == Phase::Streaming && !self.has_small_receive_buffer {
+            // If this fails, the client's time may begin earlier than it has to.
+            let _ =
+                socket2::SockRef::from(&*self.stream).set_recv_buffer_size(STREAM_RECEIVE_BUFFER);
+            self.has_small_receive_buffer = true;
+        }
+    }
+
     /// Ends the connection with an error; [`close`](super::close()) responds with the status.
     fn reject(&self, status: StatusCode) -> Poll<io::Result<()>> {
         self.client.rejection_status.set(Some(status));
@@ -283,6 +298,7 @@
         if this.has_excess {
             return Poll::Ready(Ok(()));
         }
+        this.limit_receive_buffer();
         loop {
             let forwarded = match this.filter.forward(buf) {
                 Ok(forwarded) => forwarded,
