Answers: the frontend leaves a held-up process time to pass an answer on

A process that is held up for longer (0.15 s is allowed) finds that time up in the same moment as the attempt's, and may answer 504 before the attempt passes the begun answer on. It waits 0.15 s more; the engine answers at the deadline as before, and half a second late earns nothing but is not lost.

--- a/crates/node/src/net/frontend/pending.rs
+++ b/crates/node/src/net/frontend/pending.rs
@@ -11,11 +11,14 @@
 use std::time::{Duration, Instant};
 use tokio::time::sleep_until;
 
+/// How long this process may be held up between two steps.
+const MAX_STALL: Duration = Duration::from_millis(150);
+
 impl Frontend {
     /// Waits for an answer of a pool; `None` if there is none in time.
     ///
-    /// The engine answers each request at its deadline. This covers a request that it has not answered, and one whose
-    /// deadline is after the end of the process.
+    /// The engine answers each request at its deadline, or has its answer passed on then, for which it is given some time. This
+    /// covers a request that it has not answered, and one whose deadline is after the end of the process.
     pub(in crate::net) async fn wait_for_answer<T>(
         &self,
         pool: &Pool,
@@ -29,7 +32,7 @@
         tokio::select! {
             biased;
             answer = answer => Some(answer),
-            () = sleep_until((deadline + half_response_slack(pool)).into()) => None,
+            () = sleep_until((deadline + half_response_slack(pool) + MAX_STALL).into()) => None,
             () = exit_imminent => None,
         }
     }
