Shutdown and log: idle connections close when time is up; long ids are cut in the log

(1) A process that goes on for streamed answers and hands its clients over kept idle connections open for as long, as that step of the shutdown does not drain. It drains once its time is up. (2) The id in a log line is the client's; one of up to 16 KiB was logged whole, up to 25 times a second. 64 bytes of it are.

--- a/crates/node/src/net/frontend/pending.rs
+++ b/crates/node/src/net/frontend/pending.rs
@@ -2,6 +2,7 @@
 
 use super::Frontend;
 use crate::net::answer::Reply;
+use crate::net::message::printable_id;
 use crate::net::pool::Pool;
 use crate::net::request_events::RequestEvent;
 use hyper::header::HeaderValue;
@@ -49,10 +50,9 @@
             Some(Reply::Failed(outcome)) => RequestEvent::Failed(*outcome),
             None => RequestEvent::Unanswered,
         };
-        let id = correlation_id.and_then(|id| id.to_str().ok());
         self.shared
             .request_events
-            .record(id.unwrap_or_default(), &event);
+            .record(printable_id(correlation_id), &event);
     }
 
     /// Whether the process exits so soon that nothing more is sent to servers.
--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -82,7 +82,8 @@
             let step = shutdown.step(now, handover);
             // Clients that are handed over to a successor need not reconnect.
             self.is_stopping.set(!shares_listeners || step.is_draining);
-            if step.is_draining {
+            let is_time_up = now >= shutdown.ends_at;
+            if step.is_draining || is_time_up {
                 self.drain_clients(handover, shares_listeners);
             }
             if now >= last_answers_at && !self.is_exit_imminent.replace(true) {
@@ -90,7 +91,6 @@
             }
             let is_last_step = step.until == shutdown.ends_at;
             let streaming_until = shutdown.ends_at + MAX_STREAMING_TIME;
-            let is_time_up = now >= shutdown.ends_at;
             if is_time_up && (!self.is_streaming() || now >= streaming_until)
                 || is_last_step && self.clients.borrow().is_empty()
             {
--- a/crates/node/src/net/message.rs
+++ b/crates/node/src/net/message.rs
@@ -36,7 +36,7 @@
 impl Message {
     /// Its correlation id, for the log.
     pub fn id(&self) -> &str {
-        request_id(&self.headers)
+        printable_id(self.headers.get(CORRELATION_ID))
     }
 
     /// The length of the names and values of its headers, in bytes.
@@ -49,10 +49,13 @@
 /// Identifies a request, the same in every attempt.
 pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 
-/// The correlation id in these headers, for the log; empty if there is none that can be printed.
-pub fn request_id(headers: &HeaderMap) -> &str {
-    let id = headers.get(CORRELATION_ID);
-    id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+/// How much of an id is logged, in bytes.
+const LOGGED_ID_BYTES: usize = 64;
+
+/// The value of a correlation id for the log, where a long one is cut; empty if there is none that can be printed.
+pub fn printable_id(id: Option<&HeaderValue>) -> &str {
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or_default();
+    id.get(..LOGGED_ID_BYTES).unwrap_or(id)
 }
 
 /// A client that waits for an answer.
