Names: answers are forwarded and requests rejected, as in the rest of the code

The counters are now answers_forwarded_incomplete and requests_rejected. The sizes of a client's socket buffers are a module of their own.

--- a/crates/node/src/net/answer.rs
+++ b/crates/node/src/net/answer.rs
@@ -1,6 +1,6 @@
 //! Answers of servers on their way to clients: buffered whole, or streamed while they still arrive.
 //!
-//! `upstream` makes an [`Answer`] of each server's answer, `frontend` a [`ResponseBody`] for its client. `streamed` passes on
+//! `upstream` makes an [`Answer`] of each server's answer, `frontend` a [`ResponseBody`] for its client. `streamed` forwards
 //! the rest of an answer that still arrives.
 
 mod streamed;
--- a/crates/node/src/net/answer/streamed.rs
+++ b/crates/node/src/net/answer/streamed.rs
@@ -1,4 +1,4 @@
-//! The rest of an answer, which is passed on to its client while it is received.
+//! The rest of an answer, which is forwarded to its client while it is received.
 
 use crate::net::answer_clock::AnswerClock;
 use crate::net::body::MAX_STREAMED_BYTES;
@@ -18,7 +18,7 @@
 use thiserror::Error;
 use tokio::time::Sleep;
 
-/// Why an answer that was passed on unfinished has ended early.
+/// Why an answer that was forwarded incomplete has ended early.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum AnswerBreak {
     #[error("it exceeds the size limit")]
@@ -39,7 +39,7 @@
     }
 }
 
-/// The rest of an answer, which is passed on to its client while it is received, until its clock or its server ends it.
+/// The rest of an answer, which is forwarded to its client while it is received, until its clock or its server ends it.
 ///
 /// If it ends early, the client's connection is aborted, so that a truncated answer never looks complete.
 pub struct StreamedAnswer {
@@ -47,9 +47,9 @@
     clock: AnswerClock,
     started_at: Instant,
     window: Arc<StreamWindow>,
-    /// Since when the client has not taken what was passed on; `None` if it has.
+    /// Since when the client has not taken what was forwarded; `None` if it has.
     window_closed_at: Option<Instant>,
-    /// Runs while there is no data to pass on.
+    /// Runs while there is no data to forward.
     end_timer: Option<Pin<Box<Sleep>>>,
     /// Returns the connection to its pool once the answer is complete; dropped before, it closes the connection.
     on_complete: Option<Box<dyn FnOnce()>>,
@@ -96,7 +96,7 @@
         self.incoming.size_hint().exact()
     }
 
-    /// Ready while more may be passed on.
+    /// Ready while more may be forwarded.
     pub(super) fn poll_window(&mut self, cx: &Context) -> Poll<()> {
         let polled = self.window.poll_open(cx);
         if polled.is_pending() {
@@ -108,7 +108,7 @@
         polled
     }
 
-    /// Passes on a part, which counts towards the window until the client has taken it.
+    /// Forwards a part, which counts towards the window until the client has taken it.
     pub(super) fn pass(&self, data: Bytes) -> Bytes {
         self.window.pass(data)
     }
--- a/crates/node/src/net/answer_clock.rs
+++ b/crates/node/src/net/answer_clock.rs
@@ -1,4 +1,4 @@
-//! When an answer has to be passed on, and when one that is passed on has to end.
+//! When an answer has to be forwarded, and when one that is forwarded has to end.
 //!
 //! The first bytes of an answer of more than 64 KiB are timed; a shorter one is timed as a whole. Of many answers the length is
 //! known only at their end, and one that is written slowly can't be told from one that was given up by its server. An
@@ -7,10 +7,10 @@
 //! | length | at the client's time | then |
 //! | --- | --- | --- |
 //! | announced, up to 64 KiB | it has failed | - |
-//! | more than 64 KiB, announced or received | it is passed on | it ends when its server is silent for [`STALL_TIMEOUT`] |
-//! | unknown | it is passed on | it is broken off if its server is silent for [`MAX_SILENCE`], and if it turns out to be short and late |
+//! | more than 64 KiB, announced or received | it is forwarded | it ends when its server is silent for [`STALL_TIMEOUT`] |
+//! | unknown | it is forwarded | it is broken off if its server is silent for [`MAX_SILENCE`], and if it turns out to be short and late |
 //!
-//! `upstream::buffering` follows the clock until the answer is passed on, and [`StreamedAnswer`](super::answer::StreamedAnswer)
+//! `upstream::buffering` follows the clock until the answer is forwarded, and [`StreamedAnswer`](super::answer::StreamedAnswer)
 //! from then on: no other part of the node ends an answer of which a server still writes more.
 
 #[cfg(test)]
@@ -20,12 +20,12 @@
 use super::MAX_UNSTREAMED_RESPONSE_BYTES;
 use std::time::{Duration, Instant};
 
-/// How long the start of an answer that is known to be long is held back. If its connection breaks meanwhile, another attempt can
+/// How long the start of an answer that is known to be long is buffered. If its connection breaks meanwhile, another attempt can
 /// be made.
-const LONG_ANSWER_HOLD: Duration = Duration::from_millis(25);
+const LONG_ANSWER_BUFFERING_TIME: Duration = Duration::from_millis(25);
 
-/// How long the start of an answer of unknown length is held back at most. Clients of long answers miss what is held back for 2 s.
-const MAX_HOLD: Duration = Duration::from_millis(1500);
+/// How long the start of an answer of unknown length is buffered at most. Clients of long answers miss what is buffered for 2 s.
+const MAX_BUFFERING_TIME: Duration = Duration::from_millis(1500);
 
 /// The longest silence of a server in an answer that is overdue unless it turns out to be long. From then on its client can't tell
 /// a silent server from a node that holds the rest back.
@@ -45,7 +45,7 @@
     Unknown,
 }
 
-/// Decides when an answer is passed on, and when it has to end.
+/// Decides when an answer is forwarded, and when it has to end.
 #[derive(Clone, Debug)]
 pub struct AnswerClock {
     announced_bytes: Option<u64>,
@@ -114,17 +114,17 @@
         }
     }
 
-    /// When its start has to be passed on though its client still has time; `None` while nothing has to be.
-    pub fn hold_until(&self) -> Option<Instant> {
+    /// When its start has to be forwarded though its client still has time; `None` while nothing has to be.
+    pub fn forward_by(&self) -> Option<Instant> {
         let first_part_at = self.first_part_at?;
         match self.length() {
             AnswerLength::Short => None,
-            AnswerLength::Long => Some(self.head_at + LONG_ANSWER_HOLD),
-            AnswerLength::Unknown => Some(first_part_at + MAX_HOLD),
+            AnswerLength::Long => Some(self.head_at + LONG_ANSWER_BUFFERING_TIME),
+            AnswerLength::Unknown => Some(first_part_at + MAX_BUFFERING_TIME),
         }
     }
 
-    /// When an answer that is passed on is broken off, unless its server writes on.
+    /// When an answer that is forwarded is broken off, unless its server writes on.
     pub fn ends_at(&self) -> Instant {
         let stalled_at = self.silent_since + STALL_TIMEOUT;
         let Some(deadline) = self.deadline else {
--- a/crates/node/src/net/answer_clock/tests.rs
+++ b/crates/node/src/net/answer_clock/tests.rs
@@ -1,6 +1,6 @@
-//! When answers are passed on and have to end, in virtual time.
+//! When answers are forwarded and have to end, in virtual time.
 
-use super::{AnswerClock, AnswerLength, MAX_HOLD, MAX_LATENESS, MAX_SILENCE};
+use super::{AnswerClock, AnswerLength, MAX_BUFFERING_TIME, MAX_LATENESS, MAX_SILENCE};
 use crate::net::body::STALL_TIMEOUT;
 use crate::net::MAX_UNSTREAMED_RESPONSE_BYTES;
 use std::time::{Duration, Instant};
@@ -38,13 +38,16 @@
 fn start_of_an_answer_is_held_back_for_less_than_its_client_allows() {
     let start = Instant::now();
     let mut unknown = clock(start, None);
-    assert_eq!(unknown.hold_until(), None, "nothing is held back");
+    assert_eq!(unknown.forward_by(), None, "nothing is buffered");
     unknown.record_part(start + SECOND, 1);
     unknown.record_part(start + 2 * SECOND, 1);
-    assert_eq!(unknown.hold_until(), Some(start + SECOND + MAX_HOLD));
+    assert_eq!(
+        unknown.forward_by(),
+        Some(start + SECOND + MAX_BUFFERING_TIME)
+    );
     let mut short = clock(start, Some(2));
     short.record_part(start, 1);
-    assert_eq!(short.hold_until(), None);
+    assert_eq!(short.forward_by(), None);
 }
 
 #[test]
--- a/crates/node/src/net/client.rs
+++ b/crates/node/src/net/client.rs
@@ -5,12 +5,14 @@
 //! | module | responsibility |
 //! | --- | --- |
 //! | `io` | reading and writing its socket, with the timeouts of both |
+//! | `stream_buffers` | the sizes of its socket's buffers while something is streamed |
 //! | `close` | closing it without losing an answer |
 //! | `eviction` | which connection is closed first at the client limit |
 
 mod close;
 mod eviction;
 mod io;
+mod stream_buffers;
 #[cfg(test)]
 mod tests;
 
@@ -188,7 +190,7 @@
         }
     }
 
-    /// Whether its answer is passed on while more of it may arrive.
+    /// Whether its answer is forwarded while more of it may arrive.
     pub fn is_answer_unfinished(&self) -> bool {
         let is_open = self.answer_open_flag.borrow();
         self.phase.get() == Phase::Answering
--- a/crates/node/src/net/client/io.rs
+++ b/crates/node/src/net/client/io.rs
@@ -2,6 +2,7 @@
 //!
 //! `frontend::accept` gives a [`ClientIo`] to the HTTP library for each connection.
 
+use super::stream_buffers::StreamBuffers;
 use super::{has_input, Client, Phase, REQUEST_TIMEOUT};
 use crate::net::request_filter::RequestFilter;
 use crate::net::MAX_REQUEST_HEAD_BYTES;
@@ -24,11 +25,6 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(3);
 /// The write timeout of a streamed answer.
 const STREAM_WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Size of the system's send buffer for a streamed answer, in bytes. A larger one would hide that a slow client has
-/// stopped reading.
-const STREAM_SEND_BUFFER: usize = 128 << 10;
-/// Size of the system's receive buffer for a streamed body, in bytes. What lies in it unread counts as written by its client.
-const STREAM_RECEIVE_BUFFER: usize = 128 << 10;
 /// Maximum size of pipelined requests that are buffered while a request is being answered, in bytes.
 const MAX_PIPELINED_BYTES: usize = MAX_REQUEST_HEAD_BYTES;
 /// How much input may be buffered without a reservation of memory, in bytes.
@@ -51,10 +47,8 @@
     write_timer: Option<Pin<Box<Sleep>>>,
     /// Runs between two reads of excess input.
     excess_timer: Option<Pin<Box<Sleep>>>,
-    /// Whether the system's send buffer was reduced to [`STREAM_SEND_BUFFER`].
-    has_small_send_buffer: bool,
-    /// Whether its receive buffer was reduced to [`STREAM_RECEIVE_BUFFER`].
-    has_small_receive_buffer: bool,
+    /// The system's buffers, which are reduced for streamed bodies and answers.
+    stream_buffers: StreamBuffers,
 }
 
 impl ClientIo {
@@ -69,8 +63,7 @@
             read_timer: None,
             write_timer: None,
             excess_timer: None,
-            has_small_send_buffer: false,
-            has_small_receive_buffer: false,
+            stream_buffers: StreamBuffers::default(),
         }
     }
 
@@ -160,7 +153,7 @@
         }
     }
 
-    /// Reads the input after a complete request before that is passed on: its client may already have disconnected.
+    /// Reads the input after a complete request before that is forwarded: its client may already have disconnected.
     fn read_ahead(&mut self, cx: &mut Context) {
         while self.filter.buffered() <= MAX_PIPELINED_BYTES
             && self.may_buffer_more()
@@ -172,22 +165,13 @@
         }
     }
 
-    /// Reduces the system's send buffer for a streamed answer.
-    fn limit_send_buffer(&mut self) {
-        if self.client.is_streaming.get() && !self.has_small_send_buffer {
-            // If this fails, a slow client is only detected later.
-            let _ = socket2::SockRef::from(&*self.stream).set_send_buffer_size(STREAM_SEND_BUFFER);
-            self.has_small_send_buffer = true;
+    /// Reduces the system's buffers for a streamed body or answer.
+    fn limit_buffers(&mut self) {
+        if self.client.phase.get() == Phase::Streaming {
+            self.stream_buffers.limit_receive_buffer(&self.stream);
         }
-    }
-
-    /// Reduces the system's receive buffer for a streamed body.
-    fn limit_receive_buffer(&mut self) {
-        if self.client.phase.get() == Phase::Streaming && !self.has_small_receive_buffer {
-            // If this fails, the client's time may begin earlier than it has to.
-            let _ =
-                socket2::SockRef::from(&*self.stream).set_recv_buffer_size(STREAM_RECEIVE_BUFFER);
-            self.has_small_receive_buffer = true;
+        if self.client.is_streaming.get() {
+            self.stream_buffers.limit_send_buffer(&self.stream);
         }
     }
 
@@ -298,7 +282,7 @@
         if this.has_excess {
             return Poll::Ready(Ok(()));
         }
-        this.limit_receive_buffer();
+        this.limit_buffers();
         loop {
             let forwarded = match this.filter.forward(buf) {
                 Ok(forwarded) => forwarded,
@@ -334,7 +318,7 @@
 impl AsyncWrite for ClientIo {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context, data: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.limit_send_buffer();
+        this.limit_buffers();
         let written = write_when_ready(&this.stream, cx, |stream| stream.try_write(data));
         this.track_write(cx, written)
     }
@@ -345,7 +329,7 @@
         data: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
-        this.limit_send_buffer();
+        this.limit_buffers();
         let written = write_when_ready(&this.stream, cx, |stream| stream.try_write_vectored(data));
         this.track_write(cx, written)
     }
--- a/crates/node/src/net/frontend/pending.rs
+++ b/crates/node/src/net/frontend/pending.rs
@@ -18,7 +18,7 @@
 impl Frontend {
     /// Waits for an answer of a pool; `None` if there is none in time.
     ///
-    /// The engine answers each request at its deadline, or has its answer passed on then, for which it is given some time. This
+    /// The engine answers each request at its deadline, or has its answer forwarded then, for which it is given some time. This
     /// covers a request that it has not answered, and one whose deadline is after the end of the process.
     pub(in crate::net) async fn wait_for_answer<T>(
         &self,
@@ -46,7 +46,7 @@
     ) {
         let event = match reply {
             Some(Reply::Served(_)) => return,
-            Some(Reply::Rejected { .. }) => RequestEvent::Refused,
+            Some(Reply::Rejected { .. }) => RequestEvent::Rejected,
             Some(Reply::Failed(outcome)) => RequestEvent::Failed(*outcome),
             None => RequestEvent::Unanswered,
         };
--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -18,7 +18,7 @@
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
 /// How often a node that is being drained closes idle connections.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(100);
-/// How long the process goes on after its time for answers that are passed on unfinished, if it is not killed.
+/// How long the process goes on after its time for answers that are forwarded incomplete, if it is not killed.
 const MAX_STREAMING_TIME: Duration = Duration::from_secs(60);
 /// Time reserved at the end for clients that no successor takes over.
 const FINAL_DRAIN_TIME: Duration = Duration::from_millis(400);
@@ -59,7 +59,7 @@
 impl Frontend {
     /// Serves clients until `stop`, and then during the shutdown, which ends when all clients have disconnected or time
     /// is up. A request may have a deadline after the end of the process; it is answered as timed out before the end. Answers
-    /// that are passed on unfinished are not cut off: the process goes on for them until it is killed.
+    /// that are forwarded incomplete are not cut off: the process goes on for them until it is killed.
     pub async fn serve(self: &Rc<Self>, stop: impl Future<Output = ()>) {
         stop.await;
         let begins_at = Instant::now();
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Whether an answer is passed on to a client while its server still writes it.
+    /// Whether an answer is forwarded to a client while its server still writes it.
     fn is_streaming(&self) -> bool {
         let clients = self.clients.borrow();
         clients.values().any(|client| client.is_answer_unfinished())
--- a/crates/node/src/net/request_events.rs
+++ b/crates/node/src/net/request_events.rs
@@ -1,6 +1,6 @@
 //! What happens to requests that are not simply answered: counted, and logged with their ids.
 //!
-//! `upstream` and `pool` record attempts, [`StreamedAnswer`](super::answer::StreamedAnswer) how answers end that are passed on
+//! `upstream` and `pool` record attempts, [`StreamedAnswer`](super::answer::StreamedAnswer) how answers end that are forwarded
 //! unfinished, and `frontend` the final answers that are no server's. Operators read the counts on the management address.
 
 #[cfg(test)]
@@ -40,22 +40,22 @@
         /// `None` for a server that is no longer in use.
         server: Option<SocketAddr>,
     },
-    /// The client's time is up, and what has come of its answer is passed on.
-    PassedOnUnfinished {
+    /// The client's time is up, and what has come of its answer is forwarded.
+    ForwardedIncomplete {
         server: Option<SocketAddr>,
         received_bytes: u64,
         /// How long the server has been silent.
         silence: Duration,
     },
-    /// An answer that was passed on unfinished has ended early.
+    /// An answer that was forwarded incomplete has ended early.
     BrokenOff {
         reason: AnswerBreak,
         received_bytes: u64,
-        /// The time since the first of it was passed on.
+        /// The time since the first of it was forwarded.
         after: Duration,
     },
     /// The client was told that trying again is harmless.
-    Refused,
+    Rejected,
     /// The client was told that the request has failed, by the outcome of its last attempt.
     Failed(Option<Outcome>),
     /// The client was told that there is no answer in time.
@@ -77,7 +77,7 @@
                 Outcome::NotSent => "attempts_not_sent",
             },
             RequestEvent::Retried { .. } => "requests_retried",
-            RequestEvent::PassedOnUnfinished { .. } => "answers_passed_on_unfinished",
+            RequestEvent::ForwardedIncomplete { .. } => "answers_forwarded_incomplete",
             RequestEvent::BrokenOff { reason, .. } => match reason {
                 AnswerBreak::TooLarge => "answers_broken_off_too_large",
                 AnswerBreak::ServerSilent => "answers_broken_off_server_silent",
@@ -85,7 +85,7 @@
                 AnswerBreak::ConnectionLost => "answers_broken_off_connection_lost",
                 AnswerBreak::Abandoned => "answers_broken_off_client_gone",
             },
-            RequestEvent::Refused => "requests_refused",
+            RequestEvent::Rejected => "requests_rejected",
             RequestEvent::Failed(_) => "requests_failed",
             RequestEvent::Unanswered => "requests_unanswered",
         }
@@ -94,7 +94,7 @@
     fn is_final_answer(&self) -> bool {
         matches!(
             self,
-            RequestEvent::Refused | RequestEvent::Failed(_) | RequestEvent::Unanswered
+            RequestEvent::Rejected | RequestEvent::Failed(_) | RequestEvent::Unanswered
         )
     }
 }
@@ -114,13 +114,13 @@
             RequestEvent::Retried { attempt, server } => {
                 write!(f, "attempt {attempt} begins at {}", ServerText(*server))
             }
-            RequestEvent::PassedOnUnfinished {
+            RequestEvent::ForwardedIncomplete {
                 server,
                 received_bytes,
                 silence,
             } => write!(
                 f,
-                "its time is up; {received_bytes} bytes have come from {}, the last {silence:.3?} ago, and are passed on",
+                "its time is up; {received_bytes} bytes have come from {}, the last {silence:.3?} ago, and are forwarded",
                 ServerText(*server)
             ),
             RequestEvent::BrokenOff {
@@ -129,9 +129,9 @@
                 after,
             } => write!(
                 f,
-                "its answer was broken off after {received_bytes} bytes, {after:.3?} after its start was passed on: {reason}"
+                "its answer was broken off after {received_bytes} bytes, {after:.3?} after its start was forwarded: {reason}"
             ),
-            RequestEvent::Refused => f.write_str("refused"),
+            RequestEvent::Rejected => f.write_str("rejected"),
             RequestEvent::Failed(Some(outcome)) => write!(f, "failed: {outcome:?}"),
             RequestEvent::Failed(None) => f.write_str("failed"),
             RequestEvent::Unanswered => f.write_str("no answer in time"),
--- a/crates/node/src/net/request_events/tests.rs
+++ b/crates/node/src/net/request_events/tests.rs
@@ -19,12 +19,12 @@
         received_bytes: 40,
         after: Duration::from_secs(1),
     };
-    for event in [timed_out, timed_out, late, RequestEvent::Refused] {
+    for event in [timed_out, timed_out, late, RequestEvent::Rejected] {
         events.record("r-1", &event);
     }
     assert_eq!(
         events.to_text(),
-        "reelfall_answers_broken_off_late_total 1\nreelfall_attempts_timed_out_total 2\nreelfall_requests_refused_total 1\n"
+        "reelfall_answers_broken_off_late_total 1\nreelfall_attempts_timed_out_total 2\nreelfall_requests_rejected_total 1\n"
     );
 }
 
--- a/crates/node/src/net/upstream.rs
+++ b/crates/node/src/net/upstream.rs
@@ -10,7 +10,7 @@
 //! | `exchange` | sending that request and waiting for the head of the answer |
 //! | `answer_timer` | when the answer is due |
 //! | `response` | judging the head of the answer |
-//! | `buffering` | reading its body, which is buffered whole or passed on in part, as the answer's clock decides |
+//! | `buffering` | reading its body, which is buffered whole or forwarded in part, as the answer's clock decides |
 //! | `answer_memory` | how much of it may be buffered, and the memory for that |
 //! | `release` | returning a connection to the pool after its answer |
 //! | `acquire` | a connection for an attempt: an idle one or a new one |
--- a/crates/node/src/net/upstream/buffering.rs
+++ b/crates/node/src/net/upstream/buffering.rs
@@ -1,4 +1,4 @@
-//! Buffers an answer, which is passed on whole, or in part while more of it is received. `response` hands over answers whose
+//! Buffers an answer, which is forwarded whole, or in part while more of it is received. `response` hands over answers whose
 //! head was accepted.
 //!
 //! The states of an answer: buffering while chunks of its body are collected; then complete, streaming, broken or timed
@@ -48,8 +48,8 @@
     Received(Option<hyper::Result<Frame<Bytes>>>),
     /// The time of the attempt is up.
     Overdue,
-    /// The start of the answer has been held back for long enough.
-    Held,
+    /// The start of the answer has been buffered for long enough.
+    BufferedLongEnough,
 }
 
 /// An answer whose body is being buffered.
@@ -128,19 +128,19 @@
             FrameWait::Received(None) if self.is_valid() => Progress::Complete,
             // What followed an invalid answer on the connection is unknown, so the connection is closed.
             FrameWait::Received(None) => Progress::Broken,
-            FrameWait::Held => Progress::Streaming,
+            FrameWait::BufferedLongEnough => Progress::Streaming,
             FrameWait::Overdue => self.judge_overdue(),
         }
     }
 
     async fn wait_for_frame(&mut self) -> FrameWait {
-        let hold_until = self
+        let forward_by = self
             .clock
-            .hold_until()
+            .forward_by()
             .filter(|_| !self.exchange.attempt.must_buffer_whole());
         let held = async {
-            match hold_until {
-                Some(hold_until) => sleep_until(hold_until.into()).await,
+            match forward_by {
+                Some(forward_by) => sleep_until(forward_by.into()).await,
                 None => std::future::pending().await,
             }
         };
@@ -148,12 +148,12 @@
             biased;
             frame = self.body.frame() => FrameWait::Received(frame),
             () = self.exchange.timer.expire() => FrameWait::Overdue,
-            () = held => FrameWait::Held,
+            () = held => FrameWait::BufferedLongEnough,
         }
     }
 
     /// Decides what becomes of an answer that is not complete when the time of its attempt is up. One that may be long is not
-    /// given up for another attempt, and is passed on when its client's time is up.
+    /// given up for another attempt, and is forwarded when its client's time is up.
     fn judge_overdue(&mut self) -> Progress {
         let attempt = self.exchange.attempt;
         if attempt.must_buffer_whole() || self.clock.length() == AnswerLength::Short {
@@ -163,16 +163,16 @@
             let client_deadline = self.exchange.timer.client_deadline();
             self.clock
                 .set_deadline(client_deadline.or_else(|| Some(Instant::now())));
-            self.record_passed_on();
+            self.record_forwarded();
             return Progress::Streaming;
         }
         self.exchange.timer.extend();
         Progress::Buffering
     }
 
-    fn record_passed_on(&self) {
+    fn record_forwarded(&self) {
         let attempt = self.exchange.attempt;
-        attempt.record(&RequestEvent::PassedOnUnfinished {
+        attempt.record(&RequestEvent::ForwardedIncomplete {
             server: attempt.context.address(attempt.server),
             received_bytes: self.clock.received_bytes(),
             silence: self.clock.silence(Instant::now()),
@@ -196,11 +196,11 @@
                 Progress::Broken
             };
         }
-        let is_held_long_enough = self
+        let is_buffered_long_enough = self
             .clock
-            .hold_until()
-            .is_some_and(|hold_until| hold_until <= Instant::now());
-        if !self.buffer.is_empty() && (!fits || is_held_long_enough) {
+            .forward_by()
+            .is_some_and(|forward_by| forward_by <= Instant::now());
+        if !self.buffer.is_empty() && (!fits || is_buffered_long_enough) {
             return Progress::Streaming;
         }
         Progress::Buffering
