Soak: a kill excuses only the answers that end with it

Found by reading: after a process had been killed, every answer that broke off later was taken for one of that process. A cut-off by the successor of an upgrade would not have been found.

Change: the excuse holds from 50 ms before the kill to 100 ms after it.

That the check finds a cut-off by a successor was not forced.

--- a/crates/testbed/src/soak/answers_check.rs
+++ b/crates/testbed/src/soak/answers_check.rs
@@ -166,10 +166,14 @@
 }
 
 impl ObservedRun {
-    /// Whether a process was killed just before this time, or during the answer until then.
-    fn was_killed_before(&self, at: Instant) -> bool {
-        let mut kills = self.kills.iter();
-        kills.any(|kill| at + SOCKET_SLACK >= kill.killed_at && kill.exited_at.is_none())
+    /// Whether an answer ended as its process was killed. One that ends later is that of another process.
+    fn ended_with_a_kill(&self, reception: &Reception) -> bool {
+        let killed = self.kills.iter().filter(|kill| kill.exited_at.is_none());
+        let mut since_kill = killed.map(|kill| {
+            let earliest = kill.killed_at - SOCKET_SLACK;
+            reception.ended_at.checked_duration_since(earliest)
+        });
+        since_kill.any(|since| since.is_some_and(|since| since <= 3 * SOCKET_SLACK))
     }
 
     /// Whether a process gave its last answers around this time.
@@ -220,7 +224,7 @@
         check_content(request)?;
         let reception = &request.reception;
         check_time(request, reception.head_at, "the first bytes")?;
-        let was_killed = self.was_killed_before(reception.ended_at);
+        let was_killed = self.ended_with_a_kill(reception);
         if request.planned.script.ending != Ending::Whole || was_killed {
             return Ok(());
         }
@@ -252,7 +256,7 @@
         let was_completed = request.complete_at().is_some_and(|complete_at| {
             script.ending == Ending::Whole && complete_at + RESPONSE_SLACK * 2 < last_moment
         });
-        if was_completed && !self.was_killed_before(reception.ended_at) {
+        if was_completed && !self.ended_with_a_kill(reception) {
             return Err(Violation::new(
                 Rule::ServersAnswer,
                 "was complete in time, but broken off",
