Tests: slow readers of GraphQL answers run while no other clients fill socket memory

Cause: the tests of this binary run at the same time, and fill the buffers of 2,000 and more connections. The system's memory for sockets rises to 480,000 to 505,000 pages, above its pressure mark (383,835; TCPMemoryPressures rises by 4 to 5 in each run). It then gives each socket a smaller send buffer, the answers of 900 kB stay in the node for longer, and it refuses more clients. So the test depended on the others.

The bound stays. This test now takes a lock for itself, which the others share.

--- a/crates/testbed/tests/memory/main.rs
+++ b/crates/testbed/tests/memory/main.rs
@@ -14,8 +14,27 @@
 mod servers;
 mod services;
 
+use std::sync::{PoisonError, RwLock};
+
+/// Held in common by tests whose clients fill the buffers of many sockets, and alone by one that needs the system to buffer
+/// answers: with little memory left for sockets, it buffers less for each of them.
+static SOCKET_MEMORY: RwLock<()> = RwLock::new(());
+
 /// Runs a test on a runtime with two threads.
 fn block_on(test: impl std::future::Future<Output = ()>) {
+    let _shared = SOCKET_MEMORY.read().unwrap_or_else(PoisonError::into_inner);
+    run(test);
+}
+
+/// Runs a test at a time when no other one of these runs.
+fn block_on_alone(test: impl std::future::Future<Output = ()>) {
+    let _alone = SOCKET_MEMORY
+        .write()
+        .unwrap_or_else(PoisonError::into_inner);
+    run(test);
+}
+
+fn run(test: impl std::future::Future<Output = ()>) {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
         .enable_all()
--- a/crates/testbed/tests/memory/services.rs
+++ b/crates/testbed/tests/memory/services.rs
@@ -1,9 +1,9 @@
 //! A node with a settings file, with a plain service and a GraphQL service.
 
-use crate::block_on;
 use crate::clients::Behavior;
 use crate::nodes::{check, program, run_clients, MAX_SOCKETS};
 use crate::servers::{self, Answer};
+use crate::{block_on, block_on_alone};
 use reelfall_testbed::node::Node;
 
 const MEMORY_MIB: [usize; 2] = [32, 64];
@@ -30,32 +30,39 @@
     )
 }
 
-fn stays_within_its_memory(answer: Answer, behavior: Behavior) {
-    block_on(async {
-        for memory_mib in MEMORY_MIB {
-            let settings = settings(answer, memory_mib).await;
-            let node = Node::start(&program(), &settings).await.unwrap();
-            node.wait_for_health("/_health", true).await.unwrap();
-            let usage = run_clients(node.address(), node.pid(), behavior).await;
-            check(&usage, memory_mib, behavior);
-        }
-    });
+async fn stays_within_its_memory(answer: Answer, behavior: Behavior) {
+    for memory_mib in MEMORY_MIB {
+        let settings = settings(answer, memory_mib).await;
+        let node = Node::start(&program(), &settings).await.unwrap();
+        node.wait_for_health("/_health", true).await.unwrap();
+        let usage = run_clients(node.address(), node.pid(), behavior).await;
+        check(&usage, memory_mib, behavior);
+    }
 }
 
 /// Guards against memory that is counted in nodes of the platform only.
 #[test]
 fn slow_readers_of_large_answers_fit_in_memory() {
-    stays_within_its_memory(Answer::Announced(32 << 20), Behavior::ReadSlowly);
+    block_on(stays_within_its_memory(
+        Answer::Announced(32 << 20),
+        Behavior::ReadSlowly,
+    ));
 }
 
 /// Guards against bodies that no service's limit covers.
 #[test]
 fn clients_that_stop_in_a_large_body_fit_in_memory() {
-    stays_within_its_memory(Answer::Announced(2), Behavior::StopInBody(4 << 20));
+    block_on(stays_within_its_memory(
+        Answer::Announced(2),
+        Behavior::StopInBody(4 << 20),
+    ));
 }
 
 /// Guards against GraphQL answers that are counted only until they are validated.
 #[test]
 fn slow_readers_of_graphql_answers_fit_in_memory() {
-    stays_within_its_memory(Answer::Announced(2), Behavior::GraphQl(200_000));
+    block_on_alone(stays_within_its_memory(
+        Answer::Announced(2),
+        Behavior::GraphQl(200_000),
+    ));
 }
