Tests: answers that trickle or begin too early, and the time told after a late connect

- a server that begins an answer before it has the request, and hangs: the client is passed 200 at its time, and the connection is broken off 2 s later, though the request can't have run;

--- a/crates/testbed/src/slow_answers/client.rs
+++ b/crates/testbed/src/slow_answers/client.rs
@@ -23,7 +23,8 @@
 
 impl Class {
     /// The text of a request of this class.
-    fn request(self, id: &str, time_left: Duration) -> String {
+    fn request(self, version: Version, id: &str, time_left: Duration) -> String {
+        let version = version.text();
         let time_left = time_left.as_secs_f64();
         let (method, name, fields) = match self {
             Class::Safe => ("GET", "read", String::new()),
@@ -36,12 +37,30 @@
         };
         let body = if self == Class::Safe { "" } else { "x" };
         format!(
-            "{method} /api HTTP/1.1\r\nhost: {name}.example.org\r\nx-correlation-id: {id}\r\nx-service-class: {name}\r\n\
+            "{method} /api {version}\r\nhost: {name}.example.org\r\nx-correlation-id: {id}\r\nx-service-class: {name}\r\n\
              x-time-left: {time_left:.3}\r\n{fields}\r\n{body}"
         )
     }
 }
 
+/// The version of HTTP that a client speaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Version {
+    /// Answers of unknown length end with the connection.
+    Http10,
+    /// Answers of unknown length come in chunks.
+    Http11,
+}
+
+impl Version {
+    fn text(self) -> &'static str {
+        match self {
+            Version::Http10 => "HTTP/1.0",
+            Version::Http11 => "HTTP/1.1",
+        }
+    }
+}
+
 /// How an answer has ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -142,24 +161,34 @@
 /// A client's connection, which carries one request after the other.
 pub struct Connection {
     reader: BufReader<TcpStream>,
+    version: Version,
 }
 
 impl Connection {
-    /// Opens a connection.
+    /// Opens a connection of a client that speaks HTTP/1.1.
     ///
     /// # Errors
     /// Fails if it can't be established.
     pub fn open(node: SocketAddr) -> std::io::Result<Connection> {
+        Connection::open_with(node, Version::Http11)
+    }
+
+    /// Opens a connection of a client that speaks this version of HTTP.
+    ///
+    /// # Errors
+    /// Fails if it can't be established.
+    pub fn open_with(node: SocketAddr, version: Version) -> std::io::Result<Connection> {
         let stream = TcpStream::connect(node)?;
         stream.set_read_timeout(Some(MAX_SILENCE))?;
         Ok(Connection {
             reader: BufReader::new(stream),
+            version,
         })
     }
 
     /// Writes a request. If that fails, receiving its answer fails too.
     pub fn send(&mut self, class: Class, id: &str, time_left: Duration) -> SentRequest {
-        let text = class.request(id, time_left);
+        let text = class.request(self.version, id, time_left);
         let sent_at = Instant::now();
         let _ = self.reader.get_mut().write_all(text.as_bytes());
         SentRequest { time_left, sent_at }
--- a/crates/testbed/src/slow_answers/mod.rs
+++ b/crates/testbed/src/slow_answers/mod.rs
@@ -12,6 +12,6 @@
 mod script;
 mod servers;
 
-pub use client::{Class, Connection, End, Reception, SentRequest, MAX_LATENESS};
+pub use client::{Class, Connection, End, Reception, SentRequest, Version, MAX_LATENESS};
 pub use script::{Ending, Framing, Progress, Script};
 pub use servers::Servers;
--- a/crates/testbed/tests/answers/endings.rs
+++ b/crates/testbed/tests/answers/endings.rs
@@ -99,6 +99,19 @@
     });
 }
 
+#[test]
+fn long_answer_is_not_cut_off_when_its_server_is_banned() {
+    check_answer_during(NodeKind::Platform, |node, servers| {
+        let NodeProcess::Platform { node: process, .. } = &node.process else {
+            panic!("a node of the platform");
+        };
+        for number in 0..servers.addresses.len() {
+            let path = format!("/-/servers/s-{number}/disable");
+            assert_eq!(call_management(process.management, "POST", &path), 200);
+        }
+    });
+}
+
 #[test]
 fn long_answer_is_not_cut_off_when_its_server_leaves_the_list() {
     for status in ["leaving", "left"] {
--- a/crates/testbed/tests/answers/unfinished.rs
+++ b/crates/testbed/tests/answers/unfinished.rs
@@ -3,7 +3,7 @@
 use crate::nodes::{NodeKind, TestNode};
 use crate::{send, TIME_LEFT};
 use reelfall_testbed::slow_answers::{
-    Class, End, Ending, Framing, Reception, Script, Servers, MAX_LATENESS,
+    Class, Connection, End, Ending, Framing, Reception, Script, Servers, Version, MAX_LATENESS,
 };
 use std::time::Duration;
 
@@ -11,6 +11,9 @@
 /// whether the node holds the rest back.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 
+/// A sound answer has turned out to be long, at 64 kB a second, within about a second; the rest is for its pauses.
+const MAX_UNDECIDED: Duration = Duration::from_secs(5);
+
 /// Sends requests of all classes for each script on a node of each kind, and checks each answer.
 fn check_answers(scripts: &[Script], check: impl Fn(&Script, &str, &Reception) + Sync) {
     std::thread::scope(|scope| {
@@ -69,6 +72,23 @@
     });
 }
 
+/// Guards against: an answer of which a little came again and again was kept open for as long as that went on.
+#[test]
+fn answer_that_trickles_without_end_ends_so_that_its_client_can_tell() {
+    let scripts: Vec<Script> = Framing::UNKNOWN_LENGTH
+        .map(|framing| Script {
+            framing,
+            first_pause: Duration::ZERO,
+            pause: Duration::from_millis(900),
+            parts: vec![100; 12],
+            ending: Ending::Stops,
+        })
+        .into();
+    check_answers(&scripts, |_, id, reception| {
+        check_failed(id, reception, TIME_LEFT + MAX_UNDECIDED);
+    });
+}
+
 /// Guards against: an answer that its server broke off looked whole, or its client was left without an end.
 #[test]
 fn answer_that_breaks_ends_so_that_its_client_can_tell() {
@@ -90,6 +110,32 @@
     });
 }
 
+/// Guards against: an answer that broke off looked whole to a client that finds its end by that of the connection.
+#[test]
+fn answer_to_an_http_1_0_client_that_breaks_or_stops_does_not_look_whole() {
+    for kind in NodeKind::ALL {
+        let servers = Servers::start();
+        let node = TestNode::start(kind, &servers);
+        for framing in Framing::UNKNOWN_LENGTH {
+            for ending in [Ending::Stops, Ending::Breaks] {
+                let script = Script {
+                    framing,
+                    first_pause: Duration::ZERO,
+                    pause: Duration::from_millis(250),
+                    parts: vec![20_000, 10_000],
+                    ending,
+                };
+                let id = format!("{kind:?}-{framing:?}-{ending:?}");
+                servers.plan(&id, script.clone());
+                let mut connection = Connection::open_with(node.address, Version::Http10).unwrap();
+                let reception = connection.exchange(Class::Unsafe, &id, TIME_LEFT);
+                let written_for = script.pause * script.parts.len() as u32;
+                check_failed(&id, &reception, written_for + MAX_SILENCE);
+            }
+        }
+    }
+}
+
 /// Guards against: a short answer whose end came long after its client's time was passed on as a whole one, since its first
 /// bytes had come in time. The pages time answers up to 64 KiB as a whole.
 #[test]
--- a/crates/testbed/tests/uploads/stalls.rs
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -2,18 +2,18 @@
 
 use crate::clients::{
     at_once, head, piece_sizes_around_full_buffers, request_parts, send, send_all,
-    send_all_in_time, ClientWrite, Ending, Framing, TIME_LEFT,
+    send_all_in_time, ClientWrite, Ending, Framing, Upload, TIME_LEFT,
 };
 use crate::nodes::{for_each_kind, NodeKind, TestNode, UsedMemory};
 use crate::servers::{
     hang, read_body, read_bytes, read_head, serve, ReceivedHead, Runs, OK_RESPONSE,
 };
-use reelfall_testbed::scripted::listener_with_full_backlog;
+use reelfall_testbed::scripted::{listener_with_full_backlog, wait_for_connection_attempt};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Size of the first piece of a body, in bytes. The client pauses after it.
 const FIRST_PIECE_BYTES: usize = 100_000;
@@ -27,6 +27,10 @@
 const SLOW_PIECE_BYTES: usize = 6_400;
 const SLOW_PIECE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The head and the first chunk of an answer of unknown length.
+const CHUNKED_RESPONSE_START: &[u8] =
+    b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nok\n\r\n";
+
 /// What a server does with a body.
 #[derive(Clone, Copy, Debug)]
 enum Reading {
@@ -38,6 +42,8 @@
     Slowly,
     /// Sends the head of its answer, and hangs.
     AnswersEarly,
+    /// Sends the head and a part of an answer of unknown length, and hangs.
+    AnswersEarlyInChunks,
 }
 
 impl Reading {
@@ -77,6 +83,10 @@
                 let _ = stream.write_all(&OK_RESPONSE[..OK_RESPONSE.len() - 1]);
                 hang()
             }
+            Reading::AnswersEarlyInChunks => {
+                let _ = stream.write_all(CHUNKED_RESPONSE_START);
+                hang()
+            }
         }
     }
 }
@@ -107,19 +117,24 @@
 /// limited the wait.
 fn check_uploads_that_are_held_up(reading: Reading) {
     for_each_kind(|kind| {
-        let node = TestNode::start(kind, &start_servers(reading));
-        let mut requests = Vec::new();
-        for framing in Framing::ALL {
-            for length in reading.body_sizes() {
-                let id = format!("{framing:?}-{length}");
-                let writes = paused_writes(&id, framing, length);
-                requests.push((id, writes));
-            }
-        }
-        send_all_in_time(node.address, &format!("{kind:?}, {reading:?}"), requests);
+        send_uploads_that_are_held_up(kind, reading);
     });
 }
 
+/// Checks that uploads are answered in time whose servers read them this way; returns their names and how they ended.
+fn send_uploads_that_are_held_up(kind: NodeKind, reading: Reading) -> Vec<(String, Ending)> {
+    let node = TestNode::start(kind, &start_servers(reading));
+    let mut requests = Vec::new();
+    for framing in Framing::ALL {
+        for length in reading.body_sizes() {
+            let id = format!("{framing:?}-{length}");
+            let writes = paused_writes(&id, framing, length);
+            requests.push((id, writes));
+        }
+    }
+    send_all_in_time(node.address, &format!("{kind:?}, {reading:?}"), requests)
+}
+
 #[test]
 fn upload_is_answered_in_time_though_its_server_reads_nothing() {
     check_uploads_that_are_held_up(Reading::Nothing);
@@ -140,6 +155,17 @@
     check_uploads_that_are_held_up(Reading::AnswersEarly);
 }
 
+/// Guards against: the start of an answer that its server had begun before it had the request was passed on at the client's time,
+/// and broken off seconds later.
+#[test]
+fn upload_is_answered_in_time_though_its_server_begins_an_answer_early_and_hangs() {
+    for_each_kind(|kind| {
+        for (id, ending) in send_uploads_that_are_held_up(kind, Reading::AnswersEarlyInChunks) {
+            assert_ne!(ending.status, Some(200), "{kind:?}, {id}: {ending:?}");
+        }
+    });
+}
+
 /// How much of a large body a server reads at once before it reads slowly, in bytes. The system's receive buffer grows
 /// meanwhile.
 const FAST_BYTES: usize = 12_000_000;
@@ -289,6 +315,42 @@
     });
 }
 
+/// Guards against: a server whose connection had come up late was told all of the client's time, of which a part was over.
+#[test]
+fn server_whose_connection_comes_up_late_is_told_what_is_left_to_the_client() {
+    /// More than the system waits before it repeats a connection attempt.
+    const LONG_TIME_LEFT: Duration = Duration::from_secs(4);
+    /// The page allows this much.
+    const SLACK: Duration = Duration::from_millis(150);
+    for_each_kind(|kind| {
+        let listener = listener_with_full_backlog();
+        let address = listener.local_addr().unwrap();
+        let _fills_backlog = TcpStream::connect(address).unwrap();
+        let node = TestNode::start(kind, &[address]);
+        let mut parts = request_parts("late", Framing::Announced, &[BUFFERED_BYTES[0]]);
+        let head = String::from_utf8(parts[0].clone()).unwrap();
+        let stated = |time: Duration| format!("x-time-left: {:.3}", time.as_secs_f64());
+        parts[0] = head
+            .replace(&stated(TIME_LEFT), &stated(LONG_TIME_LEFT))
+            .into_bytes();
+        let upload = Upload::start(node.address, at_once(parts));
+        wait_for_connection_attempt(address.port());
+        let (_first, _) = listener.accept().unwrap();
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let head = read_head(&mut reader).unwrap();
+        let told_at = Instant::now();
+        read_body(&mut reader, &head).unwrap();
+        stream.write_all(OK_RESPONSE).unwrap();
+        let ending = upload.wait();
+        let written_at = ending.written_at.unwrap();
+        let told = Duration::from_secs_f64(head.time_left.parse().unwrap());
+        let left = (written_at + LONG_TIME_LEFT).saturating_duration_since(told_at);
+        assert_eq!(ending.status, Some(200), "{kind:?}: {ending:?}");
+        assert!(told <= left + SLACK, "{kind:?}: told {told:?} of {left:?}");
+    });
+}
+
 /// Starts servers that pause for longer than the client's time in the middle of a body and then read on.
 fn start_pausing_servers() -> Vec<SocketAddr> {
     serve(|mut reader, mut stream| {
