Uploads: an answer that begins before its request is whole is not passed on

A client whose server sent the start of an answer of unknown length before it had read the request, and hung, was passed 200 at its time, and the connection was broken off 2 s later: its final answer came seconds after its time.

Cause: at the client's time, and after 1.5 s of buffering, an answer of unknown length is passed on whatever became of the request.

Change: while the upload is in progress, the start of an answer of unknown length stays buffered as long as it fits, and at the client's time the request fails (504).

--- a/crates/node/src/net/upstream/buffering.rs
+++ b/crates/node/src/net/upstream/buffering.rs
@@ -50,6 +50,8 @@
     Overdue,
     /// The start of the answer has been buffered for long enough.
     BufferedLongEnough,
+    /// The server has the whole request now.
+    UploadEnded,
 }
 
 /// An answer whose body is being buffered.
@@ -129,34 +131,52 @@
             // What followed an invalid answer on the connection is unknown, so the connection is closed.
             FrameWait::Received(None) => Progress::Broken,
             FrameWait::BufferedLongEnough => Progress::Streaming,
+            FrameWait::UploadEnded => Progress::Buffering,
             FrameWait::Overdue => self.judge_overdue(),
         }
     }
 
     async fn wait_for_frame(&mut self) -> FrameWait {
-        let forward_by = self
-            .clock
-            .forward_by()
-            .filter(|_| !self.exchange.attempt.must_buffer_whole());
+        let forward_by = self.forward_by();
         let held = async {
             match forward_by {
                 Some(forward_by) => sleep_until(forward_by.into()).await,
                 None => std::future::pending().await,
             }
         };
+        let body = &self.exchange.attempt.message.body;
+        let upload_ended = async {
+            match body.streamed() {
+                Some(body) if !body.is_complete() => body.wait_for_end().await,
+                _ => std::future::pending().await,
+            }
+        };
         tokio::select! {
             biased;
             frame = self.body.frame() => FrameWait::Received(frame),
             () = self.exchange.timer.expire() => FrameWait::Overdue,
+            () = upload_ended => FrameWait::UploadEnded,
             () = held => FrameWait::BufferedLongEnough,
         }
     }
 
+    /// When its start has to be forwarded though its client still has time. A server that does not have the whole request has
+    /// not begun to process it.
+    fn forward_by(&self) -> Option<Instant> {
+        let attempt = self.exchange.attempt;
+        let must_wait = attempt.must_buffer_whole() || attempt.message.body.is_upload_in_progress();
+        self.clock.forward_by().filter(|_| !must_wait)
+    }
+
     /// Decides what becomes of an answer that is not complete when the time of its attempt is up. One that may be long is not
-    /// given up for another attempt, and is forwarded when its client's time is up.
+    /// given up for another attempt, and is forwarded when its client's time is up, unless its server does not even have the whole
+    /// request then.
     fn judge_overdue(&mut self) -> Progress {
         let attempt = self.exchange.attempt;
-        if attempt.must_buffer_whole() || self.clock.length() == AnswerLength::Short {
+        if attempt.must_buffer_whole()
+            || self.clock.length() == AnswerLength::Short
+            || attempt.message.body.is_upload_in_progress()
+        {
             return Progress::TimedOut;
         }
         if self.exchange.timer.is_final() {
@@ -197,7 +217,6 @@
             };
         }
         let is_buffered_long_enough = self
-            .clock
             .forward_by()
             .is_some_and(|forward_by| forward_by <= Instant::now());
         if !self.buffer.is_empty() && (!fits || is_buffered_long_enough) {
