Uploads: servers are told what is left of a time that may have begun

A server whose connection came up late was told all of the client's time for a streamed request, though the client had written its last byte at once: 4 s of 2.96 s.

Cause: the time of a streamed body was known only if all of it had been read when it was decided to stream it; otherwise the client's own header went on unchanged.

Change: the clock of the upload tells the earliest moment at which the client's time is up, if the client can have written its last byte. Servers are told what is left until then, which is never more than the client has. While it can't, or the node waits for more of the body, the header goes on as before.

--- a/crates/node/src/net/body.rs
+++ b/crates/node/src/net/body.rs
@@ -80,13 +80,6 @@
         })
     }
 
-    /// Whether all of it had arrived when it was decided to stream it, and none of it was consumed.
-    pub fn has_arrived(&self) -> bool {
-        let prefix = self.prefix.borrow();
-        let arrived = byte_count(&*prefix);
-        arrived > 0 && self.announced_size == Some(arrived)
-    }
-
     /// Whether part of it was consumed, so that it can't be sent again.
     pub fn is_consumed(&self) -> bool {
         self.is_consumed.get()
--- a/crates/node/src/net/upload_clock.rs
+++ b/crates/node/src/net/upload_clock.rs
@@ -157,12 +157,22 @@
         if self.progress.input.is_awaited {
             None
         } else if self.can_have_ended {
-            Some(self.earliest_end + self.time_for_answer)
+            Some(self.earliest_client_deadline())
         } else {
             Some(self.progress.progressed_at + STALL_TIMEOUT.max(self.time_for_answer))
         }
     }
 
+    /// When the client's time is up at the earliest; `None` if it can't have written the last byte so far.
+    pub fn client_deadline(&self) -> Option<Instant> {
+        let may_have_begun = self.can_have_ended && !self.progress.input.is_awaited;
+        may_have_begun.then(|| self.earliest_client_deadline())
+    }
+
+    fn earliest_client_deadline(&self) -> Instant {
+        self.earliest_end + self.time_for_answer
+    }
+
     /// When the clock has to be updated again. Nothing reports that a part of the body was taken, that an awaited client
     /// writes on, or that the buffers hold the rest of the body.
     pub fn next_update(&self, now: Instant) -> Instant {
--- a/crates/node/src/net/upload_clock/tests.rs
+++ b/crates/node/src/net/upload_clock/tests.rs
@@ -205,3 +205,24 @@
     let deadline = buffered.start + TIME_FOR_ANSWER;
     assert_eq!(buffered.clock.next_update(buffered.start), deadline);
 }
+
+/// Guards against: a server was told all of the client's time though a part of it may have been over.
+#[test]
+fn client_has_what_is_left_since_it_may_have_written_the_last_byte() {
+    let nothing_awaited = ClientInput::default();
+    let mut small = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES));
+    small.update(SECOND / 2, 0, nothing_awaited);
+    assert_eq!(
+        small.clock.client_deadline(),
+        Some(small.start + TIME_FOR_ANSWER)
+    );
+    let mut large = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES + 1));
+    large.update(SECOND / 2, 0, nothing_awaited);
+    assert_eq!(large.clock.client_deadline(), None);
+    let awaited = ClientInput {
+        is_awaited: true,
+        awaited_until: None,
+    };
+    small.update(SECOND / 2, 0, awaited);
+    assert_eq!(small.clock.client_deadline(), None);
+}
--- a/crates/node/src/net/upstream/answer_timer.rs
+++ b/crates/node/src/net/upstream/answer_timer.rs
@@ -37,12 +37,12 @@
         self.answer_by
     }
 
-    /// When the answer is due, if all of the request has arrived.
-    pub(super) fn known_deadline(&self) -> Option<Instant> {
-        match (&self.upload, self.attempt.message.body.streamed()) {
-            (Some(upload), Some(body)) if body.has_arrived() => upload.deadline(),
-            (Some(_), _) => None,
-            (None, _) => Some(self.answer_by),
+    /// When the answer is due at the earliest; `None` if the client can't have written all of its request so far.
+    pub(super) fn earliest_answer_by(&mut self) -> Option<Instant> {
+        self.record_progress(Instant::now());
+        match &self.upload {
+            Some(upload) => upload.client_deadline(),
+            None => Some(self.answer_by),
         }
     }
 
--- a/crates/node/src/net/upstream/attempt.rs
+++ b/crates/node/src/net/upstream/attempt.rs
@@ -82,14 +82,14 @@
             .end_attempt(request, number, Outcome::Served, Some(answer));
     }
 
-    /// The request; `answer_by` is when its answer is due, if that is known before its body is sent.
+    /// The request; `answer_by` is when its answer is due at the earliest, if its client may have written all of it.
     pub(super) fn build_request(&self, answer_by: Option<Instant>) -> Request<PayloadBody> {
         let message = &*self.message;
         let mut request = Request::new(PayloadBody::new(&message.body));
         *request.method_mut() = message.method.clone();
         *request.uri_mut() = Uri::from(message.path.clone());
         let mut headers = message.headers.clone();
-        // How long the rest of a body takes to arrive is unknown; the client has stated its own time left after it.
+        // Otherwise the client's time has not begun, and the server is told all of it.
         if let Some(answer_by) = answer_by {
             let time_left = answer_by
                 .saturating_duration_since(Instant::now())
--- a/crates/node/src/net/upstream/exchange.rs
+++ b/crates/node/src/net/upstream/exchange.rs
@@ -114,7 +114,8 @@
     }
 
     async fn run(mut self) -> ExchangeResult {
-        let request = self.attempt.build_request(self.timer.known_deadline());
+        let answer_by = self.timer.earliest_answer_by();
+        let request = self.attempt.build_request(answer_by);
         self.connection.set_awaiting_head(true);
         self.attempt.record_sent();
         let mut head = pin!(self.connection.sender.try_send_request(request));
