Answers: one that trickles ends though its server is never silent for long

A client whose server wrote a few bytes of an answer of unknown length again and again got the head at its time and no end as long as that went on (100 bytes each 0.9 s: 11.9 s after a request with 0.6 s). An answer that never ends owes its client an end, too.

Cause: an overdue answer of which less than 64 KiB had come ended 2 s after its last part, and each part, however small, began these 2 s anew.

Change: such an answer has 5 s after its client's time to turn out to be long.

--- a/crates/node/src/net/answer_clock.rs
+++ b/crates/node/src/net/answer_clock.rs
@@ -8,7 +8,7 @@
 //! | --- | --- | --- |
 //! | announced, up to 64 KiB | it has failed | - |
 //! | more than 64 KiB, announced or received | it is forwarded | it ends when its server is silent for [`STALL_TIMEOUT`] |
-//! | unknown | it is forwarded | it is broken off if its server is silent for [`MAX_SILENCE`], and if it turns out to be short and late |
+//! | unknown | it is forwarded | it is broken off if its server is silent for [`MAX_SILENCE`], if it turns out to be short and late, and if it does not turn out to be long within [`MAX_UNDECIDED_TIME`] |
 //!
 //! `upstream::buffering` follows the clock until the answer is forwarded, and [`StreamedAnswer`](super::answer::StreamedAnswer)
 //! from then on: no other part of the node ends an answer of which a server still writes more.
@@ -34,6 +34,10 @@
 /// A short answer that is complete later than this after its client's time is lost, as if it had never come.
 const MAX_LATENESS: Duration = Duration::from_millis(500);
 
+/// How long after its client's time an answer may go on of which is still unknown whether it is long. At 64 kB a second it is
+/// known after about one; the rest is for pauses of its server.
+const MAX_UNDECIDED_TIME: Duration = Duration::from_secs(5);
+
 /// What is known of the length of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerLength {
@@ -133,7 +137,10 @@
         match self.length() {
             AnswerLength::Short => deadline + MAX_LATENESS,
             AnswerLength::Long => stalled_at.max(deadline),
-            AnswerLength::Unknown => (self.silent_since + MAX_SILENCE).max(deadline + MAX_LATENESS),
+            AnswerLength::Unknown => {
+                let is_silent_at = (self.silent_since + MAX_SILENCE).max(deadline + MAX_LATENESS);
+                is_silent_at.min(deadline + MAX_UNDECIDED_TIME + self.client_wait)
+            }
         }
     }
 
--- a/crates/node/src/net/answer_clock/tests.rs
+++ b/crates/node/src/net/answer_clock/tests.rs
@@ -1,6 +1,8 @@
 //! When answers are forwarded and have to end, in virtual time.
 
-use super::{AnswerClock, AnswerLength, MAX_BUFFERING_TIME, MAX_LATENESS, MAX_SILENCE};
+use super::{
+    AnswerClock, AnswerLength, MAX_BUFFERING_TIME, MAX_LATENESS, MAX_SILENCE, MAX_UNDECIDED_TIME,
+};
 use crate::net::body::STALL_TIMEOUT;
 use crate::net::MAX_UNSTREAMED_RESPONSE_BYTES;
 use std::time::{Duration, Instant};
@@ -61,6 +63,17 @@
     assert_eq!(unknown.ends_at(), start + 4 * SECOND + STALL_TIMEOUT);
 }
 
+#[test]
+fn overdue_answer_ends_unless_it_turns_out_to_be_long() {
+    let start = Instant::now();
+    let last_moment = start + CLIENT_TIME + MAX_UNDECIDED_TIME;
+    let mut unknown = clock(start, None);
+    unknown.record_part(last_moment - SECOND, 1);
+    assert_eq!(unknown.ends_at(), last_moment);
+    unknown.record_part(last_moment - SECOND, MAX_UNSTREAMED_RESPONSE_BYTES);
+    assert_eq!(unknown.ends_at(), last_moment - SECOND + STALL_TIMEOUT);
+}
+
 #[test]
 fn server_may_be_silent_while_its_client_has_time() {
     let start = Instant::now();
@@ -93,6 +106,7 @@
     unknown.record_part(start, 1);
     unknown.record_client_wait(start + 5 * SECOND, 5 * SECOND);
     assert_eq!(unknown.ends_at(), start + 5 * SECOND + MAX_SILENCE);
-    assert!(!unknown.is_late(start + 6 * SECOND));
-    assert!(unknown.is_late(start + 7 * SECOND));
+    let last_moment = start + CLIENT_TIME + 5 * SECOND + MAX_LATENESS;
+    assert!(!unknown.is_late(last_moment));
+    assert!(unknown.is_late(last_moment + Duration::from_millis(1)));
 }
