--- a/crates/node/src/net/answer_clock.rs
+++ b/crates/node/src/net/answer_clock.rs
@@ -8,7 +8,7 @@
 //! | --- | --- | --- |
 //! | announced, up to 64 KiB | it has failed | - |
 //! | more than 64 KiB, announced or received | it is forwarded | it ends when its server is silent for [`STALL_TIMEOUT`] |
-//! | unknown | it is forwarded | it is broken off if its server is silent for [`MAX_SILENCE`], if it turns out to be short and late, and if it does not turn out to be long within [`MAX_UNDECIDED_TIME`] |
+//! | unknown | it is forwarded | it is broken off if its server is silent for [`MAX_SILENCE`], if it turns out to be short and late, and if it only trickles |
 //!
 //! `upstream::buffering` follows the clock until the answer is forwarded, and [`StreamedAnswer`](super::answer::StreamedAnswer)
 //! from then on: no other part of the node ends an answer of which a server still writes more.
@@ -35,10 +35,13 @@
 /// after that time, and this process may be held up before it writes the end.
 const MAX_LATENESS: Duration = Duration::from_millis(400);
 
-/// How long after its client's time an answer may go on of which is still unknown whether it is long. At 64 kB a second it is
-/// known after about one; the rest is for pauses of its server.
+/// How long after its client's time an answer may go on of which is still unknown whether it is long, besides the time that what
+/// was received takes at [`MIN_UNDECIDED_RATE`].
 const MAX_UNDECIDED_TIME: Duration = Duration::from_secs(5);
 
+/// The lowest rate of such an answer, in bytes per second: a sixteenth of what the slowest servers write, which may pause.
+const MIN_UNDECIDED_RATE: f64 = 4e3;
+
 /// What is known of the length of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AnswerLength {
@@ -140,11 +143,17 @@
             AnswerLength::Long => stalled_at.max(deadline),
             AnswerLength::Unknown => {
                 let is_silent_at = (self.silent_since + MAX_SILENCE).max(deadline + MAX_LATENESS);
-                is_silent_at.min(deadline + MAX_UNDECIDED_TIME + self.client_wait)
+                is_silent_at.min(deadline + self.time_undecided() + self.client_wait)
             }
         }
     }
 
+    /// How long after its client's time it may go on while it may still turn out to be short.
+    fn time_undecided(&self) -> Duration {
+        let time_received = self.received_bytes as f64 / MIN_UNDECIDED_RATE;
+        MAX_UNDECIDED_TIME + Duration::from_secs_f64(time_received)
+    }
+
     /// Whether an answer that is complete now is lost: it is short, and its client's time was up long before, though that has
     /// not kept the node from reading on.
     pub fn is_late(&self, now: Instant) -> bool {
--- a/crates/testbed/tests/answers/unfinished.rs
+++ b/crates/testbed/tests/answers/unfinished.rs
@@ -11,7 +11,7 @@
 /// whether the node holds the rest back.
 const MAX_SILENCE: Duration = Duration::from_secs(2);
 
-/// A sound answer has turned out to be long, at 64 kB a second, within about a second; the rest is for its pauses.
+/// An answer of which no more than some bytes come again and again has to end in this time after its client's.
 const MAX_UNDECIDED: Duration = Duration::from_secs(5);
 
 /// Sends requests of all classes for each script on a node of each kind, and checks each answer.
