Tests: one module starts the nodes of both kinds for answers and uploads

tests/answers/nodes.rs and tests/uploads/nodes.rs had the same 30 lines. They are in reelfall_testbed::test_node now; what differs (settings, memory) stays where it was.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`scripted`] | peers with blocking sockets, for tests that control every byte |
 //! | [`slow_answers`] | servers that write answers slowly, and clients that record when each part comes |
 //! | [`soak`] | long randomized runs, each checked against the records of clients and servers |
+//! | [`test_node`] | a node of either kind, for tests with blocking sockets |
 //! | [`ports`] | port reservations on the loopback address |
 
 pub mod client;
@@ -41,6 +42,7 @@
 pub mod slow_answers;
 pub mod soak;
 mod task;
+pub mod test_node;
 
 pub use random::SeededRng;
 pub use task::{shutdown_signal, spawn, AbortOnDrop};
--- a/crates/testbed/tests/answers/endings.rs
+++ b/crates/testbed/tests/answers/endings.rs
@@ -1,9 +1,10 @@
 //! Nodes that end, drain, are upgraded, or get another list of servers while a server writes a long answer.
 
-use crate::nodes::{program, NodeKind, NodeProcess, TestNode};
+use crate::nodes::{program, start_node};
 use crate::{Request, TIME_LEFT};
 use reelfall_testbed::scripted::{call_management, ListedServer};
 use reelfall_testbed::slow_answers::{Class, End, Ending, Framing, Reception, Script, Servers};
+use reelfall_testbed::test_node::{NodeKind, NodeProcess, TestNode};
 use std::time::{Duration, Instant};
 
 /// The most of the longest deadline that counts for the time until SIGKILL.
@@ -41,7 +42,7 @@
             let event = &event;
             scope.spawn(move || {
                 let servers = Servers::start();
-                let mut node = TestNode::start(kind, &servers);
+                let mut node = start_node(kind, &servers);
                 servers.plan("long", long_script());
                 let request = Request::start(node.address, Class::Unsafe, "long", TIME_LEFT);
                 let receiver = std::thread::spawn(move || request.receive());
@@ -64,7 +65,7 @@
 #[test]
 fn process_that_was_told_to_end_does_so_after_its_last_answer() {
     let servers = Servers::start();
-    let mut node = TestNode::start(NodeKind::Platform, &servers);
+    let mut node = start_node(NodeKind::Platform, &servers);
     servers.plan("long", long_script());
     let request = Request::start(node.address, Class::Unsafe, "long", TIME_LEFT);
     std::thread::sleep(EVENT_TIMES[1]);
@@ -158,7 +159,7 @@
     const TIME_LEFT: Duration = Duration::from_secs(5);
     for kind in NodeKind::ALL {
         let servers = Servers::start();
-        let node = TestNode::start(kind, &servers);
+        let node = start_node(kind, &servers);
         let script = Script {
             framing: Framing::Announced,
             first_pause: Duration::from_secs(20),
--- a/crates/testbed/tests/answers/pauses.rs
+++ b/crates/testbed/tests/answers/pauses.rs
@@ -1,8 +1,9 @@
 //! Long answers whose servers pause while they write them.
 
-use crate::nodes::{NodeKind, TestNode};
+use crate::nodes::start_node;
 use crate::{send, Request};
 use reelfall_testbed::slow_answers::{Class, End, Ending, Framing, Reception, Script, Servers};
+use reelfall_testbed::test_node::NodeKind;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -89,7 +90,7 @@
             continue;
         }
         let servers = Servers::start();
-        let node = TestNode::start(kind, &servers);
+        let node = start_node(kind, &servers);
         std::thread::scope(|scope| {
             for (number, script) in scripts(framings, pause).into_iter().enumerate() {
                 let (servers, address) = (&servers, node.address);
@@ -142,7 +143,7 @@
 fn long_answer_is_not_held_back_though_its_client_has_time() {
     const TIME_LEFT: Duration = Duration::from_secs(5);
     let servers = Servers::start();
-    let node = TestNode::start(NodeKind::Platform, &servers);
+    let node = start_node(NodeKind::Platform, &servers);
     let script = Script {
         framing: Framing::Chunked,
         first_pause: Duration::ZERO,
--- a/crates/testbed/tests/answers/unfinished.rs
+++ b/crates/testbed/tests/answers/unfinished.rs
@@ -1,10 +1,11 @@
 //! Answers that stop, break or come too late.
 
-use crate::nodes::{NodeKind, TestNode};
+use crate::nodes::start_node;
 use crate::{send, TIME_LEFT};
 use reelfall_testbed::slow_answers::{
     Class, Connection, End, Ending, Framing, Reception, Script, Servers, Version, MAX_LATENESS,
 };
+use reelfall_testbed::test_node::NodeKind;
 use std::time::Duration;
 
 /// A server that writes nothing more of an answer for this long has stopped: by then its client can't tell from what it gets
@@ -22,7 +23,7 @@
                 let check = &check;
                 scope.spawn(move || {
                     let servers = Servers::start();
-                    let node = TestNode::start(kind, &servers);
+                    let node = start_node(kind, &servers);
                     for (number, script) in scripts.iter().enumerate() {
                         let id = format!("{kind:?}-{class:?}-{number}");
                         servers.plan(&id, script.clone());
@@ -115,7 +116,7 @@
 fn answer_to_an_http_1_0_client_that_breaks_or_stops_does_not_look_whole() {
     for kind in NodeKind::ALL {
         let servers = Servers::start();
-        let node = TestNode::start(kind, &servers);
+        let node = start_node(kind, &servers);
         for framing in Framing::UNKNOWN_LENGTH {
             for ending in [Ending::Stops, Ending::Breaks] {
                 let script = Script {
--- a/crates/testbed/tests/uploads/endings.rs
+++ b/crates/testbed/tests/uploads/endings.rs
@@ -4,11 +4,12 @@
     at_once, piece_sizes_around_full_buffers, request_parts, ClientWrite, Framing, Upload,
     TIME_LEFT,
 };
-use crate::nodes::{for_each_kind, program, settings, NodeKind, NodeProcess, TestNode};
+use crate::nodes::{for_each_kind, program, settings, start_node};
 use crate::servers::{
     hang, open_connections, read_body, read_bytes, read_head, serve, Runs, OK_RESPONSE,
 };
 use reelfall_testbed::scripted::{listener_with_full_backlog, wait_for_connection_attempt};
+use reelfall_testbed::test_node::{NodeKind, NodeProcess};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::{channel, Receiver};
@@ -76,7 +77,7 @@
     for_each_kind(|kind| {
         let runs = Runs::default();
         let servers = HangingServers::start(&runs);
-        let node = TestNode::start(kind, &servers.addresses);
+        let node = start_node(kind, &servers.addresses);
         let upload = Upload::start(node.address, writes("left"));
         servers.hangs.recv().unwrap();
         upload.abort();
@@ -96,7 +97,7 @@
     for_each_kind(|kind| {
         let runs = Runs::default();
         let servers = HangingServers::start(&runs);
-        let node = TestNode::start(kind, &servers.addresses);
+        let node = start_node(kind, &servers.addresses);
         let upload = Upload::start(node.address, writes("refused"));
         servers.hangs.recv().unwrap();
         let ending = upload.wait();
@@ -114,7 +115,7 @@
 fn upload_that_its_server_holds_up_is_answered_in_time_during_a_shutdown() {
     for_each_kind(|kind| {
         let servers = HangingServers::start(&Runs::default());
-        let node = TestNode::start(kind, &servers.addresses);
+        let node = start_node(kind, &servers.addresses);
         let upload = Upload::start(node.address, writes("shutdown"));
         servers.hangs.recv().unwrap();
         node.signal("TERM");
@@ -126,7 +127,7 @@
 #[test]
 fn upload_that_its_server_holds_up_is_answered_in_time_during_an_upgrade() {
     let servers = HangingServers::start(&Runs::default());
-    let node = TestNode::start(NodeKind::Platform, &servers.addresses);
+    let node = start_node(NodeKind::Platform, &servers.addresses);
     let NodeProcess::Platform { node: process, .. } = &node.process else {
         panic!("a node of the platform");
     };
@@ -141,7 +142,7 @@
 #[test]
 fn upload_that_its_server_holds_up_is_answered_in_time_during_reloads() {
     let servers = HangingServers::start(&Runs::default());
-    let mut node = TestNode::start(NodeKind::SettingsFile, &servers.addresses);
+    let mut node = start_node(NodeKind::SettingsFile, &servers.addresses);
     let upload = Upload::start(node.address, writes("reload"));
     servers.hangs.recv().unwrap();
     let NodeProcess::SettingsFile {
@@ -194,7 +195,7 @@
                 let _ = read_head(&mut reader);
                 hang()
             });
-            let node = TestNode::start(kind, &servers);
+            let node = start_node(kind, &servers);
             let start = |piece: &usize| {
                 let lengths = [*piece, REST];
                 let mut parts = request_parts(&piece.to_string(), Framing::Announced, &lengths);
@@ -233,7 +234,7 @@
     let listener = listener_with_full_backlog();
     let address = listener.local_addr().unwrap();
     let fills_backlog = TcpStream::connect(address).unwrap();
-    let node = TestNode::start(NodeKind::Platform, &[address]);
+    let node = start_node(NodeKind::Platform, &[address]);
     // The client's system sends the end of its connection only behind all data, so that has to fit into the node's buffer.
     let mut parts = request_parts(ID, Framing::Announced, &[READ_BYTES / 2, LENGTH]);
     parts.truncate(2);
--- a/crates/testbed/tests/uploads/graphql.rs
+++ b/crates/testbed/tests/uploads/graphql.rs
@@ -1,7 +1,7 @@
 //! GraphQL requests, which are always buffered whole, while servers stop.
 
 use crate::clients::{send_all_in_time, ClientWrite, Framing, TIME_LEFT};
-use crate::nodes::TestNode;
+use crate::nodes::start_node_with_settings;
 use crate::servers::{hang, read_body, read_head, serve, Runs};
 use reelfall_testbed::scripted::exchange;
 use std::io::Write;
@@ -39,7 +39,7 @@
 
 /// Sends mutations of all lengths at once, and checks that all are answered in time and none that has run is refused.
 fn check_mutations(servers: &[SocketAddr], runs: &Runs) {
-    let node = TestNode::start_with_settings(&settings(servers));
+    let node = start_node_with_settings(&settings(servers));
     let requests = LENGTHS.map(|length| {
         let id = format!("m-{length}");
         let write = ClientWrite {
@@ -115,7 +115,7 @@
                 "name = \"graphql\"\n",
                 "name = \"graphql\"\nlimits = { memory = \"1KiB\" }\n",
             );
-            let node = TestNode::start_with_settings(&settings);
+            let node = start_node_with_settings(&settings);
             let response = exchange(node.address, &mutation("small", 200));
             let status = response.map(|response| response.status);
             assert_eq!(status, Some(200), "{framing:?}, {length} bytes");
--- a/crates/testbed/tests/uploads/resets.rs
+++ b/crates/testbed/tests/uploads/resets.rs
@@ -2,8 +2,9 @@
 //! answered in time.
 
 use crate::clients::{at_once, request_parts, send, ClientWrite, Ending, Framing, Upload};
-use crate::nodes::{for_each_kind, NodeKind, TestNode, UsedMemory};
+use crate::nodes::{for_each_kind, start_node, UsedMemory};
 use crate::servers::{read_body, read_head, serve, Runs, OK_RESPONSE};
+use reelfall_testbed::test_node::NodeKind;
 use std::io::{BufReader, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
@@ -145,7 +146,7 @@
 /// refused after it had run, or got no answer from a server that hung.
 fn check_requests_that_have_run(kind: NodeKind, stop: Stop) {
     let runs = Runs::default();
-    let node = TestNode::start(kind, &start_servers(&runs));
+    let node = start_node(kind, &start_servers(&runs));
     let address = node.address;
     let (sender, results) = channel();
     let _memory = UsedMemory::fill(kind, address);
@@ -219,7 +220,7 @@
                 Stop::Reset.stop(stream, &mut reader);
             }
         });
-        let node = TestNode::start(kind, &servers);
+        let node = start_node(kind, &servers);
         let _memory = UsedMemory::fill(kind, node.address);
         let writes = Pieces::One.writes("shutdown", Framing::Announced);
         let request = Upload::start(node.address, writes);
--- a/crates/testbed/tests/uploads/stalls.rs
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -4,11 +4,12 @@
     at_once, head, piece_sizes_around_full_buffers, request_parts, send, send_all,
     send_all_in_time, ClientWrite, Ending, Framing, Upload, TIME_LEFT,
 };
-use crate::nodes::{for_each_kind, NodeKind, TestNode, UsedMemory};
+use crate::nodes::{for_each_kind, start_node, UsedMemory};
 use crate::servers::{
     hang, read_body, read_bytes, read_head, serve, ReceivedHead, Runs, OK_RESPONSE,
 };
 use reelfall_testbed::scripted::{listener_with_full_backlog, wait_for_connection_attempt};
+use reelfall_testbed::test_node::NodeKind;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
@@ -123,7 +124,7 @@
 
 /// Checks that uploads are answered in time whose servers read them this way; returns their names and how they ended.
 fn send_uploads_that_are_held_up(kind: NodeKind, reading: Reading) -> Vec<(String, Ending)> {
-    let node = TestNode::start(kind, &start_servers(reading));
+    let node = start_node(kind, &start_servers(reading));
     let mut requests = Vec::new();
     for framing in Framing::ALL {
         for length in reading.body_sizes() {
@@ -195,7 +196,7 @@
             }
         });
         for_each_kind(|kind| {
-            let node = TestNode::start(kind, &servers);
+            let node = start_node(kind, &servers);
             let mut requests = Vec::new();
             for framing in Framing::ALL {
                 for length in LARGE_BYTES {
@@ -246,7 +247,7 @@
         }
     });
     for_each_kind(|kind| {
-        let node = TestNode::start(kind, &servers);
+        let node = start_node(kind, &servers);
         let requests = (5..21).map(|pieces| {
             let id = pieces.to_string();
             let parts = request_parts(&id, Framing::Chunked, &vec![PIECE_BYTES; pieces]);
@@ -273,7 +274,7 @@
     let pieces = piece_sizes_around_full_buffers();
     for_each_kind(|kind| {
         for pieces in pieces.chunks(REQUESTS_PER_NODE) {
-            let node = TestNode::start(kind, &start_servers(Reading::Nothing));
+            let node = start_node(kind, &start_servers(Reading::Nothing));
             let request = |piece: &usize| {
                 let id = piece.to_string();
                 let mut writes = at_once(request_parts(&id, Framing::Announced, &[*piece, REST]));
@@ -290,7 +291,7 @@
 #[test]
 fn buffered_request_is_answered_in_time_though_its_server_reads_nothing() {
     const LENGTH: usize = 1_000_000;
-    let node = TestNode::start(NodeKind::Platform, &start_servers(Reading::Nothing));
+    let node = start_node(NodeKind::Platform, &start_servers(Reading::Nothing));
     let requests = Framing::ALL.map(|framing| {
         let id = format!("buffered-{framing:?}");
         let writes = paused_writes(&id, framing, LENGTH);
@@ -306,7 +307,7 @@
     let address = listener.local_addr().unwrap();
     let _fills_backlog = TcpStream::connect(address).unwrap();
     for_each_kind(|kind| {
-        let node = TestNode::start(kind, &[address]);
+        let node = start_node(kind, &[address]);
         let requests = BUFFERED_BYTES.map(|length| {
             let parts = request_parts(&length.to_string(), Framing::Announced, &[length]);
             (length.to_string(), at_once(parts))
@@ -330,7 +331,7 @@
     socket2::SockRef::from(&listener)
         .set_read_timeout(accept_timeout)
         .unwrap();
-    let node = TestNode::start(NodeKind::Platform, &[address]);
+    let node = start_node(NodeKind::Platform, &[address]);
     let stated = |time: Duration| format!("x-time-left: {:.3}", time.as_secs_f64());
     let mut parts = request_parts("late", Framing::Announced, &[BUFFERED_BYTES[0]]);
     parts[0] = String::from_utf8(parts[0].clone())
@@ -376,7 +377,7 @@
 fn upload_is_served_though_its_server_pauses_while_much_is_to_come() {
     const LENGTH: usize = 24 << 20;
     for_each_kind(|kind| {
-        let node = TestNode::start(kind, &start_pausing_servers());
+        let node = start_node(kind, &start_pausing_servers());
         let parts = request_parts("large", Framing::Announced, &[LENGTH]);
         let ending = send(node.address, at_once(parts));
         assert_eq!(ending.status, Some(200), "{kind:?}: {ending:?}");
@@ -414,7 +415,7 @@
         }
     });
     for kind in NodeKind::ALL {
-        let node = TestNode::start(kind, &servers);
+        let node = start_node(kind, &servers);
         let _memory = UsedMemory::fill(kind, node.address);
         let parts = request_parts("told", Framing::Announced, &[LENGTH]);
         let ending = send(node.address, at_once(vec![parts.concat()]));
@@ -438,7 +439,7 @@
 fn upload_of_a_client_that_writes_slowly_is_served() {
     const PIECES: usize = 25;
     for_each_kind(|kind| {
-        let node = TestNode::start(kind, &start_reading_servers(Duration::ZERO));
+        let node = start_node(kind, &start_reading_servers(Duration::ZERO));
         let _memory = UsedMemory::fill(kind, node.address);
         let requests = Framing::ALL.map(|framing| {
             let id = format!("slow-{framing:?}");
@@ -460,7 +461,7 @@
     const PIECE_BYTES: usize = 64_000;
     const PIECES: usize = 30;
     for_each_kind(|kind| {
-        let node = TestNode::start(kind, &start_servers(Reading::Nothing));
+        let node = start_node(kind, &start_servers(Reading::Nothing));
         let requests = Framing::ALL.map(|framing| {
             let id = format!("slow-{framing:?}");
             let mut writes = at_once(request_parts(&id, framing, &[PIECE_BYTES; PIECES]));
@@ -479,7 +480,7 @@
     const WORK: Duration = Duration::from_millis(3_200);
     const LENGTH: usize = 1_200_000;
     for_each_kind(|kind| {
-        let node = TestNode::start(kind, &start_reading_servers(WORK));
+        let node = start_node(kind, &start_reading_servers(WORK));
         let requests = Framing::ALL.map(|framing| {
             let id = format!("work-{framing:?}");
             let mut parts = request_parts(&id, framing, &[LENGTH]);
@@ -506,7 +507,7 @@
         }
     });
     for_each_kind(|kind| {
-        let node = TestNode::start(kind, &servers);
+        let node = start_node(kind, &servers);
         let text = head("stops", "content-length: 3000000") + "the start of a body";
         let ending = send(node.address, at_once(vec![text.into_bytes()]));
         assert!(
