--- a/crates/testbed/tests/uploads/stalls.rs
+++ b/crates/testbed/tests/uploads/stalls.rs
@@ -4,12 +4,12 @@
     at_once, head, piece_sizes_around_full_buffers, request_parts, send, send_all,
     send_all_in_time, ClientWrite, Ending, Framing, Upload, TIME_LEFT,
 };
-use crate::nodes::{for_each_kind, start_node, UsedMemory};
+use crate::nodes::{for_each_kind, settings, start_node, start_node_with_settings, UsedMemory};
 use crate::servers::{
     hang, read_body, read_bytes, read_head, serve, ReceivedHead, Runs, OK_RESPONSE,
 };
 use reelfall_testbed::scripted::{listener_with_full_backlog, wait_for_connection_attempt};
-use reelfall_testbed::test_node::NodeKind;
+use reelfall_testbed::test_node::{NodeKind, TestNode};
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::mpsc::channel;
@@ -316,6 +316,18 @@
     });
 }
 
+/// Starts a node that waits for a connection to a server as long as the platform's nodes of these tests do.
+fn start_patient_node(kind: NodeKind, server: SocketAddr) -> TestNode {
+    match kind {
+        NodeKind::Platform => start_node(kind, &[server]),
+        NodeKind::SettingsFile => {
+            let patient = "tries = { connect = \"2s\" }\n[[service.class]]";
+            let settings = settings(&[server]).replace("[[service.class]]", patient);
+            start_node_with_settings(&settings)
+        }
+    }
+}
+
 /// Guards against: a server whose connection had come up late was told all of the client's time, of which a part was over.
 #[test]
 fn server_whose_connection_comes_up_late_is_told_what_is_left_to_the_client() {
@@ -323,36 +335,38 @@
     const LONG_TIME_LEFT: Duration = Duration::from_secs(4);
     /// The page allows this much.
     const SLACK: Duration = Duration::from_millis(150);
-    let listener = listener_with_full_backlog();
-    let address = listener.local_addr().unwrap();
-    let _fills_backlog = TcpStream::connect(address).unwrap();
-    // Holds for `accept` as well.
-    let accept_timeout = Some(2 * LONG_TIME_LEFT);
-    socket2::SockRef::from(&listener)
-        .set_read_timeout(accept_timeout)
-        .unwrap();
-    let node = start_node(NodeKind::Platform, &[address]);
-    let stated = |time: Duration| format!("x-time-left: {:.3}", time.as_secs_f64());
-    let mut parts = request_parts("late", Framing::Announced, &[BUFFERED_BYTES[0]]);
-    parts[0] = String::from_utf8(parts[0].clone())
-        .unwrap()
-        .replace(&stated(TIME_LEFT), &stated(LONG_TIME_LEFT))
-        .into_bytes();
-    let upload = Upload::start(node.address, at_once(parts));
-    wait_for_connection_attempt(address.port());
-    listener.accept().unwrap();
-    let (mut stream, _) = listener.accept().unwrap();
-    let mut reader = BufReader::new(stream.try_clone().unwrap());
-    let head = read_head(&mut reader).unwrap();
-    let told_at = Instant::now();
-    read_body(&mut reader, &head).unwrap();
-    stream.write_all(OK_RESPONSE).unwrap();
-    let ending = upload.wait();
-    let told = Duration::from_secs_f64(head.time_left.parse().unwrap());
-    let written_at = ending.written_at.unwrap();
-    let left = (written_at + LONG_TIME_LEFT).saturating_duration_since(told_at);
-    assert_eq!(ending.status, Some(200), "{ending:?}");
-    assert!(told <= left + SLACK, "told {told:?} of {left:?}");
+    for_each_kind(|kind| {
+        let listener = listener_with_full_backlog();
+        let address = listener.local_addr().unwrap();
+        let _fills_backlog = TcpStream::connect(address).unwrap();
+        // Holds for `accept` as well.
+        let accept_timeout = Some(2 * LONG_TIME_LEFT);
+        socket2::SockRef::from(&listener)
+            .set_read_timeout(accept_timeout)
+            .unwrap();
+        let node = start_patient_node(kind, address);
+        let stated = |time: Duration| format!("x-time-left: {:.3}", time.as_secs_f64());
+        let mut parts = request_parts("late", Framing::Announced, &[BUFFERED_BYTES[0]]);
+        parts[0] = String::from_utf8(parts[0].clone())
+            .unwrap()
+            .replace(&stated(TIME_LEFT), &stated(LONG_TIME_LEFT))
+            .into_bytes();
+        let upload = Upload::start(node.address, at_once(parts));
+        wait_for_connection_attempt(address.port());
+        listener.accept().unwrap();
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let head = read_head(&mut reader).unwrap();
+        let told_at = Instant::now();
+        read_body(&mut reader, &head).unwrap();
+        stream.write_all(OK_RESPONSE).unwrap();
+        let ending = upload.wait();
+        let told = Duration::from_secs_f64(head.time_left.parse().unwrap());
+        let written_at = ending.written_at.unwrap();
+        let left = (written_at + LONG_TIME_LEFT).saturating_duration_since(told_at);
+        assert_eq!(ending.status, Some(200), "{kind:?}: {ending:?}");
+        assert!(told <= left + SLACK, "{kind:?}: told {told:?} of {left:?}");
+    });
 }
 
 /// Starts servers that pause for longer than the client's time in the middle of a body and then read on.
