Shutdown: its clock starts at SIGTERM, not after the withdrawal of the entry

Callers lost requests that the node took 0.8 to 1.0 s after SIGTERM on open connections while its registry was silent: SIGKILL found them open.

Cause: run_node waited for the withdrawal of the node's own entry (0.5 s at most) inside the future that stood for SIGTERM, and Frontend::serve counted from its end. Accepting, the last answers and the end of the process were late by the time that the registry took.

Change: a task records when SIGTERM arrives (process::Termination), and both kinds of node count every time of the shutdown from then (frontend::Shutdown). The withdrawal begins at once, goes on beside the requests, and is awaited until the end of the process at most.

--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -2,7 +2,6 @@
 
 use super::{Frontend, HandoverState};
 use crate::net::client::Phase;
-use std::future::Future;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -23,8 +22,9 @@
 /// Time reserved at the end for clients that no successor takes over.
 const FINAL_DRAIN_TIME: Duration = Duration::from_millis(400);
 
-/// The time between SIGTERM and the end of the process.
-struct Shutdown {
+/// The times of a shutdown, all of which count from SIGTERM. What the process waits for in a shutdown ends at
+/// [`Shutdown::ends_at`] at the latest, and nothing is awaited before the clock starts.
+pub struct Shutdown {
     begins_at: Instant,
     ends_at: Instant,
 }
@@ -37,6 +37,26 @@
 }
 
 impl Shutdown {
+    /// The shutdown of a process that received SIGTERM at this time.
+    pub fn begin(frontend: &Frontend, terminated_at: Instant) -> Shutdown {
+        let longest_deadline = frontend.routing.borrow().longest_deadline();
+        let counted_deadline = longest_deadline.min(MAX_COUNTED_DEADLINE);
+        Shutdown {
+            begins_at: terminated_at,
+            ends_at: terminated_at + counted_deadline + KILL_AFTER_LONGEST_DEADLINE
+                - EXIT_BEFORE_KILL,
+        }
+    }
+
+    /// When the process ends, except for answers that are forwarded incomplete.
+    pub fn ends_at(&self) -> Instant {
+        self.ends_at
+    }
+
+    fn last_answers_at(&self) -> Instant {
+        self.ends_at - LAST_ANSWERS_TIME
+    }
+
     fn step(&self, now: Instant, handover: Option<&dyn HandoverState>) -> ShutdownStep {
         let shares_listeners =
             handover.is_some_and(super::handover::HandoverState::shares_listeners);
@@ -57,19 +77,11 @@
 }
 
 impl Frontend {
-    /// Serves clients until `stop`, and then during the shutdown, which ends when all clients have disconnected or time
-    /// is up. A request may have a deadline after the end of the process; it is answered as timed out before the end. Answers
-    /// that are forwarded incomplete are not cut off: the process goes on for them until it is killed.
-    pub async fn serve(self: &Rc<Self>, stop: impl Future<Output = ()>) {
-        stop.await;
-        let begins_at = Instant::now();
-        let longest_deadline = self.routing.borrow().longest_deadline();
-        let counted_deadline = longest_deadline.min(MAX_COUNTED_DEADLINE);
-        let shutdown = Shutdown {
-            begins_at,
-            ends_at: begins_at + counted_deadline + KILL_AFTER_LONGEST_DEADLINE - EXIT_BEFORE_KILL,
-        };
-        let last_answers_at = shutdown.ends_at - LAST_ANSWERS_TIME;
+    /// Serves clients during the shutdown, until all clients have disconnected or time is up. A request may have a deadline
+    /// after the end of the process; it is answered as timed out before the end. Answers that are forwarded incomplete are
+    /// not cut off: the process goes on for them until it is killed.
+    pub async fn shut_down(self: &Rc<Self>, shutdown: &Shutdown) {
+        let last_answers_at = shutdown.last_answers_at();
         let handover = self.handover.borrow().clone();
         if let Some(handover) = &handover {
             handover.terminate();
--- a/crates/node/src/net/registry/own_entry.rs
+++ b/crates/node/src/net/registry/own_entry.rs
@@ -9,7 +9,6 @@
 use reelfall_registry_client::wire::Acl;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 
 /// This node's entry in one registry, maintained by a task.
@@ -78,12 +77,16 @@
         }
     }
 
-    /// Removes the entry for a shutdown, and waits until it is removed or the timeout has passed.
-    pub async fn withdraw(&self, timeout: Duration) {
+    /// Starts to remove the entry, which the task does as soon as the registry responds.
+    pub fn withdraw(&self) {
         self.target.set(TargetState::Withdrawn);
         self.target_changed.notify_one();
-        if !self.is_closed.get() {
-            let _ = tokio::time::timeout(timeout, self.closed.notified()).await;
+    }
+
+    /// Waits until the entry is removed, after [`OwnEntry::withdraw`], and the session is closed.
+    pub async fn closed(&self) {
+        while !self.is_closed.get() {
+            self.closed.notified().await;
         }
     }
 }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -12,7 +12,7 @@
 mod reload;
 
 use crate::net::discovery::ListError;
-use crate::net::frontend::{BindError, Frontend, ListenSocket};
+use crate::net::frontend::{BindError, Frontend, ListenSocket, Shutdown};
 use crate::net::management::Management;
 use crate::net::pool::{ListOrigin, Pool, PoolConfig};
 use crate::net::service::{DiscoverySource, Routing, Service};
@@ -69,7 +69,7 @@
 
 async fn run_node(config: Config) -> Result<(), PlatformError> {
     let Signals {
-        mut terminate,
+        termination,
         hangup,
     } = Signals::listen()?;
     let settings = StartSettings::read(&config)?;
@@ -103,10 +103,8 @@
         );
     }
     spawn_takeover(takeover, &frontend, pool, snapshot);
-    let stop = async {
-        terminate.recv().await;
-    };
-    frontend.serve(stop).await;
+    let shutdown = Shutdown::begin(&frontend, termination.received().await);
+    frontend.shut_down(&shutdown).await;
     Ok(())
 }
 
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -4,9 +4,10 @@
 
 use std::future::Future;
 use std::io;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::sync::watch;
 
 /// Interval of the periodic work, such as closing idle connections and removing drained pools.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -39,24 +40,58 @@
 /// The signals that a node handles.
 pub struct Signals {
     /// SIGTERM: the node shuts down.
-    pub terminate: Signal,
+    pub termination: Termination,
     /// SIGHUP: the node reloads its configuration.
     pub hangup: Signal,
 }
 
 impl Signals {
-    /// Installs handlers, which replace the default action of the signals.
+    /// Installs handlers, which replace the default action of the signals. Has to be called on the runtime of the node.
     ///
     /// # Errors
     /// If a handler can't be installed.
     pub fn listen() -> Result<Signals, ProcessError> {
         Ok(Signals {
-            terminate: signal(SignalKind::terminate()).map_err(ProcessError::Signal)?,
-            hangup: signal(SignalKind::hangup()).map_err(ProcessError::Signal)?,
+            termination: Termination::watch(listen_to(SignalKind::terminate())?),
+            hangup: listen_to(SignalKind::hangup())?,
         })
     }
 }
 
+fn listen_to(kind: SignalKind) -> Result<Signal, ProcessError> {
+    signal(kind).map_err(ProcessError::Signal)
+}
+
+/// When SIGTERM arrived. A task of its own records it, so that the clock of the shutdown starts then, whatever the node waits
+/// for at that moment.
+pub struct Termination {
+    received_at: watch::Receiver<Option<Instant>>,
+}
+
+impl Termination {
+    fn watch(mut terminate: Signal) -> Termination {
+        let (sender, received_at) = watch::channel(None);
+        tokio::task::spawn_local(async move {
+            if terminate.recv().await.is_some() {
+                sender.send_replace(Some(Instant::now()));
+            }
+            // The receiver must not see the channel end without a value.
+            sender.closed().await;
+        });
+        Termination { received_at }
+    }
+
+    /// Waits for SIGTERM, and returns when it arrived.
+    pub async fn received(&self) -> Instant {
+        let mut received_at = self.received_at.clone();
+        let received = received_at.wait_for(Option::is_some).await;
+        match received.ok().and_then(|received_at| *received_at) {
+            Some(received_at) => received_at,
+            None => std::future::pending().await,
+        }
+    }
+}
+
 /// Spawns the task that calls `tick` periodically, until the process ends.
 pub fn spawn_ticks(tick: impl Fn() + 'static) {
     tokio::task::spawn_local(async move {
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -21,6 +21,7 @@
 
 use crate::fleet::{FleetError, FleetRuntime};
 use crate::lease::LeaseError;
+use crate::net::frontend::Shutdown;
 use crate::net::memory::MemoryPlan;
 use crate::net::service::prepared::PreparedPlan;
 use crate::net::shared::Shared;
@@ -37,6 +38,7 @@
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::signal::unix::Signal;
+use tokio::time::timeout_at;
 
 /// Why a node can't start.
 #[derive(Debug, Error)]
@@ -75,7 +77,7 @@
 
 async fn run_node(path: &Path, plan: Plan) -> Result<(), StandaloneError> {
     let Signals {
-        mut terminate,
+        termination,
         hangup,
     } = Signals::listen()?;
     let settings = StartSettings::of(&plan.model);
@@ -100,16 +102,14 @@
     spawn_ticks(&node);
     let file = path.display().to_string();
     tokio::task::spawn_local(reload_at_hangup(node.clone(), reader, hangup, file));
-    let stop = async {
-        terminate.recv().await;
-        // First of all, so that clients and other nodes stop selecting this node.
-        node.begin_shutdown();
-        if let Some(membership) = &membership {
-            membership.leave();
-        }
-        node.withdraw_entries().await;
-    };
-    frontend.serve(stop).await;
+    let shutdown = Shutdown::begin(&frontend, termination.received().await);
+    // First of all, so that clients and other nodes stop selecting this node.
+    node.begin_shutdown();
+    if let Some(membership) = &membership {
+        membership.leave();
+    }
+    let withdrawal = timeout_at(shutdown.ends_at().into(), node.withdraw_entries());
+    let _ = tokio::join!(frontend.shut_down(&shutdown), withdrawal);
     Ok(())
 }
 
--- a/crates/node/src/standalone/entries.rs
+++ b/crates/node/src/standalone/entries.rs
@@ -5,16 +5,11 @@
 use crate::net::registry::{OwnEntry, RegistryAccess};
 use crate::net::service::prepared::PreparedPlan;
 use crate::net::shared::Shared;
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use reelfall_config::model::{Located, NodeEntry, Registry};
 use reelfall_registry_client::registration::EntryData;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
-
-/// Timeout for withdrawing an entry; a shutdown waits for it.
-const WITHDRAWAL_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The entries that a plan requires, by the names of their registries.
 pub type DesiredEntries = HashMap<String, DesiredEntry>;
@@ -116,8 +111,7 @@
         active.retain(|registry, active| {
             let stays = desired.get(registry) == Some(&active.desired);
             if !stays {
-                let entry = active.entry.clone();
-                tokio::task::spawn_local(async move { entry.withdraw(WITHDRAWAL_TIMEOUT).await });
+                active.entry.withdraw();
             }
             stays
         });
@@ -139,14 +133,14 @@
         }
     }
 
-    /// Withdraws all entries, and waits until that is done or has timed out.
+    /// Withdraws all entries, and waits until the registries have removed them.
     pub async fn withdraw(&self) {
-        let withdrawals: FuturesUnordered<_> = self
-            .active
-            .take()
-            .into_values()
-            .map(|active| async move { active.entry.withdraw(WITHDRAWAL_TIMEOUT).await })
-            .collect();
-        withdrawals.collect::<()>().await;
+        let withdrawn = self.active.take();
+        for active in withdrawn.values() {
+            active.entry.withdraw();
+        }
+        for active in withdrawn.values() {
+            active.entry.closed().await;
+        }
     }
 }
--- a/crates/node/src/standalone/node.rs
+++ b/crates/node/src/standalone/node.rs
@@ -73,7 +73,7 @@
         self.is_shutting_down.set(true);
     }
 
-    /// Withdraws the node's entries from all registries.
+    /// Withdraws the node's entries from all registries, and waits until they are removed.
     pub async fn withdraw_entries(&self) {
         self.entries.withdraw().await;
     }
--- /dev/null
+++ b/crates/testbed/tests/shutdown/main.rs
@@ -0,0 +1,11 @@
+//! Shutdowns of the real program: what it owes its clients until SIGKILL, and the registry until its end.
+//!
+//! | module | responsibility |
+//! | --- | --- |
+//! | `fixtures` | a node with an entry of its own, its registries and its server |
+//! | `late_clients` | clients that go on using their connections after SIGTERM |
+//! | `late_requests` | tests: requests that arrive late in a shutdown are answered |
+
+mod fixtures;
+mod late_clients;
+mod late_requests;
