Shutdown: entries whose removal a reload has begun are waited for, too

Peers found a node in a registry after its process had ended: a reload had removed the entry from the settings while the registry was silent, and SIGTERM came before the registry responded.

Cause: OwnEntries::reconcile handed such an entry to a task and forgot it; OwnEntries::withdraw, which the shutdown awaits, knew the active ones only.

Change: OwnEntries keeps each entry until the registry has removed it.

Measured: own_entry::entry_that_a_reload_removes_does_not_outlive_the_process failed before ("the entry outlives the process") and passes.

--- a/crates/node/src/net/registry/own_entry.rs
+++ b/crates/node/src/net/registry/own_entry.rs
@@ -83,9 +83,14 @@
         self.target_changed.notify_one();
     }
 
-    /// Waits until the entry is removed, after [`OwnEntry::withdraw`], and the session is closed.
+    /// Whether the entry is removed and its session is closed.
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.get()
+    }
+
+    /// Waits until the entry is removed, after [`OwnEntry::withdraw`], and its session is closed.
     pub async fn closed(&self) {
-        while !self.is_closed.get() {
+        while !self.is_closed() {
             self.closed.notified().await;
         }
     }
--- a/crates/node/src/standalone/entries.rs
+++ b/crates/node/src/standalone/entries.rs
@@ -92,6 +92,8 @@
     incarnation: u64,
     /// The entries, by the names of their registries.
     active: RefCell<HashMap<String, ActiveEntry>>,
+    /// Entries that the plan no longer requires, and that may still exist. A shutdown waits for them too.
+    withdrawing: RefCell<Vec<Rc<OwnEntry>>>,
 }
 
 impl OwnEntries {
@@ -102,19 +104,16 @@
             shared,
             incarnation,
             active: RefCell::default(),
+            withdrawing: RefCell::default(),
         }
     }
 
     /// Keeps the active entries that are desired, withdraws the others, and registers the missing ones.
     pub fn reconcile(&self, frontend: &Frontend, desired: DesiredEntries) {
         let mut active = self.active.borrow_mut();
-        active.retain(|registry, active| {
-            let stays = desired.get(registry) == Some(&active.desired);
-            if !stays {
-                active.entry.withdraw();
-            }
-            stays
-        });
+        let undesired =
+            active.extract_if(|registry, active| desired.get(registry) != Some(&active.desired));
+        self.begin_withdrawal(undesired.map(|(_, active)| active.entry));
         let addresses = frontend.addresses();
         let listener_address = addresses.first().map(|(_, address)| address.to_string());
         for (registry, desired) in desired {
@@ -133,14 +132,22 @@
         }
     }
 
-    /// Withdraws all entries, and waits until the registries have removed them.
-    pub async fn withdraw(&self) {
-        let withdrawn = self.active.take();
-        for active in withdrawn.values() {
-            active.entry.withdraw();
+    fn begin_withdrawal(&self, entries: impl Iterator<Item = Rc<OwnEntry>>) {
+        let mut withdrawing = self.withdrawing.borrow_mut();
+        withdrawing.retain(|entry| !entry.is_closed());
+        for entry in entries {
+            entry.withdraw();
+            withdrawing.push(entry);
         }
-        for active in withdrawn.values() {
-            active.entry.closed().await;
+    }
+
+    /// Withdraws all entries, and waits until the registries have removed them and those whose withdrawal began earlier.
+    pub async fn withdraw(&self) {
+        let active = self.active.take();
+        self.begin_withdrawal(active.into_values().map(|active| active.entry));
+        let withdrawing = self.withdrawing.take();
+        for entry in &withdrawing {
+            entry.closed().await;
         }
     }
 }
--- a/crates/testbed/tests/shutdown/main.rs
+++ b/crates/testbed/tests/shutdown/main.rs
@@ -5,7 +5,9 @@
 //! | `fixtures` | a node with an entry of its own, its registries and its server |
 //! | `late_clients` | clients that go on using their connections after SIGTERM |
 //! | `late_requests` | tests: requests that arrive late in a shutdown are answered |
+//! | `own_entry` | tests: the node's entry does not outlive its process |
 
 mod fixtures;
 mod late_clients;
 mod late_requests;
+mod own_entry;
--- /dev/null
+++ b/crates/testbed/tests/shutdown/own_entry.rs
@@ -0,0 +1,63 @@
+//! The node's entry in a registry that responds does not outlive the process, also where no client is connected.
+
+use crate::fixtures::{
+    set_frozen, settings, start_registered_node, start_registry, start_server, ENTRY_PATH,
+};
+use reelfall_testbed::node::Node;
+use reelfall_testbed::pool::Server;
+use reelfall_testbed::registry::Registry;
+use std::time::Duration;
+
+/// The longest deadline. The process may wait for a registry for this time and 0.6 s after SIGTERM.
+const DEADLINE: Duration = Duration::from_secs(3);
+/// How long a registry does not respond after SIGTERM: longer than connections are accepted.
+const OUTAGE_AFTER_TERM: Duration = Duration::from_millis(1500);
+/// A session that lasts longer than any outage of these tests.
+const LONG_SESSION: &str = "session = \"60s\"\n[registry.entry]";
+
+async fn start_node(registry: &Registry) -> (Node, Server, String) {
+    let server = start_server(Duration::ZERO).await;
+    let settings =
+        settings(&[registry], &server, DEADLINE).replace("[registry.entry]", LONG_SESSION);
+    let node = start_registered_node(&settings, &[registry]).await;
+    (node, server, settings)
+}
+
+/// Waits for the end of the process; returns whether its entry was gone by then.
+async fn entry_is_gone_at_exit(node: &mut Node, registry: &Registry) -> bool {
+    assert!(node.wait_for_exit().await.unwrap());
+    registry.entry(ENTRY_PATH).is_none()
+}
+
+/// Ends a node while its registry does not respond; `restore` lets the registry respond again a while after SIGTERM.
+async fn check_outage(node: &mut Node, registry: &Registry, restore: impl FnOnce()) {
+    node.signal("TERM").unwrap();
+    let restored = async {
+        tokio::time::sleep(OUTAGE_AFTER_TERM).await;
+        restore();
+    };
+    let (is_gone, ()) = tokio::join!(entry_is_gone_at_exit(node, registry), restored);
+    assert!(is_gone, "the entry outlives the process");
+}
+
+/// Guards against a process without clients that ends before its registry responds again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn registry_that_is_silent_for_a_while_loses_the_entry() {
+    let registry = start_registry().await;
+    let (mut node, _server, _) = start_node(&registry).await;
+    set_frozen(&registry, true);
+    check_outage(&mut node, &registry, || set_frozen(&registry, false)).await;
+}
+
+/// Guards against a shutdown that forgets an entry whose removal a reload has begun.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_that_a_reload_removes_does_not_outlive_the_process() {
+    let registry = start_registry().await;
+    let (mut node, _server, settings) = start_node(&registry).await;
+    set_frozen(&registry, true);
+    let entry_section = format!("[registry.entry]\npath = \"{ENTRY_PATH}\"\nname = \"n1\"\n");
+    node.reload(&settings.replace(&entry_section, ""))
+        .await
+        .unwrap();
+    check_outage(&mut node, &registry, || set_frozen(&registry, false)).await;
+}
