Registry: a session whose node is about to exit leaves a silent member soon

Peers found a node in a registry after its process had ended: the member that its session was connected to was silent at SIGTERM while the others responded, or the registry came back from a long outage shortly after SIGTERM.

Cause: a session leaves a silent member after two thirds of its timeout, and waits for up to 7.5 s between attempts to connect. A process that was told to end has 3.6 s at most, and less than one with short deadlines.

Change: a session in haste (session/haste.rs) connects at once, waits for 0.1 s at most between attempts, and leaves a member that does not respond within 0.25 s, doubled each time for registries that are slow as a whole. A shutdown makes the sessions of the node's own entries do so.

Measured: own_entry::one_silent_member_does_not_keep_the_entry failed before and passes, with longest deadlines of 3 s and 0.2 s. Responses of 0.15, 0.4 and 0.7 s: the entry is gone by the end.

--- a/crates/node/src/net/registry/driver.rs
+++ b/crates/node/src/net/registry/driver.rs
@@ -38,6 +38,8 @@
     fn events_handled(&mut self, now: Time);
     /// Whether the user wants the session closed.
     fn is_done(&self) -> bool;
+    /// Whether the process is about to exit and the user still needs the registry.
+    fn is_in_haste(&self) -> bool;
 }
 
 type Connecting = Pin<Box<dyn Future<Output = io::Result<TcpStream>>>>;
@@ -117,6 +119,9 @@
     /// Handles all events and executes all commands of the session.
     fn step(&mut self) {
         let now = self.clock.now();
+        if self.user.is_in_haste() {
+            self.session.make_haste(now);
+        }
         self.session.tick(now);
         self.user.tick(now, &self.session);
         loop {
--- a/crates/node/src/net/registry/follower.rs
+++ b/crates/node/src/net/registry/follower.rs
@@ -237,4 +237,8 @@
     fn is_done(&self) -> bool {
         false
     }
+
+    fn is_in_haste(&self) -> bool {
+        false
+    }
 }
--- a/crates/node/src/net/registry/own_entry.rs
+++ b/crates/node/src/net/registry/own_entry.rs
@@ -14,7 +14,9 @@
 /// This node's entry in one registry, maintained by a task.
 pub struct OwnEntry {
     target: Cell<TargetState>,
-    /// Notified when the target has changed.
+    /// Whether the process is about to exit.
+    is_in_haste: Cell<bool>,
+    /// Notified when the target has changed, or the process is about to exit.
     target_changed: Notify,
     /// Notified when the session has been closed.
     closed: Notify,
@@ -43,6 +45,7 @@
     ) -> Rc<OwnEntry> {
         let entry = Rc::new(OwnEntry {
             target: Cell::new(TargetState::Pending),
+            is_in_haste: Cell::new(false),
             target_changed: Notify::new(),
             closed: Notify::new(),
             is_closed: Cell::new(false),
@@ -83,6 +86,12 @@
         self.target_changed.notify_one();
     }
 
+    /// Makes haste with the removal, since the process is about to exit: see [`Session::make_haste`].
+    pub fn make_haste(&self) {
+        self.is_in_haste.set(true);
+        self.target_changed.notify_one();
+    }
+
     /// Whether the entry is removed and its session is closed.
     pub fn is_closed(&self) -> bool {
         self.is_closed.get()
@@ -147,6 +156,10 @@
         }
     }
 
+    fn is_in_haste(&self) -> bool {
+        self.entry.is_in_haste.get()
+    }
+
     fn is_done(&self) -> bool {
         self.entry.target.get() == TargetState::Withdrawn
             && self.registration.borrow().is_deregistered()
--- a/crates/node/src/standalone/entries.rs
+++ b/crates/node/src/standalone/entries.rs
@@ -141,11 +141,15 @@
         }
     }
 
-    /// Withdraws all entries, and waits until the registries have removed them and those whose withdrawal began earlier.
+    /// Withdraws all entries, since the process is about to exit. Waits until the registries have removed them and those
+    /// whose withdrawal began earlier.
     pub async fn withdraw(&self) {
         let active = self.active.take();
         self.begin_withdrawal(active.into_values().map(|active| active.entry));
         let withdrawing = self.withdrawing.take();
+        for entry in &withdrawing {
+            entry.make_haste();
+        }
         for entry in &withdrawing {
             entry.closed().await;
         }
--- a/crates/registry-client/src/session.rs
+++ b/crates/registry-client/src/session.rs
@@ -16,11 +16,13 @@
 //! | module | content |
 //! | --- | --- |
 //! | [`interface`] | configuration, commands and events |
+//! | [`haste`] | the shorter timeouts of a session whose owner is about to exit |
 //! | [`members`] | the order in which members are tried, and the backoff |
 //! | [`messages`] | handshake, ping, credentials, close, and the header of responses |
 //!
 //! Source: ZooKeeper Programmer's Guide, "ZooKeeper Sessions"; Internals, "Wire protocol".
 
+mod haste;
 mod interface;
 mod members;
 mod messages;
@@ -32,6 +34,7 @@
 };
 use crate::Time;
 use bytes::Bytes;
+use haste::Haste;
 use members::Members;
 use messages::{HandshakeResponse, ResponseHeader, SessionKey, AUTH_XID, PING_XID, WATCH_XID};
 use std::collections::VecDeque;
@@ -54,6 +57,7 @@
     xid: i32,
     token: u64,
     op: Op,
+    sent_at: Time,
 }
 
 /// The client side of a session; see the module documentation.
@@ -74,6 +78,8 @@
     frames: FrameDecoder,
     last_received: Time,
     last_sent: Time,
+    /// Set when the owner is about to exit.
+    haste: Option<Haste>,
     commands: VecDeque<Command>,
     events: VecDeque<Event>,
 }
@@ -95,6 +101,7 @@
             frames: FrameDecoder::default(),
             last_received: now,
             last_sent: now,
+            haste: None,
             commands: VecDeque::new(),
             events: VecDeque::new(),
         }
@@ -142,7 +149,14 @@
 
     /// When the connection is considered lost unless a message is received.
     fn silent_at(&self) -> Time {
-        self.last_received + self.timeout * 2.0 / 3.0
+        let silent_at = self.last_received + self.timeout * 2.0 / 3.0;
+        match (&self.haste, self.pending.front()) {
+            (Some(haste), Some(request)) => {
+                let waiting_since = request.sent_at.max(self.last_received);
+                silent_at.min(haste.response_due(waiting_since))
+            }
+            _ => silent_at,
+        }
     }
 
     /// When [`Session::tick`] has to be called next; `None` once the session is closed.
@@ -169,10 +183,32 @@
         };
         let xid = self.last_xid;
         self.send(now, op.frame(xid));
-        self.pending.push_back(PendingRequest { xid, token, op });
+        self.pending.push_back(PendingRequest {
+            xid,
+            token,
+            op,
+            sent_at: now,
+        });
         true
     }
 
+    /// Makes haste, since the owner is about to exit: the session reconnects at once, without long delays between
+    /// attempts, and leaves a member that does not respond soon for the next one.
+    pub fn make_haste(&mut self, now: Time) {
+        if self.haste.is_some() {
+            return;
+        }
+        let haste = Haste::new(now);
+        match &mut self.state {
+            State::Backoff { until } => *until = now,
+            State::Connecting { until } | State::Handshake { until } => {
+                *until = until.min(haste.response_due(now));
+            }
+            State::Open | State::Closed => {}
+        }
+        self.haste = Some(haste);
+    }
+
     /// Closes the session, so that the registry removes its entries at once. The session can't be used afterwards.
     pub fn close(&mut self, now: Time) {
         if self.is_connected() {
@@ -203,8 +239,12 @@
             return;
         };
         self.commands.push_back(Command::Connect(member));
+        let until = now + self.config.connect_timeout;
         self.state = State::Connecting {
-            until: now + self.config.connect_timeout,
+            until: match &self.haste {
+                Some(haste) => until.min(haste.response_due(now)),
+                None => until,
+            },
         };
     }
 
@@ -364,7 +404,11 @@
         if self.last_zxid > 0 && now - self.disconnected_since >= self.config.forget_after {
             self.reset(now);
         }
-        let backoff = self.members.backoff(reason == LossReason::BadCredentials);
+        let mut backoff = self.members.backoff(reason == LossReason::BadCredentials);
+        if let Some(haste) = &mut self.haste {
+            haste.record_loss(reason);
+            backoff = backoff.min(haste::MAX_BACKOFF);
+        }
         self.state = State::Backoff {
             until: now + backoff,
         };
--- a/crates/registry-client/tests/session/main.rs
+++ b/crates/registry-client/tests/session/main.rs
@@ -1,6 +1,7 @@
 //! Tests of a session with members that respond, are silent, violate the protocol or close the connection, in virtual
 //! time.
 
+mod haste;
 mod protocol;
 mod random;
 mod reconnection;
--- a/crates/testbed/tests/shutdown/own_entry.rs
+++ b/crates/testbed/tests/shutdown/own_entry.rs
@@ -1,7 +1,8 @@
 //! The node's entry in a registry that responds does not outlive the process, also where no client is connected.
 
 use crate::fixtures::{
-    set_frozen, settings, start_registered_node, start_registry, start_server, ENTRY_PATH,
+    set_down, set_frozen, settings, start_registered_node, start_registry, start_server,
+    ENTRY_PATH, MEMBER_COUNT,
 };
 use reelfall_testbed::node::Node;
 use reelfall_testbed::pool::Server;
@@ -12,13 +13,20 @@
 const DEADLINE: Duration = Duration::from_secs(3);
 /// How long a registry does not respond after SIGTERM: longer than connections are accepted.
 const OUTAGE_AFTER_TERM: Duration = Duration::from_millis(1500);
+/// How long a registry is down before SIGTERM, until attempts to connect are seconds apart.
+const OUTAGE_BEFORE_TERM: Duration = Duration::from_millis(3500);
 /// A session that lasts longer than any outage of these tests.
 const LONG_SESSION: &str = "session = \"60s\"\n[registry.entry]";
 
 async fn start_node(registry: &Registry) -> (Node, Server, String) {
+    start_node_with(registry, DEADLINE).await
+}
+
+/// Starts a node with this longest deadline.
+async fn start_node_with(registry: &Registry, deadline: Duration) -> (Node, Server, String) {
     let server = start_server(Duration::ZERO).await;
     let settings =
-        settings(&[registry], &server, DEADLINE).replace("[registry.entry]", LONG_SESSION);
+        settings(&[registry], &server, deadline).replace("[registry.entry]", LONG_SESSION);
     let node = start_registered_node(&settings, &[registry]).await;
     (node, server, settings)
 }
@@ -61,3 +69,48 @@
         .unwrap();
     check_outage(&mut node, &registry, || set_frozen(&registry, false)).await;
 }
+
+/// Guards against a session that waits for a member that went silent, though the others respond.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_silent_member_does_not_keep_the_entry() {
+    const SHORT_DEADLINE: Duration = Duration::from_millis(200);
+    for deadline in [DEADLINE, SHORT_DEADLINE] {
+        let registry = start_registry().await;
+        let (mut node, _server, _) = start_node_with(&registry, deadline).await;
+        let connected = (0..MEMBER_COUNT).find(|member| registry.connected_sessions(*member) > 0);
+        registry.set_member_frozen(connected.expect("the session is connected"), true);
+        node.signal("TERM").unwrap();
+        assert!(
+            entry_is_gone_at_exit(&mut node, &registry).await,
+            "the entry outlives the process, the longest deadline is {deadline:?}"
+        );
+    }
+}
+
+/// Guards against a session that waits for its next attempt to connect, which is seconds away after a long outage.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn registry_that_was_down_for_long_loses_the_entry() {
+    let registry = start_registry().await;
+    let (mut node, _server, _) = start_node(&registry).await;
+    set_down(&registry, true);
+    tokio::time::sleep(OUTAGE_BEFORE_TERM).await;
+    check_outage(&mut node, &registry, || set_down(&registry, false)).await;
+}
+
+/// A registry that takes its time for each response is not given up as silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_registry_loses_the_entry() {
+    const RESPONSE_DELAYS_MS: [u64; 3] = [150, 400, 700];
+    for delay_ms in RESPONSE_DELAYS_MS {
+        let registry = start_registry().await;
+        let (mut node, _server, _) = start_node(&registry).await;
+        for member in 0..MEMBER_COUNT {
+            registry.set_response_delay(member, Duration::from_millis(delay_ms));
+        }
+        node.signal("TERM").unwrap();
+        assert!(
+            entry_is_gone_at_exit(&mut node, &registry).await,
+            "the entry outlives the process, responses take {delay_ms} ms"
+        );
+    }
+}
