Registry: an entry that may not be deleted ends with its session at SIGTERM

Peers found a node in a registry after its process had ended where the registry rejected the removal of its entry.

Cause: a rejected removal left Registration idle with an entry that may exist, so it never counted as done, and the session was not closed. The end of a session removes its entries whatever their access lists say.

Change: a request that is rejected after the withdrawal has begun ends it, and the driver closes the session and reads until the registry ends the connection, 0.2 s at most. A node that has created no entry does not wait for the registry.

Measured: own_entry::entry_that_may_not_be_deleted_ends_with_its_session, rejected_request_ends_the_deregistration and nothing_is_awaited_without_an_entry failed before and pass.

--- a/crates/node/src/net/registry/driver.rs
+++ b/crates/node/src/net/registry/driver.rs
@@ -19,7 +19,7 @@
 
 /// Maximum size of one read, in bytes.
 const MAX_READ_BYTES: usize = 64 << 10;
-/// How long a session that is being closed may take to send its last requests.
+/// How long a session that is being closed may take to send its last requests, and the registry to close the connection.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(200);
 /// The longest wait for an event, in seconds.
 const MAX_WAIT: Time = 3600.0;
@@ -91,7 +91,7 @@
                 self.session.close(self.clock.now());
                 self.step();
                 // The registry removes the session's entries as soon as it reads that the session is closed.
-                let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.flush()).await;
+                let _ = tokio::time::timeout(CLOSE_TIMEOUT, self.finish()).await;
                 return;
             }
             let wakeup = self.wait(changed).await;
@@ -167,6 +167,22 @@
         }
     }
 
+    /// Sends what is left, and reads until the registry closes the connection: closing it with unread input would reset it,
+    /// and the registry might lose what was sent.
+    async fn finish(&mut self) {
+        self.flush().await;
+        let Connection::Open(stream) = &mut self.connection else {
+            return;
+        };
+        while stream
+            .read_buf(&mut self.read_buffer)
+            .await
+            .is_ok_and(|length| length > 0)
+        {
+            self.read_buffer.clear();
+        }
+    }
+
     async fn flush(&mut self) {
         while !self.write_buffer.is_empty() {
             let Connection::Open(stream) = &self.connection else {
--- a/crates/registry-client/src/registration.rs
+++ b/crates/registry-client/src/registration.rs
@@ -8,7 +8,7 @@
 //! | removing stale | removed: creating; changed since it was read: reading |
 //! | registered | removed by another client: reading |
 //! | waiting | the other owner's entry is removed, or [`RETRY_INTERVAL`] has passed: reading |
-//! | deregistering | removed: idle |
+//! | deregistering | removed, or the request rejected: idle; the end of the session removes an entry that may not be deleted |
 //! | any | request rejected: waiting; connection lost: idle, since only the registry knows what was executed and whether the entry exists |
 //!
 //! The path is fixed, so that a node never has two entries. A create request whose response was lost may have been
@@ -121,7 +121,7 @@
         self.state == State::Registered
     }
 
-    /// Whether no entry of this node's session exists and none will be created.
+    /// Whether no entry will be created, and none exists that would outlive a close of the session.
     pub fn is_deregistered(&self) -> bool {
         !self.is_wanted && self.state == State::Idle && !self.may_exist
     }
@@ -146,6 +146,11 @@
                 },
             ),
             State::Waiting { .. } => self.state = State::Idle,
+            // No entry of this session exists, whatever the response is.
+            State::Reading | State::RemovingStale if !self.may_exist => {
+                self.state = State::Idle;
+                self.request = None;
+            }
             // The response to the request in flight determines what has to be removed.
             _ => {}
         }
@@ -273,15 +278,17 @@
                 (self.state, self.may_exist) = (State::Idle, false);
             }
             (State::Deregistering, Err(OperationError::BadVersion)) => self.read(),
-            (_, Err(error)) if self.is_wanted || self.state == State::Deregistering => {
+            (State::Idle, _) => {}
+            (_, Err(error)) => {
                 self.report(Report::Rejected(*error));
-                self.state = if self.is_wanted {
-                    State::Waiting {
+                if self.is_wanted {
+                    self.state = State::Waiting {
                         until: now + RETRY_INTERVAL,
-                    }
+                    };
                 } else {
-                    State::Idle
-                };
+                    // The close of the session removes what may exist.
+                    (self.state, self.may_exist) = (State::Idle, false);
+                }
             }
             _ => self.state = State::Idle,
         }
--- a/crates/registry-client/tests/registration.rs
+++ b/crates/registry-client/tests/registration.rs
@@ -230,6 +230,51 @@
     assert!(registry.entry.is_none() && node.registration.is_deregistered());
 }
 
+/// Guards against a shutdown that waits for an entry that it can't delete, and ends without closing the session, whose end
+/// removes it.
+#[test]
+fn rejected_request_ends_the_deregistration() {
+    let rejection = Err(OperationError::NoAuth);
+    let mut registry = FakeRegistry::default();
+    // Rejected are the removal, the creation that was in flight, and the read after it.
+    for executed_before in [None, Some(1), Some(2)] {
+        let mut node = Node::new(1, 100);
+        node.connect(0.0);
+        node.registration.register();
+        match executed_before {
+            None => node.settle(0.0, &mut registry),
+            Some(count) => (0..count).for_each(|_| {
+                node.take_requests();
+                node.execute_request(&mut registry);
+                node.handle_event(0.0);
+            }),
+        }
+        node.registration.deregister();
+        assert!(!node.registration.is_deregistered());
+        node.take_requests();
+        let token = node.requests.pop_front().expect("a request").token;
+        let response = Event::Response(token, rejection.clone());
+        node.registration.handle_event(1.0, node.session, &response);
+        assert!(node.registration.is_deregistered());
+        registry.entry = None;
+    }
+}
+
+/// Guards against a shutdown that waits for a registry in which the node has no entry.
+#[test]
+fn nothing_is_awaited_without_an_entry() {
+    let mut node = Node::new(1, 100);
+    node.connect(0.0);
+    node.registration.register();
+    node.take_requests();
+    assert_eq!(node.requests.len(), 1, "the entry is read");
+    node.registration.deregister();
+    assert!(node.registration.is_deregistered());
+    // The late response changes nothing.
+    node.settle(1.0, &mut FakeRegistry::default());
+    assert!(node.registration.is_deregistered() && node.requests.is_empty());
+}
+
 #[test]
 fn only_the_entry_of_an_earlier_incarnation_is_replaced() {
     let entry = |data: &EntryData, owner| {
--- a/crates/testbed/tests/shutdown/own_entry.rs
+++ b/crates/testbed/tests/shutdown/own_entry.rs
@@ -6,7 +6,7 @@
 };
 use reelfall_testbed::node::Node;
 use reelfall_testbed::pool::Server;
-use reelfall_testbed::registry::Registry;
+use reelfall_testbed::registry::{AccessRule, Registry};
 use std::time::Duration;
 
 /// The longest deadline. The process may wait for a registry for this time and 0.6 s after SIGTERM.
@@ -114,3 +114,17 @@
         );
     }
 }
+
+/// Guards against an entry that stays because the registry rejects its removal: it ends with its session.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_that_may_not_be_deleted_ends_with_its_session() {
+    const READ_AND_CREATE: i32 = 1 | 4;
+    let registry = start_registry().await;
+    let (mut node, _server, _) = start_node(&registry).await;
+    registry.set_acl("/", &[AccessRule::new(READ_AND_CREATE, "world", "anyone")]);
+    node.signal("TERM").unwrap();
+    assert!(
+        entry_is_gone_at_exit(&mut node, &registry).await,
+        "the entry outlives the process"
+    );
+}
