Platform: a process that is told to end while it waits to start ends at once

SIGTERM during the wait for a predecessor (up to 1.6 s) was read when the node had started: it bound its address, accepted for another 0.5 s, and its shutdown ended up to 5.2 s after SIGTERM, where SIGKILL may come after 3.7 s.

Cause: run_node read SIGTERM after the wait, and the clock started then.

Change: Termination::interrupt ends the wait, and with it the process, which has bound nothing yet.

Measured: takeovers::starting_process_ends_without_serving fails on ("the process serves although it was told to end").

--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -75,7 +75,13 @@
     let settings = StartSettings::read(&config)?;
     let pool_settings = PoolSettings::parse(&config)?;
     let shared = Shared::for_single_service(settings.bounds);
-    let snapshot = settings.request_snapshot(&shared).await;
+    let Some(snapshot) = termination
+        .interrupt(settings.request_snapshot(&shared))
+        .await
+    else {
+        // Nothing was accepted yet.
+        return Ok(());
+    };
     let pool = pool_settings.build_pool(settings.seed, &shared)?;
     let known_index = apply_known_list(&pool, &config.known)?;
     let inherited = Inherited::take_over(snapshot, &pool, config.listen, settings.bounds)?;
--- a/crates/node/src/process.rs
+++ b/crates/node/src/process.rs
@@ -64,6 +64,7 @@
 
 /// When SIGTERM arrived. A task of its own records it, so that the clock of the shutdown starts then, whatever the node waits
 /// for at that moment.
+#[derive(Clone)]
 pub struct Termination {
     received_at: watch::Receiver<Option<Instant>>,
 }
@@ -90,6 +91,15 @@
             None => std::future::pending().await,
         }
     }
+
+    /// Runs a future until SIGTERM arrives; `None` if that is first.
+    pub async fn interrupt<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        tokio::select! {
+            biased;
+            _ = self.received() => None,
+            output = future => Some(output),
+        }
+    }
 }
 
 /// Spawns the task that calls `tick` periodically, until the process ends.
--- a/crates/testbed/src/scripted/node.rs
+++ b/crates/testbed/src/scripted/node.rs
@@ -186,6 +186,15 @@
         std::fs::write(&self.config_path, text).expect("the configuration can be written");
     }
 
+    /// Whether the process has not exited.
+    ///
+    /// # Panics
+    /// Panics if its state can't be read.
+    pub fn is_running(&mut self) -> bool {
+        let status = self.child.try_wait().expect("the process is a child");
+        status.is_none()
+    }
+
     /// Waits for the process to exit; returns whether it succeeded.
     ///
     /// # Panics
--- a/crates/testbed/tests/shutdown/main.rs
+++ b/crates/testbed/tests/shutdown/main.rs
@@ -6,8 +6,10 @@
 //! | `late_clients` | clients that go on using their connections after SIGTERM |
 //! | `late_requests` | tests: requests that arrive late in a shutdown are answered |
 //! | `own_entry` | tests: the node's entry does not outlive its process |
+//! | `takeovers` | tests: SIGTERM to either process of an upgrade |
 
 mod fixtures;
 mod late_clients;
 mod late_requests;
 mod own_entry;
+mod takeovers;
