Upgrades: a process that does not serve yet ends at SIGTERM, and never takes over

A process that had its predecessor's sockets and no list of servers could get its list within half a second after SIGTERM and take over: the predecessor handed it its clients and stopped accepting, and it closed them as it ended. Without a list it accepted what waited in the backlog, and rejected it.

Cause: nothing told Takeover of SIGTERM, and a process that never accepted shut down like any other.

Change: such a process ends at once (Takeover::is_standby).

--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -80,6 +80,11 @@
         self.is_serving.get()
     }
 
+    /// Whether the predecessor accepts connections and this process does not yet.
+    pub fn is_standby(&self) -> bool {
+        !self.successor.get().accepts()
+    }
+
     fn update_predecessor(&self, frontend: &Frontend, change: impl FnOnce(&mut Predecessor)) {
         change(&mut self.predecessor.borrow_mut());
         frontend.notify_handover_changed();
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -108,8 +108,13 @@
             settings.bounds,
         );
     }
-    spawn_takeover(takeover, &frontend, pool, snapshot);
-    let shutdown = Shutdown::begin(&frontend, termination.received().await);
+    spawn_takeover(&takeover, &frontend, pool, snapshot);
+    let terminated_at = termination.received().await;
+    if takeover.is_standby() {
+        // Nothing was accepted, and the predecessor serves on.
+        return Ok(());
+    }
+    let shutdown = Shutdown::begin(&frontend, terminated_at);
     frontend.shut_down(&shutdown).await;
     Ok(())
 }
@@ -310,12 +315,12 @@
 
 /// Spawns the task that completes the takeover once the pool can serve.
 fn spawn_takeover(
-    takeover: Rc<Takeover>,
+    takeover: &Rc<Takeover>,
     frontend: &Rc<Frontend>,
     pool: Rc<Pool>,
     snapshot: Option<Snapshot>,
 ) {
-    let frontend = frontend.clone();
+    let (takeover, frontend) = (takeover.clone(), frontend.clone());
     tokio::task::spawn_local(async move {
         while !pool.is_ready.get() {
             tokio::time::sleep(READY_POLL_INTERVAL).await;
