Upgrades: the old process serves on while a new one that took over shuts down

A new process had taken over and was told to end while the old one ran on. From 0.5 s after SIGTERM until its exit nobody accepted: connections waited in the backlog for up to 3.6 s.

Cause: the old process accepts again when the exchange with the new one ends, and that ended with the process only.

Change: at SIGTERM the new process takes the clients that were sent to it and closes the exchange.

Measured: takeovers::predecessor_serves_while_its_successor_shuts_down failed before ("no other process accepted connections until the successor ended") and passes; the tests of shutdowns and operations pass three times in a row.

--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -13,10 +13,12 @@
 
 pub use socket::{HandoverSocket, Snapshot};
 
-use super::frontend::{Frontend, Handover, HandoverState, ListenSocket};
+use super::frontend::{Frontend, Handover, HandoverState, ListenSocket, MAX_TIME_TO_KILL};
 use super::shared::Shared;
 use super::task::AbortOnDrop;
+use crate::process::Termination;
 use exchange::{Exchange, ExchangeError, ReceivedFrame, FRAME_TIMEOUT};
+use futures_util::FutureExt;
 use reelfall_admin::succession::{Predecessor, Successor};
 use reelfall_admin::takeover::{Frame, ID_RECORDS_VERSION};
 use std::cell::{Cell, RefCell};
@@ -96,9 +98,14 @@
         self.successor.set(successor);
     }
 
-    /// Called once this process can serve: starts to accept, notifies the predecessor, takes over its clients, and
-    /// listens for a successor for as long as the future is polled.
-    pub async fn serve(self: Rc<Self>, frontend: Rc<Frontend>, snapshot: Option<Snapshot>) {
+    /// Called once this process can serve: starts to accept, notifies the predecessor, takes over its clients until SIGTERM,
+    /// and listens for a successor for as long as the future is polled.
+    pub async fn serve(
+        self: Rc<Self>,
+        frontend: Rc<Frontend>,
+        snapshot: Option<Snapshot>,
+        termination: Termination,
+    ) {
         self.update_successor(Successor::set_ready);
         frontend.notify_handover_changed();
         let _accept_task = self.listen_for_successor(&frontend);
@@ -110,15 +117,34 @@
         // Only after the predecessor is notified: an operator may stop it as soon as this process reports that it
         // serves.
         self.is_serving.set(true);
-        if let Some(exchange) = &mut exchange {
-            if is_announced {
-                accept_clients(exchange, &frontend).await;
-            }
-            self.handle_predecessor_gone();
+        if let Some(exchange) = exchange.take() {
+            self.take_over_clients(exchange, is_announced, &frontend, &termination)
+                .await;
         }
         std::future::pending::<()>().await;
     }
 
+    /// Takes over clients until the predecessor has ended, or until SIGTERM: the end of the exchange then tells the predecessor
+    /// to serve on.
+    async fn take_over_clients(
+        &self,
+        mut exchange: Exchange,
+        is_announced: bool,
+        frontend: &Rc<Frontend>,
+        termination: &Termination,
+    ) {
+        let is_predecessor_gone = !is_announced
+            || termination
+                .interrupt(accept_clients(&mut exchange, frontend))
+                .await
+                .is_some();
+        if is_predecessor_gone {
+            self.handle_predecessor_gone();
+        } else {
+            accept_sent_clients(&mut exchange, frontend);
+        }
+    }
+
     fn handle_predecessor_gone(&self) {
         self.update_successor(Successor::handle_predecessor_gone);
         self.shared
@@ -192,12 +218,17 @@
             .log
             .write_line(format_args!("takeover: lost the successor: {reason}"));
         frontend.hand_over_to(None);
-        if self.hands_over() {
+        let was_serving = self.hands_over();
+        self.update_predecessor(&frontend, Predecessor::handle_successor_lost);
+        if was_serving {
             self.serving_successor_lost.notify_one();
+            // It may have been told to end, and answer its last requests.
+            tokio::time::sleep(MAX_TIME_TO_KILL).await;
+        }
+        if !self.shares_listeners() {
+            self.shared
+                .set_process_count(self.successor.get().process_count());
         }
-        self.update_predecessor(&frontend, Predecessor::handle_successor_lost);
-        self.shared
-            .set_process_count(self.successor.get().process_count());
     }
 
     /// Shares the ids of unsafe requests with a process that supports these records.
@@ -272,15 +303,32 @@
 /// Accepts the clients that the predecessor hands over, until its connection ends.
 async fn accept_clients(exchange: &mut Exchange, frontend: &Rc<Frontend>) {
     while let Ok(received) = exchange.receive().await {
-        let Frame::Client { listener } = received.frame else {
+        if !accept_client(received, frontend) {
+            return;
+        }
+    }
+}
+
+/// Accepts the clients that the predecessor has sent already.
+fn accept_sent_clients(exchange: &mut Exchange, frontend: &Rc<Frontend>) {
+    while let Some(Ok(received)) = exchange.receive().now_or_never() {
+        if !accept_client(received, frontend) {
             return;
-        };
-        for descriptor in received.descriptors {
-            frontend.accept_handover(descriptor.into(), &listener);
         }
     }
 }
 
+/// Accepts the client in a frame; returns whether there is one.
+fn accept_client(received: ReceivedFrame, frontend: &Rc<Frontend>) -> bool {
+    let Frame::Client { listener } = received.frame else {
+        return false;
+    };
+    for descriptor in received.descriptors {
+        frontend.accept_handover(descriptor.into(), &listener);
+    }
+    true
+}
+
 /// Sends clients to the successor until it is lost, and returns why it is.
 async fn send_clients(
     exchange: &mut Exchange,
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -20,7 +20,7 @@
 use crate::net::takeover::{HandoverSocket, Snapshot, Takeover};
 use crate::net::task::AbortOnDrop;
 use crate::net::{discovery, source, ResourceLimits};
-use crate::process::{self, ProcessError, Signals};
+use crate::process::{self, ProcessError, Signals, Termination};
 use config::{Config, ConfigError};
 use reelfall_balancer::interface::Settings;
 use reelfall_balancer::settings::{self, ConnectionSettings, NameRegistry, SettingsError};
@@ -108,7 +108,7 @@
             settings.bounds,
         );
     }
-    spawn_takeover(&takeover, &frontend, pool, snapshot);
+    spawn_takeover(&takeover, &frontend, pool, snapshot, termination.clone());
     let terminated_at = termination.received().await;
     if takeover.is_standby() {
         // Nothing was accepted, and the predecessor serves on.
@@ -319,12 +319,13 @@
     frontend: &Rc<Frontend>,
     pool: Rc<Pool>,
     snapshot: Option<Snapshot>,
+    termination: Termination,
 ) {
     let (takeover, frontend) = (takeover.clone(), frontend.clone());
     tokio::task::spawn_local(async move {
         while !pool.is_ready.get() {
             tokio::time::sleep(READY_POLL_INTERVAL).await;
         }
-        takeover.serve(frontend, snapshot).await;
+        takeover.serve(frontend, snapshot, termination).await;
     });
 }
--- a/crates/testbed/tests/shutdown/takeovers.rs
+++ b/crates/testbed/tests/shutdown/takeovers.rs
@@ -1,7 +1,10 @@
 //! SIGTERM to a process that takes over, or to one that is taken over from.
 
 use crate::fixtures::program;
-use reelfall_testbed::scripted::{call_management, get, read_response, Discovery, Node, Server};
+use reelfall_testbed::scripted::{
+    call_management, connect, get, read_request, read_response, Discovery, GatedServer, Node,
+    Server,
+};
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::UnixListener;
@@ -10,6 +13,8 @@
 const MAX_SOCKETS: usize = 256;
 /// Pause between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
+/// Longer than a process accepts connections after SIGTERM, and shorter than it may take to answer a request.
+const AFTER_ACCEPT_GRACE: Duration = Duration::from_millis(1000);
 
 struct Fixture {
     node: Node,
@@ -97,3 +102,43 @@
     let _ = stream.write_all(b"GET /-/ready HTTP/1.1\r\nhost: n\r\n\r\n");
     read_response(&stream).map(|response| response.status)
 }
+
+/// Guards against clients that nobody accepts: a process that has taken over is told to end, answers its last request, and
+/// its predecessor, which was not told to end, waits for its exit.
+#[test]
+fn predecessor_serves_while_its_successor_shuts_down() {
+    let GatedServer {
+        server,
+        arrived,
+        release,
+    } = GatedServer::start();
+    let fixture = Fixture::start(&server);
+    let mut successor = fixture.node.start_successor(&program());
+    let mut last_client = connect(fixture.node.address);
+    last_client
+        .write_all(read_request("last").as_bytes())
+        .unwrap();
+    arrived.wait();
+    successor.signal("TERM");
+    let terminated_at = Instant::now();
+    while terminated_at.elapsed() < AFTER_ACCEPT_GRACE {
+        assert!(is_accepted_and_answered(fixture.node.address));
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    assert!(
+        successor.is_running(),
+        "no other process accepted connections until the successor ended"
+    );
+    release.wait();
+    let last = read_response(&last_client);
+    assert_eq!(last.map(|response| response.status), Some(200));
+    assert!(successor.wait());
+    assert!(is_accepted_and_answered(fixture.node.address));
+}
+
+/// Whether a health check on a new connection is answered with 200; no server sees it.
+fn is_accepted_and_answered(address: SocketAddr) -> bool {
+    let mut stream = connect(address);
+    let _ = stream.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\n\r\n");
+    read_response(&stream).is_some_and(|response| response.status == 200)
+}
