Upgrades: a process that is not ready accepts once its predecessor has ended

The old process of an upgrade had ended, and the new one had its sockets and no list of servers: connections waited in the backlog until the list came.

Cause: the new process read its connection to the old one, whose end tells it to accept, only once it could serve.

Change: Takeover::run watches the old process while it waits for the list.

Measured: takeovers::standby_process_accepts_once_its_predecessor_has_ended got no answer within 20 s before and passes; the tests of shutdowns and operations pass three times in a row.

--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -22,7 +22,9 @@
 use reelfall_admin::succession::{Predecessor, Successor};
 use reelfall_admin::takeover::{Frame, ID_RECORDS_VERSION};
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::os::fd::{AsFd, BorrowedFd};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{UnixListener, UnixStream};
@@ -98,18 +100,49 @@
         self.successor.set(successor);
     }
 
+    /// Waits until this process can serve, then takes over from the predecessor, and listens for a successor for as long as
+    /// the future is polled.
+    ///
+    /// `ready` completes when this process can serve. If the predecessor ends before, this process accepts from then on.
+    pub async fn run(
+        self: Rc<Self>,
+        frontend: Rc<Frontend>,
+        snapshot: Option<Snapshot>,
+        ready: impl Future<Output = ()>,
+        termination: Termination,
+    ) {
+        let mut ready = pin!(ready);
+        let mut exchange = snapshot.map(Snapshot::into_exchange);
+        if let Some(predecessor) = &mut exchange {
+            let is_predecessor_gone = tokio::select! {
+                biased;
+                () = ready.as_mut() => false,
+                // It sends nothing before this process serves.
+                _ = predecessor.receive() => true,
+            };
+            if is_predecessor_gone {
+                exchange = None;
+                self.handle_predecessor_gone();
+                frontend.notify_handover_changed();
+                ready.await;
+            }
+        } else {
+            ready.await;
+        }
+        self.serve(frontend, exchange, termination).await;
+    }
+
     /// Called once this process can serve: starts to accept, notifies the predecessor, takes over its clients until SIGTERM,
     /// and listens for a successor for as long as the future is polled.
-    pub async fn serve(
+    async fn serve(
         self: Rc<Self>,
         frontend: Rc<Frontend>,
-        snapshot: Option<Snapshot>,
+        exchange: Option<Exchange>,
         termination: Termination,
     ) {
         self.update_successor(Successor::set_ready);
         frontend.notify_handover_changed();
         let _accept_task = self.listen_for_successor(&frontend);
-        let mut exchange = snapshot.map(Snapshot::into_exchange);
         let is_announced = match &exchange {
             Some(exchange) => exchange.send(&Frame::Serving, &[]).await.is_ok(),
             None => false,
@@ -117,7 +150,7 @@
         // Only after the predecessor is notified: an operator may stop it as soon as this process reports that it
         // serves.
         self.is_serving.set(true);
-        if let Some(exchange) = exchange.take() {
+        if let Some(exchange) = exchange {
             self.take_over_clients(exchange, is_announced, &frontend, &termination)
                 .await;
         }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -322,10 +322,10 @@
     termination: Termination,
 ) {
     let (takeover, frontend) = (takeover.clone(), frontend.clone());
-    tokio::task::spawn_local(async move {
+    let ready = async move {
         while !pool.is_ready.get() {
             tokio::time::sleep(READY_POLL_INTERVAL).await;
         }
-        takeover.serve(frontend, snapshot, termination).await;
-    });
+    };
+    tokio::task::spawn_local(takeover.run(frontend, snapshot, ready, termination));
 }
--- a/crates/testbed/tests/shutdown/takeovers.rs
+++ b/crates/testbed/tests/shutdown/takeovers.rs
@@ -142,3 +142,21 @@
     let _ = stream.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\n\r\n");
     read_response(&stream).is_some_and(|response| response.status == 200)
 }
+
+/// Guards against clients that nobody accepts: a process that has the sockets but no list of servers does not notice that its
+/// predecessor has ended.
+#[test]
+fn standby_process_accepts_once_its_predecessor_has_ended() {
+    let server = Server::healthy();
+    let mut fixture = Fixture::start(&server);
+    let standby = fixture.start_standby();
+    fixture.node.kill();
+    // Without a list, requests are rejected, which a client may repeat.
+    assert_eq!(get(standby.address, "early").status, 503);
+    fixture.discovery.set_unavailable(false);
+    let started_at = Instant::now();
+    while get(standby.address, "late").status != 200 {
+        assert!(started_at.elapsed() < reelfall_testbed::scripted::WAIT_TIMEOUT);
+        std::thread::sleep(POLL_INTERVAL);
+    }
+}
