Shutdown: a request that is completed right before the end gets its answer

The last byte of a request came in the last 0.15 s of a process that was held up: the process found its time to be over and ended with the request unread.

Cause: the last answers went to requests that waited for a server; one that was still being received stayed open until the end. A process that was late for both moments ended before its last answers were written.

Change: the last answers include 503 to each incomplete request, which never runs then, and the process has 0.03 s at least to write them.

--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -2,6 +2,7 @@
 
 use super::{Frontend, HandoverState};
 use crate::net::client::Phase;
+use hyper::StatusCode;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 const EXIT_BEFORE_KILL: Duration = Duration::from_millis(100);
 /// Requests without an answer are answered this long before the end of the process.
 const LAST_ANSWERS_TIME: Duration = Duration::from_millis(150);
+/// The time for these answers to be written, also by a process that was held up.
+const MIN_LAST_ANSWERS_TIME: Duration = Duration::from_millis(30);
 /// How often a node that is being drained closes idle connections.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the process goes on after its time for answers that are forwarded incomplete, if it is not killed.
@@ -35,7 +38,8 @@
 /// The current phase of the shutdown, and when it ends at the latest.
 struct ShutdownStep {
     until: Instant,
-    /// Whether nothing is accepted any more and idle connections are closed.
+    /// Whether idle connections are closed, and nothing is accepted any more unless a successor that is not ready has the
+    /// listeners too.
     is_draining: bool,
 }
 
@@ -44,10 +48,10 @@
     pub fn begin(frontend: &Frontend, terminated_at: Instant) -> Shutdown {
         let longest_deadline = frontend.routing.borrow().longest_deadline();
         let counted_deadline = longest_deadline.min(MAX_COUNTED_DEADLINE);
+        let killed_at = terminated_at + counted_deadline + KILL_AFTER_LONGEST_DEADLINE;
         Shutdown {
             begins_at: terminated_at,
-            ends_at: terminated_at + counted_deadline + KILL_AFTER_LONGEST_DEADLINE
-                - EXIT_BEFORE_KILL,
+            ends_at: killed_at - EXIT_BEFORE_KILL,
         }
     }
 
@@ -61,20 +65,19 @@
     }
 
     fn step(&self, now: Instant, handover: Option<&dyn HandoverState>) -> ShutdownStep {
-        let shares_listeners =
-            handover.is_some_and(super::handover::HandoverState::shares_listeners);
+        let hands_over = handover.is_some_and(HandoverState::hands_over);
+        let shares_listeners = handover.is_some_and(HandoverState::shares_listeners);
         let accept_until = self.begins_at + ACCEPT_GRACE;
         let await_successor_until = self.ends_at - FINAL_DRAIN_TIME;
-        let (until, is_draining) =
-            if handover.is_some_and(super::handover::HandoverState::hands_over) {
-                (self.ends_at, false)
-            } else if shares_listeners && now < await_successor_until {
-                (await_successor_until, false)
-            } else if !shares_listeners && now < accept_until {
-                (accept_until, false)
-            } else {
-                (self.ends_at, true)
-            };
+        let (until, is_draining) = if hands_over {
+            (self.ends_at, false)
+        } else if shares_listeners && now < await_successor_until {
+            (await_successor_until, false)
+        } else if !shares_listeners && now < accept_until {
+            (accept_until, false)
+        } else {
+            (self.ends_at, true)
+        };
         ShutdownStep { until, is_draining }
     }
 }
@@ -84,26 +87,26 @@
     /// after the end of the process; it is answered as timed out before the end. Answers that are forwarded incomplete are
     /// not cut off: the process goes on for them until it is killed.
     pub async fn shut_down(self: &Rc<Self>, shutdown: &Shutdown) {
-        let last_answers_at = shutdown.last_answers_at();
         let handover = self.handover.borrow().clone();
-        if let Some(handover) = &handover {
+        let handover = handover.as_deref();
+        if let Some(handover) = handover {
             handover.terminate();
         }
+        let mut ends_at = shutdown.ends_at;
         loop {
             let now = Instant::now();
-            let handover = handover.as_deref();
-            let shares_listeners =
-                handover.is_some_and(super::handover::HandoverState::shares_listeners);
+            let shares_listeners = handover.is_some_and(HandoverState::shares_listeners);
             let step = shutdown.step(now, handover);
             // Clients that are handed over to a successor need not reconnect.
             self.is_stopping.set(!shares_listeners || step.is_draining);
-            let is_time_up = now >= shutdown.ends_at;
+            if now >= shutdown.last_answers_at() && !self.is_exit_imminent() {
+                self.give_last_answers();
+                ends_at = ends_at.max(now + MIN_LAST_ANSWERS_TIME);
+            }
+            let is_time_up = now >= ends_at;
             if step.is_draining || is_time_up {
                 self.drain_clients(handover, shares_listeners);
             }
-            if now >= last_answers_at && !self.is_exit_imminent.replace(true) {
-                self.exit_imminent.notify_waiters();
-            }
             let is_last_step = step.until == shutdown.ends_at;
             let streaming_until = shutdown.ends_at + MAX_STREAMING_TIME;
             if is_time_up && (!self.is_streaming() || now >= streaming_until)
@@ -113,10 +116,10 @@
             }
             let wake_at = if is_time_up {
                 streaming_until
-            } else if now < last_answers_at {
-                step.until.min(last_answers_at)
+            } else if self.is_exit_imminent() {
+                ends_at
             } else {
-                step.until
+                step.until.min(shutdown.last_answers_at())
             };
             tokio::select! {
                 () = tokio::time::sleep_until(wake_at.into()) => {}
@@ -126,6 +129,21 @@
         }
     }
 
+    /// Answers all requests that have no answer yet, since the process is about to end. From now on nothing is sent to servers.
+    fn give_last_answers(&self) {
+        self.is_exit_imminent.set(true);
+        self.exit_imminent.notify_waiters();
+        for client in self.clients.borrow().values() {
+            // Its last byte could otherwise arrive unread.
+            if client.phase.get() == Phase::Receiving {
+                client
+                    .rejection_status
+                    .set(Some(StatusCode::SERVICE_UNAVAILABLE));
+                client.wake.notify_one();
+            }
+        }
+    }
+
     /// Whether an answer is forwarded to a client while its server still writes it.
     fn is_streaming(&self) -> bool {
         let clients = self.clients.borrow();
