Upgrades: a process accepts nothing after its last answers

A process that was told to end before its successor was ready accepted until its very end; a request on such a connection was closed unread.

Cause: a predecessor accepts while its successor is not ready, with no end of that before the end of the process.

--- a/crates/node/src/net/frontend.rs
+++ b/crates/node/src/net/frontend.rs
@@ -171,10 +171,8 @@
     }
 
     fn is_accepting(&self) -> bool {
-        self.handover
-            .borrow()
-            .as_ref()
-            .is_none_or(|handover| handover.accepts())
+        let handover = self.handover.borrow();
+        !self.is_exit_imminent() && handover.as_ref().is_none_or(|handover| handover.accepts())
     }
 
     /// The listeners in use.
--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -129,10 +129,12 @@
         }
     }
 
-    /// Answers all requests that have no answer yet, since the process is about to end. From now on nothing is sent to servers.
+    /// Answers all requests that have no answer yet, since the process is about to end. From now on nothing is sent to servers,
+    /// and no more connections are accepted: those in the backlog are left to a successor.
     fn give_last_answers(&self) {
         self.is_exit_imminent.set(true);
         self.exit_imminent.notify_waiters();
+        self.notify_handover_changed();
         for client in self.clients.borrow().values() {
             // Its last byte could otherwise arrive unread.
             if client.phase.get() == Phase::Receiving {
--- a/crates/testbed/tests/shutdown/takeovers.rs
+++ b/crates/testbed/tests/shutdown/takeovers.rs
@@ -2,8 +2,8 @@
 
 use crate::fixtures::program;
 use reelfall_testbed::scripted::{
-    call_management, connect, get, read_request, read_response, Discovery, GatedServer, Node,
-    Server,
+    call_management, connect, get, read_request, read_response, write_request, Discovery,
+    GatedServer, Node, Server,
 };
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
@@ -160,3 +160,42 @@
         std::thread::sleep(POLL_INTERVAL);
     }
 }
+
+/// Guards against connections that a process accepts right before its end, though its successor has the sockets too: the process
+/// ended with their requests unread.
+#[test]
+fn connection_right_before_the_end_is_left_to_the_successor() {
+    /// SIGKILL may come this long after SIGTERM: the deadline is longer than the 3 s that count.
+    const TIME_TO_KILL: Duration = Duration::from_millis(3700);
+    const CONNECT_BEFORE_KILL: Duration = Duration::from_millis(200);
+    const STALL_BEFORE_KILL: Duration = Duration::from_millis(180);
+    /// The process goes on after it should have ended.
+    const RESUME_BEFORE_KILL: Duration = Duration::from_millis(60);
+    let GatedServer {
+        server, arrived, ..
+    } = GatedServer::start();
+    let fixture = Fixture::start(&server);
+    let _standby = fixture.start_standby();
+    // Keeps the process until its time is up.
+    let mut held = connect(fixture.node.address);
+    held.write_all(write_request("held", "content-length: 1", "x").as_bytes())
+        .unwrap();
+    arrived.wait();
+    let killed_at = Instant::now() + TIME_TO_KILL;
+    let sleep_until_before_kill = |time: Duration| {
+        std::thread::sleep((killed_at - time).saturating_duration_since(Instant::now()))
+    };
+    fixture.node.signal("TERM");
+    sleep_until_before_kill(CONNECT_BEFORE_KILL);
+    let mut client = connect(fixture.node.address);
+    sleep_until_before_kill(STALL_BEFORE_KILL);
+    fixture.node.signal("STOP");
+    client.write_all(read_request("last").as_bytes()).unwrap();
+    sleep_until_before_kill(RESUME_BEFORE_KILL);
+    fixture.node.signal("CONT");
+    let response = read_response(&client);
+    assert!(
+        response.is_some(),
+        "the connection was closed without an answer"
+    );
+}
