Upgrades: a successor accepts while its predecessor ends with a long answer

A process was told to end before its successor was ready, and forwarded a long answer for up to a minute. New connections waited in the backlog meanwhile, or were accepted only to get 504.

Cause: a successor that is not ready leaves the listeners to its predecessor until that process has ended, and its service ends up to a minute before.

Change: with its last answers a process closes its exchange with a successor that does not serve yet, which then accepts.

--- a/crates/node/src/net/frontend/handover.rs
+++ b/crates/node/src/net/frontend/handover.rs
@@ -24,8 +24,10 @@
     fn hands_over(&self) -> bool;
     /// Reports that the process has received SIGTERM.
     fn terminate(&self);
-    /// Reports that connections are no longer accepted after SIGTERM.
+    /// Reports that connections are no longer accepted after SIGTERM, unless a successor that is not ready has the listeners.
     fn end_accept_grace(&self);
+    /// Reports that the process is about to exit and accepts nothing more, not even for a successor that is not ready.
+    fn end_accepting(&self);
 }
 
 impl Frontend {
--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -100,7 +100,7 @@
             // Clients that are handed over to a successor need not reconnect.
             self.is_stopping.set(!shares_listeners || step.is_draining);
             if now >= shutdown.last_answers_at() && !self.is_exit_imminent() {
-                self.give_last_answers();
+                self.give_last_answers(handover);
                 ends_at = ends_at.max(now + MIN_LAST_ANSWERS_TIME);
             }
             let is_time_up = now >= ends_at;
@@ -131,9 +131,12 @@
 
     /// Answers all requests that have no answer yet, since the process is about to end. From now on nothing is sent to servers,
     /// and no more connections are accepted: those in the backlog are left to a successor.
-    fn give_last_answers(&self) {
+    fn give_last_answers(&self, handover: Option<&dyn HandoverState>) {
         self.is_exit_imminent.set(true);
         self.exit_imminent.notify_waiters();
+        if let Some(handover) = handover {
+            handover.end_accepting();
+        }
         self.notify_handover_changed();
         for client in self.clients.borrow().values() {
             // Its last byte could otherwise arrive unread.
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -50,6 +50,8 @@
     is_serving: Cell<bool>,
     /// Notified when the connection to the predecessor has ended.
     pub predecessor_gone: Notify,
+    /// Notified when this process, which was told to end, accepts nothing any more.
+    accepting_ended: Notify,
     /// Notified when a successor is lost after it served, and so after it replaced the socket for successors.
     serving_successor_lost: Notify,
 }
@@ -75,6 +77,7 @@
             collect_learned,
             is_serving: Cell::new(false),
             predecessor_gone: Notify::new(),
+            accepting_ended: Notify::new(),
             serving_successor_lost: Notify::new(),
         })
     }
@@ -247,6 +250,10 @@
             return;
         }
         let reason = self.hand_over(&mut exchange, &frontend).await;
+        if matches!(reason, ExchangeError::AcceptingEnded) {
+            // The end of the exchange tells the successor to accept. It still has the listeners.
+            return;
+        }
         self.shared
             .log
             .write_line(format_args!("takeover: lost the successor: {reason}"));
@@ -282,7 +289,15 @@
         if let Err(error) = self.send_snapshot(exchange, &sockets).await {
             return error;
         }
-        match exchange.receive().await {
+        if frontend.is_exit_imminent() {
+            return ExchangeError::AcceptingEnded;
+        }
+        let received = tokio::select! {
+            biased;
+            received = exchange.receive() => received,
+            () = self.accepting_ended.notified() => return ExchangeError::AcceptingEnded,
+        };
+        match received {
             Ok(received) if matches!(received.frame, Frame::Serving) => {}
             Ok(_) => return ExchangeError::ProtocolViolation,
             Err(error) => return error,
@@ -331,6 +346,10 @@
     fn end_accept_grace(&self) {
         self.predecessor.borrow_mut().end_accept_grace();
     }
+
+    fn end_accepting(&self) {
+        self.accepting_ended.notify_waiters();
+    }
 }
 
 /// Accepts the clients that the predecessor hands over, until its connection ends.
--- a/crates/node/src/net/takeover/exchange.rs
+++ b/crates/node/src/net/takeover/exchange.rs
@@ -45,6 +45,9 @@
     /// The predecessor does not allow a takeover at present.
     #[error("the predecessor refused the takeover")]
     Refused,
+    /// This process is about to exit and accepts nothing any more, and the successor does not serve yet.
+    #[error("this process accepts no more connections")]
+    AcceptingEnded,
     /// The peer sent a frame that is not allowed in the current state.
     #[error("the peer violated the protocol")]
     ProtocolViolation,
--- a/crates/testbed/tests/shutdown/takeovers.rs
+++ b/crates/testbed/tests/shutdown/takeovers.rs
@@ -8,6 +8,7 @@
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::os::unix::net::UnixListener;
+use std::sync::{Arc, Barrier};
 use std::time::{Duration, Instant};
 
 const MAX_SOCKETS: usize = 256;
@@ -138,9 +139,14 @@
 
 /// Whether a health check on a new connection is answered with 200; no server sees it.
 fn is_accepted_and_answered(address: SocketAddr) -> bool {
+    health(address) == Some(200)
+}
+
+/// The status of a health check on a new connection; `None` if it is not answered.
+fn health(address: SocketAddr) -> Option<u16> {
     let mut stream = connect(address);
     let _ = stream.write_all(b"GET /_health HTTP/1.1\r\nhost: n\r\n\r\n");
-    read_response(&stream).is_some_and(|response| response.status == 200)
+    read_response(&stream).map(|response| response.status)
 }
 
 /// Guards against clients that nobody accepts: a process that has the sockets but no list of servers does not notice that its
@@ -199,3 +205,41 @@
         "the connection was closed without an answer"
     );
 }
+
+/// Guards against clients that nobody accepts while a process that was told to end forwards a long answer, and its successor is
+/// not ready.
+#[test]
+fn standby_process_accepts_while_its_predecessor_forwards_a_long_answer() {
+    const HALF_LEN: usize = 200_000;
+    let release = Arc::new(Barrier::new(2));
+    let released = release.clone();
+    let server = Server::start(move |_, _, stream| {
+        let length = 2 * HALF_LEN;
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+        let _ = stream.write_all(head.as_bytes());
+        let _ = stream.write_all(&[b'x'; HALF_LEN]);
+        released.wait();
+        let _ = stream.write_all(&[b'x'; HALF_LEN]);
+    });
+    let mut fixture = Fixture::start(&server);
+    let mut client = connect(fixture.node.address);
+    client.write_all(read_request("long").as_bytes()).unwrap();
+    let mut first_byte = [0];
+    client.peek(&mut first_byte).unwrap();
+    let standby = fixture.start_standby();
+    fixture.node.signal("TERM");
+    let terminated_at = Instant::now();
+    // The predecessor is ready, the standby is not.
+    while health(standby.address) != Some(503) {
+        assert!(terminated_at.elapsed() < reelfall_testbed::scripted::WAIT_TIMEOUT);
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    assert!(fixture.node.is_running(), "the answer was cut off");
+    release.wait();
+    let response = read_response(&client);
+    assert_eq!(
+        response.map(|response| response.body.len()),
+        Some(2 * HALF_LEN)
+    );
+    assert!(fixture.node.wait());
+}
