Tests: shutdowns beside a silent registry, with short deadlines and more signals

Late requests with longest deadlines of 0.6 and 0.2 s, a server that answers too late, a process that is held up for 0.15 s at SIGTERM, SIGHUP and a second SIGTERM after it, and a registry with responses of 0.15 s; entries whose creation is in progress, and a reload with another entry after SIGTERM.

--- a/crates/testbed/tests/shutdown/late_clients.rs
+++ b/crates/testbed/tests/shutdown/late_clients.rs
@@ -16,9 +16,48 @@
 const FIRST_LATE_REQUEST: Duration = Duration::from_millis(300);
 /// Time between the late requests of two clients.
 const LATE_REQUEST_INTERVAL: Duration = Duration::from_millis(30);
+/// How long a process may be held up.
+const MAX_STALL: Duration = Duration::from_millis(150);
+/// When further signals follow SIGTERM.
+const FURTHER_SIGNALS_AFTER: Duration = Duration::from_millis(100);
 /// Maximum length of a response.
 const MAX_RESPONSE_LEN: usize = 4096;
 
+/// The signals that end a node.
+#[derive(Clone, Copy, Debug)]
+pub enum Ending {
+    /// SIGTERM.
+    Plain,
+    /// The process is held up when SIGTERM comes.
+    HeldUp,
+    /// SIGHUP and a second SIGTERM follow.
+    FurtherSignals,
+}
+
+impl Ending {
+    /// Sends the signals; returns when SIGTERM was sent.
+    async fn send(self, node: &Node) -> Instant {
+        if matches!(self, Ending::HeldUp) {
+            node.signal("STOP").unwrap();
+        }
+        node.signal("TERM").unwrap();
+        let terminated_at = Instant::now();
+        match self {
+            Ending::Plain => {}
+            Ending::HeldUp => {
+                tokio::time::sleep_until((terminated_at + MAX_STALL).into()).await;
+                node.signal("CONT").unwrap();
+            }
+            Ending::FurtherSignals => {
+                tokio::time::sleep_until((terminated_at + FURTHER_SIGNALS_AFTER).into()).await;
+                node.signal("HUP").unwrap();
+                node.signal("TERM").unwrap();
+            }
+        }
+        terminated_at
+    }
+}
+
 /// A connection on which a request was answered.
 struct LateClient {
     id: String,
@@ -84,13 +123,17 @@
         LateClients { clients, received }
     }
 
-    /// Ends the node by SIGTERM, and by SIGKILL as early as it may come with this longest deadline. Returns the late requests
+    /// Ends the node by these signals, and by SIGKILL as early as it may come with this longest deadline. Returns the late requests
     /// that the server has received and that got no answer.
     ///
     /// A request that the server has not received may have crossed the end of its connection; it is not lost.
-    pub async fn lost_in_shutdown(self, node: &mut Node, deadline: Duration) -> Vec<String> {
-        node.signal("TERM").unwrap();
-        let terminated_at = Instant::now();
+    pub async fn lost_in_shutdown(
+        self,
+        node: &mut Node,
+        ending: Ending,
+        deadline: Duration,
+    ) -> Vec<String> {
+        let terminated_at = ending.send(node).await;
         let mut requests = tokio::task::JoinSet::new();
         let mut sends_at = terminated_at + FIRST_LATE_REQUEST;
         for client in self.clients {
--- a/crates/testbed/tests/shutdown/late_requests.rs
+++ b/crates/testbed/tests/shutdown/late_requests.rs
@@ -2,26 +2,42 @@
 
 use crate::fixtures::{
     set_down, set_frozen, settings, start_registered_node, start_registry, start_server,
+    ENTRY_PATH, MEMBER_COUNT,
 };
-use crate::late_clients::LateClients;
+use crate::late_clients::{Ending, LateClients};
 use reelfall_testbed::registry::Registry;
 use std::time::Duration;
 
-/// The longest deadline.
-const DEADLINE: Duration = Duration::from_millis(1200);
+/// How a node with disturbed registries is ended.
+#[derive(Clone, Copy, Debug)]
+struct Shutdown {
+    deadline: Duration,
+    /// How long the server takes for a late request.
+    service_time: Duration,
+    ending: Ending,
+}
+
 /// The server answers shortly before a client's time is up.
-const SERVICE_TIME: Duration = Duration::from_millis(1100);
+const PLAIN: Shutdown = Shutdown {
+    deadline: Duration::from_millis(1200),
+    service_time: Duration::from_millis(1100),
+    ending: Ending::Plain,
+};
 
-/// Ends a node whose registries the test has disturbed, and checks that no request is lost.
-async fn check_shutdown(registries: &[&Registry], disturb: impl FnOnce()) {
-    let server = start_server(Duration::ZERO).await;
-    let settings = settings(registries, &server, DEADLINE);
-    let mut node = start_registered_node(&settings, registries).await;
-    let clients = LateClients::connect(&node, &server).await;
-    server.update_behavior(|behavior| behavior.service_time = SERVICE_TIME);
-    disturb();
-    let lost = clients.lost_in_shutdown(&mut node, DEADLINE).await;
-    assert!(lost.is_empty(), "lost: {lost:?}");
+impl Shutdown {
+    /// Ends a node whose registries the test disturbs, and checks that no request is lost.
+    async fn check(self, registries: &[&Registry], disturb: impl FnOnce()) {
+        let server = start_server(Duration::ZERO).await;
+        let settings = settings(registries, &server, self.deadline);
+        let mut node = start_registered_node(&settings, registries).await;
+        let clients = LateClients::connect(&node, &server).await;
+        server.update_behavior(|behavior| behavior.service_time = self.service_time);
+        disturb();
+        let lost = clients
+            .lost_in_shutdown(&mut node, self.ending, self.deadline)
+            .await;
+        assert!(lost.is_empty(), "{self:?}: lost: {lost:?}");
+    }
 }
 
 /// Guards against a shutdown whose times count from the end of the withdrawal of the node's entry: the process accepted
@@ -29,20 +45,80 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_registry_costs_no_request() {
     let registry = start_registry().await;
-    check_shutdown(&[&registry], || set_frozen(&registry, true)).await;
+    PLAIN
+        .check(&[&registry], || set_frozen(&registry, true))
+        .await;
 }
 
 /// The same with a registry that closes its connections and accepts no new ones.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn registry_that_is_down_costs_no_request() {
     let registry = start_registry().await;
-    check_shutdown(&[&registry], || set_down(&registry, true)).await;
+    PLAIN
+        .check(&[&registry], || set_down(&registry, true))
+        .await;
 }
 
 /// The same with a second registry, which responds.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_silent_registry_of_two_costs_no_request() {
     let (silent, other) = (start_registry().await, start_registry().await);
-    check_shutdown(&[&silent, &other], || set_frozen(&silent, true)).await;
-    assert!(other.entry(crate::fixtures::ENTRY_PATH).is_none());
+    PLAIN
+        .check(&[&silent, &other], || set_frozen(&silent, true))
+        .await;
+    assert!(other.entry(ENTRY_PATH).is_none());
+}
+
+/// The same with short deadlines, after which SIGKILL comes soon.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_registry_costs_no_request_with_short_deadlines() {
+    for (deadline_ms, service_time_ms) in [(600, 500), (200, 150)] {
+        let registry = start_registry().await;
+        let shutdown = Shutdown {
+            deadline: Duration::from_millis(deadline_ms),
+            service_time: Duration::from_millis(service_time_ms),
+            ..PLAIN
+        };
+        shutdown
+            .check(&[&registry], || set_frozen(&registry, true))
+            .await;
+    }
+}
+
+/// The same with a server that answers too late, so that the node has to.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_registry_and_late_server_cost_no_request() {
+    let registry = start_registry().await;
+    let shutdown = Shutdown {
+        service_time: 2 * PLAIN.deadline,
+        ..PLAIN
+    };
+    shutdown
+        .check(&[&registry], || set_frozen(&registry, true))
+        .await;
+}
+
+/// The same with a process that is held up at SIGTERM, or gets further signals after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn silent_registry_costs_no_request_however_the_signals_come() {
+    for ending in [Ending::HeldUp, Ending::FurtherSignals] {
+        let registry = start_registry().await;
+        let shutdown = Shutdown { ending, ..PLAIN };
+        shutdown
+            .check(&[&registry], || set_frozen(&registry, true))
+            .await;
+    }
+}
+
+/// A registry that is slow, and not silent, changes nothing either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn slow_registry_costs_no_request() {
+    let registry = start_registry().await;
+    let disturb = || {
+        for member in 0..MEMBER_COUNT {
+            registry.set_response_delay(member, Duration::from_millis(150));
+        }
+    };
+    PLAIN.check(&[&registry], disturb).await;
+    assert!(registry.entry(ENTRY_PATH).is_none());
 }
--- a/crates/testbed/tests/shutdown/own_entry.rs
+++ b/crates/testbed/tests/shutdown/own_entry.rs
@@ -128,3 +128,39 @@
         "the entry outlives the process"
     );
 }
+
+/// SIGTERM while the response to the creation of the entry is on its way.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_that_was_just_created_does_not_outlive_the_process() {
+    let registry = start_registry().await;
+    for member in 0..MEMBER_COUNT {
+        registry.set_response_delay(member, Duration::from_millis(150));
+    }
+    let (mut node, _server, _) = start_node(&registry).await;
+    node.signal("TERM").unwrap();
+    assert!(
+        entry_is_gone_at_exit(&mut node, &registry).await,
+        "the entry outlives the process"
+    );
+}
+
+/// SIGHUP with another entry after SIGTERM registers nothing.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reload_after_sigterm_registers_no_entry() {
+    const OTHER_PATH: &str = "/n2";
+    let registry = start_registry().await;
+    let (mut node, _server, settings) = start_node(&registry).await;
+    set_frozen(&registry, true);
+    node.signal("TERM").unwrap();
+    node.replace_settings(&settings.replace(ENTRY_PATH, OTHER_PATH))
+        .unwrap();
+    node.wait_for_log("is ignored: the node is shutting down")
+        .await
+        .unwrap();
+    set_frozen(&registry, false);
+    assert!(
+        entry_is_gone_at_exit(&mut node, &registry).await,
+        "the entry outlives the process"
+    );
+    assert!(registry.entry(OTHER_PATH).is_none());
+}
