--- a/crates/node/src/net/frontend.rs
+++ b/crates/node/src/net/frontend.rs
@@ -42,7 +42,7 @@
 pub(super) use pending::CancelOnDrop;
 pub(super) use reply::set_retry_after;
 pub(super) use request_body::BufferedBody;
-pub use shutdown::{Shutdown, MAX_TIME_TO_KILL};
+pub use shutdown::{Shutdown, SHUTDOWN_TIME};
 pub(super) use translate::{repeatability, AdmittedRequest};
 
 use super::client::{Client, ClientId, EvictionOrder};
--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -13,7 +13,7 @@
 /// SIGKILL follows this long after the longest deadline that counts at the earliest.
 const KILL_AFTER_LONGEST_DEADLINE: Duration = Duration::from_millis(700);
 /// How long after SIGTERM a process may serve at the most, unless it forwards answers that are incomplete.
-pub const MAX_TIME_TO_KILL: Duration =
+pub const SHUTDOWN_TIME: Duration =
     MAX_COUNTED_DEADLINE.saturating_add(KILL_AFTER_LONGEST_DEADLINE);
 /// The process ends this long before SIGKILL.
 const EXIT_BEFORE_KILL: Duration = Duration::from_millis(100);
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -13,7 +13,7 @@
 
 pub use socket::{HandoverSocket, Snapshot};
 
-use super::frontend::{Frontend, Handover, HandoverState, ListenSocket, MAX_TIME_TO_KILL};
+use super::frontend::{Frontend, Handover, HandoverState, ListenSocket, SHUTDOWN_TIME};
 use super::shared::Shared;
 use super::task::AbortOnDrop;
 use crate::process::Termination;
@@ -263,7 +263,7 @@
         if was_serving {
             self.serving_successor_lost.notify_one();
             // It may have been told to end, and answer its last requests.
-            tokio::time::sleep(MAX_TIME_TO_KILL).await;
+            tokio::time::sleep(SHUTDOWN_TIME).await;
         }
         if !self.shares_listeners() {
             self.shared
