--- a/crates/testbed/src/soak/upgrade_plan.rs
+++ b/crates/testbed/src/soak/upgrade_plan.rs
@@ -14,6 +14,10 @@
 const WAIT_MS: (u64, u64) = (20, 300);
 /// Shortest and longest time from the start of a successor to its kill, in milliseconds. It is ready after about 10 ms.
 const KILL_AFTER_MS: (u64, u64) = (0, 25);
+/// Shortest and longest time from the start of a successor to its SIGTERM, in milliseconds.
+const TAKE_BACK_AFTER_MS: (u64, u64) = (0, 300);
+/// Maximum number of successors of a run that get SIGTERM; the minimum is 1.
+const TAKE_BACKS: u64 = 2;
 /// Shortest and longest drain of the node or a server, in milliseconds.
 const DRAIN_MS: (u64, u64) = (100, 1500);
 
@@ -24,6 +28,8 @@
     Upgrade,
     /// A successor is started, and gets SIGKILL after this time.
     KillSuccessor(Duration),
+    /// A successor is started, and gets SIGTERM after this time, before or after it has taken over. The old process serves on.
+    TakeBack(Duration),
     /// An operator drains the node, and resumes it after this time.
     DrainNode(Duration),
     /// Discovery announces that the first server drains, and that it is active again after this time.
@@ -69,6 +75,7 @@
             wait: random_ms(&mut random, WAIT_MS),
             step: UpgradeStep::Upgrade,
         });
+        insert_take_backs(seed, &mut steps);
         let clients = (0..CLIENTS_OF_KIND).flat_map(|_| ClientKind::ALL);
         UpgradePlan {
             seed,
@@ -91,3 +98,19 @@
     };
     TimedStep { wait, step }
 }
+
+/// Inserts successors that get SIGTERM before the last step. They have random numbers of their own, so that the other steps of a
+/// seed are the same as without them.
+fn insert_take_backs(seed: u64, steps: &mut Vec<TimedStep>) {
+    let mut random = SeededRng(seed.wrapping_mul(0x9e37_79b9).wrapping_add(3));
+    random.next_u64();
+    let count = 1 + random.next_u64() % TAKE_BACKS;
+    for _ in 0..count {
+        let position = (random.next_u64() % steps.len() as u64) as usize;
+        let step = TimedStep {
+            wait: random_ms(&mut random, WAIT_MS),
+            step: UpgradeStep::TakeBack(random_ms(&mut random, TAKE_BACK_AFTER_MS)),
+        };
+        steps.insert(position, step);
+    }
+}
--- a/crates/testbed/src/soak/upgrades.rs
+++ b/crates/testbed/src/soak/upgrades.rs
@@ -1,5 +1,5 @@
 //! Runs of kind `upgrade`: processes of a node take over from each other under load, drains start and end, and successors
-//! are killed.
+//! are killed or told to end.
 
 use super::checker::{check_upgrades, CheckResult, Drain, ProcessEnd};
 use super::client::{spawn_clients, ClientContext, LoadPhase};
@@ -149,6 +149,12 @@
                 successor.kill().await;
                 Ok(())
             }
+            UpgradeStep::TakeBack(after) => {
+                let successor = NodeProcess::start_managed(self.program, &self.workspace)?;
+                sleep(after).await;
+                self.terminate(successor).await;
+                Ok(())
+            }
             UpgradeStep::DrainNode(lasts) => {
                 self.call_management("/-/drain").await?;
                 sleep(lasts).await;
@@ -174,11 +180,17 @@
     async fn upgrade(&mut self) -> Result<()> {
         let successor = NodeProcess::start_managed(self.program, &self.workspace)?;
         successor.wait_until_ready().await?;
-        let mut old = std::mem::replace(&mut self.process, successor);
+        let old = std::mem::replace(&mut self.process, successor);
+        self.terminate(old).await;
+        Ok(())
+    }
+
+    /// Sends SIGTERM to a process and waits for its exit; it is killed as early as that may happen.
+    async fn terminate(&mut self, mut process: NodeProcess) {
         let terminated_at = self.record.now();
-        old.signal(NodeSignal::Terminate);
+        process.signal(NodeSignal::Terminate);
         let time_to_end = self.plan.deadline + KILL_MARGIN;
-        let status = timeout(time_to_end, old.wait()).await;
+        let status = timeout(time_to_end, process.wait()).await;
         let status = status.ok().and_then(Result::ok);
         self.observed.ends.push(ProcessEnd {
             faults_started_at: terminated_at,
@@ -188,8 +200,7 @@
             killed_at: terminated_at + time_to_end,
             drain_announced_at: None,
         });
-        old.kill().await;
-        Ok(())
+        process.kill().await;
     }
 
     /// Sends a command to the management address of the current process.
