--- a/crates/node/src/net/frontend/shutdown.rs
+++ b/crates/node/src/net/frontend/shutdown.rs
@@ -108,10 +108,11 @@
                 self.drain_clients(handover, shares_listeners);
             }
             let is_last_step = step.until == shutdown.ends_at;
+            if is_last_step && self.clients.borrow().is_empty() {
+                return;
+            }
             let streaming_until = shutdown.ends_at + MAX_STREAMING_TIME;
-            if is_time_up && (!self.is_streaming() || now >= streaming_until)
-                || is_last_step && self.clients.borrow().is_empty()
-            {
+            if is_time_up && (!self.is_streaming() || now >= streaming_until) {
                 return;
             }
             let wake_at = if is_time_up {
@@ -121,11 +122,16 @@
             } else {
                 step.until.min(shutdown.last_answers_at())
             };
-            tokio::select! {
-                () = tokio::time::sleep_until(wake_at.into()) => {}
-                () = self.client_ended.notified() => {}
-                () = self.handover_changed.notified() => {}
-            }
+            self.wait_for_progress(wake_at).await;
+        }
+    }
+
+    /// Waits until a client's connection has ended, the handover has changed, or this time.
+    async fn wait_for_progress(&self, until: Instant) {
+        tokio::select! {
+            () = tokio::time::sleep_until(until.into()) => {}
+            () = self.client_ended.notified() => {}
+            () = self.handover_changed.notified() => {}
         }
     }
 
--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -5,20 +5,22 @@
 //!
 //! | module | responsibility |
 //! | --- | --- |
+//! | `clients` | sending and accepting clients |
 //! | `exchange` | frames and descriptors on a stream |
 //! | `socket` | the Unix socket, and the snapshot that a new process requests |
 
+mod clients;
 mod exchange;
 mod socket;
 
 pub use socket::{HandoverSocket, Snapshot};
 
-use super::frontend::{Frontend, Handover, HandoverState, ListenSocket, SHUTDOWN_TIME};
+use super::frontend::{Frontend, HandoverState, ListenSocket, SHUTDOWN_TIME};
 use super::shared::Shared;
 use super::task::AbortOnDrop;
 use crate::process::Termination;
+use clients::{accept_clients, accept_sent_clients, return_clients, send_clients};
 use exchange::{Exchange, ExchangeError, ReceivedFrame, FRAME_TIMEOUT};
-use futures_util::FutureExt;
 use reelfall_admin::succession::{Predecessor, Successor};
 use reelfall_admin::takeover::{Frame, ID_RECORDS_VERSION};
 use std::cell::{Cell, RefCell};
@@ -28,7 +30,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::sync::mpsc;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -351,71 +353,3 @@
         self.accepting_ended.notify_waiters();
     }
 }
-
-/// Accepts the clients that the predecessor hands over, until its connection ends.
-async fn accept_clients(exchange: &mut Exchange, frontend: &Rc<Frontend>) {
-    while let Ok(received) = exchange.receive().await {
-        if !accept_client(received, frontend) {
-            return;
-        }
-    }
-}
-
-/// Accepts the clients that the predecessor has sent already.
-fn accept_sent_clients(exchange: &mut Exchange, frontend: &Rc<Frontend>) {
-    while let Some(Ok(received)) = exchange.receive().now_or_never() {
-        if !accept_client(received, frontend) {
-            return;
-        }
-    }
-}
-
-/// Accepts the client in a frame; returns whether there is one.
-fn accept_client(received: ReceivedFrame, frontend: &Rc<Frontend>) -> bool {
-    let Frame::Client { listener } = received.frame else {
-        return false;
-    };
-    for descriptor in received.descriptors {
-        frontend.accept_handover(descriptor.into(), &listener);
-    }
-    true
-}
-
-/// Sends clients to the successor until it is lost, and returns why it is.
-async fn send_clients(
-    exchange: &mut Exchange,
-    handovers: &mut UnboundedReceiver<Handover>,
-) -> ExchangeError {
-    loop {
-        let handover = tokio::select! {
-            received = exchange.receive() => {
-                return received.err().unwrap_or(ExchangeError::ProtocolViolation);
-            }
-            Some(handover) = handovers.recv() => handover,
-        };
-        if let Err(error) = send_client(exchange, handover).await {
-            return error;
-        }
-    }
-}
-
-async fn send_client(exchange: &Exchange, handover: Handover) -> Result<(), ExchangeError> {
-    let Handover {
-        stream,
-        listener,
-        done,
-    } = handover;
-    let client = Frame::Client { listener };
-    let sent = exchange.send(&client, &[stream.as_fd()]).await;
-    // The task that waits for the result may have ended.
-    let _ = done.send(if sent.is_ok() { Ok(()) } else { Err(stream) });
-    sent
-}
-
-/// Returns the clients that have not been sent; this process continues to serve them.
-fn return_clients(mut handovers: UnboundedReceiver<Handover>) {
-    handovers.close();
-    while let Ok(Handover { stream, done, .. }) = handovers.try_recv() {
-        let _ = done.send(Err(stream));
-    }
-}
