--- a/crates/testbed/tests/shutdown/own_entry.rs
+++ b/crates/testbed/tests/shutdown/own_entry.rs
@@ -87,7 +87,8 @@
     }
 }
 
-/// Guards against a session that waits for its next attempt to connect, which is seconds away after a long outage.
+/// A session whose next attempt to connect is seconds away, by chance more or less; the test `haste` of the registry client forces
+/// it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn registry_that_was_down_for_long_loses_the_entry() {
     let registry = start_registry().await;
