Tests: last answers that a held-up process gives late are written

A process is stopped over the time of its last answers and over its end, with a request at a server that does not respond.

--- a/crates/testbed/tests/shutdown/last_moment.rs
+++ b/crates/testbed/tests/shutdown/last_moment.rs
@@ -6,6 +6,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
+const REQUEST: &str = "GET /api HTTP/1.1\r\nhost: a\r\nx-correlation-id: last\r\n\r\n";
 /// The longest deadline.
 const DEADLINE: Duration = Duration::from_millis(1200);
 /// The process is held up from this long before SIGKILL may come; it would have ended at the end of this time.
@@ -23,8 +24,7 @@
     let node = start_registered_node(&settings(&[], &server, DEADLINE), &[]).await;
     let mut client = TcpStream::connect(node.address()).await.unwrap();
     client.set_nodelay(true).unwrap();
-    let request = "GET /api HTTP/1.1\r\nhost: a\r\nx-correlation-id: last\r\n\r\n";
-    let (start, last_byte) = request.split_at(request.len() - 1);
+    let (start, last_byte) = REQUEST.split_at(REQUEST.len() - 1);
     client.write_all(start.as_bytes()).await.unwrap();
     node.signal("TERM").unwrap();
     let killed_at = Instant::now() + DEADLINE + KILL_AFTER_DEADLINE;
@@ -35,6 +35,36 @@
     let _ = client.write_all(last_byte.as_bytes()).await;
     tokio::time::sleep_until((killed_at - RESUME_BEFORE_KILL).into()).await;
     node.signal("CONT").unwrap();
+    assert_answered(client).await;
+}
+
+/// Guards against a process that was held up over the time of its last answers and over its end, and ends before the answers
+/// that it gives late are written.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn late_last_answers_are_written() {
+    /// The process is held up from this long before SIGKILL may come, before it gives its last answers.
+    const LONG_STALL_BEFORE_KILL: Duration = Duration::from_millis(300);
+    const REQUEST_BEFORE_DEADLINE: Duration = Duration::from_millis(230);
+    let server = start_server(Duration::ZERO).await;
+    let node = start_registered_node(&settings(&[], &server, DEADLINE), &[]).await;
+    server.update_behavior(|behavior| behavior.is_frozen = true);
+    let mut client = TcpStream::connect(node.address()).await.unwrap();
+    // A connection with an incomplete request is not closed as idle.
+    let (start, last_byte) = REQUEST.split_at(REQUEST.len() - 1);
+    client.write_all(start.as_bytes()).await.unwrap();
+    node.signal("TERM").unwrap();
+    let killed_at = Instant::now() + DEADLINE + KILL_AFTER_DEADLINE;
+    // Its deadline is in the stall.
+    tokio::time::sleep_until((killed_at - DEADLINE - REQUEST_BEFORE_DEADLINE).into()).await;
+    client.write_all(last_byte.as_bytes()).await.unwrap();
+    tokio::time::sleep_until((killed_at - LONG_STALL_BEFORE_KILL).into()).await;
+    node.signal("STOP").unwrap();
+    tokio::time::sleep_until((killed_at - RESUME_BEFORE_KILL).into()).await;
+    node.signal("CONT").unwrap();
+    assert_answered(client).await;
+}
+
+async fn assert_answered(mut client: TcpStream) {
     let mut response = Vec::new();
     // What came before an error counts.
     let read = tokio::time::timeout(WAIT_TIMEOUT, client.read_to_end(&mut response)).await;
