Tests: reports of a node with faulty links are checked by ejections, not by counts

The check took few attempts for an ejection. Histories of failing and passing runs (trials) show why that is wrong: each node learns which servers it prefers, and a server that no node prefers gets 0 to 3 attempts of a node in 4 s.

The test now asserts what it is about: no node logs an ejection at any time since its start, no node explains a server's state as ejected at the end, and each server gets attempts. It prints the lines.

--- a/crates/testbed/tests/cluster/network_faults.rs
+++ b/crates/testbed/tests/cluster/network_faults.rs
@@ -5,11 +5,8 @@
     spec_with_short_slow_start, start, wait_until_attempted, wait_until_explained, SECOND,
 };
 use crate::ALL_NODES;
-use reelfall_testbed::fleet::history::Event;
-use reelfall_testbed::fleet::{queries, FleetSpec, ManagementResponse, TestFleet};
-
-/// A server that is not ejected gets more attempts than this in four seconds; an ejected one gets one probe per second.
-const MAX_PROBES: usize = 8;
+use reelfall_testbed::fleet::history::{Event, TimedEvent};
+use reelfall_testbed::fleet::{queries, server_name, FleetSpec, ManagementResponse, TestFleet};
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn partial_partitions_separate_no_members() {
@@ -63,14 +60,12 @@
     run_for(4.0).await;
     let to = fleet.history.now();
     let events = fleet.history.events();
-    // The reports of the faulty node eject no server.
+    // The reports of the faulty node eject no server at any time, and each is used.
+    assert_eq!(ejection_lines(&events), Vec::<String>::new());
     for server in 0..fleet.servers.len() {
+        assert_not_ejected(&fleet, server).await;
         let attempts = queries::attempts(&events, server, to - 4 * SECOND, to, &ALL_NODES);
-        assert!(
-            attempts.len() > MAX_PROBES,
-            "server {server} got {} attempts in 4 s",
-            attempts.len()
-        );
+        assert!(!attempts.is_empty(), "server {server} got no attempt");
     }
     set_links_frozen(&fleet, FAULTY_NODE, false);
     fleet.kill(FAULTY_NODE);
@@ -145,6 +140,31 @@
         .any(|entry| matches!(&entry.event, Event::Logged { line, .. } if line.contains("is down")))
 }
 
+/// The log lines of nodes that applied an ejection.
+fn ejection_lines(events: &[TimedEvent]) -> Vec<String> {
+    let lines = events.iter().filter_map(|entry| match &entry.event {
+        Event::Logged { node, line } if line.contains("is ejected") => {
+            Some(format!("{:?} node {node}: {line}", entry.at))
+        }
+        _ => None,
+    });
+    lines.collect()
+}
+
+/// Asserts that no node explains the server's state as ejected. Nodes may drop log lines, but not this answer.
+async fn assert_not_ejected(fleet: &TestFleet, server: usize) {
+    let path = format!("/-/fleet/servers/{}", server_name(server));
+    for node in ALL_NODES {
+        let response = fleet.call_management(node, "GET", &path).await.unwrap();
+        assert_eq!(response.status, 200, "{}", response.body);
+        assert!(
+            !response.body.contains("fails several nodes"),
+            "node {node}: {}",
+            response.body
+        );
+    }
+}
+
 /// Sets whether the links from a node to all servers forward nothing.
 fn set_links_frozen(fleet: &TestFleet, node: usize, is_frozen: bool) {
     for server in 0..fleet.servers.len() {
