Leases: a node that is told to end keeps its lease until its call has ended

Callers (the resource that the holder of a lease calls for the fleet) worked on the calls of two nodes at once when the holder got SIGTERM during its call. Cause: at SIGTERM all leases were released at once, and the departure announced; nothing tied a call in progress to its lease, and the shutdown awaited none.

Change: a call that has begun holds its lease (begin_call, end_call); a lease in use is renewed, and released when the call has ended; no further call begins. The shutdown waits for that beside the clients' requests, until its own end at most, and leaves the fleet afterwards. A lease whose call is still open then expires.

--- a/crates/node/src/lease/call.rs
+++ b/crates/node/src/lease/call.rs
@@ -46,6 +46,7 @@
         next = Instant::now() + interval;
         let answer = timeout(interval.min(CALL_TIMEOUT), call_once(&leases, &name, &call));
         let answer = answer.await.unwrap_or(Err(CallError::TimedOut));
+        leases.end_call(&name);
         handle_answer(&leases, &name, &call, answer);
     }
 }
@@ -91,7 +92,7 @@
     let (mut sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
     // Aborted with this call, also when that times out, since the resource may never answer.
     let _connection = AbortOnDrop(tokio::task::spawn_local(connection).abort_handle());
-    let Some(operation) = leases.operation(name, call.path.as_str()) else {
+    let Some(operation) = leases.begin_call(name, call.path.as_str()) else {
         return Ok(None);
     };
     let (claim, path) = operation.into_parts();
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -54,6 +54,30 @@
     lease: Lease,
     /// When it is acquired again after a temporary release.
     reacquire_at: Option<Micros>,
+    /// Whether a call that it guards is in progress. Until that has ended, the lease is not released.
+    is_in_use: bool,
+    /// Whether it is released permanently as soon as it is not in use.
+    is_leaving: bool,
+}
+
+impl LocalLease {
+    fn new(name: &LeaseName, config: Config) -> Self {
+        LocalLease {
+            lease: Lease::new(name.clone(), config),
+            reacquire_at: None,
+            is_in_use: false,
+            is_leaving: false,
+        }
+    }
+
+    /// Releases the lease permanently, or lets the end of the call in progress release it.
+    fn leave(&mut self, now: Micros) {
+        self.is_leaving = true;
+        if !self.is_in_use {
+            self.lease.release(now);
+            self.reacquire_at = None;
+        }
+    }
 }
 
 /// This node's leases, and its keeper if it is one.
@@ -137,10 +161,7 @@
     /// Starts to acquire the lease, which is renewed once it is acquired.
     fn acquire(&self, name: &LeaseName) {
         let now = self.now();
-        let new = || LocalLease {
-            lease: Lease::new(name.clone(), self.config),
-            reacquire_at: None,
-        };
+        let new = || LocalLease::new(name, self.config);
         let mut leases = self.local_leases.borrow_mut();
         leases
             .entry(name.clone())
@@ -150,22 +171,18 @@
         self.wake.notify_one();
     }
 
-    /// Attaches the lease's fencing token to an operation; `None` if the lease is not active at this moment.
-    pub fn operation<T>(&self, name: &LeaseName, payload: T) -> Option<Operation<T>> {
+    /// Whether this node holds the lease at this moment.
+    fn is_active(&self, name: &LeaseName) -> bool {
         let leases = self.local_leases.borrow();
-        let operation = leases
-            .get(name)?
-            .lease
-            .active(self.now())
-            .map(|active| active.operation(payload));
-        operation
+        let local = leases.get(name);
+        local.is_some_and(|local| local.lease.active(self.now()).is_some())
     }
 
     /// Waits until the lease is active.
     async fn wait_until_active(&self, name: &LeaseName) {
         loop {
             let changed = self.changed.notified();
-            if self.operation(name, ()).is_some() {
+            if self.is_active(name) {
                 return;
             }
             changed.await;
@@ -176,7 +193,7 @@
     /// active.
     fn release_temporarily(&self, name: &LeaseName) -> bool {
         let now = self.now();
-        let was_active = self.operation(name, ()).is_some();
+        let was_active = self.is_active(name);
         if let Some(local) = self.local_leases.borrow_mut().get_mut(name) {
             local.lease.release(now);
             local.reacquire_at = Some(now + self.config.duration * REACQUIRE_DELAY_DURATIONS);
@@ -186,13 +203,49 @@
         was_active
     }
 
-    /// Releases all leases permanently, as the node shuts down.
-    pub fn leave(&self) {
+    /// Begins a call that the lease guards, and attaches its fencing token; `None` if the lease is not active at this moment,
+    /// or is about to be released. The lease is kept until [`Leases::end_call`].
+    fn begin_call<T>(&self, name: &LeaseName, payload: T) -> Option<Operation<T>> {
+        let now = self.now();
+        let mut leases = self.local_leases.borrow_mut();
+        let local = leases.get_mut(name).filter(|local| !local.is_leaving)?;
+        let operation = local.lease.active(now)?.operation(payload);
+        local.is_in_use = true;
+        Some(operation)
+    }
+
+    /// Ends the call that the lease guards, if one has begun, and makes up for a release that had to wait for it.
+    fn end_call(&self, name: &LeaseName) {
+        let now = self.now();
+        if let Some(local) = self.local_leases.borrow_mut().get_mut(name) {
+            local.is_in_use = false;
+            if local.is_leaving {
+                local.leave(now);
+            }
+        }
+        self.process_effects();
+        self.changed.notify_waiters();
+    }
+
+    /// Releases all leases permanently, as the node shuts down: each at once, or when the call that it guards has ended, which
+    /// is waited for.
+    pub async fn leave(&self) {
         let now = self.now();
         for local in self.local_leases.borrow_mut().values_mut() {
-            local.lease.release(now);
-            local.reacquire_at = None;
+            local.leave(now);
         }
         self.process_effects();
+        loop {
+            let changed = self.changed.notified();
+            if !self.is_any_in_use() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    fn is_any_in_use(&self) -> bool {
+        let leases = self.local_leases.borrow();
+        leases.values().any(|local| local.is_in_use)
     }
 }
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -105,11 +105,13 @@
     let shutdown = Shutdown::begin(&frontend, termination.received().await);
     // First of all, so that clients and other nodes stop selecting this node.
     node.begin_shutdown();
-    if let Some(membership) = &membership {
-        membership.leave();
-    }
+    let farewell = async {
+        if let Some(membership) = &membership {
+            membership.leave(shutdown.ends_at()).await;
+        }
+    };
     let withdrawal = timeout_at(shutdown.ends_at().into(), node.withdraw_entries());
-    let _ = tokio::join!(frontend.shut_down(&shutdown), withdrawal);
+    let _ = tokio::join!(farewell, frontend.shut_down(&shutdown), withdrawal);
     Ok(())
 }
 
--- a/crates/node/src/standalone/membership.rs
+++ b/crates/node/src/standalone/membership.rs
@@ -8,6 +8,8 @@
 use reelfall_admin::request::FleetRequest;
 use reelfall_config::model;
 use std::rc::Rc;
+use std::time::Instant;
+use tokio::time::timeout_at;
 
 /// A node's part in its fleet: gossip, verdicts and leases.
 pub struct Membership {
@@ -33,10 +35,11 @@
         Ok(Rc::new(Membership { fleet, leases }))
     }
 
-    /// Releases all leases and leaves the fleet, as the node shuts down.
-    pub fn leave(&self) {
+    /// Releases all leases and leaves the fleet, as the node shuts down. A lease whose call is still in progress at `until` is
+    /// not released, as the resource may work on: it expires.
+    pub async fn leave(&self, until: Instant) {
         if let Some(leases) = &self.leases {
-            leases.leave();
+            let _ = timeout_at(until.into(), leases.leave()).await;
         }
         self.fleet.leave();
     }
--- a/crates/testbed/src/fleet/processes.rs
+++ b/crates/testbed/src/fleet/processes.rs
@@ -132,10 +132,23 @@
     /// # Errors
     /// Fails if it does not exit.
     pub async fn terminate(&mut self, node: usize) -> Result<()> {
-        self.history.record(Event::TerminationRequested { node });
         let from = self.history.len();
+        self.request_termination(node);
+        self.wait_for_exit(node, from).await
+    }
+
+    /// Asks the process of a node to terminate. [`TestFleet::wait_for_exit`] waits for its exit.
+    pub fn request_termination(&self, node: usize) {
+        self.history.record(Event::TerminationRequested { node });
         self.set_client_address(node, None);
         self.send_signal(node, "TERM");
+    }
+
+    /// Waits for the exit of a node's process, from an index of the history on.
+    ///
+    /// # Errors
+    /// Fails if it does not exit.
+    pub async fn wait_for_exit(&mut self, node: usize, from: usize) -> Result<()> {
         let is_exit = |event: &Event| *event == Event::Exited { node };
         self.history.wait_for(from, is_exit).await?;
         self.nodes[node].process = None;
--- a/crates/testbed/tests/leases.rs
+++ b/crates/testbed/tests/leases/main.rs
@@ -1,6 +1,8 @@
 //! Leases among real processes: holders and keepers are killed, paused, partitioned, or start with old data. The assertions
 //! use the writes that a fenced resource received, by a single clock.
 
+mod calls_in_progress;
+#[path = "../fleets/mod.rs"]
 mod fleets;
 
 use fleets::{reserve_fleet, run_command, run_for};
