Leases: an operator's release waits for the call in progress

Change: a release, temporary or permanent, is requested, and made when the call has ended; the command's text says so in that case.

--- a/crates/node/src/lease/admin.rs
+++ b/crates/node/src/lease/admin.rs
@@ -39,7 +39,7 @@
         ManagementResponse::ok(report.finish())
     }
 
-    /// Releases a lease temporarily, on behalf of an operator.
+    /// Releases a lease temporarily, on behalf of an operator; when its call has ended, if one is in progress.
     pub fn release(&self, lease: &str, reason: &str) -> ManagementResponse {
         let name = match LeaseName::try_from(lease.to_owned()) {
             Ok(name) => name,
@@ -47,14 +47,20 @@
                 return ManagementResponse::new(StatusCode::BAD_REQUEST, format!("{error}\n"));
             }
         };
-        if !self.release_temporarily(&name) {
+        if !self.is_active(&name) {
             let text = format!("{name} is not held here\n");
             return ManagementResponse::new(StatusCode::CONFLICT, text);
         }
         self.log.write_line(format_args!(
             "lease {name}: released by an operator: {reason}"
         ));
-        ManagementResponse::ok(format!("{name} is given back\n"))
+        let text = if self.is_in_use(&name) {
+            format!("{name} is given back when its call has ended\n")
+        } else {
+            format!("{name} is given back\n")
+        };
+        self.release_temporarily(&name);
+        ManagementResponse::ok(text)
     }
 }
 
--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -29,7 +29,7 @@
 use group::GroupId;
 use local_keeper::LocalKeeper;
 use random::RandomNumbers;
-use reelfall_lease::holder::{Config, Lease};
+use reelfall_lease::holder::{ActiveLease, Config, Lease};
 use reelfall_lease::keeper::Keeper;
 use reelfall_lease::message::{ClientId, Message};
 use reelfall_lease::token::{LeaseName, Operation};
@@ -49,6 +49,15 @@
 /// Microseconds in a second.
 const MICROS_PER_SECOND: f64 = 1e6;
 
+/// How a lease is released.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Release {
+    /// It is acquired again after a while.
+    Temporary,
+    /// It is not acquired again, as the node shuts down.
+    Permanent,
+}
+
 /// The state of a lease that this node holds or tries to acquire.
 struct LocalLease {
     lease: Lease,
@@ -56,8 +65,8 @@
     reacquire_at: Option<Micros>,
     /// Whether a call that it guards is in progress. Until that has ended, the lease is not released.
     is_in_use: bool,
-    /// Whether it is released permanently as soon as it is not in use.
-    is_leaving: bool,
+    /// The release that was requested last. Only a temporary one is ever over.
+    release: Option<Release>,
 }
 
 impl LocalLease {
@@ -66,17 +75,45 @@
             lease: Lease::new(name.clone(), config),
             reacquire_at: None,
             is_in_use: false,
-            is_leaving: false,
+            release: None,
         }
     }
 
-    /// Releases the lease permanently, or lets the end of the call in progress release it.
-    fn leave(&mut self, now: Micros) {
-        self.is_leaving = true;
+    /// Requests a release, which is made now, or when the call in progress has ended.
+    fn request_release(&mut self, release: Release, now: Micros, config: &Config) {
+        if self.release != Some(Release::Permanent) {
+            self.release = Some(release);
+        }
         if !self.is_in_use {
-            self.lease.release(now);
-            self.reacquire_at = None;
+            self.make_requested_release(now, config);
+        }
+    }
+
+    fn make_requested_release(&mut self, now: Micros, config: &Config) {
+        let Some(release) = self.release else {
+            return;
+        };
+        self.lease.release(now);
+        self.reacquire_at = None;
+        if release == Release::Temporary {
+            self.release = None;
+            self.reacquire_at = Some(now + config.duration * REACQUIRE_DELAY_DURATIONS);
+        }
+    }
+
+    /// Begins a call that it guards, unless it isn't active at this moment or is about to be released.
+    fn begin_call(&mut self, now: Micros) -> Option<ActiveLease<'_>> {
+        if self.release.is_some() {
+            return None;
         }
+        let active = self.lease.active(now)?;
+        self.is_in_use = true;
+        Some(active)
+    }
+
+    fn end_call(&mut self, now: Micros, config: &Config) {
+        self.is_in_use = false;
+        self.make_requested_release(now, config);
     }
 }
 
@@ -189,18 +226,15 @@
         }
     }
 
-    /// Releases the lease, so that another node can acquire it, and acquires it again later; returns whether it was
-    /// active.
-    fn release_temporarily(&self, name: &LeaseName) -> bool {
+    /// Releases the lease, so that another node can acquire it, and acquires it again later. It is released when the call that
+    /// it guards has ended, if one is in progress.
+    fn release_temporarily(&self, name: &LeaseName) {
         let now = self.now();
-        let was_active = self.is_active(name);
         if let Some(local) = self.local_leases.borrow_mut().get_mut(name) {
-            local.lease.release(now);
-            local.reacquire_at = Some(now + self.config.duration * REACQUIRE_DELAY_DURATIONS);
+            local.request_release(Release::Temporary, now, &self.config);
         }
         self.process_effects();
         self.wake.notify_one();
-        was_active
     }
 
     /// Begins a call that the lease guards, and attaches its fencing token; `None` if the lease is not active at this moment,
@@ -208,23 +242,19 @@
     fn begin_call<T>(&self, name: &LeaseName, payload: T) -> Option<Operation<T>> {
         let now = self.now();
         let mut leases = self.local_leases.borrow_mut();
-        let local = leases.get_mut(name).filter(|local| !local.is_leaving)?;
-        let operation = local.lease.active(now)?.operation(payload);
-        local.is_in_use = true;
-        Some(operation)
+        let active = leases.get_mut(name)?.begin_call(now)?;
+        Some(active.operation(payload))
     }
 
-    /// Ends the call that the lease guards, if one has begun, and makes up for a release that had to wait for it.
+    /// Ends the call that the lease guards, if one has begun, and makes the release that has waited for it.
     fn end_call(&self, name: &LeaseName) {
         let now = self.now();
         if let Some(local) = self.local_leases.borrow_mut().get_mut(name) {
-            local.is_in_use = false;
-            if local.is_leaving {
-                local.leave(now);
-            }
+            local.end_call(now, &self.config);
         }
         self.process_effects();
         self.changed.notify_waiters();
+        self.wake.notify_one();
     }
 
     /// Releases all leases permanently, as the node shuts down: each at once, or when the call that it guards has ended, which
@@ -232,7 +262,7 @@
     pub async fn leave(&self) {
         let now = self.now();
         for local in self.local_leases.borrow_mut().values_mut() {
-            local.leave(now);
+            local.request_release(Release::Permanent, now, &self.config);
         }
         self.process_effects();
         loop {
@@ -244,6 +274,12 @@
         }
     }
 
+    /// Whether a call that the lease guards is in progress.
+    fn is_in_use(&self, name: &LeaseName) -> bool {
+        let leases = self.local_leases.borrow();
+        leases.get(name).is_some_and(|local| local.is_in_use)
+    }
+
     fn is_any_in_use(&self) -> bool {
         let leases = self.local_leases.borrow();
         leases.values().any(|local| local.is_in_use)
--- a/crates/testbed/tests/leases/calls_in_progress.rs
+++ b/crates/testbed/tests/leases/calls_in_progress.rs
@@ -134,7 +134,7 @@
 
 /// Whether a node has logged that it released the lease.
 fn has_released(fleet: &TestFleet, node: usize) -> bool {
-    let released = format!("lease {LEASE}: released");
+    let released = format!("lease {LEASE}: released, token");
     fleet.history.events().iter().any(|entry| {
         matches!(&entry.event, Event::Logged { node: by, line } if *by == node && line.contains(&released))
     })
@@ -179,3 +179,22 @@
     assert_ne!(next, holder);
     resource.assert_one_at_a_time();
 }
+
+/// Guards against two nodes that act at once, as an operator released the lease of a holder during its call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn released_lease_is_kept_until_its_call_has_ended() {
+    let _reservation = reserve_fleet().await;
+    let resource = HeldResource::start();
+    let fleet = start(&resource).await;
+    let holder = resource.wait_for_calls(&fleet, 1).await;
+    let path = format!("/-/fleet/leases/{LEASE}/release?why=test");
+    let response = fleet.call_management(holder, "POST", &path).await.unwrap();
+    assert_eq!(response.status, 200, "{}", response.body);
+    run_for(CALL_SECONDS).await;
+    assert_eq!(resource.call_count(), 1, "another node called meanwhile");
+    resource.answer(0);
+    let next = resource.wait_for_calls(&fleet, 2).await;
+    assert_ne!(next, holder);
+    assert!(has_released(&fleet, holder));
+    resource.assert_one_at_a_time();
+}
