Leases: what a node has of one lease is a module of its own

The state of a lease with its call in progress, the release that waits for it and the time of the next attempt stood in the module of the event loop. `local_lease` has them now, with the deadline and the tick of both.

--- a/crates/node/src/lease/mod.rs
+++ b/crates/node/src/lease/mod.rs
@@ -9,6 +9,7 @@
 //! | `dispatch` | delivers messages to the state machines, and sends theirs |
 //! | `group` | the identifier of the nodes with the same keepers |
 //! | `local_keeper` | the keeper on this node and its storage |
+//! | `local_lease` | a lease that this node holds or tries to acquire, and its call in progress |
 //! | `random` | random numbers |
 //! | `start` | the start of the leases, the keeper and the calls |
 
@@ -18,6 +19,7 @@
 mod dispatch;
 mod group;
 mod local_keeper;
+mod local_lease;
 mod random;
 mod start;
 
@@ -28,8 +30,9 @@
 use disk::DiskEvent;
 use group::GroupId;
 use local_keeper::LocalKeeper;
+use local_lease::{LocalLease, Release};
 use random::RandomNumbers;
-use reelfall_lease::holder::{ActiveLease, Config, Lease};
+use reelfall_lease::holder::Config;
 use reelfall_lease::keeper::Keeper;
 use reelfall_lease::message::{ClientId, Message};
 use reelfall_lease::token::{LeaseName, Operation};
@@ -40,8 +43,6 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, Notify};
 
-/// Delay until a lease that was released temporarily is acquired again, as a multiple of its duration.
-const REACQUIRE_DELAY_DURATIONS: u64 = 2;
 /// The shortest sleep of the event loop, in microseconds.
 const MIN_SLEEP: Micros = 1_000;
 /// The longest sleep of the event loop, in microseconds.
@@ -49,74 +50,6 @@
 /// Microseconds in a second.
 const MICROS_PER_SECOND: f64 = 1e6;
 
-/// How a lease is released.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Release {
-    /// It is acquired again after a while.
-    Temporary,
-    /// It is not acquired again, as the node shuts down.
-    Permanent,
-}
-
-/// The state of a lease that this node holds or tries to acquire.
-struct LocalLease {
-    lease: Lease,
-    /// When it is acquired again after a temporary release.
-    reacquire_at: Option<Micros>,
-    /// Whether a call that it guards is in progress. Until that has ended, the lease is not released.
-    is_in_use: bool,
-    /// The release that was requested last. Only a temporary one is ever over.
-    release: Option<Release>,
-}
-
-impl LocalLease {
-    fn new(name: &LeaseName, config: Config) -> Self {
-        LocalLease {
-            lease: Lease::new(name.clone(), config),
-            reacquire_at: None,
-            is_in_use: false,
-            release: None,
-        }
-    }
-
-    /// Requests a release, which is made now, or when the call in progress has ended.
-    fn request_release(&mut self, release: Release, now: Micros, config: &Config) {
-        if self.release != Some(Release::Permanent) {
-            self.release = Some(release);
-        }
-        if !self.is_in_use {
-            self.make_requested_release(now, config);
-        }
-    }
-
-    fn make_requested_release(&mut self, now: Micros, config: &Config) {
-        let Some(release) = self.release else {
-            return;
-        };
-        self.lease.release(now);
-        self.reacquire_at = None;
-        if release == Release::Temporary {
-            self.release = None;
-            self.reacquire_at = Some(now + config.duration * REACQUIRE_DELAY_DURATIONS);
-        }
-    }
-
-    /// Begins a call that it guards, unless it isn't active at this moment or is about to be released.
-    fn begin_call(&mut self, now: Micros) -> Option<ActiveLease<'_>> {
-        if self.release.is_some() {
-            return None;
-        }
-        let active = self.lease.active(now)?;
-        self.is_in_use = true;
-        Some(active)
-    }
-
-    fn end_call(&mut self, now: Micros, config: &Config) {
-        self.is_in_use = false;
-        self.make_requested_release(now, config);
-    }
-}
-
 /// This node's leases, and its keeper if it is one.
 pub struct Leases {
     fleet: Rc<FleetRuntime>,
@@ -165,9 +98,7 @@
 
     fn deadline(&self) -> Micros {
         let leases = self.local_leases.borrow();
-        let leases = leases
-            .values()
-            .filter_map(|local| local.lease.deadline().or(local.reacquire_at));
+        let leases = leases.values().filter_map(LocalLease::deadline);
         let keeper = self
             .local_keeper
             .iter()
@@ -178,12 +109,7 @@
     fn tick(&self) {
         let now = self.now();
         for local in self.local_leases.borrow_mut().values_mut() {
-            if local.reacquire_at.take_if(|at| *at <= now).is_some() {
-                local.lease.acquire(now);
-            }
-            if local.lease.deadline().is_some_and(|due| due <= now) {
-                local.lease.tick(now, self.random.next());
-            }
+            local.tick(now, || self.random.next());
         }
         if let Some(local) = &self.local_keeper {
             let is_due =
@@ -277,11 +203,11 @@
     /// Whether a call that the lease guards is in progress.
     fn is_in_use(&self, name: &LeaseName) -> bool {
         let leases = self.local_leases.borrow();
-        leases.get(name).is_some_and(|local| local.is_in_use)
+        leases.get(name).is_some_and(LocalLease::is_in_use)
     }
 
     fn is_any_in_use(&self) -> bool {
         let leases = self.local_leases.borrow();
-        leases.values().any(|local| local.is_in_use)
+        leases.values().any(LocalLease::is_in_use)
     }
 }
