--- a/crates/testbed/tests/leases/calls_in_progress.rs
+++ b/crates/testbed/tests/leases/calls_in_progress.rs
@@ -195,6 +195,9 @@
     resource.answer(0);
     let next = resource.wait_for_calls(&fleet, 2).await;
     assert_ne!(next, holder);
-    assert!(has_released(&fleet, holder));
+    fleet
+        .wait_until("the release", async |fleet| has_released(fleet, holder))
+        .await
+        .unwrap();
     resource.assert_one_at_a_time();
 }
