Uploads: the client's system may hold a segment more than its send buffer

Callers whose body the systems' buffers just hold (4.6 MB in our tests), at a server that hangs or reads slowly, got 503 or 504 up to 10 s after its last byte, 0.6 s being allowed.

Cause: the time of an upload runs once the buffers can hold its rest; 4 MiB counted for the client's system, but a send buffer that isn't full takes a whole segment (64 KiB at most) and exceeds its size. Evidence: SIOCOUTQ showed 4,194,390 bytes; the node's clock, traced in these tests, stood for 9 to 10 s with 2,592 or 3,722 bytes too many to come; four copies of the tests of such uploads at once were red in 6 of 36 runs, always at that size.

Change: one segment counts too.

--- a/crates/node/src/net/upload_clock.rs
+++ b/crates/node/src/net/upload_clock.rs
@@ -18,9 +18,12 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-/// The most data that a client's system holds for a connection, in bytes: the largest send buffer of Linux by default
-/// (`net.ipv4.tcp_wmem`).
-const MAX_CLIENT_BUFFER_BYTES: u64 = 4 << 20;
+/// The largest send buffer of Linux by default (`net.ipv4.tcp_wmem`), in bytes.
+const MAX_SEND_BUFFER_BYTES: u64 = 4 << 20;
+/// The largest segment that a system holds, in bytes. A send buffer that isn't full takes a whole one, and exceeds its size by it.
+const MAX_SEGMENT_BYTES: u64 = 64 << 10;
+/// The most data that a client's system holds for a connection, in bytes.
+const MAX_CLIENT_BUFFER_BYTES: u64 = MAX_SEND_BUFFER_BYTES + MAX_SEGMENT_BYTES;
 /// The most data that this system holds for a connection, in bytes: the largest receive buffer of Linux by default
 /// (`net.ipv4.tcp_rmem`).
 const MAX_RECEIVE_BUFFER_BYTES: u64 = 6 << 20;
--- a/crates/node/src/net/upload_clock/tests.rs
+++ b/crates/node/src/net/upload_clock/tests.rs
@@ -74,6 +74,16 @@
     }
 }
 
+/// Guards against: a client whose system held one segment more than its send buffer's size got its answer after 10 s.
+#[test]
+fn time_runs_while_the_clients_system_holds_a_segment_more_than_its_send_buffer() {
+    const HELD_BYTES: u64 = (4 << 20) + (64 << 10);
+    let mut upload = Upload::new(Some(HELD_BYTES + 300_000));
+    upload.unread = Some(100_000);
+    upload.update(SECOND / 20, 200_000, NOT_AWAITED);
+    assert_eq!(upload.deadline(), Some(TIME_FOR_ANSWER));
+}
+
 #[test]
 fn time_does_not_run_while_the_client_is_awaited_and_begins_anew_afterwards() {
     let mut upload = Upload::new(Some(MAX_CLIENT_BUFFER_BYTES));
