Leases: a node keeps its lease and stays in the fleet until its process exits

Callers (the resource) worked on the calls of two nodes at once if the first got SIGTERM during its call and forwarded a long answer past the end of its shutdown. Cause: the wait for the call ended at the end of the shutdown, not of the process; the node left the fleet then, its keepers answered no more, and the lease expired.

Change: the wait lasts until the process is about to exit. A call's connection is closed with the call, before the release is sent; it was closed by a task of its own, after it (no test tells the two apart). A second test has a call that times out during the shutdown.

--- a/crates/node/src/lease/call.rs
+++ b/crates/node/src/lease/call.rs
@@ -5,7 +5,6 @@
 //! and another node has acquired the lease.
 
 use super::Leases;
-use crate::net::task::AbortOnDrop;
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper::client::conn::http1::Builder;
@@ -14,6 +13,7 @@
 use reelfall_config::model;
 use reelfall_lease::token::LeaseName;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use thiserror::Error;
@@ -90,8 +90,6 @@
         .await
         .map_err(CallError::Connect)?;
     let (mut sender, connection) = Builder::new().handshake(TokioIo::new(stream)).await?;
-    // Aborted with this call, also when that times out, since the resource may never answer.
-    let _connection = AbortOnDrop(tokio::task::spawn_local(connection).abort_handle());
     let Some(operation) = leases.begin_call(name, call.path.as_str()) else {
         return Ok(None);
     };
@@ -104,6 +102,12 @@
         .header("x-lease-token", claim.token)
         .header("x-lease-holder", leases.client_id().name)
         .body(Empty::<Bytes>::new())?;
-    let answer = sender.send_request(request).await?;
-    Ok(Some(answer.status()))
+    let mut answer = pin!(sender.send_request(request));
+    // The connection is closed with this call, also when that times out: another node may call as soon as it has ended.
+    let answer = tokio::select! {
+        biased;
+        answer = answer.as_mut() => answer,
+        _ = connection => answer.await,
+    };
+    Ok(Some(answer?.status()))
 }
--- a/crates/node/src/standalone.rs
+++ b/crates/node/src/standalone.rs
@@ -21,7 +21,7 @@
 
 use crate::fleet::{FleetError, FleetRuntime};
 use crate::lease::LeaseError;
-use crate::net::frontend::Shutdown;
+use crate::net::frontend::{Frontend, Shutdown};
 use crate::net::memory::MemoryPlan;
 use crate::net::service::prepared::PreparedPlan;
 use crate::net::shared::Shared;
@@ -38,7 +38,8 @@
 use std::rc::Rc;
 use thiserror::Error;
 use tokio::signal::unix::Signal;
-use tokio::time::timeout_at;
+use tokio::sync::Notify;
+use tokio::time::{sleep_until, timeout_at};
 
 /// Why a node can't start.
 #[derive(Debug, Error)]
@@ -103,16 +104,37 @@
     let file = path.display().to_string();
     tokio::task::spawn_local(reload_at_hangup(node.clone(), reader, hangup, file));
     let shutdown = Shutdown::begin(&frontend, termination.received().await);
+    shut_down(&shutdown, &node, &frontend, membership.as_deref()).await;
+    Ok(())
+}
+
+/// Serves clients during the shutdown. Beside them the node's entries are withdrawn and its leases released, which the process
+/// waits for until its end.
+async fn shut_down(
+    shutdown: &Shutdown,
+    node: &Node,
+    frontend: &Rc<Frontend>,
+    membership: Option<&Membership>,
+) {
     // First of all, so that clients and other nodes stop selecting this node.
     node.begin_shutdown();
+    let ends_at = shutdown.ends_at().into();
+    let served = Notify::new();
+    let serving = async {
+        let withdrawal = timeout_at(ends_at, node.withdraw_entries());
+        let _ = tokio::join!(frontend.shut_down(shutdown), withdrawal);
+        served.notify_one();
+    };
+    let exit = async {
+        served.notified().await;
+        sleep_until(ends_at).await;
+    };
     let farewell = async {
-        if let Some(membership) = &membership {
-            membership.leave(shutdown.ends_at()).await;
+        if let Some(membership) = membership {
+            membership.leave(exit).await;
         }
     };
-    let withdrawal = timeout_at(shutdown.ends_at().into(), node.withdraw_entries());
-    let _ = tokio::join!(farewell, frontend.shut_down(&shutdown), withdrawal);
-    Ok(())
+    tokio::join!(farewell, serving);
 }
 
 /// The settings that a reload does not change: they are read once, as the process starts.
--- a/crates/node/src/standalone/membership.rs
+++ b/crates/node/src/standalone/membership.rs
@@ -7,9 +7,8 @@
 use hyper::StatusCode;
 use reelfall_admin::request::FleetRequest;
 use reelfall_config::model;
+use std::future::Future;
 use std::rc::Rc;
-use std::time::Instant;
-use tokio::time::timeout_at;
 
 /// A node's part in its fleet: gossip, verdicts and leases.
 pub struct Membership {
@@ -35,12 +34,17 @@
         Ok(Rc::new(Membership { fleet, leases }))
     }
 
-    /// Releases all leases and leaves the fleet, as the node shuts down. A lease whose call is still in progress at `until` is
-    /// not released, as the resource may work on: it expires.
-    pub async fn leave(&self, until: Instant) {
+    /// Releases all leases and leaves the fleet, as the node shuts down; `exit` completes when the process is about to end. A
+    /// lease whose call is still in progress then is not released, as the resource may work on: it expires.
+    pub async fn leave(&self, exit: impl Future<Output = ()>) {
         if let Some(leases) = &self.leases {
-            let _ = timeout_at(until.into(), leases.leave()).await;
+            tokio::select! {
+                biased;
+                () = leases.leave() => {}
+                () = exit => {}
+            }
         }
+        // Only now: a node that has left can't renew its leases.
         self.fleet.leave();
     }
 
--- a/crates/testbed/tests/leases/calls_in_progress.rs
+++ b/crates/testbed/tests/leases/calls_in_progress.rs
@@ -2,7 +2,7 @@
 //! before that one has ended.
 
 use crate::fleets::{self, reserve_fleet, run_for};
-use crate::{status_contains, KEEPER_COUNT, LEASE, VOTES};
+use crate::{wait_until_keepers_vote, KEEPER_COUNT, LEASE};
 use reelfall_testbed::fleet::history::Event;
 use reelfall_testbed::fleet::{FleetSpec, TestFleet, SHORT_SLOW_START};
 use reelfall_testbed::scripted::{self, Message};
@@ -13,6 +13,8 @@
 
 /// How long a call is left without an answer, in seconds: longer than the lease lasts without a renewal.
 const CALL_SECONDS: f64 = 1.5;
+/// Longer than any call of these tests.
+const LONG_CALL_TIMEOUT: Duration = Duration::from_secs(20);
 /// When a process ends after SIGTERM: the longest deadline (2 s) and 0.6 s, with 0.4 s of slack for a busy machine.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -107,29 +109,32 @@
     calls[index].ended_at.get_or_insert_with(Instant::now);
 }
 
-/// Starts nodes that call the resource under a lease; a call may take longer than the lease lasts without a renewal.
-async fn start(resource: &HeldResource) -> TestFleet {
+/// Starts nodes that call the resource under a lease; the timeout of a call is longer than the lease lasts without a renewal.
+/// Returns them with the holder, whose call is in progress.
+async fn start_with_call(resource: &HeldResource, call_timeout: Duration) -> (TestFleet, usize) {
     let spec = FleetSpec {
         node_count: KEEPER_COUNT,
         server_count: 2,
         service_settings: SHORT_SLOW_START.to_owned(),
         fleet_settings: Some(format!(
             "[fleet.leases]\nkeepers = [\"n0\", \"n1\", \"n2\"]\nfolder = \"{{folder}}\"\nlength = \"1s\"\n\
-             [[fleet.leases.call]]\nname = \"{LEASE}\"\naddress = \"{}\"\npath = \"/\"\nevery = \"20s\"\n",
-            resource.address
+             [[fleet.leases.call]]\nname = \"{LEASE}\"\naddress = \"{}\"\npath = \"/\"\nevery = \"{}ms\"\n",
+            resource.address,
+            call_timeout.as_millis()
         )),
         ..FleetSpec::default()
     };
     let fleet = fleets::start(spec).await;
-    for keeper in 0..KEEPER_COUNT {
-        fleet
-            .wait_until("all keepers vote", async |fleet| {
-                status_contains(fleet, keeper, VOTES).await
-            })
-            .await
-            .unwrap();
-    }
-    fleet
+    wait_until_keepers_vote(&fleet).await;
+    let holder = resource.wait_for_calls(&fleet, 1).await;
+    (fleet, holder)
+}
+
+/// Asserts that another node calls next.
+async fn assert_another_calls(resource: &HeldResource, fleet: &TestFleet, holder: usize) {
+    let next = resource.wait_for_calls(fleet, 2).await;
+    assert_ne!(next, holder);
+    resource.assert_one_at_a_time();
 }
 
 /// Whether a node has logged that it released the lease.
@@ -145,8 +150,7 @@
 async fn terminated_holder_keeps_its_lease_until_its_call_has_ended() {
     let _reservation = reserve_fleet().await;
     let resource = HeldResource::start();
-    let mut fleet = start(&resource).await;
-    let holder = resource.wait_for_calls(&fleet, 1).await;
+    let (mut fleet, holder) = start_with_call(&resource, LONG_CALL_TIMEOUT).await;
     let from = fleet.history.len();
     fleet.request_termination(holder);
     run_for(CALL_SECONDS).await;
@@ -156,9 +160,7 @@
     // The node gives the lease back before it ends, so the next one need not wait until the lease expires.
     fleet.wait_for_exit(holder, from).await.unwrap();
     assert!(has_released(&fleet, holder));
-    let next = resource.wait_for_calls(&fleet, 2).await;
-    assert_ne!(next, holder);
-    resource.assert_one_at_a_time();
+    assert_another_calls(&resource, &fleet, holder).await;
 }
 
 /// Guards against a shutdown that waits for the resource beyond the end of the process, and against a lease that is given back
@@ -167,17 +169,14 @@
 async fn terminated_holder_whose_call_is_never_answered_ends_in_time_with_its_lease() {
     let _reservation = reserve_fleet().await;
     let resource = HeldResource::start();
-    let mut fleet = start(&resource).await;
-    let holder = resource.wait_for_calls(&fleet, 1).await;
+    let (mut fleet, holder) = start_with_call(&resource, LONG_CALL_TIMEOUT).await;
     let (from, terminated_at) = (fleet.history.len(), Instant::now());
     fleet.request_termination(holder);
     fleet.wait_for_exit(holder, from).await.unwrap();
     let ended_after = terminated_at.elapsed();
     assert!(ended_after < EXIT_TIMEOUT, "ended after {ended_after:?}");
     assert!(!has_released(&fleet, holder));
-    let next = resource.wait_for_calls(&fleet, 2).await;
-    assert_ne!(next, holder);
-    resource.assert_one_at_a_time();
+    assert_another_calls(&resource, &fleet, holder).await;
 }
 
 /// Guards against two nodes that act at once, as an operator released the lease of a holder during its call.
@@ -185,19 +184,64 @@
 async fn released_lease_is_kept_until_its_call_has_ended() {
     let _reservation = reserve_fleet().await;
     let resource = HeldResource::start();
-    let fleet = start(&resource).await;
-    let holder = resource.wait_for_calls(&fleet, 1).await;
+    let (fleet, holder) = start_with_call(&resource, LONG_CALL_TIMEOUT).await;
     let path = format!("/-/fleet/leases/{LEASE}/release?why=test");
     let response = fleet.call_management(holder, "POST", &path).await.unwrap();
     assert_eq!(response.status, 200, "{}", response.body);
     run_for(CALL_SECONDS).await;
     assert_eq!(resource.call_count(), 1, "another node called meanwhile");
     resource.answer(0);
-    let next = resource.wait_for_calls(&fleet, 2).await;
-    assert_ne!(next, holder);
+    assert_another_calls(&resource, &fleet, holder).await;
     fleet
         .wait_until("the release", async |fleet| has_released(fleet, holder))
         .await
         .unwrap();
-    resource.assert_one_at_a_time();
+}
+
+/// Guards against a node that leaves its fleet, and can't renew its lease any more, while it forwards a long answer after the time
+/// of its shutdown and its call is in progress.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lease_is_kept_while_a_long_answer_outlasts_the_shutdown() {
+    const ANSWER_LEN: usize = 20_000_000;
+    /// The process would end 2.6 s after SIGTERM without the answer, and the lease expire 1 s later.
+    const CALL_SECONDS_PAST_THE_END: f64 = 4.2;
+    let _reservation = reserve_fleet().await;
+    let resource = HeldResource::start();
+    let (mut fleet, holder) = start_with_call(&resource, LONG_CALL_TIMEOUT).await;
+    for server in &fleet.servers {
+        server.update_behavior(|behavior| behavior.padding_len = ANSWER_LEN);
+    }
+    let mut client = TcpStream::connect(fleet.address(holder).unwrap()).unwrap();
+    client
+        .write_all(
+            b"GET /api HTTP/1.1\r\nhost: evaluate.example.org\r\nx-correlation-id: long\r\n\r\n",
+        )
+        .unwrap();
+    client.peek(&mut [0]).unwrap();
+    let from = fleet.history.len();
+    fleet.request_termination(holder);
+    run_for(CALL_SECONDS_PAST_THE_END).await;
+    assert_eq!(resource.call_count(), 1, "another node called meanwhile");
+    resource.answer(0);
+    assert_another_calls(&resource, &fleet, holder).await;
+    let mut answer = Vec::new();
+    client.set_read_timeout(Some(EXIT_TIMEOUT)).unwrap();
+    let _ = client.read_to_end(&mut answer);
+    assert!(answer.len() > ANSWER_LEN, "the answer was cut off");
+    fleet.wait_for_exit(holder, from).await.unwrap();
+    assert!(has_released(&fleet, holder));
+}
+
+/// A call that times out during the shutdown has ended: its connection is closed, and the lease given back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lease_is_released_when_its_call_times_out_during_the_shutdown() {
+    const CALL_TIMEOUT: Duration = Duration::from_millis(1800);
+    let _reservation = reserve_fleet().await;
+    let resource = HeldResource::start();
+    let (mut fleet, holder) = start_with_call(&resource, CALL_TIMEOUT).await;
+    let from = fleet.history.len();
+    fleet.request_termination(holder);
+    fleet.wait_for_exit(holder, from).await.unwrap();
+    assert!(has_released(&fleet, holder));
+    assert_another_calls(&resource, &fleet, holder).await;
 }
--- a/crates/testbed/tests/leases/main.rs
+++ b/crates/testbed/tests/leases/main.rs
@@ -72,14 +72,7 @@
         .await
         .unwrap();
     wait_until_converged(&fleet).await;
-    for keeper in 0..KEEPER_COUNT {
-        fleet
-            .wait_until("all keepers vote", async |fleet| {
-                status_contains(fleet, keeper, VOTES).await
-            })
-            .await
-            .unwrap();
-    }
+    wait_until_keepers_vote(&fleet).await;
     LeaseFleet {
         fleet,
         _resource: resource,
@@ -95,6 +88,17 @@
         .unwrap();
 }
 
+async fn wait_until_keepers_vote(fleet: &TestFleet) {
+    for keeper in 0..KEEPER_COUNT {
+        fleet
+            .wait_until("all keepers vote", async |fleet| {
+                status_contains(fleet, keeper, VOTES).await
+            })
+            .await
+            .unwrap();
+    }
+}
+
 /// The current holder, as of the last admitted write; `None` before the first.
 fn holder(fleet: &TestFleet) -> Option<Holder> {
     let last = admitted_writes(&fleet.history.events(), LEASE).pop()?;
