--- a/crates/node/src/net/takeover.rs
+++ b/crates/node/src/net/takeover.rs
@@ -12,6 +12,8 @@
 mod clients;
 mod exchange;
 mod socket;
+#[cfg(test)]
+mod tests;
 
 pub use socket::{HandoverSocket, Snapshot};
 
--- a/crates/node/src/net/tests.rs
+++ b/crates/node/src/net/tests.rs
@@ -16,7 +16,7 @@
     "limits":{"conn-idle":5.0,"connect-timeout":0.5,"max-attempts":4}}"#;
 
 /// A frontend whose one pool has no list yet.
-fn frontend() -> Rc<Frontend> {
+pub(super) fn frontend() -> Rc<Frontend> {
     let (settings, names, connection_settings) = settings::read(SETTINGS).expect("usable settings");
     let shared = Shared::for_single_service(ResourceLimits::for_process(256, 64));
     let pool = Pool::new(PoolConfig {
