--- a/crates/testbed/tests/shutdown/fixtures.rs
+++ b/crates/testbed/tests/shutdown/fixtures.rs
@@ -98,3 +98,10 @@
         registry.set_member_down(member, is_down);
     }
 }
+
+/// Has all members of a registry take this long for each response.
+pub fn set_response_delay(registry: &Registry, delay: Duration) {
+    for member in 0..MEMBER_COUNT {
+        registry.set_response_delay(member, delay);
+    }
+}
--- a/crates/testbed/tests/shutdown/late_requests.rs
+++ b/crates/testbed/tests/shutdown/late_requests.rs
@@ -1,8 +1,8 @@
 //! Requests that arrive on open connections late in a shutdown.
 
 use crate::fixtures::{
-    set_down, set_frozen, settings, start_registered_node, start_registry, start_server,
-    ENTRY_PATH, MEMBER_COUNT,
+    set_down, set_frozen, set_response_delay, settings, start_registered_node, start_registry,
+    start_server, ENTRY_PATH,
 };
 use crate::late_clients::{Ending, LateClients};
 use reelfall_testbed::registry::Registry;
@@ -38,16 +38,20 @@
             .await;
         assert!(lost.is_empty(), "{self:?}: lost: {lost:?}");
     }
+
+    /// The check with one registry, which is silent.
+    async fn check_beside_silent_registry(self) {
+        let registry = start_registry().await;
+        self.check(&[&registry], || set_frozen(&registry, true))
+            .await;
+    }
 }
 
 /// Guards against a shutdown whose times count from the end of the withdrawal of the node's entry: the process accepted
 /// requests for longer, and SIGKILL found them unanswered.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_registry_costs_no_request() {
-    let registry = start_registry().await;
-    PLAIN
-        .check(&[&registry], || set_frozen(&registry, true))
-        .await;
+    PLAIN.check_beside_silent_registry().await;
 }
 
 /// The same with a registry that closes its connections and accepts no new ones.
@@ -73,40 +77,31 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_registry_costs_no_request_with_short_deadlines() {
     for (deadline_ms, service_time_ms) in [(600, 500), (200, 150)] {
-        let registry = start_registry().await;
         let shutdown = Shutdown {
             deadline: Duration::from_millis(deadline_ms),
             service_time: Duration::from_millis(service_time_ms),
             ..PLAIN
         };
-        shutdown
-            .check(&[&registry], || set_frozen(&registry, true))
-            .await;
+        shutdown.check_beside_silent_registry().await;
     }
 }
 
 /// The same with a server that answers too late, so that the node has to.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_registry_and_late_server_cost_no_request() {
-    let registry = start_registry().await;
     let shutdown = Shutdown {
         service_time: 2 * PLAIN.deadline,
         ..PLAIN
     };
-    shutdown
-        .check(&[&registry], || set_frozen(&registry, true))
-        .await;
+    shutdown.check_beside_silent_registry().await;
 }
 
 /// The same with a process that is held up at SIGTERM, or gets further signals after it.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn silent_registry_costs_no_request_however_the_signals_come() {
     for ending in [Ending::HeldUp, Ending::FurtherSignals] {
-        let registry = start_registry().await;
         let shutdown = Shutdown { ending, ..PLAIN };
-        shutdown
-            .check(&[&registry], || set_frozen(&registry, true))
-            .await;
+        shutdown.check_beside_silent_registry().await;
     }
 }
 
@@ -114,11 +109,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn slow_registry_costs_no_request() {
     let registry = start_registry().await;
-    let disturb = || {
-        for member in 0..MEMBER_COUNT {
-            registry.set_response_delay(member, Duration::from_millis(150));
-        }
-    };
-    PLAIN.check(&[&registry], disturb).await;
+    let delay = Duration::from_millis(150);
+    PLAIN
+        .check(&[&registry], || set_response_delay(&registry, delay))
+        .await;
     assert!(registry.entry(ENTRY_PATH).is_none());
 }
--- a/crates/testbed/tests/shutdown/own_entry.rs
+++ b/crates/testbed/tests/shutdown/own_entry.rs
@@ -1,8 +1,8 @@
 //! The node's entry in a registry that responds does not outlive the process, also where no client is connected.
 
 use crate::fixtures::{
-    set_down, set_frozen, settings, start_registered_node, start_registry, start_server,
-    ENTRY_PATH, MEMBER_COUNT,
+    set_down, set_frozen, set_response_delay, settings, start_registered_node, start_registry,
+    start_server, ENTRY_PATH, MEMBER_COUNT,
 };
 use reelfall_testbed::node::Node;
 use reelfall_testbed::pool::Server;
@@ -31,10 +31,19 @@
     (node, server, settings)
 }
 
-/// Waits for the end of the process; returns whether its entry was gone by then.
-async fn entry_is_gone_at_exit(node: &mut Node, registry: &Registry) -> bool {
+/// Waits for the end of the process, and asserts that its entry is gone by then.
+async fn assert_entry_is_gone_at_exit(node: &mut Node, registry: &Registry) {
     assert!(node.wait_for_exit().await.unwrap());
-    registry.entry(ENTRY_PATH).is_none()
+    assert!(
+        registry.entry(ENTRY_PATH).is_none(),
+        "the entry outlives the process"
+    );
+}
+
+/// Ends a node by SIGTERM, and asserts that its entry is gone with it.
+async fn assert_entry_ends_with(node: &mut Node, registry: &Registry) {
+    node.signal("TERM").unwrap();
+    assert_entry_is_gone_at_exit(node, registry).await;
 }
 
 /// Ends a node while its registry does not respond; `restore` lets the registry respond again a while after SIGTERM.
@@ -44,8 +53,7 @@
         tokio::time::sleep(OUTAGE_AFTER_TERM).await;
         restore();
     };
-    let (is_gone, ()) = tokio::join!(entry_is_gone_at_exit(node, registry), restored);
-    assert!(is_gone, "the entry outlives the process");
+    tokio::join!(assert_entry_is_gone_at_exit(node, registry), restored);
 }
 
 /// Guards against a process without clients that ends before its registry responds again.
@@ -79,11 +87,7 @@
         let (mut node, _server, _) = start_node_with(&registry, deadline).await;
         let connected = (0..MEMBER_COUNT).find(|member| registry.connected_sessions(*member) > 0);
         registry.set_member_frozen(connected.expect("the session is connected"), true);
-        node.signal("TERM").unwrap();
-        assert!(
-            entry_is_gone_at_exit(&mut node, &registry).await,
-            "the entry outlives the process, the longest deadline is {deadline:?}"
-        );
+        assert_entry_ends_with(&mut node, &registry).await;
     }
 }
 
@@ -105,14 +109,8 @@
     for delay_ms in RESPONSE_DELAYS_MS {
         let registry = start_registry().await;
         let (mut node, _server, _) = start_node(&registry).await;
-        for member in 0..MEMBER_COUNT {
-            registry.set_response_delay(member, Duration::from_millis(delay_ms));
-        }
-        node.signal("TERM").unwrap();
-        assert!(
-            entry_is_gone_at_exit(&mut node, &registry).await,
-            "the entry outlives the process, responses take {delay_ms} ms"
-        );
+        set_response_delay(&registry, Duration::from_millis(delay_ms));
+        assert_entry_ends_with(&mut node, &registry).await;
     }
 }
 
@@ -123,26 +121,16 @@
     let registry = start_registry().await;
     let (mut node, _server, _) = start_node(&registry).await;
     registry.set_acl("/", &[AccessRule::new(READ_AND_CREATE, "world", "anyone")]);
-    node.signal("TERM").unwrap();
-    assert!(
-        entry_is_gone_at_exit(&mut node, &registry).await,
-        "the entry outlives the process"
-    );
+    assert_entry_ends_with(&mut node, &registry).await;
 }
 
 /// SIGTERM while the response to the creation of the entry is on its way.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entry_that_was_just_created_does_not_outlive_the_process() {
     let registry = start_registry().await;
-    for member in 0..MEMBER_COUNT {
-        registry.set_response_delay(member, Duration::from_millis(150));
-    }
+    set_response_delay(&registry, Duration::from_millis(150));
     let (mut node, _server, _) = start_node(&registry).await;
-    node.signal("TERM").unwrap();
-    assert!(
-        entry_is_gone_at_exit(&mut node, &registry).await,
-        "the entry outlives the process"
-    );
+    assert_entry_ends_with(&mut node, &registry).await;
 }
 
 /// SIGHUP with another entry after SIGTERM registers nothing.
@@ -159,9 +147,6 @@
         .await
         .unwrap();
     set_frozen(&registry, false);
-    assert!(
-        entry_is_gone_at_exit(&mut node, &registry).await,
-        "the entry outlives the process"
-    );
+    assert_entry_is_gone_at_exit(&mut node, &registry).await;
     assert!(registry.entry(OTHER_PATH).is_none());
 }
